The node: entry, hop, owner and borders, thin

Cause: nothing carries a request yet. Change: settings in INI with every problem named, callers' chat and service interfaces, rendezvous first choice, entry to owner over HTTP/2 with an authenticated CBOR head, owner to backend server, the three-way outcome from end to end, request ids checked at each hop, configuration from the log, host list, metrics, readiness, time line. Conclusion: the slices have their own sections, states and tests, so that they can grow side by side.

--- /dev/null
+++ b/src/entry/attempts.rs
@@ -0,0 +1,204 @@
+//! Tries a request on one backend server after another, as far as that is allowed.
+
+use super::caller::Caller;
+use crate::border::generated::config::Service;
+use crate::border::generated::peer::HopHead;
+use crate::hop::Dispatch;
+use crate::hop::PROTOCOL_VERSION;
+use crate::membership::Backend;
+use crate::membership::Membership;
+use crate::membership::View;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::owner::Answer;
+use crate::owner::Attempt;
+use crate::routing::Choice;
+use crate::routing::Loads;
+use crate::routing::Policy;
+use crate::timeline::Timeline;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use uuid::Uuid;
+
+/// A caller's request, ready to be sent to a backend server.
+pub(super) struct Job<'a> {
+    /// The caller.
+    pub(super) caller: &'a Caller,
+    /// The service that is asked.
+    pub(super) service: &'a Service,
+    /// HTTP method.
+    pub(super) method: &'a str,
+    /// Path with query, as the backend server gets it.
+    pub(super) path: &'a str,
+    /// The body.
+    pub(super) body: &'a Bytes,
+    /// Key of a non-idempotent call; such a call is never tried again once it was handed over.
+    pub(super) key: Option<&'a str>,
+    /// When the caller gives up.
+    pub(super) deadline: Instant,
+}
+
+/// Sends attempts.
+pub struct Attempts {
+    node: String,
+    max_attempts: usize,
+    membership: Arc<dyn Membership>,
+    dispatch: Arc<dyn Dispatch>,
+    policy: Box<dyn Policy>,
+    loads: Loads,
+    timeline: Arc<Timeline>,
+}
+
+/// What has come of a request so far.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<String>,
+    proposed: Option<String>,
+    /// An attempt that may have run, which no later refusal can make certain again.
+    uncertain: Option<Refusal>,
+    last: Option<Refusal>,
+}
+
+impl Progress {
+    fn note(&mut self, backend: &str, refusal: Refusal) {
+        self.tried.push(backend.to_owned());
+        if let Refusal::NotRun { next, .. } = &refusal {
+            self.proposed.clone_from(next);
+        }
+        if refusal.is_not_run() {
+            self.last = Some(refusal);
+        } else {
+            self.uncertain = Some(refusal);
+        }
+    }
+
+    fn refusal(self) -> Refusal {
+        self.uncertain
+            .or(self.last)
+            .unwrap_or(Refusal::not_run(NotRun::NoBackend))
+    }
+}
+
+impl Attempts {
+    /// Makes a sender for the node named `node`.
+    pub fn new(
+        node: &str,
+        max_attempts: usize,
+        membership: Arc<dyn Membership>,
+        dispatch: Arc<dyn Dispatch>,
+        policy: Box<dyn Policy>,
+        timeline: Arc<Timeline>,
+    ) -> Self {
+        Self {
+            node: node.to_owned(),
+            max_attempts,
+            membership,
+            dispatch,
+            policy,
+            loads: Loads::default(),
+            timeline,
+        }
+    }
+
+    /// Sends attempts until one is answered or no further one is allowed.
+    pub(super) async fn run(&self, job: &Job<'_>) -> Result<Answer, Refusal> {
+        let mut progress = Progress::default();
+        while progress.tried.len() < self.max_attempts {
+            let left = job.deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                progress
+                    .last
+                    .get_or_insert(Refusal::not_run(NotRun::Deadline));
+                break;
+            }
+            let view = self.membership.view();
+            let Some(backend) = self.choose(job, &view, &progress) else {
+                break;
+            };
+            let attempt = self.attempt(job, backend, left, &progress);
+            match self.dispatch.dispatch(&attempt).await {
+                Ok(answer) => {
+                    self.loads.note(&backend.name, answer.load);
+                    return Ok(answer);
+                }
+                Err(refusal) => {
+                    let again = may_try_again(job, &refusal);
+                    progress.note(&backend.name, refusal);
+                    if !again {
+                        break;
+                    }
+                }
+            }
+        }
+        Err(progress.refusal())
+    }
+
+    fn choose<'a>(
+        &self,
+        job: &Job<'_>,
+        view: &'a View,
+        progress: &Progress,
+    ) -> Option<&'a Backend> {
+        let usable = |b: &&Backend| !b.leaving && !progress.tried.contains(&b.name);
+        let candidates: Vec<&Backend> = view
+            .of_service(&job.service.name)
+            .iter()
+            .filter(usable)
+            .collect();
+        let caller = job.caller;
+        self.policy.choose(&Choice {
+            key: caller.chat.as_deref().unwrap_or(&caller.request),
+            candidates: &candidates,
+            loads: &self.loads,
+            hint: caller.hint.as_deref(),
+            proposed: progress.proposed.as_deref(),
+        })
+    }
+
+    fn attempt(
+        &self,
+        job: &Job<'_>,
+        backend: &Backend,
+        left: Duration,
+        progress: &Progress,
+    ) -> Attempt {
+        let caller = job.caller;
+        let head = HopHead {
+            v: PROTOCOL_VERSION,
+            id: Uuid::now_v7().to_string(),
+            request: caller.request.clone(),
+            from: self.node.clone(),
+            service: job.service.name.clone(),
+            backend: backend.name.clone(),
+            team: caller.team.clone(),
+            chat: caller.chat.clone(),
+            priority: caller.priority,
+            deadline_ms: left.as_millis() as u64,
+            method: job.method.to_owned(),
+            path: job.path.to_owned(),
+            content_type: caller.content_type.clone(),
+            body_len: job.body.len() as u64,
+            hops: 0,
+            tried: progress.tried.clone(),
+            key: job.key.map(str::to_owned),
+            resume_from: None,
+            no_spill: false,
+            cached_on: None,
+            hlc: self.timeline.stamp(),
+        };
+        Attempt {
+            head,
+            body: job.body.clone(),
+        }
+    }
+}
+
+/// Idempotent work may always be tried again, other work only where it certainly did not run.
+fn may_try_again(job: &Job<'_>, refusal: &Refusal) -> bool {
+    match refusal {
+        Refusal::NotRun { reason, .. } => !matches!(reason, NotRun::BadRequest | NotRun::Deadline),
+        Refusal::Unknown { .. } => job.key.is_none(),
+    }
+}
--- /dev/null
+++ b/src/entry/caller.rs
@@ -0,0 +1,89 @@
+//! What the entry learns of a caller from the request's headers.
+
+use crate::border::CHAT_ID_HEADER;
+use crate::border::IDEMPOTENCY_KEY_HEADER;
+use crate::border::PRIORITY_HEADER;
+use crate::border::REQUEST_ID_HEADER;
+use crate::border::generated::peer::Priority;
+use crate::config::State;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use uuid::Uuid;
+
+/// Header that carries the routing hint.
+pub(super) const HINT_HEADER: &str = "x-routing-hint";
+
+/// What comes before the key in the authorization header.
+const BEARER: &str = "Bearer ";
+/// Longest id that a caller may give, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// A caller's request without its body.
+#[derive(Clone, Debug)]
+pub(super) struct Caller {
+    /// Id of the request, the caller's own or a fresh one.
+    pub(super) request: String,
+    /// The caller's team.
+    pub(super) team: String,
+    /// The chat, where there is one.
+    pub(super) chat: Option<String>,
+    /// The request's priority.
+    pub(super) priority: Priority,
+    /// Routing hint that the caller echoes.
+    pub(super) hint: Option<String>,
+    /// Key of a non-idempotent call.
+    pub(super) key: Option<String>,
+    /// Content type of the body.
+    pub(super) content_type: Option<String>,
+}
+
+/// Gives the id that a caller's request goes by.
+pub(super) fn request_id(headers: &HeaderMap) -> String {
+    text(headers, REQUEST_ID_HEADER)
+        .filter(|id| is_id(id))
+        .map_or_else(|| Uuid::now_v7().to_string(), str::to_owned)
+}
+
+impl Caller {
+    /// Reads the headers and finds the caller's team.
+    pub(super) fn read(request: &str, headers: &HeaderMap, state: &State) -> Result<Self, Refusal> {
+        let unauthorized = Refusal::not_run(NotRun::Unauthorized);
+        let key = text(headers, AUTHORIZATION.as_str())
+            .and_then(|value| value.strip_prefix(BEARER))
+            .ok_or(unauthorized.clone())?;
+        let team = state.team_of_key(key).ok_or(unauthorized)?;
+        let chat = text(headers, CHAT_ID_HEADER);
+        if chat.is_some_and(|chat| !is_id(chat)) {
+            return Err(Refusal::not_run(NotRun::BadRequest));
+        }
+        let owned = |name| text(headers, name).map(str::to_owned);
+        Ok(Self {
+            request: request.to_owned(),
+            team: team.name.clone(),
+            chat: chat.map(str::to_owned),
+            priority: priority(headers, &team.priority)?,
+            hint: owned(HINT_HEADER),
+            key: owned(IDEMPOTENCY_KEY_HEADER),
+            content_type: owned(CONTENT_TYPE.as_str()),
+        })
+    }
+}
+
+fn priority(headers: &HeaderMap, default: &str) -> Result<Priority, Refusal> {
+    let name = text(headers, PRIORITY_HEADER).unwrap_or(default);
+    name.parse()
+        .map_err(|_| Refusal::not_run(NotRun::BadRequest))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Ids go into header lines and logs, so only plain ones are taken.
+fn is_id(id: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_graphic() && byte != b'/' && byte != b'"';
+    !id.is_empty() && id.len() <= MAX_ID_BYTES && id.bytes().all(plain)
+}
--- /dev/null
+++ b/src/entry/reply.rs
@@ -0,0 +1,97 @@
+//! Passes answers on to callers and counts how requests end.
+
+use super::caller::HINT_HEADER;
+use crate::border::REQUEST_ID_HEADER;
+use crate::net::Body;
+use crate::operations::Metrics;
+use crate::outcome::OUTCOME_HEADER;
+use crate::outcome::Refusal;
+use crate::outcome::problem_response;
+use crate::owner::Answer;
+use crate::owner::WholeBody;
+use crate::timeline::Event;
+use crate::timeline::EventKind;
+use crate::timeline::Timeline;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Counts one request from its arrival until its answer has left or the caller has gone.
+pub(super) struct Counted {
+    metrics: Arc<Metrics>,
+    timeline: Arc<Timeline>,
+    request: String,
+    began: Instant,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+impl Counted {
+    /// Begins to count.
+    pub(super) fn begin(metrics: Arc<Metrics>, timeline: Arc<Timeline>, request: &str) -> Self {
+        metrics.request_began();
+        timeline.event(Event::new(EventKind::RequestReceived).request(request));
+        Self {
+            metrics,
+            timeline,
+            request: request.to_owned(),
+            began: Instant::now(),
+            outcome: "unknown",
+            reason: "caller-gone",
+        }
+    }
+
+    /// Makes the caller's response and keeps counting until its body has left.
+    pub(super) fn respond(mut self, answer: Result<Answer, Refusal>) -> Response<Body> {
+        let request = self.request.clone();
+        let mut response = match answer {
+            Ok(answer) => {
+                self.outcome = "answered";
+                self.reason = "";
+                self.metrics.first_byte(self.began.elapsed());
+                answered(answer, self)
+            }
+            Err(refusal) => {
+                self.outcome = refusal.outcome();
+                self.reason = refusal.reason();
+                problem_response(&refusal, &request)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&request) {
+            response.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        response
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.metrics.request_ended(self.outcome, self.reason);
+        let ended = Event::new(EventKind::RequestEnded)
+            .request(&self.request)
+            .detail(self.outcome);
+        self.timeline.event(ended);
+    }
+}
+
+fn answered(answer: Answer, counted: Counted) -> Response<Body> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::new(WholeBody::wrap(answer.body, false, counted));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("answered"));
+    let texts = [
+        (CONTENT_TYPE.as_str(), answer.content_type),
+        (HINT_HEADER, answer.hint),
+    ];
+    for (name, text) in texts {
+        let value = text.and_then(|text| HeaderValue::from_str(&text).ok());
+        if let Some(value) = value {
+            headers.insert(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,109 @@
+//! Serves the caller address.
+
+use super::Attempts;
+use super::Settings;
+use super::caller::Caller;
+use super::caller::request_id;
+use super::chat::CHAT_PATH;
+use super::plain::SERVICES_PATH;
+use super::reply::Counted;
+use crate::claims::Once;
+use crate::config::ConfigSource;
+use crate::net::Body;
+use crate::net::CollectError;
+use crate::net::Handler;
+use crate::net::collect;
+use crate::operations::Metrics;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::owner::Answer;
+use crate::timeline::Timeline;
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Serves callers.
+pub struct Entry {
+    settings: Settings,
+    config: Arc<dyn ConfigSource>,
+    attempts: Attempts,
+    once: Arc<dyn Once>,
+    metrics: Arc<Metrics>,
+    timeline: Arc<Timeline>,
+}
+
+impl Entry {
+    /// Makes an entry that sends through `attempts`.
+    pub fn new(
+        settings: &Settings,
+        config: Arc<dyn ConfigSource>,
+        attempts: Attempts,
+        once: Arc<dyn Once>,
+        metrics: Arc<Metrics>,
+        timeline: Arc<Timeline>,
+    ) -> Self {
+        Self {
+            settings: settings.clone(),
+            config,
+            attempts,
+            once,
+            metrics,
+            timeline,
+        }
+    }
+
+    pub(super) fn attempts(&self) -> &Attempts {
+        &self.attempts
+    }
+
+    pub(super) fn once(&self) -> &dyn Once {
+        self.once.as_ref()
+    }
+
+    async fn answer(&self, request: &str, req: Request<Incoming>) -> Result<Answer, Refusal> {
+        let (parts, body) = req.into_parts();
+        let state = self.config.state();
+        let caller = Caller::read(request, &parts.headers, &state)?;
+        let path = parts.uri.path();
+        if path == CHAT_PATH && parts.method == Method::POST {
+            let body = self.body(body).await?;
+            return self.chat(&caller, &state, &body).await;
+        }
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or(path, |target| target.as_str());
+        let Some(rest) = target.strip_prefix(SERVICES_PATH) else {
+            return Err(Refusal::not_run(NotRun::NotFound));
+        };
+        let body = self.body(body).await?;
+        self.plain(&caller, &state, parts.method.as_str(), rest, &body)
+            .await
+    }
+
+    async fn body(&self, body: Incoming) -> Result<Bytes, Refusal> {
+        collect(body, self.settings.max_body_bytes)
+            .await
+            .map_err(|err| match err {
+                CollectError::TooLarge => Refusal::not_run(NotRun::TooLarge),
+                CollectError::Lost(_) => Refusal::not_run(NotRun::BadRequest),
+            })
+    }
+}
+
+#[async_trait]
+impl Handler for Entry {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let request = request_id(req.headers());
+        let metrics = Arc::clone(&self.metrics);
+        let timeline = Arc::clone(&self.timeline);
+        let counted = Counted::begin(metrics, timeline, &request);
+        let answer = self.answer(&request, req).await;
+        counted.respond(answer)
+    }
+}
--- /dev/null
+++ b/src/hop/dispatch.rs
@@ -0,0 +1,81 @@
+//! Finds the owner of an attempt's backend server and sends the attempt there.
+
+use super::RemoteOwner;
+use crate::membership::Membership;
+use crate::membership::Node;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::owner::Answer;
+use crate::owner::Attempt;
+use crate::owner::Owner;
+use crate::timeline::Event;
+use crate::timeline::EventKind;
+use crate::timeline::Timeline;
+use async_trait::async_trait;
+use std::sync::Arc;
+
+/// Runs attempts wherever their owner is.
+#[async_trait]
+pub trait Dispatch: Send + Sync {
+    /// Runs one attempt and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the attempt certainly did not run.
+    async fn dispatch(&self, attempt: &Attempt) -> Result<Answer, Refusal>;
+}
+
+/// Dispatches to the owner by this node's view.
+pub struct ToOwner {
+    node: String,
+    membership: Arc<dyn Membership>,
+    local: Arc<Owner>,
+    remote: RemoteOwner,
+    timeline: Arc<Timeline>,
+}
+
+impl ToOwner {
+    /// Makes a dispatcher for the node named `node`.
+    pub fn new(
+        node: &str,
+        membership: Arc<dyn Membership>,
+        local: Arc<Owner>,
+        remote: RemoteOwner,
+        timeline: Arc<Timeline>,
+    ) -> Self {
+        Self {
+            node: node.to_owned(),
+            membership,
+            local,
+            remote,
+            timeline,
+        }
+    }
+
+    fn owner_of(&self, attempt: &Attempt) -> Option<Node> {
+        let view = self.membership.view();
+        let backend = view.backend(&attempt.head.service, &attempt.head.backend)?;
+        view.owner(backend).cloned()
+    }
+}
+
+#[async_trait]
+impl Dispatch for ToOwner {
+    async fn dispatch(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
+        let head = &attempt.head;
+        let owner = self
+            .owner_of(attempt)
+            .ok_or(Refusal::not_run(NotRun::NoBackend))?;
+        let sent = Event::new(EventKind::AttemptSent)
+            .request(&head.request)
+            .attempt(&head.id)
+            .chat(head.chat.as_deref())
+            .backend(&head.backend)
+            .peer(&owner.name);
+        self.timeline.event(sent);
+        if owner.name == self.node {
+            return self.local.run(attempt).await;
+        }
+        self.remote.run(owner.address, attempt).await
+    }
+}
--- /dev/null
+++ b/src/hop/mod.rs
@@ -0,0 +1,28 @@
+//! The way of an attempt from the entry to the owner of its backend server.
+//!
+//! Where both are the same node it is a function call; otherwise an HTTP/2 request whose head is CBOR, authenticated
+//! by the deployment's key. See `docs/PROTOCOLS.md`.
+
+mod codec;
+mod dispatch;
+mod mac;
+mod remote;
+mod serve;
+#[cfg(test)]
+mod tests;
+
+pub use dispatch::Dispatch;
+pub use dispatch::ToOwner;
+pub use remote::RemoteOwner;
+pub use serve::PeerServer;
+
+/// Version of the messages between nodes that this program writes.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// Path of the hop on the peer address.
+const HOP_PATH: &str = "/hop";
+/// Header that carries the head of an attempt.
+const HEAD_HEADER: &str = "cb-hop";
+/// Header that carries the code that authenticates the head.
+const MAC_HEADER: &str = "cb-mac";
+/// Header that carries the head of a reply.
+const REPLY_HEADER: &str = "cb-reply";
--- /dev/null
+++ b/src/hop/remote.rs
@@ -0,0 +1,98 @@
+//! Sends attempts to owners on other nodes.
+
+use super::HEAD_HEADER;
+use super::HOP_PATH;
+use super::MAC_HEADER;
+use super::REPLY_HEADER;
+use super::codec;
+use super::mac;
+use crate::border::generated::peer::HopReply;
+use crate::net::Body;
+use crate::net::Client;
+use crate::net::SendError;
+use crate::net::full_body;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::outcome::Unknown;
+use crate::owner::Answer;
+use crate::owner::Attempt;
+use crate::settings::DeploymentKey;
+use crate::timeline::Timeline;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time that an owner gets beyond an attempt's deadline to say how it ended.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+
+/// Sends attempts over HTTP/2.
+pub struct RemoteOwner {
+    client: Client,
+    key: DeploymentKey,
+    timeline: Arc<Timeline>,
+}
+
+impl RemoteOwner {
+    /// Makes a sender; it connects when it is first used.
+    pub fn new(client: Client, key: DeploymentKey, timeline: Arc<Timeline>) -> Self {
+        Self {
+            client,
+            key,
+            timeline,
+        }
+    }
+
+    /// Runs `attempt` at the node at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the attempt certainly did not run.
+    pub async fn run(&self, address: SocketAddr, attempt: &Attempt) -> Result<Answer, Refusal> {
+        let req = self
+            .encode(address, attempt)
+            .ok_or(Refusal::not_run(NotRun::BadRequest))?;
+        let limit = Duration::from_millis(attempt.head.deadline_ms) + ANSWER_GRACE;
+        match self.client.send(req, limit).await {
+            Ok(response) => self.decode(&attempt.head.id, response),
+            Err(SendError::NotSent(_)) => Err(Refusal::not_run(NotRun::ConnectFailed)),
+            Err(SendError::Lost(_)) => Err(Refusal::unknown(Unknown::ConnectionLost)),
+            Err(SendError::Timeout) => Err(Refusal::unknown(Unknown::Timeout)),
+        }
+    }
+
+    fn encode(&self, address: SocketAddr, attempt: &Attempt) -> Option<Request<Body>> {
+        let head = codec::to_header(&attempt.head).ok()?;
+        let code = codec::text_of(&mac::code(&self.key, head.as_bytes()));
+        Request::post(format!("http://{address}{HOP_PATH}"))
+            .header(HEAD_HEADER, head)
+            .header(MAC_HEADER, code)
+            .body(full_body(attempt.body.clone()))
+            .ok()
+    }
+
+    fn decode(&self, id: &str, response: Response<Incoming>) -> Result<Answer, Refusal> {
+        let reply: HopReply = response
+            .headers()
+            .get(REPLY_HEADER)
+            .and_then(|value| codec::from_header(value.as_bytes()).ok())
+            .ok_or(Refusal::unknown(Unknown::BadAnswer))?;
+        if reply.id != id {
+            return Err(Refusal::unknown(Unknown::CrossedAnswer));
+        }
+        self.timeline.observe(&reply.hlc);
+        if let Some(refusal) = codec::refusal_of(&reply) {
+            return Err(refusal);
+        }
+        Ok(Answer {
+            status: reply.status.unwrap_or_default(),
+            content_type: reply.content_type,
+            load: reply.load.unwrap_or_default(),
+            hint: reply.hint,
+            body: response.into_body().map_err(Into::into).boxed_unsync(),
+        })
+    }
+}
--- /dev/null
+++ b/src/hop/serve.rs
@@ -0,0 +1,121 @@
+//! Serves the peer address, where other nodes send attempts.
+
+use super::HEAD_HEADER;
+use super::HOP_PATH;
+use super::MAC_HEADER;
+use super::PROTOCOL_VERSION;
+use super::REPLY_HEADER;
+use super::codec;
+use super::mac;
+use crate::border::generated::peer::HopHead;
+use crate::border::generated::peer::HopReply;
+use crate::net::Body;
+use crate::net::Handler;
+use crate::net::collect;
+use crate::net::empty_body;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::owner::Answer;
+use crate::owner::Attempt;
+use crate::owner::Owner;
+use crate::settings::DeploymentKey;
+use crate::timeline::Timeline;
+use async_trait::async_trait;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Oldest version of the messages between nodes that this program reads.
+const OLDEST_VERSION: u32 = PROTOCOL_VERSION;
+
+/// Serves the peer address.
+pub struct PeerServer {
+    owner: Arc<Owner>,
+    key: DeploymentKey,
+    timeline: Arc<Timeline>,
+    max_body_bytes: usize,
+}
+
+impl PeerServer {
+    /// Makes a server that hands attempts to `owner`.
+    pub fn new(
+        owner: Arc<Owner>,
+        key: DeploymentKey,
+        timeline: Arc<Timeline>,
+        max_body_bytes: usize,
+    ) -> Self {
+        Self {
+            owner,
+            key,
+            timeline,
+            max_body_bytes,
+        }
+    }
+
+    /// Reads the head of an attempt where the sender has proved that it knows the deployment's key.
+    fn head_of(&self, req: &Request<Incoming>) -> Option<HopHead> {
+        let head = req.headers().get(HEAD_HEADER)?.as_bytes();
+        let code = codec::bytes_of(req.headers().get(MAC_HEADER)?.as_bytes()).ok()?;
+        if !mac::is_valid(&self.key, head, &code) {
+            return None;
+        }
+        let head: HopHead = codec::from_header(head).ok()?;
+        (head.v >= OLDEST_VERSION).then_some(head)
+    }
+
+    async fn run(&self, head: HopHead, body: Incoming) -> (String, Result<Answer, Refusal>) {
+        self.timeline.observe(&head.hlc);
+        let id = head.id.clone();
+        let expected = head.body_len;
+        let whole = collect(body, self.max_body_bytes).await.ok();
+        let whole = whole.filter(|body| body.len() as u64 == expected);
+        let Some(body) = whole else {
+            return (id, Err(Refusal::not_run(NotRun::BadRequest)));
+        };
+        let attempt = Attempt { head, body };
+        (id, self.owner.run(&attempt).await)
+    }
+
+    fn response(&self, id: &str, answer: Result<Answer, Refusal>) -> Response<Body> {
+        let hlc = self.timeline.stamp();
+        match answer {
+            Ok(answer) => reply(&codec::answered(id, &answer, hlc), answer.body),
+            Err(refusal) => reply(&codec::refused(id, &refusal, hlc), empty_body()),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for PeerServer {
+    async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        if req.uri().path() != HOP_PATH {
+            return bare(StatusCode::NOT_FOUND);
+        }
+        let Some(head) = self.head_of(&req) else {
+            slog::warn!(self.timeline.log(), "attempt of a stranger refused"; "peer" => %peer);
+            return bare(StatusCode::FORBIDDEN);
+        };
+        let (id, answer) = self.run(head, req.into_body()).await;
+        self.response(&id, answer)
+    }
+}
+
+fn reply(head: &HopReply, body: Body) -> Response<Body> {
+    let value = codec::to_header(head).ok();
+    let Some(value) = value.and_then(|value| HeaderValue::from_str(&value).ok()) else {
+        return bare(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut response = Response::new(body);
+    response.headers_mut().insert(REPLY_HEADER, value);
+    response
+}
+
+fn bare(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,20 @@
+//! A router fleet that carries returning chats from callers to model engines and plain services.
+//!
+//! The library is cut into vertical slices by duty; `docs/ARCHITECTURE.md` shows how a request passes through them.
+//! A caller's request enters a node ([`entry`]), goes to the node that owns the chosen backend server ([`hop`],
+//! [`owner`]) and from there to the backend server ([`border`]).
+
+pub mod border;
+pub mod claims;
+pub mod config;
+pub mod entry;
+pub mod hop;
+pub mod membership;
+pub mod net;
+pub mod node;
+pub mod operations;
+pub mod outcome;
+pub mod owner;
+pub mod routing;
+pub mod settings;
+pub mod timeline;
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,25 @@
+//! What a node knows of the other nodes and of the backend servers.
+//!
+//! No promise depends on views agreeing; they only decide which node owns a backend server, which is a rule of thumb
+//! for efficiency. See `docs/MEMBERSHIP.md`.
+
+mod poll;
+mod settings;
+#[cfg(test)]
+mod tests;
+mod view;
+
+pub use poll::Poller;
+pub use poll::READY_HOSTS;
+pub use settings::Settings;
+pub use view::Backend;
+pub use view::Node;
+pub use view::View;
+
+use std::sync::Arc;
+
+/// Where the other slices get the view of hosts.
+pub trait Membership: Send + Sync {
+    /// Gives the view as it is now.
+    fn view(&self) -> Arc<View>;
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,6 @@
+//! Puts the slices of one node together, and takes them down in order.
+
+mod build;
+
+pub use build::Node;
+pub use build::StartError;
--- /dev/null
+++ b/src/operations/mod.rs
@@ -0,0 +1,9 @@
+//! What operators and the platform's balancer see of a node: `/live`, `/ready` and `/metrics`.
+
+mod metrics;
+mod pages;
+
+pub use metrics::ControlKind;
+pub use metrics::Metrics;
+pub use pages::Pages;
+pub use pages::Readiness;
--- /dev/null
+++ b/src/owner/whole.rs
@@ -0,0 +1,101 @@
+//! Checks that a body is whole before its end is passed on.
+
+use crate::net::Body;
+use crate::net::BodyError;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use std::fmt;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+/// Ends every whole event stream.
+const STREAM_END: &[u8] = b"data: [DONE]\n\n";
+
+/// The answer ended before its end mark.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CutShortError;
+
+impl fmt::Display for CutShortError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer was cut short")
+    }
+}
+
+impl std::error::Error for CutShortError {}
+
+/// A body that keeps `guard` until its end and, for an event stream, fails where the end mark is missing.
+pub(crate) struct WholeBody<G> {
+    inner: Body,
+    needs_mark: bool,
+    tail: Vec<u8>,
+    ended: bool,
+    _guard: G,
+}
+
+impl<G: Send + Unpin + 'static> WholeBody<G> {
+    /// Wraps `inner`; `is_stream` tells whether it must end with the mark of event streams.
+    pub(crate) fn wrap(inner: Body, is_stream: bool, guard: G) -> Body {
+        let body = Self {
+            inner,
+            needs_mark: is_stream,
+            tail: Vec::new(),
+            ended: false,
+            _guard: guard,
+        };
+        body.boxed_unsync()
+    }
+
+    fn remember(&mut self, data: &[u8]) {
+        if !self.needs_mark {
+            return;
+        }
+        let keep = STREAM_END.len();
+        self.tail
+            .extend_from_slice(&data[data.len().saturating_sub(keep)..]);
+        let surplus = self.tail.len().saturating_sub(keep);
+        self.tail.drain(..surplus);
+    }
+
+    fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        self.ended = true;
+        if self.needs_mark && self.tail != STREAM_END {
+            return Some(Err(Box::new(CutShortError)));
+        }
+        None
+    }
+}
+
+impl<G: Send + Unpin + 'static> hyper::body::Body for WholeBody<G> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        Poll::Ready(match std::task::ready!(polled) {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.remember(data);
+                }
+                Some(Ok(frame))
+            }
+            Some(Err(err)) => {
+                self.ended = true;
+                Some(Err(err))
+            }
+            None => self.end(),
+        })
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/src/settings/section.rs
@@ -0,0 +1,170 @@
+//! Reads typed values out of INI sections and collects every problem on the way.
+
+use super::problem::Problem;
+use ini::Ini;
+use ini::Properties;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Reads the sections of one file.
+pub(super) struct Reader<'a> {
+    ini: &'a Ini,
+    problems: Vec<Problem>,
+    known: Vec<(String, String)>,
+}
+
+impl<'a> Reader<'a> {
+    pub(super) fn new(ini: &'a Ini) -> Self {
+        Self {
+            ini,
+            problems: Vec::new(),
+            known: Vec::new(),
+        }
+    }
+
+    /// Reads one section through `read` and notes keys that it did not ask for.
+    pub(super) fn section<T>(&mut self, name: &str, read: fn(&mut Section<'_>) -> T) -> T {
+        let properties = self.ini.section(Some(name));
+        let mut section = Section {
+            name,
+            properties,
+            known: Vec::new(),
+            problems: Vec::new(),
+        };
+        let value = read(&mut section);
+        section.note_unknown_keys();
+        self.problems.append(&mut section.problems);
+        for key in section.known {
+            self.known.push((name.to_owned(), key.to_owned()));
+        }
+        value
+    }
+
+    pub(super) fn known_keys(mut self) -> Vec<(String, String)> {
+        self.known.sort();
+        self.known
+    }
+
+    /// Ends the reading and returns every problem found.
+    pub(super) fn finish(mut self) -> Vec<Problem> {
+        for name in self.ini.sections() {
+            self.note_unknown_section(name);
+        }
+        self.problems
+    }
+
+    fn note_unknown_section(&mut self, name: Option<&str>) {
+        let Some(name) = name else {
+            if !self.ini.general_section().is_empty() {
+                self.problems.push(Problem {
+                    section: String::new(),
+                    key: None,
+                    found: "keys before the first section".to_owned(),
+                    accepted: "keys below a [section] line".to_owned(),
+                });
+            }
+            return;
+        };
+        if self.known.iter().any(|(section, _)| section == name) {
+            return;
+        }
+        let mut names: Vec<&str> = self.known.iter().map(|(name, _)| name.as_str()).collect();
+        names.dedup();
+        self.problems.push(Problem {
+            section: name.to_owned(),
+            key: None,
+            found: "unknown section".to_owned(),
+            accepted: names.join(", "),
+        });
+    }
+}
+
+/// One section of a settings file, as a slice reads it.
+pub struct Section<'a> {
+    name: &'a str,
+    properties: Option<&'a Properties>,
+    known: Vec<&'static str>,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Section<'a> {
+    /// Reads a key that must be there; where it is missing or bad, notes the problem and returns `fallback`.
+    pub fn required<T: FromStr>(&mut self, key: &'static str, fallback: T, accepted: &str) -> T {
+        match self.raw(key) {
+            Some(text) => self.parsed(key, text, accepted).unwrap_or(fallback),
+            None => {
+                self.problem(key, "missing", accepted);
+                fallback
+            }
+        }
+    }
+
+    /// Reads a key that may be left out.
+    pub fn optional<T: FromStr>(&mut self, key: &'static str, accepted: &str) -> Option<T> {
+        let text = self.raw(key)?;
+        self.parsed(key, text, accepted)
+    }
+
+    /// Reads a key with a default.
+    pub fn or<T: FromStr>(&mut self, key: &'static str, default: T, accepted: &str) -> T {
+        self.optional(key, accepted).unwrap_or(default)
+    }
+
+    /// Reads a whole number within `range`.
+    pub fn number(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let accepted = format!("a whole number from {} to {}", range.start(), range.end());
+        let value = self.or(key, default, &accepted);
+        if range.contains(&value) {
+            return value;
+        }
+        self.problem(key, &format!("{value} is out of range"), &accepted);
+        default
+    }
+
+    /// Reads a time in milliseconds within `range`.
+    pub fn millis(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Duration {
+        Duration::from_millis(self.number(key, default, range))
+    }
+
+    /// Notes a problem with the value of `key`.
+    pub fn problem(&mut self, key: &str, found: &str, accepted: &str) {
+        self.problems.push(Problem {
+            section: self.name.to_owned(),
+            key: Some(key.to_owned()),
+            found: found.to_owned(),
+            accepted: accepted.to_owned(),
+        });
+    }
+
+    fn raw(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        self.properties?.get(key)
+    }
+
+    fn parsed<T: FromStr>(&mut self, key: &str, text: &str, accepted: &str) -> Option<T> {
+        let value = text.trim().parse().ok();
+        if value.is_none() {
+            // The value is not repeated: it may be a secret.
+            self.problem(key, "not an accepted value", accepted);
+        }
+        value
+    }
+
+    fn note_unknown_keys(&mut self) {
+        let Some(properties) = self.properties else {
+            return;
+        };
+        let accepted = self.known.join(", ");
+        for (key, _) in properties.iter() {
+            if !self.known.contains(&key) {
+                self.problem(key, "unknown key", &accepted);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/timeline/event.rs
@@ -0,0 +1,148 @@
+//! The events that a process writes.
+
+use slog::KV;
+use slog::Record;
+use slog::Serializer;
+
+/// What happened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EventKind {
+    /// The process serves.
+    NodeStarted,
+    /// The process was asked to stop.
+    NodeStopping,
+    /// A caller's request arrived.
+    RequestReceived,
+    /// One attempt was sent to the owner of a backend server.
+    AttemptSent,
+    /// An owner received an attempt.
+    AttemptReceived,
+    /// An owner handed an attempt to its backend server.
+    HandedOver,
+    /// An attempt ended.
+    AttemptEnded,
+    /// A caller's request got its outcome.
+    RequestEnded,
+    /// A configuration version came into force.
+    ConfigApplied,
+    /// The view of hosts changed.
+    ViewChanged,
+}
+
+impl EventKind {
+    /// Names the kind as it stands in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NodeStarted => "node_started",
+            Self::NodeStopping => "node_stopping",
+            Self::RequestReceived => "request_received",
+            Self::AttemptSent => "attempt_sent",
+            Self::AttemptReceived => "attempt_received",
+            Self::HandedOver => "handed_over",
+            Self::AttemptEnded => "attempt_ended",
+            Self::RequestEnded => "request_ended",
+            Self::ConfigApplied => "config_applied",
+            Self::ViewChanged => "view_changed",
+        }
+    }
+}
+
+/// One event with what it is about.
+#[derive(Clone, Copy, Debug)]
+pub struct Event<'a> {
+    /// What happened.
+    pub kind: EventKind,
+    /// The caller's request.
+    pub request: Option<&'a str>,
+    /// One attempt of the request.
+    pub attempt: Option<&'a str>,
+    /// The chat.
+    pub chat: Option<&'a str>,
+    /// The team.
+    pub team: Option<&'a str>,
+    /// The backend server.
+    pub backend: Option<&'a str>,
+    /// The other node.
+    pub peer: Option<&'a str>,
+    /// Anything else, in a word or two.
+    pub detail: Option<&'a str>,
+}
+
+impl<'a> Event<'a> {
+    /// Makes an event that is about nothing yet.
+    pub fn new(kind: EventKind) -> Self {
+        Self {
+            kind,
+            request: None,
+            attempt: None,
+            chat: None,
+            team: None,
+            backend: None,
+            peer: None,
+            detail: None,
+        }
+    }
+
+    /// Adds the caller's request.
+    pub fn request(mut self, request: &'a str) -> Self {
+        self.request = Some(request);
+        self
+    }
+
+    /// Adds the attempt.
+    pub fn attempt(mut self, attempt: &'a str) -> Self {
+        self.attempt = Some(attempt);
+        self
+    }
+
+    /// Adds the chat.
+    pub fn chat(mut self, chat: Option<&'a str>) -> Self {
+        self.chat = chat;
+        self
+    }
+
+    /// Adds the team.
+    pub fn team(mut self, team: &'a str) -> Self {
+        self.team = Some(team);
+        self
+    }
+
+    /// Adds the backend server.
+    pub fn backend(mut self, backend: &'a str) -> Self {
+        self.backend = Some(backend);
+        self
+    }
+
+    /// Adds the other node.
+    pub fn peer(mut self, peer: &'a str) -> Self {
+        self.peer = Some(peer);
+        self
+    }
+
+    /// Adds a word or two.
+    pub fn detail(mut self, detail: &'a str) -> Self {
+        self.detail = Some(detail);
+        self
+    }
+}
+
+impl KV for Event<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        serializer.emit_str("event", self.kind.as_str())?;
+        let fields = [
+            ("request", self.request),
+            ("attempt", self.attempt),
+            ("chat", self.chat),
+            ("team", self.team),
+            ("backend", self.backend),
+            ("peer", self.peer),
+            ("detail", self.detail),
+        ];
+        for (key, value) in fields {
+            if let Some(value) = value {
+                serializer.emit_str(key, value)?;
+            }
+        }
+        Ok(())
+    }
+}
