--- /dev/null
+++ b/bench/src/cases/config.rs
@@ -0,0 +1,8 @@
+//! Cases of configuration.
+
+use super::Case;
+
+/// All cases of this slice.
+pub fn cases() -> Vec<Box<dyn Case>> {
+    Vec::new()
+}
--- /dev/null
+++ b/bench/src/cases/run.rs
@@ -0,0 +1,132 @@
+//! Runs cases from the start of the fleet to the report.
+
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+
+use super::Case;
+use super::CaseCx;
+use super::Findings;
+use super::RunOptions;
+use crate::fleet::Fleet;
+use crate::fleet::FleetError;
+use crate::load;
+use crate::load::CallRecord;
+use crate::load::End;
+use crate::report::Evidence;
+use crate::report::Report;
+
+/// Pause between two lines of progress.
+const PROGRESS_PAUSE: Duration = Duration::from_secs(2);
+/// Calls that went wrong of which progress shows the details.
+const SHOWN_ENDS: usize = 12;
+
+/// Why a run gave no report.
+#[derive(Debug)]
+pub enum RunError {
+    /// The fleet did not start.
+    Start(FleetError),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Start(err) => write!(f, "the fleet did not start: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+/// Starts a fleet, runs the load and the cases' faults together, and makes the report; `progress` gets lines to show.
+///
+/// # Errors
+///
+/// The fleet may not start.
+pub async fn run(
+    cases: &[Box<dyn Case>],
+    options: RunOptions,
+    progress: &(dyn Fn(&str) + Sync),
+) -> Result<Report, RunError> {
+    let mut options = options;
+    cases.iter().for_each(|case| case.options(&mut options));
+    let begun = Instant::now();
+    let fleet = Fleet::start(options.fleet.clone())
+        .await
+        .map_err(RunError::Start)?;
+    progress(&format!(
+        "fleet ready after {:.1} s, files in {}",
+        begun.elapsed().as_secs_f64(),
+        fleet.out().display()
+    ));
+    options.load.seed = options.fleet.seed;
+    options.load.teams = fleet.teams().to_vec();
+
+    let before = fleet.stats().await;
+    let started = Instant::now();
+    let cx = CaseCx {
+        fleet: &fleet,
+        started,
+        until: started + options.load_for,
+        seed: options.fleet.seed,
+    };
+    let callers = load::run(&options.load, fleet.directory(), cx.until);
+    let faults = join_all(cases.iter().map(|case| case.faults(&cx)));
+    let (calls, mut findings, ()) = tokio::join!(callers, faults, show_progress(&cx, progress));
+    let took = started.elapsed();
+    let after = fleet.stats().await;
+    let starts = fleet.truth().engine_starts();
+    let added =
+        load::measure_added_time(&options.load, fleet.directory(), &fleet.engine_addresses()).await;
+    findings.extend(join_all(cases.iter().map(|case| case.after(&cx))).await);
+    show_ends(&calls, progress);
+
+    let runs = fleet.truth().service_runs();
+    let changes = fleet.engine_changes();
+    let mut failures: Vec<String> = findings
+        .iter()
+        .flat_map(|found| found.failures.clone())
+        .collect();
+    if let Err(err) = fleet.close().await {
+        failures.push(err.to_string());
+    }
+    let evidence = Evidence {
+        fleet: &options.fleet,
+        calls: &calls,
+        starts: &starts,
+        runs: &runs,
+        changes: &changes,
+        before: &before,
+        after: &after,
+        took,
+        added,
+        reverted: findings.iter().map(|found: &Findings| found.reverted).sum(),
+        failures: &failures,
+    };
+    Ok(Report::new(&evidence))
+}
+
+/// Says now and then how far the load is.
+async fn show_progress(cx: &CaseCx<'_>, progress: &(dyn Fn(&str) + Sync)) {
+    while cx.pause(PROGRESS_PAUSE).await {
+        let starts = cx.fleet.truth().engine_starts().len();
+        let runs = cx.fleet.truth().service_runs().len();
+        let seconds = cx.started.elapsed().as_secs_f64();
+        progress(&format!(
+            "{seconds:.0} s: {starts} chats started at engines, {runs} plain calls run"
+        ));
+    }
+}
+
+/// Shows some of the calls that did not end with their answer.
+fn show_ends(calls: &[CallRecord], progress: &(dyn Fn(&str) + Sync)) {
+    let others = calls.iter().filter(|call| call.end != End::Answered);
+    for call in others.take(SHOWN_ENDS) {
+        progress(&format!(
+            "call {} by node {}: {:?}",
+            call.call, call.node, call.end
+        ));
+    }
+}
--- /dev/null
+++ b/bench/src/fleet/nodes.rs
@@ -0,0 +1,154 @@
+//! Nodes that are laid out, killed, stopped, paused and started again.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitStatus;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use nix::sys::signal::Signal;
+
+use super::Fleet;
+use super::FleetError;
+use super::FleetOptions;
+use super::HOST_LIST;
+use super::LOG;
+use super::PLATFORM_ZONE;
+use super::READY_WITHIN;
+use super::REGION;
+use super::STOP_WITHIN;
+use super::error::io_error;
+use super::error::no_such_host;
+use super::node::Node;
+use super::ports;
+use crate::proxy::Proxy;
+use crate::standin::hosts::HostListService;
+use crate::standin::log::LogService;
+use crate::wire::platform::Host;
+use crate::wire::platform::HostRole;
+use crate::wire::platform::HostState;
+
+impl Fleet {
+    /// Kills a node at once.
+    ///
+    /// # Errors
+    ///
+    /// There may be no such node, or it may not run.
+    pub async fn kill_node(&self, name: &str) -> Result<(), FleetError> {
+        let node = self.node(name)?;
+        node.signal(Signal::SIGKILL)?;
+        node.wait(STOP_WITHIN).await?;
+        self.directory.set_ready(name, false);
+        Ok(())
+    }
+
+    /// Asks a node to end gracefully, waits for it, and returns its exit status.
+    ///
+    /// # Errors
+    ///
+    /// There may be no such node, or it may not end in time.
+    pub async fn stop_node(&self, name: &str) -> Result<ExitStatus, FleetError> {
+        let node = self.node(name)?;
+        self.directory.set_stopping(name, true);
+        node.signal(Signal::SIGTERM)?;
+        let status = node.wait(STOP_WITHIN).await?;
+        self.directory.set_ready(name, false);
+        Ok(status)
+    }
+
+    /// Stops a node's process without ending it, as a paused host would be.
+    ///
+    /// # Errors
+    ///
+    /// There may be no such node, or it may not run.
+    pub fn pause_node(&self, name: &str) -> Result<(), FleetError> {
+        self.node(name)?.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a paused node go on.
+    ///
+    /// # Errors
+    ///
+    /// There may be no such node, or it may not run.
+    pub fn resume_node(&self, name: &str) -> Result<(), FleetError> {
+        self.node(name)?.signal(Signal::SIGCONT)
+    }
+
+    /// Starts a node again that was killed or stopped, under its name and addresses, and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// There may be no such node, or it may not get ready.
+    pub async fn start_node(&self, name: &str) -> Result<(), FleetError> {
+        let node = self.node(name)?;
+        node.spawn(&self.options.node_binary)?;
+        self.directory.set_stopping(name, false);
+        self.wait_ready(node).await
+    }
+
+    fn node(&self, name: &str) -> Result<&Node, FleetError> {
+        self.nodes
+            .iter()
+            .find(|node| node.name == name)
+            .ok_or_else(|| no_such_host(name))
+    }
+
+    pub(super) async fn wait_ready(&self, node: &Node) -> Result<(), FleetError> {
+        node.wait_ready(READY_WITHIN).await?;
+        self.directory.set_ready(&node.name, true);
+        Ok(())
+    }
+}
+
+/// Lays out the nodes, links them, puts them into the host list and writes their settings.
+pub(super) async fn plan_nodes(
+    options: &FleetOptions,
+    proxy: &Arc<Proxy>,
+    log: &LogService,
+    hosts: &HostListService,
+    out: &Path,
+) -> Result<Vec<Node>, FleetError> {
+    let log_link = proxy
+        .link(LOG, PLATFORM_ZONE, log.address())
+        .await
+        .map_err(io_error("the link to the log"))?;
+    let hosts_link = proxy.link(HOST_LIST, PLATFORM_ZONE, hosts.address()).await;
+    let hosts_link = hosts_link.map_err(io_error("the link to the host list"))?;
+    let mut nodes = Vec::new();
+    for data_centre in 1..=options.data_centres {
+        for number in 1..=options.nodes_of(data_centre) {
+            let zone = format!("dc{data_centre}");
+            let source = Ipv4Addr::new(127, 1, data_centre, number);
+            let node = Node {
+                name: format!("{zone}-n{number}"),
+                caller: ports::free().map_err(io_error("a free port"))?,
+                peer: ports::free().map_err(io_error("a free port"))?,
+                operations: ports::free().map_err(io_error("a free port"))?,
+                out: out.to_owned(),
+                child: Mutex::default(),
+            };
+            proxy.name_source(IpAddr::V4(source), &node.name, &zone);
+            let link = proxy.link(&node.name, &zone, node.peer).await;
+            let link = link.map_err(io_error(format!("the link to {}", node.name)))?;
+            hosts.set(entry_host(&node.name, &zone, link));
+            node.write_settings(options, &zone, REGION, source, log_link, hosts_link)?;
+            nodes.push(node);
+        }
+    }
+    Ok(nodes)
+}
+
+fn entry_host(name: &str, zone: &str, address: SocketAddr) -> Host {
+    Host {
+        name: name.to_owned(),
+        address: address.to_string(),
+        data_centre: zone.to_owned(),
+        region: REGION.to_owned(),
+        role: HostRole::Entry,
+        state: HostState::Live,
+        service: None,
+        checks_fencing: None,
+    }
+}
--- /dev/null
+++ b/bench/src/load/attempt.rs
@@ -0,0 +1,182 @@
+//! What all kinds of calls share: attempts, refusals and the reading of outcomes.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use rand::rngs::StdRng;
+use serde_json::Value;
+
+use super::CALL_TIMEOUT;
+use super::MAX_ATTEMPTS;
+use super::MAX_CONNECTS;
+use super::MAX_RETRY_AFTER;
+use super::client::Client;
+use super::client::SendError;
+use super::directory::Directory;
+use super::directory::NodeEntry;
+use super::expected::Expected;
+use super::expected::shorten;
+use super::record::CallRecord;
+use super::record::End;
+
+/// Pause after a refusal that names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// What an attempt needs of its caller.
+pub struct Attempt<'a> {
+    /// The caller's connections.
+    pub client: &'a mut Client,
+    /// The nodes.
+    pub directory: &'a Arc<Directory>,
+    /// The caller's generator.
+    pub rng: &'a mut StdRng,
+}
+
+/// Makes a call with all its attempts, fills in its record and returns the routing hint of its answer.
+pub async fn send_call(
+    attempt: &mut Attempt<'_>,
+    record: &mut CallRecord,
+    request: impl Fn(&str) -> Request<Full<Bytes>>,
+    expected: &Expected,
+) -> Option<String> {
+    let mut hint = None;
+    for number in 0..MAX_ATTEMPTS {
+        let id = format!("{}-{number}", record.call);
+        let (end, new_hint) = one_attempt(attempt, record, &id, &request, expected).await;
+        record.end = end;
+        record.ended = Instant::now();
+        hint = new_hint;
+        let End::NotRun { retry_after, .. } = &record.end else {
+            break;
+        };
+        if number + 1 == MAX_ATTEMPTS {
+            break;
+        }
+        record.refusals += 1;
+        let pause = retry_after
+            .unwrap_or(DEFAULT_RETRY_AFTER)
+            .min(MAX_RETRY_AFTER);
+        tokio::time::sleep(pause).await;
+    }
+    hint
+}
+
+async fn one_attempt(
+    attempt: &mut Attempt<'_>,
+    record: &mut CallRecord,
+    id: &str,
+    request: &impl Fn(&str) -> Request<Full<Bytes>>,
+    expected: &Expected,
+) -> (End, Option<String>) {
+    record.first_byte = None;
+    for _ in 0..MAX_CONNECTS {
+        let node = attempt.directory.pick(attempt.rng);
+        record.node.clone_from(&node.name);
+        let sent =
+            tokio::time::timeout(CALL_TIMEOUT, attempt.client.send(node.address, request(id)))
+                .await;
+        let answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(SendError::NotSent(_))) => continue,
+            Ok(Err(SendError::Lost(reason))) => {
+                return (lost(attempt.directory, &node, reason), None);
+            }
+            Err(_) => {
+                return (
+                    End::Unknown {
+                        reason: String::from("no answer in time"),
+                    },
+                    None,
+                );
+            }
+        };
+        let hint = header(answer.headers(), "x-routing-hint");
+        let read = tokio::time::timeout(
+            CALL_TIMEOUT,
+            read_answer(answer, id, expected, &mut record.first_byte),
+        )
+        .await;
+        let mut end = read.unwrap_or_else(|_| End::Broken {
+            reason: String::from("the answer stalled"),
+        });
+        if matches!(end, End::Broken { .. }) {
+            attempt.client.forget(node.address);
+            if attempt.directory.is_stopping(&node.name) {
+                end = End::CutOff;
+            }
+        }
+        return (end, hint);
+    }
+    (End::Refused, None)
+}
+
+/// Judges a connection that was lost before any answer.
+fn lost(directory: &Directory, node: &NodeEntry, reason: String) -> End {
+    match directory.is_stopping(&node.name) {
+        true => End::CutOff,
+        false => End::Unknown { reason },
+    }
+}
+
+async fn read_answer(
+    answer: Response<Incoming>,
+    id: &str,
+    expected: &Expected,
+    first_byte: &mut Option<Instant>,
+) -> End {
+    let status = answer.status();
+    let echoed = header(answer.headers(), "x-request-id");
+    if echoed.as_deref() != Some(id) {
+        return End::Wrong {
+            reason: format!("answer of request {echoed:?}, not {id}"),
+        };
+    }
+    match header(answer.headers(), "x-outcome").as_deref() {
+        Some("answered") if status.is_success() => {
+            expected.read(answer.into_body(), first_byte).await
+        }
+        Some("answered") => End::ErrorEvent {
+            reason: format!("status {status}"),
+        },
+        Some("not-run") => {
+            let retry_after =
+                header(answer.headers(), "retry-after").and_then(|value| value.parse::<f64>().ok());
+            let retry_after =
+                retry_after.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+            End::NotRun {
+                reason: refusal_reason(answer).await,
+                retry_after,
+            }
+        }
+        Some("unknown") => End::Unknown {
+            reason: refusal_reason(answer).await,
+        },
+        other => End::Unknown {
+            reason: format!("outcome {other:?}, status {status}"),
+        },
+    }
+}
+
+/// Reads the reason in a refusal's body.
+async fn refusal_reason(answer: Response<Incoming>) -> String {
+    let Ok(body) = answer.into_body().collect().await else {
+        return String::from("unreadable");
+    };
+    let problem: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+    problem["reason"]
+        .as_str()
+        .map_or_else(|| shorten(&problem.to_string()), shorten)
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- /dev/null
+++ b/bench/src/load/directory.rs
@@ -0,0 +1,121 @@
+//! The callers' balancer: which nodes there are, which are ready, and which are stopping.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::client::Client;
+
+/// Pause between two looks at a node's `/ready`.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for a `/ready`.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A node as callers see it.
+#[derive(Clone, Debug)]
+pub struct NodeEntry {
+    /// Name of the node.
+    pub name: String,
+    /// Address that callers connect to.
+    pub address: SocketAddr,
+    /// Address of `/ready`.
+    pub operations: SocketAddr,
+    /// Whether its last `/ready` was 200.
+    pub ready: bool,
+    /// Whether it was asked to stop gracefully and has not started again since.
+    pub stopping: bool,
+}
+
+/// All nodes, as the platform's balancer knows them.
+#[derive(Debug, Default)]
+pub struct Directory {
+    nodes: Mutex<Vec<NodeEntry>>,
+}
+
+impl Directory {
+    /// Makes a directory of `nodes`.
+    pub fn new(nodes: Vec<NodeEntry>) -> Arc<Directory> {
+        let directory = Directory {
+            nodes: Mutex::new(nodes),
+        };
+        Arc::new(directory)
+    }
+
+    /// All nodes, in order of their index.
+    pub fn nodes(&self) -> Vec<NodeEntry> {
+        self.nodes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Picks a ready node, or any node where none is ready.
+    pub fn pick(&self, rng: &mut StdRng) -> NodeEntry {
+        let nodes = self.nodes.lock().unwrap_or_else(PoisonError::into_inner);
+        let ready: Vec<&NodeEntry> = nodes.iter().filter(|node| node.ready).collect();
+        if ready.is_empty() {
+            return nodes[rng.random_range(0..nodes.len())].clone();
+        }
+        ready[rng.random_range(0..ready.len())].clone()
+    }
+
+    /// Tells whether the node was asked to stop gracefully.
+    pub fn is_stopping(&self, name: &str) -> bool {
+        self.nodes()
+            .iter()
+            .any(|node| node.name == name && node.stopping)
+    }
+
+    /// Notes whether the node is ready.
+    pub fn set_ready(&self, name: &str, ready: bool) {
+        self.update(name, |node| node.ready = ready);
+    }
+
+    /// Notes whether the node is stopping gracefully.
+    pub fn set_stopping(&self, name: &str, stopping: bool) {
+        self.update(name, |node| node.stopping = stopping);
+    }
+
+    /// Looks at one node's `/ready` for ever, as the platform's balancer does.
+    pub async fn probe(self: Arc<Directory>, node: NodeEntry) {
+        loop {
+            tokio::time::sleep(PROBE_PAUSE).await;
+            let ready = probe_once(node.operations).await;
+            self.set_ready(&node.name, ready);
+        }
+    }
+
+    fn update(&self, name: &str, change: impl FnOnce(&mut NodeEntry)) {
+        let mut nodes = self.nodes.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(node) = nodes.iter_mut().find(|node| node.name == name) {
+            change(node);
+        }
+    }
+}
+
+/// Asks once whether a node is ready.
+pub async fn probe_once(operations: SocketAddr) -> bool {
+    get_text(operations, "/ready").await.is_some()
+}
+
+/// Gets a page of a node's operations port, or nothing where that fails, answers other than 200, or takes too long.
+pub async fn get_text(address: SocketAddr, path: &str) -> Option<String> {
+    let page = async {
+        let answer = Client::new().get(address, path).await.ok()?;
+        if answer.status() != hyper::StatusCode::OK {
+            return None;
+        }
+        let body = answer.into_body().collect().await.ok()?;
+        String::from_utf8(body.to_bytes().to_vec()).ok()
+    };
+    tokio::time::timeout(PROBE_TIMEOUT, page)
+        .await
+        .ok()
+        .flatten()
+}
--- /dev/null
+++ b/bench/src/load/expected/tests.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+const ANSWER: &str = "abc def ";
+
+fn chunk(text: &str) -> String {
+    serde_json::json!({"choices": [{"delta": {"content": text}, "finish_reason": null}]})
+        .to_string()
+}
+
+fn stop() -> String {
+    serde_json::json!({"choices": [{"delta": {}, "finish_reason": "stop"}]}).to_string()
+}
+
+fn judge(events: &[String]) -> End {
+    let mut state = StreamState::default();
+    events.iter().for_each(|event| state.take_in(event));
+    judge_stream(&state, ANSWER)
+}
+
+#[test]
+fn streams_are_judged_by_content_and_end() {
+    let done = String::from("[DONE]");
+    let error = String::from("{\"error\": {\"message\": \"lost\"}}");
+    let whole = [chunk("abc "), chunk("def "), stop(), done.clone()];
+    let no_stop = [chunk("abc "), chunk("def "), done.clone()];
+    let no_done = [chunk("abc "), chunk("def "), stop()];
+    let short = [chunk("abc "), stop(), done.clone()];
+    let long = [
+        chunk("abc "),
+        chunk("def "),
+        chunk("abc "),
+        stop(),
+        done.clone(),
+    ];
+    let other = [chunk("abc "), chunk("xyz "), stop(), done];
+    let failed = [chunk("abc "), error.clone()];
+    let failed_other = [chunk("xyz "), error];
+
+    assert_eq!(judge(&whole), End::Answered);
+    assert_eq!(judge(&no_stop), End::Incomplete);
+    assert_eq!(judge(&no_done), End::Incomplete);
+    assert_eq!(judge(&short), End::Incomplete);
+    assert!(matches!(judge(&long), End::Wrong { .. }));
+    assert!(matches!(judge(&other), End::Wrong { .. }));
+    assert!(matches!(judge(&failed), End::ErrorEvent { .. }));
+    assert!(matches!(judge(&failed_other), End::Wrong { .. }));
+}
+
+#[test]
+fn events_are_whole_however_the_bytes_come() {
+    let text = format!("data: {}\n\n: comment\n\ndata: [DONE]\n\n", chunk("abc "));
+    let mut events = Events::default();
+
+    let pieces = text.as_bytes().chunks(3).map(Bytes::copy_from_slice);
+    let data: Vec<String> = pieces.flat_map(|piece| events.push(&piece)).collect();
+
+    assert_eq!(data, [chunk("abc "), String::from("[DONE]")]);
+}
+
+#[test]
+fn whole_answers_and_echoes_are_judged_by_content() {
+    let answer = |text: &str| {
+        let answer = serde_json::json!({"choices": [{"message": {"content": text}}]});
+        Bytes::from(answer.to_string())
+    };
+    let echo = Bytes::from(serde_json::json!({"echo": "pay"}).to_string());
+
+    assert_eq!(judge_whole(&answer(ANSWER), ANSWER), End::Answered);
+    assert_eq!(judge_whole(&answer("abc "), ANSWER), End::Incomplete);
+    assert!(matches!(
+        judge_whole(&answer("xyz "), ANSWER),
+        End::Wrong { .. }
+    ));
+    assert_eq!(
+        judge_whole(&Bytes::from("{\"choices\": ["), ANSWER),
+        End::Incomplete
+    );
+    assert_eq!(judge_echo(&echo, &Bytes::from("pay")), End::Answered);
+    assert!(matches!(
+        judge_echo(&echo, &Bytes::from("other")),
+        End::Wrong { .. }
+    ));
+}
--- /dev/null
+++ b/bench/src/report.rs
@@ -0,0 +1,276 @@
+//! The figures of a run, made from the records of the callers and of the stand-ins.
+//!
+//! The nodes' own word counts for nothing in the promises; only control traffic is read from their metrics.
+
+mod ideal;
+mod promises;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::fleet::EngineChange;
+use crate::fleet::FleetOptions;
+use crate::fleet::NodeStats;
+use crate::load::AddedTime;
+use crate::load::CallRecord;
+use crate::load::End;
+use crate::truth::EngineStart;
+use crate::truth::ServiceRun;
+
+/// True mean load below which skew is not looked at, because one request more is then a large share.
+const SKEW_MIN_MEAN: f64 = 4.0;
+
+/// All that a report is made from.
+#[derive(Debug)]
+pub struct Evidence<'a> {
+    /// What the fleet was made of.
+    pub fleet: &'a FleetOptions,
+    /// The callers' records.
+    pub calls: &'a [CallRecord],
+    /// The engines' records.
+    pub starts: &'a [EngineStart],
+    /// The plain servers' records.
+    pub runs: &'a [ServiceRun],
+    /// Engines that joined or left.
+    pub changes: &'a [EngineChange],
+    /// The nodes' use before the load.
+    pub before: &'a [NodeStats],
+    /// The nodes' use after the load.
+    pub after: &'a [NodeStats],
+    /// Time that the load took.
+    pub took: Duration,
+    /// Time that the nodes add, where it was measured.
+    pub added: Option<AddedTime>,
+    /// Accepted configuration that was seen to revert.
+    pub reverted: u64,
+    /// Further conditions of the cases that were not met.
+    pub failures: &'a [String],
+}
+
+/// The JSON line of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Names of the cases.
+    pub case: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Policy of routing.
+    pub policy: String,
+    /// Count of nodes.
+    pub nodes: u8,
+    /// Count of engines at the start.
+    pub engines: u32,
+    /// Seconds that the load took.
+    pub seconds: f64,
+    /// Calls made.
+    pub requests: u64,
+    /// Calls that got their whole answer.
+    pub answered: u64,
+    /// Calls whose final outcome was that they did not run.
+    pub not_run: u64,
+    /// Calls whose callers can't tell whether they ran.
+    pub unknown: u64,
+    /// Calls that no node took a connection for.
+    pub refused: u64,
+    /// Attempts that were refused and made again.
+    pub retried: u64,
+    /// Promise: answers that were not those of their requests.
+    pub wrong: u64,
+    /// Promise: answers that ended as if whole, but were not.
+    pub incomplete: u64,
+    /// Answers that broke off, or ended with an error, for the caller to see.
+    pub broken: u64,
+    /// Promise: keys of non-idempotent calls that ran more than once.
+    pub double_runs: u64,
+    /// Promise: calls that ran though their callers were told that they did not.
+    pub false_not_run: u64,
+    /// Promise: answers cut off by a node that was stopping gracefully.
+    pub cut_off: u64,
+    /// Promise: requests started at backend servers that had been leaving for some seconds.
+    pub late_new_work: u64,
+    /// Promise: accepted configuration that reverted.
+    pub reverted: u64,
+    /// Share of the prompts' tokens that were cached.
+    pub cache_reuse: f64,
+    /// The same under stable hashing without a load bound, on the same calls.
+    pub cache_reuse_ideal: f64,
+    /// Highest load of an engine over the true mean.
+    pub skew_peak: f64,
+    /// The multiple of the mean that is allowed.
+    pub skew_bound: f64,
+    /// Promise: requests that started over the load bound.
+    pub overload_samples: u64,
+    /// Requests that started at engines.
+    pub engine_starts: u64,
+    /// True mean load of the engines over all starts.
+    pub mean_load: f64,
+    /// Control traffic of each node, in bytes a second.
+    pub control_bytes_per_s: f64,
+    /// Median time to the first byte, in milliseconds.
+    pub first_byte_ms_p50: f64,
+    /// 95th percentile of the time to the first byte, in milliseconds.
+    pub first_byte_ms_p95: f64,
+    /// Median time over that of a direct call, in milliseconds.
+    pub added_ms_p50: Option<f64>,
+    /// Mean use of the processor by a node, in cores.
+    pub node_cpu: f64,
+    /// Highest resident memory of a node, in MiB.
+    pub node_rss_mb: f64,
+    /// Further conditions of the cases that were not met.
+    pub failures: Vec<String>,
+}
+
+impl Report {
+    /// Makes the report of a run.
+    pub fn new(evidence: &Evidence<'_>) -> Report {
+        let calls = evidence.calls;
+        let count =
+            |test: fn(&End) -> bool| calls.iter().filter(|call| test(&call.end)).count() as u64;
+        let bound = f64::from(evidence.fleet.bound_permille) / 1000.0;
+        let first_byte = first_byte_histogram(calls);
+        let means: f64 = evidence.starts.iter().map(|start| start.mean).sum();
+        Report {
+            case: evidence.fleet.case.clone(),
+            seed: evidence.fleet.seed,
+            policy: evidence.fleet.policy.clone(),
+            nodes: evidence.fleet.nodes,
+            engines: evidence.fleet.engines,
+            seconds: round(evidence.took.as_secs_f64()),
+            requests: calls.len() as u64,
+            answered: count(|end| matches!(end, End::Answered)),
+            not_run: count(|end| matches!(end, End::NotRun { .. })),
+            unknown: count(|end| matches!(end, End::Unknown { .. })),
+            refused: count(|end| matches!(end, End::Refused)),
+            retried: calls.iter().map(|call| u64::from(call.refusals)).sum(),
+            wrong: count(|end| matches!(end, End::Wrong { .. })),
+            incomplete: count(|end| matches!(end, End::Incomplete)),
+            broken: count(|end| matches!(end, End::Broken { .. } | End::ErrorEvent { .. })),
+            double_runs: promises::double_runs(calls, evidence.runs),
+            false_not_run: promises::false_not_run(calls, evidence.starts, evidence.runs),
+            cut_off: count(|end| matches!(end, End::CutOff)),
+            late_new_work: promises::late_new_work(evidence.starts, evidence.runs),
+            reverted: evidence.reverted,
+            cache_reuse: round(promises::cache_reuse(calls, evidence.starts)),
+            cache_reuse_ideal: round(ideal::cache_reuse(
+                calls,
+                evidence.changes,
+                evidence.fleet.engine.cache_tokens,
+            )),
+            skew_peak: round(skew_peak(evidence.starts)),
+            skew_bound: bound,
+            overload_samples: promises::overload_samples(
+                evidence.starts,
+                bound,
+                evidence.fleet.floor,
+            ),
+            engine_starts: evidence.starts.len() as u64,
+            mean_load: round(ratio(means, evidence.starts.len() as f64)),
+            control_bytes_per_s: round(control_rate(evidence)),
+            first_byte_ms_p50: millis(&first_byte, 0.5),
+            first_byte_ms_p95: millis(&first_byte, 0.95),
+            added_ms_p50: evidence.added.map(|added| round(added.added_ms())),
+            node_cpu: round(node_cpu(evidence)),
+            node_rss_mb: round(
+                evidence
+                    .after
+                    .iter()
+                    .map(|stats| stats.rss_mb)
+                    .fold(0.0, f64::max),
+            ),
+            failures: evidence.failures.to_vec(),
+        }
+    }
+
+    /// Tells whether every promise field is 0 and every condition of the cases was met.
+    pub fn promises_kept(&self) -> bool {
+        let promises = [
+            self.wrong,
+            self.incomplete,
+            self.double_runs,
+            self.false_not_run,
+            self.cut_off,
+            self.late_new_work,
+            self.reverted,
+            self.overload_samples,
+        ];
+        promises.iter().all(|broken| *broken == 0) && self.failures.is_empty()
+    }
+
+    /// The report as one line of JSON.
+    pub fn to_line(&self) -> String {
+        serde_json::to_string(self).expect("a report has only text keys")
+    }
+}
+
+fn first_byte_histogram(calls: &[CallRecord]) -> Histogram<u64> {
+    let mut histogram =
+        Histogram::new(3).expect("three significant digits are within what the histogram allows");
+    let answered = calls.iter().filter(|call| call.end == End::Answered);
+    for first_byte in answered.filter_map(first_byte_after) {
+        // It grows by itself, so that no time is too long for it.
+        let _ = histogram.record(u64::try_from(first_byte.as_micros()).unwrap_or(u64::MAX));
+    }
+    histogram
+}
+
+fn first_byte_after(call: &CallRecord) -> Option<Duration> {
+    let first_byte: Instant = call.first_byte?;
+    Some(first_byte.saturating_duration_since(call.started))
+}
+
+fn millis(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    round(histogram.value_at_quantile(quantile) as f64 / 1000.0)
+}
+
+fn skew_peak(starts: &[EngineStart]) -> f64 {
+    let loaded = starts.iter().filter(|start| start.mean >= SKEW_MIN_MEAN);
+    loaded
+        .map(|start| f64::from(start.load_with) / start.mean)
+        .fold(0.0, f64::max)
+}
+
+/// What a node used during the load; one that started again counts from its new start.
+fn used(before: &[NodeStats], after: &NodeStats, figure: fn(&NodeStats) -> f64) -> f64 {
+    let former = before
+        .iter()
+        .find(|former| former.name == after.name && former.pid == after.pid);
+    figure(after) - former.map_or(0.0, figure)
+}
+
+fn node_cpu(evidence: &Evidence<'_>) -> f64 {
+    let used: f64 = evidence
+        .after
+        .iter()
+        .map(|after| used(evidence.before, after, |stats| stats.cpu_seconds))
+        .sum();
+    ratio(
+        used,
+        evidence.after.len() as f64 * evidence.took.as_secs_f64(),
+    )
+}
+
+fn control_rate(evidence: &Evidence<'_>) -> f64 {
+    let bytes = |stats: &NodeStats| stats.control_bytes.unwrap_or(0.0);
+    let used: f64 = evidence
+        .after
+        .iter()
+        .map(|after| used(evidence.before, after, bytes))
+        .sum();
+    ratio(
+        used,
+        evidence.after.len() as f64 * evidence.took.as_secs_f64(),
+    )
+}
+
+/// Divides, with 0 for a share of nothing.
+fn ratio(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 { part / whole } else { 0.0 }
+}
+
+/// Rounds to thousandths, so that lines are easy to compare.
+fn round(value: f64) -> f64 {
+    (value * 1000.0).round() / 1000.0
+}
--- /dev/null
+++ b/bench/src/report/promises.rs
@@ -0,0 +1,103 @@
+//! Judges the promises by what callers were told and what really ran.
+
+use std::time::Duration;
+
+use super::ratio;
+use crate::load::CallKind;
+use crate::load::CallRecord;
+use crate::load::End;
+use crate::truth::EngineStart;
+use crate::truth::ServiceRun;
+
+#[cfg(test)]
+mod tests;
+
+/// Time after which a leaving backend server must get no new work.
+const LEAVING_GRACE: Duration = Duration::from_secs(3);
+
+/// Counts the keys of non-idempotent calls that ran more than once.
+pub fn double_runs(calls: &[CallRecord], runs: &[ServiceRun]) -> u64 {
+    let ran = sorted_keys(runs);
+    let payments = calls.iter().filter(|call| call.kind == CallKind::Payment);
+    let doubled = payments
+        .filter_map(|call| call.key.as_deref())
+        .filter(|key| count_of(&ran, key) > 1);
+    doubled.count() as u64
+}
+
+/// Counts the calls that ran though their callers were told at last that they did not.
+pub fn false_not_run(calls: &[CallRecord], starts: &[EngineStart], runs: &[ServiceRun]) -> u64 {
+    let mut started: Vec<u64> = starts.iter().map(|start| start.body_hash).collect();
+    started.sort_unstable();
+    let ran = sorted_keys(runs);
+    let told_not_run = calls
+        .iter()
+        .filter(|call| matches!(call.end, End::NotRun { .. } | End::Refused));
+    let did_run = |call: &&CallRecord| match call.kind {
+        CallKind::ChatStream | CallKind::ChatWhole => {
+            started.binary_search(&call.body_hash).is_ok()
+        }
+        CallKind::Payment => call
+            .key
+            .as_deref()
+            .is_some_and(|key| count_of(&ran, key) > 0),
+        CallKind::Lookup => {
+            let end = format!("?call={}", call.call);
+            runs.iter().any(|run| run.path.ends_with(&end))
+        }
+    };
+    told_not_run.filter(did_run).count() as u64
+}
+
+/// Counts the requests that were started at backend servers after they had been leaving for some seconds.
+pub fn late_new_work(starts: &[EngineStart], runs: &[ServiceRun]) -> u64 {
+    let late = |leaving: Option<Duration>| leaving.is_some_and(|leaving| leaving > LEAVING_GRACE);
+    let at_engines = starts
+        .iter()
+        .filter(|start| late(start.leaving_for))
+        .count();
+    let at_services = runs.iter().filter(|run| late(run.leaving_for)).count();
+    (at_engines + at_services) as u64
+}
+
+/// Counts the requests whose start took an engine over the load bound.
+pub fn overload_samples(starts: &[EngineStart], bound: f64, floor: u32) -> u64 {
+    let over = |start: &&EngineStart| {
+        f64::from(start.load_with) > (bound * start.mean).ceil().max(f64::from(floor))
+    };
+    starts.iter().filter(over).count() as u64
+}
+
+/// Share of prompt tokens that were cached, over the engine starts of answered calls.
+pub fn cache_reuse(calls: &[CallRecord], starts: &[EngineStart]) -> f64 {
+    let answered = calls
+        .iter()
+        .filter(|call| call.is_chat() && call.end == End::Answered);
+    let mut answered: Vec<u64> = answered.map(|call| call.body_hash).collect();
+    answered.sort_unstable();
+    let counted = starts
+        .iter()
+        .filter(|start| answered.binary_search(&start.body_hash).is_ok());
+    let (cached, prompt) = counted.fold((0, 0), |(cached, prompt), start| {
+        (cached + start.cached_tokens, prompt + start.prompt_tokens)
+    });
+    ratio(cached as f64, prompt as f64)
+}
+
+fn sorted_keys(runs: &[ServiceRun]) -> Vec<&str> {
+    let mut keys: Vec<&str> = runs
+        .iter()
+        .filter_map(|run| run.idempotency_key.as_deref())
+        .collect();
+    keys.sort_unstable();
+    keys
+}
+
+/// Counts how often `key` stands in the sorted keys.
+fn count_of(keys: &[&str], key: &str) -> usize {
+    let first = keys.partition_point(|other| *other < key);
+    keys[first..]
+        .iter()
+        .take_while(|other| **other == key)
+        .count()
+}
--- /dev/null
+++ b/bench/src/report/promises/tests.rs
@@ -0,0 +1,135 @@
+use std::time::Instant;
+
+use super::*;
+
+fn call(kind: CallKind, name: &str, end: End) -> CallRecord {
+    CallRecord {
+        team: String::from("team-1"),
+        chat: String::from("chat-1"),
+        call: name.to_owned(),
+        key: (kind == CallKind::Payment).then(|| format!("key-{name}")),
+        kind,
+        node: String::from("dc1-n1"),
+        body_hash: name.len() as u64,
+        prompt: Vec::new(),
+        answer: None,
+        started: Instant::now(),
+        first_byte: None,
+        ended: Instant::now(),
+        refusals: 0,
+        end,
+    }
+}
+
+fn start(load_with: u32, mean: f64, leaving_for: Option<Duration>) -> EngineStart {
+    EngineStart {
+        at: Instant::now(),
+        engine: String::from("engine-1"),
+        request_id: String::from("id"),
+        chat: String::from("chat-1"),
+        load_with,
+        mean,
+        live_engines: 2,
+        prompt_tokens: 100,
+        cached_tokens: 25,
+        answer_tokens: 8,
+        leaving_for,
+        batch: false,
+        body_hash: 1,
+    }
+}
+
+fn run_of(key: Option<&str>, path: &str) -> ServiceRun {
+    ServiceRun {
+        at: Instant::now(),
+        service: String::from("payments"),
+        server: String::from("payments-1"),
+        request_id: String::from("id"),
+        method: String::from("POST"),
+        path: path.to_owned(),
+        idempotency_key: key.map(str::to_owned),
+        body: String::new(),
+        leaving_for: None,
+    }
+}
+
+fn not_run() -> End {
+    End::NotRun {
+        reason: String::from("busy"),
+        retry_after: None,
+    }
+}
+
+#[test]
+fn double_runs_are_counted_by_key() {
+    let unknown = End::Unknown {
+        reason: String::from("lost"),
+    };
+    let calls = [
+        call(CallKind::Payment, "a", End::Answered),
+        call(CallKind::Payment, "b", unknown),
+    ];
+    let runs = [
+        run_of(Some("key-a"), "/payments"),
+        run_of(Some("key-b"), "/payments"),
+        run_of(Some("key-b"), "/payments"),
+    ];
+
+    let doubled = double_runs(&calls, &runs);
+
+    assert_eq!(doubled, 1);
+}
+
+#[test]
+fn refusals_of_calls_that_ran_are_false() {
+    let calls = [
+        call(CallKind::ChatStream, "a", not_run()),
+        call(CallKind::ChatStream, "unlike", not_run()),
+        call(CallKind::Payment, "b", not_run()),
+        call(CallKind::Payment, "c", not_run()),
+        call(CallKind::Lookup, "d", not_run()),
+        call(CallKind::Lookup, "e", End::Answered),
+    ];
+    let runs = [
+        run_of(Some("key-b"), "/payments"),
+        run_of(None, "/balance?call=d"),
+        run_of(None, "/balance?call=e"),
+    ];
+
+    let false_ones = false_not_run(&calls, &[start(1, 1.0, None)], &runs);
+
+    assert_eq!(false_ones, 3);
+}
+
+#[test]
+fn starts_over_the_bound_are_counted_above_the_floor() {
+    let within_floor = start(4, 1.0, None);
+    let at_bound = start(13, 10.0, None);
+    let over = start(14, 10.0, None);
+
+    let samples = overload_samples(&[within_floor, at_bound, over], 1.25, 4);
+
+    assert_eq!(samples, 1);
+}
+
+#[test]
+fn work_is_late_after_the_grace() {
+    let soon = start(1, 1.0, Some(Duration::from_secs(1)));
+    let late = start(1, 1.0, Some(Duration::from_secs(4)));
+
+    let count = late_new_work(&[soon, late, start(1, 1.0, None)], &[]);
+
+    assert_eq!(count, 1);
+}
+
+#[test]
+fn reuse_counts_answered_calls_only() {
+    let answered = call(CallKind::ChatWhole, "a", End::Answered);
+    let mut other = start(1, 1.0, None);
+    other.body_hash = 7;
+    other.cached_tokens = 100;
+
+    let reuse = cache_reuse(&[answered], &[start(1, 1.0, None), other]);
+
+    assert!((reuse - 0.25).abs() < 1e-9);
+}
--- /dev/null
+++ b/bench/src/standin/engine/shared.rs
@@ -0,0 +1,345 @@
+//! What the requests of one engine share, and how each is served.
+
+use crate::answer::answer_tokens;
+use crate::http;
+use crate::http::Abort;
+use crate::http::Answer;
+use crate::http::ResponseBody;
+use crate::standin::batch::Batch;
+use crate::standin::cache;
+use crate::standin::cache::Prefix;
+use crate::standin::cache::PrefixCache;
+use crate::standin::engine::EngineFaults;
+use crate::standin::engine::EngineOptions;
+use crate::standin::events::Events;
+use crate::standin::faults::Rate;
+use crate::standin::generate;
+use crate::standin::generate::InFlight;
+use crate::standin::generate::Job;
+use crate::standin::group::EngineGroup;
+use crate::standin::group::Member;
+use crate::standin::lagged::Lagged;
+use crate::standin::orders::Orders;
+use crate::standin::streams::AnswerStream;
+use crate::standin::streams::State;
+use crate::standin::streams::Streams;
+use crate::truth::EngineStart;
+use crate::truth::Truth;
+use crate::truth::lock;
+use crate::wire::backend::KvBlob;
+use crate::wire::backend::KvExport;
+use crate::wire::backend::LoadReport;
+use crate::wire::backend::Order;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use serde_json::Value;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::sync::watch;
+
+/// Tokens of an answer where the request sets no `max_tokens`.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+/// Rate at which a chat's cache is exported or imported.
+const KV_TOKENS_PER_SECOND: f64 = 200_000.0;
+/// By how much a late answer is late, unless set otherwise.
+const DEFAULT_LATE_MS: u64 = 2000;
+/// Bytes of a streamed token, about; a truncated answer ends in its middle.
+const CHUNK_BYTES: usize = 160;
+
+#[derive(Debug)]
+pub(in crate::standin) struct Shared {
+    pub opts: EngineOptions,
+    pub truth: Arc<Truth>,
+    pub member: Arc<Member>,
+    pub batch: Arc<Batch>,
+    pub cache: Mutex<PrefixCache>,
+    pub events: Mutex<Events>,
+    pub group: Arc<EngineGroup>,
+    pub faults: EngineFaults,
+    loads: Mutex<Lagged<LoadReport>>,
+    pub streams: Streams,
+    pub orders: Arc<Orders>,
+    pub leaving: Mutex<Option<Instant>>,
+    pub paused: watch::Sender<bool>,
+    /// Id and answer of the request before, for crossed answers.
+    previous: Mutex<(String, Vec<String>)>,
+}
+
+/// Cancels an answer where its handler is dropped, which means that the client is gone.
+struct CancelOnDrop(Arc<AnswerStream>);
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        if self.0.state() == State::Open {
+            self.0.cancel();
+        }
+    }
+}
+
+impl Shared {
+    pub fn new(opts: EngineOptions, truth: Arc<Truth>, group: Arc<EngineGroup>) -> Shared {
+        let idle = LoadReport {
+            age_ms: opts.load_lag.as_millis() as u64,
+            cache_capacity_tokens: Some(opts.cache_tokens),
+            cached_tokens: Some(0),
+            running: 0,
+            waiting: 0,
+        };
+        let orders = Orders::new(&opts.service, opts.checks_fencing, opts.weights.clone());
+        Shared {
+            truth,
+            member: group.join(),
+            batch: Batch::new(opts.max_batch),
+            cache: Mutex::new(PrefixCache::new(opts.cache_tokens)),
+            events: Mutex::new(Events::new(opts.event_lag)),
+            group,
+            faults: EngineFaults {
+                crossed: Rate::default(),
+                truncated: Rate::default(),
+                late: Rate::default(),
+                late_ms: AtomicU64::new(DEFAULT_LATE_MS),
+            },
+            loads: Mutex::new(Lagged::new(opts.load_lag, idle)),
+            streams: Streams::default(),
+            orders: Arc::new(orders),
+            leaving: Mutex::new(None),
+            paused: watch::channel(false).0,
+            previous: Mutex::new(("crossed".to_owned(), vec!["xxx ".to_owned()])),
+            opts,
+        }
+    }
+
+    /// Waits while the engine is paused.
+    pub(in crate::standin) async fn unpaused(&self) {
+        if *self.paused.borrow() {
+            // The sender lives as long as `self`.
+            let _ = self.paused.subscribe().wait_for(|paused| !paused).await;
+        }
+    }
+
+    /// Notes the load for later reports.
+    pub(in crate::standin) fn note_load(&self) {
+        let cached = lock(&self.cache).total();
+        let mut loads = lock(&self.loads);
+        // Read under the lock, so that the newest report has the newest load.
+        let load = self.member.load();
+        let report = LoadReport {
+            cached_tokens: Some(cached),
+            running: load.min(self.opts.max_batch),
+            waiting: load.saturating_sub(self.opts.max_batch),
+            ..loads.newest().clone()
+        };
+        loads.set(report);
+    }
+
+    pub async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Answer {
+        self.unpaused().await;
+        let (head, body) = req.into_parts();
+        let path = head.uri.path();
+        let stream = path.strip_prefix("/v1/streams/");
+        match (&head.method, path, stream) {
+            (&Method::POST, "/v1/chat/completions", _) => self.chat(&head, body).await,
+            (&Method::GET, _, Some(id)) => Ok(self.resume(id, head.uri.query())),
+            (&Method::DELETE, _, Some(id)) => Ok(self.cancel(id)),
+            (&Method::GET, "/load", _) => Ok(ok(lock(&self.loads).seen())),
+            (&Method::GET, "/cache-events", _) => Ok(self.cache_events(head.uri.query())),
+            (&Method::GET, "/state", _) => Ok(ok(&self.orders.state())),
+            (&Method::POST, "/orders", _) => self.order(body).await,
+            (&Method::POST, "/v1/kv/export", _) => self.export(body).await,
+            (&Method::POST, "/v1/kv/import", _) => self.import(body).await,
+            _ => Ok(http::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    async fn chat(self: Arc<Self>, head: &Parts, body: Incoming) -> Answer {
+        let bytes = http::read_body(body).await.map_err(|_| Abort)?;
+        let Ok(value) = serde_json::from_slice::<Value>(&bytes) else {
+            return Ok(http::empty(StatusCode::BAD_REQUEST));
+        };
+        if !self
+            .orders
+            .has_model(value["model"].as_str().unwrap_or_default())
+        {
+            let mut res = http::empty(StatusCode::NOT_FOUND);
+            http::set_header(&mut res, "x-not-run", "true");
+            return Ok(res);
+        }
+        let mut job = self.job(head, &value);
+        let answer = self.take_up(&job, cache::hash_bytes(0, &bytes));
+        self.cross(&mut job);
+        let (streamed, answer_id, tokens) = (job.streamed, job.answer_id.clone(), job.tokens.len());
+        let in_flight = InFlight {
+            shared: self.clone(),
+            answer: answer.clone(),
+            id: job.id.clone(),
+            completed: false,
+        };
+        let _attached = answer.attach();
+        let task = tokio::spawn(generate::run(job, in_flight));
+        answer.set_task(task.abort_handle());
+        let cancel = (!streamed).then(|| CancelOnDrop(answer.clone()));
+        if self.faults.late.hit() {
+            let late = self.faults.late_ms.load(Relaxed);
+            tokio::time::sleep(Duration::from_millis(late)).await;
+        }
+        let truncated = self.faults.truncated.hit();
+        let (body, kind) = if streamed {
+            let cut = truncated.then_some(tokens * CHUNK_BYTES / 2);
+            (answer.read(0, cut), "text/event-stream")
+        } else {
+            let len = answer.whole().await?.len();
+            (
+                answer.read(0, truncated.then_some(len / 2)),
+                "application/json",
+            )
+        };
+        drop(cancel);
+        let mut res = Response::new(body);
+        self.set_headers(&mut res, &answer_id, kind);
+        Ok(res)
+    }
+
+    fn job(&self, head: &Parts, value: &Value) -> Job {
+        let id = http::header(&head.headers, "x-request-id").to_owned();
+        let max_tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS);
+        let prefixes = cache::prefixes(&value["messages"]);
+        Job {
+            answer_id: id.clone(),
+            id,
+            chat: http::header(&head.headers, "x-chat-id").to_owned(),
+            model: self.opts.service.clone(),
+            batch: http::header(&head.headers, "x-priority") == "batch",
+            streamed: value["stream"].as_bool().unwrap_or(false),
+            prompt_tokens: prefixes.last().map_or(0, |prefix| prefix.tokens),
+            cached_tokens: lock(&self.cache).lookup(&prefixes),
+            prefixes,
+            tokens: answer_tokens(
+                &value["messages"],
+                u32::try_from(max_tokens).unwrap_or(u32::MAX),
+            ),
+        }
+    }
+
+    /// Counts a request and notes its start.
+    fn take_up(&self, job: &Job, body_hash: u64) -> Arc<AnswerStream> {
+        let loads = self.group.take_up(&self.member);
+        self.note_load();
+        self.truth.add_start(EngineStart {
+            at: Instant::now(),
+            engine: self.opts.name.clone(),
+            request_id: job.id.clone(),
+            chat: job.chat.clone(),
+            load_with: loads.own,
+            mean: loads.mean,
+            live_engines: loads.live,
+            prompt_tokens: job.prompt_tokens,
+            cached_tokens: job.cached_tokens,
+            answer_tokens: job.tokens.len() as u64,
+            leaving_for: lock(&self.leaving).map(|at| at.elapsed()),
+            batch: job.batch,
+            body_hash,
+        });
+        let answer = AnswerStream::new(&job.id);
+        self.streams.add(answer.clone());
+        answer
+    }
+
+    /// Gives the job the answer of the request before, where the fault hits.
+    fn cross(&self, job: &mut Job) {
+        let own = (job.id.clone(), job.tokens.clone());
+        let previous = std::mem::replace(&mut *lock(&self.previous), own);
+        if self.faults.crossed.hit() {
+            (job.answer_id, job.tokens) = previous;
+        }
+    }
+
+    fn set_headers(&self, res: &mut Response<ResponseBody>, id: &str, kind: &str) {
+        http::set_header(res, "x-request-id", id);
+        http::set_header(res, "x-engine-load", &self.member.load().to_string());
+        http::set_header(res, "content-type", kind);
+    }
+
+    fn resume(&self, id: &str, query: Option<&str>) -> Response<ResponseBody> {
+        let from = http::query_number(query, "from").unwrap_or(0);
+        let found = self.streams.find(id);
+        let Some(answer) = found.filter(|answer| answer.state() != State::Cancelled) else {
+            return http::empty(StatusCode::NOT_FOUND);
+        };
+        let from = usize::try_from(from).unwrap_or(usize::MAX);
+        let mut res = Response::new(answer.read(from, None));
+        self.set_headers(&mut res, id, "text/event-stream");
+        res
+    }
+
+    fn cancel(&self, id: &str) -> Response<ResponseBody> {
+        let found = self.streams.find(id);
+        let Some(answer) = found.filter(|answer| answer.state() == State::Open) else {
+            return http::empty(StatusCode::NOT_FOUND);
+        };
+        answer.cancel();
+        http::empty(StatusCode::NO_CONTENT)
+    }
+
+    fn cache_events(&self, query: Option<&str>) -> Response<ResponseBody> {
+        let from = http::query_number(query, "from").unwrap_or(0);
+        ok(&lock(&self.events).read(from))
+    }
+
+    async fn order(&self, body: Incoming) -> Answer {
+        let Ok(order) = http::read_json::<Order>(body).await else {
+            return Ok(http::empty(StatusCode::BAD_REQUEST));
+        };
+        Ok(match self.orders.take(order) {
+            Ok(state) => ok(&state),
+            Err(fenced) => http::json(StatusCode::CONFLICT, &fenced.0),
+        })
+    }
+
+    async fn export(&self, body: Incoming) -> Answer {
+        let Ok(req) = http::read_json::<KvExport>(body).await else {
+            return Ok(http::empty(StatusCode::BAD_REQUEST));
+        };
+        let stored = lock(&self.cache).chat(&req.chat).map(<[Prefix]>::to_vec);
+        let Some(prefixes) = stored else {
+            return Ok(http::empty(StatusCode::NOT_FOUND));
+        };
+        let tokens = prefixes.last().map_or(0, |prefix| prefix.tokens);
+        move_tokens(tokens).await;
+        let blob = serde_json::to_string(&prefixes).map_err(|_| Abort)?;
+        let chat = req.chat;
+        Ok(ok(&KvBlob { blob, chat, tokens }))
+    }
+
+    async fn import(&self, body: Incoming) -> Answer {
+        let parsed = http::read_json::<KvBlob>(body).await.ok().and_then(|kv| {
+            let prefixes = serde_json::from_str::<Vec<Prefix>>(&kv.blob).ok()?;
+            Some((kv, prefixes))
+        });
+        let Some((kv, prefixes)) = parsed else {
+            return Ok(http::empty(StatusCode::BAD_REQUEST));
+        };
+        move_tokens(kv.tokens).await;
+        self.store(&kv.chat, &prefixes);
+        Ok(http::empty(StatusCode::NO_CONTENT))
+    }
+}
+
+fn ok(value: &impl serde::Serialize) -> Response<ResponseBody> {
+    http::json(StatusCode::OK, value)
+}
+
+/// Takes the time of moving a chat's cache.
+async fn move_tokens(tokens: u64) {
+    tokio::time::sleep(Duration::from_secs_f64(
+        tokens as f64 / KV_TOKENS_PER_SECOND,
+    ))
+    .await;
+}
--- /dev/null
+++ b/bench/src/standin/tests.rs
@@ -0,0 +1,232 @@
+//! Tests of the stand-ins over loopback.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::answer::answer_tokens;
+use crate::http;
+use crate::http::Client;
+use crate::standin::cache;
+use crate::standin::cache::PrefixCache;
+use crate::standin::engine::Engine;
+use crate::standin::engine::EngineGroup;
+use crate::standin::engine::EngineOptions;
+use crate::standin::log::LogOptions;
+use crate::standin::log::LogService;
+use crate::truth::Truth;
+use crate::wire::platform::ReadResponse;
+
+const BOUND: Duration = Duration::from_secs(5);
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn messages(texts: &[&str]) -> Value {
+    let all = texts.iter().enumerate().map(|(i, text)| {
+        let role = if i % 2 == 0 { "user" } else { "assistant" };
+        json!({"role": role, "content": text})
+    });
+    Value::Array(all.collect())
+}
+
+#[test]
+fn cache_finds_the_longest_prefix() {
+    let mut cached = PrefixCache::new(1000);
+    let first = cache::prefixes(&messages(&["aaaabbbb", "cccc"]));
+    let longer = cache::prefixes(&messages(&["aaaabbbb", "cccc", "dddd"]));
+    let other = cache::prefixes(&messages(&["aaaabbbb", "xxxx", "dddd"]));
+    assert_eq!(cached.lookup(&first), 0);
+    cached.store("c1", &first);
+    assert_eq!(cached.lookup(&longer), 3);
+    assert_eq!(cached.lookup(&other), 2);
+    cached.store("c1", &longer);
+    assert_eq!(cached.total(), 4);
+}
+
+#[test]
+fn cache_evicts_the_least_recently_used_branch() {
+    let mut cached = PrefixCache::new(6);
+    let a = cache::prefixes(&messages(&["aaaa", "aaaa"]));
+    let b = cache::prefixes(&messages(&["bbbb", "bbbb"]));
+    let c = cache::prefixes(&messages(&["cccc", "cccc", "cccc"]));
+    cached.store("a", &a);
+    cached.store("b", &b);
+    cached.lookup(&a);
+    let evicted = cached.store("c", &c);
+    assert_eq!(evicted.len(), 1);
+    assert_eq!(evicted[0].chat, "b");
+    assert_eq!(cached.total(), 5);
+    assert!(cached.chat("b").is_none());
+    assert_eq!(cached.lookup(&a), 2);
+}
+
+async fn append(client: &Client, data: &str) -> Option<StatusCode> {
+    let body = json!({"data": data});
+    let res = client.post("/streams/s/records", &body).await.ok()?;
+    let status = res.status();
+    http::read_body(res.into_body()).await.ok()?;
+    Some(status)
+}
+
+async fn read(client: &Client, query: &str) -> ReadResponse {
+    let res = client.get(&format!("/streams/s/records?{query}")).await;
+    http::read_json(res.unwrap().into_body()).await.unwrap()
+}
+
+#[tokio::test]
+async fn log_loses_answers_after_the_append() {
+    let log = LogService::start(any_port(), LogOptions::default()).await;
+    let log = log.unwrap();
+    let client = Client::new(log.address());
+    log.faults().set_lose_answers(1000);
+    assert_eq!(append(&client, "a").await, None);
+    assert_eq!(log.records("s"), [(0, "a".to_owned())]);
+    log.faults().set_lose_answers(0);
+    log.faults().set_down(true);
+    assert_eq!(
+        append(&client, "b").await,
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    log.faults().set_down(false);
+    assert_eq!(append(&client, "c").await, Some(StatusCode::OK));
+    assert_eq!(read(&client, "from=1").await.records[0].data, "c");
+    log.close().await;
+}
+
+#[tokio::test]
+async fn log_limits_appends_and_forgets_old_records() {
+    let opts = LogOptions {
+        appends_per_second: 1,
+        retention: Duration::ZERO,
+    };
+    let log = LogService::start(any_port(), opts).await.unwrap();
+    let client = Client::new(log.address());
+    assert_eq!(append(&client, "a").await, Some(StatusCode::OK));
+    assert_eq!(
+        append(&client, "b").await,
+        Some(StatusCode::TOO_MANY_REQUESTS)
+    );
+    let seen = read(&client, "from=0").await;
+    assert_eq!((seen.first_retained, seen.next), (1, 1));
+    assert!(seen.records.is_empty());
+    log.close().await;
+}
+
+#[tokio::test]
+async fn log_wakes_a_waiting_reader() {
+    let log = LogService::start(any_port(), LogOptions::default()).await;
+    let log = log.unwrap();
+    let client = Client::new(log.address());
+    let (seen, _) = tokio::join!(read(&client, "from=0&wait_ms=4000"), async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        log.append("s", "a")
+    });
+    assert_eq!(seen.records.len(), 1);
+    log.close().await;
+}
+
+async fn engine(truth: &Arc<Truth>, token_ms: u64) -> Engine {
+    let opts = EngineOptions {
+        name: "e1".to_owned(),
+        service: "m".to_owned(),
+        token_ms,
+        max_batch: 1,
+        ..EngineOptions::default()
+    };
+    let group = EngineGroup::new("m");
+    let engine = Engine::start(any_port(), opts, truth.clone(), group).await;
+    engine.unwrap()
+}
+
+async fn ask(client: &Client, id: &str, messages: &Value, stream: bool) -> Incoming {
+    let body = json!({"model": "m", "messages": messages, "stream": stream, "max_tokens": 4});
+    let mut req = http::request("POST", "/v1/chat/completions", body.to_string());
+    req.headers_mut()
+        .insert("x-request-id", id.parse().unwrap());
+    let res = client.send(req).await.unwrap();
+    assert_eq!(res.headers()["x-request-id"], id);
+    res.into_body()
+}
+
+async fn whole(body: Incoming) -> Bytes {
+    let read = tokio::time::timeout(BOUND, http::read_body(body)).await;
+    read.unwrap().unwrap()
+}
+
+#[tokio::test]
+async fn engine_answers_and_caches() {
+    let truth = Truth::new();
+    let engine = engine(&truth, 0).await;
+    let client = Client::new(engine.address());
+    let question = messages(&["aaaabbbb"]);
+    let body = whole(ask(&client, "r1", &question, false).await).await;
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let answer = answer_tokens(&question, 4).concat();
+    assert_eq!(body["choices"][0]["message"]["content"], answer);
+    let next = messages(&["aaaabbbb", &answer, "cccc"]);
+    let body = whole(ask(&client, "r2", &next, false).await).await;
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(body["usage"]["prompt_tokens"], 7);
+    assert_eq!(body["usage"]["prompt_tokens_details"]["cached_tokens"], 6);
+    assert_eq!(truth.engine_starts()[1].cached_tokens, 6);
+    assert_eq!(truth.engine_ends().len(), 2);
+    assert_eq!(engine.load(), 0);
+    engine.close().await;
+}
+
+#[tokio::test]
+async fn engine_stream_survives_its_connection() {
+    let truth = Truth::new();
+    let engine = engine(&truth, 20).await;
+    let question = messages(&["aaaa"]);
+    let client = Client::new(engine.address());
+    let reference = whole(ask(&client, "r0", &question, true).await).await;
+    let begun = {
+        let lost = Client::new(engine.address());
+        let mut body = ask(&lost, "r1", &question, true).await;
+        let frame = body.frame().await.unwrap().unwrap();
+        frame.into_data().unwrap()
+    };
+    let path = format!("/v1/streams/r1?from={}", begun.len());
+    let rest = client.get(&path).await.unwrap();
+    let rest = whole(rest.into_body()).await;
+    let got = String::from_utf8([begun, rest].concat()).unwrap();
+    let reference = String::from_utf8(reference.to_vec()).unwrap();
+    assert!(got.ends_with("data: [DONE]\n\n"));
+    let contents = |text: &str| text.matches("\"content\"").count();
+    assert_eq!(contents(&got), contents(&reference));
+    assert!(truth.engine_ends().iter().all(|end| end.completed));
+    engine.close().await;
+}
+
+#[tokio::test]
+async fn engine_cancel_frees_the_slot() {
+    let truth = Truth::new();
+    let engine = engine(&truth, 60_000).await;
+    let client = Client::new(engine.address());
+    let _running = ask(&client, "r1", &messages(&["a"]), true).await;
+    let _waiting = ask(&client, "r2", &messages(&["b"]), true).await;
+    assert_eq!(engine.load(), 2);
+    assert_eq!(truth.engine_starts()[1].load_with, 2);
+    for id in ["r1", "r2"] {
+        let req = http::request("DELETE", &format!("/v1/streams/{id}"), "");
+        let res = client.send(req).await.unwrap();
+        assert_eq!(res.status(), StatusCode::NO_CONTENT);
+    }
+    let emptied = async {
+        while engine.load() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(BOUND, emptied).await.unwrap();
+    assert!(truth.engine_ends().iter().all(|end| !end.completed));
+    engine.close().await;
+}
--- /dev/null
+++ b/bench/src/wire.rs
@@ -0,0 +1,17 @@
+//! The border types, shared with the product by path so that both sides speak from one schema.
+
+#[expect(missing_docs, reason = "Generated from schemas/platform.json.")]
+#[path = "../../src/border/generated/platform.rs"]
+pub mod platform;
+
+#[expect(missing_docs, reason = "Generated from schemas/backend.json.")]
+#[path = "../../src/border/generated/backend.rs"]
+pub mod backend;
+
+#[expect(
+    clippy::unwrap_used,
+    missing_docs,
+    reason = "Generated from schemas/config.json."
+)]
+#[path = "../../src/border/generated/config.rs"]
+pub mod config;
