--- a/bench/src/cases/membership.rs
+++ b/bench/src/cases/membership.rs
@@ -1,8 +1,10 @@
 //! Cases of hosts that join, leave and flap.
 
+mod partition;
+
 use super::Case;
 
 /// All cases of this slice.
 pub fn cases() -> Vec<Box<dyn Case>> {
-    Vec::new()
+    vec![Box::new(partition::Partition)]
 }
