Membership: the board of loads

Cause: the load bound needs the mean over all engines of a service, which no single owner knows. Change: `LoadBoard::publish` and `LoadBoard::loads`; summaries are versioned by incarnation and count. Gossip does not carry them yet. Conclusion: the interface that owners publish through stands.

--- /dev/null
+++ b/src/membership/loads.rs
@@ -0,0 +1,123 @@
+//! Loads of the region's backend servers, each as its owner last published it.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Age after which a summary no longer counts: its node has gone, or can't be reached.
+const MAX_AGE: Duration = Duration::from_secs(5);
+
+/// Load of one backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendLoad {
+    /// Service of the backend server.
+    pub service: String,
+    /// Name of the backend server.
+    pub backend: String,
+    /// Requests in flight, as its owner counts them.
+    pub load: u32,
+}
+
+/// All loads that one node published at once.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    /// Name of the node.
+    pub node: String,
+    /// Incarnation of the node, and its count of summaries; the highest pair is the newest.
+    pub version: (u64, u64),
+    /// When it was published or received here.
+    pub at: Instant,
+    /// The loads of the backend servers that the node owns.
+    pub loads: Vec<BackendLoad>,
+}
+
+/// Loads that owners publish to the nodes of their region.
+#[derive(Debug)]
+pub struct LoadBoard {
+    node: String,
+    incarnation: u64,
+    // Sorted by node.
+    summaries: Mutex<Vec<Summary>>,
+}
+
+impl LoadBoard {
+    /// Makes an empty board for the given incarnation of the node named `node`.
+    pub fn new(node: &str, incarnation: u64) -> Self {
+        Self {
+            node: node.to_owned(),
+            incarnation,
+            summaries: Mutex::default(),
+        }
+    }
+
+    /// Publishes the loads of all backend servers that this node owns, in place of what it published before.
+    pub fn publish(&self, loads: &[BackendLoad]) {
+        let mut summaries = self.lock();
+        let found = find(&summaries, &self.node).ok();
+        let former = found.map(|i| &summaries[i]);
+        if former.is_some_and(|former| former.loads == loads && former.at.elapsed() < MAX_AGE / 4) {
+            return;
+        }
+        let count = former.map_or(0, |former| former.version.1);
+        let summary = Summary {
+            node: self.node.clone(),
+            version: (self.incarnation, count + 1),
+            at: Instant::now(),
+            loads: loads.to_vec(),
+        };
+        put(&mut summaries, summary);
+    }
+
+    /// Lists the newest known load of each backend server of `service`, sorted by backend server.
+    ///
+    /// Where two nodes count the same backend server, the higher count holds.
+    pub fn loads(&self, service: &str) -> Vec<BackendLoad> {
+        let summaries = self.lock();
+        let fresh = summaries.iter().filter(|s| s.at.elapsed() < MAX_AGE);
+        let mut loads: Vec<BackendLoad> = fresh
+            .flat_map(|summary| &summary.loads)
+            .filter(|load| load.service == service)
+            .cloned()
+            .collect();
+        loads.sort_by(|a, b| a.backend.cmp(&b.backend).then(b.load.cmp(&a.load)));
+        loads.dedup_by(|later, first| later.backend == first.backend);
+        loads
+    }
+
+    /// Takes in another node's summary, and tells whether it was news.
+    pub fn receive(&self, summary: Summary) -> bool {
+        let mut summaries = self.lock();
+        let known = find(&summaries, &summary.node).ok();
+        let is_old = known.is_some_and(|i| summaries[i].version >= summary.version);
+        if summary.node == self.node || is_old {
+            return false;
+        }
+        put(&mut summaries, summary);
+        true
+    }
+
+    /// Lists the fresh summaries.
+    pub fn summaries(&self) -> Vec<Summary> {
+        let fresh = |summary: &&Summary| summary.at.elapsed() < MAX_AGE;
+        self.lock().iter().filter(fresh).cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Summary>> {
+        self.summaries
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn find(summaries: &[Summary], node: &str) -> Result<usize, usize> {
+    summaries.binary_search_by(|summary| summary.node.as_str().cmp(node))
+}
+
+fn put(summaries: &mut Vec<Summary>, summary: Summary) {
+    match find(summaries, &summary.node) {
+        Ok(i) => summaries[i] = summary,
+        Err(i) => summaries.insert(i, summary),
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,12 +3,16 @@
 //! No promise depends on views agreeing; they only decide which node owns a backend server, which is a rule of thumb
 //! for efficiency. See `docs/MEMBERSHIP.md`.
 
+mod loads;
 mod poll;
 mod settings;
 #[cfg(test)]
 mod tests;
 mod view;
 
+pub use loads::BackendLoad;
+pub use loads::LoadBoard;
+pub use loads::Summary;
 pub use poll::Poller;
 pub use poll::READY_HOSTS;
 pub use settings::Settings;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,7 +1,11 @@
+use super::BackendLoad;
+use super::LoadBoard;
+use super::Summary;
 use super::View;
 use crate::border::generated::platform::Host;
 use crate::border::generated::platform::HostRole;
 use crate::border::generated::platform::HostState;
+use std::time::Instant;
 
 fn host(name: &str, data_centre: &str, role: HostRole) -> Host {
     Host {
@@ -42,3 +46,34 @@
     let engine = view.backend("assistant", "e1").unwrap();
     assert_eq!(view.owner(engine).unwrap().name, "n1");
 }
+
+fn load(backend: &str, load: u32) -> BackendLoad {
+    BackendLoad {
+        service: "assistant".to_owned(),
+        backend: backend.to_owned(),
+        load,
+    }
+}
+
+fn summary(version: (u64, u64), loads: &[BackendLoad]) -> Summary {
+    Summary {
+        node: "n2".to_owned(),
+        version,
+        at: Instant::now(),
+        loads: loads.to_vec(),
+    }
+}
+
+#[test]
+fn old_summaries_do_not_replace_newer_ones() {
+    let board = LoadBoard::new("n1", 1);
+    board.publish(&[load("e1", 3), load("e2", 9)]);
+
+    assert!(board.receive(summary((7, 2), &[load("e2", 4), load("e3", 5)])));
+    assert!(!board.receive(summary((7, 1), &[load("e3", 6)])));
+    assert!(!board.receive(summary((6, 9), &[load("e3", 7)])));
+
+    let loads = board.loads("assistant");
+    assert_eq!(loads, [load("e1", 3), load("e2", 9), load("e3", 5)]);
+    assert_eq!(board.summaries().len(), 2);
+}
