Membership: gossip over WebSocket decides who is live

Cause: a node that the host list still shows counted as live until the list dropped it, and a data centre that can't be reached from here was still used. Change: a bounded number of peers, one task for each, CBOR over WebSocket on the peer port. Records carry incarnation, sequence and standing; neighbours suspect, the suspected node answers, digests find what was missed. Suspicion stays inside a data centre; whether another one can be reached is each node's own matter, so that a partition leaves nothing to be undone when it heals. Frames are authenticated, bound to nonces of both ends, direction and order. Loads and config versions travel on the same connections. Strangers, old incarnations, oversized and misdirected frames are refused and counted.

--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -5,7 +5,7 @@
 
 mod codec;
 mod dispatch;
-mod mac;
+pub mod mac;
 mod remote;
 mod serve;
 #[cfg(test)]
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -9,6 +9,8 @@
 use super::mac;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
+use crate::membership::Acceptor;
+use crate::membership::GOSSIP_PATH;
 use crate::net::Body;
 use crate::net::Handler;
 use crate::net::collect;
@@ -35,21 +37,24 @@
 /// Serves the peer address.
 pub struct PeerServer {
     owner: Arc<Owner>,
+    gossip: Acceptor,
     key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
 
 impl PeerServer {
-    /// Makes a server that hands attempts to `owner`.
+    /// Makes a server that hands attempts to `owner` and connections to `gossip`.
     pub fn new(
         owner: Arc<Owner>,
+        gossip: Acceptor,
         key: DeploymentKey,
         timeline: Arc<Timeline>,
         max_body_bytes: usize,
     ) -> Self {
         Self {
             owner,
+            gossip,
             key,
             timeline,
             max_body_bytes,
@@ -92,6 +97,9 @@
 #[async_trait]
 impl Handler for PeerServer {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        if req.uri().path() == GOSSIP_PATH {
+            return self.gossip.accept(req, peer);
+        }
         if req.uri().path() != HOP_PATH {
             return bare(StatusCode::NOT_FOUND);
         }
--- /dev/null
+++ b/src/membership/link_out.rs
@@ -0,0 +1,224 @@
+//! What a connection sends, and when.
+
+use super::BackendLoad;
+use super::Summary;
+use super::link::Ends;
+use super::record::Record;
+use super::seal::Side;
+use super::shared::Shared;
+use crate::border::generated::gossip::Load;
+use crate::border::generated::gossip::LoadSummary;
+use crate::border::generated::gossip::Message;
+use crate::border::generated::gossip::NodeRecord;
+use crate::hop::PROTOCOL_VERSION;
+use crate::operations::ControlKind;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Most records in one frame, so that a frame stays well under the limit.
+const MAX_RECORDS: usize = 500;
+/// Heartbeats with another digest before all records are sent; changes that are under way explain fewer.
+const UNEQUAL_HEARTBEATS: u32 = 3;
+/// Nodes of a region that loads are passed between at the full pace; more of them do it less often.
+const FULL_PACE_NODES: usize = 4;
+
+/// What a connection sends, and when.
+pub(super) struct Outgoing {
+    shared: Arc<Shared>,
+    ends: Ends,
+    /// Change of the table up to which all records were sent.
+    stamp: u64,
+    pending: VecDeque<Record>,
+    is_first: bool,
+    unequal: u32,
+    sent_at: Instant,
+    loads_at: Instant,
+    /// Versions of the summaries that were sent, sorted by node.
+    summaries: Vec<(String, (u64, u64))>,
+}
+
+impl Outgoing {
+    pub(super) fn new(shared: Arc<Shared>, ends: &Ends) -> Self {
+        let (stamp, own) = {
+            let state = shared.state();
+            (state.table.stamp(), state.table.me().clone())
+        };
+        let now = Instant::now();
+        Self {
+            shared,
+            ends: ends.clone(),
+            stamp,
+            pending: VecDeque::from([own]),
+            is_first: true,
+            unequal: 0,
+            sent_at: now,
+            loads_at: now,
+            summaries: Vec::new(),
+        }
+    }
+
+    /// Gives the next message where one is due.
+    pub(super) fn next(&mut self) -> Option<(ControlKind, Message)> {
+        let now = Instant::now();
+        self.queue_changes();
+        let is_due = now >= self.sent_at + self.heartbeat();
+        if is_due || !self.pending.is_empty() {
+            self.sent_at = now;
+            let count = self.pending.len().min(MAX_RECORDS);
+            let records = self.pending.drain(..count).map(|r| NodeRecord::from(&r));
+            let r = records.collect();
+            let message = Message {
+                r,
+                ..self.message()
+            };
+            return Some((ControlKind::Gossip, message));
+        }
+        if !self.carries_loads() || now < self.loads_at + self.load_interval() {
+            return None;
+        }
+        self.loads_at = now;
+        let summaries = self.new_summaries();
+        if summaries.is_empty() {
+            return None;
+        }
+        self.sent_at = now;
+        let message = Message {
+            l: summaries,
+            ..self.message()
+        };
+        Some((ControlKind::Load, message))
+    }
+
+    /// Gives the time at which something may be due.
+    pub(super) fn wake_at(&self) -> Instant {
+        let heartbeat = self.sent_at + self.heartbeat();
+        match self.carries_loads() {
+            true => heartbeat.min(self.loads_at + self.load_interval()),
+            false => heartbeat,
+        }
+    }
+
+    /// Compares the peer's digest with the own one, and queues all records where they differ for long.
+    pub(super) fn compare(&mut self, digest: u64) {
+        let mut state = self.shared.state();
+        let table = &mut state.table;
+        if digest == table.digest() {
+            self.unequal = 0;
+            self.is_first = false;
+            return;
+        }
+        self.unequal += 1;
+        if self.is_first || self.unequal >= UNEQUAL_HEARTBEATS {
+            self.is_first = false;
+            self.unequal = 0;
+            self.pending = table.after(0).into();
+            self.stamp = table.stamp();
+        }
+    }
+
+    fn queue_changes(&mut self) {
+        let state = self.shared.state();
+        if state.table.stamp() != self.stamp {
+            self.pending.extend(state.table.after(self.stamp));
+            self.stamp = state.table.stamp();
+        }
+    }
+
+    /// Loads go one way, from the node that opened the connection, and stay in the region.
+    fn carries_loads(&self) -> bool {
+        let peer = &self.ends.peer;
+        self.ends.side == Side::Dialer && self.shared.state().region.binary_search(peer).is_ok()
+    }
+
+    fn heartbeat(&self) -> Duration {
+        let heartbeat = self.shared.settings.heartbeat;
+        match self.ends.is_near {
+            true => heartbeat,
+            false => heartbeat * self.shared.state().far_factor,
+        }
+    }
+
+    fn load_interval(&self) -> Duration {
+        let nodes = self.shared.state().region.len().max(FULL_PACE_NODES);
+        self.shared
+            .settings
+            .load_interval
+            .mul_f64(nodes as f64 / FULL_PACE_NODES as f64)
+    }
+
+    fn message(&self) -> Message {
+        let (incarnation, digest) = {
+            let state = self.shared.state();
+            (state.table.me().incarnation, state.table.digest())
+        };
+        let config = self.shared.configs.own();
+        Message {
+            v: PROTOCOL_VERSION,
+            f: self.shared.node.name.clone(),
+            i: incarnation,
+            h: u32::try_from(self.heartbeat().as_millis()).unwrap_or(u32::MAX),
+            t: self.shared.timeline.stamp(),
+            d: self.pending.is_empty().then_some(digest),
+            c: config.as_ref().map(|config| config.version),
+            x: config.as_ref().map(|config| config.hash),
+            r: Vec::new(),
+            l: Vec::new(),
+        }
+    }
+
+    fn new_summaries(&mut self) -> Vec<LoadSummary> {
+        let mut new = Vec::new();
+        for summary in self.shared.loads.summaries() {
+            let sent = self
+                .summaries
+                .binary_search_by(|(node, _)| node.as_str().cmp(&summary.node));
+            match sent {
+                Ok(i) if self.summaries[i].1 >= summary.version => continue,
+                Ok(i) => self.summaries[i].1 = summary.version,
+                Err(i) => {
+                    let entry = (summary.node.clone(), summary.version);
+                    self.summaries.insert(i, entry);
+                }
+            }
+            new.push(LoadSummary::from(&summary));
+        }
+        new
+    }
+}
+
+impl From<&Summary> for LoadSummary {
+    fn from(summary: &Summary) -> Self {
+        let loads = summary.loads.iter().map(|load| Load {
+            s: load.service.clone(),
+            b: load.backend.clone(),
+            l: load.load,
+        });
+        Self {
+            n: summary.node.clone(),
+            i: summary.version.0,
+            s: summary.version.1,
+            g: u32::try_from(summary.at.elapsed().as_millis()).unwrap_or(u32::MAX),
+            l: loads.collect(),
+        }
+    }
+}
+
+impl From<LoadSummary> for Summary {
+    fn from(summary: LoadSummary) -> Self {
+        let loads = summary.l.into_iter().map(|load| BackendLoad {
+            service: load.s,
+            backend: load.b,
+            load: load.l,
+        });
+        let age = Duration::from_millis(summary.g.into());
+        let now = Instant::now();
+        Self {
+            node: summary.n,
+            version: (summary.i, summary.s),
+            at: now.checked_sub(age).unwrap_or(now),
+            loads: loads.collect(),
+        }
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,16 +3,36 @@
 //! No promise depends on views agreeing; they only decide which node owns a backend server, which is a rule of thumb
 //! for efficiency. See `docs/MEMBERSHIP.md`.
 
+mod accept;
+mod configs;
+mod dial;
+mod link;
+mod link_out;
+mod live;
 mod loads;
+mod members;
+mod peers;
 mod poll;
+mod reach;
+mod record;
+mod refusals;
+mod seal;
 mod settings;
+mod shared;
+mod table;
 #[cfg(test)]
 mod tests;
 mod view;
 
+pub use accept::Acceptor;
+pub use configs::ConfigBoard;
+pub use configs::NodeConfig;
+pub use dial::GOSSIP_PATH;
 pub use loads::BackendLoad;
 pub use loads::LoadBoard;
 pub use loads::Summary;
+pub use members::Members;
+pub use members::READY_GOSSIP;
 pub use poll::Poller;
 pub use poll::READY_HOSTS;
 pub use settings::Settings;
--- a/src/membership/poll.rs
+++ b/src/membership/poll.rs
@@ -1,11 +1,8 @@
 //! Follows the platform's host list, one task.
 
-use super::Membership;
 use super::View;
 use crate::border::HostListSource;
 use crate::operations::Readiness;
-use crate::timeline::Event;
-use crate::timeline::EventKind;
 use crate::timeline::Timeline;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +12,7 @@
 /// What a node waits for before it is ready.
 pub const READY_HOSTS: &str = "host list";
 
-/// The task that follows the host list, and the view it has reached.
+/// The task that follows the host list, and the list it has reached.
 pub struct Poller {
     rx: watch::Receiver<Arc<View>>,
     task: JoinHandle<()>,
@@ -37,7 +34,7 @@
         readiness: Readiness,
         timeline: Arc<Timeline>,
     ) -> Self {
-        let (tx, rx) = watch::channel(Arc::new(View::default()));
+        let (tx, rx) = watch::channel(Arc::default());
         let polling = Polling {
             source,
             interval,
@@ -54,17 +51,9 @@
         self.task.abort();
     }
 
-    /// Gives a handle by which other slices see the view.
-    pub fn membership(&self) -> Arc<dyn Membership> {
-        Arc::new(Watched(self.rx.clone()))
-    }
-}
-
-struct Watched(watch::Receiver<Arc<View>>);
-
-impl Membership for Watched {
-    fn view(&self) -> Arc<View> {
-        Arc::clone(&self.0.borrow())
+    /// Gives the list as it was last read.
+    pub fn listed(&self) -> watch::Receiver<Arc<View>> {
+        self.rx.clone()
     }
 }
 
@@ -72,7 +61,7 @@
     async fn run(self) {
         loop {
             match self.source.hosts().await {
-                Ok(list) => self.take(&View::from_hosts(&list.hosts)),
+                Ok(list) => self.take(View::from_hosts(&list.hosts)),
                 Err(err) => {
                     slog::warn!(self.timeline.log(), "host list not read"; "cause" => ?err);
                 }
@@ -81,14 +70,12 @@
         }
     }
 
-    fn take(&self, view: &View) {
-        if !view.nodes().is_empty() {
+    fn take(&self, listed: View) {
+        if !listed.nodes().is_empty() {
             self.readiness.reached(READY_HOSTS);
         }
-        if **self.tx.borrow() == *view {
-            return;
+        if **self.tx.borrow() != listed {
+            self.tx.send_replace(Arc::new(listed));
         }
-        self.timeline.event(Event::new(EventKind::ViewChanged));
-        self.tx.send_replace(Arc::new(view.clone()));
     }
 }
--- /dev/null
+++ b/src/membership/record.rs
@@ -0,0 +1,89 @@
+//! What is known of a node, with its version.
+
+use crate::border::generated::gossip::NodeRecord;
+use crate::border::generated::gossip::RecordState;
+use crate::routing::rendezvous;
+
+/// How a node stands, in the order in which one replaces another of the same version.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Standing {
+    /// It serves.
+    Live,
+    /// A neighbour can't reach it; it may answer by a newer record.
+    Suspect,
+    /// It was suspected and has not answered in time.
+    Dead,
+    /// It is about to stop, by its own word.
+    Leaving,
+}
+
+/// A node's record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Record {
+    /// Name in the host list.
+    pub(super) name: String,
+    /// Incarnation of its process.
+    pub(super) incarnation: u64,
+    /// Sequence number that the node itself gave.
+    pub(super) sequence: u64,
+    /// How it stands.
+    pub(super) standing: Standing,
+}
+
+impl Record {
+    /// Gives what decides which of two records is newer.
+    pub(super) fn rank(&self) -> (u64, u64, Standing) {
+        (self.incarnation, self.sequence, self.standing)
+    }
+
+    /// Gives the same version with another standing.
+    pub(super) fn with(&self, standing: Standing) -> Self {
+        Self {
+            standing,
+            ..self.clone()
+        }
+    }
+
+    /// Tells whether the node serves, as far as is known.
+    pub(super) fn is_live(&self) -> bool {
+        matches!(self.standing, Standing::Live | Standing::Suspect)
+    }
+
+    /// Gives a hash of the whole record.
+    pub(super) fn digest(&self) -> u64 {
+        let rank = self.rank();
+        rendezvous::score(&self.name, &format!("{rank:?}"))
+    }
+}
+
+impl From<&Record> for NodeRecord {
+    fn from(record: &Record) -> Self {
+        Self {
+            n: record.name.clone(),
+            i: record.incarnation,
+            s: record.sequence,
+            st: match record.standing {
+                Standing::Live => RecordState::Live,
+                Standing::Suspect => RecordState::Suspect,
+                Standing::Dead => RecordState::Dead,
+                Standing::Leaving => RecordState::Leaving,
+            },
+        }
+    }
+}
+
+impl From<NodeRecord> for Record {
+    fn from(record: NodeRecord) -> Self {
+        Self {
+            name: record.n,
+            incarnation: record.i,
+            sequence: record.s,
+            standing: match record.st {
+                RecordState::Live => Standing::Live,
+                RecordState::Suspect => Standing::Suspect,
+                RecordState::Dead => Standing::Dead,
+                RecordState::Leaving => Standing::Leaving,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/shared.rs
@@ -0,0 +1,124 @@
+//! What all connections of a node share: its records, its peers, its boards.
+
+use super::ConfigBoard;
+use super::LoadBoard;
+use super::Settings;
+use super::reach::Reach;
+use super::record::Record;
+use super::refusals::Refusals;
+use super::table::Applied;
+use super::table::Table;
+use crate::operations::Metrics;
+use crate::settings::NodeSettings;
+use crate::timeline::Timeline;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+use tokio::sync::watch;
+
+/// What changes under one lock.
+pub(super) struct State {
+    pub(super) table: Table,
+    pub(super) reach: Reach,
+    /// Nodes of the region, by the host list; others get no loads.
+    pub(super) region: Vec<String>,
+    /// Nodes of the data centre, by the host list.
+    pub(super) near: Vec<String>,
+    /// Heartbeats to other data centres are this much rarer.
+    pub(super) far_factor: u32,
+}
+
+/// What all connections of a node share.
+pub(super) struct Shared {
+    pub(super) settings: Settings,
+    pub(super) node: NodeSettings,
+    pub(super) timeline: Arc<Timeline>,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) refusals: Refusals,
+    pub(super) loads: Arc<LoadBoard>,
+    pub(super) configs: Arc<ConfigBoard>,
+    /// Counts the changes of records, so that connections pass them on at once.
+    pub(super) changes: watch::Sender<u64>,
+    is_closed: AtomicBool,
+    state: Mutex<State>,
+}
+
+impl Shared {
+    pub(super) fn new(
+        settings: &Settings,
+        node: &NodeSettings,
+        incarnation: u64,
+        timeline: Arc<Timeline>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            settings: settings.clone(),
+            node: node.clone(),
+            timeline,
+            refusals: Refusals::new(&metrics),
+            metrics,
+            loads: Arc::new(LoadBoard::new(&node.name, incarnation)),
+            configs: Arc::new(ConfigBoard::new(&node.name)),
+            changes: watch::channel(0).0,
+            is_closed: AtomicBool::new(false),
+            state: Mutex::new(State {
+                table: Table::new(&node.name, incarnation),
+                reach: Reach::default(),
+                region: Vec::new(),
+                near: Vec::new(),
+                far_factor: 1,
+            }),
+        }
+    }
+
+    /// Locks the state; it is never held over an await.
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends all connections, those that others opened too.
+    pub(super) fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Tells whether connections are to end.
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
+    /// Does something with the table and tells the connections where it changed.
+    pub(super) fn with_table<T>(&self, f: impl FnOnce(&mut Table) -> T) -> T {
+        let mut state = self.state();
+        let before = state.table.stamp();
+        let result = f(&mut state.table);
+        let after = state.table.stamp();
+        drop(state);
+        if after != before {
+            self.changes.send_replace(after);
+        }
+        result
+    }
+
+    /// Takes in records that a peer sent.
+    pub(super) fn receive(&self, records: &[Record]) {
+        let now = Instant::now();
+        let applied: Vec<Applied> =
+            self.with_table(|table| records.iter().map(|r| table.apply(r, now)).collect());
+        for (record, applied) in records.iter().zip(applied) {
+            match applied {
+                Applied::NameTaken => {
+                    self.refusals.name_taken.inc();
+                    slog::error!(self.timeline.log(), "another process goes by this node's name";
+                        "incarnation" => record.incarnation);
+                }
+                Applied::OldIncarnation => self.refusals.old_record.inc(),
+                Applied::Newer | Applied::Known | Applied::Refuted => {}
+            }
+        }
+    }
+}
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,3 +1,8 @@
+mod fixtures;
+mod gossip;
+mod seal;
+mod table;
+
 use super::BackendLoad;
 use super::LoadBoard;
 use super::Summary;
@@ -77,3 +82,22 @@
     assert_eq!(loads, [load("e1", 3), load("e2", 9), load("e3", 5)]);
     assert_eq!(board.summaries().len(), 2);
 }
+
+#[test]
+fn backend_servers_of_a_cut_off_data_centre_are_kept_where_their_service_has_no_others() {
+    let mut other = host("p1", "falun", HostRole::Service);
+    other.service = Some("payments".to_owned());
+    let hosts = [
+        host("n1", "gavle", HostRole::Entry),
+        host("e1", "gavle", HostRole::Engine),
+        host("e2", "falun", HostRole::Engine),
+        other,
+    ];
+    let listed = View::from_hosts(&hosts);
+
+    let view = listed.restricted(listed.nodes().to_vec(), |centre| centre == "falun");
+
+    assert_eq!(view.of_service("assistant").len(), 1);
+    assert!(view.backend("assistant", "e1").is_some());
+    assert!(view.backend("payments", "p1").is_some());
+}
--- /dev/null
+++ b/src/membership/tests/gossip.rs
@@ -0,0 +1,219 @@
+//! Nodes that come, go, and are not what they say.
+
+use super::fixtures::TestNode;
+use super::fixtures::free;
+use super::fixtures::key;
+use super::fixtures::list;
+use super::fixtures::node_settings;
+use super::fixtures::settings;
+use super::fixtures::wait;
+use crate::border::generated::gossip::Message;
+use crate::membership::BackendLoad;
+use crate::membership::View;
+use crate::membership::dial;
+use crate::membership::link::MAX_FRAME_BYTES;
+use crate::membership::seal::Seal;
+use crate::membership::seal::Side;
+use crate::membership::shared::Shared;
+use crate::operations::Metrics;
+use crate::timeline::Timeline;
+use futures_util::SinkExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite;
+
+async fn three() -> (watch::Sender<Arc<View>>, [TestNode; 3]) {
+    let addresses = [free(), free(), free()];
+    let nodes = [
+        ("n1", addresses[0]),
+        ("n2", addresses[1]),
+        ("n3", addresses[2]),
+    ];
+    let hosts = watch::channel(Arc::default()).0;
+    let one = |i: usize| TestNode::start(nodes[i].0, nodes[i].1, key('1'), &hosts);
+    let started = [one(0).await, one(1).await, one(2).await];
+    hosts.send_replace(list(&nodes));
+    for node in &started {
+        node.wait_sees(&["n1", "n2", "n3"]).await;
+    }
+    (hosts, started)
+}
+
+/// Opens a connection as the node `from` would that knows the key.
+async fn open(from: &str, to: &TestNode) -> (WebSocketStream<TcpStream>, Seal) {
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let node = node_settings(from, address, key('1'));
+    let shared = Shared::new(
+        &settings(),
+        &node,
+        1,
+        Arc::new(Timeline::silent()),
+        Arc::new(Metrics::new()),
+    );
+    let view = list(&[(&to.name, to.address)]);
+    let (socket, nonces) = dial::handshake(&shared, &view.nodes()[0]).await.unwrap();
+    let seal = Seal::new(&key('1'), Side::Dialer, &nonces.0, &nonces.1);
+    (socket, seal)
+}
+
+fn message(from: &str, incarnation: u64) -> Vec<u8> {
+    let message = Message {
+        v: 1,
+        f: from.to_owned(),
+        i: incarnation,
+        h: 1_000,
+        t: String::new(),
+        d: None,
+        c: None,
+        x: None,
+        r: Vec::new(),
+        l: Vec::new(),
+    };
+    let mut buf = Vec::new();
+    ciborium::into_writer(&message, &mut buf).unwrap();
+    buf
+}
+
+async fn send(socket: &mut WebSocketStream<TcpStream>, frame: Vec<u8>) {
+    // The other end may close before all is sent.
+    let _ = socket
+        .send(tungstenite::Message::Binary(frame.into()))
+        .await;
+}
+
+#[tokio::test]
+async fn a_node_that_is_gone_leaves_the_views_though_the_list_shows_it_and_comes_back() {
+    let (hosts, [n1, n2, n3]) = three().await;
+    let address = n3.address;
+
+    n3.kill().await;
+    n1.wait_sees(&["n1", "n2"]).await;
+    n2.wait_sees(&["n1", "n2"]).await;
+
+    let n3 = TestNode::start("n3", address, key('1'), &hosts).await;
+    for node in [&n1, &n2, &n3] {
+        node.wait_sees(&["n1", "n2", "n3"]).await;
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_node_leaves_the_views_while_it_still_runs() {
+    let (_hosts, [n1, n2, n3]) = three().await;
+
+    n3.members.leave();
+
+    for node in [&n1, &n2, &n3] {
+        node.wait_sees(&["n1", "n2"]).await;
+    }
+}
+
+#[tokio::test]
+async fn a_lone_node_that_leaves_keeps_itself_so_that_it_can_finish() {
+    let address = free();
+    let hosts = watch::channel(list(&[("n1", address)])).0;
+    let n1 = TestNode::start("n1", address, key('1'), &hosts).await;
+    n1.wait_sees(&["n1"]).await;
+    wait(|| n1.readiness.missing().is_empty()).await;
+
+    n1.members.leave();
+
+    n1.wait_sees(&["n1"]).await;
+}
+
+#[tokio::test]
+async fn loads_reach_the_other_nodes_of_the_region() {
+    let (_hosts, [n1, n2, _n3]) = three().await;
+    let load = BackendLoad {
+        service: "assistant".to_owned(),
+        backend: "e1".to_owned(),
+        load: 7,
+    };
+
+    n1.members.loads().publish(std::slice::from_ref(&load));
+    n1.members.configs().publish(12, 34);
+
+    wait(|| n2.members.loads().loads("assistant") == [load.clone()]).await;
+    wait(|| {
+        n2.members
+            .configs()
+            .of("n1")
+            .is_some_and(|c| c.version == 12)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_stranger_gets_no_connection_and_is_counted() {
+    let addresses = [free(), free()];
+    let hosts = watch::channel(list(&[("n1", addresses[0]), ("n2", addresses[1])])).0;
+    let n1 = TestNode::start("n1", addresses[0], key('1'), &hosts).await;
+    let n2 = TestNode::start("n2", addresses[1], key('2'), &hosts).await;
+
+    wait(|| n1.refused("stranger") > 0 && n2.refused("stranger") > 0).await;
+
+    assert_eq!(n1.sees(), ["n1"]);
+    assert_eq!(n2.sees(), ["n2"]);
+}
+
+#[tokio::test]
+async fn a_node_at_the_address_of_another_is_told_so() {
+    let address = free();
+    let nodes = [("n1", address), ("n2", address), ("n3", free())];
+    let hosts = watch::channel(list(&nodes)).0;
+    let n1 = TestNode::start("n1", address, key('1'), &hosts).await;
+    let n3 = TestNode::start("n3", nodes[2].1, key('1'), &hosts).await;
+
+    wait(|| n1.refused("misdirected") > 0).await;
+
+    n3.wait_sees(&["n1", "n3"]).await;
+    n1.wait_sees(&["n1", "n3"]).await;
+}
+
+#[tokio::test]
+async fn an_oversized_frame_ends_its_connection_and_is_counted() {
+    let (_hosts, [n1, _n2, _n3]) = three().await;
+    let (mut socket, mut seal) = open("n9", &n1).await;
+
+    let frame = seal.seal(vec![0; MAX_FRAME_BYTES]);
+    send(&mut socket, frame).await;
+
+    wait(|| n1.refused("oversized") == 1).await;
+}
+
+#[tokio::test]
+async fn a_replaced_process_of_a_name_is_refused_and_counted() {
+    let (_hosts, [n1, _n2, _n3]) = three().await;
+    let (mut socket, mut seal) = open("n2", &n1).await;
+
+    let frame = seal.seal(message("n2", 1));
+    send(&mut socket, frame).await;
+
+    wait(|| n1.refused("old_incarnation") == 1).await;
+    assert_eq!(n1.sees(), ["n1", "n2", "n3"]);
+}
+
+#[tokio::test]
+async fn a_recorded_frame_is_refused_on_another_connection_and_counted() {
+    let (_hosts, [n1, _n2, _n3]) = three().await;
+    let (_, mut seal) = open("n9", &n1).await;
+    let recorded = seal.seal(message("n9", 1));
+    let (mut socket, _) = open("n9", &n1).await;
+
+    send(&mut socket, recorded).await;
+
+    wait(|| n1.refused("stranger") == 1).await;
+}
+
+#[tokio::test]
+async fn frames_in_the_name_of_another_node_are_refused() {
+    let (_hosts, [n1, _n2, _n3]) = three().await;
+    let (mut socket, mut seal) = open("n9", &n1).await;
+
+    let frame = seal.seal(message("n2", u64::MAX));
+    send(&mut socket, frame).await;
+
+    wait(|| n1.refused("malformed") == 1).await;
+}
--- /dev/null
+++ b/src/membership/tests/seal.rs
@@ -0,0 +1,46 @@
+//! What a frame's code keeps out.
+
+use super::fixtures::key;
+use crate::membership::seal;
+use crate::membership::seal::Seal;
+use crate::membership::seal::Side;
+
+fn ends(dialer: &str, acceptor: &str) -> (Seal, Seal) {
+    let side = |side| Seal::new(&key('1'), side, dialer, acceptor);
+    (side(Side::Dialer), side(Side::Acceptor))
+}
+
+#[test]
+fn frames_pass_in_their_order() {
+    let (mut dialer, mut acceptor) = ends("a", "b");
+
+    for payload in [b"one", b"two"] {
+        let frame = dialer.seal(payload.to_vec());
+        assert_eq!(acceptor.open(&frame), Some(payload.as_slice()));
+    }
+}
+
+#[test]
+fn a_frame_is_refused_twice_changed_reflected_or_on_another_connection() {
+    let (mut dialer, mut acceptor) = ends("a", "b");
+    let frame = dialer.seal(b"one".to_vec());
+    let mut changed = frame.clone();
+    changed[0] ^= 1;
+
+    assert_eq!(acceptor.open(&changed), None);
+    assert_eq!(acceptor.open(&frame[..7]), None);
+    assert!(acceptor.open(&frame).is_some());
+    assert_eq!(acceptor.open(&frame), None);
+    assert_eq!(dialer.open(&frame), None);
+    assert_eq!(ends("a", "c").1.open(&frame), None);
+}
+
+#[test]
+fn an_opening_names_both_ends_and_needs_the_key() {
+    let code = seal::open_code(&key('1'), "n1", "n2", "nonce");
+
+    assert!(seal::is_open_code(&key('1'), "n1", "n2", "nonce", &code));
+    assert!(!seal::is_open_code(&key('2'), "n1", "n2", "nonce", &code));
+    assert!(!seal::is_open_code(&key('1'), "n1", "n3", "nonce", &code));
+    assert!(!seal::is_open_code(&key('1'), "n3", "n2", "nonce", &code));
+}
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -13,8 +13,12 @@
     pub name: String,
     /// Data centre of its host.
     pub data_centre: String,
+    /// Region of the data centre.
+    pub region: String,
     /// Where other nodes connect.
     pub address: SocketAddr,
+    /// Incarnation of its process, 0 where it has not been heard of.
+    pub incarnation: u64,
 }
 
 /// A backend server: an engine or a plain service's server.
@@ -65,6 +69,23 @@
         Self { nodes, backends }
     }
 
+    /// Gives what is left of the view with other nodes, and without the backend servers of data centres that
+    /// `is_cut_off` names where their service has others.
+    pub(super) fn restricted(&self, nodes: Vec<Node>, is_cut_off: impl Fn(&str) -> bool) -> Self {
+        let same_service = |a: &Backend, b: &Backend| a.service == b.service;
+        let mut backends = Vec::new();
+        for service in self.backends.chunk_by(same_service) {
+            let reached = service.iter().filter(|b| !is_cut_off(&b.data_centre));
+            let reached: Vec<Backend> = reached.cloned().collect();
+            if reached.iter().any(|b| !b.leaving) {
+                backends.extend(reached);
+            } else {
+                backends.extend_from_slice(service);
+            }
+        }
+        Self { nodes, backends }
+    }
+
     /// Lists the live nodes, sorted by name.
     pub fn nodes(&self) -> &[Node] {
         &self.nodes
@@ -118,7 +139,9 @@
     Node {
         name: host.name.clone(),
         data_centre: host.data_centre.clone(),
+        region: host.region.clone(),
         address,
+        incarnation: 0,
     }
 }
 
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -12,6 +12,7 @@
 use crate::hop::RemoteOwner;
 use crate::hop::ToOwner;
 use crate::membership;
+use crate::membership::Members;
 use crate::membership::Poller;
 use crate::net::Client;
 use crate::net::ClientOptions;
@@ -72,6 +73,7 @@
     operations: Listener,
     follower: Follower,
     poller: Poller,
+    members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
     drain_limit: Duration,
@@ -87,13 +89,26 @@
         let node = &settings.node;
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
-        let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
+        let readiness = Readiness::waiting_for(&[
+            config::READY_CONFIG,
+            membership::READY_HOSTS,
+            membership::READY_GOSSIP,
+        ]);
         let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
-        let owner = owner(settings, &poller, &metrics, &timeline);
-        let entry = entry(settings, &follower, &poller, &owner, &metrics, &timeline);
+        let members = Members::start(
+            &settings.membership,
+            node,
+            poller.listed(),
+            readiness.clone(),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
+        let owner = owner(settings, &members, &metrics, &timeline);
+        let entry = entry(settings, &follower, &members, &owner, &metrics, &timeline);
         let peer_server = PeerServer::new(
             owner,
+            members.acceptor(),
             node.key.clone(),
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
@@ -112,6 +127,7 @@
             operations,
             follower,
             poller,
+            members,
             readiness,
             timeline,
             drain_limit: settings.entry.drain_limit,
@@ -122,10 +138,12 @@
     pub async fn close(self) {
         self.timeline.event(Event::new(EventKind::NodeStopping));
         self.readiness.lost(READY_RUNNING);
+        self.members.leave();
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
         self.follower.close();
         self.poller.close();
+        self.members.close();
         self.operations.close(OPERATIONS_LIMIT).await;
     }
 }
@@ -195,14 +213,14 @@
 
 fn owner(
     settings: &Settings,
-    poller: &Poller,
+    members: &Members,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Owner> {
     let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
     Arc::new(Owner::new(
         &settings.owner,
-        poller.membership(),
+        members.membership(),
         Arc::new(backends),
         Arc::clone(timeline),
     ))
@@ -211,7 +229,7 @@
 fn entry(
     settings: &Settings,
     follower: &Follower,
-    poller: &Poller,
+    members: &Members,
     owner: &Arc<Owner>,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
@@ -229,7 +247,7 @@
     );
     let dispatch = ToOwner::new(
         &node.name,
-        poller.membership(),
+        members.membership(),
         Arc::clone(owner),
         remote,
         Arc::clone(timeline),
@@ -237,7 +255,7 @@
     let attempts = Attempts::new(
         &node.name,
         settings.entry.max_attempts,
-        poller.membership(),
+        members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(timeline),
--- a/src/operations/metrics.rs
+++ b/src/operations/metrics.rs
@@ -19,6 +19,8 @@
 pub enum ControlKind {
     /// Messages between nodes other than requests.
     Gossip,
+    /// Loads of backend servers, between nodes of a region.
+    Load,
     /// The platform's log.
     Log,
     /// The platform's host list.
@@ -33,6 +35,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Gossip => "gossip",
+            Self::Load => "load",
             Self::Log => "log",
             Self::HostList => "host_list",
             Self::Engine => "engine",
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -18,6 +18,17 @@
 pub struct DeploymentKey([u8; KEY_BYTES]);
 
 impl DeploymentKey {
+    /// Makes a key of a code that was made with another key.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the code is shorter than a key.
+    pub fn from_code(code: &[u8]) -> Self {
+        let mut key = [0; KEY_BYTES];
+        key.copy_from_slice(&code[..KEY_BYTES]);
+        Self(key)
+    }
+
     /// Lends the key's bytes.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
