--- a/bench/src/load/attempt.rs
+++ b/bench/src/load/attempt.rs
@@ -57,10 +57,10 @@
         let End::NotRun { retry_after, .. } = &record.end else {
             break;
         };
+        record.refused_at.push(record.ended);
         if number + 1 == MAX_ATTEMPTS {
             break;
         }
-        record.refusals += 1;
         let pause = retry_after
             .unwrap_or(DEFAULT_RETRY_AFTER)
             .min(MAX_RETRY_AFTER);
--- a/bench/src/load/chat.rs
+++ b/bench/src/load/chat.rs
@@ -216,7 +216,7 @@
             started: Instant::now(),
             first_byte: None,
             ended: Instant::now(),
-            refusals: 0,
+            refused_at: Vec::new(),
             end: End::Refused,
         }
     }
--- a/bench/src/load/plain.rs
+++ b/bench/src/load/plain.rs
@@ -122,7 +122,7 @@
             started: Instant::now(),
             first_byte: None,
             ended: Instant::now(),
-            refusals: 0,
+            refused_at: Vec::new(),
             end: End::Refused,
         };
         let expected = Expected::Echo(body.clone());
--- a/bench/src/load/record.rs
+++ b/bench/src/load/record.rs
@@ -85,8 +85,8 @@
     pub first_byte: Option<Instant>,
     /// Time of the end.
     pub ended: Instant,
-    /// Ends of the attempts before the last one, all of them refusals.
-    pub refusals: u32,
+    /// When the caller was told that the call did not run, one time for each such attempt.
+    pub refused_at: Vec<Instant>,
     /// The final end.
     pub end: End,
 }
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -144,7 +144,7 @@
             not_run: count(|end| matches!(end, End::NotRun { .. })),
             unknown: count(|end| matches!(end, End::Unknown { .. })),
             refused: count(|end| matches!(end, End::Refused)),
-            retried: calls.iter().map(|call| u64::from(call.refusals)).sum(),
+            retried: calls.iter().map(retries).sum(),
             wrong: count(|end| matches!(end, End::Wrong { .. })),
             incomplete: count(|end| matches!(end, End::Incomplete)),
             broken: count(|end| matches!(end, End::Broken { .. } | End::ErrorEvent { .. })),
@@ -205,6 +205,12 @@
     }
 }
 
+/// Counts the attempts after the first; a last refusal brought none.
+fn retries(call: &CallRecord) -> u64 {
+    let refused_at_last = matches!(call.end, End::NotRun { .. });
+    call.refused_at.len() as u64 - u64::from(refused_at_last)
+}
+
 fn first_byte_histogram(calls: &[CallRecord]) -> Histogram<u64> {
     let mut histogram =
         Histogram::new(3).expect("three significant digits are within what the histogram allows");
--- a/bench/src/report/promises.rs
+++ b/bench/src/report/promises.rs
@@ -1,6 +1,7 @@
 //! Judges the promises by what callers were told and what really ran.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use super::ratio;
 use crate::load::CallKind;
@@ -25,28 +26,64 @@
     doubled.count() as u64
 }
 
-/// Counts the calls that ran though their callers were told at last that they did not.
+/// Counts the calls whose callers were told that they did not run though they had: a call refused at last must never
+/// run, and one refused on the way must not have run by then.
 pub fn false_not_run(calls: &[CallRecord], starts: &[EngineStart], runs: &[ServiceRun]) -> u64 {
-    let mut started: Vec<u64> = starts.iter().map(|start| start.body_hash).collect();
-    started.sort_unstable();
-    let ran = sorted_keys(runs);
-    let told_not_run = calls
+    let starts = sorted_starts(starts);
+    let runs = sorted_runs(runs);
+    let is_false = |call: &&CallRecord| match first_run(call, &starts, &runs) {
+        Some(ran_at) => was_denied(call, ran_at),
+        None => false,
+    };
+    calls.iter().filter(is_false).count() as u64
+}
+
+fn was_denied(call: &CallRecord, ran_at: Instant) -> bool {
+    let denied_at_last = matches!(call.end, End::NotRun { .. } | End::Refused);
+    denied_at_last || call.refused_at.iter().any(|refused| ran_at <= *refused)
+}
+
+/// Finds when a call ran first, if it ever did.
+fn first_run(
+    call: &CallRecord,
+    starts: &[(u64, Instant)],
+    runs: &[(String, Instant)],
+) -> Option<Instant> {
+    match call.kind {
+        CallKind::ChatStream | CallKind::ChatWhole => first_at(starts, &call.body_hash),
+        CallKind::Payment => first_at(runs, call.key.as_ref()?),
+        CallKind::Lookup => first_at(runs, &call.call),
+    }
+}
+
+/// Gives the time of the first entry under `key`; entries are sorted by key and time.
+fn first_at<K: Ord>(entries: &[(K, Instant)], key: &K) -> Option<Instant> {
+    let first = entries.partition_point(|(other, _)| other < key);
+    entries
+        .get(first)
+        .filter(|(other, _)| other == key)
+        .map(|(_, at)| *at)
+}
+
+fn sorted_starts(starts: &[EngineStart]) -> Vec<(u64, Instant)> {
+    let mut entries: Vec<(u64, Instant)> = starts
         .iter()
-        .filter(|call| matches!(call.end, End::NotRun { .. } | End::Refused));
-    let did_run = |call: &&CallRecord| match call.kind {
-        CallKind::ChatStream | CallKind::ChatWhole => {
-            started.binary_search(&call.body_hash).is_ok()
-        }
-        CallKind::Payment => call
-            .key
-            .as_deref()
-            .is_some_and(|key| count_of(&ran, key) > 0),
-        CallKind::Lookup => {
-            let end = format!("?call={}", call.call);
-            runs.iter().any(|run| run.path.ends_with(&end))
-        }
+        .map(|start| (start.body_hash, start.at))
+        .collect();
+    entries.sort_unstable();
+    entries
+}
+
+/// Names each run by its idempotency key or, for a lookup, by the call in its query.
+fn sorted_runs(runs: &[ServiceRun]) -> Vec<(String, Instant)> {
+    let named = |run: &ServiceRun| {
+        let call = run.path.split_once("?call=").map(|(_, call)| call);
+        let name = run.idempotency_key.as_deref().or(call)?;
+        Some((name.to_owned(), run.at))
     };
-    told_not_run.filter(did_run).count() as u64
+    let mut entries: Vec<(String, Instant)> = runs.iter().filter_map(named).collect();
+    entries.sort_unstable();
+    entries
 }
 
 /// Counts the requests that were started at backend servers after they had been leaving for some seconds.
--- a/bench/src/report/promises/tests.rs
+++ b/bench/src/report/promises/tests.rs
@@ -16,7 +16,7 @@
         started: Instant::now(),
         first_byte: None,
         ended: Instant::now(),
-        refusals: 0,
+        refused_at: Vec::new(),
         end,
     }
 }
@@ -101,6 +101,21 @@
     assert_eq!(false_ones, 3);
 }
 
+#[test]
+fn a_refusal_on_the_way_is_false_where_the_call_had_run_by_then() {
+    let ran = start(1, 1.0, None);
+    let refused_before = ran.at.checked_sub(Duration::from_millis(5));
+    let mut honest = call(CallKind::ChatStream, "a", End::Answered);
+    honest.refused_at.extend(refused_before);
+    let mut denied = call(CallKind::ChatStream, "b", End::Answered);
+    denied.refused_at.push(ran.at + Duration::from_millis(5));
+
+    let of_honest = false_not_run(&[honest], std::slice::from_ref(&ran), &[]);
+    let of_denied = false_not_run(&[denied], &[ran], &[]);
+
+    assert_eq!((of_honest, of_denied), (0, 1));
+}
+
 #[test]
 fn starts_over_the_bound_are_counted_above_the_floor() {
     let within_floor = start(4, 1.0, None);
