Time line: event kinds as a table, causal stamps

The stamp of an attempt was taken before the event of its sending, so an owner whose clock is behind could have its receipt sorted before the sending. Ids were random for each start. Every small piece of a JSON line was a system call of its own.

Change: kinds stand in a table with name and level, one line each. The head of an attempt is stamped when it is encoded. Stamps carry an id made from the node's name; stamps further ahead than `[timeline] max_drift_ms` (60 s, the library's 500 ms would drop those of hosts with poor clocks) are dropped, counted and written. Log lines are written whole.

Conclusion: the order by stamps is causal as long as no stamp is dropped, and that is counted.

--- a/src/hop/remote.rs
+++ b/src/hop/remote.rs
@@ -6,6 +6,7 @@
 use super::REPLY_HEADER;
 use super::codec;
 use super::mac;
+use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
 use crate::net::Body;
 use crate::net::Client;
@@ -64,8 +65,13 @@
         }
     }
 
-    fn encode(&self, address: SocketAddr, attempt: &Attempt) -> Option<Request<Body>> {
-        let head = codec::to_header(&attempt.head).ok()?;
+    /// The stamp is taken here, after the event of sending, so that the owner's events come after that.
+    pub(super) fn encode(&self, address: SocketAddr, attempt: &Attempt) -> Option<Request<Body>> {
+        let head = HopHead {
+            hlc: self.timeline.stamp(),
+            ..attempt.head.clone()
+        };
+        let head = codec::to_header(&head).ok()?;
         let code = codec::text_of(&mac::code(&self.key, head.as_bytes()));
         Request::post(format!("http://{address}{HOP_PATH}"))
             .header(HEAD_HEADER, head)
--- a/src/hop/tests.rs
+++ b/src/hop/tests.rs
@@ -1,10 +1,22 @@
+use super::HEAD_HEADER;
+use super::PROTOCOL_VERSION;
+use super::RemoteOwner;
 use super::codec;
 use super::mac;
+use crate::border::generated::peer::HopHead;
+use crate::border::generated::peer::Priority;
+use crate::net::Client;
+use crate::net::ClientOptions;
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
 use crate::outcome::Unknown;
+use crate::owner::Attempt;
 use crate::settings::DeploymentKey;
+use crate::timeline::Timeline;
+use bytes::Bytes;
+use std::sync::Arc;
 use std::time::Duration;
+use uhlc::Timestamp;
 
 fn key(digit: char) -> DeploymentKey {
     digit.to_string().repeat(64).parse().unwrap()
@@ -36,3 +48,50 @@
     assert!(!mac::is_valid(&key('2'), b"head", &code));
     assert!(!mac::is_valid(&key('1'), b"heaD", &code));
 }
+
+fn attempt(hlc: String) -> Attempt {
+    let head = HopHead {
+        v: PROTOCOL_VERSION,
+        id: "a1".to_owned(),
+        request: "r1".to_owned(),
+        from: "n1".to_owned(),
+        service: "assistant".to_owned(),
+        backend: "e1".to_owned(),
+        team: "t1".to_owned(),
+        chat: None,
+        priority: Priority::Interactive,
+        deadline_ms: 1_000,
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        content_type: None,
+        body_len: 0,
+        hops: 0,
+        tried: Vec::new(),
+        key: None,
+        resume_from: None,
+        no_spill: false,
+        cached_on: None,
+        hlc,
+    };
+    Attempt {
+        head,
+        body: Bytes::new(),
+    }
+}
+
+#[tokio::test]
+async fn an_attempt_is_stamped_after_the_event_of_its_sending() {
+    let timeline = Arc::new(Timeline::silent());
+    let client = Client::new(&ClientOptions::default());
+    let remote = RemoteOwner::new(client, key('1'), Arc::clone(&timeline));
+    let attempt = attempt(timeline.stamp());
+    let sent: Timestamp = timeline.stamp().parse().unwrap();
+
+    let req = remote
+        .encode("127.0.0.1:1".parse().unwrap(), &attempt)
+        .unwrap();
+
+    let head = req.headers().get(HEAD_HEADER).unwrap();
+    let head: HopHead = codec::from_header(head.as_bytes()).unwrap();
+    assert!(head.hlc.parse::<Timestamp>().unwrap() > sent);
+}
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -87,6 +87,7 @@
         let node = &settings.node;
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
+        metrics.register(Box::new(timeline.stamps_dropped().clone()));
         let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
         let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -1,52 +1,10 @@
 //! The events that a process writes.
 
+use super::EventKind;
 use slog::KV;
 use slog::Record;
 use slog::Serializer;
 
-/// What happened.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EventKind {
-    /// The process serves.
-    NodeStarted,
-    /// The process was asked to stop.
-    NodeStopping,
-    /// A caller's request arrived.
-    RequestReceived,
-    /// One attempt was sent to the owner of a backend server.
-    AttemptSent,
-    /// An owner received an attempt.
-    AttemptReceived,
-    /// An owner handed an attempt to its backend server.
-    HandedOver,
-    /// An attempt ended.
-    AttemptEnded,
-    /// A caller's request got its outcome.
-    RequestEnded,
-    /// A configuration version came into force.
-    ConfigApplied,
-    /// The view of hosts changed.
-    ViewChanged,
-}
-
-impl EventKind {
-    /// Names the kind as it stands in the log.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NodeStarted => "node_started",
-            Self::NodeStopping => "node_stopping",
-            Self::RequestReceived => "request_received",
-            Self::AttemptSent => "attempt_sent",
-            Self::AttemptReceived => "attempt_received",
-            Self::HandedOver => "handed_over",
-            Self::AttemptEnded => "attempt_ended",
-            Self::RequestEnded => "request_ended",
-            Self::ConfigApplied => "config_applied",
-            Self::ViewChanged => "view_changed",
-        }
-    }
-}
-
 /// One event with what it is about.
 #[derive(Clone, Copy, Debug)]
 pub struct Event<'a> {
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -3,54 +3,57 @@
 //! Each event is one JSON line with a hybrid logical clock stamp; stamps travel with every message between nodes, so
 //! that `cbtimeline` can put the lines of many processes in causal order. See `docs/TIMELINE.md`.
 
+mod clock;
 mod event;
+mod kind;
 pub mod merge;
 mod settings;
 #[cfg(test)]
 mod tests;
 
 pub use event::Event;
-pub use event::EventKind;
+pub use kind::EventKind;
 pub use settings::Settings;
 
+use clock::Clock;
+use prometheus::IntCounter;
+use slog::BorrowedKV;
 use slog::Drain;
 use slog::Logger;
+use slog::Record;
 use slog::o;
-use std::str::FromStr;
-use uhlc::HLC;
-use uhlc::HLCBuilder;
-use uhlc::Timestamp;
+use std::io::LineWriter;
 
 /// Lines that may wait for the log's writer before further ones are dropped and counted.
 const LOG_QUEUE_LINES: usize = 16_384;
 
 /// Writes the events of one process and keeps its hybrid logical clock.
 pub struct Timeline {
-    clock: HLC,
+    clock: Clock,
     log: Logger,
 }
 
 impl Timeline {
     /// Starts a time line that writes JSON lines to the standard error stream.
     pub fn start(node: &str, settings: &Settings) -> Self {
-        let drain = slog_json::Json::default(std::io::stderr()).fuse();
+        // The serialiser writes in small pieces; a whole line is one system call.
+        let drain = slog_json::Json::default(LineWriter::new(std::io::stderr())).fuse();
         let drain = slog_async::Async::new(drain)
             .chan_size(LOG_QUEUE_LINES)
             .build();
         let drain = drain.filter_level(settings.level).fuse();
         let log = Logger::root(drain, o!("node" => node.to_owned()));
-        Self::with_log(log)
+        Self {
+            clock: Clock::new(node, settings.max_drift),
+            log,
+        }
     }
 
     /// Makes a time line that writes nowhere, for tests.
     pub fn silent() -> Self {
-        Self::with_log(Logger::root(slog::Discard, o!()))
-    }
-
-    fn with_log(log: Logger) -> Self {
         Self {
-            clock: HLCBuilder::new().build(),
-            log,
+            clock: Clock::new("silent", Settings::DEFAULT_MAX_DRIFT),
+            log: Logger::root(slog::Discard, o!()),
         }
     }
 
@@ -59,24 +62,36 @@
         &self.log
     }
 
-    /// Stamps a message that is about to be sent.
+    /// Gives the counter of stamps that were dropped, for the node's metrics.
+    pub fn stamps_dropped(&self) -> &IntCounter {
+        self.clock.dropped()
+    }
+
+    /// Stamps a message that is about to be sent; the events that led to it come before the stamp.
     pub fn stamp(&self) -> String {
-        self.clock.new_timestamp().to_string()
+        self.clock.stamp()
     }
 
-    /// Takes in the stamp of a message that was received; a stamp that can't be read is left alone.
+    /// Takes in the stamp of a message that was received; the events that follow come after it.
+    ///
+    /// A stamp that can't be read is left alone, one that is too far ahead is dropped and counted.
     pub fn observe(&self, stamp: &str) {
-        let Ok(stamp) = Timestamp::from_str(stamp) else {
-            return;
-        };
-        if self.clock.update_with_timestamp(&stamp).is_err() {
-            slog::warn!(self.log, "clock stamp too far ahead");
+        if !self.clock.observe(stamp) {
+            self.event(Event::new(EventKind::StampDropped).detail(stamp));
         }
     }
 
     /// Writes one event.
     pub fn event(&self, event: Event<'_>) {
+        let level = event.kind.level();
+        if !self.log.is_enabled(level) {
+            return;
+        }
         let stamp = self.stamp();
-        slog::info!(self.log, "event"; "hlc" => stamp, event);
+        let place = slog::record_static!(level, "");
+        let fields = slog::kv!("hlc" => stamp, event);
+        let fields = BorrowedKV(&fields);
+        self.log
+            .log(&Record::new(&place, &format_args!("event"), fields));
     }
 }
--- a/src/timeline/tests.rs
+++ b/src/timeline/tests.rs
@@ -1,4 +1,9 @@
+use super::Settings;
+use super::clock::Clock;
 use super::merge;
+use std::time::Duration;
+use uhlc::NTP64;
+use uhlc::Timestamp;
 
 fn line(node: &str, hlc: &str, event: &str) -> String {
     format!(r#"{{"node":"{node}","hlc":"{hlc}","event":"{event}"}}"#)
@@ -20,3 +25,66 @@
         ["attempt_sent", "attempt_received", "request_ended"]
     );
 }
+
+/// A host whose clock stands at 1,000 seconds.
+fn slow_time() -> NTP64 {
+    NTP64::from(Duration::from_secs(1_000))
+}
+
+/// A host whose clock stands half a minute later.
+fn fast_time() -> NTP64 {
+    NTP64::from(Duration::from_secs(1_030))
+}
+
+fn stamp_of(clock: &Clock) -> Timestamp {
+    clock.stamp().parse().unwrap()
+}
+
+#[test]
+fn a_stamp_survives_its_textual_form_and_grows() {
+    let clock = Clock::new("n1", Settings::DEFAULT_MAX_DRIFT);
+    let mut last = stamp_of(&clock);
+
+    for _ in 0..1_000 {
+        let next = stamp_of(&clock);
+
+        assert!(next > last);
+        assert_eq!(next.to_string().parse::<Timestamp>().unwrap(), next);
+        last = next;
+    }
+}
+
+#[test]
+fn a_receipt_comes_after_its_sending_though_the_receivers_clock_is_behind() {
+    let sender = Clock::with_time("n1", Settings::DEFAULT_MAX_DRIFT, fast_time);
+    let receiver = Clock::with_time("n2", Settings::DEFAULT_MAX_DRIFT, slow_time);
+    let sent = sender.stamp();
+
+    let taken = receiver.observe(&sent);
+
+    assert!(taken);
+    assert!(stamp_of(&receiver) > sent.parse().unwrap());
+}
+
+#[test]
+fn a_stamp_too_far_ahead_is_dropped_and_counted() {
+    let sender = Clock::with_time("n1", Settings::DEFAULT_MAX_DRIFT, fast_time);
+    let receiver = Clock::with_time("n2", Duration::from_secs(10), slow_time);
+    let sent = sender.stamp();
+
+    let taken = receiver.observe(&sent);
+
+    assert!(!taken);
+    assert_eq!(receiver.dropped().get(), 1);
+    assert!(stamp_of(&receiver) < sent.parse().unwrap());
+}
+
+#[test]
+fn a_node_keeps_its_id_when_it_starts_again() {
+    let first = Clock::new("n1", Settings::DEFAULT_MAX_DRIFT);
+    let again = Clock::new("n1", Settings::DEFAULT_MAX_DRIFT);
+    let other = Clock::new("n2", Settings::DEFAULT_MAX_DRIFT);
+
+    assert_eq!(stamp_of(&first).get_id(), stamp_of(&again).get_id());
+    assert_ne!(stamp_of(&first).get_id(), stamp_of(&other).get_id());
+}
