--- a/bench/src/cases/mod.rs
+++ b/bench/src/cases/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::FleetOptions;
+use crate::load::CallRecord;
 use crate::load::LoadOptions;
 
 pub use self::run::RunError;
@@ -102,6 +103,11 @@
         Findings::default()
     }
 
+    /// Looks at what callers got.
+    fn judge(&self, _calls: &[CallRecord]) -> Findings {
+        Findings::default()
+    }
+
     /// Looks at the fleet after the load, before it is closed.
     async fn after(&self, _cx: &CaseCx<'_>) -> Findings {
         Findings::default()
--- a/bench/src/cases/run.rs
+++ b/bench/src/cases/run.rs
@@ -81,6 +81,7 @@
     let added =
         load::measure_added_time(&options.load, fleet.directory(), &fleet.engine_addresses()).await;
     findings.extend(join_all(cases.iter().map(|case| case.after(&cx))).await);
+    findings.extend(cases.iter().map(|case| case.judge(&calls)));
     show_ends(&calls, progress);
 
     let runs = fleet.truth().service_runs();
--- a/bench/src/load/attempt.rs
+++ b/bench/src/load/attempt.rs
@@ -38,6 +38,8 @@
     pub directory: &'a Arc<Directory>,
     /// The caller's generator.
     pub rng: &'a mut StdRng,
+    /// Node that all attempts go to, in place of the balancer's choice.
+    pub pinned: Option<&'a str>,
 }
 
 /// Makes a call with all its attempts, fills in its record and returns the routing hint of its answer.
@@ -78,7 +80,13 @@
 ) -> (End, Option<String>) {
     record.first_byte = None;
     for _ in 0..MAX_CONNECTS {
-        let node = attempt.directory.pick(attempt.rng);
+        let node = match attempt.pinned {
+            Some(name) => attempt.directory.named(name),
+            None => Some(attempt.directory.pick(attempt.rng)),
+        };
+        let Some(node) = node else {
+            break;
+        };
         record.node.clone_from(&node.name);
         let sent =
             tokio::time::timeout(CALL_TIMEOUT, attempt.client.send(node.address, request(id)))
--- a/bench/src/load/chat.rs
+++ b/bench/src/load/chat.rs
@@ -174,6 +174,7 @@
             client: &mut self.client,
             directory: &self.directory,
             rng: &mut self.rng,
+            pinned: None,
         };
         let hint = send_call(&mut attempt, &mut record, request, &judged).await;
         self.take_over(index, &record.end, messages, &expected, hint);
--- a/bench/src/load/directory.rs
+++ b/bench/src/load/directory.rs
@@ -65,6 +65,11 @@
         ready[rng.random_range(0..ready.len())].clone()
     }
 
+    /// The node with the given name.
+    pub fn named(&self, name: &str) -> Option<NodeEntry> {
+        self.nodes().into_iter().find(|node| node.name == name)
+    }
+
     /// Tells whether the node was asked to stop gracefully.
     pub fn is_stopping(&self, name: &str) -> bool {
         self.nodes()
--- a/bench/src/load/mod.rs
+++ b/bench/src/load/mod.rs
@@ -9,6 +9,8 @@
 mod chat;
 mod direct;
 mod expected;
+mod group;
+mod payment;
 mod plain;
 
 use std::sync::Arc;
@@ -59,6 +61,8 @@
     pub chat_callers: u32,
     /// Callers of the plain service.
     pub plain_callers: u32,
+    /// Callers that send each payment through all nodes at the same time.
+    pub group_callers: u32,
     /// Chats that each caller returns to.
     pub chats_per_caller: u32,
     /// Turns after which a chat is forgotten.
@@ -80,6 +84,7 @@
             plain: String::from("payments"),
             chat_callers: 92,
             plain_callers: 4,
+            group_callers: 0,
             chats_per_caller: 4,
             max_turns: 12,
             answer_tokens: (8, 32),
@@ -112,6 +117,12 @@
         let caller = plain::PlainCaller::new(index, options, directory.clone(), rng);
         callers.spawn(caller.run(until));
     }
+    for index in 0..options.group_callers {
+        let first = options.chat_callers + options.plain_callers;
+        let rng = caller_rng(options.seed, first + index);
+        let caller = group::GroupCaller::new(index, options, directory.clone(), rng);
+        callers.spawn(caller.run(until));
+    }
     let mut records = Vec::new();
     while let Some(joined) = callers.join_next().await {
         records.extend(joined.expect("a caller does not panic"));
--- a/bench/src/load/plain.rs
+++ b/bench/src/load/plain.rs
@@ -130,6 +130,7 @@
             client: &mut self.client,
             directory: &self.directory,
             rng: &mut self.rng,
+            pinned: None,
         };
         send_call(&mut attempt, &mut record, request, &expected).await;
         record
