--- a/bench/src/cases/membership/partition.rs
+++ b/bench/src/cases/membership/partition.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 
+use super::agree::views_agree;
 use crate::cases::Case;
 use crate::cases::CaseCx;
 use crate::cases::Findings;
@@ -41,7 +42,11 @@
         for rule in rules {
             cx.fleet.proxy().clear_rule(rule);
         }
-        Findings::default()
+        let agreed = views_agree(cx.fleet).await;
+        Findings {
+            failures: agreed.err().into_iter().collect(),
+            ..Findings::default()
+        }
     }
 }
 
--- /dev/null
+++ b/bench/src/cases/membership/shutdown.rs
@@ -0,0 +1,59 @@
+//! A rolling restart of all nodes under load.
+
+use std::time::Instant;
+
+use async_trait::async_trait;
+
+use super::agree::views_agree;
+use crate::cases::Case;
+use crate::cases::CaseCx;
+use crate::cases::Findings;
+use crate::fleet::FleetError;
+
+/// Share of the load's time after which the first node is stopped.
+const BEGIN_AT: f64 = 0.1;
+
+pub struct Shutdown;
+
+#[async_trait]
+impl Case for Shutdown {
+    fn name(&self) -> &'static str {
+        "shutdown"
+    }
+
+    fn about(&self) -> &'static str {
+        "a rolling restart of all nodes under load"
+    }
+
+    async fn faults(&self, cx: &CaseCx<'_>) -> Findings {
+        cx.at_share(BEGIN_AT).await;
+        let mut findings = Findings::default();
+        for name in cx.fleet.node_names() {
+            if let Err(problem) = restart(cx, &name).await {
+                findings.failures.push(problem);
+            }
+        }
+        if Instant::now() > cx.until {
+            let problem = "the load ended before all nodes were restarted; give it more --seconds";
+            findings.failures.push(problem.to_owned());
+        }
+        findings
+    }
+
+    async fn after(&self, cx: &CaseCx<'_>) -> Findings {
+        Findings {
+            failures: views_agree(cx.fleet).await.err().into_iter().collect(),
+            ..Findings::default()
+        }
+    }
+}
+
+async fn restart(cx: &CaseCx<'_>, name: &str) -> Result<(), String> {
+    let text = |err: FleetError| err.to_string();
+    let status = cx.fleet.stop_node(name).await.map_err(text)?;
+    cx.fleet.start_node(name).await.map_err(text)?;
+    match status.success() {
+        true => Ok(()),
+        false => Err(format!("node {name} ended with {status}")),
+    }
+}
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -231,6 +231,7 @@
         }
         let event = Event::new(EventKind::ViewChanged);
         self.shared.timeline.event(event);
+        self.shared.gauges.show(&view);
         self.view.send_replace(Arc::new(view));
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod accept;
 mod configs;
 mod dial;
+mod gauges;
 mod link;
 mod link_out;
 mod live;
--- a/src/membership/shared.rs
+++ b/src/membership/shared.rs
@@ -3,6 +3,7 @@
 use super::ConfigBoard;
 use super::LoadBoard;
 use super::Settings;
+use super::gauges::Gauges;
 use super::reach::Reach;
 use super::record::Record;
 use super::refusals::Refusals;
@@ -39,6 +40,7 @@
     pub(super) timeline: Arc<Timeline>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) refusals: Refusals,
+    pub(super) gauges: Gauges,
     pub(super) loads: Arc<LoadBoard>,
     pub(super) configs: Arc<ConfigBoard>,
     /// Counts the changes of records, so that connections pass them on at once.
@@ -60,6 +62,7 @@
             node: node.clone(),
             timeline,
             refusals: Refusals::new(&metrics),
+            gauges: Gauges::new(&metrics),
             metrics,
             loads: Arc::new(LoadBoard::new(&node.name, incarnation)),
             configs: Arc::new(ConfigBoard::new(&node.name)),
