Shutdown hands ownership over first; one suspicion a silence

A neighbour that answers its suspicion by way of others was suspected again at once, in an endless quick turn. Change: on SIGTERM readiness fails, `leaving` is gossiped and answers carry `connection: close` for `[entry] linger_ms` while calls are passed on to the new owners; then connections close as their answers end. Attempts that reach a leaving node, or name a leaving backend server, are not run (stopping). A lost neighbour is suspected once, and again after 3 s.

--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -81,6 +81,10 @@
         let Some(body) = whole else {
             return (id, Err(Refusal::not_run(NotRun::BadRequest)));
         };
+        if self.gossip.is_leaving() {
+            // The sender has not heard yet that this node's backend servers have another owner.
+            return (id, Err(Refusal::not_run(NotRun::Stopping)));
+        }
         let attempt = Attempt { head, body };
         (id, self.owner.run(&attempt).await)
     }
--- a/src/membership/accept.rs
+++ b/src/membership/accept.rs
@@ -8,6 +8,7 @@
 use super::link::Ends;
 use super::link::Link;
 use super::link::OPEN_BYTES;
+use super::record::Standing;
 use super::seal;
 use super::seal::Seal;
 use super::seal::Side;
@@ -79,6 +80,11 @@
         }
     }
 
+    /// Tells whether this node has announced that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.shared.state().table.me().standing == Standing::Leaving
+    }
+
     /// Answers a request for a connection, and carries the connection in a task of its own.
     pub fn accept(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
         let node = &self.shared.node;
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -169,11 +169,9 @@
     fn judge(&self) {
         let now = Instant::now();
         let own = &self.shared.node.data_centre;
-        let lost: Vec<String> = {
-            let state = self.shared.state();
-            let lost = state.reach.lost(live::SUSPECT_GRACE, now);
-            let near = lost.filter(|peer| peer.data_centre == *own);
-            near.map(|peer| peer.name.clone()).collect()
+        let lost = {
+            let mut state = self.shared.state();
+            state.reach.take_lost(own, live::SUSPECT_GRACE, now)
         };
         let limit = self.shared.settings.dead_after;
         let (suspected, dead) = self.shared.with_table(|table| {
--- a/src/membership/reach.rs
+++ b/src/membership/reach.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Pause before a peer that answered a suspicion is suspected again.
+const SUSPECT_AGAIN_AFTER: Duration = Duration::from_secs(3);
+
 /// A peer that this node holds, or tries to hold, a connection to.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -14,6 +17,8 @@
     pub(super) tried: bool,
     /// Since when there has been no working connection; nothing while there is one.
     pub(super) down_since: Option<Instant>,
+    /// When it was last suspected in the present time without a connection.
+    suspected_at: Option<Instant>,
 }
 
 impl Peer {
@@ -38,6 +43,7 @@
             data_centre: data_centre.to_owned(),
             tried: false,
             down_since: Some(now),
+            suspected_at: None,
         };
         match self.find(name) {
             Ok(i) => self.peers[i] = peer,
@@ -57,6 +63,7 @@
         if let Ok(i) = self.find(name) {
             self.peers[i].tried = true;
             self.peers[i].down_since = None;
+            self.peers[i].suspected_at = None;
         }
     }
 
@@ -73,11 +80,25 @@
         self.peers.iter().all(|peer| peer.tried)
     }
 
-    /// Lists the peers that have been out of reach for `grace`, after at least one try.
-    pub(super) fn lost(&self, grace: Duration, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers
-            .iter()
-            .filter(move |peer| peer.tried && peer.is_down(grace, now))
+    /// Takes the peers of `data_centre` that are due to be suspected: out of reach for `grace`, after at least one try.
+    ///
+    /// One that answers a suspicion is reached by others, and is suspected again only after a pause.
+    pub(super) fn take_lost(
+        &mut self,
+        data_centre: &str,
+        grace: Duration,
+        now: Instant,
+    ) -> Vec<String> {
+        let mut lost = Vec::new();
+        for peer in &mut self.peers {
+            let is_fresh = |at: Instant| now.saturating_duration_since(at) < SUSPECT_AGAIN_AFTER;
+            let is_lost = peer.tried && peer.data_centre == data_centre && peer.is_down(grace, now);
+            if is_lost && !peer.suspected_at.is_some_and(is_fresh) {
+                peer.suspected_at = Some(now);
+                lost.push(peer.name.clone());
+            }
+        }
+        lost
     }
 
     /// Tells whether a node can be reached from here, as far as this node's connections show.
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,5 +1,6 @@
 mod fixtures;
 mod gossip;
+mod reach;
 mod seal;
 mod table;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,7 +4,10 @@
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -15,6 +18,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -45,6 +50,7 @@
 /// A listener with its open connections.
 pub struct Listener {
     address: SocketAddr,
+    is_leaving: Arc<AtomicBool>,
     stop: oneshot::Sender<Duration>,
     task: JoinHandle<()>,
 }
@@ -63,9 +69,16 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(accept(listener, protocol, handler, stopped));
+        let is_leaving = Arc::new(AtomicBool::new(false));
+        let serving = Serving {
+            protocol,
+            handler,
+            is_leaving: Arc::clone(&is_leaving),
+        };
+        let task = tokio::spawn(accept(listener, serving, stopped));
         Ok(Self {
             address,
+            is_leaving,
             stop,
             task,
         })
@@ -76,6 +89,11 @@
         self.address
     }
 
+    /// Goes on serving, but asks the other ends of HTTP/1.1 connections to close them after their next answer.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Accepts no more connections, lets requests in flight end for at most `limit`, then closes what is left.
     pub async fn close(self, limit: Duration) {
         if self.stop.send(limit).is_ok() {
@@ -85,17 +103,19 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
+/// How the connections of one listener are served.
+struct Serving {
     protocol: Protocol,
     handler: Arc<dyn Handler>,
-    mut stopped: oneshot::Receiver<Duration>,
-) {
+    is_leaving: Arc<AtomicBool>,
+}
+
+async fn accept(listener: TcpListener, serving: Serving, mut stopped: oneshot::Receiver<Duration>) {
     let graceful = GracefulShutdown::new();
     let limit = loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => serve(stream, peer, protocol, &handler, &graceful),
+                Ok((stream, peer)) => serve(stream, peer, &serving, &graceful),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
             limit = &mut stopped => break limit.unwrap_or_default(),
@@ -106,19 +126,24 @@
     let _ = tokio::time::timeout(limit, graceful.shutdown()).await;
 }
 
-fn serve(
-    stream: TcpStream,
-    peer: SocketAddr,
-    protocol: Protocol,
-    handler: &Arc<dyn Handler>,
-    graceful: &GracefulShutdown,
-) {
+fn serve(stream: TcpStream, peer: SocketAddr, serving: &Serving, graceful: &GracefulShutdown) {
     // Without it small frames of a stream would wait; a socket that refuses it works all the same.
     let _ = stream.set_nodelay(true);
-    let handler = Arc::clone(handler);
+    let protocol = serving.protocol;
+    let handler = Arc::clone(&serving.handler);
+    let is_leaving = Arc::clone(&serving.is_leaving);
     let service = service_fn(move |req| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(req, peer).await) }
+        let is_leaving = Arc::clone(&is_leaving);
+        async move {
+            let version = req.version();
+            let mut response = handler.handle(req, peer).await;
+            if version == Version::HTTP_11 && is_leaving.load(Ordering::Relaxed) {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new());
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -76,6 +76,7 @@
     members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
+    linger: Duration,
     drain_limit: Duration,
 }
 
@@ -131,15 +132,19 @@
             members,
             readiness,
             timeline,
+            linger: settings.entry.linger,
             drain_limit: settings.entry.drain_limit,
         })
     }
 
-    /// Stops gracefully: takes no more callers, lets answers in flight end, then stops everything else.
+    /// Stops gracefully: hands ownership over, serves callers until they have gone elsewhere, lets answers in flight
+    /// end, then stops everything else.
     pub async fn close(self) {
         self.timeline.event(Event::new(EventKind::NodeStopping));
         self.readiness.lost(READY_RUNNING);
         self.members.leave();
+        self.callers.leave();
+        tokio::time::sleep(self.linger).await;
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
         self.follower.close();
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -65,6 +65,10 @@
         let backend = view
             .backend(&head.service, &head.backend)
             .ok_or(Refusal::not_run(NotRun::NoBackend))?;
+        if backend.leaving {
+            // The sender's host list is older than this one.
+            return Err(Refusal::not_run(NotRun::Stopping));
+        }
         let slot = self.slots.slot(&backend.name);
         let occupied = Occupied::take(&slot);
         let load = occupied.load();
