Claims in the platform's log, tickets, and calls that go to the node that decides

Cause: a key repeated through several nodes ran several times. The entry sends calls to the claimer, or claims itself where no connection is made. Tickets are issued and redeemed by one process. A key that is in use is `unknown: key-running` (409), since its call may be running.

--- a/bench/src/load/attempt.rs
+++ b/bench/src/load/attempt.rs
@@ -30,6 +30,9 @@
 /// Pause after a refusal that names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Reason of a refusal whose key is in use by an earlier attempt.
+const KEY_RUNNING: &str = "key-running";
+
 /// What an attempt needs of its caller.
 pub struct Attempt<'a> {
     /// The caller's connections.
@@ -50,15 +53,19 @@
     expected: &Expected,
 ) -> Option<String> {
     let mut hint = None;
+    let mut doubt = None;
     for number in 0..MAX_ATTEMPTS {
         let id = format!("{}-{number}", record.call);
         let (end, new_hint) = one_attempt(attempt, record, &id, &request, expected).await;
         record.end = end;
         record.ended = Instant::now();
         hint = new_hint;
-        let End::NotRun { retry_after, .. } = &record.end else {
+        let Some(retry_after) = may_repeat(&record.end) else {
             break;
         };
+        if matches!(record.end, End::Unknown { .. }) {
+            doubt = Some(record.end.clone());
+        }
         if number + 1 == MAX_ATTEMPTS {
             break;
         }
@@ -68,9 +75,23 @@
             .min(MAX_RETRY_AFTER);
         tokio::time::sleep(pause).await;
     }
+    // That a repeat did not run says nothing of the attempt before it.
+    if let (End::NotRun { .. } | End::Refused, Some(doubt)) = (&record.end, doubt) {
+        record.end = doubt;
+    }
     hint
 }
 
+/// Tells whether the same request may be sent again, and after what pause where one was named.
+fn may_repeat(end: &End) -> Option<Option<Duration>> {
+    match end {
+        End::NotRun { retry_after, .. } => Some(*retry_after),
+        // The key protects the repeat.
+        End::Unknown { reason } if reason == KEY_RUNNING => Some(None),
+        _ => None,
+    }
+}
+
 async fn one_attempt(
     attempt: &mut Attempt<'_>,
     record: &mut CallRecord,
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -1,17 +1,30 @@
 //! Non-idempotent work runs at most once.
 //!
-//! See `docs/AT-MOST-ONCE.md` for the failure points and the outcome that a caller gets at each.
+//! A call with a key runs only where the platform's log gives its claim the key first ([`Claims`]); a call with a
+//! ticket runs only in the process that issued the ticket ([`Tickets`]). See `docs/AT-MOST-ONCE.md` for the failure
+//! points and the outcome that a caller gets at each.
 
 mod key;
+mod log_claims;
 mod once;
+mod record;
 mod settings;
+mod shard;
+mod stored;
 #[cfg(test)]
 mod tests;
+mod ticket;
+mod window;
 
+pub use key::Age;
 pub use key::IdempotencyKey;
 pub use key::KeyError;
+pub use log_claims::Claims;
+pub(crate) use log_claims::claimer;
 pub use once::Call;
 pub use once::Once;
 pub use once::Run;
-pub use once::Unclaimed;
 pub use settings::Settings;
+pub use ticket::Ticket;
+pub use ticket::Tickets;
+pub use window::Fingerprint;
--- a/src/claims/once.rs
+++ b/src/claims/once.rs
@@ -1,19 +1,19 @@
 //! The border between the entry and whatever makes sure that a call runs at most once.
 
+use super::Fingerprint;
 use super::IdempotencyKey;
 use crate::outcome::Refusal;
 use crate::owner::Answer;
 use async_trait::async_trait;
+use std::sync::Arc;
 
 /// A non-idempotent call.
-#[derive(Clone, Debug)]
-pub struct Call<'a> {
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
     /// The caller's key.
     pub key: IdempotencyKey,
-    /// The plain service.
-    pub service: &'a str,
-    /// Method, path and body, so that another call under the same key is noticed.
-    pub fingerprint: [u8; 32],
+    /// The call, so that another one under the same key is noticed.
+    pub print: Fingerprint,
 }
 
 /// Runs the call at a backend server; the claims decide whether and when.
@@ -30,21 +30,11 @@
 /// Makes sure that a call runs at most once.
 #[async_trait]
 pub trait Once: Send + Sync {
-    /// Runs `call` through `run`, or gives the answer that the key's first call got.
+    /// Runs `call` through `run`, or gives the answer that the key's first call got. It goes on to its end where the
+    /// caller gives up waiting, so that a repeat finds how it ended.
     ///
     /// # Errors
     ///
     /// Tells whether the call certainly did not run.
-    async fn once(&self, call: &Call<'_>, run: &dyn Run) -> Result<Answer, Refusal>;
-}
-
-/// Runs every call as it comes: one attempt, never repeated by this node.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Unclaimed;
-
-#[async_trait]
-impl Once for Unclaimed {
-    async fn once(&self, _call: &Call<'_>, run: &dyn Run) -> Result<Answer, Refusal> {
-        run.run().await
-    }
+    async fn once(&self, call: Call, run: Arc<dyn Run>) -> Result<Answer, Refusal>;
 }
--- /dev/null
+++ b/src/entry/calls.rs
@@ -0,0 +1,262 @@
+//! Non-idempotent calls: each is run by the one node that may decide about its key.
+//!
+//! For a caller's own key that is the claimer of its shard, or this node where the claimer can't be reached: two
+//! claimers are harmless, since the log decides between them. For a ticket it is its issuer and nobody else.
+
+use super::attempts::Attempts;
+use super::attempts::Job;
+use super::caller::Caller;
+use crate::border::generated::config::Service;
+use crate::border::generated::peer::HopHead;
+use crate::claims::Call;
+use crate::claims::Fingerprint;
+use crate::claims::IdempotencyKey;
+use crate::claims::Once;
+use crate::claims::Run;
+use crate::claims::Ticket;
+use crate::claims::Tickets;
+use crate::claims::claimer;
+use crate::config::ConfigSource;
+use crate::hop::Forwarded;
+use crate::hop::PROTOCOL_VERSION;
+use crate::hop::RemoteOwner;
+use crate::membership::Membership;
+use crate::membership::Node;
+use crate::net::full_body;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::outcome::Unknown;
+use crate::owner::Answer;
+use crate::owner::Attempt;
+use crate::settings::DeploymentKey;
+use crate::timeline::Timeline;
+use async_trait::async_trait;
+use bytes::Bytes;
+use sha2::Digest;
+use sha2::Sha256;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use uuid::Uuid;
+
+/// A non-idempotent call with all that running it takes.
+pub(super) struct OwnedCall {
+    pub(super) caller: Caller,
+    pub(super) service: Service,
+    pub(super) method: String,
+    pub(super) path: String,
+    pub(super) body: Bytes,
+    pub(super) key: String,
+    pub(super) deadline: Instant,
+}
+
+/// Hands one call over when its claim allows it.
+struct RunCall {
+    attempts: Arc<Attempts>,
+    call: OwnedCall,
+}
+
+#[async_trait]
+impl Run for RunCall {
+    async fn run(&self) -> Result<Answer, Refusal> {
+        let call = &self.call;
+        let job = Job {
+            caller: &call.caller,
+            service: &call.service,
+            method: &call.method,
+            path: &call.path,
+            body: &call.body,
+            key: Some(&call.key),
+            deadline: call.deadline,
+        };
+        self.attempts.run(&job).await
+    }
+}
+
+/// What a call goes by.
+enum Key {
+    Own(IdempotencyKey),
+    Ticket(Ticket),
+}
+
+/// What non-idempotent calls are run with.
+pub struct CallParts {
+    /// Name of this node.
+    pub node: String,
+    /// Key that all nodes share.
+    pub key: DeploymentKey,
+    /// Count of claims streams.
+    pub shards: u64,
+    /// Sends attempts.
+    pub attempts: Arc<Attempts>,
+    /// Configuration in force.
+    pub config: Arc<dyn ConfigSource>,
+    /// Nodes and backend servers.
+    pub membership: Arc<dyn Membership>,
+    /// Claims of this process.
+    pub once: Arc<dyn Once>,
+    /// Tickets of this process.
+    pub tickets: Tickets,
+    /// Sends calls to other nodes.
+    pub remote: RemoteOwner,
+    /// The time line.
+    pub timeline: Arc<Timeline>,
+}
+
+/// Runs non-idempotent calls, here or where their key is decided.
+pub struct Calls(CallParts);
+
+impl Calls {
+    /// Makes it from its parts.
+    pub fn new(parts: CallParts) -> Self {
+        Self(parts)
+    }
+
+    /// Tickets of this process.
+    pub(super) fn tickets(&self) -> &Tickets {
+        &self.0.tickets
+    }
+
+    /// Runs a caller's call at the node that decides about its key.
+    pub(super) async fn run(&self, call: OwnedCall) -> Result<Answer, Refusal> {
+        let parts = &self.0;
+        let key = self.key(&call)?;
+        let view = parts.membership.view();
+        let target = match &key {
+            Key::Own(key) => claimer(&view, *key, parts.shards),
+            Key::Ticket(ticket) if ticket.node == parts.node => None,
+            Key::Ticket(ticket) => {
+                let issuer = view.node(&ticket.node);
+                Some(issuer.ok_or(Refusal::unknown(Unknown::ClaimerLost))?)
+            }
+        };
+        let Some(target) = target.filter(|node| node.name != parts.node) else {
+            return self.here(call, key).await;
+        };
+        match self.forward(target, &call).await {
+            Some(answer) => answer,
+            // Nothing was sent to the claimer.
+            None if matches!(key, Key::Own(_)) => self.here(call, key).await,
+            // It may have been run under this ticket before.
+            None => Err(Refusal::unknown(Unknown::ClaimerLost)),
+        }
+    }
+
+    async fn here(&self, call: OwnedCall, key: Key) -> Result<Answer, Refusal> {
+        let print = fingerprint(&call);
+        let attempts = Arc::clone(&self.0.attempts);
+        let run = Arc::new(RunCall { attempts, call });
+        match key {
+            Key::Own(key) => self.0.once.once(Call { key, print }, run).await,
+            Key::Ticket(ticket) => self.0.tickets.redeem(&ticket, print, run).await,
+        }
+    }
+
+    fn key(&self, call: &OwnedCall) -> Result<Key, Refusal> {
+        let required = Refusal::not_run(NotRun::KeyRequired);
+        if Ticket::is_meant(&call.key) {
+            let ticket = Ticket::read(&call.key, &call.caller.team, &self.0.key);
+            return ticket.map(Key::Ticket).ok_or(required);
+        }
+        call.key.parse().map(Key::Own).map_err(|_| required)
+    }
+
+    /// Sends the call to `target`; nothing where no connection was made.
+    async fn forward(&self, target: &Node, call: &OwnedCall) -> Option<Result<Answer, Refusal>> {
+        let parts = &self.0;
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let head = HopHead {
+            v: PROTOCOL_VERSION,
+            id: Uuid::now_v7().to_string(),
+            request: call.caller.request.clone(),
+            from: parts.node.clone(),
+            service: call.service.name.clone(),
+            backend: String::new(),
+            team: call.caller.team.clone(),
+            chat: None,
+            priority: call.caller.priority,
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            method: call.method.clone(),
+            path: call.path.clone(),
+            content_type: call.caller.content_type.clone(),
+            body_len: call.body.len() as u64,
+            hops: 0,
+            tried: Vec::new(),
+            key: Some(call.key.clone()),
+            resume_from: None,
+            no_spill: false,
+            cached_on: None,
+            hlc: parts.timeline.stamp(),
+        };
+        let body = call.body.clone();
+        let attempt = Attempt { head, body };
+        parts.remote.forward(target.address, &attempt).await
+    }
+}
+
+#[async_trait]
+impl Forwarded for Calls {
+    async fn forwarded(&self, attempt: Attempt) -> Result<Answer, Refusal> {
+        let head = attempt.head;
+        let state = self.0.config.state();
+        let service = state
+            .service(&head.service)
+            .ok_or(Refusal::not_run(NotRun::UnknownService))?;
+        let call = OwnedCall {
+            service: service.clone(),
+            key: head.key.ok_or(Refusal::not_run(NotRun::KeyRequired))?,
+            caller: Caller {
+                request: head.request,
+                team: head.team,
+                chat: None,
+                priority: head.priority,
+                hint: None,
+                key: None,
+                content_type: head.content_type,
+            },
+            method: head.method,
+            path: head.path,
+            body: attempt.body,
+            deadline: Instant::now() + Duration::from_millis(head.deadline_ms),
+        };
+        let key = self.key(&call)?;
+        match key {
+            Key::Ticket(ticket) if ticket.node != self.0.node => {
+                Err(Refusal::unknown(Unknown::ClaimerLost))
+            }
+            key => self.here(call, key).await,
+        }
+    }
+}
+
+/// Makes the answer that carries a fresh ticket.
+pub(super) fn ticket_answer(tickets: &Tickets, team: &str) -> Answer {
+    let body = serde_json::json!({
+        "ticket": tickets.issue(team),
+        "expires_in_ms": u64::try_from(tickets.ttl().as_millis()).unwrap_or(u64::MAX),
+    });
+    Answer {
+        status: 201,
+        content_type: Some("application/json".to_owned()),
+        load: 0,
+        hint: None,
+        body: full_body(body.to_string()),
+    }
+}
+
+/// Tells calls apart; a key belongs to one team's one call.
+fn fingerprint(call: &OwnedCall) -> Fingerprint {
+    let mut hasher = Sha256::new();
+    let parts: [&[u8]; 5] = [
+        call.caller.team.as_bytes(),
+        call.service.name.as_bytes(),
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ];
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod caller;
+mod calls;
 mod chat;
 mod plain;
 mod reply;
@@ -12,5 +13,7 @@
 mod settings;
 
 pub use attempts::Attempts;
+pub use calls::CallParts;
+pub use calls::Calls;
 pub use serve::Entry;
 pub use settings::Settings;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -1,22 +1,16 @@
 //! Calls of plain services.
 
-use super::attempts::Attempts;
 use super::attempts::Job;
 use super::caller::Caller;
+use super::calls::OwnedCall;
 use super::serve::Entry;
 use crate::border::generated::config::CallRule;
 use crate::border::generated::config::Service;
-use crate::claims::Call;
-use crate::claims::IdempotencyKey;
-use crate::claims::Run;
 use crate::config::State;
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
 use crate::owner::Answer;
-use async_trait::async_trait;
 use bytes::Bytes;
-use sha2::Digest;
-use sha2::Sha256;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,19 +19,6 @@
 /// Kind of the services that are not models.
 const PLAIN_KIND: &str = "plain";
 
-/// Hands one call over when its claim allows it.
-struct RunJob<'a> {
-    attempts: &'a Attempts,
-    job: &'a Job<'a>,
-}
-
-#[async_trait]
-impl Run for RunJob<'_> {
-    async fn run(&self) -> Result<Answer, Refusal> {
-        self.attempts.run(self.job).await
-    }
-}
-
 impl Entry {
     /// Runs one call of a plain service; `path` is what follows `/services/`.
     pub(super) async fn plain(
@@ -54,42 +35,33 @@
             .filter(|service| service.kind == PLAIN_KIND)
             .ok_or(Refusal::not_run(NotRun::UnknownService))?;
         let path = format!("/{rest}");
-        let mut job = Job {
+        let deadline = Instant::now() + Duration::from_millis(service.deadline_ms);
+        if is_non_idempotent(service, method, &path) {
+            let key = caller.key.clone();
+            let call = OwnedCall {
+                caller: caller.clone(),
+                service: service.clone(),
+                method: method.to_owned(),
+                path,
+                body: body.clone(),
+                key: key.ok_or(Refusal::not_run(NotRun::KeyRequired))?,
+                deadline,
+            };
+            return self.calls().run(call).await;
+        }
+        let job = Job {
             caller,
             service,
             method,
             path: &path,
             body,
             key: None,
-            deadline: Instant::now() + Duration::from_millis(service.deadline_ms),
-        };
-        if !is_non_idempotent(service, method, &path) {
-            return self.attempts().run(&job).await;
-        }
-        let key = key_of(caller)?;
-        let text = key.to_string();
-        job.key = Some(&text);
-        let call = Call {
-            key,
-            service: &service.name,
-            fingerprint: fingerprint(method, &path, body),
-        };
-        let run = RunJob {
-            attempts: self.attempts(),
-            job: &job,
+            deadline,
         };
-        self.once().once(&call, &run).await
+        self.attempts().run(&job).await
     }
 }
 
-fn key_of(caller: &Caller) -> Result<IdempotencyKey, Refusal> {
-    caller
-        .key
-        .as_deref()
-        .and_then(|key| key.parse().ok())
-        .ok_or(Refusal::not_run(NotRun::KeyRequired))
-}
-
 fn is_non_idempotent(service: &Service, method: &str, path: &str) -> bool {
     let path = path.split('?').next().unwrap_or(path);
     service
@@ -105,12 +77,3 @@
     };
     matches_path && rule.method.eq_ignore_ascii_case(method)
 }
-
-fn fingerprint(method: &str, path: &str, body: &[u8]) -> [u8; 32] {
-    let mut hasher = Sha256::new();
-    for part in [method.as_bytes(), path.as_bytes(), body] {
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().into()
-}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,13 +1,14 @@
 //! Serves the caller address.
 
 use super::Attempts;
+use super::Calls;
 use super::Settings;
 use super::caller::Caller;
 use super::caller::request_id;
+use super::calls::ticket_answer;
 use super::chat::CHAT_PATH;
 use super::plain::SERVICES_PATH;
 use super::reply::Counted;
-use crate::claims::Once;
 use crate::config::ConfigSource;
 use crate::net::Body;
 use crate::net::CollectError;
@@ -27,12 +28,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Where callers get tickets.
+const TICKETS_PATH: &str = "/tickets";
+
 /// Serves callers.
 pub struct Entry {
     settings: Settings,
     config: Arc<dyn ConfigSource>,
-    attempts: Attempts,
-    once: Arc<dyn Once>,
+    attempts: Arc<Attempts>,
+    calls: Arc<Calls>,
     metrics: Arc<Metrics>,
     timeline: Arc<Timeline>,
 }
@@ -42,8 +46,8 @@
     pub fn new(
         settings: &Settings,
         config: Arc<dyn ConfigSource>,
-        attempts: Attempts,
-        once: Arc<dyn Once>,
+        attempts: Arc<Attempts>,
+        calls: Arc<Calls>,
         metrics: Arc<Metrics>,
         timeline: Arc<Timeline>,
     ) -> Self {
@@ -51,7 +55,7 @@
             settings: settings.clone(),
             config,
             attempts,
-            once,
+            calls,
             metrics,
             timeline,
         }
@@ -61,8 +65,8 @@
         &self.attempts
     }
 
-    pub(super) fn once(&self) -> &dyn Once {
-        self.once.as_ref()
+    pub(super) fn calls(&self) -> &Calls {
+        &self.calls
     }
 
     async fn answer(&self, request: &str, req: Request<Incoming>) -> Result<Answer, Refusal> {
@@ -74,6 +78,9 @@
             let body = self.body(body).await?;
             return self.chat(&caller, &state, &body).await;
         }
+        if path == TICKETS_PATH && parts.method == Method::POST {
+            return Ok(ticket_answer(self.calls.tickets(), &caller.team));
+        }
         let target = parts
             .uri
             .path_and_query()
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -5,7 +5,7 @@
 
 mod codec;
 mod dispatch;
-mod mac;
+pub(crate) mod mac;
 mod remote;
 mod serve;
 #[cfg(test)]
@@ -14,12 +14,15 @@
 pub use dispatch::Dispatch;
 pub use dispatch::ToOwner;
 pub use remote::RemoteOwner;
+pub use serve::Forwarded;
 pub use serve::PeerServer;
 
 /// Version of the messages between nodes that this program writes.
 pub const PROTOCOL_VERSION: u32 = 1;
 /// Path of the hop on the peer address.
 const HOP_PATH: &str = "/hop";
+/// Path of non-idempotent calls on the peer address, which go to the node that decides about their key.
+const CALL_PATH: &str = "/call";
 /// Header that carries the head of an attempt.
 const HEAD_HEADER: &str = "cb-hop";
 /// Header that carries the code that authenticates the head.
--- a/src/hop/remote.rs
+++ b/src/hop/remote.rs
@@ -1,5 +1,6 @@
 //! Sends attempts to owners on other nodes.
 
+use super::CALL_PATH;
 use super::HEAD_HEADER;
 use super::HOP_PATH;
 use super::MAC_HEADER;
@@ -52,22 +53,43 @@
     ///
     /// Tells whether the attempt certainly did not run.
     pub async fn run(&self, address: SocketAddr, attempt: &Attempt) -> Result<Answer, Refusal> {
-        let req = self
-            .encode(address, attempt)
-            .ok_or(Refusal::not_run(NotRun::BadRequest))?;
+        self.send(address, HOP_PATH, attempt)
+            .await
+            .unwrap_or(Err(Refusal::not_run(NotRun::ConnectFailed)))
+    }
+
+    /// Sends a non-idempotent call to the node at `address`, which decides about its key; nothing where no connection
+    /// was made.
+    pub async fn forward(
+        &self,
+        address: SocketAddr,
+        attempt: &Attempt,
+    ) -> Option<Result<Answer, Refusal>> {
+        self.send(address, CALL_PATH, attempt).await
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        attempt: &Attempt,
+    ) -> Option<Result<Answer, Refusal>> {
+        let Some(req) = self.encode(address, path, attempt) else {
+            return Some(Err(Refusal::not_run(NotRun::BadRequest)));
+        };
         let limit = Duration::from_millis(attempt.head.deadline_ms) + ANSWER_GRACE;
         match self.client.send(req, limit).await {
-            Ok(response) => self.decode(&attempt.head.id, response),
-            Err(SendError::NotSent(_)) => Err(Refusal::not_run(NotRun::ConnectFailed)),
-            Err(SendError::Lost(_)) => Err(Refusal::unknown(Unknown::ConnectionLost)),
-            Err(SendError::Timeout) => Err(Refusal::unknown(Unknown::Timeout)),
+            Ok(response) => Some(self.decode(&attempt.head.id, response)),
+            Err(SendError::NotSent(_)) => None,
+            Err(SendError::Lost(_)) => Some(Err(Refusal::unknown(Unknown::ConnectionLost))),
+            Err(SendError::Timeout) => Some(Err(Refusal::unknown(Unknown::Timeout))),
         }
     }
 
-    fn encode(&self, address: SocketAddr, attempt: &Attempt) -> Option<Request<Body>> {
+    fn encode(&self, address: SocketAddr, path: &str, attempt: &Attempt) -> Option<Request<Body>> {
         let head = codec::to_header(&attempt.head).ok()?;
         let code = codec::text_of(&mac::code(&self.key, head.as_bytes()));
-        Request::post(format!("http://{address}{HOP_PATH}"))
+        Request::post(format!("http://{address}{path}"))
             .header(HEAD_HEADER, head)
             .header(MAC_HEADER, code)
             .body(full_body(attempt.body.clone()))
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -1,5 +1,6 @@
 //! Serves the peer address, where other nodes send attempts.
 
+use super::CALL_PATH;
 use super::HEAD_HEADER;
 use super::HOP_PATH;
 use super::MAC_HEADER;
@@ -32,24 +33,38 @@
 /// Oldest version of the messages between nodes that this program reads.
 const OLDEST_VERSION: u32 = PROTOCOL_VERSION;
 
+/// Runs non-idempotent calls that other nodes send here, since this node decides about their keys.
+#[async_trait]
+pub trait Forwarded: Send + Sync {
+    /// Runs the call, or gives the answer that its key's first call got.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the call certainly did not run.
+    async fn forwarded(&self, attempt: Attempt) -> Result<Answer, Refusal>;
+}
+
 /// Serves the peer address.
 pub struct PeerServer {
     owner: Arc<Owner>,
+    calls: Arc<dyn Forwarded>,
     key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
 
 impl PeerServer {
-    /// Makes a server that hands attempts to `owner`.
+    /// Makes a server that hands attempts to `owner` and non-idempotent calls to `calls`.
     pub fn new(
         owner: Arc<Owner>,
+        calls: Arc<dyn Forwarded>,
         key: DeploymentKey,
         timeline: Arc<Timeline>,
         max_body_bytes: usize,
     ) -> Self {
         Self {
             owner,
+            calls,
             key,
             timeline,
             max_body_bytes,
@@ -67,7 +82,12 @@
         (head.v >= OLDEST_VERSION).then_some(head)
     }
 
-    async fn run(&self, head: HopHead, body: Incoming) -> (String, Result<Answer, Refusal>) {
+    async fn run(
+        &self,
+        head: HopHead,
+        body: Incoming,
+        is_call: bool,
+    ) -> (String, Result<Answer, Refusal>) {
         self.timeline.observe(&head.hlc);
         let id = head.id.clone();
         let expected = head.body_len;
@@ -77,7 +97,10 @@
             return (id, Err(Refusal::not_run(NotRun::BadRequest)));
         };
         let attempt = Attempt { head, body };
-        (id, self.owner.run(&attempt).await)
+        match is_call {
+            true => (id, self.calls.forwarded(attempt).await),
+            false => (id, self.owner.run(&attempt).await),
+        }
     }
 
     fn response(&self, id: &str, answer: Result<Answer, Refusal>) -> Response<Body> {
@@ -92,14 +115,16 @@
 #[async_trait]
 impl Handler for PeerServer {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
-        if req.uri().path() != HOP_PATH {
-            return bare(StatusCode::NOT_FOUND);
-        }
+        let is_call = match req.uri().path() {
+            HOP_PATH => false,
+            CALL_PATH => true,
+            _ => return bare(StatusCode::NOT_FOUND),
+        };
         let Some(head) = self.head_of(&req) else {
             slog::warn!(self.timeline.log(), "attempt of a stranger refused"; "peer" => %peer);
             return bare(StatusCode::FORBIDDEN);
         };
-        let (id, answer) = self.run(head, req.into_body()).await;
+        let (id, answer) = self.run(head, req.into_body(), is_call).await;
         self.response(&id, answer)
     }
 }
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -3,10 +3,13 @@
 use crate::border::HttpBackends;
 use crate::border::HttpHostList;
 use crate::border::HttpLog;
-use crate::claims::Unclaimed;
+use crate::claims::Claims;
+use crate::claims::Tickets;
 use crate::config;
 use crate::config::Follower;
 use crate::entry::Attempts;
+use crate::entry::CallParts;
+use crate::entry::Calls;
 use crate::entry::Entry;
 use crate::hop::PeerServer;
 use crate::hop::RemoteOwner;
@@ -72,6 +75,7 @@
     operations: Listener,
     follower: Follower,
     poller: Poller,
+    claims: Claims,
     readiness: Readiness,
     timeline: Arc<Timeline>,
     drain_limit: Duration,
@@ -91,9 +95,31 @@
         let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
         let owner = owner(settings, &poller, &metrics, &timeline);
-        let entry = entry(settings, &follower, &poller, &owner, &metrics, &timeline);
+        let attempts = attempts(settings, &poller, &owner, &timeline);
+        let claims = claims(settings, &metrics, &timeline);
+        let calls = Arc::new(Calls::new(CallParts {
+            node: node.name.clone(),
+            key: node.key.clone(),
+            shards: settings.claims.shards,
+            attempts: Arc::clone(&attempts),
+            config: follower.source(),
+            membership: poller.membership(),
+            once: claims.once(),
+            tickets: Tickets::new(&node.name, &node.key, &settings.claims),
+            remote: remote(settings, &timeline),
+            timeline: Arc::clone(&timeline),
+        }));
+        let entry = Entry::new(
+            &settings.entry,
+            follower.source(),
+            attempts,
+            Arc::clone(&calls),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
         let peer_server = PeerServer::new(
             owner,
+            calls,
             node.key.clone(),
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
@@ -112,6 +138,7 @@
             operations,
             follower,
             poller,
+            claims,
             readiness,
             timeline,
             drain_limit: settings.entry.drain_limit,
@@ -124,6 +151,7 @@
         self.readiness.lost(READY_RUNNING);
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
+        self.claims.close().await;
         self.follower.close();
         self.poller.close();
         self.operations.close(OPERATIONS_LIMIT).await;
@@ -208,46 +236,54 @@
     ))
 }
 
-fn entry(
-    settings: &Settings,
-    follower: &Follower,
-    poller: &Poller,
-    owner: &Arc<Owner>,
-    metrics: &Arc<Metrics>,
-    timeline: &Arc<Timeline>,
-) -> Entry {
-    let node = &settings.node;
+fn claims(settings: &Settings, metrics: &Arc<Metrics>, timeline: &Arc<Timeline>) -> Claims {
+    let log = HttpLog::new(
+        Client::new(&client_options(settings)),
+        settings.platform.log_address,
+        settings.platform.timeout,
+        Arc::clone(metrics),
+    );
+    Claims::start(
+        &settings.node.name,
+        &settings.claims,
+        Arc::new(log),
+        Arc::clone(timeline),
+    )
+}
+
+fn remote(settings: &Settings, timeline: &Arc<Timeline>) -> RemoteOwner {
     let options = ClientOptions {
         http2: true,
         ping: settings.membership.ping,
         ..client_options(settings)
     };
-    let remote = RemoteOwner::new(
+    RemoteOwner::new(
         Client::new(&options),
-        node.key.clone(),
+        settings.node.key.clone(),
         Arc::clone(timeline),
-    );
+    )
+}
+
+fn attempts(
+    settings: &Settings,
+    poller: &Poller,
+    owner: &Arc<Owner>,
+    timeline: &Arc<Timeline>,
+) -> Arc<Attempts> {
+    let node = &settings.node;
     let dispatch = ToOwner::new(
         &node.name,
         poller.membership(),
         Arc::clone(owner),
-        remote,
+        remote(settings, timeline),
         Arc::clone(timeline),
     );
-    let attempts = Attempts::new(
+    Arc::new(Attempts::new(
         &node.name,
         settings.entry.max_attempts,
         poller.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(timeline),
-    );
-    Entry::new(
-        &settings.entry,
-        follower.source(),
-        attempts,
-        Arc::new(Unclaimed),
-        Arc::clone(metrics),
-        Arc::clone(timeline),
-    )
+    ))
 }
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -66,8 +66,10 @@
         KeyRequired = "key-required", BAD_REQUEST;
         /// The key was used before with another body.
         KeyReused = "key-reused", UNPROCESSABLE_ENTITY;
-        /// The key's first request is still running.
-        KeyRunning = "key-running", CONFLICT;
+        /// The key names a time in the future.
+        KeyFromFuture = "key-from-future", BAD_REQUEST;
+        /// The ticket was not redeemed in time and never will be.
+        TicketExpired = "ticket-expired", GONE;
         /// The log can't take the claim that the call needs.
         LogUnavailable = "log-unavailable", SERVICE_UNAVAILABLE;
         /// The retry budget is spent.
@@ -88,6 +90,10 @@
         Truncated = "truncated", BAD_GATEWAY;
         /// The answer can't be understood.
         BadAnswer = "bad-answer", BAD_GATEWAY;
+        /// The key's first request is still running, or was when its node was last heard of.
+        KeyRunning = "key-running", CONFLICT;
+        /// The key's call was answered, but its answer was too large to be kept.
+        AnswerNotKept = "answer-not-kept", GONE;
         /// The key is older than what the log still holds.
         Expired = "expired", GONE;
         /// The node that ran the request is gone.
