--- a/bench/src/load/attempt.rs
+++ b/bench/src/load/attempt.rs
@@ -60,16 +60,18 @@
         record.end = end;
         record.ended = Instant::now();
         hint = new_hint;
+        match record.end {
+            End::Unknown { .. } => doubt = Some(record.end.clone()),
+            // After a doubt a refusal says nothing of the attempt before it.
+            End::NotRun { .. } if doubt.is_none() => record.refused_at.push(record.ended),
+            _ => {}
+        }
         let Some(retry_after) = may_repeat(&record.end) else {
             break;
         };
-        if matches!(record.end, End::Unknown { .. }) {
-            doubt = Some(record.end.clone());
-        }
         if number + 1 == MAX_ATTEMPTS {
             break;
         }
-        record.refusals += 1;
         let pause = retry_after
             .unwrap_or(DEFAULT_RETRY_AFTER)
             .min(MAX_RETRY_AFTER);
--- a/bench/src/load/group.rs
+++ b/bench/src/load/group.rs
@@ -103,13 +103,18 @@
 /// Makes one record of what all the ways brought: what the caller knows of the payment in the end.
 fn combine(whole: &CallRecord, ways: Vec<CallRecord>) -> CallRecord {
     let mut whole = whole.clone();
-    whole.refusals = ways.iter().map(|way| way.refusals).sum();
-    if let Some(telling) = ways.into_iter().max_by_key(|way| weight(&way.end)) {
+    if let Some(telling) = ways
+        .into_iter()
+        .max_by_key(|way| (weight(&way.end), way.ended))
+    {
         whole.node = telling.node;
         whole.started = telling.started;
         whole.first_byte = telling.first_byte;
         whole.ended = telling.ended;
         whole.end = telling.end;
+        if matches!(whole.end, End::NotRun { .. }) {
+            whole.refused_at.push(whole.ended);
+        }
     }
     whole
 }
--- a/bench/src/load/payment.rs
+++ b/bench/src/load/payment.rs
@@ -72,7 +72,7 @@
             started: Instant::now(),
             first_byte: None,
             ended: Instant::now(),
-            refusals: 0,
+            refused_at: Vec::new(),
             end: End::Refused,
         }
     }
