Claims: repeats wait with the first, a failing log is not waited for; tickets in the load tool

Cause: in an outage each call waited 3 s for the log and its repeats were told `key-running` meanwhile, so that callers could not go on by ticket. A call of a cut-off data centre was sent to backend servers of others. The load tool goes on by ticket, and a payment that ran under two keys counts as a double run.

--- a/bench/src/cases/once.rs
+++ b/bench/src/cases/once.rs
@@ -17,7 +17,7 @@
 use crate::standin::log::LogFaults;
 
 /// Callers that send each payment through all nodes at once.
-const GROUP_CALLERS: u32 = 16;
+const GROUP_CALLERS: u32 = 32;
 /// Callers of chats beside them, so that the nodes do their other work too.
 const CHAT_CALLERS: u32 = 8;
 /// Fewest non-idempotent calls that tell anything.
--- a/bench/src/cases/run.rs
+++ b/bench/src/cases/run.rs
@@ -65,6 +65,7 @@
     options.load.teams = fleet.teams().to_vec();
 
     let before = fleet.stats().await;
+    let appends = fleet.log().appends();
     let started = Instant::now();
     let cx = CaseCx {
         fleet: &fleet,
@@ -76,6 +77,7 @@
     let faults = join_all(cases.iter().map(|case| case.faults(&cx)));
     let (calls, mut findings, ()) = tokio::join!(callers, faults, show_progress(&cx, progress));
     let took = started.elapsed();
+    let log_appends = fleet.log().appends() - appends;
     let after = fleet.stats().await;
     let starts = fleet.truth().engine_starts();
     let added =
@@ -98,6 +100,7 @@
         calls: &calls,
         starts: &starts,
         runs: &runs,
+        log_appends,
         changes: &changes,
         before: &before,
         after: &after,
--- a/bench/src/load/attempt.rs
+++ b/bench/src/load/attempt.rs
@@ -87,6 +87,7 @@
 /// Tells whether the same request may be sent again, and after what pause where one was named.
 fn may_repeat(end: &End) -> Option<Option<Duration>> {
     match end {
+        end if end.needs_ticket() => None,
         End::NotRun { retry_after, .. } => Some(*retry_after),
         // The key protects the repeat.
         End::Unknown { reason } if reason == KEY_RUNNING => Some(None),
--- a/bench/src/load/chat.rs
+++ b/bench/src/load/chat.rs
@@ -209,6 +209,7 @@
             chat: chat.to_owned(),
             call,
             key: None,
+            issuer: None,
             kind,
             node: String::new(),
             body_hash: 0,
--- a/bench/src/load/group.rs
+++ b/bench/src/load/group.rs
@@ -79,10 +79,26 @@
         let team = &self.options.teams[self.index as usize % self.options.teams.len()];
         let amount = self.rng.random_range(1..10_000);
         let payment = Payment::new(&self.options.plain, team, &call, amount);
+        let record = self.send(&payment).await;
+        if !record.end.needs_ticket() {
+            return record;
+        }
+        let node = self.directory.pick(&mut self.rng);
+        let mut client = Client::new();
+        let Some(ticket) = payment.ask_ticket(&mut client, &node).await else {
+            return record;
+        };
+        let ticketed = self.send(&payment.with_ticket(ticket)).await;
+        ticketed.after(record)
+    }
+
+    async fn send(&mut self, payment: &Payment) -> CallRecord {
         let directory = &self.directory;
-        let sends = self.ways.iter_mut().enumerate().map(|(number, way)| {
-            let payment = &payment;
-            async move {
+        let sends = self
+            .ways
+            .iter_mut()
+            .enumerate()
+            .map(|(number, way)| async move {
                 let mut record = payment.record(&format!("{}-way{number}", payment.call()));
                 let mut attempt = Attempt {
                     client: &mut way.client,
@@ -93,10 +109,9 @@
                 let request = |id: &str| payment.request(id);
                 send_call(&mut attempt, &mut record, request, &payment.expected()).await;
                 record
-            }
-        });
+            });
         let ways = join_all(sends).await;
-        combine(&payment.record(&call), ways)
+        combine(&payment.record(payment.call()), ways)
     }
 }
 
--- a/bench/src/load/payment.rs
+++ b/bench/src/load/payment.rs
@@ -1,25 +1,41 @@
 //! One payment order: its key, its body, and the requests that carry it.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
+use serde_json::Value;
 use serde_json::json;
 use uuid::Uuid;
 
 use super::TeamKey;
+use super::client::Client;
+use super::directory::NodeEntry;
 use super::expected::Expected;
 use super::record::CallKind;
 use super::record::CallRecord;
 use super::record::End;
 use crate::standin::cache::hash_bytes;
 
+/// Longest wait for a ticket.
+const TICKET_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A key that a node issued.
+pub struct Ticket {
+    text: String,
+    issuer: String,
+}
+
 /// One payment order, which may run at most once.
 pub struct Payment {
     call: String,
     team: TeamKey,
     key: String,
+    /// Node that issued the ticket, where the key is one.
+    issuer: Option<String>,
     uri: String,
     body: Bytes,
 }
@@ -31,11 +47,45 @@
             call: call.to_owned(),
             team: team.clone(),
             key: Uuid::now_v7().to_string(),
+            issuer: None,
             uri: format!("/services/{service}/payments"),
             body: Bytes::from(json!({"call": call, "amount": amount}).to_string()),
         }
     }
 
+    /// The same order under a ticket in place of its own key; only where the order certainly did not run so far.
+    pub fn with_ticket(&self, ticket: Ticket) -> Payment {
+        Payment {
+            call: self.call.clone(),
+            team: self.team.clone(),
+            key: ticket.text,
+            issuer: Some(ticket.issuer),
+            uri: self.uri.clone(),
+            body: self.body.clone(),
+        }
+    }
+
+    /// Asks a node for a ticket.
+    pub async fn ask_ticket(&self, client: &mut Client, node: &NodeEntry) -> Option<Ticket> {
+        let request = Request::post("/tickets")
+            .header("authorization", format!("Bearer {}", self.team.key))
+            .body(Full::default())
+            .expect("header values are plain text");
+        let asked = async {
+            let answer = client.send(node.address, request).await.ok()?;
+            let body = answer.into_body().collect().await.ok()?.to_bytes();
+            let body: Value = serde_json::from_slice(&body).ok()?;
+            Some(Ticket {
+                text: body["ticket"].as_str()?.to_owned(),
+                issuer: node.name.clone(),
+            })
+        };
+        tokio::time::timeout(TICKET_TIMEOUT, asked)
+            .await
+            .ok()
+            .flatten()
+    }
+
     /// Id of the call.
     pub fn call(&self) -> &str {
         &self.call
@@ -64,6 +114,7 @@
             chat: String::new(),
             call: call.to_owned(),
             key: Some(self.key.clone()),
+            issuer: self.issuer.clone(),
             kind: CallKind::Payment,
             node: String::new(),
             body_hash: hash_bytes(0, &self.body),
--- a/bench/src/load/plain.rs
+++ b/bench/src/load/plain.rs
@@ -9,8 +9,6 @@
 use hyper::Request;
 use rand::RngExt;
 use rand::rngs::StdRng;
-use serde_json::json;
-use uuid::Uuid;
 
 use super::LoadOptions;
 use super::TeamKey;
@@ -19,6 +17,7 @@
 use super::client::Client;
 use super::directory::Directory;
 use super::expected::Expected;
+use super::payment::Payment;
 use super::record::CallKind;
 use super::record::CallRecord;
 use super::record::End;
@@ -70,53 +69,62 @@
     async fn call(&mut self, payment: bool) -> CallRecord {
         self.calls += 1;
         let call = format!("plain-{}-{}", self.index, self.calls);
-        let service = &self.options.plain;
-        let (method, path, key, body) = match payment {
-            true => {
-                let body =
-                    json!({"call": call, "amount": self.rng.random_range(1..10_000)}).to_string();
-                (
-                    "POST",
-                    format!("/services/{service}/payments"),
-                    Some(Uuid::now_v7().to_string()),
-                    body,
-                )
-            }
-            false => (
-                "GET",
-                format!("/services/{service}/balance?call={call}"),
-                None,
-                String::new(),
-            ),
+        match payment {
+            true => self.pay(&call).await,
+            false => self.look_up(&call).await,
+        }
+    }
+
+    /// Sends a payment under its own key, and by a ticket where the log can't take that.
+    async fn pay(&mut self, call: &str) -> CallRecord {
+        let amount = self.rng.random_range(1..10_000);
+        let payment = Payment::new(&self.options.plain, &self.team, call, amount);
+        let record = self.send(&payment).await;
+        if !record.end.needs_ticket() {
+            return record;
+        }
+        let node = self.directory.pick(&mut self.rng);
+        let Some(ticket) = payment.ask_ticket(&mut self.client, &node).await else {
+            return record;
         };
-        let body = Bytes::from(body);
+        let ticketed = self.send(&payment.with_ticket(ticket)).await;
+        ticketed.after(record)
+    }
+
+    async fn send(&mut self, payment: &Payment) -> CallRecord {
+        let mut record = payment.record(payment.call());
+        let mut attempt = Attempt {
+            client: &mut self.client,
+            directory: &self.directory,
+            rng: &mut self.rng,
+            pinned: None,
+        };
+        let request = |id: &str| payment.request(id);
+        send_call(&mut attempt, &mut record, request, &payment.expected()).await;
+        record
+    }
+
+    async fn look_up(&mut self, call: &str) -> CallRecord {
+        let service = &self.options.plain;
+        let path = format!("/services/{service}/balance?call={call}");
         let bearer = format!("Bearer {}", self.team.key);
         let request = |id: &str| {
-            let mut request = Request::builder()
-                .method(method)
-                .uri(path.as_str())
+            Request::get(path.as_str())
                 .header("authorization", &bearer)
                 .header("content-type", "application/json")
-                .header("x-request-id", id);
-            if let Some(key) = &key {
-                request = request.header("idempotency-key", key);
-            }
-            request
-                .body(Full::new(body.clone()))
+                .header("x-request-id", id)
+                .body(Full::default())
                 .expect("header values are plain text")
         };
         let mut record = CallRecord {
             team: self.team.team.clone(),
             chat: String::new(),
-            call,
-            key: key.clone(),
-            kind: if payment {
-                CallKind::Payment
-            } else {
-                CallKind::Lookup
-            },
+            call: call.to_owned(),
+            key: None,
+            issuer: None,
+            kind: CallKind::Lookup,
             node: String::new(),
-            body_hash: hash_bytes(0, &body),
+            body_hash: hash_bytes(0, &[]),
             prompt: Vec::new(),
             answer: None,
             started: Instant::now(),
@@ -125,13 +133,13 @@
             refused_at: Vec::new(),
             end: End::Refused,
         };
-        let expected = Expected::Echo(body.clone());
         let mut attempt = Attempt {
             client: &mut self.client,
             directory: &self.directory,
             rng: &mut self.rng,
             pinned: None,
         };
+        let expected = Expected::Echo(Bytes::new());
         send_call(&mut attempt, &mut record, request, &expected).await;
         record
     }
--- a/bench/src/load/record.rs
+++ b/bench/src/load/record.rs
@@ -69,6 +69,8 @@
     pub call: String,
     /// Idempotency key of a payment.
     pub key: Option<String>,
+    /// Node that issued the ticket by which the payment went at last.
+    pub issuer: Option<String>,
     /// Kind of the call.
     pub kind: CallKind,
     /// Node that the last attempt went to.
@@ -91,7 +93,21 @@
     pub end: End,
 }
 
+impl End {
+    /// Tells whether the log could not take the claim, so that only a ticket helps.
+    pub fn needs_ticket(&self) -> bool {
+        matches!(self, End::NotRun { reason, .. } if reason == "log-unavailable")
+    }
+}
+
 impl CallRecord {
+    /// Puts the attempts of `earlier`, which went under another key, before this one's.
+    pub fn after(mut self, earlier: CallRecord) -> CallRecord {
+        self.started = earlier.started;
+        self.refused_at.splice(0..0, earlier.refused_at);
+        self
+    }
+
     /// Tells whether the call is a chat's.
     pub fn is_chat(&self) -> bool {
         matches!(self.kind, CallKind::ChatStream | CallKind::ChatWhole)
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -15,6 +15,7 @@
 use crate::fleet::FleetOptions;
 use crate::fleet::NodeStats;
 use crate::load::AddedTime;
+use crate::load::CallKind;
 use crate::load::CallRecord;
 use crate::load::End;
 use crate::truth::EngineStart;
@@ -34,6 +35,8 @@
     pub starts: &'a [EngineStart],
     /// The plain servers' records.
     pub runs: &'a [ServiceRun],
+    /// Appends that the log took during the load.
+    pub log_appends: u64,
     /// Engines that joined or left.
     pub changes: &'a [EngineChange],
     /// The nodes' use before the load.
@@ -85,6 +88,14 @@
     pub broken: u64,
     /// Promise: keys of non-idempotent calls that ran more than once.
     pub double_runs: u64,
+    /// Payments that went by a ticket at last.
+    pub ticketed: u64,
+    /// Share of those that were answered, in the data centre where it is lowest.
+    pub ticketed_answered_min: Option<f64>,
+    /// Appends to the log in each second, by its own count.
+    pub log_appends_per_s: f64,
+    /// Appends to the log for each payment.
+    pub appends_per_payment: f64,
     /// Promise: calls that ran though their callers were told that they did not.
     pub false_not_run: u64,
     /// Promise: answers cut off by a node that was stopping gracefully.
@@ -129,6 +140,8 @@
         let calls = evidence.calls;
         let count =
             |test: fn(&End) -> bool| calls.iter().filter(|call| test(&call.end)).count() as u64;
+        let payments = calls.iter().filter(|call| call.kind == CallKind::Payment);
+        let payments = payments.count();
         let bound = f64::from(evidence.fleet.bound_permille) / 1000.0;
         let first_byte = first_byte_histogram(calls);
         let means: f64 = evidence.starts.iter().map(|start| start.mean).sum();
@@ -149,6 +162,13 @@
             incomplete: count(|end| matches!(end, End::Incomplete)),
             broken: count(|end| matches!(end, End::Broken { .. } | End::ErrorEvent { .. })),
             double_runs: promises::double_runs(calls, evidence.runs),
+            ticketed: calls.iter().filter(|call| call.issuer.is_some()).count() as u64,
+            ticketed_answered_min: promises::ticketed_answered_min(calls).map(round),
+            log_appends_per_s: round(ratio(
+                evidence.log_appends as f64,
+                evidence.took.as_secs_f64(),
+            )),
+            appends_per_payment: round(ratio(evidence.log_appends as f64, payments as f64)),
             false_not_run: promises::false_not_run(calls, evidence.starts, evidence.runs),
             cut_off: count(|end| matches!(end, End::CutOff)),
             late_new_work: promises::late_new_work(evidence.starts, evidence.runs),
--- a/bench/src/report/promises.rs
+++ b/bench/src/report/promises.rs
@@ -7,6 +7,7 @@
 use crate::load::CallKind;
 use crate::load::CallRecord;
 use crate::load::End;
+use crate::standin::cache::hash_bytes;
 use crate::truth::EngineStart;
 use crate::truth::ServiceRun;
 
@@ -16,21 +17,18 @@
 /// Time after which a leaving backend server must get no new work.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
 
-/// Counts the keys of non-idempotent calls that ran more than once.
+/// Counts the payments that ran more than once, under one key or under several.
 pub fn double_runs(calls: &[CallRecord], runs: &[ServiceRun]) -> u64 {
-    let ran = sorted_keys(runs);
+    let runs = Runs::new(runs);
     let payments = calls.iter().filter(|call| call.kind == CallKind::Payment);
-    let doubled = payments
-        .filter_map(|call| call.key.as_deref())
-        .filter(|key| count_of(&ran, key) > 1);
-    doubled.count() as u64
+    payments.filter(|call| runs.times(call) > 1).count() as u64
 }
 
 /// Counts the calls whose callers were told that they did not run though they had: a call refused at last must never
 /// run, and one refused on the way must not have run by then.
 pub fn false_not_run(calls: &[CallRecord], starts: &[EngineStart], runs: &[ServiceRun]) -> u64 {
     let starts = sorted_starts(starts);
-    let runs = sorted_runs(runs);
+    let runs = Runs::new(runs);
     let is_false = |call: &&CallRecord| match first_run(call, &starts, &runs) {
         Some(ran_at) => was_denied(call, ran_at),
         None => false,
@@ -44,15 +42,15 @@
 }
 
 /// Finds when a call ran first, if it ever did.
-fn first_run(
-    call: &CallRecord,
-    starts: &[(u64, Instant)],
-    runs: &[(String, Instant)],
-) -> Option<Instant> {
+fn first_run(call: &CallRecord, starts: &[(u64, Instant)], runs: &Runs) -> Option<Instant> {
     match call.kind {
         CallKind::ChatStream | CallKind::ChatWhole => first_at(starts, &call.body_hash),
-        CallKind::Payment => first_at(runs, call.key.as_ref()?),
-        CallKind::Lookup => first_at(runs, &call.call),
+        CallKind::Payment => {
+            let by_key = first_at(&runs.named, call.key.as_ref()?);
+            let by_body = first_at(&runs.bodies, &call.body_hash);
+            by_key.into_iter().chain(by_body).min()
+        }
+        CallKind::Lookup => first_at(&runs.named, &call.call),
     }
 }
 
@@ -74,16 +72,56 @@
     entries
 }
 
-/// Names each run by its idempotency key or, for a lookup, by the call in its query.
-fn sorted_runs(runs: &[ServiceRun]) -> Vec<(String, Instant)> {
-    let named = |run: &ServiceRun| {
-        let call = run.path.split_once("?call=").map(|(_, call)| call);
-        let name = run.idempotency_key.as_deref().or(call)?;
-        Some((name.to_owned(), run.at))
+/// Runs at plain services, sorted by what names them and by time.
+struct Runs {
+    /// By idempotency key or, for a lookup, by the call in its query.
+    named: Vec<(String, Instant)>,
+    /// Those with a key by their body, since a payment may go under a key first and under a ticket then.
+    bodies: Vec<(u64, Instant)>,
+}
+
+impl Runs {
+    fn new(runs: &[ServiceRun]) -> Runs {
+        let name = |run: &ServiceRun| {
+            let call = run.path.split_once("?call=").map(|(_, call)| call);
+            let name = run.idempotency_key.as_deref().or(call)?;
+            Some((name.to_owned(), run.at))
+        };
+        let mut named: Vec<(String, Instant)> = runs.iter().filter_map(name).collect();
+        named.sort_unstable();
+        let keyed = runs.iter().filter(|run| run.idempotency_key.is_some());
+        let bodies = keyed.map(|run| (hash_bytes(0, run.body.as_bytes()), run.at));
+        let mut bodies: Vec<(u64, Instant)> = bodies.collect();
+        bodies.sort_unstable();
+        Runs { named, bodies }
+    }
+
+    /// Counts how often a payment ran.
+    fn times(&self, call: &CallRecord) -> usize {
+        let by_key = call.key.as_ref().map_or(0, |key| count(&self.named, key));
+        by_key.max(count(&self.bodies, &call.body_hash))
+    }
+}
+
+/// Share of the payments under tickets that were answered, in the data centre where it is lowest; nothing where there
+/// were none.
+pub fn ticketed_answered_min(calls: &[CallRecord]) -> Option<f64> {
+    let mut centres: Vec<&str> = calls.iter().filter_map(issuer_centre).collect();
+    centres.sort_unstable();
+    centres.dedup();
+    let share = |centre: &&str| {
+        let of_centre = calls
+            .iter()
+            .filter(|call| issuer_centre(call) == Some(*centre));
+        let answered = of_centre.clone().filter(|call| call.end == End::Answered);
+        ratio(answered.count() as f64, of_centre.count() as f64)
     };
-    let mut entries: Vec<(String, Instant)> = runs.iter().filter_map(named).collect();
-    entries.sort_unstable();
-    entries
+    centres.iter().map(share).reduce(f64::min)
+}
+
+/// Data centre of the node that issued the call's ticket.
+fn issuer_centre(call: &CallRecord) -> Option<&str> {
+    call.issuer.as_deref()?.split('-').next()
 }
 
 /// Counts the requests that were started at backend servers after they had been leaving for some seconds.
@@ -121,20 +159,9 @@
     ratio(cached as f64, prompt as f64)
 }
 
-fn sorted_keys(runs: &[ServiceRun]) -> Vec<&str> {
-    let mut keys: Vec<&str> = runs
-        .iter()
-        .filter_map(|run| run.idempotency_key.as_deref())
-        .collect();
-    keys.sort_unstable();
-    keys
-}
-
-/// Counts how often `key` stands in the sorted keys.
-fn count_of(keys: &[&str], key: &str) -> usize {
-    let first = keys.partition_point(|other| *other < key);
-    keys[first..]
-        .iter()
-        .take_while(|other| **other == key)
-        .count()
+/// Counts the entries under `key`; entries are sorted by key.
+fn count<K: Ord>(entries: &[(K, Instant)], key: &K) -> usize {
+    let first = entries.partition_point(|(other, _)| other < key);
+    let end = entries.partition_point(|(other, _)| other <= key);
+    end - first
 }
--- a/bench/src/report/promises/tests.rs
+++ b/bench/src/report/promises/tests.rs
@@ -8,6 +8,7 @@
         chat: String::from("chat-1"),
         call: name.to_owned(),
         key: (kind == CallKind::Payment).then(|| format!("key-{name}")),
+        issuer: None,
         kind,
         node: String::from("dc1-n1"),
         body_hash: name.len() as u64,
--- a/src/claims/shard.rs
+++ b/src/claims/shard.rs
@@ -38,6 +38,8 @@
 const READ_LIMIT: u32 = 200;
 /// Longest wait of a read for a record whose append was not answered.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
+/// Time for which a failed log is not asked to take further claims.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after the log refused or could not be read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,12 +76,32 @@
     waiting: Vec<Waiter>,
     claims: u64,
     appending: bool,
+    /// When the log failed last, unless it has worked since.
+    failed: Option<Instant>,
 }
 
 struct Waiter {
     number: u64,
     call: Call,
     tx: oneshot::Sender<Decision>,
+    /// Repeats that came meanwhile.
+    repeats: Vec<oneshot::Sender<Decision>>,
+}
+
+impl Waiter {
+    /// Tells the call and its repeats; tells whether the call still waited.
+    fn tell(self, decision: Decision) -> bool {
+        for repeat in self.repeats {
+            let told = match &decision {
+                Decision::Won(_) => Decision::Lost(Known::Running),
+                Decision::Lost(known) => Decision::Lost(known.clone()),
+                Decision::GivenUp | Decision::Full => Decision::GivenUp,
+            };
+            // Where it does not wait any more it has given up by itself.
+            let _ = repeat.send(told);
+        }
+        self.tx.send(decision).is_ok()
+    }
 }
 
 /// How far the stream was read.
@@ -129,6 +151,7 @@
                 waiting: Vec::new(),
                 claims: 0,
                 appending: false,
+                failed: None,
             }),
             wake: Notify::new(),
         })
@@ -193,18 +216,23 @@
             }
             let began = Instant::now();
             batch += 1;
-            self.commit(batch, entries, &mut position).await;
-            self.lock().appending = false;
+            let is_done = self.commit(batch, entries, &mut position).await;
+            {
+                let mut inner = self.lock();
+                inner.appending = false;
+                inner.failed = (!is_done).then(Instant::now);
+            }
             let next = self.settings.commit_interval;
             tokio::time::sleep(next.saturating_sub(began.elapsed())).await;
         }
     }
 
-    async fn commit(&self, batch: u64, entries: Vec<Entry>, position: &mut Position) {
+    /// Appends one record and reads up to it; tells whether the log did both.
+    async fn commit(&self, batch: u64, entries: Vec<Entry>, position: &mut Position) -> bool {
         let until = Instant::now() + self.settings.claim_timeout;
         let Ok(data) = record::encode(&self.node, self.own, batch, &entries) else {
             self.lock().put_back(entries);
-            return;
+            return false;
         };
         let sought = match self.log.append(&self.stream, &data).await {
             Ok(offset) => Sought::Offset(offset),
@@ -212,7 +240,7 @@
                 slog::warn!(self.timeline.log(), "claims not appended"; "cause" => cause);
                 self.lock().put_back(entries);
                 tokio::time::sleep(RETRY_PAUSE).await;
-                return;
+                return false;
             }
             Err(AppendError::Unsettled(cause)) => {
                 slog::warn!(self.timeline.log(), "append of claims not answered"; "cause" => cause);
@@ -225,6 +253,7 @@
             true => self.lock().give_up(&entries),
             false => self.lock().put_back(entries),
         }
+        found
     }
 
     /// Reads on until what is sought has been read, or until it is too late.
@@ -311,19 +340,28 @@
             Known::Free | Known::Held { .. } => {}
             known => return Some(Decision::Lost(known)),
         }
-        let is_open = |waiter: &&Waiter| waiter.call.key == call.key && !waiter.tx.is_closed();
-        if let Some(first) = self.waiting.iter().find(is_open) {
-            return Some(Decision::Lost(match first.call.print == call.print {
-                true => Known::Running,
-                false => Known::Reused,
-            }));
+        let is_open = |waiter: &&mut Waiter| waiter.call.key == call.key && !waiter.tx.is_closed();
+        if let Some(first) = self.waiting.iter_mut().find(is_open) {
+            if first.call.print != call.print {
+                return Some(Decision::Lost(Known::Reused));
+            }
+            first.repeats.push(tx);
+            return None;
+        }
+        if self.is_failing() {
+            return Some(Decision::GivenUp);
         }
         if self.window.len() + self.waiting.len() >= max_keys {
             return Some(Decision::Full);
         }
         self.claims += 1;
         let number = self.claims;
-        self.waiting.push(Waiter { number, call, tx });
+        self.waiting.push(Waiter {
+            number,
+            call,
+            tx,
+            repeats: Vec::new(),
+        });
         self.pending.push_back(Entry::Claim {
             key: call.key,
             claim: number,
@@ -332,6 +370,13 @@
         None
     }
 
+    /// Tells whether the log is known to fail, so that waiting for it helps nobody; one call now and then finds out
+    /// whether it works again.
+    fn is_failing(&self) -> bool {
+        self.failed
+            .is_some_and(|at| self.appending || at.elapsed() < PROBE_PAUSE)
+    }
+
     /// Takes the next record's entries, without claims that nobody waits for any more.
     fn take(&mut self) -> Vec<Entry> {
         let mut entries = Vec::new();
@@ -374,8 +419,7 @@
             if let Entry::Claim { claim, .. } = entry
                 && let Some(i) = self.waiter(*claim)
             {
-                // Where nobody waits any more it is given up as well.
-                let _ = self.waiting.remove(i).tx.send(Decision::GivenUp);
+                self.waiting.remove(i).tell(Decision::GivenUp);
             }
         }
     }
@@ -405,7 +449,7 @@
         let is_told = self
             .waiter(number)
             .map(|i| self.waiting.remove(i))
-            .is_some_and(|waiter| waiter.tx.send(decision).is_ok());
+            .is_some_and(|waiter| waiter.tell(decision));
         if is_won && !is_told {
             self.release(key, number);
         }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -142,11 +142,14 @@
         progress: &Progress,
     ) -> Option<&'a Backend> {
         let usable = |b: &&Backend| !b.leaving && !progress.tried.contains(&b.name);
-        let candidates: Vec<&Backend> = view
+        let mut candidates: Vec<&Backend> = view
             .of_service(&job.service.name)
             .iter()
             .filter(usable)
             .collect();
+        if job.key.is_some() {
+            self.keep_near(view, &mut candidates);
+        }
         let caller = job.caller;
         self.policy.choose(&Choice {
             key: caller.chat.as_deref().unwrap_or(&caller.request),
@@ -157,6 +160,18 @@
         })
     }
 
+    /// Keeps to this node's data centre where that has a candidate: a call that may not be tried again should not
+    /// depend on the links to others.
+    fn keep_near(&self, view: &View, candidates: &mut Vec<&Backend>) {
+        let Some(own) = view.node(&self.node) else {
+            return;
+        };
+        let is_near = |b: &&Backend| b.data_centre == own.data_centre;
+        if candidates.iter().any(is_near) {
+            candidates.retain(is_near);
+        }
+    }
+
     fn attempt(
         &self,
         job: &Job<'_>,
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -6,6 +6,7 @@
 use super::attempts::Attempts;
 use super::attempts::Job;
 use super::caller::Caller;
+use super::silent::Silent;
 use crate::border::generated::config::Service;
 use crate::border::generated::peer::HopHead;
 use crate::claims::Call;
@@ -104,22 +105,28 @@
 }
 
 /// Runs non-idempotent calls, here or where their key is decided.
-pub struct Calls(CallParts);
+pub struct Calls {
+    parts: CallParts,
+    silent: Silent,
+}
 
 impl Calls {
     /// Makes it from its parts.
     pub fn new(parts: CallParts) -> Self {
-        Self(parts)
+        Self {
+            parts,
+            silent: Silent::default(),
+        }
     }
 
     /// Tickets of this process.
     pub(super) fn tickets(&self) -> &Tickets {
-        &self.0.tickets
+        &self.parts.tickets
     }
 
     /// Runs a caller's call at the node that decides about its key.
     pub(super) async fn run(&self, call: OwnedCall) -> Result<Answer, Refusal> {
-        let parts = &self.0;
+        let parts = &self.parts;
         let key = self.key(&call)?;
         let view = parts.membership.view();
         let target = match &key {
@@ -130,13 +137,19 @@
                 Some(issuer.ok_or(Refusal::unknown(Unknown::ClaimerLost))?)
             }
         };
+        let is_own = matches!(key, Key::Own(_));
         let Some(target) = target.filter(|node| node.name != parts.node) else {
             return self.here(call, key).await;
         };
-        match self.forward(target, &call).await {
+        if is_own && self.silent.is_avoided(&target.name) {
+            return self.here(call, key).await;
+        }
+        let answer = self.forward(target, &call).await;
+        self.silent.note(&target.name, answer.as_ref());
+        match answer {
             Some(answer) => answer,
             // Nothing was sent to the claimer.
-            None if matches!(key, Key::Own(_)) => self.here(call, key).await,
+            None if is_own => self.here(call, key).await,
             // It may have been run under this ticket before.
             None => Err(Refusal::unknown(Unknown::ClaimerLost)),
         }
@@ -144,18 +157,18 @@
 
     async fn here(&self, call: OwnedCall, key: Key) -> Result<Answer, Refusal> {
         let print = fingerprint(&call);
-        let attempts = Arc::clone(&self.0.attempts);
+        let attempts = Arc::clone(&self.parts.attempts);
         let run = Arc::new(RunCall { attempts, call });
         match key {
-            Key::Own(key) => self.0.once.once(Call { key, print }, run).await,
-            Key::Ticket(ticket) => self.0.tickets.redeem(&ticket, print, run).await,
+            Key::Own(key) => self.parts.once.once(Call { key, print }, run).await,
+            Key::Ticket(ticket) => self.parts.tickets.redeem(&ticket, print, run).await,
         }
     }
 
     fn key(&self, call: &OwnedCall) -> Result<Key, Refusal> {
         let required = Refusal::not_run(NotRun::KeyRequired);
         if Ticket::is_meant(&call.key) {
-            let ticket = Ticket::read(&call.key, &call.caller.team, &self.0.key);
+            let ticket = Ticket::read(&call.key, &call.caller.team, &self.parts.key);
             return ticket.map(Key::Ticket).ok_or(required);
         }
         call.key.parse().map(Key::Own).map_err(|_| required)
@@ -163,7 +176,7 @@
 
     /// Sends the call to `target`; nothing where no connection was made.
     async fn forward(&self, target: &Node, call: &OwnedCall) -> Option<Result<Answer, Refusal>> {
-        let parts = &self.0;
+        let parts = &self.parts;
         let left = call.deadline.saturating_duration_since(Instant::now());
         let head = HopHead {
             v: PROTOCOL_VERSION,
@@ -198,7 +211,7 @@
 impl Forwarded for Calls {
     async fn forwarded(&self, attempt: Attempt) -> Result<Answer, Refusal> {
         let head = attempt.head;
-        let state = self.0.config.state();
+        let state = self.parts.config.state();
         let service = state
             .service(&head.service)
             .ok_or(Refusal::not_run(NotRun::UnknownService))?;
@@ -221,7 +234,7 @@
         };
         let key = self.key(&call)?;
         match key {
-            Key::Ticket(ticket) if ticket.node != self.0.node => {
+            Key::Ticket(ticket) if ticket.node != self.parts.node => {
                 Err(Refusal::unknown(Unknown::ClaimerLost))
             }
             key => self.here(call, key).await,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod reply;
 mod serve;
 mod settings;
+mod silent;
 
 pub use attempts::Attempts;
 pub use calls::CallParts;
