--- a/bench/src/load/group.rs
+++ b/bench/src/load/group.rs
@@ -115,7 +115,8 @@
     }
 }
 
-/// Makes one record of what all the ways brought: what the caller knows of the payment in the end.
+/// Makes one record of what all the ways brought: what the caller knows of the payment in the end. A refusal on one way
+/// says nothing of the others, so only the last one of all ways is kept.
 fn combine(whole: &CallRecord, ways: Vec<CallRecord>) -> CallRecord {
     let mut whole = whole.clone();
     if let Some(telling) = ways
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -228,7 +228,7 @@
 /// Counts the attempts after the first; a last refusal brought none.
 fn retries(call: &CallRecord) -> u64 {
     let refused_at_last = matches!(call.end, End::NotRun { .. });
-    call.refused_at.len() as u64 - u64::from(refused_at_last)
+    (call.refused_at.len() as u64).saturating_sub(u64::from(refused_at_last))
 }
 
 fn first_byte_histogram(calls: &[CallRecord]) -> Histogram<u64> {
