--- a/bench/src/load/payment.rs
+++ b/bench/src/load/payment.rs
@@ -91,6 +91,11 @@
         &self.call
     }
 
+    /// Node that issued the ticket, where the key is one.
+    pub fn issuer(&self) -> Option<&str> {
+        self.issuer.as_deref()
+    }
+
     /// The request of one attempt.
     pub fn request(&self, id: &str) -> Request<Full<Bytes>> {
         Request::post(self.uri.as_str())
--- a/bench/src/load/plain.rs
+++ b/bench/src/load/plain.rs
@@ -97,7 +97,8 @@
             client: &mut self.client,
             directory: &self.directory,
             rng: &mut self.rng,
-            pinned: None,
+            // Nobody but its issuer redeems a ticket.
+            pinned: payment.issuer(),
         };
         let request = |id: &str| payment.request(id);
         send_call(&mut attempt, &mut record, request, &payment.expected()).await;
--- a/src/claims/log_claims.rs
+++ b/src/claims/log_claims.rs
@@ -6,6 +6,7 @@
 use super::Once;
 use super::Run;
 use super::Settings;
+use super::health::Health;
 use super::key::now_ms;
 use super::shard::Decision;
 use super::shard::Shard;
@@ -21,6 +22,7 @@
 use crate::routing::rendezvous;
 use crate::timeline::Timeline;
 use async_trait::async_trait;
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -54,9 +56,11 @@
         timeline: Arc<Timeline>,
     ) -> Self {
         let own = Uuid::new_v4();
+        let health = Arc::new(Health::default());
         let shard = |number| {
             let (log, timeline) = (Arc::clone(&log), Arc::clone(&timeline));
-            Shard::new(number, node, own, settings, log, timeline)
+            let health = Arc::clone(&health);
+            Shard::new(number, node, own, settings, log, health, timeline)
         };
         let shards: Vec<Arc<Shard>> = (0..settings.shards).map(shard).collect();
         let tasks = shards
@@ -87,12 +91,12 @@
     }
 }
 
-/// Gives the node that claims `key` by this view: the first by rendezvous rank for the key's shard.
-pub(crate) fn claimer(view: &View, key: IdempotencyKey, shards: u64) -> Option<&Node> {
+/// Gives the nodes that may claim `key` by this view, by rendezvous rank for the key's shard.
+pub(crate) fn claimers(view: &View, key: IdempotencyKey, shards: u64) -> Vec<&Node> {
     let shard = format!("claims-{}", shard_of(key, shards));
-    view.nodes()
-        .iter()
-        .max_by_key(|node| rendezvous::score(&shard, &node.name))
+    let mut nodes: Vec<&Node> = view.nodes().iter().collect();
+    nodes.sort_by_cached_key(|node| Reverse(rendezvous::score(&shard, &node.name)));
+    nodes
 }
 
 fn shard_of(key: IdempotencyKey, shards: u64) -> u64 {
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -4,6 +4,7 @@
 //! ticket runs only in the process that issued the ticket ([`Tickets`]). See `docs/AT-MOST-ONCE.md` for the failure
 //! points and the outcome that a caller gets at each.
 
+mod health;
 mod key;
 mod log_claims;
 mod once;
@@ -20,7 +21,7 @@
 pub use key::IdempotencyKey;
 pub use key::KeyError;
 pub use log_claims::Claims;
-pub(crate) use log_claims::claimer;
+pub(crate) use log_claims::claimers;
 pub use once::Call;
 pub use once::Once;
 pub use once::Run;
--- a/src/claims/shard.rs
+++ b/src/claims/shard.rs
@@ -6,6 +6,7 @@
 use super::Call;
 use super::IdempotencyKey;
 use super::Settings;
+use super::health::Health;
 use super::key::now_ms;
 use super::record;
 use super::record::Entry;
@@ -38,8 +39,6 @@
 const READ_LIMIT: u32 = 200;
 /// Longest wait of a read for a record whose append was not answered.
 const SETTLE_WAIT: Duration = Duration::from_millis(200);
-/// Time for which a failed log is not asked to take further claims.
-const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after the log refused or could not be read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,6 +62,7 @@
     own: Uuid,
     settings: Settings,
     log: Arc<dyn LogService>,
+    health: Arc<Health>,
     timeline: Arc<Timeline>,
     inner: Mutex<Inner>,
     wake: Notify,
@@ -76,8 +76,6 @@
     waiting: Vec<Waiter>,
     claims: u64,
     appending: bool,
-    /// When the log failed last, unless it has worked since.
-    failed: Option<Instant>,
 }
 
 struct Waiter {
@@ -136,6 +134,7 @@
         own: Uuid,
         settings: &Settings,
         log: Arc<dyn LogService>,
+        health: Arc<Health>,
         timeline: Arc<Timeline>,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -144,6 +143,7 @@
             own,
             settings: settings.clone(),
             log,
+            health,
             timeline,
             inner: Mutex::new(Inner {
                 window: Window::new(own, settings.max_shard_bytes),
@@ -151,7 +151,6 @@
                 waiting: Vec::new(),
                 claims: 0,
                 appending: false,
-                failed: None,
             }),
             wake: Notify::new(),
         })
@@ -160,13 +159,16 @@
     /// Claims the key of `call` and waits for what becomes of it.
     pub(super) async fn claim(&self, call: Call) -> Decision {
         let (tx, mut rx) = oneshot::channel();
-        if let Some(early) = self.lock().begin(call, tx, self.settings.max_shard_keys) {
+        let max_keys = self.settings.max_shard_keys;
+        let early = self.lock().begin(call, tx, max_keys, &self.health);
+        if let Some(early) = early {
             return early;
         }
         self.wake.notify_one();
         if let Ok(Ok(decision)) = tokio::time::timeout(self.settings.claim_timeout, &mut rx).await {
             return decision;
         }
+        self.health.note(false);
         rx.close();
         // It may have been decided just now; it is given up all the same.
         if let Ok(Decision::Won(number)) = rx.try_recv() {
@@ -217,11 +219,8 @@
             let began = Instant::now();
             batch += 1;
             let is_done = self.commit(batch, entries, &mut position).await;
-            {
-                let mut inner = self.lock();
-                inner.appending = false;
-                inner.failed = (!is_done).then(Instant::now);
-            }
+            self.lock().appending = false;
+            self.health.note(is_done);
             let next = self.settings.commit_interval;
             tokio::time::sleep(next.saturating_sub(began.elapsed())).await;
         }
@@ -244,6 +243,7 @@
             }
             Err(AppendError::Unsettled(cause)) => {
                 slog::warn!(self.timeline.log(), "append of claims not answered"; "cause" => cause);
+                self.health.note(false);
                 Sought::Batch(batch)
             }
         };
@@ -267,9 +267,11 @@
                 return false;
             }
             let read = self.log.read(&self.stream, position.next, READ_LIMIT, wait);
-            let taken = match read.await {
-                Ok(answer) => self.take_in(&answer, position),
-                Err(err) => Err(format!("{err:?}")),
+            let left = until.saturating_duration_since(Instant::now());
+            let taken = match tokio::time::timeout(left, read).await {
+                Ok(Ok(answer)) => self.take_in(&answer, position),
+                Ok(Err(err)) => Err(format!("{err:?}")),
+                Err(_) => Err("timeout".to_owned()),
             };
             if let Err(cause) = taken {
                 slog::warn!(self.timeline.log(), "claims not read"; "cause" => cause);
@@ -334,6 +336,7 @@
         call: Call,
         tx: oneshot::Sender<Decision>,
         max_keys: usize,
+        health: &Health,
     ) -> Option<Decision> {
         match self.window.known(call.key, &call.print) {
             // Another process's word may have come since; the claim's place in the stream tells.
@@ -348,7 +351,7 @@
             first.repeats.push(tx);
             return None;
         }
-        if self.is_failing() {
+        if !health.may_try() {
             return Some(Decision::GivenUp);
         }
         if self.window.len() + self.waiting.len() >= max_keys {
@@ -370,13 +373,6 @@
         None
     }
 
-    /// Tells whether the log is known to fail, so that waiting for it helps nobody; one call now and then finds out
-    /// whether it works again.
-    fn is_failing(&self) -> bool {
-        self.failed
-            .is_some_and(|at| self.appending || at.elapsed() < PROBE_PAUSE)
-    }
-
     /// Takes the next record's entries, without claims that nobody waits for any more.
     fn take(&mut self) -> Vec<Entry> {
         let mut entries = Vec::new();
--- a/src/claims/tests.rs
+++ b/src/claims/tests.rs
@@ -1,5 +1,63 @@
+use super::Age;
 use super::IdempotencyKey;
 use super::KeyError;
+use super::Run;
+use super::Settings;
+use super::Ticket;
+use super::Tickets;
+use super::record::Entry;
+use super::record::Record;
+use super::stored::Stored;
+use super::window::Known;
+use super::window::Verdict;
+use super::window::Window;
+use crate::net::full_body;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::outcome::Unknown;
+use crate::owner::Answer;
+use crate::settings::DeploymentKey;
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use async_trait::async_trait;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use uuid::Uuid;
+
+const PRINT: [u8; 32] = [1; 32];
+
+fn key() -> IdempotencyKey {
+    Uuid::now_v7().to_string().parse().unwrap()
+}
+
+fn deployment_key(digit: &str) -> DeploymentKey {
+    digit.repeat(64).parse().unwrap()
+}
+
+fn claim(key: IdempotencyKey, claim: u64) -> Entry {
+    let print = PRINT;
+    Entry::Claim { key, claim, print }
+}
+
+fn ended(key: IdempotencyKey, claim: u64, body: &'static [u8]) -> Entry {
+    let stored = Stored::Answered {
+        status: 200,
+        content_type: None,
+        body: Some(Bytes::from_static(body)),
+    };
+    Entry::Ended { key, claim, stored }
+}
+
+fn record(incarnation: Uuid, entries: Vec<Entry>) -> Record {
+    Record {
+        incarnation,
+        batch: 1,
+        entries,
+    }
+}
 
 #[test]
 fn only_uuids_of_version_7_are_keys() {
@@ -10,3 +68,266 @@
     assert_eq!(four.parse::<IdempotencyKey>(), Err(KeyError));
     assert_eq!("".parse::<IdempotencyKey>(), Err(KeyError));
 }
+
+#[test]
+fn keys_age_by_their_own_time() {
+    let key: IdempotencyKey = "0190b6c5-7c3e-7e4a-9d5b-2f6c8a1e4b3d".parse().unwrap();
+    let made = key.time_ms();
+    let [window, skew] = [Duration::from_secs(10), Duration::from_secs(2)];
+
+    assert_eq!(key.age(made - 2_001, window, skew), Age::Future);
+    assert_eq!(key.age(made - 2_000, window, skew), Age::Fresh);
+    assert_eq!(key.age(made + 10_000, window, skew), Age::Fresh);
+    assert_eq!(key.age(made + 10_001, window, skew), Age::Expired);
+}
+
+#[test]
+fn answers_beyond_the_bound_are_forgotten_oldest_first() {
+    let own = Uuid::new_v4();
+    let mut window = Window::new(own, 6);
+    let keys = [key(), key()];
+    for key in keys {
+        window.apply(record(own, vec![claim(key, 1), ended(key, 1, b"paid")]), 0);
+    }
+
+    let kept = keys.map(|key| match window.known(key, &PRINT) {
+        Known::Done(stored) => stored.len(),
+        other => panic!("{other:?}"),
+    });
+
+    assert_eq!(kept, [0, 4]);
+}
+
+#[test]
+fn only_the_holder_ends_or_releases_a_claim() {
+    let [own, other] = [Uuid::new_v4(), Uuid::new_v4()];
+    let mut window = Window::new(own, 100);
+    let key = key();
+    window.apply(record(own, vec![claim(key, 1)]), 0);
+
+    let released = Entry::Released { key, claim: 1 };
+    window.apply(record(other, vec![released, ended(key, 1, b"paid")]), 0);
+
+    assert_eq!(window.known(key, &PRINT), Known::Running);
+}
+
+/// A process that claims one key again and again, with its own view of the stream.
+struct Claimer {
+    own: Uuid,
+    window: Window,
+    read: usize,
+    claims: u64,
+    /// Claims that were given up before they were decided.
+    given_up: Vec<u64>,
+    won: Vec<u64>,
+}
+
+impl Claimer {
+    fn new() -> Self {
+        let own = Uuid::new_v4();
+        Self {
+            own,
+            window: Window::new(own, 100),
+            read: 0,
+            claims: 0,
+            given_up: Vec::new(),
+            won: Vec::new(),
+        }
+    }
+
+    fn read_on(&mut self, stream: &mut Vec<Record>, key: IdempotencyKey) {
+        let Some(next) = stream.get(self.read).cloned() else {
+            return;
+        };
+        self.read += 1;
+        for decided in self.window.apply(next, 0) {
+            if decided.verdict != Verdict::Won {
+                continue;
+            }
+            if self.given_up.contains(&decided.number) || self.won.contains(&decided.number) {
+                self.window.give_up(key, decided.number);
+                let claim = decided.number;
+                stream.push(record(self.own, vec![Entry::Released { key, claim }]));
+            } else {
+                self.won.push(decided.number);
+            }
+        }
+    }
+}
+
+/// Claimers take steps in any order: they claim, lose answers, append twice, give up, read late, hand over and end.
+fn interleave(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<u32> {
+    let key = key();
+    let mut stream: Vec<Record> = Vec::new();
+    let mut claimers = [Claimer::new(), Claimer::new(), Claimer::new()];
+    let mut runs = 0;
+    for _ in 0..60 {
+        let i = u.choose_index(claimers.len())?;
+        let it = &mut claimers[i];
+        match u.int_in_range(0..=5)? {
+            0 if it.window.known(key, &PRINT) != Known::Running => {
+                it.claims += 1;
+                stream.push(record(it.own, vec![claim(key, it.claims)]));
+            }
+            1 => {
+                let number = u.int_in_range(0..=it.claims)?;
+                if !it.won.contains(&number) {
+                    it.given_up.push(number);
+                }
+            }
+            2 if !stream.is_empty() => {
+                // A request that the network held back arrives once more.
+                let late = stream[u.choose_index(stream.len())?].clone();
+                stream.push(late);
+            }
+            3 => {
+                if let Some(number) = it.won.pop() {
+                    runs += 1;
+                    let end = ended(key, number, b"paid");
+                    // Where the process ends now, its outcome never comes.
+                    if u.ratio(3, 4)? {
+                        stream.push(record(it.own, vec![end]));
+                    }
+                    it.given_up.push(number);
+                }
+            }
+            _ => it.read_on(&mut stream, key),
+        }
+    }
+    Ok(runs)
+}
+
+#[test]
+fn no_interleaving_of_claimers_runs_a_key_twice() {
+    arbtest(|u| {
+        let runs = interleave(u)?;
+        assert!(runs <= 1, "{runs} runs");
+        Ok(())
+    })
+    .seed(0x0000_0005_0000_2000);
+}
+
+/// Counts the runs of a call, and ends each as it is told.
+struct Counting {
+    runs: AtomicU32,
+    refusal: Option<Refusal>,
+}
+
+#[async_trait]
+impl Run for Counting {
+    async fn run(&self) -> Result<Answer, Refusal> {
+        self.runs.fetch_add(1, Ordering::Relaxed);
+        match &self.refusal {
+            Some(refusal) => Err(refusal.clone()),
+            None => Ok(Answer {
+                status: 200,
+                content_type: None,
+                load: 0,
+                hint: None,
+                body: full_body("paid"),
+            }),
+        }
+    }
+}
+
+fn counting(refusal: Option<Refusal>) -> Arc<Counting> {
+    let runs = AtomicU32::new(0);
+    Arc::new(Counting { runs, refusal })
+}
+
+fn tickets(settings: &Settings) -> Tickets {
+    Tickets::new("dc1.n1", &deployment_key("1"), settings)
+}
+
+fn issued(tickets: &Tickets) -> Ticket {
+    Ticket::read(&tickets.issue("red"), "red", &deployment_key("1")).unwrap()
+}
+
+#[test]
+fn tickets_are_for_their_team_and_under_the_deployments_key() {
+    let text = tickets(&Settings::default()).issue("red");
+    let forged = text.replacen("dc1.n1", "dc1.n2", 1);
+
+    let read = |text, team, digit| Ticket::read(text, team, &deployment_key(digit));
+
+    assert_eq!(read(&text, "red", "1").unwrap().node, "dc1.n1");
+    assert_eq!(read(&text, "blue", "1"), None);
+    assert_eq!(read(&text, "red", "2"), None);
+    assert_eq!(read(&forged, "red", "1"), None);
+    assert_eq!(read("ticket", "red", "1"), None);
+}
+
+#[tokio::test]
+async fn a_ticket_runs_once_and_repeats_get_its_answer() {
+    let tickets = tickets(&Settings::default());
+    let ticket = issued(&tickets);
+    let run = counting(None);
+
+    for _ in 0..2 {
+        assert!(tickets.redeem(&ticket, PRINT, run.clone()).await.is_ok());
+    }
+    let other = tickets.redeem(&ticket, [2; 32], run.clone()).await;
+
+    assert_eq!(other.err(), Some(Refusal::not_run(NotRun::KeyReused)));
+    assert_eq!(run.runs.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_ticket_that_may_have_run_never_runs_again() {
+    let tickets = tickets(&Settings::default());
+    let ticket = issued(&tickets);
+    let lost = Refusal::unknown(Unknown::ConnectionLost);
+    let run = counting(Some(lost.clone()));
+
+    for _ in 0..2 {
+        let seen = tickets.redeem(&ticket, PRINT, run.clone()).await;
+        assert_eq!(seen.err(), Some(lost.clone()));
+    }
+
+    assert_eq!(run.runs.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_ticket_whose_call_certainly_did_not_run_may_be_redeemed_again() {
+    let tickets = tickets(&Settings::default());
+    let ticket = issued(&tickets);
+    let refused = counting(Some(Refusal::not_run(NotRun::NoBackend)));
+
+    assert!(tickets.redeem(&ticket, PRINT, refused).await.is_err());
+
+    let run = counting(None);
+    assert!(tickets.redeem(&ticket, PRINT, run).await.is_ok());
+}
+
+#[tokio::test]
+async fn another_process_does_not_redeem_a_ticket() {
+    let ticket = issued(&tickets(&Settings::default()));
+    let run = counting(None);
+
+    let seen = tickets(&Settings::default())
+        .redeem(&ticket, PRINT, run.clone())
+        .await;
+
+    assert_eq!(seen.err(), Some(Refusal::unknown(Unknown::ClaimerLost)));
+    assert_eq!(run.runs.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn a_ticket_expires_by_its_issuers_clock() {
+    let settings = Settings {
+        ticket_ttl: Duration::from_millis(100),
+        ..Settings::default()
+    };
+    let tickets = tickets(&settings);
+    let [late, used] = [issued(&tickets), issued(&tickets)];
+    let run = counting(None);
+    let redeem = async |ticket| tickets.redeem(ticket, PRINT, run.clone()).await.err();
+    assert_eq!(redeem(&used).await, None);
+
+    tokio::time::sleep(Duration::from_millis(201)).await;
+
+    let expired = Some(Refusal::unknown(Unknown::Expired));
+    assert_eq!(redeem(&used).await, expired);
+    assert_eq!(redeem(&late).await, expired);
+    assert_eq!(run.runs.load(Ordering::Relaxed), 1);
+}
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -16,7 +16,7 @@
 use crate::claims::Run;
 use crate::claims::Ticket;
 use crate::claims::Tickets;
-use crate::claims::claimer;
+use crate::claims::claimers;
 use crate::config::ConfigSource;
 use crate::hop::Forwarded;
 use crate::hop::PROTOCOL_VERSION;
@@ -40,6 +40,9 @@
 use std::time::Instant;
 use uuid::Uuid;
 
+/// Claimers that a call is sent to before this node claims its key itself.
+const MAX_CLAIMERS: usize = 3;
+
 /// A non-idempotent call with all that running it takes.
 pub(super) struct OwnedCall {
     pub(super) caller: Caller,
@@ -126,33 +129,42 @@
 
     /// Runs a caller's call at the node that decides about its key.
     pub(super) async fn run(&self, call: OwnedCall) -> Result<Answer, Refusal> {
-        let parts = &self.parts;
-        let key = self.key(&call)?;
-        let view = parts.membership.view();
-        let target = match &key {
-            Key::Own(key) => claimer(&view, *key, parts.shards),
-            Key::Ticket(ticket) if ticket.node == parts.node => None,
-            Key::Ticket(ticket) => {
-                let issuer = view.node(&ticket.node);
-                Some(issuer.ok_or(Refusal::unknown(Unknown::ClaimerLost))?)
+        match self.key(&call)? {
+            Key::Own(key) => self.run_own(call, key).await,
+            Key::Ticket(ticket) => self.run_ticket(call, ticket).await,
+        }
+    }
+
+    /// Runs the call at the first claimer by rank that takes it, so that few nodes claim in one shard.
+    async fn run_own(&self, call: OwnedCall, key: IdempotencyKey) -> Result<Answer, Refusal> {
+        let view = self.parts.membership.view();
+        let claimers = claimers(&view, key, self.parts.shards);
+        let near = claimers
+            .into_iter()
+            .filter(|node| !self.silent.is_avoided(&node.name));
+        for node in near.take(MAX_CLAIMERS) {
+            if node.name == self.parts.node {
+                break;
             }
-        };
-        let is_own = matches!(key, Key::Own(_));
-        let Some(target) = target.filter(|node| node.name != parts.node) else {
-            return self.here(call, key).await;
-        };
-        if is_own && self.silent.is_avoided(&target.name) {
-            return self.here(call, key).await;
+            let answer = self.forward(node, &call).await;
+            self.silent.note(&node.name, answer.as_ref());
+            if let Some(answer) = answer {
+                return answer;
+            }
+            // No connection was made, so nothing was sent to it.
         }
-        let answer = self.forward(target, &call).await;
-        self.silent.note(&target.name, answer.as_ref());
-        match answer {
-            Some(answer) => answer,
-            // Nothing was sent to the claimer.
-            None if is_own => self.here(call, key).await,
-            // It may have been run under this ticket before.
-            None => Err(Refusal::unknown(Unknown::ClaimerLost)),
+        self.here(call, Key::Own(key)).await
+    }
+
+    async fn run_ticket(&self, call: OwnedCall, ticket: Ticket) -> Result<Answer, Refusal> {
+        if ticket.node == self.parts.node {
+            return self.here(call, Key::Ticket(ticket)).await;
         }
+        let view = self.parts.membership.view();
+        // Where the issuer can't be reached it may have run the call before.
+        let lost = Refusal::unknown(Unknown::ClaimerLost);
+        let issuer = view.node(&ticket.node).ok_or(lost.clone())?;
+        self.forward(issuer, &call).await.unwrap_or(Err(lost))
     }
 
     async fn here(&self, call: OwnedCall, key: Key) -> Result<Answer, Refusal> {
