--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -10,6 +10,8 @@
 use super::mac;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
+use crate::membership::Acceptor;
+use crate::membership::GOSSIP_PATH;
 use crate::net::Body;
 use crate::net::Handler;
 use crate::net::collect;
@@ -48,16 +50,18 @@
 pub struct PeerServer {
     owner: Arc<Owner>,
     calls: Arc<dyn Forwarded>,
+    gossip: Acceptor,
     key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
 
 impl PeerServer {
-    /// Makes a server that hands attempts to `owner` and non-idempotent calls to `calls`.
+    /// Makes a server that hands attempts to `owner`, non-idempotent calls to `calls` and connections to `gossip`.
     pub fn new(
         owner: Arc<Owner>,
         calls: Arc<dyn Forwarded>,
+        gossip: Acceptor,
         key: DeploymentKey,
         timeline: Arc<Timeline>,
         max_body_bytes: usize,
@@ -65,6 +69,7 @@
         Self {
             owner,
             calls,
+            gossip,
             key,
             timeline,
             max_body_bytes,
@@ -116,6 +121,7 @@
 impl Handler for PeerServer {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
         let is_call = match req.uri().path() {
+            GOSSIP_PATH => return self.gossip.accept(req, peer),
             HOP_PATH => false,
             CALL_PATH => true,
             _ => return bare(StatusCode::NOT_FOUND),
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -15,6 +15,7 @@
 use crate::hop::RemoteOwner;
 use crate::hop::ToOwner;
 use crate::membership;
+use crate::membership::Members;
 use crate::membership::Poller;
 use crate::net::Client;
 use crate::net::ClientOptions;
@@ -76,6 +77,7 @@
     follower: Follower,
     poller: Poller,
     claims: Claims,
+    members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
     drain_limit: Duration,
@@ -92,11 +94,23 @@
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
         metrics.register(Box::new(timeline.stamps_dropped().clone()));
-        let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
+        let readiness = Readiness::waiting_for(&[
+            config::READY_CONFIG,
+            membership::READY_HOSTS,
+            membership::READY_GOSSIP,
+        ]);
         let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
-        let owner = owner(settings, &poller, &metrics, &timeline);
-        let attempts = attempts(settings, &poller, &owner, &timeline);
+        let members = Members::start(
+            &settings.membership,
+            node,
+            poller.listed(),
+            readiness.clone(),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
+        let owner = owner(settings, &members, &metrics, &timeline);
+        let attempts = attempts(settings, &members, &owner, &timeline);
         let claims = claims(settings, &metrics, &timeline);
         let calls = Arc::new(Calls::new(CallParts {
             node: node.name.clone(),
@@ -104,7 +118,7 @@
             shards: settings.claims.shards,
             attempts: Arc::clone(&attempts),
             config: follower.source(),
-            membership: poller.membership(),
+            membership: members.membership(),
             once: claims.once(),
             tickets: Tickets::new(&node.name, &node.key, &settings.claims),
             remote: remote(settings, &timeline),
@@ -121,6 +135,7 @@
         let peer_server = PeerServer::new(
             owner,
             calls,
+            members.acceptor(),
             node.key.clone(),
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
@@ -140,6 +155,7 @@
             follower,
             poller,
             claims,
+            members,
             readiness,
             timeline,
             drain_limit: settings.entry.drain_limit,
@@ -150,11 +166,13 @@
     pub async fn close(self) {
         self.timeline.event(Event::new(EventKind::NodeStopping));
         self.readiness.lost(READY_RUNNING);
+        self.members.leave();
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
         self.claims.close().await;
         self.follower.close();
         self.poller.close();
+        self.members.close();
         self.operations.close(OPERATIONS_LIMIT).await;
     }
 }
@@ -224,14 +242,14 @@
 
 fn owner(
     settings: &Settings,
-    poller: &Poller,
+    members: &Members,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Owner> {
     let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
     Arc::new(Owner::new(
         &settings.owner,
-        poller.membership(),
+        members.membership(),
         Arc::new(backends),
         Arc::clone(timeline),
     ))
@@ -267,14 +285,14 @@
 
 fn attempts(
     settings: &Settings,
-    poller: &Poller,
+    members: &Members,
     owner: &Arc<Owner>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Attempts> {
     let node = &settings.node;
     let dispatch = ToOwner::new(
         &node.name,
-        poller.membership(),
+        members.membership(),
         Arc::clone(owner),
         remote(settings, timeline),
         Arc::clone(timeline),
@@ -282,7 +300,7 @@
     Arc::new(Attempts::new(
         &node.name,
         settings.entry.max_attempts,
-        poller.membership(),
+        members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(timeline),
