--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,12 +5,16 @@
 
 mod attempts;
 mod caller;
+mod calls;
 mod chat;
 mod plain;
 mod reply;
 mod serve;
 mod settings;
+mod silent;
 
 pub use attempts::Attempts;
+pub use calls::CallParts;
+pub use calls::Calls;
 pub use serve::Entry;
 pub use settings::Settings;
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -3,10 +3,13 @@
 use crate::border::HttpBackends;
 use crate::border::HttpHostList;
 use crate::border::HttpLog;
-use crate::claims::Unclaimed;
+use crate::claims::Claims;
+use crate::claims::Tickets;
 use crate::config;
 use crate::config::Follower;
 use crate::entry::Attempts;
+use crate::entry::CallParts;
+use crate::entry::Calls;
 use crate::entry::Entry;
 use crate::hop::PeerServer;
 use crate::hop::RemoteOwner;
@@ -73,6 +76,7 @@
     operations: Listener,
     follower: Follower,
     poller: Poller,
+    claims: Claims,
     members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
@@ -107,9 +111,31 @@
             Arc::clone(&timeline),
         );
         let owner = owner(settings, &members, &metrics, &timeline);
-        let entry = entry(settings, &follower, &members, &owner, &metrics, &timeline);
+        let attempts = attempts(settings, &members, &owner, &timeline);
+        let claims = claims(settings, &metrics, &timeline);
+        let calls = Arc::new(Calls::new(CallParts {
+            node: node.name.clone(),
+            key: node.key.clone(),
+            shards: settings.claims.shards,
+            attempts: Arc::clone(&attempts),
+            config: follower.source(),
+            membership: members.membership(),
+            once: claims.once(),
+            tickets: Tickets::new(&node.name, &node.key, &settings.claims),
+            remote: remote(settings, &timeline),
+            timeline: Arc::clone(&timeline),
+        }));
+        let entry = Entry::new(
+            &settings.entry,
+            follower.source(),
+            attempts,
+            Arc::clone(&calls),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
         let peer_server = PeerServer::new(
             owner,
+            calls,
             members.acceptor(),
             node.key.clone(),
             Arc::clone(&timeline),
@@ -129,6 +155,7 @@
             operations,
             follower,
             poller,
+            claims,
             members,
             readiness,
             timeline,
@@ -147,6 +174,7 @@
         tokio::time::sleep(self.linger).await;
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
+        self.claims.close().await;
         self.follower.close();
         self.poller.close();
         self.members.close();
@@ -232,46 +260,54 @@
     ))
 }
 
-fn entry(
-    settings: &Settings,
-    follower: &Follower,
-    members: &Members,
-    owner: &Arc<Owner>,
-    metrics: &Arc<Metrics>,
-    timeline: &Arc<Timeline>,
-) -> Entry {
-    let node = &settings.node;
+fn claims(settings: &Settings, metrics: &Arc<Metrics>, timeline: &Arc<Timeline>) -> Claims {
+    let log = HttpLog::new(
+        Client::new(&client_options(settings)),
+        settings.platform.log_address,
+        settings.platform.timeout,
+        Arc::clone(metrics),
+    );
+    Claims::start(
+        &settings.node.name,
+        &settings.claims,
+        Arc::new(log),
+        Arc::clone(timeline),
+    )
+}
+
+fn remote(settings: &Settings, timeline: &Arc<Timeline>) -> RemoteOwner {
     let options = ClientOptions {
         http2: true,
         ping: settings.membership.ping,
         ..client_options(settings)
     };
-    let remote = RemoteOwner::new(
+    RemoteOwner::new(
         Client::new(&options),
-        node.key.clone(),
+        settings.node.key.clone(),
         Arc::clone(timeline),
-    );
+    )
+}
+
+fn attempts(
+    settings: &Settings,
+    members: &Members,
+    owner: &Arc<Owner>,
+    timeline: &Arc<Timeline>,
+) -> Arc<Attempts> {
+    let node = &settings.node;
     let dispatch = ToOwner::new(
         &node.name,
         members.membership(),
         Arc::clone(owner),
-        remote,
+        remote(settings, timeline),
         Arc::clone(timeline),
     );
-    let attempts = Attempts::new(
+    Arc::new(Attempts::new(
         &node.name,
         settings.entry.max_attempts,
         members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(timeline),
-    );
-    Entry::new(
-        &settings.entry,
-        follower.source(),
-        attempts,
-        Arc::new(Unclaimed),
-        Arc::clone(metrics),
-        Arc::clone(timeline),
-    )
+    ))
 }
