--- a/bench/src/fleet/options.rs
+++ b/bench/src/fleet/options.rs
@@ -6,10 +6,12 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use super::operator::Operator;
+use super::operator::base;
 use crate::load::TeamKey;
 use crate::standin::engine::EngineOptions;
 use crate::wire::config::CallRule;
-use crate::wire::config::ConfigRecord;
+use crate::wire::config::Change;
 use crate::wire::config::Object;
 use crate::wire::config::Service;
 use crate::wire::config::Team;
@@ -124,23 +126,32 @@
         (1..=self.teams).map(team).collect()
     }
 
-    /// The first record of the configuration.
+    /// The operator that the bench changes the configuration as.
+    pub fn operator(&self) -> Operator {
+        Operator::new("bench", &hex_sha256(&format!("operator {}", self.seed)))
+    }
+
+    /// The first record of the configuration, which declares the operator that signs all later ones.
     pub fn config_record(&self, teams: &[TeamKey]) -> String {
+        let operator = self.operator();
         let mut put: Vec<Object> = teams.iter().map(team_object).collect();
+        put.push(operator.object());
         put.push(self.service_object(&self.model, "model", Vec::new()));
         let payment = CallRule {
             method: String::from("POST"),
             path: String::from("/payments"),
         };
         put.push(self.service_object(&self.plain, "plain", vec![payment]));
-        let id = String::from("bench-first");
-        let record = ConfigRecord::Change {
-            id,
-            operator: String::from("bench"),
+        let change = Change {
+            id: String::from("bench-first"),
+            operator: operator.name().to_owned(),
+            read: None,
+            note: String::new(),
+            bases: put.iter().map(|object| base(object, None)).collect(),
             put,
-            v: 1,
+            delete: Vec::new(),
         };
-        serde_json::to_string(&record).expect("a config record has only text keys")
+        operator.record(&change)
     }
 
     fn service_object(&self, name: &str, kind: &str, non_idempotent: Vec<CallRule>) -> Object {
@@ -151,22 +162,25 @@
             kind: kind.to_owned(),
             name: name.to_owned(),
             non_idempotent,
+            data_centres: Vec::new(),
         };
         Object::Service { service }
     }
 }
 
-fn team_object(team: &TeamKey) -> Object {
+/// The object of a team.
+pub fn team_object(team: &TeamKey) -> Object {
     let team = Team {
         key_hashes: vec![hex_sha256(&team.key)],
         name: team.team.clone(),
         priority: String::from("interactive"),
         weight: 1,
+        excluded_data_centres: Vec::new(),
     };
     Object::Team { team }
 }
 
-fn hex_sha256(text: &str) -> String {
+pub(super) fn hex_sha256(text: &str) -> String {
     let digest = Sha256::digest(text.as_bytes());
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/src/bin/cbctl.rs
+++ b/src/bin/cbctl.rs
@@ -93,8 +93,8 @@
         for record in &answer.records {
             next = record.offset + 1;
             match state.apply(record.offset, &record.data) {
-                Ok(changed) => state = changed,
-                Err(err) => eprintln!("record {} is refused: {err:?}", record.offset),
+                Ok((changed, _)) => state = changed,
+                Err(halt) => eprintln!("record {} is not known: {halt}", record.offset),
             }
         }
         if next >= answer.next {
--- /dev/null
+++ b/src/config/apply.rs
@@ -0,0 +1,340 @@
+//! Applies one record: the same function, with the same result, on every node.
+
+use super::object::ObjectKind;
+use super::object::kind_of;
+use super::object::name_of;
+use super::signature;
+use super::state::State;
+use super::state::Stored;
+use crate::border::generated::config::Base;
+use crate::border::generated::config::Change;
+use crate::border::generated::config::ConfigRecord;
+use crate::border::generated::config::Entry;
+use crate::border::generated::config::Object;
+use crate::border::generated::config::Seen;
+use serde_json::Value;
+use std::fmt;
+use std::sync::Arc;
+
+/// Newest version of records that this program reads and writes.
+pub const RECORD_VERSION: u32 = 1;
+/// Records after which a change is refused as expired. Until then its id is remembered, so that a repeated append of
+/// it does nothing.
+pub(super) const CHANGE_WINDOW: u64 = 512;
+
+/// What came of a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The change is in force.
+    Accepted,
+    /// The record changes nothing.
+    Refused(Refused),
+    /// A snapshot, which changes nothing for who has read all before it.
+    Snapshot,
+}
+
+/// Why a record changes nothing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refused {
+    /// The record can't be read.
+    Unreadable(String),
+    /// Its operator is not declared, or its signature is not that operator's.
+    NotAuthentic,
+    /// The change took effect before.
+    Duplicate,
+    /// The change was appended too long after it was written.
+    Expired,
+    /// An object was changed since the change was written.
+    Stale(Overtaken),
+    /// The change contradicts itself, or leaves nobody who could change anything.
+    Invalid(&'static str),
+}
+
+/// An object that was changed by somebody else.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Overtaken {
+    /// Kind of the object.
+    pub kind: ObjectKind,
+    /// Name of the object.
+    pub name: String,
+    /// Version that the change was made against.
+    pub base: Option<u64>,
+    /// Version in force; none where the object was deleted.
+    pub now: Option<u64>,
+    /// Operator whose change is in force.
+    pub by: Option<String>,
+}
+
+/// Why applying stops: going on would leave this node with another state than newer programs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Halt {
+    /// A kind of record or object that this program does not know.
+    UnknownKind(String),
+    /// A version of records that this program does not know.
+    NewerVersion(u64),
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(cause) => write!(f, "the record can't be read: {cause}"),
+            Self::NotAuthentic => f.write_str("the operator is not declared or did not sign it"),
+            Self::Duplicate => f.write_str("the change took effect before"),
+            Self::Expired => f.write_str("the change came too long after it was written"),
+            Self::Stale(overtaken) => overtaken.fmt(f),
+            Self::Invalid(cause) => f.write_str(cause),
+        }
+    }
+}
+
+impl fmt::Display for Overtaken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} was ", self.kind, self.name)?;
+        match (self.now, &self.by) {
+            (Some(now), Some(by)) => write!(f, "changed at version {now} by operator {by}"),
+            _ => f.write_str("deleted"),
+        }
+    }
+}
+
+impl fmt::Display for Halt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownKind(kind) => write!(f, "kind \"{kind}\" is not known to this version"),
+            Self::NewerVersion(version) => {
+                write!(
+                    f,
+                    "records of version {version} are newer than this program"
+                )
+            }
+        }
+    }
+}
+
+/// Why a record is not applied.
+enum Stop {
+    Refused(Refused),
+    Halt(Halt),
+}
+
+impl From<Refused> for Stop {
+    fn from(refused: Refused) -> Self {
+        Self::Refused(refused)
+    }
+}
+
+impl From<Halt> for Stop {
+    fn from(halt: Halt) -> Self {
+        Self::Halt(halt)
+    }
+}
+
+impl State {
+    /// Applies the record at `offset` and returns the state after it. A refused record moves the version on and
+    /// changes nothing else.
+    ///
+    /// # Errors
+    ///
+    /// Tells that the record is of a kind or version that this program does not know; applying must stop there.
+    pub fn apply(&self, offset: u64, data: &str) -> Result<(Self, Verdict), Halt> {
+        let mut next = self.clone();
+        next.version = Some(offset);
+        let verdict = match next.try_apply(offset, data) {
+            Ok(verdict) => verdict,
+            Err(Stop::Refused(refused)) => Verdict::Refused(refused),
+            Err(Stop::Halt(halt)) => return Err(halt),
+        };
+        Ok((next, verdict))
+    }
+
+    fn try_apply(&mut self, offset: u64, data: &str) -> Result<Verdict, Stop> {
+        let (body, signature) = match read_record(data)? {
+            ConfigRecord::Snapshot { .. } => return Ok(Verdict::Snapshot),
+            ConfigRecord::Change {
+                body, signature, ..
+            } => (body, signature),
+        };
+        let value: Value = serde_json::from_str(&body).map_err(unreadable)?;
+        self.check_signature(&value, &body, signature.as_deref())?;
+        check_kinds(&value)?;
+        let change: Change = serde_json::from_value(value).map_err(unreadable)?;
+        self.check(offset, &change)?;
+        self.take(offset, change);
+        Ok(Verdict::Accepted)
+    }
+
+    fn check_signature(
+        &self,
+        value: &Value,
+        body: &str,
+        signature: Option<&str>,
+    ) -> Result<(), Refused> {
+        if self.operators().next().is_none() {
+            return Ok(());
+        }
+        let name = value["operator"].as_str().unwrap_or_default();
+        let operator = self.operators().find(|operator| operator.name == name);
+        let is_valid = operator
+            .zip(signature)
+            .is_some_and(|(operator, signature)| {
+                signature::is_valid(&operator.public_key, body, signature)
+            });
+        if is_valid {
+            Ok(())
+        } else {
+            Err(Refused::NotAuthentic)
+        }
+    }
+
+    fn check(&self, offset: u64, change: &Change) -> Result<(), Refused> {
+        if self.seen.iter().any(|seen| seen.id == change.id) {
+            return Err(Refused::Duplicate);
+        }
+        let written_at = change.read.map_or(0, |read| read + 1);
+        if written_at > offset {
+            return Err(Refused::Invalid(
+                "the change is written against a later version",
+            ));
+        }
+        if offset - written_at > CHANGE_WINDOW {
+            return Err(Refused::Expired);
+        }
+        check_form(change)?;
+        for base in &change.bases {
+            self.check_base(base)?;
+        }
+        self.check_operators_left(change)
+    }
+
+    fn check_base(&self, base: &Base) -> Result<(), Refused> {
+        let kind: ObjectKind = base
+            .kind
+            .parse()
+            .map_err(|_| Refused::Invalid("a base is of an unknown kind"))?;
+        let entry = self.entry(kind, &base.name);
+        let now = entry.map(|entry| entry.version);
+        if now == base.version {
+            return Ok(());
+        }
+        Err(Refused::Stale(Overtaken {
+            kind,
+            name: base.name.clone(),
+            base: base.version,
+            now,
+            by: entry.map(|entry| entry.operator.clone()),
+        }))
+    }
+
+    fn check_operators_left(&self, change: &Change) -> Result<(), Refused> {
+        let operator = ObjectKind::Operator;
+        let is_deleted = |name: &str| {
+            let mut deleted = change.delete.iter();
+            deleted.any(|object| object.kind == operator.as_str() && object.name == name)
+        };
+        let is_any_left = self.operators().any(|operator| !is_deleted(&operator.name));
+        let is_any_put = change.put.iter().any(|object| kind_of(object) == operator);
+        let had_any = self.operators().next().is_some();
+        if had_any && !is_any_left && !is_any_put {
+            return Err(Refused::Invalid("the change would leave no operator"));
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, offset: u64, change: Change) {
+        for object in &change.delete {
+            let found = object
+                .kind
+                .parse()
+                .map(|kind| self.find(kind, &object.name));
+            if let Ok(Ok(i)) = found {
+                self.stored.remove(i);
+            }
+        }
+        for object in change.put {
+            let stored = Stored::new(Entry {
+                version: offset,
+                change: change.id.clone(),
+                operator: change.operator.clone(),
+                object,
+            });
+            self.put(stored);
+        }
+        self.seen
+            .retain(|seen| offset.saturating_sub(seen.offset) <= CHANGE_WINDOW);
+        self.seen.push(Seen {
+            offset,
+            id: change.id,
+        });
+        self.rehash();
+    }
+
+    pub(super) fn put(&mut self, stored: Stored) {
+        let found = self.find(stored.kind, name_of(&stored.entry.object));
+        let stored = Arc::new(stored);
+        match found {
+            Ok(i) => self.stored[i] = stored,
+            Err(i) => self.stored.insert(i, stored),
+        }
+    }
+}
+
+fn unreadable(err: serde_json::Error) -> Refused {
+    Refused::Unreadable(err.to_string())
+}
+
+fn read_record(data: &str) -> Result<ConfigRecord, Stop> {
+    let value: Value = serde_json::from_str(data).map_err(unreadable)?;
+    let kind = value["kind"]
+        .as_str()
+        .ok_or_else(|| Refused::Unreadable("it has no kind".to_owned()))?;
+    let version = value["v"]
+        .as_u64()
+        .ok_or_else(|| Refused::Unreadable("it has no version".to_owned()))?;
+    if version > u64::from(RECORD_VERSION) {
+        return Err(Halt::NewerVersion(version).into());
+    }
+    if !matches!(kind, "change" | "snapshot") {
+        return Err(Halt::UnknownKind(kind.to_owned()).into());
+    }
+    serde_json::from_value(value).map_err(|err| unreadable(err).into())
+}
+
+/// Stops at objects of unknown kinds; only what a declared operator has signed gets here.
+fn check_kinds(value: &Value) -> Result<(), Halt> {
+    let objects = value["put"].as_array().map_or(&[][..], Vec::as_slice);
+    let kinds = objects.iter().filter_map(|object| object["kind"].as_str());
+    let mut unknown = kinds.filter(|kind| kind.parse::<ObjectKind>().is_err());
+    match unknown.next() {
+        Some(kind) => Err(Halt::UnknownKind(kind.to_owned())),
+        None => Ok(()),
+    }
+}
+
+/// Checks that every object touched has a base, and that none is touched twice.
+fn check_form(change: &Change) -> Result<(), Refused> {
+    let put = change.put.iter().map(touched_by_put);
+    let deleted = change
+        .delete
+        .iter()
+        .map(|object| (object.kind.as_str(), object.name.as_str()));
+    let mut touched: Vec<(&str, &str)> = put.chain(deleted).collect();
+    touched.sort_unstable();
+    if touched.windows(2).any(|pair| pair[0] == pair[1]) {
+        return Err(Refused::Invalid("the change touches an object twice"));
+    }
+    if touched.iter().any(|(_, name)| name.is_empty()) {
+        return Err(Refused::Invalid("an object has no name"));
+    }
+    let has_base = |(kind, name): &(&str, &str)| {
+        let mut bases = change.bases.iter();
+        bases.any(|base| base.kind == *kind && base.name == *name)
+    };
+    if !touched.iter().all(has_base) {
+        return Err(Refused::Invalid("an object has no base version"));
+    }
+    Ok(())
+}
+
+fn touched_by_put(object: &Object) -> (&str, &str) {
+    (kind_of(object).as_str(), name_of(object))
+}
--- /dev/null
+++ b/src/config/metrics.rs
@@ -0,0 +1,58 @@
+//! Metrics of the configuration.
+
+use super::apply::Verdict;
+use super::state::State;
+use crate::operations::Metrics;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+
+/// Hex digits of the hash that fit a metric exactly.
+const HASH_DIGITS: usize = 12;
+
+/// Metrics of the configuration.
+pub(super) struct ConfigMetrics {
+    hash: IntGauge,
+    stopped: IntGauge,
+    records: IntCounterVec,
+}
+
+impl ConfigMetrics {
+    pub(super) fn new(metrics: &Metrics) -> Self {
+        let hash = "First 48 bits of the hash of the configuration in force.";
+        let stopped = "1 while a record that this version does not know keeps it from applying.";
+        let records = Opts::new(
+            "currantbend_config_records_total",
+            "Records of the config stream by what came of them.",
+        );
+        let own = Self {
+            hash: IntGauge::new("currantbend_config_hash", hash).expect("the name is valid"),
+            stopped: IntGauge::new("currantbend_config_stopped", stopped)
+                .expect("the name is valid"),
+            records: IntCounterVec::new(records, &["verdict"]).expect("the name is valid"),
+        };
+        metrics.register(Box::new(own.hash.clone()));
+        metrics.register(Box::new(own.stopped.clone()));
+        metrics.register(Box::new(own.records.clone()));
+        own
+    }
+
+    pub(super) fn applied(&self, verdict: &Verdict) {
+        let verdict = match verdict {
+            Verdict::Accepted => "accepted",
+            Verdict::Refused(_) => "refused",
+            Verdict::Snapshot => "snapshot",
+        };
+        self.records.with_label_values(&[verdict]).inc();
+    }
+
+    pub(super) fn in_force(&self, state: &State) {
+        let digits = &state.hash()[..HASH_DIGITS];
+        self.hash
+            .set(i64::from_str_radix(digits, 16).unwrap_or_default());
+    }
+
+    pub(super) fn stopped(&self) {
+        self.stopped.set(1);
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,19 +1,43 @@
 //! Configuration in force, followed from the `config` stream of the platform's log.
 //!
-//! The offset of the newest record applied is the version. See `docs/CONFIGURATION.md`.
+//! Every node applies the stream in order through the same deterministic function. The offset of the newest record
+//! applied is the version. See `docs/CONFIGURATION.md`.
 
+mod apply;
 mod follow;
+mod metrics;
+mod neighbours;
+mod object;
+mod place;
+mod rank;
+mod serve;
 mod settings;
+mod signature;
+mod snapshot;
+mod snapshotter;
 mod state;
+mod store;
 #[cfg(test)]
 mod tests;
 
+pub use apply::Halt;
+pub use apply::RECORD_VERSION;
+pub use apply::Refused;
+pub use apply::Verdict;
 pub use follow::Follower;
+pub use follow::FollowerParts;
 pub use follow::READY_CONFIG;
+pub use object::ObjectKind;
+pub use object::kind_of;
+pub use object::name_of;
+pub use place::may_serve;
 pub use settings::Settings;
-pub use state::ApplyError;
+pub use signature::KeyError;
+pub use signature::OperatorKey;
 pub use state::State;
+pub use state::hex;
 
+use crate::border::generated::config::NodeStatus;
 use std::sync::Arc;
 
 /// Stream of the platform's log that holds configuration.
@@ -23,4 +47,15 @@
 pub trait ConfigSource: Send + Sync {
     /// Gives the configuration in force now.
     fn state(&self) -> Arc<State>;
+
+    /// Gives the offset of the record at which applying stopped because this program does not know it.
+    fn stopped_at(&self) -> Option<u64> {
+        None
+    }
+}
+
+/// Where the operations address gets the node's status.
+pub trait StatusSource: Send + Sync {
+    /// Gives the status as it is now.
+    fn status(&self) -> NodeStatus;
 }
--- /dev/null
+++ b/src/config/serve.rs
@@ -0,0 +1,106 @@
+//! Answers neighbours that ask for configuration on the peer address.
+
+use super::neighbours::CONFIG_PATH;
+use super::neighbours::MAC_HEADER;
+use super::neighbours::answer_text;
+use super::state::hex;
+use super::state::unhex;
+use super::store::Store;
+use crate::border::generated::config::PeerConfig;
+use crate::hop::mac;
+use crate::net::Body;
+use crate::net::Handler;
+use crate::net::empty_body;
+use crate::net::full_body;
+use crate::operations::ControlKind;
+use crate::operations::Metrics;
+use crate::settings::DeploymentKey;
+use async_trait::async_trait;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time that an answer waits for something new.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Serves questions for configuration and hands everything else to the next handler.
+pub struct ConfigServer {
+    store: Arc<Store>,
+    key: DeploymentKey,
+    metrics: Arc<Metrics>,
+    next: Arc<dyn Handler>,
+}
+
+impl ConfigServer {
+    pub(super) fn new(
+        store: Arc<Store>,
+        key: DeploymentKey,
+        metrics: Arc<Metrics>,
+        next: Arc<dyn Handler>,
+    ) -> Self {
+        Self {
+            store,
+            key,
+            metrics,
+            next,
+        }
+    }
+
+    fn is_authentic(&self, req: &Request<Incoming>, question: &str) -> bool {
+        let code = req.headers().get(MAC_HEADER);
+        let code = code.and_then(|code| unhex(code.to_str().ok()?));
+        code.is_some_and(|code| mac::is_valid(&self.key, question.as_bytes(), &code))
+    }
+
+    async fn answer(&self, query: &str) -> PeerConfig {
+        let from = number(query, "from").unwrap_or(0);
+        let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(MAX_WAIT);
+        let mut rx = self.store.subscribe();
+        let newer = rx.wait_for(|state| state.next() > from);
+        // Without anything new in time the answer is empty.
+        let _ = tokio::time::timeout(wait, newer).await;
+        self.store.answer(from)
+    }
+}
+
+#[async_trait]
+impl Handler for ConfigServer {
+    async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        if req.uri().path() != CONFIG_PATH {
+            return self.next.handle(req, peer).await;
+        }
+        let question = req.uri().path_and_query().map(ToString::to_string);
+        let question = question.unwrap_or_default();
+        if !self.is_authentic(&req, &question) {
+            return bare(StatusCode::FORBIDDEN);
+        }
+        let answer = self.answer(req.uri().query().unwrap_or_default()).await;
+        let Ok(body) = serde_json::to_vec(&answer) else {
+            return bare(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        self.metrics
+            .control_bytes(ControlKind::Config, question.len() + body.len());
+        let code = hex(&mac::code(&self.key, &answer_text(&question, &body)));
+        let mut response = Response::new(full_body(body));
+        if let Ok(code) = code.parse() {
+            response.headers_mut().insert(MAC_HEADER, code);
+        }
+        response
+    }
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    value.parse().ok()
+}
+
+fn bare(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/config/snapshot.rs
@@ -0,0 +1,61 @@
+//! Snapshots: the whole configuration in one record, since the log keeps records for a limited time only.
+
+use super::apply::RECORD_VERSION;
+use super::state::State;
+use super::state::Stored;
+use super::state::hex;
+use super::state::unhex;
+use crate::border::generated::config::ConfigRecord;
+use crate::border::generated::config::Snapshot;
+use crate::hop::mac;
+use crate::settings::DeploymentKey;
+
+impl State {
+    /// Makes a snapshot, or nothing before the first record.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        Some(Snapshot {
+            at: self.version?,
+            entries: self.entries().cloned().collect(),
+            seen: self.seen.clone(),
+        })
+    }
+
+    /// Takes the configuration from a snapshot whose origin has been checked.
+    pub fn from_snapshot(snapshot: Snapshot) -> Self {
+        let mut state = Self {
+            version: Some(snapshot.at),
+            seen: snapshot.seen,
+            ..Self::default()
+        };
+        for entry in snapshot.entries {
+            state.put(Stored::new(entry));
+        }
+        state.rehash();
+        state
+    }
+}
+
+/// Writes the record of a snapshot, authenticated by the deployment's key.
+pub(super) fn to_record(snapshot: &Snapshot, key: &DeploymentKey) -> Option<String> {
+    let body = serde_json::to_string(snapshot).ok()?;
+    let record = ConfigRecord::Snapshot {
+        v: RECORD_VERSION,
+        mac: hex(&mac::code(key, body.as_bytes())),
+        body,
+    };
+    serde_json::to_string(&record).ok()
+}
+
+/// Reads the record of a snapshot; gives nothing for other records and for snapshots that no node of this deployment
+/// has written. Without a key the origin is not checked, which only the operators' tool does.
+pub fn from_record(data: &str, key: Option<&DeploymentKey>) -> Option<Snapshot> {
+    let ConfigRecord::Snapshot { v, body, mac } = serde_json::from_str(data).ok()? else {
+        return None;
+    };
+    let code = unhex(&mac)?;
+    let is_valid = key.is_none_or(|key| mac::is_valid(key, body.as_bytes(), &code));
+    if v > RECORD_VERSION || !is_valid {
+        return None;
+    }
+    serde_json::from_str(&body).ok()
+}
--- /dev/null
+++ b/src/config/snapshotter.rs
@@ -0,0 +1,81 @@
+//! Appends snapshots to the stream, well before the log forgets what they hold.
+
+use super::STREAM;
+use super::rank::snapshot_rank;
+use super::settings::Settings;
+use super::snapshot;
+use super::store::Store;
+use super::store::now_ms;
+use crate::border::LogService;
+use crate::membership::Membership;
+use crate::settings::DeploymentKey;
+use crate::timeline::Timeline;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between two looks at whether a snapshot is due.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+/// Share of the distance between snapshots by which each further rank waits, as a divisor.
+const RANK_SHARE: u64 = 4;
+/// Nodes that write snapshots, of which each waits for those before it.
+const WRITERS: usize = 4;
+
+/// What the snapshotting task works with.
+pub(super) struct Snapshotter {
+    pub(super) node: String,
+    pub(super) key: DeploymentKey,
+    pub(super) settings: Settings,
+    pub(super) log: Arc<dyn LogService>,
+    pub(super) store: Arc<Store>,
+    pub(super) membership: Arc<dyn Membership>,
+    pub(super) timeline: Arc<Timeline>,
+}
+
+impl Snapshotter {
+    pub(super) async fn run(self) {
+        loop {
+            tokio::time::sleep(LOOK_PAUSE).await;
+            if self.is_due() {
+                self.append().await;
+            }
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        let rank = snapshot_rank(&self.membership.view(), &self.node);
+        let Some(rank) = rank.filter(|rank| *rank < WRITERS) else {
+            return false;
+        };
+        let is_level = self
+            .store
+            .level_age()
+            .is_some_and(|age| age < self.settings.max_age);
+        if !is_level || self.store.stopped_at().is_some() {
+            return false;
+        }
+        let late = |distance: u64| distance + distance * rank as u64 / RANK_SHARE;
+        let last = self.store.last_snapshot();
+        let records = self.store.next() - last.offset.map_or(0, |offset| offset + 1);
+        if records >= late(self.settings.snapshot_records) {
+            return true;
+        }
+        let interval = self.settings.snapshot_interval.as_millis() as u64;
+        let since = last.time_ms.map(|time| now_ms().saturating_sub(time));
+        since.is_some_and(|since| since >= late(interval))
+    }
+
+    async fn append(&self) {
+        let state = self.store.state();
+        let Some(snapshot) = state.snapshot() else {
+            return;
+        };
+        let Some(record) = snapshot::to_record(&snapshot, &self.key) else {
+            return;
+        };
+        // Where the answer was lost the record is read in time, or another one is written, which is harmless.
+        if let Err(err) = self.log.append(STREAM, &record).await {
+            slog::warn!(self.timeline.log(), "config snapshot not appended"; "cause" => ?err);
+        }
+        tokio::time::sleep(self.settings.poll_wait).await;
+    }
+}
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -1,85 +1,180 @@
-//! The configuration that results from applying records in order.
+//! The configuration at one version.
 
-use crate::border::generated::config::ConfigRecord;
+use super::object::ObjectKind;
+use super::object::kind_of;
+use super::object::name_of;
+use crate::border::generated::config::Backend;
+use crate::border::generated::config::Entry;
+use crate::border::generated::config::Model;
 use crate::border::generated::config::Object;
+use crate::border::generated::config::Operator;
+use crate::border::generated::config::Seen;
 use crate::border::generated::config::Service;
 use crate::border::generated::config::Team;
 use sha2::Digest;
 use sha2::Sha256;
+use std::sync::Arc;
 use subtle::ConstantTimeEq;
 
-/// Why a record does not change the state.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ApplyError {
-    /// The record is not one that this version reads.
-    Unreadable(String),
+/// Length of a SHA-256 digest in bytes.
+const DIGEST_BYTES: usize = 32;
+
+/// An object in force with the digest of its canonical form.
+#[derive(Debug)]
+pub(super) struct Stored {
+    pub(super) kind: ObjectKind,
+    pub(super) entry: Entry,
+    digest: [u8; DIGEST_BYTES],
+}
+
+impl Stored {
+    pub(super) fn new(entry: Entry) -> Self {
+        Self {
+            kind: kind_of(&entry.object),
+            digest: digest_of(&entry),
+            entry,
+        }
+    }
+
+    fn name(&self) -> &str {
+        name_of(&self.entry.object)
+    }
 }
 
 /// Configuration at one version.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct State {
     /// Offset of the newest record applied, or nothing before the first.
     pub version: Option<u64>,
-    teams: Vec<Team>,
-    services: Vec<Service>,
+    /// Sorted by kind and name; shared, so that a new version costs no copy of what it leaves alone.
+    pub(super) stored: Vec<Arc<Stored>>,
+    /// Changes that took effect lately, in the order of their offsets.
+    pub(super) seen: Vec<Seen>,
+    pub(super) hash: [u8; DIGEST_BYTES],
+}
+
+impl Default for State {
+    fn default() -> Self {
+        let mut state = Self {
+            version: None,
+            stored: Vec::new(),
+            seen: Vec::new(),
+            hash: [0; DIGEST_BYTES],
+        };
+        state.rehash();
+        state
+    }
 }
 
 impl State {
-    /// Applies the record at `offset` and returns the state after it.
-    ///
-    /// # Errors
-    ///
-    /// Tells why the record is refused; the state then stays as it is.
-    pub fn apply(&self, offset: u64, data: &str) -> Result<Self, ApplyError> {
-        let record: ConfigRecord =
-            serde_json::from_str(data).map_err(|err| ApplyError::Unreadable(err.to_string()))?;
-        let ConfigRecord::Change { put, .. } = record;
-        let mut next = self.clone();
-        for object in put {
-            next.put(object);
-        }
-        next.version = Some(offset);
-        Ok(next)
+    /// Gives the offset of the record that is to be applied next.
+    pub fn next(&self) -> u64 {
+        self.version.map_or(0, |version| version + 1)
     }
 
-    fn put(&mut self, object: Object) {
-        match object {
-            Object::Team { team } => {
-                let found = self.teams.binary_search_by(|t| t.name.cmp(&team.name));
-                insert(&mut self.teams, found, team);
-            }
-            Object::Service { service } => {
-                let found = self
-                    .services
-                    .binary_search_by(|s| s.name.cmp(&service.name));
-                insert(&mut self.services, found, service);
-            }
-        }
+    /// Gives the SHA-256 over all objects with their versions and the changes seen lately, in hex. Nodes at the same
+    /// version have the same.
+    pub fn hash(&self) -> String {
+        hex(&self.hash)
+    }
+
+    /// Lists everything in force, sorted by kind and name.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.stored.iter().map(|stored| &stored.entry)
+    }
+
+    /// Finds an object with the change that it comes from.
+    pub fn entry(&self, kind: ObjectKind, name: &str) -> Option<&Entry> {
+        let found = self.find(kind, name).ok()?;
+        Some(&self.stored[found].entry)
+    }
+
+    pub(super) fn find(&self, kind: ObjectKind, name: &str) -> Result<usize, usize> {
+        self.stored
+            .binary_search_by(|stored| (stored.kind, stored.name()).cmp(&(kind, name)))
+    }
+
+    fn of_kind(&self, kind: ObjectKind) -> impl Iterator<Item = &Object> {
+        let start = self.stored.partition_point(|stored| stored.kind < kind);
+        let end = self.stored.partition_point(|stored| stored.kind <= kind);
+        self.stored[start..end]
+            .iter()
+            .map(|stored| &stored.entry.object)
     }
 
     /// Finds a service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let found = self
-            .services
-            .binary_search_by(|s| s.name.as_str().cmp(name));
-        found.ok().map(|i| &self.services[i])
+        match &self.entry(ObjectKind::Service, name)?.object {
+            Object::Service { service } => Some(service),
+            _ => None,
+        }
+    }
+
+    /// Finds a team by its name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        match &self.entry(ObjectKind::Team, name)?.object {
+            Object::Team { team } => Some(team),
+            _ => None,
+        }
+    }
+
+    /// Finds what is wanted of a backend server by its name.
+    pub fn backend(&self, name: &str) -> Option<&Backend> {
+        match &self.entry(ObjectKind::Backend, name)?.object {
+            Object::Backend { backend } => Some(backend),
+            _ => None,
+        }
+    }
+
+    /// Finds a model by its name.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        match &self.entry(ObjectKind::Model, name)?.object {
+            Object::Model { model } => Some(model),
+            _ => None,
+        }
     }
 
     /// Lists the teams, sorted by name.
-    pub fn teams(&self) -> &[Team] {
-        &self.teams
+    pub fn teams(&self) -> impl Iterator<Item = &Team> {
+        self.of_kind(ObjectKind::Team)
+            .filter_map(|object| match object {
+                Object::Team { team } => Some(team),
+                _ => None,
+            })
     }
 
     /// Lists the services, sorted by name.
-    pub fn services(&self) -> &[Service] {
-        &self.services
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.of_kind(ObjectKind::Service)
+            .filter_map(|object| match object {
+                Object::Service { service } => Some(service),
+                _ => None,
+            })
+    }
+
+    /// Lists what is wanted of backend servers, sorted by name.
+    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
+        self.of_kind(ObjectKind::Backend)
+            .filter_map(|object| match object {
+                Object::Backend { backend } => Some(backend),
+                _ => None,
+            })
+    }
+
+    /// Lists the operators, sorted by name.
+    pub fn operators(&self) -> impl Iterator<Item = &Operator> {
+        self.of_kind(ObjectKind::Operator)
+            .filter_map(|object| match object {
+                Object::Operator { operator } => Some(operator),
+                _ => None,
+            })
     }
 
     /// Finds the team that `key` belongs to; every hash is compared in full, so that time tells nothing.
     pub fn team_of_key(&self, key: &str) -> Option<&Team> {
         let hash = hex(&Sha256::digest(key.as_bytes()));
         let mut found = None;
-        for team in &self.teams {
+        for team in self.teams() {
             for known in &team.key_hashes {
                 if bool::from(known.as_bytes().ct_eq(hash.as_bytes())) {
                     found = Some(team);
@@ -88,16 +183,51 @@
         }
         found
     }
-}
 
-fn insert<T>(items: &mut Vec<T>, found: Result<usize, usize>, item: T) {
-    match found {
-        Ok(i) => items[i] = item,
-        Err(i) => items.insert(i, item),
+    /// Computes the hash anew, after objects or seen changes have changed.
+    pub(super) fn rehash(&mut self) {
+        let mut hasher = Sha256::new();
+        for stored in &self.stored {
+            hasher.update(stored.digest);
+        }
+        for seen in &self.seen {
+            hasher.update(seen.offset.to_be_bytes());
+            part(&mut hasher, seen.id.as_bytes());
+        }
+        self.hash = hasher.finalize().into();
     }
 }
 
+fn digest_of(entry: &Entry) -> [u8; DIGEST_BYTES] {
+    let mut hasher = Sha256::new();
+    hasher.update(entry.version.to_be_bytes());
+    part(&mut hasher, entry.change.as_bytes());
+    part(&mut hasher, entry.operator.as_bytes());
+    // Fields are written in the order of the type, so that equal objects have equal text.
+    let object = serde_json::to_vec(&entry.object).expect("objects have text keys only");
+    part(&mut hasher, &object);
+    hasher.finalize().into()
+}
+
+fn part(hasher: &mut Sha256, bytes: &[u8]) {
+    hasher.update((bytes.len() as u64).to_be_bytes());
+    hasher.update(bytes);
+}
+
 /// Writes bytes as lower-case hex digits.
 pub fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
+
+/// Reads hex digits.
+pub(super) fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) {
+        return None;
+    }
+    let pair = |pair: &[u8]| {
+        let text = std::str::from_utf8(pair).ok()?;
+        u8::from_str_radix(text, 16).ok()
+    };
+    digits.chunks_exact(2).map(pair).collect()
+}
--- /dev/null
+++ b/src/config/tests/apply.rs
@@ -0,0 +1,173 @@
+use super::fixtures::change;
+use super::fixtures::first;
+use super::fixtures::key;
+use super::fixtures::operator;
+use super::fixtures::replay;
+use super::fixtures::signed;
+use super::fixtures::team;
+use super::fixtures::weight;
+use crate::border::generated::config::Base;
+use crate::border::generated::config::ObjectRef;
+use crate::config::Halt;
+use crate::config::ObjectKind;
+use crate::config::OperatorKey;
+use crate::config::Refused;
+use crate::config::State;
+use crate::config::Verdict;
+use crate::config::apply::CHANGE_WINDOW;
+
+#[test]
+fn a_key_finds_its_team_alone() {
+    let records = [first(), weight("b", 0, "gavle", 1, None)];
+
+    let (state, _) = replay(&records);
+
+    let team = state.team_of_key("gavle").map(|team| team.name.as_str());
+    assert_eq!(team, Some("gavle"));
+    assert!(state.team_of_key("sundsvall").is_none());
+}
+
+#[test]
+fn of_two_changes_on_the_same_base_the_first_wins() {
+    let records = [
+        first(),
+        weight("a", 0, "falun", 2, Some(0)),
+        weight("b", 0, "falun", 3, Some(0)),
+    ];
+
+    let (state, verdicts) = replay(&records);
+
+    assert_eq!(state.team("falun").unwrap().weight, 2);
+    let Verdict::Refused(Refused::Stale(overtaken)) = &verdicts[2] else {
+        panic!("{verdicts:?}");
+    };
+    assert_eq!(overtaken.now, Some(1));
+    assert_eq!(overtaken.by.as_deref(), Some("op"));
+}
+
+#[test]
+fn an_unreadable_record_changes_nothing_but_the_version() {
+    let whole = weight("a", 0, "falun", 2, Some(0));
+    for cut in ["", "{\"kind\":\"chan", "[]", "{\"v\":1}", &whole[..40]] {
+        let records = [first(), cut.to_owned(), whole.clone()];
+
+        let (state, verdicts) = replay(&records);
+
+        let is_refused = matches!(verdicts[1], Verdict::Refused(Refused::Unreadable(_)));
+        assert!(is_refused, "{cut}: {verdicts:?}");
+        assert_eq!(verdicts[2], Verdict::Accepted);
+        assert_eq!(state.version, Some(2));
+    }
+}
+
+#[test]
+fn a_repeated_change_takes_effect_once_even_after_a_delete() {
+    let create = weight("a", 0, "gavle", 1, None);
+    let mut delete = change("b", Some(1), Vec::new());
+    let gavle = ("team".to_owned(), "gavle".to_owned());
+    delete.bases.push(Base {
+        kind: gavle.0.clone(),
+        name: gavle.1.clone(),
+        version: Some(1),
+    });
+    delete.delete.push(ObjectRef {
+        kind: gavle.0,
+        name: gavle.1,
+    });
+    let records = [first(), create.clone(), signed(&delete, &key()), create];
+
+    let (state, verdicts) = replay(&records);
+
+    assert_eq!(verdicts[3], Verdict::Refused(Refused::Duplicate));
+    assert!(state.team("gavle").is_none());
+}
+
+#[test]
+fn a_change_that_comes_too_late_is_refused_so_that_its_id_may_be_forgotten() {
+    let mut records = vec![first()];
+    records.extend((0..CHANGE_WINDOW).map(|_| String::from("noise")));
+    let in_time = weight("a", 0, "falun", 2, Some(0));
+    let late = weight("b", 0, "gavle", 2, None);
+    records.extend([in_time, late]);
+
+    let (_, verdicts) = replay(&records);
+
+    let last = verdicts.len() - 1;
+    assert_eq!(verdicts[last - 1], Verdict::Accepted);
+    assert_eq!(verdicts[last], Verdict::Refused(Refused::Expired));
+}
+
+#[test]
+fn only_a_declared_operator_changes_anything() {
+    let stranger = OperatorKey::from_seed([8; 32]);
+    let wanted = change("a", Some(0), vec![(team("falun", 2), Some(0))]);
+    let mut other_name = wanted.clone();
+    other_name.operator = "nobody".to_owned();
+    let mut altered = signed(&wanted, &key());
+    altered = altered.replace("falun", "gavle");
+    let unsigned = signed(&wanted, &key()).replace("signature", "no_signature");
+    let forged = [
+        signed(&wanted, &stranger),
+        signed(&other_name, &key()),
+        altered,
+        unsigned,
+    ];
+
+    for record in forged {
+        let (state, verdicts) = replay(&[first(), record]);
+
+        assert_eq!(verdicts[1], Verdict::Refused(Refused::NotAuthentic));
+        assert_eq!(state.team("falun").unwrap().weight, 1);
+    }
+}
+
+#[test]
+fn the_last_operator_stays() {
+    let mut delete = change("a", Some(0), Vec::new());
+    let base = change("", None, vec![(operator(), Some(0))]).bases;
+    delete.bases = base;
+    delete.delete.push(ObjectRef {
+        kind: "operator".to_owned(),
+        name: "op".to_owned(),
+    });
+
+    let (state, verdicts) = replay(&[first(), signed(&delete, &key())]);
+
+    assert!(matches!(verdicts[1], Verdict::Refused(Refused::Invalid(_))));
+    assert!(state.entry(ObjectKind::Operator, "op").is_some());
+}
+
+#[test]
+fn what_a_newer_program_writes_stops_applying() {
+    let (state, _) = replay(&[first()]);
+    let newer = first().replace("\"v\":1", "\"v\":2");
+    let unknown = "{\"kind\":\"quota\",\"v\":1}";
+    let body = change("a", Some(0), vec![(team("falun", 2), Some(0))]);
+    let mut body = serde_json::to_value(&body).unwrap();
+    body["put"][0]["kind"] = "region".into();
+    let body = body.to_string();
+    let object = serde_json::json!({
+        "kind": "change", "v": 1, "body": body, "signature": key().sign(&body),
+    });
+
+    let halts = [
+        state.apply(1, &newer).unwrap_err(),
+        state.apply(1, unknown).unwrap_err(),
+        state.apply(1, &object.to_string()).unwrap_err(),
+    ];
+
+    assert_eq!(halts[0], Halt::NewerVersion(2));
+    assert_eq!(halts[1], Halt::UnknownKind("quota".to_owned()));
+    assert_eq!(halts[2], Halt::UnknownKind("region".to_owned()));
+}
+
+#[test]
+fn a_change_without_a_base_for_what_it_touches_is_refused() {
+    let mut loose = change("a", Some(0), vec![(team("falun", 2), Some(0))]);
+    loose.bases.clear();
+
+    let (_, verdicts) = replay(&[first(), signed(&loose, &key())]);
+
+    assert!(matches!(verdicts[1], Verdict::Refused(Refused::Invalid(_))));
+    assert_eq!(State::default().next(), 0);
+}
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -3,6 +3,8 @@
 use super::caller::Caller;
 use crate::border::generated::config::Service;
 use crate::border::generated::peer::HopHead;
+use crate::config::State;
+use crate::config::may_serve;
 use crate::hop::Dispatch;
 use crate::hop::PROTOCOL_VERSION;
 use crate::membership::Backend;
@@ -26,6 +28,8 @@
 pub(super) struct Job<'a> {
     /// The caller.
     pub(super) caller: &'a Caller,
+    /// The configuration that the request is served under.
+    pub(super) state: &'a State,
     /// The service that is asked.
     pub(super) service: &'a Service,
     /// HTTP method.
@@ -141,7 +145,10 @@
         view: &'a View,
         progress: &Progress,
     ) -> Option<&'a Backend> {
-        let usable = |b: &&Backend| !b.leaving && !progress.tried.contains(&b.name);
+        let usable = |b: &&Backend| {
+            let is_new = !b.leaving && !progress.tried.contains(&b.name);
+            is_new && may_serve(job.state, job.service, &job.caller.team, b)
+        };
         let candidates: Vec<&Backend> = view
             .of_service(&job.service.name)
             .iter()
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -33,6 +33,7 @@
             .ok_or(Refusal::not_run(NotRun::UnknownService))?;
         let job = Job {
             caller,
+            state,
             service,
             method: "POST",
             path: CHAT_PATH,
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -56,6 +56,7 @@
         let path = format!("/{rest}");
         let mut job = Job {
             caller,
+            state,
             service,
             method,
             path: &path,
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -5,7 +5,7 @@
 
 mod codec;
 mod dispatch;
-mod mac;
+pub(crate) mod mac;
 mod remote;
 mod serve;
 #[cfg(test)]
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -6,6 +6,8 @@
 use crate::claims::Unclaimed;
 use crate::config;
 use crate::config::Follower;
+use crate::config::FollowerParts;
+use crate::config::StatusSource;
 use crate::entry::Attempts;
 use crate::entry::Entry;
 use crate::hop::PeerServer;
@@ -18,6 +20,7 @@
 use crate::net::Handler;
 use crate::net::Listener;
 use crate::net::Protocol;
+use crate::node::Status;
 use crate::operations::Metrics;
 use crate::operations::Pages;
 use crate::operations::Readiness;
@@ -88,8 +91,8 @@
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
         let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
-        let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
+        let follower = follower(settings, &poller, &metrics, &readiness, &timeline);
         let owner = owner(settings, &poller, &metrics, &timeline);
         let entry = entry(settings, &follower, &poller, &owner, &metrics, &timeline);
         let peer_server = PeerServer::new(
@@ -98,7 +101,9 @@
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
         );
-        let pages = Pages::new(metrics, readiness.clone());
+        let peer_server = follower.server(Arc::new(peer_server));
+        let status = status(settings, &follower, &poller, &readiness);
+        let pages = Pages::new(metrics, readiness.clone(), status);
         let http2 = Protocol::Http1And2;
         let http1 = Protocol::Http1;
         let peers = listen("peer_address", node.peer_address, http2, peer_server).await?;
@@ -152,8 +157,17 @@
     }
 }
 
+fn peer_client(settings: &Settings) -> Client {
+    Client::new(&ClientOptions {
+        http2: true,
+        ping: settings.membership.ping,
+        ..client_options(settings)
+    })
+}
+
 fn follower(
     settings: &Settings,
+    poller: &Poller,
     metrics: &Arc<Metrics>,
     readiness: &Readiness,
     timeline: &Arc<Timeline>,
@@ -164,13 +178,33 @@
         settings.platform.timeout,
         Arc::clone(metrics),
     );
-    Follower::start(
-        Arc::new(log),
-        &settings.config,
-        Arc::clone(metrics),
-        readiness.clone(),
-        Arc::clone(timeline),
-    )
+    Follower::start(FollowerParts {
+        node: &settings.node.name,
+        data_centre: &settings.node.data_centre,
+        key: &settings.node.key,
+        settings: &settings.config,
+        log: Arc::new(log),
+        client: peer_client(settings),
+        membership: poller.membership(),
+        metrics: Arc::clone(metrics),
+        readiness: readiness.clone(),
+        timeline: Arc::clone(timeline),
+    })
+}
+
+fn status(
+    settings: &Settings,
+    follower: &Follower,
+    poller: &Poller,
+    readiness: &Readiness,
+) -> Arc<dyn StatusSource> {
+    Arc::new(Status {
+        node: settings.node.name.clone(),
+        data_centre: settings.node.data_centre.clone(),
+        config: follower.source(),
+        membership: poller.membership(),
+        readiness: readiness.clone(),
+    })
 }
 
 fn poller(
@@ -217,13 +251,8 @@
     timeline: &Arc<Timeline>,
 ) -> Entry {
     let node = &settings.node;
-    let options = ClientOptions {
-        http2: true,
-        ping: settings.membership.ping,
-        ..client_options(settings)
-    };
     let remote = RemoteOwner::new(
-        Client::new(&options),
+        peer_client(settings),
         node.key.clone(),
         Arc::clone(timeline),
     );
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,47 @@
+//! What the page `/status` tells operators of a node.
+
+use crate::border::generated::config::NodeStatus;
+use crate::config::ConfigSource;
+use crate::config::StatusSource;
+use crate::membership::Membership;
+use crate::operations::Readiness;
+use std::sync::Arc;
+
+/// Gathers a node's status from its slices.
+pub(super) struct Status {
+    pub(super) node: String,
+    pub(super) data_centre: String,
+    pub(super) config: Arc<dyn ConfigSource>,
+    pub(super) membership: Arc<dyn Membership>,
+    pub(super) readiness: Readiness,
+}
+
+impl Status {
+    fn owned(&self) -> Vec<String> {
+        let view = self.membership.view();
+        let backends = view.backends().iter();
+        let is_own = |node: &str| node == self.node;
+        backends
+            .filter(|backend| view.owner(backend).is_some_and(|node| is_own(&node.name)))
+            .map(|backend| backend.name.clone())
+            .collect()
+    }
+}
+
+impl StatusSource for Status {
+    fn status(&self) -> NodeStatus {
+        let state = self.config.state();
+        let missing = self.readiness.missing();
+        NodeStatus {
+            node: self.node.clone(),
+            data_centre: self.data_centre.clone(),
+            version: state.version,
+            hash: state.hash(),
+            ready: missing.is_empty(),
+            missing: missing.into_iter().map(str::to_owned).collect(),
+            stopped_at: self.config.stopped_at(),
+            owned: self.owned(),
+            unsettled: Vec::new(),
+        }
+    }
+}
--- a/src/operations/pages.rs
+++ b/src/operations/pages.rs
@@ -1,6 +1,7 @@
 //! The pages on the operations address.
 
 use super::Metrics;
+use crate::config::StatusSource;
 use crate::net::Body;
 use crate::net::Handler;
 use crate::net::full_body;
@@ -55,12 +56,24 @@
 pub struct Pages {
     metrics: Arc<Metrics>,
     readiness: Readiness,
+    status: Arc<dyn StatusSource>,
 }
 
 impl Pages {
     /// Makes the pages.
-    pub fn new(metrics: Arc<Metrics>, readiness: Readiness) -> Self {
-        Self { metrics, readiness }
+    pub fn new(metrics: Arc<Metrics>, readiness: Readiness, status: Arc<dyn StatusSource>) -> Self {
+        Self {
+            metrics,
+            readiness,
+            status,
+        }
+    }
+
+    fn status(&self) -> Response<Body> {
+        match serde_json::to_vec(&self.status.status()) {
+            Ok(json) => page(StatusCode::OK, json),
+            Err(err) => page(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+        }
     }
 
     fn ready(&self) -> Response<Body> {
@@ -79,6 +92,7 @@
         match req.uri().path() {
             "/live" => page(StatusCode::OK, "live\n"),
             "/ready" => self.ready(),
+            "/status" => self.status(),
             "/metrics" => page(StatusCode::OK, self.metrics.render()),
             _ => page(StatusCode::NOT_FOUND, "no such page\n"),
         }
