--- a/bench/src/load/plain.rs
+++ b/bench/src/load/plain.rs
@@ -122,7 +122,7 @@
             started: Instant::now(),
             first_byte: None,
             ended: Instant::now(),
-            refusals: 0,
+            refused_at: Vec::new(),
             end: End::Refused,
         };
         let expected = Expected::Echo(body.clone());
@@ -130,6 +130,7 @@
             client: &mut self.client,
             directory: &self.directory,
             rng: &mut self.rng,
+            pinned: None,
         };
         send_call(&mut attempt, &mut record, request, &expected).await;
         record
