Configuration: reconciliation, cases config, race and orders

Cause: nothing showed that accepted configuration stays, and engines' wanted states were not followed. Change: owners compare engines with their wanted state and give orders under the configuration's version, loads take turns by configuration and clock; cases that write changes, race and change wanted states under faults. A relay that knew nobody with newer knowledge left the failed log alone for 3 s; it asks again at once.

--- /dev/null
+++ b/bench/src/cases/config/watch.rs
@@ -0,0 +1,241 @@
+//! Watches which version each node has in force, and judges what was seen.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+
+use crate::cases::Findings;
+use crate::fleet::CONFIG_STREAM;
+use crate::fleet::Fleet;
+use crate::fleet::PLATFORM_ZONE;
+use crate::load::directory::NodeEntry;
+use crate::load::directory::get_text;
+use crate::wire::config::NodeStatus;
+use crate::wire::config::ObjectStatus;
+
+/// Pause between two looks at all nodes.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Pause from which an append is not counted from the look before.
+const LOOK_GAP: Duration = Duration::from_secs(1);
+/// Time within which a change must be in force on all reachable nodes, at the 99th percentile.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// Longest wait for the nodes to be level after the load.
+const LEVEL_WITHIN: Duration = Duration::from_secs(20);
+
+/// What was seen of one node at one time.
+struct Sample {
+    at: Instant,
+    /// Whether its process answers and is not cut off from the platform.
+    reachable: bool,
+    status: Option<NodeStatus>,
+}
+
+/// What was seen so far.
+#[derive(Default)]
+pub struct Watch {
+    /// The samples of each node, in the order of the nodes.
+    nodes: Vec<Vec<Sample>>,
+    /// The last look at the log before each offset was seen there.
+    appended: Vec<(u64, Instant)>,
+    looked: Option<Instant>,
+}
+
+impl Watch {
+    /// Looks at the log and at all nodes.
+    pub async fn look(&mut self, fleet: &Fleet) {
+        let entries = fleet.directory().nodes();
+        self.note_appends(fleet);
+        let statuses = join_all(entries.iter().map(status_of)).await;
+        self.nodes.resize_with(entries.len(), Vec::new);
+        for ((samples, entry), status) in self.nodes.iter_mut().zip(&entries).zip(statuses) {
+            let zone = entry.name.split('-').next().unwrap_or_default();
+            let is_cut = fleet.proxy().has_rule_between(zone, PLATFORM_ZONE);
+            samples.push(Sample {
+                at: Instant::now(),
+                reachable: status.is_some() && !is_cut,
+                status,
+            });
+        }
+    }
+
+    /// Looks again and again until `until`.
+    pub async fn look_until(&mut self, fleet: &Fleet, until: Instant) {
+        while Instant::now() < until {
+            self.look(fleet).await;
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Goes on looking until all nodes have everything that is in the log; tells whether that came in time.
+    pub async fn level(&mut self, fleet: &Fleet) -> bool {
+        let until = Instant::now() + LEVEL_WITHIN;
+        while Instant::now() < until {
+            self.look(fleet).await;
+            let newest = self.appended.last().map(|(offset, _)| *offset);
+            let has_newest = |samples: &Vec<Sample>| {
+                let status = samples.last().and_then(|sample| sample.status.as_ref());
+                status.is_some_and(|status| status.version >= newest)
+            };
+            if self.nodes.iter().all(has_newest) {
+                return true;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        false
+    }
+
+    fn note_appends(&mut self, fleet: &Fleet) {
+        let known = self.appended.last().map(|(offset, _)| *offset);
+        // An append counts from the look before, so that no time is left out; after a longer pause it is not known.
+        let now = Instant::now();
+        let before = self.looked.replace(now);
+        let before = before.filter(|before| now - *before < LOOK_GAP);
+        let before = before.unwrap_or(now);
+        let records = fleet.log().records(CONFIG_STREAM);
+        let new = records
+            .iter()
+            .filter(|(offset, _)| known.is_none_or(|known| *offset > known));
+        self.appended
+            .extend(new.map(|(offset, _)| (*offset, before)));
+    }
+
+    /// Counts the looks at which a node had gone back: a running one to an older version, or one that started again
+    /// ready with less than it had before.
+    pub fn reverted(&self) -> u64 {
+        self.nodes
+            .iter()
+            .map(|samples| reverted(samples))
+            .sum::<u64>()
+            + self.disagreements()
+    }
+
+    /// Counts the versions at which two nodes had different states.
+    fn disagreements(&self) -> u64 {
+        let statuses = self
+            .nodes
+            .iter()
+            .flatten()
+            .filter_map(|sample| sample.status.as_ref());
+        let mut seen: Vec<(u64, &str)> = statuses
+            .filter_map(|status| Some((status.version?, status.hash.as_str())))
+            .collect();
+        seen.sort_unstable();
+        seen.dedup();
+        seen.windows(2)
+            .filter(|pair| pair[0].0 == pair[1].0)
+            .count() as u64
+    }
+
+    /// The 99th percentile and the longest of the times until a record was in force on a reachable node.
+    pub fn in_force_times(&self) -> (Duration, Duration) {
+        let mut times = Vec::new();
+        for (offset, at) in &self.appended {
+            let taken = self
+                .nodes
+                .iter()
+                .filter_map(|samples| time_until(samples, *offset, *at));
+            times.extend(taken);
+        }
+        times.sort_unstable();
+        let longest = times.last().copied().unwrap_or_default();
+        let rank = (times.len() * 99).div_ceil(100).saturating_sub(1);
+        (times.get(rank).copied().unwrap_or_default(), longest)
+    }
+
+    /// Judges everything that was seen.
+    pub fn findings(&self, is_level: bool) -> Findings {
+        let mut findings = Findings {
+            reverted: self.reverted(),
+            ..Findings::default()
+        };
+        let mut fail = |text: String| findings.failures.push(text);
+        if !is_level {
+            let versions: Vec<Option<u64>> = self.last().map(|status| status.version).collect();
+            fail(format!(
+                "not all nodes have the newest version: {versions:?}"
+            ));
+        }
+        let mut hashes: Vec<&str> = self.last().map(|status| status.hash.as_str()).collect();
+        hashes.sort_unstable();
+        hashes.dedup();
+        if hashes.len() != 1 {
+            fail(format!("{} different states at the end", hashes.len()));
+        }
+        let (p99, longest) = self.in_force_times();
+        if p99 > IN_FORCE_WITHIN {
+            fail(format!(
+                "in force after {p99:.1?} at the 99th percentile, {longest:.1?} at most"
+            ));
+        }
+        findings
+    }
+
+    fn last(&self) -> impl Iterator<Item = &NodeStatus> {
+        self.nodes
+            .iter()
+            .filter_map(|samples| samples.last()?.status.as_ref())
+    }
+}
+
+fn reverted(samples: &[Sample]) -> u64 {
+    let mut newest = None;
+    let mut count = 0;
+    let mut is_new_process = false;
+    for sample in samples {
+        let Some(status) = &sample.status else {
+            is_new_process = true;
+            continue;
+        };
+        let may_be_behind = is_new_process && !status.ready;
+        if status.version < newest && !may_be_behind {
+            count += 1;
+        }
+        if status.ready {
+            is_new_process = false;
+        }
+        newest = newest.max(status.version);
+    }
+    count
+}
+
+/// The time from when a node could first have heard of a record until it was in force there. Time while the node was
+/// out of reach does not count, nor does a node that stayed out of reach.
+fn time_until(samples: &[Sample], offset: u64, at: Instant) -> Option<Duration> {
+    let mut from = None;
+    for sample in samples.iter().filter(|sample| sample.at >= at) {
+        let version = sample.status.as_ref().and_then(|status| status.version);
+        if version.is_some_and(|version| version >= offset) {
+            return Some(sample.at.duration_since(from.unwrap_or(at)));
+        }
+        // Whoever was out of reach starts anew when it is back.
+        from = match (sample.reachable, from) {
+            (true, None) if from_start(samples, at, sample.at) => Some(at),
+            (true, None) => Some(sample.at),
+            (true, from) => from,
+            (false, _) => None,
+        };
+    }
+    None
+}
+
+/// Tells whether a node was in reach at every look from `at` until `to`.
+fn from_start(samples: &[Sample], at: Instant, to: Instant) -> bool {
+    let between = |sample: &&Sample| sample.at >= at && sample.at <= to;
+    samples
+        .iter()
+        .filter(between)
+        .all(|sample| sample.reachable)
+}
+
+async fn status_of(entry: &NodeEntry) -> Option<NodeStatus> {
+    let text = get_text(entry.operations, "/status").await?;
+    serde_json::from_str(&text).ok()
+}
+
+/// The objects in force on one node.
+pub async fn objects_of(entry: &NodeEntry) -> Vec<ObjectStatus> {
+    let text = get_text(entry.operations, "/objects").await;
+    let objects = text.and_then(|text| serde_json::from_str(&text).ok());
+    objects.unwrap_or_default()
+}
--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -52,6 +52,16 @@
     Zone(String),
 }
 
+impl Selector {
+    fn is_zone(&self, name: &str) -> bool {
+        match self {
+            Selector::Any => true,
+            Selector::Zone(zone) => zone == name,
+            Selector::Name(_) => false,
+        }
+    }
+}
+
 /// What happens to connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -189,6 +199,13 @@
         self.generation.send_modify(|n| *n += 1);
     }
 
+    /// Tells whether a rule stands between what is in `from` and what is in `to`, whatever its fault.
+    pub fn has_rule_between(&self, from: &str, to: &str) -> bool {
+        let inner = lock(&self.inner);
+        let mut rules = inner.rules.iter();
+        rules.any(|(_, rule)| rule.from.is_zone(from) && rule.to.is_zone(to))
+    }
+
     /// Clears all rules.
     pub fn clear(&self) {
         lock(&self.inner).rules.clear();
--- a/bench/src/standin/engine.rs
+++ b/bench/src/standin/engine.rs
@@ -11,6 +11,7 @@
 use crate::standin::weights::WeightStore;
 use crate::truth::Truth;
 use crate::truth::lock;
+use crate::wire::backend::EngineState;
 use futures_util::future::BoxFuture;
 use std::io;
 use std::net::SocketAddr;
@@ -158,6 +159,11 @@
         self.shared.paused.send_replace(paused);
     }
 
+    /// What it has loaded, and its role.
+    pub fn state(&self) -> EngineState {
+        self.shared.orders.state()
+    }
+
     /// Its faults, to be set while it runs.
     pub fn faults(&self) -> &EngineFaults {
         &self.shared.faults
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -262,6 +262,8 @@
                 }
             }
         }
+        // Nobody knows what the log holds now, so that nothing is gained by leaving any source alone.
+        self.avoided.clear();
         has_answer
     }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -38,6 +38,7 @@
 pub use state::hex;
 
 use crate::border::generated::config::NodeStatus;
+use crate::border::generated::config::ObjectStatus;
 use std::sync::Arc;
 
 /// Stream of the platform's log that holds configuration.
@@ -58,4 +59,7 @@
 pub trait StatusSource: Send + Sync {
     /// Gives the status as it is now.
     fn status(&self) -> NodeStatus;
+
+    /// Lists the configured objects in force with their versions.
+    fn objects(&self) -> Vec<ObjectStatus>;
 }
--- a/src/config/tests/follow.rs
+++ b/src/config/tests/follow.rs
@@ -220,3 +220,20 @@
         assert_eq!(following.store.next(), 3);
     }
 }
+
+#[tokio::test]
+async fn a_relay_whose_log_fails_asks_it_again_at_once_where_nobody_knows_better() {
+    let stale = followed(&records()).await;
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    for number in 1..=8 {
+        let node = format!("n{number}");
+        let neighbours = FakeNeighbours(Some(Arc::clone(&stale)));
+        let mut following = following(&node, down(), neighbours);
+        following.settings.max_age = Duration::ZERO;
+        let before = following.sources();
+
+        following.step().await;
+
+        assert_eq!(following.sources(), before);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod operations;
 pub mod outcome;
 pub mod owner;
+pub mod reconcile;
 pub mod routing;
 pub mod settings;
 pub mod timeline;
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -25,6 +25,8 @@
 use crate::operations::Pages;
 use crate::operations::Readiness;
 use crate::owner::Owner;
+use crate::reconcile::Reconciler;
+use crate::reconcile::ReconcilerParts;
 use crate::settings::Settings;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
@@ -74,6 +76,7 @@
     peers: Listener,
     operations: Listener,
     follower: Follower,
+    reconciler: Reconciler,
     poller: Poller,
     readiness: Readiness,
     timeline: Arc<Timeline>,
@@ -103,7 +106,8 @@
             settings.entry.max_body_bytes,
         );
         let peer_server = follower.server(Arc::new(peer_server));
-        let status = status(settings, &follower, &poller, &readiness);
+        let reconciler = reconciler(settings, &follower, &poller, &metrics, &timeline);
+        let status = status(settings, &follower, &poller, &readiness, &reconciler);
         let pages = Pages::new(metrics, readiness.clone(), status);
         let http2 = Protocol::Http1And2;
         let http1 = Protocol::Http1;
@@ -117,6 +121,7 @@
             peers,
             operations,
             follower,
+            reconciler,
             poller,
             readiness,
             timeline,
@@ -130,6 +135,7 @@
         self.readiness.lost(READY_RUNNING);
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
+        self.reconciler.close();
         self.follower.close();
         self.poller.close();
         self.operations.close(OPERATIONS_LIMIT).await;
@@ -198,6 +204,7 @@
     follower: &Follower,
     poller: &Poller,
     readiness: &Readiness,
+    reconciler: &Reconciler,
 ) -> Arc<dyn StatusSource> {
     Arc::new(Status {
         node: settings.node.name.clone(),
@@ -205,6 +212,25 @@
         config: follower.source(),
         membership: poller.membership(),
         readiness: readiness.clone(),
+        unsettled: reconciler.unsettled(),
+    })
+}
+
+fn reconciler(
+    settings: &Settings,
+    follower: &Follower,
+    poller: &Poller,
+    metrics: &Arc<Metrics>,
+    timeline: &Arc<Timeline>,
+) -> Reconciler {
+    let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
+    Reconciler::start(ReconcilerParts {
+        node: settings.node.name.clone(),
+        settings: settings.reconcile.clone(),
+        config: follower.source(),
+        membership: poller.membership(),
+        backends: Arc::new(backends),
+        timeline: Arc::clone(timeline),
     })
 }
 
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,11 +1,17 @@
 //! What the page `/status` tells operators of a node.
 
+use crate::border::generated::config::Entry;
 use crate::border::generated::config::NodeStatus;
+use crate::border::generated::config::ObjectStatus;
 use crate::config::ConfigSource;
 use crate::config::StatusSource;
+use crate::config::kind_of;
+use crate::config::name_of;
 use crate::membership::Membership;
 use crate::operations::Readiness;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 /// Gathers a node's status from its slices.
 pub(super) struct Status {
@@ -14,9 +20,15 @@
     pub(super) config: Arc<dyn ConfigSource>,
     pub(super) membership: Arc<dyn Membership>,
     pub(super) readiness: Readiness,
+    pub(super) unsettled: Arc<Mutex<Vec<String>>>,
 }
 
 impl Status {
+    fn unsettled(&self) -> Vec<String> {
+        let unsettled = self.unsettled.lock();
+        unsettled.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn owned(&self) -> Vec<String> {
         let view = self.membership.view();
         let backends = view.backends().iter();
@@ -41,7 +53,21 @@
             missing: missing.into_iter().map(str::to_owned).collect(),
             stopped_at: self.config.stopped_at(),
             owned: self.owned(),
-            unsettled: Vec::new(),
+            unsettled: self.unsettled(),
         }
     }
+
+    fn objects(&self) -> Vec<ObjectStatus> {
+        self.config.state().entries().map(object_status).collect()
+    }
+}
+
+fn object_status(entry: &Entry) -> ObjectStatus {
+    ObjectStatus {
+        kind: kind_of(&entry.object).as_str().to_owned(),
+        name: name_of(&entry.object).to_owned(),
+        version: entry.version,
+        change: entry.change.clone(),
+        operator: entry.operator.clone(),
+    }
 }
--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -1,4 +1,4 @@
-//! What operators and the platform's balancer see of a node: `/live`, `/ready`, `/status` and `/metrics`.
+//! What operators and the platform's balancer see of a node: `/live`, `/ready`, `/status`, `/objects` and `/metrics`.
 
 mod metrics;
 mod pages;
--- a/src/operations/pages.rs
+++ b/src/operations/pages.rs
@@ -10,6 +10,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -69,13 +70,6 @@
         }
     }
 
-    fn status(&self) -> Response<Body> {
-        match serde_json::to_vec(&self.status.status()) {
-            Ok(json) => page(StatusCode::OK, json),
-            Err(err) => page(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
-        }
-    }
-
     fn ready(&self) -> Response<Body> {
         let missing = self.readiness.missing();
         if missing.is_empty() {
@@ -92,13 +86,21 @@
         match req.uri().path() {
             "/live" => page(StatusCode::OK, "live\n"),
             "/ready" => self.ready(),
-            "/status" => self.status(),
+            "/status" => json(&self.status.status()),
+            "/objects" => json(&self.status.objects()),
             "/metrics" => page(StatusCode::OK, self.metrics.render()),
             _ => page(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
 }
 
+fn json<T: Serialize>(value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(json) => page(StatusCode::OK, json),
+        Err(err) => page(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+    }
+}
+
 fn page(status: StatusCode, text: impl Into<bytes::Bytes>) -> Response<Body> {
     let mut response = Response::new(full_body(text));
     *response.status_mut() = status;
--- /dev/null
+++ b/src/reconcile/task.rs
@@ -0,0 +1,170 @@
+//! Compares and orders, one task for all owned engines.
+
+use super::Settings;
+use super::difference::is_load;
+use super::difference::next_order;
+use super::pace;
+use crate::border::BackendError;
+use crate::border::Backends;
+use crate::border::Engine;
+use crate::border::generated::backend::Order;
+use crate::border::generated::backend::OrderAction;
+use crate::config::ConfigSource;
+use crate::config::State;
+use crate::membership;
+use crate::membership::Membership;
+use crate::timeline::Timeline;
+use futures_util::future::join_all;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+use tokio::task::JoinHandle;
+use uuid::Uuid;
+
+/// What a reconciler is made of.
+pub struct ReconcilerParts {
+    /// Name of the node.
+    pub node: String,
+    /// How engines are brought into their wanted state.
+    pub settings: Settings,
+    /// The configuration in force.
+    pub config: Arc<dyn ConfigSource>,
+    /// View of the engines.
+    pub membership: Arc<dyn Membership>,
+    /// Adapters for engines.
+    pub backends: Arc<dyn Backends>,
+    /// Time line of the node.
+    pub timeline: Arc<Timeline>,
+}
+
+/// The task that brings owned engines into their wanted state.
+pub struct Reconciler {
+    unsettled: Arc<Mutex<Vec<String>>>,
+    task: JoinHandle<()>,
+}
+
+/// What the task works with.
+pub(super) struct Reconciling {
+    pub(super) parts: ReconcilerParts,
+    pub(super) unsettled: Arc<Mutex<Vec<String>>>,
+}
+
+impl Reconciler {
+    /// Starts to compare.
+    pub fn start(parts: ReconcilerParts) -> Self {
+        let unsettled = Arc::new(Mutex::default());
+        let reconciling = Reconciling {
+            parts,
+            unsettled: Arc::clone(&unsettled),
+        };
+        let task = tokio::spawn(reconciling.run());
+        Self { unsettled, task }
+    }
+
+    /// Gives a handle to the names of the owned engines that are not yet as wanted.
+    pub fn unsettled(&self) -> Arc<Mutex<Vec<String>>> {
+        Arc::clone(&self.unsettled)
+    }
+
+    /// Stops comparing.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
+impl Reconciling {
+    async fn run(self) {
+        loop {
+            tokio::time::sleep(self.parts.settings.interval).await;
+            self.compare_all(now_ms()).await;
+        }
+    }
+
+    /// Compares every owned engine once, and gives each at most one order.
+    pub(super) async fn compare_all(&self, now_ms: u64) {
+        let config = self.parts.config.state();
+        let view = self.parts.membership.view();
+        let is_owned = |backend: &&membership::Backend| {
+            let owner = view.owner(backend);
+            backend.is_engine && owner.is_some_and(|owner| owner.name == self.parts.node)
+        };
+        let owned = view.backends().iter().filter(is_owned);
+        let compared = owned.map(|backend| self.compare(&config, backend, now_ms));
+        let unsettled = join_all(compared).await.into_iter().flatten().collect();
+        *self
+            .unsettled
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = unsettled;
+    }
+
+    /// Gives the engine's name where it is not yet as wanted.
+    async fn compare(
+        &self,
+        config: &State,
+        backend: &membership::Backend,
+        now_ms: u64,
+    ) -> Option<String> {
+        let wanted = config.backend(&backend.name)?;
+        let unsettled = Some(backend.name.clone());
+        let engine = self.parts.backends.engine(backend.address);
+        let Ok(reported) = engine.state().await else {
+            return unsettled;
+        };
+        let action = next_order(config, wanted, &reported)?;
+        let is_load = is_load(&action);
+        if is_load && reported.loading {
+            return unsettled;
+        }
+        let id = if is_load {
+            let Some(turn) = pace::turn(config, &self.parts.settings, &backend.name, now_ms) else {
+                return unsettled;
+            };
+            // Two owners who order the same load in the same turn order it once.
+            format!("{}-{turn}-{action:?}", backend.name)
+        } else {
+            Uuid::now_v7().to_string()
+        };
+        let order = Order {
+            id,
+            fencing: config.version.unwrap_or_default(),
+            action,
+        };
+        self.give(engine.as_ref(), &backend.name, &order).await;
+        unsettled
+    }
+
+    async fn give(&self, engine: &dyn Engine, name: &str, order: &Order) {
+        let log = self.parts.timeline.log();
+        let action = describe(&order.action);
+        match engine.order(order).await {
+            Ok(_) => {
+                slog::info!(log, "order given"; "backend" => name, "action" => action, "fencing" => order.fencing);
+            }
+            Err(BackendError::NotRun) => {
+                slog::info!(log, "order refused as old"; "backend" => name, "action" => action, "fencing" => order.fencing);
+            }
+            Err(err) => {
+                slog::warn!(log, "order not answered"; "backend" => name, "action" => action, "cause" => ?err);
+            }
+        }
+    }
+}
+
+fn describe(action: &OrderAction) -> String {
+    match action {
+        OrderAction::LoadModel { model, version } => format!("load model {model} {version}"),
+        OrderAction::UnloadModel { model } => format!("unload model {model}"),
+        OrderAction::LoadAdapter { model, adapter } => format!("load adapter {model}/{adapter}"),
+        OrderAction::UnloadAdapter { model, adapter } => {
+            format!("unload adapter {model}/{adapter}")
+        }
+        OrderAction::SetRole { role } => format!("set role {role}"),
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/src/reconcile/tests.rs
@@ -0,0 +1,189 @@
+use super::Settings;
+use super::difference::next_order;
+use super::pace;
+use crate::border::generated::backend::EngineRole;
+use crate::border::generated::backend::EngineState;
+use crate::border::generated::backend::LoadedModel;
+use crate::border::generated::backend::OrderAction;
+use crate::border::generated::config::AdapterRef;
+use crate::border::generated::config::Backend;
+use crate::border::generated::config::Entry;
+use crate::border::generated::config::Model;
+use crate::border::generated::config::Object;
+use crate::border::generated::config::Snapshot;
+use crate::config::State;
+use std::time::Duration;
+
+/// Orders after which an engine must be as wanted.
+const MAX_ORDERS: usize = 16;
+
+fn state(objects: Vec<Object>) -> State {
+    let entry = |object| Entry {
+        version: 0,
+        change: "c".to_owned(),
+        operator: "op".to_owned(),
+        object,
+    };
+    State::from_snapshot(Snapshot {
+        at: 0,
+        entries: objects.into_iter().map(entry).collect(),
+        seen: Vec::new(),
+    })
+}
+
+fn model(name: &str, version: &str) -> Object {
+    Object::Model {
+        model: Model {
+            name: name.to_owned(),
+            version: version.to_owned(),
+            adapters: vec!["codes".to_owned()],
+        },
+    }
+}
+
+fn wanted(name: &str) -> Backend {
+    Backend {
+        name: name.to_owned(),
+        drain: false,
+        role: Some("decode".to_owned()),
+        models: vec!["assistant".to_owned()],
+        adapters: vec![AdapterRef {
+            model: "assistant".to_owned(),
+            adapter: "codes".to_owned(),
+        }],
+    }
+}
+
+fn reported() -> EngineState {
+    EngineState {
+        fencing: 0,
+        loading: false,
+        role: EngineRole::Mixed,
+        models: vec![
+            loaded("assistant", "1", &["old"]),
+            loaded("former", "1", &[]),
+        ],
+    }
+}
+
+fn loaded(model: &str, version: &str, adapters: &[&str]) -> LoadedModel {
+    LoadedModel {
+        model: model.to_owned(),
+        version: version.to_owned(),
+        adapters: adapters
+            .iter()
+            .map(|adapter| (*adapter).to_owned())
+            .collect(),
+    }
+}
+
+/// Does what an engine does on an order.
+fn follow(engine: &mut EngineState, action: OrderAction) {
+    match action {
+        OrderAction::LoadModel { model, version } => {
+            engine.models.retain(|other| other.model != model);
+            engine.models.push(loaded(&model, &version, &[]));
+        }
+        OrderAction::UnloadModel { model } => engine.models.retain(|other| other.model != model),
+        OrderAction::LoadAdapter { model, adapter } => {
+            let base = engine.models.iter_mut().find(|other| other.model == model);
+            base.unwrap().adapters.push(adapter);
+        }
+        OrderAction::UnloadAdapter { model, adapter } => {
+            let base = engine.models.iter_mut().find(|other| other.model == model);
+            base.unwrap().adapters.retain(|other| *other != adapter);
+        }
+        OrderAction::SetRole { role } => engine.role = role,
+    }
+}
+
+fn settle(config: &State, engine: &mut EngineState) -> usize {
+    for orders in 0..MAX_ORDERS {
+        match next_order(config, &wanted("e1"), engine) {
+            Some(action) => follow(engine, action),
+            None => return orders,
+        }
+    }
+    panic!("not settled: {engine:?}");
+}
+
+#[test]
+fn orders_lead_to_the_wanted_state_and_then_cease() {
+    let config = state(vec![model("assistant", "2")]);
+    let mut engine = reported();
+
+    let orders = settle(&config, &mut engine);
+
+    assert_eq!(orders, 4);
+    assert_eq!(engine.role, EngineRole::Decode);
+    assert_eq!(engine.models.len(), 1);
+    assert_eq!(engine.models[0].version, "2");
+    assert_eq!(engine.models[0].adapters, ["codes"]);
+}
+
+#[test]
+fn a_late_order_of_a_former_owner_is_undone() {
+    let config = state(vec![model("assistant", "2")]);
+    let mut engine = reported();
+    settle(&config, &mut engine);
+
+    follow(
+        &mut engine,
+        OrderAction::SetRole {
+            role: EngineRole::Prefill,
+        },
+    );
+    follow(
+        &mut engine,
+        OrderAction::UnloadModel {
+            model: "assistant".to_owned(),
+        },
+    );
+    let orders = settle(&config, &mut engine);
+
+    assert!(orders > 0);
+    assert_eq!(engine.role, EngineRole::Decode);
+    assert_eq!(engine.models[0].adapters, ["codes"]);
+}
+
+#[test]
+fn what_nothing_is_said_of_is_left_alone() {
+    let config = state(Vec::new());
+    let silent = Backend {
+        role: None,
+        models: Vec::new(),
+        adapters: Vec::new(),
+        ..wanted("e1")
+    };
+
+    assert!(next_order(&config, &silent, &reported()).is_none());
+}
+
+#[test]
+fn at_no_time_may_more_engines_load_than_the_weight_store_takes() {
+    let settings = Settings {
+        interval: Duration::from_millis(100),
+        weight_loads: 3,
+        load_limit: Duration::from_millis(1_000),
+    };
+    let names: Vec<String> = (0..11).map(|number| format!("e{number:02}")).collect();
+    let backends = names.iter().map(|name| Object::Backend {
+        backend: wanted(name),
+    });
+    let config = state(backends.collect());
+    // A load that begins at one time may last until its limit.
+    let mut begun: Vec<Vec<u64>> = vec![Vec::new(); names.len()];
+
+    for now in (0..20_000).step_by(50) {
+        for (name, begun) in names.iter().zip(&mut begun) {
+            if pace::turn(&config, &settings, name, now).is_some() {
+                begun.push(now);
+            }
+        }
+        let is_loading = |begun: &&Vec<u64>| begun.iter().any(|at| now - at <= 1_000);
+        let loading = begun.iter().filter(is_loading).count();
+        assert!(loading <= 3, "{loading} engines load at {now} ms");
+    }
+
+    assert!(begun.iter().all(|begun| !begun.is_empty()));
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -22,6 +22,7 @@
 use crate::entry;
 use crate::membership;
 use crate::owner;
+use crate::reconcile;
 use crate::routing;
 use crate::timeline;
 use ini::Ini;
@@ -47,6 +48,8 @@
     pub membership: membership::Settings,
     /// How configuration is followed.
     pub config: config::Settings,
+    /// How engines are brought into their wanted state.
+    pub reconcile: reconcile::Settings,
     /// What is written to the time line.
     pub timeline: timeline::Settings,
 }
@@ -102,6 +105,7 @@
             claims: reader.section("claims", claims::Settings::read),
             membership: reader.section("membership", membership::Settings::read),
             config: reader.section("config", config::Settings::read),
+            reconcile: reader.section("reconcile", reconcile::Settings::read),
             timeline: reader.section("timeline", timeline::Settings::read),
         }
     }
