--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -17,6 +17,7 @@
 use crate::border::generated::config::PeerRecord;
 use crate::border::generated::platform::LogRecord;
 use crate::border::generated::platform::ReadResponse;
+use crate::membership::ConfigBoard;
 use crate::membership::Membership;
 use crate::membership::Node;
 use crate::net::Client;
@@ -58,6 +59,8 @@
     pub client: Client,
     /// View of the other nodes.
     pub membership: Arc<dyn Membership>,
+    /// What nodes tell each other of their configuration.
+    pub configs: Arc<ConfigBoard>,
     /// Metrics of the node.
     pub metrics: Arc<Metrics>,
     /// Readiness of the node.
@@ -117,6 +120,7 @@
     pub fn start(parts: FollowerParts<'_>) -> Self {
         let metrics = Arc::clone(&parts.metrics);
         let store = Arc::new(Store::new(
+            Arc::clone(&parts.configs),
             Arc::clone(&metrics),
             Arc::clone(&parts.timeline),
         ));
@@ -238,7 +242,7 @@
             newest = newest.max(answer.next);
             self.take(answer);
         }
-        newest > 0 && self.store.next() >= newest
+        newest > 0 && self.store.next() >= newest.max(self.store.next_told())
     }
 
     /// Reads from the best source that answers; tells whether one did.
--- a/src/config/metrics.rs
+++ b/src/config/metrics.rs
@@ -7,8 +7,8 @@
 use prometheus::IntGauge;
 use prometheus::Opts;
 
-/// Hex digits of the hash that fit a metric exactly.
-const HASH_DIGITS: usize = 12;
+/// Bits of the short hash beyond those that a metric, which is a double, holds exactly.
+const SPARE_BITS: u32 = 16;
 
 /// Metrics of the configuration.
 pub(super) struct ConfigMetrics {
@@ -47,9 +47,7 @@
     }
 
     pub(super) fn in_force(&self, state: &State) {
-        let digits = &state.hash()[..HASH_DIGITS];
-        self.hash
-            .set(i64::from_str_radix(digits, 16).unwrap_or_default());
+        self.hash.set((state.short_hash() >> SPARE_BITS) as i64);
     }
 
     pub(super) fn stopped(&self) {
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -78,6 +78,13 @@
         hex(&self.hash)
     }
 
+    /// Gives the first 64 bits of the hash, for places that have room for a number only.
+    pub fn short_hash(&self) -> u64 {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&self.hash[..8]);
+        u64::from_be_bytes(bytes)
+    }
+
     /// Lists everything in force, sorted by kind and name.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.stored.iter().map(|stored| &stored.entry)
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -7,6 +7,7 @@
 use crate::border::generated::config::PeerConfig;
 use crate::border::generated::config::PeerRecord;
 use crate::border::generated::config::Snapshot;
+use crate::membership::ConfigBoard;
 use crate::operations::Metrics;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
@@ -33,6 +34,7 @@
 pub(super) struct Store {
     tx: watch::Sender<Arc<State>>,
     inner: Mutex<Inner>,
+    configs: Arc<ConfigBoard>,
     metrics: Arc<Metrics>,
     own_metrics: ConfigMetrics,
     timeline: Arc<Timeline>,
@@ -58,10 +60,15 @@
 }
 
 impl Store {
-    pub(super) fn new(metrics: Arc<Metrics>, timeline: Arc<Timeline>) -> Self {
+    pub(super) fn new(
+        configs: Arc<ConfigBoard>,
+        metrics: Arc<Metrics>,
+        timeline: Arc<Timeline>,
+    ) -> Self {
         Self {
             tx: watch::channel(Arc::new(State::default())).0,
             inner: Mutex::default(),
+            configs,
             own_metrics: ConfigMetrics::new(&metrics),
             metrics,
             timeline,
@@ -81,6 +88,15 @@
         self.tx.borrow().next()
     }
 
+    /// Gives the offset after the newest version that any node has told of.
+    pub(super) fn next_told(&self) -> u64 {
+        let told = self.configs.all();
+        told.iter()
+            .map(|config| config.version + 1)
+            .max()
+            .unwrap_or(0)
+    }
+
     pub(super) fn stopped_at(&self) -> Option<u64> {
         self.lock().stopped_at
     }
@@ -177,6 +193,7 @@
         self.own_metrics.in_force(&state);
         if let Some(version) = state.version {
             self.metrics.config_version(version);
+            self.configs.publish(version, state.short_hash());
         }
         self.tx.send_replace(Arc::new(state));
     }
--- a/src/config/tests/agree.rs
+++ b/src/config/tests/agree.rs
@@ -10,6 +10,7 @@
 use crate::config::State;
 use crate::config::snapshot;
 use crate::config::store::Store;
+use crate::membership::ConfigBoard;
 use crate::operations::Metrics;
 use crate::timeline::Timeline;
 use arbtest::arbitrary::Result;
@@ -53,7 +54,11 @@
 }
 
 fn store() -> Store {
-    Store::new(Arc::new(Metrics::new()), Arc::new(Timeline::silent()))
+    Store::new(
+        Arc::new(ConfigBoard::new("n1")),
+        Arc::new(Metrics::new()),
+        Arc::new(Timeline::silent()),
+    )
 }
 
 /// Checks `property` once for each seed, so that every run checks the same.
--- a/src/config/tests/follow.rs
+++ b/src/config/tests/follow.rs
@@ -14,6 +14,7 @@
 use crate::config::neighbours::Neighbours;
 use crate::config::snapshot;
 use crate::config::store::Store;
+use crate::membership::ConfigBoard;
 use crate::membership::Membership;
 use crate::membership::Node;
 use crate::membership::View;
@@ -66,8 +67,11 @@
 }
 
 fn store() -> Arc<Store> {
-    let timeline = Arc::new(Timeline::silent());
-    Arc::new(Store::new(Arc::new(Metrics::new()), timeline))
+    Arc::new(Store::new(
+        Arc::new(ConfigBoard::new("n1")),
+        Arc::new(Metrics::new()),
+        Arc::new(Timeline::silent()),
+    ))
 }
 
 /// A store that has followed a log with `records` to its end.
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -14,6 +14,7 @@
 use crate::hop::RemoteOwner;
 use crate::hop::ToOwner;
 use crate::membership;
+use crate::membership::Members;
 use crate::membership::Poller;
 use crate::net::Client;
 use crate::net::ClientOptions;
@@ -78,6 +79,7 @@
     follower: Follower,
     reconciler: Reconciler,
     poller: Poller,
+    members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
     drain_limit: Duration,
@@ -94,20 +96,33 @@
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
         metrics.register(Box::new(timeline.stamps_dropped().clone()));
-        let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
+        let readiness = Readiness::waiting_for(&[
+            config::READY_CONFIG,
+            membership::READY_HOSTS,
+            membership::READY_GOSSIP,
+        ]);
         let poller = poller(settings, &metrics, &readiness, &timeline);
-        let follower = follower(settings, &poller, &metrics, &readiness, &timeline);
-        let owner = owner(settings, &poller, &metrics, &timeline);
-        let entry = entry(settings, &follower, &poller, &owner, &metrics, &timeline);
+        let members = Members::start(
+            &settings.membership,
+            node,
+            poller.listed(),
+            readiness.clone(),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
+        let follower = follower(settings, &members, &metrics, &readiness, &timeline);
+        let owner = owner(settings, &members, &metrics, &timeline);
+        let entry = entry(settings, &follower, &members, &owner, &metrics, &timeline);
         let peer_server = PeerServer::new(
             owner,
+            members.acceptor(),
             node.key.clone(),
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
         );
         let peer_server = follower.server(Arc::new(peer_server));
-        let reconciler = reconciler(settings, &follower, &poller, &metrics, &timeline);
-        let status = status(settings, &follower, &poller, &readiness, &reconciler);
+        let reconciler = reconciler(settings, &follower, &members, &metrics, &timeline);
+        let status = status(settings, &follower, &members, &readiness, &reconciler);
         let pages = Pages::new(metrics, readiness.clone(), status);
         let http2 = Protocol::Http1And2;
         let http1 = Protocol::Http1;
@@ -123,6 +138,7 @@
             follower,
             reconciler,
             poller,
+            members,
             readiness,
             timeline,
             drain_limit: settings.entry.drain_limit,
@@ -133,11 +149,13 @@
     pub async fn close(self) {
         self.timeline.event(Event::new(EventKind::NodeStopping));
         self.readiness.lost(READY_RUNNING);
+        self.members.leave();
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
         self.reconciler.close();
         self.follower.close();
         self.poller.close();
+        self.members.close();
         self.operations.close(OPERATIONS_LIMIT).await;
     }
 }
@@ -174,7 +192,7 @@
 
 fn follower(
     settings: &Settings,
-    poller: &Poller,
+    members: &Members,
     metrics: &Arc<Metrics>,
     readiness: &Readiness,
     timeline: &Arc<Timeline>,
@@ -192,7 +210,8 @@
         settings: &settings.config,
         log: Arc::new(log),
         client: peer_client(settings),
-        membership: poller.membership(),
+        membership: members.membership(),
+        configs: members.configs(),
         metrics: Arc::clone(metrics),
         readiness: readiness.clone(),
         timeline: Arc::clone(timeline),
@@ -202,7 +221,7 @@
 fn status(
     settings: &Settings,
     follower: &Follower,
-    poller: &Poller,
+    members: &Members,
     readiness: &Readiness,
     reconciler: &Reconciler,
 ) -> Arc<dyn StatusSource> {
@@ -210,7 +229,7 @@
         node: settings.node.name.clone(),
         data_centre: settings.node.data_centre.clone(),
         config: follower.source(),
-        membership: poller.membership(),
+        membership: members.membership(),
         readiness: readiness.clone(),
         unsettled: reconciler.unsettled(),
     })
@@ -219,7 +238,7 @@
 fn reconciler(
     settings: &Settings,
     follower: &Follower,
-    poller: &Poller,
+    members: &Members,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Reconciler {
@@ -228,7 +247,7 @@
         node: settings.node.name.clone(),
         settings: settings.reconcile.clone(),
         config: follower.source(),
-        membership: poller.membership(),
+        membership: members.membership(),
         backends: Arc::new(backends),
         timeline: Arc::clone(timeline),
     })
@@ -256,14 +275,14 @@
 
 fn owner(
     settings: &Settings,
-    poller: &Poller,
+    members: &Members,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Owner> {
     let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
     Arc::new(Owner::new(
         &settings.owner,
-        poller.membership(),
+        members.membership(),
         Arc::new(backends),
         Arc::clone(timeline),
     ))
@@ -272,7 +291,7 @@
 fn entry(
     settings: &Settings,
     follower: &Follower,
-    poller: &Poller,
+    members: &Members,
     owner: &Arc<Owner>,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
@@ -285,7 +304,7 @@
     );
     let dispatch = ToOwner::new(
         &node.name,
-        poller.membership(),
+        members.membership(),
         Arc::clone(owner),
         remote,
         Arc::clone(timeline),
@@ -293,7 +312,7 @@
     let attempts = Attempts::new(
         &node.name,
         settings.entry.max_attempts,
-        poller.membership(),
+        members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(timeline),
