--- a/src/operations/pages.rs
+++ b/src/operations/pages.rs
@@ -1,6 +1,7 @@
 //! The pages on the operations address.
 
 use super::Metrics;
+use crate::config::StatusSource;
 use crate::net::Body;
 use crate::net::Handler;
 use crate::net::full_body;
@@ -9,6 +10,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -55,12 +57,17 @@
 pub struct Pages {
     metrics: Arc<Metrics>,
     readiness: Readiness,
+    status: Arc<dyn StatusSource>,
 }
 
 impl Pages {
     /// Makes the pages.
-    pub fn new(metrics: Arc<Metrics>, readiness: Readiness) -> Self {
-        Self { metrics, readiness }
+    pub fn new(metrics: Arc<Metrics>, readiness: Readiness, status: Arc<dyn StatusSource>) -> Self {
+        Self {
+            metrics,
+            readiness,
+            status,
+        }
     }
 
     fn ready(&self) -> Response<Body> {
@@ -79,12 +86,21 @@
         match req.uri().path() {
             "/live" => page(StatusCode::OK, "live\n"),
             "/ready" => self.ready(),
+            "/status" => json(&self.status.status()),
+            "/objects" => json(&self.status.objects()),
             "/metrics" => page(StatusCode::OK, self.metrics.render()),
             _ => page(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
 }
 
+fn json<T: Serialize>(value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(json) => page(StatusCode::OK, json),
+        Err(err) => page(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+    }
+}
+
 fn page(status: StatusCode, text: impl Into<bytes::Bytes>) -> Response<Body> {
     let mut response = Response::new(full_body(text));
     *response.status_mut() = status;
