--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -6,7 +6,7 @@
 mod codec;
 mod dispatch;
 mod exchange;
-mod mac;
+pub mod mac;
 mod remote;
 mod serve;
 #[cfg(test)]
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -11,6 +11,8 @@
 use super::mac;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
+use crate::membership::Acceptor;
+use crate::membership::GOSSIP_PATH;
 use crate::net::Body;
 use crate::net::Handler;
 use crate::net::collect;
@@ -37,21 +39,24 @@
 /// Serves the peer address.
 pub struct PeerServer {
     owner: Arc<Owner>,
+    gossip: Acceptor,
     key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
 
 impl PeerServer {
-    /// Makes a server that hands attempts to `owner`.
+    /// Makes a server that hands attempts to `owner` and connections to `gossip`.
     pub fn new(
         owner: Arc<Owner>,
+        gossip: Acceptor,
         key: DeploymentKey,
         timeline: Arc<Timeline>,
         max_body_bytes: usize,
     ) -> Self {
         Self {
             owner,
+            gossip,
             key,
             timeline,
             max_body_bytes,
@@ -78,6 +83,10 @@
         let Some(body) = whole else {
             return (id, Err(Refusal::not_run(NotRun::BadRequest)));
         };
+        if self.gossip.is_leaving() {
+            // The sender has not heard yet that this node's backend servers have another owner.
+            return (id, Err(Refusal::not_run(NotRun::Stopping)));
+        }
         let attempt = Attempt { head, body };
         (id, self.owner.run(&attempt).await)
     }
@@ -97,6 +106,9 @@
         if req.uri().path() == LOADS_PATH {
             return exchange::answer(&self.owner, &self.key, req).await;
         }
+        if req.uri().path() == GOSSIP_PATH {
+            return self.gossip.accept(req, peer);
+        }
         if req.uri().path() != HOP_PATH {
             return bare(StatusCode::NOT_FOUND);
         }
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -14,6 +14,7 @@
 use crate::hop::RemoteOwner;
 use crate::hop::ToOwner;
 use crate::membership;
+use crate::membership::Members;
 use crate::membership::Poller;
 use crate::net::Client;
 use crate::net::ClientOptions;
@@ -79,8 +80,10 @@
     poller: Poller,
     load_poller: LoadPoller,
     exchange: LoadExchange,
+    members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
+    linger: Duration,
     drain_limit: Duration,
 }
 
@@ -94,18 +97,32 @@
         let node = &settings.node;
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
-        let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
+        metrics.register(Box::new(timeline.stamps_dropped().clone()));
+        let readiness = Readiness::waiting_for(&[
+            config::READY_CONFIG,
+            membership::READY_HOSTS,
+            membership::READY_GOSSIP,
+        ]);
         let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
+        let members = Members::start(
+            &settings.membership,
+            node,
+            poller.listed(),
+            readiness.clone(),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
         let loads = Arc::new(Loads::default());
-        let owner = owner(settings, &follower, &poller, &loads, &metrics, &timeline);
+        let owner = owner(settings, &follower, &members, &loads, &metrics, &timeline);
         let entry = entry(
-            settings, &follower, &poller, &owner, &loads, &metrics, &timeline,
+            settings, &follower, &members, &owner, &loads, &metrics, &timeline,
         );
         let load_poller = LoadPoller::start(Arc::clone(&owner));
-        let exchange = exchange(settings, &poller, &owner, &metrics);
+        let exchange = exchange(settings, &members, &owner, &metrics);
         let peer_server = PeerServer::new(
             owner,
+            members.acceptor(),
             node.key.clone(),
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
@@ -126,22 +143,29 @@
             poller,
             load_poller,
             exchange,
+            members,
             readiness,
             timeline,
+            linger: settings.entry.linger,
             drain_limit: settings.entry.drain_limit,
         })
     }
 
-    /// Stops gracefully: takes no more callers, lets answers in flight end, then stops everything else.
+    /// Stops gracefully: hands ownership over, serves callers until they have gone elsewhere, lets answers in flight
+    /// end, then stops everything else.
     pub async fn close(self) {
         self.timeline.event(Event::new(EventKind::NodeStopping));
         self.readiness.lost(READY_RUNNING);
+        self.members.leave();
+        self.callers.leave();
+        tokio::time::sleep(self.linger).await;
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
         self.follower.close();
         self.poller.close();
         self.load_poller.close();
         self.exchange.close();
+        self.members.close();
         self.operations.close(OPERATIONS_LIMIT).await;
     }
 }
@@ -212,7 +236,7 @@
 fn owner(
     settings: &Settings,
     follower: &Follower,
-    poller: &Poller,
+    members: &Members,
     loads: &Arc<Loads>,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
@@ -223,7 +247,7 @@
         settings: settings.owner.clone(),
         is_bounded: settings.routing.policy.policy().is_bounded(),
         config: follower.source(),
-        membership: poller.membership(),
+        membership: members.membership(),
         backends: Arc::new(backends),
         loads: Arc::clone(loads),
         timeline: Arc::clone(timeline),
@@ -232,7 +256,7 @@
 
 fn exchange(
     settings: &Settings,
-    poller: &Poller,
+    members: &Members,
     owner: &Arc<Owner>,
     metrics: &Arc<Metrics>,
 ) -> LoadExchange {
@@ -240,7 +264,7 @@
         node: settings.node.name.clone(),
         interval: settings.routing.exchange_interval,
         owner: Arc::clone(owner),
-        membership: poller.membership(),
+        membership: members.membership(),
         client: Client::new(&peer_options(settings)),
         key: settings.node.key.clone(),
         metrics: Arc::clone(metrics),
@@ -258,7 +282,7 @@
 fn entry(
     settings: &Settings,
     follower: &Follower,
-    poller: &Poller,
+    members: &Members,
     owner: &Arc<Owner>,
     loads: &Arc<Loads>,
     metrics: &Arc<Metrics>,
@@ -272,7 +296,7 @@
     );
     let dispatch = ToOwner::new(
         &node.name,
-        poller.membership(),
+        members.membership(),
         Arc::clone(owner),
         remote,
         Arc::clone(timeline),
@@ -280,7 +304,7 @@
     let attempts = Attempts::new(
         &node.name,
         settings.entry.max_attempts,
-        poller.membership(),
+        members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(loads),
