Owner: the load bound, queues, spill table, caches brought along

Cause: every owner handed over whatever came.

Change: an owner admits up to max(floor, floor(c' × mean), floor(mean) + 1), c' being c less a margin for the mean's age. The mean is made of requests that their backend servers have surely begun; loads of other owners come with replies and by an exchange over the peer address (a few random peers every 50 ms, counted as control traffic). What has no place waits shortly in the backend server's queue (interactive before batch with ageing, deficit round robin over teams, bounds on length and time), then is refused as busy with a proposal; a spill table of fixed size remembers a chat's last two engines, and the next engine imports the chat's cache where that costs less than the prefill. Load reports add the requests of other owners; new backend servers start slowly. Bytes of moved caches are payload and no longer counted as control traffic.

--- a/bench/src/cases/run.rs
+++ b/bench/src/cases/run.rs
@@ -17,6 +17,8 @@
 use crate::load::End;
 use crate::report::Evidence;
 use crate::report::Report;
+use crate::report::is_over;
+use crate::truth::EngineStart;
 
 /// Pause between two lines of progress.
 const PROGRESS_PAUSE: Duration = Duration::from_secs(2);
@@ -82,6 +84,7 @@
         load::measure_added_time(&options.load, fleet.directory(), &fleet.engine_addresses()).await;
     findings.extend(join_all(cases.iter().map(|case| case.after(&cx))).await);
     show_ends(&calls, progress);
+    show_overload(&options, &starts, started, progress);
 
     let runs = fleet.truth().service_runs();
     let changes = fleet.engine_changes();
@@ -120,6 +123,28 @@
     }
 }
 
+/// Shows some of the starts that took an engine over the load bound.
+fn show_overload(
+    options: &RunOptions,
+    starts: &[EngineStart],
+    started: Instant,
+    progress: &(dyn Fn(&str) + Sync),
+) {
+    let bound = f64::from(options.fleet.bound_permille) / 1000.0;
+    let over = starts
+        .iter()
+        .filter(|start| is_over(start, bound, options.fleet.floor));
+    for start in over.take(SHOWN_ENDS) {
+        progress(&format!(
+            "{:.2} s: {} over the bound with {}, mean {:.2}",
+            start.at.saturating_duration_since(started).as_secs_f64(),
+            start.engine,
+            start.load_with,
+            start.mean
+        ));
+    }
+}
+
 /// Shows some of the calls that did not end with their answer.
 fn show_ends(calls: &[CallRecord], progress: &(dyn Fn(&str) + Sync)) {
     let others = calls.iter().filter(|call| call.end != End::Answered);
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -5,6 +5,8 @@
 mod ideal;
 mod promises;
 
+pub use self::promises::is_over;
+
 use std::time::Duration;
 use std::time::Instant;
 
--- a/src/border/engine.rs
+++ b/src/border/engine.rs
@@ -135,7 +135,6 @@
 
     /// Asks one control question; 404 and 409 mean that the engine did nothing.
     async fn ask(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Bytes, BackendError> {
-        let sent = path.len() + body.len();
         let req = self.request(method, path, full_body(body))?;
         let response = self.client.send(req, CONTROL_TIMEOUT).await.map_err(lost)?;
         match response.status() {
@@ -150,16 +149,29 @@
         .await
         .map_err(|_| BackendError::Timeout)?
         .map_err(|err| BackendError::Lost(format!("{err:?}")))?;
+        Ok(answer)
+    }
+
+    /// Asks a question whose bytes count as control traffic.
+    async fn ask_counted(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, BackendError> {
+        let sent = path.len() + body.len();
+        let answer = self.ask(method, path, body).await?;
         let bytes = sent + answer.len();
         self.metrics.control_bytes(ControlKind::Engine, bytes);
         Ok(answer)
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, BackendError> {
-        let answer = self.ask(Method::GET, path, Vec::new()).await?;
+        let answer = self.ask_counted(Method::GET, path, Vec::new()).await?;
         read(&answer)
     }
 
+    /// Posts a message with a chat's cache, which is payload and no control traffic.
     async fn post<T: Serialize + Sync>(
         &self,
         path: &str,
@@ -235,7 +247,9 @@
     }
 
     async fn order(&self, order: &Order) -> Result<EngineState, BackendError> {
-        let answer = self.post("/orders", order).await?;
+        let body =
+            serde_json::to_vec(order).map_err(|err| BackendError::NotSent(err.to_string()))?;
+        let answer = self.ask_counted(Method::POST, "/orders", body).await?;
         read(&answer)
     }
 }
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -65,6 +65,12 @@
         found.ok().map(|i| &self.services[i])
     }
 
+    /// Finds a team by its name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        let found = self.teams.binary_search_by(|t| t.name.as_str().cmp(name));
+        found.ok().map(|i| &self.teams[i])
+    }
+
     /// Lists the teams, sorted by name.
     pub fn teams(&self) -> &[Team] {
         &self.teams
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -47,7 +47,7 @@
     membership: Arc<dyn Membership>,
     dispatch: Arc<dyn Dispatch>,
     policy: Box<dyn Policy>,
-    loads: Loads,
+    loads: Arc<Loads>,
     timeline: Arc<Timeline>,
 }
 
@@ -56,6 +56,8 @@
 struct Progress {
     tried: Vec<String>,
     proposed: Option<String>,
+    /// Where the chat's cache probably is, which the next backend server may get it from.
+    cached_on: Option<String>,
     /// An attempt that may have run, which no later refusal can make certain again.
     uncertain: Option<Refusal>,
     last: Option<Refusal>,
@@ -63,6 +65,15 @@
 
 impl Progress {
     fn note(&mut self, backend: &str, refusal: Refusal) {
+        if matches!(
+            &refusal,
+            Refusal::NotRun {
+                reason: NotRun::Busy,
+                ..
+            }
+        ) {
+            self.cached_on.get_or_insert_with(|| backend.to_owned());
+        }
         self.tried.push(backend.to_owned());
         if let Refusal::NotRun { next, .. } = &refusal {
             self.proposed.clone_from(next);
@@ -89,6 +100,7 @@
         membership: Arc<dyn Membership>,
         dispatch: Arc<dyn Dispatch>,
         policy: Box<dyn Policy>,
+        loads: Arc<Loads>,
         timeline: Arc<Timeline>,
     ) -> Self {
         Self {
@@ -97,7 +109,7 @@
             membership,
             dispatch,
             policy,
-            loads: Loads::default(),
+            loads,
             timeline,
         }
     }
@@ -184,8 +196,8 @@
             tried: progress.tried.clone(),
             key: job.key.map(str::to_owned),
             resume_from: None,
-            no_spill: false,
-            cached_on: None,
+            no_spill: progress.tried.len() + 1 >= self.max_attempts,
+            cached_on: cached_on(caller, backend, progress),
             hlc: self.timeline.stamp(),
         };
         Attempt {
@@ -195,6 +207,14 @@
     }
 }
 
+/// Names the backend server that the chat's cache is on, where that is another one.
+fn cached_on(caller: &Caller, backend: &Backend, progress: &Progress) -> Option<String> {
+    let hinted = caller.hint.as_ref().or(progress.cached_on.as_ref());
+    hinted
+        .filter(|name| caller.chat.is_some() && **name != backend.name)
+        .cloned()
+}
+
 /// Idempotent work may always be tried again, other work only where it certainly did not run.
 fn may_try_again(job: &Job<'_>, refusal: &Refusal) -> bool {
     match refusal {
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod dispatch;
+mod exchange;
 mod mac;
 mod remote;
 mod serve;
@@ -13,6 +14,8 @@
 
 pub use dispatch::Dispatch;
 pub use dispatch::ToOwner;
+pub use exchange::LoadExchange;
+pub use exchange::LoadExchangeParts;
 pub use remote::RemoteOwner;
 pub use serve::PeerServer;
 
@@ -20,6 +23,8 @@
 pub const PROTOCOL_VERSION: u32 = 1;
 /// Path of the hop on the peer address.
 const HOP_PATH: &str = "/hop";
+/// Path of the load exchange on the peer address.
+const LOADS_PATH: &str = "/loads";
 /// Header that carries the head of an attempt.
 const HEAD_HEADER: &str = "cb-hop";
 /// Header that carries the code that authenticates the head.
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -2,10 +2,12 @@
 
 use super::HEAD_HEADER;
 use super::HOP_PATH;
+use super::LOADS_PATH;
 use super::MAC_HEADER;
 use super::PROTOCOL_VERSION;
 use super::REPLY_HEADER;
 use super::codec;
+use super::exchange;
 use super::mac;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
@@ -92,6 +94,9 @@
 #[async_trait]
 impl Handler for PeerServer {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+        if req.uri().path() == LOADS_PATH {
+            return exchange::answer(&self.owner, &self.key, req).await;
+        }
         if req.uri().path() != HOP_PATH {
             return bare(StatusCode::NOT_FOUND);
         }
@@ -114,7 +119,7 @@
     response
 }
 
-fn bare(status: StatusCode) -> Response<Body> {
+pub(super) fn bare(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty_body());
     *response.status_mut() = status;
     response
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -8,6 +8,8 @@
 use crate::config::Follower;
 use crate::entry::Attempts;
 use crate::entry::Entry;
+use crate::hop::LoadExchange;
+use crate::hop::LoadExchangeParts;
 use crate::hop::PeerServer;
 use crate::hop::RemoteOwner;
 use crate::hop::ToOwner;
@@ -21,7 +23,10 @@
 use crate::operations::Metrics;
 use crate::operations::Pages;
 use crate::operations::Readiness;
+use crate::owner::LoadPoller;
 use crate::owner::Owner;
+use crate::owner::OwnerParts;
+use crate::routing::Loads;
 use crate::settings::Settings;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
@@ -72,6 +77,8 @@
     operations: Listener,
     follower: Follower,
     poller: Poller,
+    load_poller: LoadPoller,
+    exchange: LoadExchange,
     readiness: Readiness,
     timeline: Arc<Timeline>,
     drain_limit: Duration,
@@ -90,8 +97,13 @@
         let readiness = Readiness::waiting_for(&[config::READY_CONFIG, membership::READY_HOSTS]);
         let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
-        let owner = owner(settings, &poller, &metrics, &timeline);
-        let entry = entry(settings, &follower, &poller, &owner, &metrics, &timeline);
+        let loads = Arc::new(Loads::default());
+        let owner = owner(settings, &follower, &poller, &loads, &metrics, &timeline);
+        let entry = entry(
+            settings, &follower, &poller, &owner, &loads, &metrics, &timeline,
+        );
+        let load_poller = LoadPoller::start(Arc::clone(&owner));
+        let exchange = exchange(settings, &poller, &owner, &metrics);
         let peer_server = PeerServer::new(
             owner,
             node.key.clone(),
@@ -112,6 +124,8 @@
             operations,
             follower,
             poller,
+            load_poller,
+            exchange,
             readiness,
             timeline,
             drain_limit: settings.entry.drain_limit,
@@ -126,6 +140,8 @@
         self.peers.close(self.drain_limit).await;
         self.follower.close();
         self.poller.close();
+        self.load_poller.close();
+        self.exchange.close();
         self.operations.close(OPERATIONS_LIMIT).await;
     }
 }
@@ -195,17 +211,48 @@
 
 fn owner(
     settings: &Settings,
+    follower: &Follower,
     poller: &Poller,
+    loads: &Arc<Loads>,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Owner> {
     let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
-    Arc::new(Owner::new(
-        &settings.owner,
-        poller.membership(),
-        Arc::new(backends),
-        Arc::clone(timeline),
-    ))
+    Arc::new(Owner::new(OwnerParts {
+        node: settings.node.name.clone(),
+        settings: settings.owner.clone(),
+        is_bounded: settings.routing.policy.policy().is_bounded(),
+        config: follower.source(),
+        membership: poller.membership(),
+        backends: Arc::new(backends),
+        loads: Arc::clone(loads),
+        timeline: Arc::clone(timeline),
+    }))
+}
+
+fn exchange(
+    settings: &Settings,
+    poller: &Poller,
+    owner: &Arc<Owner>,
+    metrics: &Arc<Metrics>,
+) -> LoadExchange {
+    LoadExchange::start(LoadExchangeParts {
+        node: settings.node.name.clone(),
+        interval: settings.routing.exchange_interval,
+        owner: Arc::clone(owner),
+        membership: poller.membership(),
+        client: Client::new(&peer_options(settings)),
+        key: settings.node.key.clone(),
+        metrics: Arc::clone(metrics),
+    })
+}
+
+fn peer_options(settings: &Settings) -> ClientOptions {
+    ClientOptions {
+        http2: true,
+        ping: settings.membership.ping,
+        ..client_options(settings)
+    }
 }
 
 fn entry(
@@ -213,17 +260,13 @@
     follower: &Follower,
     poller: &Poller,
     owner: &Arc<Owner>,
+    loads: &Arc<Loads>,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Entry {
     let node = &settings.node;
-    let options = ClientOptions {
-        http2: true,
-        ping: settings.membership.ping,
-        ..client_options(settings)
-    };
     let remote = RemoteOwner::new(
-        Client::new(&options),
+        Client::new(&peer_options(settings)),
         node.key.clone(),
         Arc::clone(timeline),
     );
@@ -240,6 +283,7 @@
         poller.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
+        Arc::clone(loads),
         Arc::clone(timeline),
     );
     Entry::new(
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -3,19 +3,27 @@
 use super::Answer;
 use super::Attempt;
 use super::Settings;
+use super::carry;
+use super::owned::Owned;
+use super::owned::OwnedBackend;
 use super::slots::Occupied;
 use super::slots::Slots;
+use super::spill::SpillTable;
 use super::whole::WholeBody;
 use crate::border::BackendAnswer;
 use crate::border::BackendError;
 use crate::border::BackendRequest;
 use crate::border::Backends;
+use crate::border::generated::peer::EngineLoad;
 use crate::border::generated::peer::HopHead;
+use crate::config::ConfigSource;
 use crate::membership::Backend;
 use crate::membership::Membership;
+use crate::membership::View;
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
 use crate::outcome::Unknown;
+use crate::routing::Loads;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
 use crate::timeline::Timeline;
@@ -26,29 +34,75 @@
 /// Content type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Time after which a request that was handed over has surely begun.
+const STARTED_AFTER: Duration = Duration::from_millis(100);
+
+/// What an owner is made of.
+pub struct OwnerParts {
+    /// Name of this node.
+    pub node: String,
+    /// How owned backend servers are treated.
+    pub settings: Settings,
+    /// Whether the load bound is kept; baselines go without.
+    pub is_bounded: bool,
+    /// Configuration in force.
+    pub config: Arc<dyn ConfigSource>,
+    /// View of the hosts.
+    pub membership: Arc<dyn Membership>,
+    /// The way to backend servers.
+    pub backends: Arc<dyn Backends>,
+    /// Loads as last heard.
+    pub loads: Arc<Loads>,
+    /// Where events go.
+    pub timeline: Arc<Timeline>,
+}
+
 /// Decides everything about the backend servers that this node owns.
 pub struct Owner {
-    settings: Settings,
-    membership: Arc<dyn Membership>,
-    backends: Arc<dyn Backends>,
+    pub(super) node: String,
+    pub(super) settings: Settings,
+    pub(super) is_bounded: bool,
+    pub(super) config: Arc<dyn ConfigSource>,
+    pub(super) membership: Arc<dyn Membership>,
+    pub(super) backends: Arc<dyn Backends>,
+    pub(super) loads: Arc<Loads>,
+    pub(super) owned: Owned,
+    pub(super) slots: Slots,
+    pub(super) spills: SpillTable,
     timeline: Arc<Timeline>,
-    slots: Slots,
 }
 
 impl Owner {
     /// Makes an owner; it owns whatever attempts name, since ownership is no promise.
-    pub fn new(
-        settings: &Settings,
-        membership: Arc<dyn Membership>,
-        backends: Arc<dyn Backends>,
-        timeline: Arc<Timeline>,
-    ) -> Self {
+    pub fn new(parts: OwnerParts) -> Self {
         Self {
-            settings: settings.clone(),
-            membership,
-            backends,
-            timeline,
-            slots: Slots::default(),
+            slots: Slots::new(parts.settings.bounds()),
+            spills: SpillTable::new(parts.settings.spill_table_bytes),
+            owned: Owned::default(),
+            node: parts.node,
+            settings: parts.settings,
+            is_bounded: parts.is_bounded,
+            config: parts.config,
+            membership: parts.membership,
+            backends: parts.backends,
+            loads: parts.loads,
+            timeline: parts.timeline,
+        }
+    }
+
+    /// Lists the loads of the backend servers that this node owns, for the other nodes.
+    pub fn summary(&self) -> Vec<EngineLoad> {
+        let load = |owned: &OwnedBackend| EngineLoad {
+            b: owned.backend.name.clone(),
+            l: self.slot(&owned.backend.name).started(),
+        };
+        self.owned_now().iter().map(load).collect()
+    }
+
+    /// Takes in the loads that another node owns.
+    pub fn hear(&self, loads: &[EngineLoad]) {
+        for load in loads {
+            self.loads.note(&load.b, load.l);
         }
     }
 
@@ -65,15 +119,44 @@
         let backend = view
             .backend(&head.service, &head.backend)
             .ok_or(Refusal::not_run(NotRun::NoBackend))?;
-        let slot = self.slots.slot(&backend.name);
-        let occupied = Occupied::take(&slot);
-        let load = occupied.load();
+        let mut occupied = self.admit(attempt, backend, &view).await?;
+        self.bring_cache(attempt, backend, &view).await;
         self.timeline.event(event(EventKind::HandedOver, head));
-        let sent = self.send(backend, head, attempt.body.clone()).await;
+        let sending = self.send(backend, head, attempt.body.clone());
+        let sent = until_started(sending, &mut occupied).await;
         let ended = sent.as_ref().map_or_else(Refusal::reason, |_| "answered");
         self.timeline
             .event(event(EventKind::AttemptEnded, head).detail(ended));
-        Ok(whole(sent?, load, occupied))
+        let mut answer = whole(sent?, occupied);
+        answer.hint = head.chat.as_ref().map(|_| head.backend.clone());
+        Ok(answer)
+    }
+
+    /// Moves the chat's cache here where it is known to be elsewhere and the move is worth it.
+    async fn bring_cache(&self, attempt: &Attempt, backend: &Backend, view: &View) {
+        let head = &attempt.head;
+        let Some(chat) = head.chat.as_deref().filter(|_| backend.is_engine) else {
+            return;
+        };
+        let last_on = self.spills.last_on(chat);
+        if last_on.is_some() || head.cached_on.is_some() {
+            self.spills.note(chat, &backend.name);
+        }
+        let is_source = |b: &&Backend| match (head.cached_on.as_deref(), last_on) {
+            (Some(cached_on), _) => b.name == cached_on,
+            (None, Some(last_on)) => last_on.is_newest(&b.name),
+            (None, None) => false,
+        };
+        let source = view.of_service(&head.service).iter().find(is_source);
+        let Some(source) = source.filter(|source| source.name != backend.name) else {
+            return;
+        };
+        let settings = &self.settings;
+        if carry::is_worth_it(settings, attempt.body.len()) {
+            let limit = carry::prefill_time(settings, attempt.body.len());
+            let backends = self.backends.as_ref();
+            carry::carry(backends, chat, source.address, backend.address, limit).await;
+        }
     }
 
     async fn send(
@@ -103,7 +186,20 @@
     }
 }
 
-fn whole(answer: BackendAnswer, load: u32, occupied: Occupied) -> Answer {
+/// Waits for the head of an answer; the request has begun when that comes, or after a time in which it surely has.
+async fn until_started<T>(sending: impl Future<Output = T>, occupied: &mut Occupied) -> T {
+    let mut sending = std::pin::pin!(sending);
+    let early = tokio::time::timeout(STARTED_AFTER, &mut sending).await;
+    occupied.started();
+    match early {
+        Ok(sent) => sent,
+        Err(_) => sending.await,
+    }
+}
+
+fn whole(answer: BackendAnswer, occupied: Occupied) -> Answer {
+    // Read only now: the head of an answer that is not streamed comes long after the hand-over.
+    let load = occupied.load();
     let is_stream = answer
         .content_type
         .as_deref()
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -1,12 +1,19 @@
 //! The owner's side: everything that must be known exactly about one backend server is decided here.
 //!
-//! An owner counts what its backend servers have in flight, hands attempts over to them and checks that each answer
-//! is whole. See `docs/OWNERSHIP.md`.
+//! An owner counts what its backend servers have in flight, keeps the load bound, queues what has to wait, hands
+//! attempts over and checks that each answer is whole. See `docs/OWNERSHIP.md`.
 
+mod admission;
 mod answer;
+mod bound;
+mod carry;
 mod handover;
+mod owned;
+mod poll;
+mod queue;
 mod settings;
 mod slots;
+mod spill;
 #[cfg(test)]
 mod tests;
 mod whole;
@@ -14,5 +21,7 @@
 pub use answer::Answer;
 pub use answer::Attempt;
 pub use handover::Owner;
+pub use handover::OwnerParts;
+pub use poll::LoadPoller;
 pub use settings::Settings;
 pub(crate) use whole::WholeBody;
--- a/src/owner/settings.rs
+++ b/src/owner/settings.rs
@@ -1,5 +1,6 @@
 //! Section `[owner]`: how owned backend servers are treated.
 
+use super::queue::Bounds;
 use crate::settings::Section;
 use std::time::Duration;
 
@@ -8,6 +9,32 @@
 pub struct Settings {
     /// Longest wait for the first byte of a backend server's answer.
     pub first_byte_timeout: Duration,
+    /// Share of the bound's excess over the mean that is kept back for the mean's age, in thousandths.
+    pub margin_permille: u32,
+    /// Age from which a load heard of another owner counts for nothing.
+    pub load_max_age: Duration,
+    /// Longest wait before an interactive request is sent to another backend server.
+    pub spill_wait: Duration,
+    /// Longest wait in the queue.
+    pub queue_wait: Duration,
+    /// Most requests in the queue of one backend server.
+    pub queue_length: usize,
+    /// Most requests of one team in the queue of one backend server.
+    pub team_queue_length: usize,
+    /// Waiting time after which batch work goes before some interactive work.
+    pub ageing: Duration,
+    /// Share of a backend server's places that batch work may take, in thousandths.
+    pub batch_permille: u32,
+    /// Memory of the spill table, in bytes.
+    pub spill_table_bytes: usize,
+    /// Time between two load reports asked of an owned backend server.
+    pub poll_interval: Duration,
+    /// Time over which a new backend server is brought to its full share.
+    pub slow_start: Duration,
+    /// Rate at which engines take in uncached tokens, for the choice between that and moving a cache.
+    pub prefill_tokens_per_s: u32,
+    /// Rate at which engines export and import caches.
+    pub kv_tokens_per_s: u32,
 }
 
 impl Settings {
@@ -15,6 +42,37 @@
     pub fn read(section: &mut Section<'_>) -> Self {
         Self {
             first_byte_timeout: section.millis("first_byte_timeout_ms", 10_000, 10..=600_000),
+            margin_permille: small(section.number("margin_permille", 400, 0..=900)),
+            load_max_age: section.millis("load_max_age_ms", 2_000, 100..=60_000),
+            spill_wait: section.millis("spill_wait_ms", 50, 0..=10_000),
+            queue_wait: section.millis("queue_wait_ms", 5_000, 0..=600_000),
+            queue_length: section.number("queue_length", 512, 1..=1 << 20) as usize,
+            team_queue_length: section.number("team_queue_length", 128, 1..=1 << 20) as usize,
+            ageing: section.millis("ageing_ms", 2_000, 0..=600_000),
+            batch_permille: small(section.number("batch_permille", 500, 1..=1_000)),
+            spill_table_bytes: section.number("spill_table_bytes", 4 << 20, 128..=1 << 30) as usize,
+            poll_interval: section.millis("poll_interval_ms", 250, 50..=60_000),
+            slow_start: section.millis("slow_start_ms", 1_000, 0..=600_000),
+            prefill_tokens_per_s: small(section.number(
+                "prefill_tokens_per_s",
+                20_000,
+                1..=1 << 30,
+            )),
+            kv_tokens_per_s: small(section.number("kv_tokens_per_s", 200_000, 1..=1 << 30)),
         }
     }
+
+    /// Gives the bounds of the queues.
+    pub(super) fn bounds(&self) -> Bounds {
+        Bounds {
+            length: self.queue_length,
+            team_length: self.team_queue_length,
+            ageing: self.ageing,
+        }
+    }
+}
+
+/// Narrows a number whose range has been checked.
+fn small(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/src/owner/slots.rs
+++ b/src/owner/slots.rs
@@ -1,65 +1,328 @@
-//! Exact counts of what each owned backend server has in flight.
+//! Exact counts of what each owned backend server has in flight, with the queue before it.
 
+use super::queue::Bounds;
+use super::queue::Class;
+use super::queue::FullError;
+use super::queue::Queue;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+/// Time that one entry of the history stands for.
+const HISTORY_STEP: Duration = Duration::from_millis(10);
+/// How far the history goes back, well beyond the age of a load report.
+const HISTORY_LEN: usize = 300;
+/// Uncertainty of the moment that a load report is about.
+const REPORT_SLACK: Duration = Duration::from_millis(30);
+
+/// Most requests in flight, as it follows from the mean.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Limits {
+    /// Of all classes.
+    pub(super) total: u32,
+    /// Of batch work.
+    pub(super) batch: u32,
+}
 
 /// What the owner keeps of one backend server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Slot {
-    in_flight: AtomicU32,
+    bounds: Bounds,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    own: u32,
+    own_batch: u32,
+    /// Own requests that the backend server has surely begun.
+    own_started: u32,
+    /// Requests of other owners, by the backend server's last report.
+    foreign: u32,
+    limits: Limits,
+    queue: Queue<Waiter>,
+    history: VecDeque<(Instant, u32)>,
+}
+
+/// A waiting request's end of the wait.
+#[derive(Debug)]
+struct Waiter {
+    class: Class,
+    tx: oneshot::Sender<Occupied>,
+}
+
+/// A request in the queue.
+pub(super) type Waiting = oneshot::Receiver<Occupied>;
+
+/// What comes of asking for a place.
+pub(super) enum Admission {
+    /// There was a place.
+    Admitted(Occupied),
+    /// The request waits for one.
+    Queued(Waiting),
 }
 
 impl Slot {
-    /// Gives the requests in flight.
+    fn new(bounds: Bounds, foreign: u32) -> Self {
+        Self {
+            bounds,
+            inner: Mutex::new(Inner {
+                own: 0,
+                own_batch: 0,
+                own_started: 0,
+                foreign,
+                limits: Limits { total: 0, batch: 0 },
+                queue: Queue::default(),
+                history: VecDeque::new(),
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives the requests in flight, those of other owners included.
     pub(super) fn load(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
+        let inner = self.lock();
+        inner.own + inner.foreign
+    }
+
+    /// Gives the requests that the backend server has surely begun, those of other owners included.
+    ///
+    /// The mean is made of these: a request that is still on its way counts at its own backend server, but must not
+    /// let another one take more already.
+    pub(super) fn started(&self) -> u32 {
+        let inner = self.lock();
+        inner.own_started + inner.foreign
+    }
+
+    /// Tells whether any request of this node is in flight.
+    pub(super) fn is_used(&self) -> bool {
+        self.lock().own > 0
+    }
+
+    /// Takes in the backend server's own report of `load`, which is `age` old.
+    ///
+    /// What the report counts beyond this node's own requests of that time are other owners'. Own requests are taken
+    /// at their most around that time, since a request is counted here before it starts and until its last byte.
+    pub(super) fn report(&self, load: u32, age: Duration) {
+        let mut inner = self.lock();
+        let own_then = inner.own_around(Instant::now(), age);
+        inner.foreign = load.saturating_sub(own_then);
+    }
+
+    /// Takes a place where there is one, else waits in the queue.
+    pub(super) fn admit(
+        self: &Arc<Self>,
+        class: Class,
+        team: &str,
+        weight: u32,
+        limits: Limits,
+    ) -> Result<Admission, FullError> {
+        let mut inner = self.lock();
+        inner.limits = limits;
+        if inner.queue.len() == 0 && inner.has_room(class) {
+            inner.take(class);
+            return Ok(Admission::Admitted(Occupied::new(self, class)));
+        }
+        let (tx, rx) = oneshot::channel();
+        let waiter = Waiter { class, tx };
+        let now = Instant::now();
+        inner
+            .queue
+            .push(class, team, weight, now, &self.bounds, waiter)?;
+        drop(inner);
+        self.pump(limits);
+        Ok(Admission::Queued(rx))
+    }
+
+    /// Counts a request that is there already, such as a resumed stream.
+    pub(super) fn occupy(self: &Arc<Self>, class: Class) -> Occupied {
+        self.lock().take(class);
+        Occupied::new(self, class)
+    }
+
+    /// Gives waiting requests the places that there are under `limits`.
+    pub(super) fn pump(self: &Arc<Self>, limits: Limits) {
+        let granted = {
+            let mut inner = self.lock();
+            inner.limits = limits;
+            inner.grant(&self.bounds)
+        };
+        for waiter in granted {
+            // A request that has stopped to wait drops its place, which goes to the next one.
+            let _ = waiter.tx.send(Occupied::new(self, waiter.class));
+        }
+    }
+
+    fn release(self: &Arc<Self>, class: Class, started: bool) {
+        let limits = {
+            let mut inner = self.lock();
+            inner.own -= 1;
+            inner.own_started -= u32::from(started);
+            inner.own_batch -= u32::from(class == Class::Batch);
+            inner.note_history();
+            if inner.queue.len() == 0 {
+                return;
+            }
+            inner.limits
+        };
+        self.pump(limits);
+    }
+}
+
+impl Inner {
+    fn has_room(&self, class: Class) -> bool {
+        let batch_fits = class == Class::Interactive || self.own_batch < self.limits.batch;
+        batch_fits && self.own + self.foreign < self.limits.total
+    }
+
+    fn take(&mut self, class: Class) {
+        self.own += 1;
+        self.own_batch += u32::from(class == Class::Batch);
+        self.note_history();
+    }
+
+    fn grant(&mut self, bounds: &Bounds) -> Vec<Waiter> {
+        self.queue.remove(|waiter| waiter.tx.is_closed());
+        let mut granted = Vec::new();
+        let now = Instant::now();
+        loop {
+            let interactive = self.has_room(Class::Interactive);
+            let batch = self.has_room(Class::Batch);
+            let may_run = |class| match class {
+                Class::Interactive => interactive,
+                Class::Batch => batch,
+            };
+            let Some(waiter) = self.queue.pop(now, bounds, may_run) else {
+                return granted;
+            };
+            self.take(waiter.class);
+            granted.push(waiter);
+        }
+    }
+
+    /// Keeps, for each step of time, the most that was in flight.
+    fn note_history(&mut self) {
+        let now = Instant::now();
+        match self.history.back_mut() {
+            Some((at, most)) if now.duration_since(*at) < HISTORY_STEP => {
+                *most = self.own.max(*most);
+            }
+            _ => {
+                if self.history.len() == HISTORY_LEN {
+                    self.history.pop_front();
+                }
+                self.history.push_back((now, self.own));
+            }
+        }
+    }
+
+    fn own_around(&self, now: Instant, age: Duration) -> u32 {
+        let from = now.checked_sub(age + REPORT_SLACK);
+        let to = now.checked_sub(age.saturating_sub(REPORT_SLACK));
+        let (Some(from), Some(to)) = (from, to) else {
+            return self.own;
+        };
+        let mut most = 0;
+        for &(at, own) in &self.history {
+            if at <= from {
+                // What was in flight last before that time still was.
+                most = own;
+            } else if at <= to {
+                most = most.max(own);
+            }
+        }
+        most
     }
 }
 
-/// Slots of all backend servers that this node has ever handed work to.
-#[derive(Debug, Default)]
+/// Slots of all backend servers that this node owns or has handed work to.
+#[derive(Debug)]
 pub(super) struct Slots {
+    bounds: Bounds,
     // Sorted by name.
     slots: Mutex<Vec<(String, Arc<Slot>)>>,
 }
 
 impl Slots {
-    /// Gives the slot of `backend`, made where there is none.
-    pub(super) fn slot(&self, backend: &str) -> Arc<Slot> {
+    /// Makes an empty set whose queues have the given bounds.
+    pub(super) fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            slots: Mutex::default(),
+        }
+    }
+
+    /// Gives the slot of `backend`; where there is none, one is made that takes over at `reported`.
+    pub(super) fn slot(&self, backend: &str, reported: impl Fn() -> u32) -> Arc<Slot> {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-        match slots.binary_search_by(|(name, _)| name.as_str().cmp(backend)) {
+        match find(&slots, backend) {
             Ok(i) => Arc::clone(&slots[i].1),
             Err(i) => {
-                let slot = Arc::new(Slot::default());
+                let slot = Arc::new(Slot::new(self.bounds, reported()));
                 slots.insert(i, (backend.to_owned(), Arc::clone(&slot)));
                 slot
             }
         }
     }
+
+    /// Gives the slot of `backend` where there is one.
+    pub(super) fn known(&self, backend: &str) -> Option<Arc<Slot>> {
+        let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        find(&slots, backend).ok().map(|i| Arc::clone(&slots[i].1))
+    }
+
+    /// Drops the slots that `keep` does not name and that nothing is in flight at.
+    pub(super) fn retain(&self, keep: impl Fn(&str) -> bool) {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.retain(|(name, slot)| keep(name) || slot.is_used());
+    }
+}
+
+fn find(slots: &[(String, Arc<Slot>)], backend: &str) -> Result<usize, usize> {
+    slots.binary_search_by(|(name, _)| name.as_str().cmp(backend))
 }
 
 /// Counts one request at a backend server until it is dropped.
 #[derive(Debug)]
-pub(super) struct Occupied(Arc<Slot>);
+pub(super) struct Occupied {
+    slot: Arc<Slot>,
+    class: Class,
+    started: bool,
+}
 
 impl Occupied {
-    /// Counts a request.
-    pub(super) fn take(slot: &Arc<Slot>) -> Self {
-        slot.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(slot))
+    fn new(slot: &Arc<Slot>, class: Class) -> Self {
+        Self {
+            slot: Arc::clone(slot),
+            class,
+            started: false,
+        }
+    }
+
+    /// Notes that the backend server has begun the request.
+    pub(super) fn started(&mut self) {
+        if !self.started {
+            self.started = true;
+            self.slot.lock().own_started += 1;
+        }
     }
 
-    /// Gives the requests in flight, with this one.
+    /// Gives the requests that the backend server has begun.
     pub(super) fn load(&self) -> u32 {
-        self.0.load()
+        self.slot.started()
     }
 }
 
 impl Drop for Occupied {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.slot.release(self.class, self.started);
     }
 }
--- /dev/null
+++ b/src/owner/spill.rs
@@ -0,0 +1,116 @@
+//! Remembers the two backend servers that a chat was on last, in a table of fixed size.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+use std::mem::size_of;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+/// Entries that share a place; the one used longest ago makes room.
+const WAYS: usize = 4;
+
+/// One chat; names are kept as hashes, since an entry has 32 bytes whatever the names' lengths.
+#[derive(Clone, Copy, Debug, Default)]
+struct Entry {
+    chat: u64,
+    newest: u64,
+    older: u64,
+    used: u64,
+}
+
+/// Chat to the two backend servers that it was on last, the newest first.
+#[derive(Debug)]
+pub(super) struct SpillTable {
+    // Sets of `WAYS` entries by the chat's hash: a sorted vector of a hundred thousand chats would move on each insert.
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    entries: Vec<Entry>,
+    clock: u64,
+}
+
+/// The backend servers that a chat was on last, by the hash of their names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct LastOn {
+    newest: u64,
+    older: u64,
+}
+
+impl LastOn {
+    /// Tells whether `backend` is the newest.
+    pub(super) fn is_newest(self, backend: &str) -> bool {
+        self.newest == hash(backend)
+    }
+
+    /// Tells whether `backend` is one of the two.
+    pub(super) fn contains(self, backend: &str) -> bool {
+        let hash = hash(backend);
+        self.newest == hash || self.older == hash
+    }
+}
+
+impl SpillTable {
+    /// Makes a table that takes at most `bytes`.
+    pub(super) fn new(bytes: usize) -> Self {
+        let sets = (bytes / (WAYS * size_of::<Entry>())).max(1);
+        Self {
+            inner: Mutex::new(Inner {
+                entries: vec![Entry::default(); sets * WAYS],
+                clock: 0,
+            }),
+        }
+    }
+
+    /// Notes that `chat` is on `backend` now.
+    pub(super) fn note(&self, chat: &str, backend: &str) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.clock += 1;
+        let used = inner.clock;
+        let chat = hash(chat);
+        let set = inner.set(chat);
+        let found = set.iter().position(|entry| entry.chat == chat);
+        let oldest = || (0..set.len()).min_by_key(|&i| set[i].used).unwrap_or(0);
+        let i = found.unwrap_or_else(oldest);
+        let newest = hash(backend);
+        let before = if found.is_some() { set[i].newest } else { 0 };
+        let older = if before == newest {
+            set[i].older
+        } else {
+            before
+        };
+        set[i] = Entry {
+            chat,
+            newest,
+            older,
+            used,
+        };
+    }
+
+    /// Gives the backend servers that `chat` was on last.
+    pub(super) fn last_on(&self, chat: &str) -> Option<LastOn> {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let chat = hash(chat);
+        let entry = inner.set(chat).iter().find(|entry| entry.chat == chat)?;
+        Some(LastOn {
+            newest: entry.newest,
+            older: entry.older,
+        })
+    }
+}
+
+impl Inner {
+    fn set(&mut self, chat: u64) -> &mut [Entry] {
+        let sets = self.entries.len() / WAYS;
+        let first = (chat % sets as u64) as usize * WAYS;
+        &mut self.entries[first..first + WAYS]
+    }
+}
+
+/// Hashes a name; zero marks an empty place.
+fn hash(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish().max(1)
+}
--- a/src/owner/tests.rs
+++ b/src/owner/tests.rs
@@ -1,3 +1,8 @@
+mod bound;
+mod queue;
+mod slots;
+mod spill;
+
 use super::whole::WholeBody;
 use crate::net::Body;
 use crate::net::collect;
--- a/src/owner/whole.rs
+++ b/src/owner/whole.rs
@@ -26,13 +26,13 @@
 
 impl std::error::Error for CutShortError {}
 
-/// A body that keeps `guard` until its end and, for an event stream, fails where the end mark is missing.
+/// A body that drops `guard` at its end and, for an event stream, fails where the end mark is missing.
 pub(crate) struct WholeBody<G> {
     inner: Body,
     needs_mark: bool,
     tail: Vec<u8>,
     ended: bool,
-    _guard: G,
+    guard: Option<G>,
 }
 
 impl<G: Send + Unpin + 'static> WholeBody<G> {
@@ -43,7 +43,7 @@
             needs_mark: is_stream,
             tail: Vec::new(),
             ended: false,
-            _guard: guard,
+            guard: Some(guard),
         };
         body.boxed_unsync()
     }
@@ -61,6 +61,7 @@
 
     fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.ended = true;
+        self.guard = None;
         if self.needs_mark && self.tail != STREAM_END {
             return Some(Err(Box::new(CutShortError)));
         }
@@ -89,6 +90,7 @@
             }
             Some(Err(err)) => {
                 self.ended = true;
+                self.guard = None;
                 Some(Err(err))
             }
             None => self.end(),
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -2,12 +2,15 @@
 
 use super::PolicyName;
 use crate::settings::Section;
+use std::time::Duration;
 
 /// How backend servers are chosen.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Policy of the first choice.
     pub policy: PolicyName,
+    /// Time between two exchanges of loads with some of the other nodes.
+    pub exchange_interval: Duration,
 }
 
 impl Settings {
@@ -15,6 +18,7 @@
     pub fn read(section: &mut Section<'_>) -> Self {
         Self {
             policy: section.or("policy", PolicyName::Owner, PolicyName::ACCEPTED),
+            exchange_interval: section.millis("exchange_interval_ms", 50, 10..=60_000),
         }
     }
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -26,7 +26,9 @@
 
 async fn run(names: &str, options: RunOptions) -> Report {
     let cases = cases::pick(names).unwrap();
-    cases::run(&cases, options, &|_| {}).await.unwrap()
+    cases::run(&cases, options, &|line| println!("{line}"))
+        .await
+        .unwrap()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -37,12 +39,5 @@
 
     assert!(report.answered > 0, "{}", report.to_line());
     assert_eq!(report.answered, report.requests, "{}", report.to_line());
-    let broken = [
-        report.wrong,
-        report.incomplete,
-        report.double_runs,
-        report.false_not_run,
-        report.cut_off,
-    ];
-    assert_eq!(broken, [0; 5], "{}", report.to_line());
+    assert!(report.promises_kept(), "{}", report.to_line());
 }
