--- a/bench/src/cases/run.rs
+++ b/bench/src/cases/run.rs
@@ -83,6 +83,7 @@
     let added =
         load::measure_added_time(&options.load, fleet.directory(), &fleet.engine_addresses()).await;
     findings.extend(join_all(cases.iter().map(|case| case.after(&cx))).await);
+    findings.extend(cases.iter().map(|case| case.judge(&calls)));
     show_ends(&calls, progress);
     show_overload(&options, &starts, started, progress);
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,7 +1,17 @@
+mod fixtures;
+mod gossip;
+mod reach;
+mod seal;
+mod table;
+
+use super::BackendLoad;
+use super::LoadBoard;
+use super::Summary;
 use super::View;
 use crate::border::generated::platform::Host;
 use crate::border::generated::platform::HostRole;
 use crate::border::generated::platform::HostState;
+use std::time::Instant;
 
 fn host(name: &str, data_centre: &str, role: HostRole) -> Host {
     Host {
@@ -42,3 +52,53 @@
     let engine = view.backend("assistant", "e1").unwrap();
     assert_eq!(view.owner(engine).unwrap().name, "n1");
 }
+
+fn load(backend: &str, load: u32) -> BackendLoad {
+    BackendLoad {
+        service: "assistant".to_owned(),
+        backend: backend.to_owned(),
+        load,
+    }
+}
+
+fn summary(version: (u64, u64), loads: &[BackendLoad]) -> Summary {
+    Summary {
+        node: "n2".to_owned(),
+        version,
+        at: Instant::now(),
+        loads: loads.to_vec(),
+    }
+}
+
+#[test]
+fn old_summaries_do_not_replace_newer_ones() {
+    let board = LoadBoard::new("n1", 1);
+    board.publish(&[load("e1", 3), load("e2", 9)]);
+
+    assert!(board.receive(summary((7, 2), &[load("e2", 4), load("e3", 5)])));
+    assert!(!board.receive(summary((7, 1), &[load("e3", 6)])));
+    assert!(!board.receive(summary((6, 9), &[load("e3", 7)])));
+
+    let loads = board.loads("assistant");
+    assert_eq!(loads, [load("e1", 3), load("e2", 9), load("e3", 5)]);
+    assert_eq!(board.summaries().len(), 2);
+}
+
+#[test]
+fn backend_servers_of_a_cut_off_data_centre_are_kept_where_their_service_has_no_others() {
+    let mut other = host("p1", "falun", HostRole::Service);
+    other.service = Some("payments".to_owned());
+    let hosts = [
+        host("n1", "gavle", HostRole::Entry),
+        host("e1", "gavle", HostRole::Engine),
+        host("e2", "falun", HostRole::Engine),
+        other,
+    ];
+    let listed = View::from_hosts(&hosts);
+
+    let view = listed.restricted(listed.nodes().to_vec(), |centre| centre == "falun");
+
+    assert_eq!(view.of_service("assistant").len(), 1);
+    assert!(view.backend("assistant", "e1").is_some());
+    assert!(view.backend("payments", "p1").is_some());
+}
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -119,6 +119,10 @@
         let backend = view
             .backend(&head.service, &head.backend)
             .ok_or(Refusal::not_run(NotRun::NoBackend))?;
+        if backend.leaving {
+            // The sender's host list is older than this one.
+            return Err(Refusal::not_run(NotRun::Stopping));
+        }
         let mut occupied = self.admit(attempt, backend, &view).await?;
         self.bring_cache(attempt, backend, &view).await;
         self.timeline.event(event(EventKind::HandedOver, head));
@@ -135,7 +139,9 @@
     /// Moves the chat's cache here where it is known to be elsewhere and the move is worth it.
     async fn bring_cache(&self, attempt: &Attempt, backend: &Backend, view: &View) {
         let head = &attempt.head;
-        let Some(chat) = head.chat.as_deref().filter(|_| backend.is_engine) else {
+        // The baselines show what routing alone brings.
+        let may_move = self.is_bounded && backend.is_engine;
+        let Some(chat) = head.chat.as_deref().filter(|_| may_move) else {
             return;
         };
         let last_on = self.spills.last_on(chat);
