Bench: case tokens measures what a streamed token costs

Cause: the target is 8,600 streamed tokens a second a node, twice over with the hop, within half a core: 58 us a token at entry and owner together. Nothing measured it.

Change: case `tokens`: 370 streams (43 ms between tokens) through one node to engines owned by the other. Processor time of each node comes from the system, tokens are counted by the callers. Cases may add figures of their own to the report.

--- a/bench/src/cases/mod.rs
+++ b/bench/src/cases/mod.rs
@@ -9,6 +9,7 @@
 mod steady;
 mod timeline;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -83,6 +84,15 @@
     pub reverted: u64,
     /// Conditions that were not met.
     pub failures: Vec<String>,
+    /// Figures of the case's own, by name.
+    pub figures: BTreeMap<&'static str, f64>,
+}
+
+impl Findings {
+    /// Notes a figure of the case's own.
+    pub fn figure(&mut self, name: &'static str, value: f64) {
+        self.figures.insert(name, value);
+    }
 }
 
 /// One case.
--- a/bench/src/cases/run.rs
+++ b/bench/src/cases/run.rs
@@ -104,6 +104,10 @@
         added,
         reverted: findings.iter().map(|found: &Findings| found.reverted).sum(),
         failures: &failures,
+        figures: findings
+            .iter()
+            .flat_map(|found| found.figures.clone())
+            .collect(),
     };
     Ok(Report::new(&evidence))
 }
--- /dev/null
+++ b/bench/src/cases/timeline/tokens.rs
@@ -0,0 +1,95 @@
+//! What a streamed token costs the node that a caller talks to, and the node that owns the engine.
+
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use futures_util::future::join_all;
+
+use super::streams::Caller;
+use super::streams::Count;
+use crate::cases::Case;
+use crate::cases::CaseCx;
+use crate::cases::Findings;
+use crate::cases::RunOptions;
+use crate::fleet::NodeStats;
+
+/// Streams at a time; at 43 ms between tokens they carry the target's 8,600 tokens a second of one node.
+const STREAMS: u32 = 370;
+/// Tokens of each answer, so that the start of a request weighs as little as in a long answer.
+const ANSWER_TOKENS: u32 = 256;
+/// Time of one token in an empty batch; the stand-in takes longer the fuller its batch is.
+const TOKEN_MS: u64 = 25;
+/// Requests that an engine runs at a time.
+const BATCH: u32 = 64;
+/// Time until all streams run.
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Microseconds of a second.
+const MICROS: f64 = 1e6;
+
+/// One node before, one node behind: all engines are in the other data centre than the callers' node.
+pub(super) struct Tokens;
+
+#[async_trait]
+impl Case for Tokens {
+    fn name(&self) -> &'static str {
+        "tokens"
+    }
+
+    fn about(&self) -> &'static str {
+        "processor time of a streamed token at the entry and at the owner"
+    }
+
+    fn options(&self, options: &mut RunOptions) {
+        options.fleet.nodes = 2;
+        options.fleet.backend_data_centres = 1;
+        options.fleet.engine.max_batch = BATCH;
+        options.fleet.engine.token_ms = TOKEN_MS;
+        options.fleet.floor = BATCH;
+        options.load.chat_callers = 1;
+        options.load.plain_callers = 0;
+    }
+
+    async fn faults(&self, cx: &CaseCx<'_>) -> Findings {
+        let nodes = cx.fleet.directory().nodes();
+        let entry = nodes.last().expect("the case has two nodes");
+        let count = Count::default();
+        let callers: Vec<Caller<'_>> = (0..STREAMS)
+            .map(|number| Caller {
+                number,
+                node: entry.address,
+                team: &cx.fleet.teams()[number as usize % cx.fleet.teams().len()],
+                model: &cx.fleet.options().model,
+                tokens: ANSWER_TOKENS,
+                count: &count,
+            })
+            .collect();
+        let streams = join_all(callers.iter().map(|caller| caller.run(cx.until)));
+        let (_, findings) = tokio::join!(streams, measure(cx, &count, &entry.name));
+        findings
+    }
+}
+
+async fn measure(cx: &CaseCx<'_>, count: &Count, entry: &str) -> Findings {
+    cx.pause(WARM_UP).await;
+    let (before, events, began) = (cx.fleet.stats().await, count.events(), Instant::now());
+    tokio::time::sleep(cx.until.saturating_duration_since(began)).await;
+    let (after, took) = (cx.fleet.stats().await, began.elapsed());
+    let tokens = (count.events() - events) as f64;
+    let used = |is_entry: bool| -> f64 {
+        let picked = after.iter().filter(|node| (node.name == entry) == is_entry);
+        picked.map(|node| cpu_since(&before, node)).sum()
+    };
+    let mut findings = Findings::default();
+    findings.figure("tokens_per_s", tokens / took.as_secs_f64());
+    findings.figure("entry_us_per_token", used(true) * MICROS / tokens);
+    findings.figure("owner_us_per_token", used(false) * MICROS / tokens);
+    findings.figure("failed_streams", count.failed.load(Relaxed) as f64);
+    findings
+}
+
+fn cpu_since(before: &[NodeStats], after: &NodeStats) -> f64 {
+    let former = before.iter().find(|former| former.name == after.name);
+    after.cpu_seconds - former.map_or(0.0, |former| former.cpu_seconds)
+}
--- a/bench/src/fleet/options.rs
+++ b/bench/src/fleet/options.rs
@@ -30,6 +30,8 @@
     pub node_binary: PathBuf,
     /// Count of data centres.
     pub data_centres: u8,
+    /// Count of data centres, from the first on, that backend servers are in.
+    pub backend_data_centres: u8,
     /// Count of nodes, shared out evenly over the data centres.
     pub nodes: u8,
     /// Count of engines.
@@ -70,6 +72,7 @@
             out: PathBuf::from("bench-out"),
             node_binary: PathBuf::from("currantbend"),
             data_centres: 2,
+            backend_data_centres: 2,
             nodes: 4,
             engines: 8,
             model: String::from("assistant"),
@@ -98,7 +101,10 @@
 
     /// Data centre of the backend server with the given index.
     pub fn zone_of(&self, index: usize) -> String {
-        format!("dc{}", index % usize::from(self.data_centres.max(1)) + 1)
+        format!(
+            "dc{}",
+            index % usize::from(self.backend_data_centres.max(1)) + 1
+        )
     }
 
     /// Options of the engine with the given number.
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -5,6 +5,7 @@
 mod ideal;
 mod promises;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -48,6 +49,8 @@
     pub reverted: u64,
     /// Further conditions of the cases that were not met.
     pub failures: &'a [String],
+    /// Figures of the cases' own, by name.
+    pub figures: BTreeMap<&'static str, f64>,
 }
 
 /// The JSON line of a run.
@@ -121,6 +124,9 @@
     pub node_rss_mb: f64,
     /// Further conditions of the cases that were not met.
     pub failures: Vec<String>,
+    /// Figures of the cases' own.
+    #[serde(flatten)]
+    pub figures: BTreeMap<&'static str, f64>,
 }
 
 impl Report {
@@ -181,6 +187,11 @@
                     .fold(0.0, f64::max),
             ),
             failures: evidence.failures.to_vec(),
+            figures: evidence
+                .figures
+                .iter()
+                .map(|(name, value)| (*name, round(*value)))
+                .collect(),
         }
     }
 
