Hop: fixed HTTP/2 windows

Cause: the adaptive window measures the round trip by a ping whenever data flows, so nearly each small frame of a stream brought a ping and its answer.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,6 +1,8 @@
 //! HTTP client towards the platform, backend servers and other nodes.
 
 use super::Body;
+use super::HTTP2_CONNECTION_WINDOW_BYTES;
+use super::HTTP2_STREAM_WINDOW_BYTES;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -74,7 +76,8 @@
             builder.http2_keep_alive_interval(options.ping);
             builder.http2_keep_alive_timeout(options.ping);
             builder.http2_keep_alive_while_idle(true);
-            builder.http2_adaptive_window(true);
+            builder.http2_initial_stream_window_size(HTTP2_STREAM_WINDOW_BYTES);
+            builder.http2_initial_connection_window_size(HTTP2_CONNECTION_WINDOW_BYTES);
         }
         Self {
             inner: builder.build(connector),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,8 @@
 //! HTTP server: one task for each connection, graceful end.
 
 use super::Body;
+use super::HTTP2_CONNECTION_WINDOW_BYTES;
+use super::HTTP2_STREAM_WINDOW_BYTES;
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::Response;
@@ -130,7 +132,8 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(HTTP2_PING)
             .keep_alive_timeout(HTTP2_PING)
-            .adaptive_window(true)
+            .initial_stream_window_size(HTTP2_STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(HTTP2_CONNECTION_WINDOW_BYTES)
             .max_concurrent_streams(u32::MAX);
     }
     let watcher = graceful.watcher();
