Node: as many worker threads as set, two by default

Cause: the runtime took a thread for each core; small wake-ups of streams then cost searches and futex calls.

Change: `[node] worker_threads`, 2 by default. The case tokens tells calls that were never connected from failed ones.

One thread would be cheaper still, but one long step would then hold up all streams, so two is the default.

--- a/bench/src/cases/timeline/streams.rs
+++ b/bench/src/cases/timeline/streams.rs
@@ -15,6 +15,7 @@
 
 use crate::load::TeamKey;
 use crate::load::client::Client;
+use crate::load::client::SendError;
 
 /// Events at the end of a stream that carry no token.
 const END_EVENTS: u64 = 2;
@@ -30,6 +31,8 @@
     breaks: AtomicU64,
     /// Answers that were whole.
     pub answered: AtomicU64,
+    /// Calls that no connection was made for.
+    pub unsent: AtomicU64,
     /// Answers that were refused or broke off.
     pub failed: AtomicU64,
 }
@@ -41,6 +44,14 @@
     }
 }
 
+/// How one call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ended {
+    Whole,
+    Unsent,
+    Failed,
+}
+
 /// One caller.
 pub struct Caller<'a> {
     /// Number of the caller, which its chats carry.
@@ -64,24 +75,30 @@
         let mut calls = 0;
         while Instant::now() < until {
             calls += 1;
-            if self.call(&mut client, calls).await.is_some() {
-                self.count.answered.fetch_add(1, Relaxed);
-            } else {
-                self.count.failed.fetch_add(1, Relaxed);
+            let ended = self.call(&mut client, calls).await;
+            let counter = match ended {
+                Ended::Whole => &self.count.answered,
+                Ended::Unsent => &self.count.unsent,
+                Ended::Failed => &self.count.failed,
+            };
+            counter.fetch_add(1, Relaxed);
+            if ended != Ended::Whole {
                 client.forget(self.node);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 
-    /// Asks once; gives nothing where the answer was not whole.
-    async fn call(&self, client: &mut Client, call: u32) -> Option<()> {
-        let answer = client.send(self.node, self.request(call)).await.ok()?;
-        if !answer.status().is_success() {
-            return None;
+    async fn call(&self, client: &mut Client, call: u32) -> Ended {
+        let answer = match client.send(self.node, self.request(call)).await {
+            Ok(answer) if answer.status().is_success() => answer,
+            Err(SendError::NotSent(_)) => return Ended::Unsent,
+            _ => return Ended::Failed,
+        };
+        match self.read(answer.into_body()).await {
+            Some(events) if events == u64::from(self.tokens) + END_EVENTS => Ended::Whole,
+            _ => Ended::Failed,
         }
-        let events = self.read(answer.into_body()).await?;
-        (events == u64::from(self.tokens) + END_EVENTS).then_some(())
     }
 
     async fn read(&self, mut body: Incoming) -> Option<u64> {
--- a/bench/src/cases/timeline/tokens.rs
+++ b/bench/src/cases/timeline/tokens.rs
@@ -85,6 +85,7 @@
     findings.figure("tokens_per_s", tokens / took.as_secs_f64());
     findings.figure("entry_us_per_token", used(true) * MICROS / tokens);
     findings.figure("owner_us_per_token", used(false) * MICROS / tokens);
+    findings.figure("unsent_streams", count.unsent.load(Relaxed) as f64);
     findings.figure("failed_streams", count.failed.load(Relaxed) as f64);
     findings
 }
--- a/src/bin/currantbend.rs
+++ b/src/bin/currantbend.rs
@@ -97,7 +97,11 @@
         }
         Request::Serve(path) => {
             let settings = Settings::load(&path).map_err(RunError::Settings)?;
-            let runtime = tokio::runtime::Runtime::new().map_err(RunError::System)?;
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(settings.node.worker_threads)
+                .enable_all()
+                .build()
+                .map_err(RunError::System)?;
             runtime.block_on(serve(&settings))?;
         }
     }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -84,6 +84,8 @@
     pub operations_address: SocketAddr,
     /// Local address of outgoing connections.
     pub source_ip: Option<IpAddr>,
+    /// Threads that carry requests.
+    pub worker_threads: usize,
     /// Key that all nodes of the deployment share.
     pub key: DeploymentKey,
 }
@@ -100,6 +102,7 @@
             peer_address: section.required("peer_address", nowhere, ADDRESS),
             operations_address: section.required("operations_address", nowhere, ADDRESS),
             source_ip: section.optional("source_ip", "an IP address of this host"),
+            worker_threads: section.number("worker_threads", 2, 1..=256) as usize,
             key: section.required(
                 "key",
                 DeploymentKey([0; KEY_BYTES]),
