Metrics from events; answers are counted by how they really ended

Cause: an answer was counted as answered, with its first byte, when its head came; one that broke off or whose caller went counted as answered. Retries, refusals and waits had no metrics.

Change: the body of an answer notes its first byte, its end and the cached tokens of its usage. Every kind of event is counted, steps that carry a time and loads are metrics. A request's last event says how it ended and after how long.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,10 +6,13 @@
 mod attempts;
 mod caller;
 mod chat;
+mod outgoing;
 mod plain;
 mod reply;
 mod serve;
 mod settings;
+#[cfg(test)]
+mod tests;
 
 pub use attempts::Attempts;
 pub use serve::Entry;
--- /dev/null
+++ b/src/entry/outgoing.rs
@@ -0,0 +1,134 @@
+//! The body of an answer on its way to the caller: notes the first byte, how it ended, and the cached tokens it tells.
+
+use super::reply::Counted;
+use crate::net::Body;
+use crate::net::BodyError;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use serde::Deserialize;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+/// What comes before the data of an event in a stream.
+const DATA: &[u8] = b"data: ";
+/// Largest last part of an answer that is looked through for its usage, in bytes.
+const MAX_USAGE_BYTES: usize = 64 * 1024;
+
+/// Tokens of a prompt and how many of them were cached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct CacheUse {
+    /// Tokens of the prompt.
+    pub(super) prompt: u64,
+    /// Tokens that came from the cache.
+    pub(super) cached: u64,
+}
+
+/// The part of a chat completion, or of its last chunk, that is read here.
+#[derive(Deserialize)]
+struct Completion {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens: u64,
+    prompt_tokens_details: Option<Details>,
+}
+
+#[derive(Deserialize)]
+struct Details {
+    cached_tokens: u64,
+}
+
+/// A body that counts itself.
+pub(super) struct Outgoing {
+    inner: Body,
+    counted: Counted,
+    began: bool,
+    /// The last two frames, which hold the usage of a stream.
+    last: [Bytes; 2],
+}
+
+impl Outgoing {
+    /// Wraps the body of an answer.
+    pub(super) fn wrap(inner: Body, counted: Counted) -> Body {
+        let mut body = Self {
+            inner,
+            counted,
+            began: false,
+            last: [Bytes::new(), Bytes::new()],
+        };
+        if body.inner.size_hint().exact() == Some(0) {
+            body.ended();
+        }
+        body.boxed_unsync()
+    }
+
+    fn passed(&mut self, data: &Bytes) {
+        if !self.began {
+            self.began = true;
+            self.counted.first_byte();
+        }
+        self.last.swap(0, 1);
+        self.last[1] = data.clone();
+        // A body of known length is not asked for its end once all of it is there.
+        if self.inner.size_hint().exact() == Some(0) {
+            self.ended();
+        }
+    }
+
+    fn ended(&mut self) {
+        let last = std::mem::take(&mut self.last);
+        self.counted.answered(cache_use(&last.concat()));
+    }
+}
+
+impl hyper::body::Body for Outgoing {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        match &polled {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.passed(data);
+                }
+            }
+            Some(Err(_)) => self.counted.broke_off(),
+            None => self.ended(),
+        }
+        Poll::Ready(polled)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Reads the usage out of the last part of an answer, a stream's or a whole one.
+pub(super) fn cache_use(tail: &[u8]) -> Option<CacheUse> {
+    if tail.len() > MAX_USAGE_BYTES {
+        return None;
+    }
+    let usage = tail
+        .split(|byte| *byte == b'\n')
+        .filter_map(|line| usage_of(line.strip_prefix(DATA).unwrap_or(line)))
+        .next_back()?;
+    Some(CacheUse {
+        prompt: usage.prompt_tokens,
+        cached: usage.prompt_tokens_details?.cached_tokens,
+    })
+}
+
+fn usage_of(json: &[u8]) -> Option<Usage> {
+    serde_json::from_slice::<Completion>(json).ok()?.usage
+}
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -1,14 +1,16 @@
 //! Passes answers on to callers and counts how requests end.
 
 use super::caller::HINT_HEADER;
+use super::outgoing::CacheUse;
+use super::outgoing::Outgoing;
 use crate::border::REQUEST_ID_HEADER;
 use crate::net::Body;
 use crate::operations::Metrics;
 use crate::outcome::OUTCOME_HEADER;
 use crate::outcome::Refusal;
+use crate::outcome::Unknown;
 use crate::outcome::problem_response;
 use crate::owner::Answer;
-use crate::owner::WholeBody;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
 use crate::timeline::Timeline;
@@ -48,12 +50,7 @@
     pub(super) fn respond(mut self, answer: Result<Answer, Refusal>) -> Response<Body> {
         let request = self.request.clone();
         let mut response = match answer {
-            Ok(answer) => {
-                self.outcome = "answered";
-                self.reason = "";
-                self.metrics.first_byte(self.began.elapsed());
-                answered(answer, self)
-            }
+            Ok(answer) => answered(answer, self),
             Err(refusal) => {
                 self.outcome = refusal.outcome();
                 self.reason = refusal.reason();
@@ -65,6 +62,26 @@
         }
         response
     }
+
+    /// Notes that the first byte of the body leaves.
+    pub(super) fn first_byte(&self) {
+        self.metrics.first_byte(self.began.elapsed());
+    }
+
+    /// Notes that the whole answer has passed.
+    pub(super) fn answered(&mut self, cache_use: Option<CacheUse>) {
+        self.outcome = "answered";
+        self.reason = "";
+        if let Some(cache_use) = cache_use {
+            self.metrics.cache_use(cache_use.prompt, cache_use.cached);
+        }
+    }
+
+    /// Notes that the answer broke off.
+    pub(super) fn broke_off(&mut self) {
+        self.outcome = "unknown";
+        self.reason = Unknown::Truncated.as_str();
+    }
 }
 
 impl Drop for Counted {
@@ -72,14 +89,19 @@
         self.metrics.request_ended(self.outcome, self.reason);
         let ended = Event::new(EventKind::RequestEnded)
             .request(&self.request)
-            .detail(self.outcome);
+            .detail(if self.reason.is_empty() {
+                self.outcome
+            } else {
+                self.reason
+            })
+            .took(self.began.elapsed());
         self.timeline.event(ended);
     }
 }
 
 fn answered(answer: Answer, counted: Counted) -> Response<Body> {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::new(WholeBody::wrap(answer.body, false, counted));
+    let mut response = Response::new(Outgoing::wrap(answer.body, counted));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(OUTCOME_HEADER, HeaderValue::from_static("answered"));
--- a/src/hop/dispatch.rs
+++ b/src/hop/dispatch.rs
@@ -70,6 +70,8 @@
             .request(&head.request)
             .attempt(&head.id)
             .chat(head.chat.as_deref())
+            .team(&head.team)
+            .service(&head.service)
             .backend(&head.backend)
             .peer(&owner.name);
         self.timeline.event(sent);
--- a/src/membership/tests/fixtures.rs
+++ b/src/membership/tests/fixtures.rs
@@ -53,6 +53,7 @@
         peer_address: address,
         operations_address: address,
         source_ip: None,
+        worker_threads: 1,
         key,
     }
 }
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -89,7 +89,7 @@
         let node = &settings.node;
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
-        metrics.register(Box::new(timeline.stamps_dropped().clone()));
+        timeline.register(&metrics);
         let readiness = Readiness::waiting_for(&[
             config::READY_CONFIG,
             membership::READY_HOSTS,
--- a/src/operations/metrics.rs
+++ b/src/operations/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -50,6 +51,8 @@
     requests: IntCounterVec,
     control_bytes: IntCounterVec,
     first_byte: Histogram,
+    prompt_tokens: IntCounter,
+    cached_tokens: IntCounter,
     in_flight: IntGauge,
     config_version: IntGauge,
 }
@@ -81,6 +84,14 @@
                 .buckets(FIRST_BYTE_BUCKETS_S.to_vec()),
             )
             .expect("the name and buckets are valid"),
+            prompt_tokens: counter(
+                "currantbend_prompt_tokens_total",
+                "Tokens of prompts of answered chats whose answers tell their usage.",
+            ),
+            cached_tokens: counter(
+                "currantbend_cached_prompt_tokens_total",
+                "Tokens of the same prompts that the engine had cached.",
+            ),
             in_flight: gauge(
                 "currantbend_requests_in_flight",
                 "Callers' requests that have no whole answer yet.",
@@ -99,6 +110,8 @@
         self.register(Box::new(self.requests.clone()));
         self.register(Box::new(self.control_bytes.clone()));
         self.register(Box::new(self.first_byte.clone()));
+        self.register(Box::new(self.prompt_tokens.clone()));
+        self.register(Box::new(self.cached_tokens.clone()));
         self.register(Box::new(self.in_flight.clone()));
         self.register(Box::new(self.config_version.clone()));
         self.register(Box::new(ProcessCollector::for_self()));
@@ -142,6 +155,12 @@
         self.first_byte.observe(time.as_secs_f64());
     }
 
+    /// Counts the tokens of an answered chat's prompt and those of them that were cached.
+    pub fn cache_use(&self, prompt: u64, cached: u64) {
+        self.prompt_tokens.inc_by(prompt);
+        self.cached_tokens.inc_by(cached);
+    }
+
     /// Notes the configuration version in force.
     pub fn config_version(&self, version: u64) {
         self.config_version
@@ -167,6 +186,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid")
 }
 
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("the name is valid")
+}
+
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the name is valid")
 }
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -22,6 +22,7 @@
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Content type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -59,6 +60,7 @@
     /// Tells whether the attempt certainly did not run.
     pub async fn run(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
         let head = &attempt.head;
+        let came = Instant::now();
         self.timeline
             .event(event(EventKind::AttemptReceived, head).peer(&head.from));
         let view = self.membership.view();
@@ -68,7 +70,11 @@
         let slot = self.slots.slot(&backend.name);
         let occupied = Occupied::take(&slot);
         let load = occupied.load();
-        self.timeline.event(event(EventKind::HandedOver, head));
+        self.timeline.event(
+            event(EventKind::HandedOver, head)
+                .load(load)
+                .took(came.elapsed()),
+        );
         let sent = self.send(backend, head, attempt.body.clone()).await;
         let ended = sent.as_ref().map_or_else(Refusal::reason, |_| "answered");
         self.timeline
@@ -132,5 +138,7 @@
         .request(&head.request)
         .attempt(&head.id)
         .chat(head.chat.as_deref())
+        .team(&head.team)
+        .service(&head.service)
         .backend(&head.backend)
 }
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -15,4 +15,3 @@
 pub use answer::Attempt;
 pub use handover::Owner;
 pub use settings::Settings;
-pub(crate) use whole::WholeBody;
--- a/src/owner/whole.rs
+++ b/src/owner/whole.rs
@@ -27,7 +27,7 @@
 impl std::error::Error for CutShortError {}
 
 /// A body that keeps `guard` until its end and, for an event stream, fails where the end mark is missing.
-pub(crate) struct WholeBody<G> {
+pub(super) struct WholeBody<G> {
     inner: Body,
     needs_mark: bool,
     tail: Vec<u8>,
@@ -37,7 +37,7 @@
 
 impl<G: Send + Unpin + 'static> WholeBody<G> {
     /// Wraps `inner`; `is_stream` tells whether it must end with the mark of event streams.
-    pub(crate) fn wrap(inner: Body, is_stream: bool, guard: G) -> Body {
+    pub(super) fn wrap(inner: Body, is_stream: bool, guard: G) -> Body {
         let body = Self {
             inner,
             needs_mark: is_stream,
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -4,6 +4,7 @@
 use slog::KV;
 use slog::Record;
 use slog::Serializer;
+use std::time::Duration;
 
 /// One event with what it is about.
 #[derive(Clone, Copy, Debug)]
@@ -20,10 +21,16 @@
     pub team: Option<&'a str>,
     /// The backend server.
     pub backend: Option<&'a str>,
+    /// The service that is asked.
+    pub service: Option<&'a str>,
     /// The other node.
     pub peer: Option<&'a str>,
     /// Anything else, in a word or two.
     pub detail: Option<&'a str>,
+    /// Requests in flight at the backend server, with this one.
+    pub load: Option<u32>,
+    /// Time that the step took which the event ends.
+    pub took: Option<Duration>,
 }
 
 impl<'a> Event<'a> {
@@ -36,8 +43,11 @@
             chat: None,
             team: None,
             backend: None,
+            service: None,
             peer: None,
             detail: None,
+            load: None,
+            took: None,
         }
     }
 
@@ -71,6 +81,24 @@
         self
     }
 
+    /// Adds the service.
+    pub fn service(mut self, service: &'a str) -> Self {
+        self.service = Some(service);
+        self
+    }
+
+    /// Adds the load of the backend server.
+    pub fn load(mut self, load: u32) -> Self {
+        self.load = Some(load);
+        self
+    }
+
+    /// Adds the time that the step took; it is also counted in the metrics.
+    pub fn took(mut self, took: Duration) -> Self {
+        self.took = Some(took);
+        self
+    }
+
     /// Adds the other node.
     pub fn peer(mut self, peer: &'a str) -> Self {
         self.peer = Some(peer);
@@ -93,6 +121,7 @@
             ("chat", self.chat),
             ("team", self.team),
             ("backend", self.backend),
+            ("service", self.service),
             ("peer", self.peer),
             ("detail", self.detail),
         ];
@@ -101,6 +130,12 @@
                 serializer.emit_str(key, value)?;
             }
         }
+        if let Some(load) = self.load {
+            serializer.emit_u32("load", load)?;
+        }
+        if let Some(took) = self.took {
+            serializer.emit_f64("took_ms", took.as_micros() as f64 / 1_000.0)?;
+        }
         Ok(())
     }
 }
--- a/src/timeline/merge.rs
+++ b/src/timeline/merge.rs
@@ -6,7 +6,7 @@
 use uhlc::Timestamp;
 
 /// One event as it stands in a log line; other lines are passed over.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Line {
     /// Hybrid logical clock stamp.
     pub hlc: String,
@@ -29,6 +29,15 @@
     /// The backend server.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub backend: Option<String>,
+    /// The service that is asked.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// Requests in flight at the backend server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub load: Option<u32>,
+    /// Time that the step took, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub took_ms: Option<f64>,
     /// The other node.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub peer: Option<String>,
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 mod kind;
 pub mod merge;
+mod meter;
 mod settings;
 #[cfg(test)]
 mod tests;
@@ -15,8 +16,9 @@
 pub use kind::EventKind;
 pub use settings::Settings;
 
+use crate::operations::Metrics;
 use clock::Clock;
-use prometheus::IntCounter;
+use meter::Meter;
 use slog::BorrowedKV;
 use slog::Drain;
 use slog::Logger;
@@ -31,6 +33,7 @@
 pub struct Timeline {
     clock: Clock,
     log: Logger,
+    meter: Meter,
 }
 
 impl Timeline {
@@ -46,6 +49,7 @@
         Self {
             clock: Clock::new(node, settings.max_drift),
             log,
+            meter: Meter::new(),
         }
     }
 
@@ -54,6 +58,7 @@
         Self {
             clock: Clock::new("silent", Settings::DEFAULT_MAX_DRIFT),
             log: Logger::root(slog::Discard, o!()),
+            meter: Meter::new(),
         }
     }
 
@@ -62,9 +67,10 @@
         &self.log
     }
 
-    /// Gives the counter of stamps that were dropped, for the node's metrics.
-    pub fn stamps_dropped(&self) -> &IntCounter {
-        self.clock.dropped()
+    /// Puts the time line's metrics among those of the node.
+    pub fn register(&self, metrics: &Metrics) {
+        metrics.register(Box::new(self.clock.dropped().clone()));
+        self.meter.register(metrics);
     }
 
     /// Stamps a message that is about to be sent; the events that led to it come before the stamp.
@@ -81,8 +87,9 @@
         }
     }
 
-    /// Writes one event.
+    /// Counts one event, and writes it where its level is written.
     pub fn event(&self, event: Event<'_>) {
+        self.meter.note(&event);
         let level = event.kind.level();
         if !self.log.is_enabled(level) {
             return;
