cbtimeline: filters, a picture, one retried request's whole way

Change: events attempt_returned and retry; filters by chat, team, backend server, node and time; text, JSON and a self-contained page with a lane for each process.

Conclusion: one retried request names every hop in order.

--- a/src/bin/cbtimeline.rs
+++ b/src/bin/cbtimeline.rs
@@ -1,22 +1,38 @@
 //! Shows the events of many processes as one time line.
 
+use currantbend::timeline::Selection;
 use currantbend::timeline::merge;
-use currantbend::timeline::merge::Line;
+use currantbend::timeline::render::Html;
+use currantbend::timeline::render::Json;
+use currantbend::timeline::render::Render;
+use currantbend::timeline::render::Text;
+use pico_args::Arguments;
 use std::fmt;
+use std::io::BufWriter;
 use std::io::Write;
 use std::process::ExitCode;
+use uhlc::NTP64;
 
 const HELP: &str = "\
-cbtimeline: merges the logs of many processes into one time line.
+cbtimeline: merges the logs of many processes into one time line, in causal order.
 
 USAGE:
-  cbtimeline [--request ID] [--json] FILE...
+  cbtimeline [OPTIONS] FILE...
 
 OPTIONS:
-  --request ID  show only the events of one request
-  --json        print JSON lines
-  --help        print this
-  --version     print the version
+  --request ID    all events of one request
+  --chat ID       all events of the requests of a chat
+  --team NAME     all events of the requests of a team
+  --backend NAME  all events of the requests that met a backend server, and the server's own
+  --node NAME     only events that this node wrote
+  --from TIME     only events from this time on, such as 2026-12-03T22:50:07.5Z
+  --to TIME       only events before this time
+  --json          print JSON lines
+  --html          print a page with a picture, a lane for each process
+  --help          print this
+  --version       print the version
+
+Options that pick events are combined.
 ";
 
 /// Why the program ends with an error.
@@ -37,7 +53,7 @@
 }
 
 fn run() -> Result<(), RunError> {
-    let mut args = pico_args::Arguments::from_env();
+    let mut args = Arguments::from_env();
     if args.contains("--help") {
         print!("{HELP}");
         return Ok(());
@@ -46,45 +62,58 @@
         println!("cbtimeline {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    let json = args.contains("--json");
-    let request: Option<String> = args
-        .opt_value_from_str("--request")
-        .map_err(|err| RunError::Usage(err.to_string()))?;
+    let render = render(&mut args);
+    let selection = selection(&mut args)?;
     let mut lines = Vec::new();
     for path in args.finish() {
         let path = path.to_string_lossy().into_owned();
-        let text = std::fs::read_to_string(&path).map_err(|err| RunError::Unreadable(path, err))?;
-        merge::read(&text, &mut lines);
+        if path.starts_with("--") {
+            return Err(RunError::Usage(format!("unknown argument {path}")));
+        }
+        let bytes = std::fs::read(&path).map_err(|err| RunError::Unreadable(path, err))?;
+        merge::read(&String::from_utf8_lossy(&bytes), &mut lines);
     }
     merge::sort(&mut lines);
-    lines.retain(|line| request.is_none() || line.request == request);
-    print(&lines, json).map_err(RunError::Output)
+    let lines = selection.apply(lines);
+    let mut out = BufWriter::new(std::io::stdout().lock());
+    render.render(&lines, &mut out).map_err(RunError::Output)?;
+    out.flush().map_err(RunError::Output)
 }
 
-fn print(lines: &[Line], json: bool) -> std::io::Result<()> {
-    let mut out = std::io::stdout().lock();
-    for line in lines {
-        if json {
-            serde_json::to_writer(&mut out, line)?;
-            writeln!(out)?;
-            continue;
-        }
-        write!(out, "{} {:12} {}", line.hlc, line.node, line.event)?;
-        let fields = [
-            ("request", &line.request),
-            ("attempt", &line.attempt),
-            ("backend", &line.backend),
-            ("peer", &line.peer),
-            ("detail", &line.detail),
-        ];
-        for (name, value) in fields {
-            if let Some(value) = value {
-                write!(out, " {name}={value}")?;
-            }
-        }
-        writeln!(out)?;
+fn render(args: &mut Arguments) -> Box<dyn Render> {
+    if args.contains("--html") {
+        return Box::new(Html);
+    }
+    if args.contains("--json") {
+        return Box::new(Json);
     }
-    Ok(())
+    Box::new(Text)
+}
+
+fn selection(args: &mut Arguments) -> Result<Selection, RunError> {
+    Ok(Selection {
+        request: option(args, "--request")?,
+        chat: option(args, "--chat")?,
+        team: option(args, "--team")?,
+        backend: option(args, "--backend")?,
+        node: option(args, "--node")?,
+        from: time(args, "--from")?,
+        to: time(args, "--to")?,
+    })
+}
+
+fn option(args: &mut Arguments, name: &'static str) -> Result<Option<String>, RunError> {
+    args.opt_value_from_str(name)
+        .map_err(|err| RunError::Usage(err.to_string()))
+}
+
+fn time(args: &mut Arguments, name: &'static str) -> Result<Option<NTP64>, RunError> {
+    let Some(text) = option(args, name)? else {
+        return Ok(None);
+    };
+    let time = NTP64::parse_rfc3339(&text);
+    let time = time.map_err(|_| RunError::Usage(format!("{name} {text} is no time")))?;
+    Ok(Some(time))
 }
 
 fn main() -> ExitCode {
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -15,6 +15,8 @@
 use crate::routing::Choice;
 use crate::routing::Loads;
 use crate::routing::Policy;
+use crate::timeline::Event;
+use crate::timeline::EventKind;
 use crate::timeline::Timeline;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -125,6 +127,9 @@
                 }
                 Err(refusal) => {
                     let again = may_try_again(job, &refusal);
+                    if again {
+                        self.note_retry(&attempt.head, &refusal);
+                    }
                     progress.note(&backend.name, refusal);
                     if !again {
                         break;
@@ -135,6 +140,15 @@
         Err(progress.refusal())
     }
 
+    fn note_retry(&self, head: &HopHead, refusal: &Refusal) {
+        let retry = Event::new(EventKind::Retry)
+            .request(&head.request)
+            .attempt(&head.id)
+            .backend(&head.backend)
+            .detail(refusal.reason());
+        self.timeline.event(retry);
+    }
+
     fn choose<'a>(
         &self,
         job: &Job<'_>,
--- a/src/hop/dispatch.rs
+++ b/src/hop/dispatch.rs
@@ -75,9 +75,19 @@
             .backend(&head.backend)
             .peer(&owner.name);
         self.timeline.event(sent);
-        if owner.name == self.node {
-            return self.local.run(attempt).await;
-        }
-        self.remote.run(owner.address, attempt).await
+        let answer = if owner.name == self.node {
+            self.local.run(attempt).await
+        } else {
+            self.remote.run(owner.address, attempt).await
+        };
+        let ended = answer.as_ref().map_or_else(Refusal::reason, |_| "answered");
+        let returned = Event::new(EventKind::AttemptReturned)
+            .request(&head.request)
+            .attempt(&head.id)
+            .backend(&head.backend)
+            .peer(&owner.name)
+            .detail(ended);
+        self.timeline.event(returned);
+        answer
     }
 }
--- a/src/timeline/kind.rs
+++ b/src/timeline/kind.rs
@@ -53,6 +53,8 @@
     HandedOver => "handed_over", Info;
     /// The head of an attempt's answer came, or the attempt was refused.
     AttemptEnded => "attempt_ended", Info;
+    /// The head of an attempt's answer reached the entry, or the attempt failed on its way.
+    AttemptReturned => "attempt_returned", Info;
     /// An entry sends a request once more.
     Retry => "retry", Info;
     /// A stream goes on through another connection or owner.
--- a/src/timeline/merge.rs
+++ b/src/timeline/merge.rs
@@ -2,7 +2,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use std::str::FromStr;
+use std::time::Duration;
+use uhlc::NTP64;
 use uhlc::Timestamp;
 
 /// One event as it stands in a log line; other lines are passed over.
@@ -46,6 +47,43 @@
     pub detail: Option<String>,
 }
 
+impl Line {
+    /// Gives the stamp; a line whose stamp can't be read comes before all others.
+    fn stamp(&self) -> Option<Timestamp> {
+        self.hlc.parse().ok()
+    }
+
+    /// Gives the time of the stamp.
+    pub fn time(&self) -> NTP64 {
+        self.stamp().map_or(NTP64(0), |stamp| *stamp.get_time())
+    }
+
+    /// Gives the time as people read it.
+    pub fn clock_time(&self) -> String {
+        self.time().to_string_rfc3339_lossy()
+    }
+
+    /// Gives the time since an earlier line.
+    pub fn since(&self, earlier: &Line) -> Duration {
+        let (time, earlier) = (self.time(), earlier.time());
+        if time < earlier {
+            return Duration::ZERO;
+        }
+        (time - earlier).to_duration()
+    }
+
+    /// Tells whether the event is one that did not go as it should.
+    pub fn is_trouble(&self) -> bool {
+        let went_well = matches!(self.detail.as_deref(), None | Some("answered"));
+        match self.event.as_str() {
+            "retry" | "refused_busy" | "claim_lost" | "peer_suspected" | "config_refused"
+            | "order_refused" | "stamp_dropped" => true,
+            "attempt_ended" | "attempt_returned" | "request_ended" => !went_well,
+            _ => false,
+        }
+    }
+}
+
 /// Reads the events out of `text` and appends them to `lines`.
 pub fn read(text: &str, lines: &mut Vec<Line>) {
     lines.extend(
@@ -56,5 +94,5 @@
 
 /// Puts lines in causal order: a message's sending always comes before its receipt.
 pub fn sort(lines: &mut [Line]) {
-    lines.sort_by_cached_key(|line| Timestamp::from_str(&line.hlc).ok());
+    lines.sort_by_cached_key(Line::stamp);
 }
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -8,12 +8,15 @@
 mod kind;
 pub mod merge;
 mod meter;
+pub mod render;
+mod select;
 mod settings;
 #[cfg(test)]
 mod tests;
 
 pub use event::Event;
 pub use kind::EventKind;
+pub use select::Selection;
 pub use settings::Settings;
 
 use crate::operations::Metrics;
--- /dev/null
+++ b/src/timeline/render/text.rs
@@ -0,0 +1,34 @@
+//! One line of text an event.
+
+use super::Render;
+use super::fields;
+use crate::timeline::merge::Line;
+use std::io;
+use std::io::Write;
+
+/// Text for people: time, time since the first line, process, event and what it is about.
+#[derive(Clone, Copy, Debug)]
+pub struct Text;
+
+impl Render for Text {
+    fn render(&self, lines: &[Line], out: &mut dyn Write) -> io::Result<()> {
+        let Some(first) = lines.first() else {
+            return Ok(());
+        };
+        for line in lines {
+            let since = line.since(first).as_secs_f64() * 1_000.0;
+            write!(
+                out,
+                "{} +{since:.3} ms {:12} {:18}",
+                line.clock_time(),
+                line.node,
+                line.event
+            )?;
+            for (name, value) in fields(line) {
+                write!(out, " {name}={value}")?;
+            }
+            writeln!(out)?;
+        }
+        Ok(())
+    }
+}
