--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -3,6 +3,8 @@
 use super::caller::Caller;
 use crate::border::generated::config::Service;
 use crate::border::generated::peer::HopHead;
+use crate::config::State;
+use crate::config::may_serve;
 use crate::hop::Dispatch;
 use crate::hop::PROTOCOL_VERSION;
 use crate::membership::Backend;
@@ -28,6 +30,8 @@
 pub(super) struct Job<'a> {
     /// The caller.
     pub(super) caller: &'a Caller,
+    /// The configuration that the request is served under.
+    pub(super) state: &'a State,
     /// The service that is asked.
     pub(super) service: &'a Service,
     /// HTTP method.
@@ -155,12 +159,18 @@
         view: &'a View,
         progress: &Progress,
     ) -> Option<&'a Backend> {
-        let usable = |b: &&Backend| !b.leaving && !progress.tried.contains(&b.name);
-        let candidates: Vec<&Backend> = view
+        let usable = |b: &&Backend| {
+            let is_new = !b.leaving && !progress.tried.contains(&b.name);
+            is_new && may_serve(job.state, job.service, &job.caller.team, b)
+        };
+        let mut candidates: Vec<&Backend> = view
             .of_service(&job.service.name)
             .iter()
             .filter(usable)
             .collect();
+        if job.key.is_some() {
+            self.keep_near(view, &mut candidates);
+        }
         let caller = job.caller;
         self.policy.choose(&Choice {
             key: caller.chat.as_deref().unwrap_or(&caller.request),
@@ -171,6 +181,18 @@
         })
     }
 
+    /// Keeps to this node's data centre where that has a candidate: a call that may not be tried again should not
+    /// depend on the links to others.
+    fn keep_near(&self, view: &View, candidates: &mut Vec<&Backend>) {
+        let Some(own) = view.node(&self.node) else {
+            return;
+        };
+        let is_near = |b: &&Backend| b.data_centre == own.data_centre;
+        if candidates.iter().any(is_near) {
+            candidates.retain(is_near);
+        }
+    }
+
     fn attempt(
         &self,
         job: &Job<'_>,
