--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -30,6 +30,7 @@
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Content type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -113,6 +114,7 @@
     /// Tells whether the attempt certainly did not run.
     pub async fn run(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
         let head = &attempt.head;
+        let came = Instant::now();
         self.timeline
             .event(event(EventKind::AttemptReceived, head).peer(&head.from));
         let view = self.membership.view();
@@ -125,7 +127,11 @@
         }
         let mut occupied = self.admit(attempt, backend, &view).await?;
         self.bring_cache(attempt, backend, &view).await;
-        self.timeline.event(event(EventKind::HandedOver, head));
+        self.timeline.event(
+            event(EventKind::HandedOver, head)
+                .load(occupied.load())
+                .took(came.elapsed()),
+        );
         let sending = self.send(backend, head, attempt.body.clone());
         let sent = until_started(sending, &mut occupied).await;
         let ended = sent.as_ref().map_or_else(Refusal::reason, |_| "answered");
@@ -234,5 +240,7 @@
         .request(&head.request)
         .attempt(&head.id)
         .chat(head.chat.as_deref())
+        .team(&head.team)
+        .service(&head.service)
         .backend(&head.backend)
 }
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -24,4 +24,3 @@
 pub use handover::OwnerParts;
 pub use poll::LoadPoller;
 pub use settings::Settings;
-pub(crate) use whole::WholeBody;
