Hop: attempts are bound to receiver, body and order

Cause: a recorded attempt could be sent again, to any node, with another body of the same length. Change: the code covers the head, the receiver's name and incarnation, the sender's epoch and count, and the body's hash. A window of counts for each sender's process refuses what has come; incarnations refuse what was recorded before a restart. Refusals are counted; one for a wrong receiver or key is not-run for the sender. Tests: forged, changed, lacking, replayed, misdirected, out of order.

--- a/src/hop/dispatch.rs
+++ b/src/hop/dispatch.rs
@@ -76,6 +76,6 @@
         if owner.name == self.node {
             return self.local.run(attempt).await;
         }
-        self.remote.run(owner.address, attempt).await
+        self.remote.run(&owner, attempt).await
     }
 }
--- /dev/null
+++ b/src/hop/guard.rs
@@ -0,0 +1,174 @@
+//! Signs attempts between nodes and checks them: who sent it, to whom, with which body, and that it comes once.
+
+use super::HEAD_HEADER;
+use super::MAC_HEADER;
+use super::codec;
+use super::mac;
+use super::replay::Replays;
+use crate::border::generated::peer::HopHead;
+use crate::settings::DeploymentKey;
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
+use sha2::Digest;
+use sha2::Sha256;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Header that names the receiver and its incarnation, and the sender's epoch and count.
+const ROUTE_HEADER: &str = "cb-route";
+/// Header with the hash of the body.
+const BODY_HEADER: &str = "cb-body";
+
+/// Why an attempt is refused before anything of it is run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum GuardError {
+    /// The sender has not proved that it knows the deployment's key.
+    Stranger,
+    /// It is meant for another node, or for a former process of this one.
+    Misdirected,
+    /// It has come before, or so many others have come since that this can't be told.
+    Replayed,
+}
+
+/// What is checked of an attempt before its body is read.
+#[derive(Clone, Debug)]
+pub(super) struct Checked {
+    /// The head.
+    pub(super) head: HopHead,
+    body_hash: Vec<u8>,
+}
+
+impl Checked {
+    /// Tells whether `body` is the one that the sender signed.
+    pub(super) fn has_body(&self, body: &[u8]) -> bool {
+        body.len() as u64 == self.head.body_len && self.body_hash == hash(body)
+    }
+}
+
+/// Signs attempts that this node sends.
+pub(super) struct Signer {
+    key: DeploymentKey,
+    epoch: u64,
+    count: AtomicU64,
+}
+
+impl Signer {
+    /// Makes a signer; each process has one of its own.
+    pub(super) fn new(key: DeploymentKey) -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            key,
+            epoch: since.map_or(1, |since| since.as_micros() as u64),
+            count: AtomicU64::new(1),
+        }
+    }
+
+    /// Makes the headers of an attempt to the given incarnation of the node `to`.
+    pub(super) fn sign(
+        &self,
+        to: &str,
+        incarnation: u64,
+        head: &HopHead,
+        body: &[u8],
+    ) -> Option<[(&'static str, HeaderValue); 4]> {
+        let count = self.count.fetch_add(1, Ordering::Relaxed);
+        let epoch = self.epoch;
+        let route = format!("{to} {incarnation} {epoch} {count}");
+        let head = codec::to_header(head).ok()?;
+        let body = codec::text_of(&hash(body));
+        let text = signed_text(route.as_bytes(), head.as_bytes(), body.as_bytes());
+        let code = codec::text_of(&mac::code(&self.key, &text));
+        let value = |text: &str| HeaderValue::from_str(text).ok();
+        Some([
+            (HEAD_HEADER, value(&head)?),
+            (ROUTE_HEADER, value(&route)?),
+            (BODY_HEADER, value(&body)?),
+            (MAC_HEADER, value(&code)?),
+        ])
+    }
+}
+
+/// Checks attempts that this node receives.
+pub(super) struct Guard {
+    node: String,
+    key: DeploymentKey,
+    replays: Replays,
+}
+
+impl Guard {
+    /// Makes a guard for the node named `node`.
+    pub(super) fn new(node: &str, key: DeploymentKey) -> Self {
+        Self {
+            node: node.to_owned(),
+            key,
+            replays: Replays::default(),
+        }
+    }
+
+    /// Checks the headers of an attempt; `incarnation` is this process's.
+    ///
+    /// # Errors
+    ///
+    /// Tells what is wrong; nothing was run.
+    pub(super) fn check(
+        &self,
+        headers: &HeaderMap,
+        incarnation: u64,
+    ) -> Result<Checked, GuardError> {
+        let (head, route, body_hash) = self.signed(headers).ok_or(GuardError::Stranger)?;
+        if route.to != self.node || route.incarnation != incarnation {
+            return Err(GuardError::Misdirected);
+        }
+        if !self.replays.is_new(&head.from, route.epoch, route.count) {
+            return Err(GuardError::Replayed);
+        }
+        Ok(Checked { head, body_hash })
+    }
+
+    fn signed(&self, headers: &HeaderMap) -> Option<(HopHead, Route, Vec<u8>)> {
+        let value = |name: &str| headers.get(name).map(HeaderValue::as_bytes);
+        let head = value(HEAD_HEADER)?;
+        let route = value(ROUTE_HEADER)?;
+        let body = value(BODY_HEADER)?;
+        let code = codec::bytes_of(value(MAC_HEADER)?).ok()?;
+        if !mac::is_valid(&self.key, &signed_text(route, head, body), &code) {
+            return None;
+        }
+        Some((
+            codec::from_header(head).ok()?,
+            Route::parse(route)?,
+            codec::bytes_of(body).ok()?,
+        ))
+    }
+}
+
+/// The receiver, and the sender's place in its own order.
+struct Route {
+    to: String,
+    incarnation: u64,
+    epoch: u64,
+    count: u64,
+}
+
+impl Route {
+    fn parse(text: &[u8]) -> Option<Self> {
+        let mut parts = std::str::from_utf8(text).ok()?.split(' ');
+        Some(Self {
+            to: parts.next()?.to_owned(),
+            incarnation: parts.next()?.parse().ok()?,
+            epoch: parts.next()?.parse().ok()?,
+            count: parts.next()?.parse().ok()?,
+        })
+    }
+}
+
+/// Joins what is signed; no part holds a line break, so that no two attempts have the same text.
+fn signed_text(route: &[u8], head: &[u8], body: &[u8]) -> Vec<u8> {
+    [b"hop".as_slice(), route, head, body].join(&b'\n')
+}
+
+fn hash(body: &[u8]) -> Vec<u8> {
+    Sha256::digest(body).to_vec()
+}
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -5,8 +5,10 @@
 
 mod codec;
 mod dispatch;
+mod guard;
 pub mod mac;
 mod remote;
+mod replay;
 mod serve;
 #[cfg(test)]
 mod tests;
@@ -22,7 +24,7 @@
 const HOP_PATH: &str = "/hop";
 /// Header that carries the head of an attempt.
 const HEAD_HEADER: &str = "cb-hop";
-/// Header that carries the code that authenticates the head.
+/// Header that carries the code that authenticates the other headers.
 const MAC_HEADER: &str = "cb-mac";
 /// Header that carries the head of a reply.
 const REPLY_HEADER: &str = "cb-reply";
--- a/src/hop/remote.rs
+++ b/src/hop/remote.rs
@@ -1,13 +1,12 @@
 //! Sends attempts to owners on other nodes.
 
-use super::HEAD_HEADER;
 use super::HOP_PATH;
-use super::MAC_HEADER;
 use super::REPLY_HEADER;
 use super::codec;
-use super::mac;
+use super::guard::Signer;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
+use crate::membership::Node;
 use crate::net::Body;
 use crate::net::Client;
 use crate::net::SendError;
@@ -22,8 +21,9 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
-use std::net::SocketAddr;
+use hyper::header::HeaderName;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
 /// Sends attempts over HTTP/2.
 pub struct RemoteOwner {
     client: Client,
-    key: DeploymentKey,
+    signer: Signer,
     timeline: Arc<Timeline>,
 }
 
@@ -42,19 +42,19 @@
     pub fn new(client: Client, key: DeploymentKey, timeline: Arc<Timeline>) -> Self {
         Self {
             client,
-            key,
+            signer: Signer::new(key),
             timeline,
         }
     }
 
-    /// Runs `attempt` at the node at `address`.
+    /// Runs `attempt` at the node `owner`.
     ///
     /// # Errors
     ///
     /// Tells whether the attempt certainly did not run.
-    pub async fn run(&self, address: SocketAddr, attempt: &Attempt) -> Result<Answer, Refusal> {
+    pub async fn run(&self, owner: &Node, attempt: &Attempt) -> Result<Answer, Refusal> {
         let req = self
-            .encode(address, attempt)
+            .encode(owner, attempt)
             .ok_or(Refusal::not_run(NotRun::BadRequest))?;
         let limit = Duration::from_millis(attempt.head.deadline_ms) + ANSWER_GRACE;
         match self.client.send(req, limit).await {
@@ -66,21 +66,28 @@
     }
 
     /// The stamp is taken here, after the event of sending, so that the owner's events come after that.
-    pub(super) fn encode(&self, address: SocketAddr, attempt: &Attempt) -> Option<Request<Body>> {
+    pub(super) fn encode(&self, owner: &Node, attempt: &Attempt) -> Option<Request<Body>> {
         let head = HopHead {
             hlc: self.timeline.stamp(),
             ..attempt.head.clone()
         };
-        let head = codec::to_header(&head).ok()?;
-        let code = codec::text_of(&mac::code(&self.key, head.as_bytes()));
-        Request::post(format!("http://{address}{HOP_PATH}"))
-            .header(HEAD_HEADER, head)
-            .header(MAC_HEADER, code)
+        let headers = self
+            .signer
+            .sign(&owner.name, owner.incarnation, &head, &attempt.body)?;
+        let mut req = Request::post(format!("http://{}{HOP_PATH}", owner.address))
             .body(full_body(attempt.body.clone()))
-            .ok()
+            .ok()?;
+        req.headers_mut().extend(headers.map(|(name, value)| {
+            let name = HeaderName::from_static(name);
+            (Some(name), value)
+        }));
+        Some(req)
     }
 
     fn decode(&self, id: &str, response: Response<Incoming>) -> Result<Answer, Refusal> {
+        if is_refused_unread(response.status()) {
+            return Err(Refusal::not_run(NotRun::NotOwner));
+        }
         let reply: HopReply = response
             .headers()
             .get(REPLY_HEADER)
@@ -102,3 +109,12 @@
         })
     }
 }
+
+/// Tells whether the other node refused an attempt before it read it: it does not know the sender, or is not the
+/// process that the attempt was meant for.
+fn is_refused_unread(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::FORBIDDEN | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -1,13 +1,12 @@
 //! Serves the peer address, where other nodes send attempts.
 
-use super::HEAD_HEADER;
 use super::HOP_PATH;
-use super::MAC_HEADER;
 use super::PROTOCOL_VERSION;
 use super::REPLY_HEADER;
 use super::codec;
-use super::mac;
-use crate::border::generated::peer::HopHead;
+use super::guard::Checked;
+use super::guard::Guard;
+use super::guard::GuardError;
 use crate::border::generated::peer::HopReply;
 use crate::membership::Acceptor;
 use crate::membership::GOSSIP_PATH;
@@ -38,7 +37,7 @@
 pub struct PeerServer {
     owner: Arc<Owner>,
     gossip: Acceptor,
-    key: DeploymentKey,
+    guard: Guard,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
@@ -54,39 +53,40 @@
     ) -> Self {
         Self {
             owner,
+            guard: Guard::new(gossip.node(), key),
             gossip,
-            key,
             timeline,
             max_body_bytes,
         }
     }
 
-    /// Reads the head of an attempt where the sender has proved that it knows the deployment's key.
-    fn head_of(&self, req: &Request<Incoming>) -> Option<HopHead> {
-        let head = req.headers().get(HEAD_HEADER)?.as_bytes();
-        let code = codec::bytes_of(req.headers().get(MAC_HEADER)?.as_bytes()).ok()?;
-        if !mac::is_valid(&self.key, head, &code) {
-            return None;
-        }
-        let head: HopHead = codec::from_header(head).ok()?;
-        (head.v >= OLDEST_VERSION).then_some(head)
-    }
-
-    async fn run(&self, head: HopHead, body: Incoming) -> (String, Result<Answer, Refusal>) {
-        self.timeline.observe(&head.hlc);
-        let id = head.id.clone();
-        let expected = head.body_len;
+    async fn run(&self, checked: Checked, body: Incoming) -> Result<Answer, Refusal> {
+        self.timeline.observe(&checked.head.hlc);
         let whole = collect(body, self.max_body_bytes).await.ok();
-        let whole = whole.filter(|body| body.len() as u64 == expected);
+        let whole = whole.filter(|body| checked.has_body(body));
         let Some(body) = whole else {
-            return (id, Err(Refusal::not_run(NotRun::BadRequest)));
+            return Err(Refusal::not_run(NotRun::BadRequest));
         };
         if self.gossip.is_leaving() {
             // The sender has not heard yet that this node's backend servers have another owner.
-            return (id, Err(Refusal::not_run(NotRun::Stopping)));
+            return Err(Refusal::not_run(NotRun::Stopping));
+        }
+        let head = checked.head;
+        self.owner.run(&Attempt { head, body }).await
+    }
+
+    fn refuse(&self, err: GuardError, peer: SocketAddr) -> Response<Body> {
+        slog::warn!(self.timeline.log(), "attempt refused"; "peer" => %peer, "cause" => ?err);
+        match err {
+            GuardError::Stranger => self.gossip.note_stranger(),
+            GuardError::Misdirected => self.gossip.note_misdirected(),
+            GuardError::Replayed => self.gossip.note_replayed(),
         }
-        let attempt = Attempt { head, body };
-        (id, self.owner.run(&attempt).await)
+        bare(match err {
+            GuardError::Stranger => StatusCode::FORBIDDEN,
+            GuardError::Misdirected => StatusCode::MISDIRECTED_REQUEST,
+            GuardError::Replayed => StatusCode::CONFLICT,
+        })
     }
 
     fn response(&self, id: &str, answer: Result<Answer, Refusal>) -> Response<Body> {
@@ -107,11 +107,13 @@
         if req.uri().path() != HOP_PATH {
             return bare(StatusCode::NOT_FOUND);
         }
-        let Some(head) = self.head_of(&req) else {
-            slog::warn!(self.timeline.log(), "attempt of a stranger refused"; "peer" => %peer);
-            return bare(StatusCode::FORBIDDEN);
+        let checked = match self.guard.check(req.headers(), self.gossip.incarnation()) {
+            Ok(checked) if checked.head.v >= OLDEST_VERSION => checked,
+            Ok(_) => return bare(StatusCode::FORBIDDEN),
+            Err(err) => return self.refuse(err, peer),
         };
-        let (id, answer) = self.run(head, req.into_body()).await;
+        let id = checked.head.id.clone();
+        let answer = self.run(checked, req.into_body()).await;
         self.response(&id, answer)
     }
 }
--- a/src/hop/tests.rs
+++ b/src/hop/tests.rs
@@ -1,3 +1,5 @@
+mod guard;
+
 use super::HEAD_HEADER;
 use super::PROTOCOL_VERSION;
 use super::RemoteOwner;
@@ -5,6 +7,7 @@
 use super::mac;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::Priority;
+use crate::membership::Node;
 use crate::net::Client;
 use crate::net::ClientOptions;
 use crate::outcome::NotRun;
@@ -79,6 +82,16 @@
     }
 }
 
+fn node() -> Node {
+    Node {
+        name: "n2".to_owned(),
+        data_centre: "gavle".to_owned(),
+        region: "north".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 7,
+    }
+}
+
 #[tokio::test]
 async fn an_attempt_is_stamped_after_the_event_of_its_sending() {
     let timeline = Arc::new(Timeline::silent());
@@ -87,9 +100,7 @@
     let attempt = attempt(timeline.stamp());
     let sent: Timestamp = timeline.stamp().parse().unwrap();
 
-    let req = remote
-        .encode("127.0.0.1:1".parse().unwrap(), &attempt)
-        .unwrap();
+    let req = remote.encode(&node(), &attempt).unwrap();
 
     let head = req.headers().get(HEAD_HEADER).unwrap();
     let head: HopHead = codec::from_header(head.as_bytes()).unwrap();
--- a/src/membership/accept.rs
+++ b/src/membership/accept.rs
@@ -80,6 +80,31 @@
         }
     }
 
+    /// Gives the name of this node.
+    pub fn node(&self) -> &str {
+        &self.shared.node.name
+    }
+
+    /// Gives the incarnation of this process.
+    pub fn incarnation(&self) -> u64 {
+        self.shared.state().table.me().incarnation
+    }
+
+    /// Counts an attempt whose sender does not know the deployment's key.
+    pub fn note_stranger(&self) {
+        self.shared.refusals.stranger.inc();
+    }
+
+    /// Counts an attempt that was meant for another node or a former process.
+    pub fn note_misdirected(&self) {
+        self.shared.refusals.misdirected.inc();
+    }
+
+    /// Counts an attempt that had come before.
+    pub fn note_replayed(&self) {
+        self.shared.refusals.replayed.inc();
+    }
+
     /// Tells whether this node has announced that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.shared.state().table.me().standing == Standing::Leaving
--- a/src/membership/refusals.rs
+++ b/src/membership/refusals.rs
@@ -19,6 +19,8 @@
     pub(super) malformed: IntCounter,
     /// Connections meant for another node, whose address this one has now.
     pub(super) misdirected: IntCounter,
+    /// Attempts that had come before.
+    pub(super) replayed: IntCounter,
     /// Records by which a later process has this node's name.
     pub(super) name_taken: IntCounter,
 }
@@ -44,6 +46,7 @@
             oversized: reason("oversized"),
             malformed: reason("malformed"),
             misdirected: reason("misdirected"),
+            replayed: reason("replayed"),
             name_taken: reason("name_taken"),
         }
     }
