Membership: changes of the host list travel by gossip

Cause: each node read the whole host list at each look, 11 KB for 75 hosts, megabytes in the largest fleet. Conclusion: the tests show that a change arrives without a question of one's own.

--- a/bench/src/standin/hosts.rs
+++ b/bench/src/standin/hosts.rs
@@ -4,6 +4,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::IF_NONE_MATCH;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,7 +52,7 @@
         let handling = shared.clone();
         let handler = Arc::new(
             move |req: Request<Incoming>| -> BoxFuture<'static, Answer> {
-                let answer = handling.answer(req.uri().path());
+                let answer = handling.answer(&req);
                 Box::pin(async move { answer })
             },
         );
@@ -92,14 +93,21 @@
 }
 
 impl Shared {
-    fn answer(&self, path: &str) -> Answer {
+    fn answer(&self, req: &Request<Incoming>) -> Answer {
         if self.down.load(Relaxed) {
             return Ok(http::empty(StatusCode::SERVICE_UNAVAILABLE));
         }
-        if path != "/hosts" {
+        if req.uri().path() != "/hosts" {
             return Ok(http::empty(StatusCode::NOT_FOUND));
         }
-        Ok(http::json(StatusCode::OK, lock(&self.list).seen()))
+        let mut list = lock(&self.list);
+        let seen = list.seen();
+        let tag = format!("\"{}\"", seen.version);
+        let known = req.headers().get(IF_NONE_MATCH);
+        if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+            return Ok(http::empty(StatusCode::NOT_MODIFIED));
+        }
+        Ok(http::json(StatusCode::OK, seen))
     }
 
     fn change(&self, f: impl FnOnce(&mut Vec<Host>)) {
--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -199,6 +199,11 @@
         let records: Vec<Record> = message.r.into_iter().map(Record::from).collect();
         self.shared.receive(&records);
         self.note_up();
+        for change in &message.o {
+            if self.shared.hosts.apply(change) {
+                self.shared.wake();
+            }
+        }
         for summary in message.l {
             self.shared.loads.receive(Summary::from(summary));
         }
--- a/src/membership/link_out.rs
+++ b/src/membership/link_out.rs
@@ -6,6 +6,7 @@
 use super::record::Record;
 use super::seal::Side;
 use super::shared::Shared;
+use crate::border::generated::gossip::HostChange;
 use crate::border::generated::gossip::Load;
 use crate::border::generated::gossip::LoadSummary;
 use crate::border::generated::gossip::Message;
@@ -37,6 +38,8 @@
     loads_at: Instant,
     /// Versions of the summaries that were sent, sorted by node.
     summaries: Vec<(String, (u64, u64))>,
+    /// Version of the host list up to which all changes were sent.
+    hosts: Option<u64>,
 }
 
 impl Outgoing {
@@ -46,6 +49,7 @@
             (state.table.stamp(), state.table.me().clone())
         };
         let now = Instant::now();
+        let hosts = shared.hosts.version();
         Self {
             shared,
             ends: ends.clone(),
@@ -56,6 +60,7 @@
             sent_at: now,
             loads_at: now,
             summaries: Vec::new(),
+            hosts,
         }
     }
 
@@ -64,13 +69,15 @@
         let now = Instant::now();
         self.queue_changes();
         let is_due = now >= self.sent_at + self.heartbeat();
-        if is_due || !self.pending.is_empty() {
+        let hosts = self.new_hosts();
+        if is_due || !self.pending.is_empty() || !hosts.is_empty() {
             self.sent_at = now;
             let count = self.pending.len().min(MAX_RECORDS);
             let records = self.pending.drain(..count).map(|r| NodeRecord::from(&r));
             let r = records.collect();
             let message = Message {
                 r,
+                o: hosts,
                 ..self.message()
             };
             return Some((ControlKind::Gossip, message));
@@ -165,9 +172,19 @@
             x: config.as_ref().map(|config| config.hash),
             r: Vec::new(),
             l: Vec::new(),
+            o: Vec::new(),
         }
     }
 
+    fn new_hosts(&mut self) -> Vec<HostChange> {
+        let version = self.shared.hosts.version();
+        if version == self.hosts {
+            return Vec::new();
+        }
+        let sent = std::mem::replace(&mut self.hosts, version);
+        sent.map_or_else(Vec::new, |sent| self.shared.hosts.changes_after(sent))
+    }
+
     fn new_summaries(&mut self) -> Vec<LoadSummary> {
         let mut new = Vec::new();
         for summary in self.shared.loads.summaries() {
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -2,6 +2,7 @@
 
 use super::Acceptor;
 use super::ConfigBoard;
+use super::HostBoard;
 use super::LoadBoard;
 use super::Membership;
 use super::Node;
@@ -66,18 +67,25 @@
     pub fn start(
         settings: &Settings,
         node: &NodeSettings,
-        hosts: watch::Receiver<Arc<View>>,
+        hosts: Arc<HostBoard>,
         readiness: Readiness,
         metrics: Arc<Metrics>,
         timeline: Arc<Timeline>,
     ) -> Self {
         let incarnation = incarnation();
-        let shared = Shared::new(settings, node, incarnation, timeline, metrics);
+        let shared = Shared::new(
+            settings,
+            node,
+            incarnation,
+            Arc::clone(&hosts),
+            timeline,
+            metrics,
+        );
         let shared = Arc::new(shared);
         let (tx, view) = watch::channel(Arc::new(View::default()));
         let keeping = Keeping {
             shared: Arc::clone(&shared),
-            hosts,
+            hosts: hosts.listed(),
             listed: Arc::default(),
             view: tx,
             readiness,
@@ -150,6 +158,7 @@
 
     fn take_hosts(&mut self) {
         self.listed = Arc::clone(&self.hosts.borrow_and_update());
+        self.shared.wake();
         let own = &self.shared.node;
         let names = |test: &dyn Fn(&&Node) -> bool| -> Vec<String> {
             let nodes = self.listed.nodes().iter().filter(test);
--- a/src/membership/shared.rs
+++ b/src/membership/shared.rs
@@ -1,6 +1,7 @@
 //! What all connections of a node share: its records, its peers, its boards.
 
 use super::ConfigBoard;
+use super::HostBoard;
 use super::LoadBoard;
 use super::Settings;
 use super::gauges::Gauges;
@@ -43,7 +44,8 @@
     pub(super) gauges: Gauges,
     pub(super) loads: Arc<LoadBoard>,
     pub(super) configs: Arc<ConfigBoard>,
-    /// Counts the changes of records, so that connections pass them on at once.
+    pub(super) hosts: Arc<HostBoard>,
+    /// Counts what there is to pass on, so that connections pass them on at once.
     pub(super) changes: watch::Sender<u64>,
     is_closed: AtomicBool,
     state: Mutex<State>,
@@ -54,6 +56,7 @@
         settings: &Settings,
         node: &NodeSettings,
         incarnation: u64,
+        hosts: Arc<HostBoard>,
         timeline: Arc<Timeline>,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -66,6 +69,7 @@
             metrics,
             loads: Arc::new(LoadBoard::new(&node.name, incarnation)),
             configs: Arc::new(ConfigBoard::new(&node.name)),
+            hosts,
             changes: watch::channel(0).0,
             is_closed: AtomicBool::new(false),
             state: Mutex::new(State {
@@ -86,7 +90,7 @@
     /// Ends all connections, those that others opened too.
     pub(super) fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
-        self.changes.send_modify(|count| *count += 1);
+        self.wake();
     }
 
     /// Tells whether connections are to end.
@@ -94,6 +98,11 @@
         self.is_closed.load(Ordering::Relaxed)
     }
 
+    /// Has the connections look for what they have to pass on.
+    pub(super) fn wake(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Does something with the table and tells the connections where it changed.
     pub(super) fn with_table<T>(&self, f: impl FnOnce(&mut Table) -> T) -> T {
         let mut state = self.state();
@@ -102,7 +111,7 @@
         let after = state.table.stamp();
         drop(state);
         if after != before {
-            self.changes.send_replace(after);
+            self.wake();
         }
         result
     }
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,5 +1,6 @@
 mod fixtures;
 mod gossip;
+mod hosts;
 mod reach;
 mod seal;
 mod table;
--- a/src/membership/tests/fixtures.rs
+++ b/src/membership/tests/fixtures.rs
@@ -1,12 +1,13 @@
 //! Nodes that exchange messages over real sockets, without callers and backend servers.
 
 use crate::border::generated::platform::Host;
+use crate::border::generated::platform::HostList;
 use crate::border::generated::platform::HostRole;
 use crate::border::generated::platform::HostState;
 use crate::membership::Acceptor;
+use crate::membership::HostBoard;
 use crate::membership::Members;
 use crate::membership::Settings;
-use crate::membership::View;
 use crate::net::Body;
 use crate::net::Handler;
 use crate::net::Listener;
@@ -23,7 +24,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
 
 /// Longest wait for what must come.
 const WITHIN: Duration = Duration::from_secs(10);
@@ -81,14 +81,14 @@
         name: &str,
         address: SocketAddr,
         key: DeploymentKey,
-        hosts: &watch::Sender<Arc<View>>,
+        hosts: &Arc<HostBoard>,
     ) -> Self {
         let metrics = Arc::new(Metrics::new());
         let readiness = Readiness::waiting_for(&[crate::membership::READY_GOSSIP]);
         let members = Members::start(
             &settings(),
             &node_settings(name, address, key),
-            hosts.subscribe(),
+            Arc::clone(hosts),
             readiness.clone(),
             Arc::clone(&metrics),
             Arc::new(Timeline::silent()),
@@ -146,8 +146,15 @@
     listener.local_addr().unwrap()
 }
 
+/// Makes a board with a host list of nodes of one data centre.
+pub fn board(nodes: &[(&str, SocketAddr)]) -> Arc<HostBoard> {
+    let board = HostBoard::new();
+    board.take(list(1, nodes));
+    board
+}
+
 /// Makes a host list of nodes of one data centre.
-pub fn list(nodes: &[(&str, SocketAddr)]) -> Arc<View> {
+pub fn list(version: u64, nodes: &[(&str, SocketAddr)]) -> HostList {
     let host = |(name, address): &(&str, SocketAddr)| Host {
         name: (*name).to_owned(),
         address: address.to_string(),
@@ -158,6 +165,8 @@
         service: None,
         checks_fencing: None,
     };
-    let hosts: Vec<Host> = nodes.iter().map(host).collect();
-    Arc::new(View::from_hosts(&hosts))
+    HostList {
+        version,
+        hosts: nodes.iter().map(host).collect(),
+    }
 }
--- a/src/membership/tests/gossip.rs
+++ b/src/membership/tests/gossip.rs
@@ -1,6 +1,7 @@
 //! Nodes that come, go, and are not what they say.
 
 use super::fixtures::TestNode;
+use super::fixtures::board;
 use super::fixtures::free;
 use super::fixtures::key;
 use super::fixtures::list;
@@ -9,7 +10,7 @@
 use super::fixtures::wait;
 use crate::border::generated::gossip::Message;
 use crate::membership::BackendLoad;
-use crate::membership::View;
+use crate::membership::HostBoard;
 use crate::membership::dial;
 use crate::membership::link::MAX_FRAME_BYTES;
 use crate::membership::seal::Seal;
@@ -21,21 +22,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite;
 
-async fn three() -> (watch::Sender<Arc<View>>, [TestNode; 3]) {
+async fn three() -> (Arc<HostBoard>, [TestNode; 3]) {
     let addresses = [free(), free(), free()];
     let nodes = [
         ("n1", addresses[0]),
         ("n2", addresses[1]),
         ("n3", addresses[2]),
     ];
-    let hosts = watch::channel(Arc::default()).0;
+    let hosts = HostBoard::new();
     let one = |i: usize| TestNode::start(nodes[i].0, nodes[i].1, key('1'), &hosts);
     let started = [one(0).await, one(1).await, one(2).await];
-    hosts.send_replace(list(&nodes));
+    hosts.take(list(1, &nodes));
     for node in &started {
         node.wait_sees(&["n1", "n2", "n3"]).await;
     }
@@ -50,10 +50,11 @@
         &settings(),
         &node,
         1,
+        HostBoard::new(),
         Arc::new(Timeline::silent()),
         Arc::new(Metrics::new()),
     );
-    let view = list(&[(&to.name, to.address)]);
+    let view = Arc::clone(&board(&[(&to.name, to.address)]).listed().borrow());
     let (socket, nonces) = dial::handshake(&shared, &view.nodes()[0]).await.unwrap();
     let seal = Seal::new(&key('1'), Side::Dialer, &nonces.0, &nonces.1);
     (socket, seal)
@@ -71,6 +72,7 @@
         x: None,
         r: Vec::new(),
         l: Vec::new(),
+        o: Vec::new(),
     };
     let mut buf = Vec::new();
     ciborium::into_writer(&message, &mut buf).unwrap();
@@ -113,7 +115,7 @@
 #[tokio::test]
 async fn a_lone_node_that_leaves_keeps_itself_so_that_it_can_finish() {
     let address = free();
-    let hosts = watch::channel(list(&[("n1", address)])).0;
+    let hosts = board(&[("n1", address)]);
     let n1 = TestNode::start("n1", address, key('1'), &hosts).await;
     n1.wait_sees(&["n1"]).await;
     wait(|| n1.readiness.missing().is_empty()).await;
@@ -148,7 +150,7 @@
 #[tokio::test]
 async fn a_stranger_gets_no_connection_and_is_counted() {
     let addresses = [free(), free()];
-    let hosts = watch::channel(list(&[("n1", addresses[0]), ("n2", addresses[1])])).0;
+    let hosts = board(&[("n1", addresses[0]), ("n2", addresses[1])]);
     let n1 = TestNode::start("n1", addresses[0], key('1'), &hosts).await;
     let n2 = TestNode::start("n2", addresses[1], key('2'), &hosts).await;
 
@@ -162,7 +164,7 @@
 async fn a_node_at_the_address_of_another_is_told_so() {
     let address = free();
     let nodes = [("n1", address), ("n2", address), ("n3", free())];
-    let hosts = watch::channel(list(&nodes)).0;
+    let hosts = board(&nodes);
     let n1 = TestNode::start("n1", address, key('1'), &hosts).await;
     let n3 = TestNode::start("n3", nodes[2].1, key('1'), &hosts).await;
 
@@ -217,3 +219,21 @@
 
     wait(|| n1.refused("malformed") == 1).await;
 }
+
+/// One node reads a change of the host list; the others have it without asking the platform.
+#[tokio::test]
+async fn a_change_of_the_host_list_is_passed_on() {
+    let addresses = [free(), free()];
+    let mut nodes = vec![("n1", addresses[0]), ("n2", addresses[1])];
+    let hosts = [board(&nodes), board(&nodes)];
+    let n1 = TestNode::start("n1", addresses[0], key('1'), &hosts[0]).await;
+    let n2 = TestNode::start("n2", addresses[1], key('1'), &hosts[1]).await;
+    n1.wait_sees(&["n1", "n2"]).await;
+    n2.wait_sees(&["n1", "n2"]).await;
+
+    nodes.push(("n3", free()));
+    hosts[0].take(list(2, &nodes));
+
+    wait(|| hosts[1].version() == Some(2)).await;
+    assert_eq!(*hosts[1].listed().borrow(), *hosts[0].listed().borrow());
+}
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -101,7 +101,7 @@
         let members = Members::start(
             &settings.membership,
             node,
-            poller.listed(),
+            poller.board(),
             readiness.clone(),
             Arc::clone(&metrics),
             Arc::clone(&timeline),
