Membership: loads keep to a share of bytes

Cause: summaries of loads at a fixed pace grow with the square of a region; 12 near connections at the full heartbeat alone take most of the budget. Change: a node sends at most 5000 bytes of loads a second, and less in regions of more than 4 nodes, down to 1500; three near peers in place of six; heartbeats to other data centres thin out with their count.

--- a/src/membership/link_out.rs
+++ b/src/membership/link_out.rs
@@ -14,6 +14,7 @@
 use crate::hop::PROTOCOL_VERSION;
 use crate::operations::ControlKind;
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,8 +23,12 @@
 const MAX_RECORDS: usize = 500;
 /// Heartbeats with another digest before all records are sent; changes that are under way explain fewer.
 const UNEQUAL_HEARTBEATS: u32 = 3;
-/// Nodes of a region that loads are passed between at the full pace; more of them do it less often.
-const FULL_PACE_NODES: usize = 4;
+/// Bytes a second that a node may send for loads, shared by the nodes of its region.
+const REGION_LOAD_BYTES: usize = 20_000;
+/// Least and most of them for one node.
+const NODE_LOAD_BYTES: RangeInclusive<usize> = 1_500..=5_000;
+/// Bytes of a message without what it carries, about.
+const EMPTY_BYTES: usize = 115;
 
 /// What a connection sends, and when.
 pub(super) struct Outgoing {
@@ -35,6 +40,7 @@
     is_first: bool,
     unequal: u32,
     sent_at: Instant,
+    /// When loads may be sent next.
     loads_at: Instant,
     /// Versions of the summaries that were sent, sorted by node.
     summaries: Vec<(String, (u64, u64))>,
@@ -82,11 +88,11 @@
             };
             return Some((ControlKind::Gossip, message));
         }
-        if !self.carries_loads() || now < self.loads_at + self.load_interval() {
+        if !self.carries_loads() || now < self.loads_at {
             return None;
         }
-        self.loads_at = now;
         let summaries = self.new_summaries();
+        self.loads_at = now + self.load_pause(&summaries);
         if summaries.is_empty() {
             return None;
         }
@@ -102,7 +108,7 @@
     pub(super) fn wake_at(&self) -> Instant {
         let heartbeat = self.sent_at + self.heartbeat();
         match self.carries_loads() {
-            true => heartbeat.min(self.loads_at + self.load_interval()),
+            true => heartbeat.min(self.loads_at),
             false => heartbeat,
         }
     }
@@ -147,12 +153,20 @@
         }
     }
 
-    fn load_interval(&self) -> Duration {
-        let nodes = self.shared.state().region.len().max(FULL_PACE_NODES);
-        self.shared
-            .settings
-            .load_interval
-            .mul_f64(nodes as f64 / FULL_PACE_NODES as f64)
+    /// Gives the time until loads may be sent again, so that all connections together keep to the node's share.
+    fn load_pause(&self, sent: &[LoadSummary]) -> Duration {
+        let (nodes, links) = {
+            let state = self.shared.state();
+            (state.region.len().max(1), state.region_links.max(1))
+        };
+        let least = *NODE_LOAD_BYTES.start();
+        let share = (REGION_LOAD_BYTES / nodes).clamp(least, *NODE_LOAD_BYTES.end());
+        let bytes = EMPTY_BYTES + sent.iter().map(summary_bytes).sum::<usize>();
+        let pause = Duration::from_secs_f64((bytes * links) as f64 / share as f64);
+        match sent.is_empty() {
+            true => self.shared.settings.load_interval,
+            false => pause.max(self.shared.settings.load_interval),
+        }
     }
 
     fn message(&self) -> Message {
@@ -205,6 +219,15 @@
     }
 }
 
+/// Gives the bytes of a summary in a message, about.
+fn summary_bytes(summary: &LoadSummary) -> usize {
+    let loads = summary
+        .l
+        .iter()
+        .map(|load| load.s.len() + load.b.len() + 12);
+    summary.n.len() + 24 + loads.sum::<usize>()
+}
+
 impl From<&Summary> for LoadSummary {
     fn from(summary: &Summary) -> Self {
         let loads = summary.loads.iter().map(|load| Load {
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -170,8 +170,8 @@
         let mut state = self.shared.state();
         state.region = region;
         state.near = near;
-        // Two other data centres get the full pace; more share what that takes.
-        state.far_factor = u32::try_from(far.div_ceil(2)).unwrap_or(1).max(1);
+        // One other data centre gets the full pace; more of them share what that takes.
+        state.far_factor = u32::try_from(far * 2 / 3).unwrap_or(1).max(1);
     }
 
     /// Suspects neighbours that are out of reach, and gives up those that did not answer a suspicion.
@@ -229,6 +229,9 @@
             let task = tokio::spawn(dial::keep(Arc::clone(shared), peer.clone(), connects));
             self.dials.push(Dial { peer, task });
         }
+        let in_region = |dial: &&Dial| dial.peer.region == self.shared.node.region;
+        let links = self.dials.iter().filter(in_region).count();
+        shared.state().region_links = links;
     }
 
     fn update_view(&self) {
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -30,7 +30,7 @@
             heartbeat: section.millis("heartbeat_ms", 300, 50..=10_000),
             dead_after: section.millis("dead_after_ms", 1_000, 100..=60_000),
             load_interval: section.millis("load_interval_ms", 100, 20..=60_000),
-            near_peers: section.number("near_peers", 6, 1..=64) as usize,
+            near_peers: section.number("near_peers", 3, 1..=64) as usize,
             far_peers: section.number("far_peers", 2, 1..=16) as usize,
             max_connects: section.number("max_connects", 4, 1..=64) as usize,
         }
--- a/src/membership/shared.rs
+++ b/src/membership/shared.rs
@@ -28,6 +28,8 @@
     pub(super) reach: Reach,
     /// Nodes of the region, by the host list; others get no loads.
     pub(super) region: Vec<String>,
+    /// Connections of this node that carry loads.
+    pub(super) region_links: usize,
     /// Nodes of the data centre, by the host list.
     pub(super) near: Vec<String>,
     /// Heartbeats to other data centres are this much rarer.
@@ -76,6 +78,7 @@
                 table: Table::new(&node.name, incarnation),
                 reach: Reach::default(),
                 region: Vec::new(),
+                region_links: 0,
                 near: Vec::new(),
                 far_factor: 1,
             }),
