--- a/bench/src/load/group.rs
+++ b/bench/src/load/group.rs
@@ -79,10 +79,26 @@
         let team = &self.options.teams[self.index as usize % self.options.teams.len()];
         let amount = self.rng.random_range(1..10_000);
         let payment = Payment::new(&self.options.plain, team, &call, amount);
+        let record = self.send(&payment).await;
+        if !record.end.needs_ticket() {
+            return record;
+        }
+        let node = self.directory.pick(&mut self.rng);
+        let mut client = Client::new();
+        let Some(ticket) = payment.ask_ticket(&mut client, &node).await else {
+            return record;
+        };
+        let ticketed = self.send(&payment.with_ticket(ticket)).await;
+        ticketed.after(record)
+    }
+
+    async fn send(&mut self, payment: &Payment) -> CallRecord {
         let directory = &self.directory;
-        let sends = self.ways.iter_mut().enumerate().map(|(number, way)| {
-            let payment = &payment;
-            async move {
+        let sends = self
+            .ways
+            .iter_mut()
+            .enumerate()
+            .map(|(number, way)| async move {
                 let mut record = payment.record(&format!("{}-way{number}", payment.call()));
                 let mut attempt = Attempt {
                     client: &mut way.client,
@@ -93,23 +109,28 @@
                 let request = |id: &str| payment.request(id);
                 send_call(&mut attempt, &mut record, request, &payment.expected()).await;
                 record
-            }
-        });
+            });
         let ways = join_all(sends).await;
-        combine(&payment.record(&call), ways)
+        combine(&payment.record(payment.call()), ways)
     }
 }
 
 /// Makes one record of what all the ways brought: what the caller knows of the payment in the end. A refusal on one way
-/// says nothing of the others, so none is kept.
+/// says nothing of the others, so only the last one of all ways is kept.
 fn combine(whole: &CallRecord, ways: Vec<CallRecord>) -> CallRecord {
     let mut whole = whole.clone();
-    if let Some(telling) = ways.into_iter().max_by_key(|way| weight(&way.end)) {
+    if let Some(telling) = ways
+        .into_iter()
+        .max_by_key(|way| (weight(&way.end), way.ended))
+    {
         whole.node = telling.node;
         whole.started = telling.started;
         whole.first_byte = telling.first_byte;
         whole.ended = telling.ended;
         whole.end = telling.end;
+        if matches!(whole.end, End::NotRun { .. }) {
+            whole.refused_at.push(whole.ended);
+        }
     }
     whole
 }
--- a/src/hop/guard.rs
+++ b/src/hop/guard.rs
@@ -65,9 +65,10 @@
         }
     }
 
-    /// Makes the headers of an attempt to the given incarnation of the node `to`.
+    /// Makes the headers of an attempt sent to `path` of the given incarnation of the node `to`.
     pub(super) fn sign(
         &self,
+        path: &str,
         to: &str,
         incarnation: u64,
         head: &HopHead,
@@ -78,7 +79,7 @@
         let route = format!("{to} {incarnation} {epoch} {count}");
         let head = codec::to_header(head).ok()?;
         let body = codec::text_of(&hash(body));
-        let text = signed_text(route.as_bytes(), head.as_bytes(), body.as_bytes());
+        let text = signed_text(path, route.as_bytes(), head.as_bytes(), body.as_bytes());
         let code = codec::text_of(&mac::code(&self.key, &text));
         let value = |text: &str| HeaderValue::from_str(text).ok();
         Some([
@@ -107,17 +108,18 @@
         }
     }
 
-    /// Checks the headers of an attempt; `incarnation` is this process's.
+    /// Checks the headers of an attempt that came to `path`; `incarnation` is this process's.
     ///
     /// # Errors
     ///
     /// Tells what is wrong; nothing was run.
     pub(super) fn check(
         &self,
+        path: &str,
         headers: &HeaderMap,
         incarnation: u64,
     ) -> Result<Checked, GuardError> {
-        let (head, route, body_hash) = self.signed(headers).ok_or(GuardError::Stranger)?;
+        let (head, route, body_hash) = self.signed(path, headers).ok_or(GuardError::Stranger)?;
         if route.to != self.node || route.incarnation != incarnation {
             return Err(GuardError::Misdirected);
         }
@@ -127,13 +129,13 @@
         Ok(Checked { head, body_hash })
     }
 
-    fn signed(&self, headers: &HeaderMap) -> Option<(HopHead, Route, Vec<u8>)> {
+    fn signed(&self, path: &str, headers: &HeaderMap) -> Option<(HopHead, Route, Vec<u8>)> {
         let value = |name: &str| headers.get(name).map(HeaderValue::as_bytes);
         let head = value(HEAD_HEADER)?;
         let route = value(ROUTE_HEADER)?;
         let body = value(BODY_HEADER)?;
         let code = codec::bytes_of(value(MAC_HEADER)?).ok()?;
-        if !mac::is_valid(&self.key, &signed_text(route, head, body), &code) {
+        if !mac::is_valid(&self.key, &signed_text(path, route, head, body), &code) {
             return None;
         }
         Some((
@@ -165,8 +167,8 @@
 }
 
 /// Joins what is signed; no part holds a line break, so that no two attempts have the same text.
-fn signed_text(route: &[u8], head: &[u8], body: &[u8]) -> Vec<u8> {
-    [b"hop".as_slice(), route, head, body].join(&b'\n')
+fn signed_text(path: &str, route: &[u8], head: &[u8], body: &[u8]) -> Vec<u8> {
+    [path.as_bytes(), route, head, body].join(&b'\n')
 }
 
 fn hash(body: &[u8]) -> Vec<u8> {
--- a/src/hop/remote.rs
+++ b/src/hop/remote.rs
@@ -1,5 +1,6 @@
 //! Sends attempts to owners on other nodes.
 
+use super::CALL_PATH;
 use super::HOP_PATH;
 use super::REPLY_HEADER;
 use super::codec;
@@ -53,28 +54,55 @@
     ///
     /// Tells whether the attempt certainly did not run.
     pub async fn run(&self, owner: &Node, attempt: &Attempt) -> Result<Answer, Refusal> {
-        let req = self
-            .encode(owner, attempt)
-            .ok_or(Refusal::not_run(NotRun::BadRequest))?;
+        self.send(owner, HOP_PATH, attempt)
+            .await
+            .unwrap_or(Err(Refusal::not_run(NotRun::ConnectFailed)))
+    }
+
+    /// Sends a non-idempotent call to the node `owner`, which decides about its key; nothing where no connection
+    /// was made or it did not read the call.
+    pub async fn forward(
+        &self,
+        owner: &Node,
+        attempt: &Attempt,
+    ) -> Option<Result<Answer, Refusal>> {
+        self.send(owner, CALL_PATH, attempt).await
+    }
+
+    async fn send(
+        &self,
+        owner: &Node,
+        path: &str,
+        attempt: &Attempt,
+    ) -> Option<Result<Answer, Refusal>> {
+        let Some(req) = self.encode(owner, path, attempt) else {
+            return Some(Err(Refusal::not_run(NotRun::BadRequest)));
+        };
         let limit = Duration::from_millis(attempt.head.deadline_ms) + ANSWER_GRACE;
         match self.client.send(req, limit).await {
-            Ok(response) => self.decode(&attempt.head.id, response),
-            Err(SendError::NotSent(_)) => Err(Refusal::not_run(NotRun::ConnectFailed)),
-            Err(SendError::Lost(_)) => Err(Refusal::unknown(Unknown::ConnectionLost)),
-            Err(SendError::Timeout) => Err(Refusal::unknown(Unknown::Timeout)),
+            Ok(response) if is_refused_unread(response.status()) => None,
+            Ok(response) => Some(self.decode(&attempt.head.id, response)),
+            Err(SendError::NotSent(_)) => None,
+            Err(SendError::Lost(_)) => Some(Err(Refusal::unknown(Unknown::ConnectionLost))),
+            Err(SendError::Timeout) => Some(Err(Refusal::unknown(Unknown::Timeout))),
         }
     }
 
     /// The stamp is taken here, after the event of sending, so that the owner's events come after that.
-    pub(super) fn encode(&self, owner: &Node, attempt: &Attempt) -> Option<Request<Body>> {
+    pub(super) fn encode(
+        &self,
+        owner: &Node,
+        path: &str,
+        attempt: &Attempt,
+    ) -> Option<Request<Body>> {
         let head = HopHead {
             hlc: self.timeline.stamp(),
             ..attempt.head.clone()
         };
-        let headers = self
-            .signer
-            .sign(&owner.name, owner.incarnation, &head, &attempt.body)?;
-        let mut req = Request::post(format!("http://{}{HOP_PATH}", owner.address))
+        let headers =
+            self.signer
+                .sign(path, &owner.name, owner.incarnation, &head, &attempt.body)?;
+        let mut req = Request::post(format!("http://{}{path}", owner.address))
             .body(full_body(attempt.body.clone()))
             .ok()?;
         req.headers_mut().extend(headers.map(|(name, value)| {
@@ -85,9 +113,6 @@
     }
 
     fn decode(&self, id: &str, response: Response<Incoming>) -> Result<Answer, Refusal> {
-        if is_refused_unread(response.status()) {
-            return Err(Refusal::not_run(NotRun::NotOwner));
-        }
         let reply: HopReply = response
             .headers()
             .get(REPLY_HEADER)
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -1,5 +1,6 @@
 //! Serves the peer address, where other nodes send attempts.
 
+use super::CALL_PATH;
 use super::HOP_PATH;
 use super::PROTOCOL_VERSION;
 use super::REPLY_HEADER;
@@ -33,9 +34,21 @@
 /// Oldest version of the messages between nodes that this program reads.
 const OLDEST_VERSION: u32 = PROTOCOL_VERSION;
 
+/// Runs non-idempotent calls that other nodes send here, since this node decides about their keys.
+#[async_trait]
+pub trait Forwarded: Send + Sync {
+    /// Runs the call, or gives the answer that its key's first call got.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the call certainly did not run.
+    async fn forwarded(&self, attempt: Attempt) -> Result<Answer, Refusal>;
+}
+
 /// Serves the peer address.
 pub struct PeerServer {
     owner: Arc<Owner>,
+    calls: Arc<dyn Forwarded>,
     gossip: Acceptor,
     guard: Guard,
     timeline: Arc<Timeline>,
@@ -43,9 +56,10 @@
 }
 
 impl PeerServer {
-    /// Makes a server that hands attempts to `owner` and connections to `gossip`.
+    /// Makes a server that hands attempts to `owner`, non-idempotent calls to `calls` and connections to `gossip`.
     pub fn new(
         owner: Arc<Owner>,
+        calls: Arc<dyn Forwarded>,
         gossip: Acceptor,
         key: DeploymentKey,
         timeline: Arc<Timeline>,
@@ -54,25 +68,36 @@
         Self {
             owner,
             guard: Guard::new(gossip.node(), key),
+            calls,
             gossip,
             timeline,
             max_body_bytes,
         }
     }
 
-    async fn run(&self, checked: Checked, body: Incoming) -> Result<Answer, Refusal> {
+    async fn run(
+        &self,
+        checked: Checked,
+        body: Incoming,
+        is_call: bool,
+    ) -> Result<Answer, Refusal> {
         self.timeline.observe(&checked.head.hlc);
         let whole = collect(body, self.max_body_bytes).await.ok();
         let whole = whole.filter(|body| checked.has_body(body));
         let Some(body) = whole else {
             return Err(Refusal::not_run(NotRun::BadRequest));
         };
-        if self.gossip.is_leaving() {
-            // The sender has not heard yet that this node's backend servers have another owner.
+        if self.gossip.is_leaving() && !is_call {
+            // The sender has not heard yet that this node's backend servers have another owner. A call is decided all
+            // the same: its key may be one that only this process knows about.
             return Err(Refusal::not_run(NotRun::Stopping));
         }
         let head = checked.head;
-        self.owner.run(&Attempt { head, body }).await
+        let attempt = Attempt { head, body };
+        match is_call {
+            true => self.calls.forwarded(attempt).await,
+            false => self.owner.run(&attempt).await,
+        }
     }
 
     fn refuse(&self, err: GuardError, peer: SocketAddr) -> Response<Body> {
@@ -101,19 +126,21 @@
 #[async_trait]
 impl Handler for PeerServer {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
-        if req.uri().path() == GOSSIP_PATH {
-            return self.gossip.accept(req, peer);
-        }
-        if req.uri().path() != HOP_PATH {
-            return bare(StatusCode::NOT_FOUND);
-        }
-        let checked = match self.guard.check(req.headers(), self.gossip.incarnation()) {
+        let path = req.uri().path();
+        let is_call = match path {
+            GOSSIP_PATH => return self.gossip.accept(req, peer),
+            HOP_PATH => false,
+            CALL_PATH => true,
+            _ => return bare(StatusCode::NOT_FOUND),
+        };
+        let incarnation = self.gossip.incarnation();
+        let checked = match self.guard.check(path, req.headers(), incarnation) {
             Ok(checked) if checked.head.v >= OLDEST_VERSION => checked,
             Ok(_) => return bare(StatusCode::FORBIDDEN),
             Err(err) => return self.refuse(err, peer),
         };
         let id = checked.head.id.clone();
-        let answer = self.run(checked, req.into_body()).await;
+        let answer = self.run(checked, req.into_body(), is_call).await;
         self.response(&id, answer)
     }
 }
--- a/src/hop/tests.rs
+++ b/src/hop/tests.rs
@@ -100,7 +100,7 @@
     let attempt = attempt(timeline.stamp());
     let sent: Timestamp = timeline.stamp().parse().unwrap();
 
-    let req = remote.encode(&node(), &attempt).unwrap();
+    let req = remote.encode(&node(), super::HOP_PATH, &attempt).unwrap();
 
     let head = req.headers().get(HEAD_HEADER).unwrap();
     let head: HopHead = codec::from_header(head.as_bytes()).unwrap();
--- a/src/hop/tests/guard.rs
+++ b/src/hop/tests/guard.rs
@@ -16,7 +16,7 @@
 fn signed(signer: &Signer) -> HeaderMap {
     let mut head = attempt(String::new()).head;
     head.body_len = BODY.len() as u64;
-    let headers = signer.sign("n2", 7, &head, BODY).unwrap();
+    let headers = signer.sign("/hop", "n2", 7, &head, BODY).unwrap();
     headers
         .into_iter()
         .map(|(name, value)| (HeaderName::from_static(name), value))
@@ -24,7 +24,7 @@
 }
 
 fn refused(guard: &Guard, headers: &HeaderMap, incarnation: u64) -> GuardError {
-    guard.check(headers, incarnation).unwrap_err()
+    guard.check("/hop", headers, incarnation).unwrap_err()
 }
 
 #[test]
@@ -33,27 +33,31 @@
     let guard = Guard::new("n2", key('1'));
     let headers = signed(&signer);
 
-    let checked = guard.check(&headers, 7).unwrap();
+    let checked = guard.check("/hop", &headers, 7).unwrap();
 
     assert_eq!(checked.head.from, "n1");
     assert_eq!(refused(&guard, &headers, 7), GuardError::Replayed);
-    assert!(guard.check(&signed(&signer), 7).is_ok());
+    assert!(guard.check("/hop", &signed(&signer), 7).is_ok());
 }
 
 #[test]
-fn a_recorded_attempt_is_refused_after_a_restart_and_by_other_nodes() {
+fn a_recorded_attempt_is_refused_after_a_restart_by_other_nodes_and_on_other_paths() {
     let headers = signed(&Signer::new(key('1')));
     let other = Guard::new("n3", key('1'));
     let restarted = Guard::new("n2", key('1'));
 
     assert_eq!(refused(&other, &headers, 7), GuardError::Misdirected);
     assert_eq!(refused(&restarted, &headers, 8), GuardError::Misdirected);
+    let elsewhere = restarted.check("/call", &headers, 7).unwrap_err();
+    assert_eq!(elsewhere, GuardError::Stranger);
 }
 
 #[test]
 fn a_body_that_was_not_signed_is_noticed() {
     let guard = Guard::new("n2", key('1'));
-    let checked = guard.check(&signed(&Signer::new(key('1'))), 7).unwrap();
+    let checked = guard
+        .check("/hop", &signed(&Signer::new(key('1'))), 7)
+        .unwrap();
 
     assert!(checked.has_body(BODY));
     assert!(!checked.has_body(b"[]"));
@@ -81,7 +85,7 @@
         lacking.remove(&name);
         assert_eq!(refused(&guard, &lacking, 7), GuardError::Stranger);
     }
-    assert!(guard.check(&headers, 7).is_ok());
+    assert!(guard.check("/hop", &headers, 7).is_ok());
 }
 
 /// Whatever the order in which attempts come, none is taken twice, and none that is recent is refused.
