--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -223,7 +223,7 @@
         };
         let body = call.body.clone();
         let attempt = Attempt { head, body };
-        parts.remote.forward(target.address, &attempt).await
+        parts.remote.forward(target, &attempt).await
     }
 }
 
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -1,16 +1,15 @@
 //! Serves the peer address, where other nodes send attempts.
 
 use super::CALL_PATH;
-use super::HEAD_HEADER;
 use super::HOP_PATH;
 use super::LOADS_PATH;
-use super::MAC_HEADER;
 use super::PROTOCOL_VERSION;
 use super::REPLY_HEADER;
 use super::codec;
 use super::exchange;
-use super::mac;
-use crate::border::generated::peer::HopHead;
+use super::guard::Checked;
+use super::guard::Guard;
+use super::guard::GuardError;
 use crate::border::generated::peer::HopReply;
 use crate::membership::Acceptor;
 use crate::membership::GOSSIP_PATH;
@@ -53,7 +52,7 @@
     owner: Arc<Owner>,
     calls: Arc<dyn Forwarded>,
     gossip: Acceptor,
-    key: DeploymentKey,
+    guard: Guard,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
@@ -70,48 +69,51 @@
     ) -> Self {
         Self {
             owner,
+            guard: Guard::new(gossip.node(), key),
             calls,
             gossip,
-            key,
             timeline,
             max_body_bytes,
         }
     }
 
-    /// Reads the head of an attempt where the sender has proved that it knows the deployment's key.
-    fn head_of(&self, req: &Request<Incoming>) -> Option<HopHead> {
-        let head = req.headers().get(HEAD_HEADER)?.as_bytes();
-        let code = codec::bytes_of(req.headers().get(MAC_HEADER)?.as_bytes()).ok()?;
-        if !mac::is_valid(&self.key, head, &code) {
-            return None;
-        }
-        let head: HopHead = codec::from_header(head).ok()?;
-        (head.v >= OLDEST_VERSION).then_some(head)
-    }
-
     async fn run(
         &self,
-        head: HopHead,
+        checked: Checked,
         body: Incoming,
         is_call: bool,
-    ) -> (String, Result<Answer, Refusal>) {
-        self.timeline.observe(&head.hlc);
-        let id = head.id.clone();
-        let expected = head.body_len;
+    ) -> Result<Answer, Refusal> {
+        self.timeline.observe(&checked.head.hlc);
         let whole = collect(body, self.max_body_bytes).await.ok();
-        let whole = whole.filter(|body| body.len() as u64 == expected);
+        let whole = whole.filter(|body| checked.has_body(body));
         let Some(body) = whole else {
-            return (id, Err(Refusal::not_run(NotRun::BadRequest)));
+            return Err(Refusal::not_run(NotRun::BadRequest));
         };
-        if self.gossip.is_leaving() {
-            // The sender has not heard yet that this node's backend servers have another owner.
-            return (id, Err(Refusal::not_run(NotRun::Stopping)));
+        if self.gossip.is_leaving() && !is_call {
+            // The sender has not heard yet that this node's backend servers have another owner. A call is decided all
+            // the same: its key may be one that only this process knows about.
+            return Err(Refusal::not_run(NotRun::Stopping));
         }
+        let head = checked.head;
         let attempt = Attempt { head, body };
         match is_call {
-            true => (id, self.calls.forwarded(attempt).await),
-            false => (id, self.owner.run(&attempt).await),
+            true => self.calls.forwarded(attempt).await,
+            false => self.owner.run(&attempt).await,
+        }
+    }
+
+    fn refuse(&self, err: GuardError, peer: SocketAddr) -> Response<Body> {
+        slog::warn!(self.timeline.log(), "attempt refused"; "peer" => %peer, "cause" => ?err);
+        match err {
+            GuardError::Stranger => self.gossip.note_stranger(),
+            GuardError::Misdirected => self.gossip.note_misdirected(),
+            GuardError::Replayed => self.gossip.note_replayed(),
         }
+        bare(match err {
+            GuardError::Stranger => StatusCode::FORBIDDEN,
+            GuardError::Misdirected => StatusCode::MISDIRECTED_REQUEST,
+            GuardError::Replayed => StatusCode::CONFLICT,
+        })
     }
 
     fn response(&self, id: &str, answer: Result<Answer, Refusal>) -> Response<Body> {
@@ -126,18 +128,22 @@
 #[async_trait]
 impl Handler for PeerServer {
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
-        let is_call = match req.uri().path() {
+        let path = req.uri().path();
+        let is_call = match path {
             GOSSIP_PATH => return self.gossip.accept(req, peer),
-            LOADS_PATH => return exchange::answer(&self.owner, &self.key, req).await,
+            LOADS_PATH => return exchange::answer(&self.owner, self.guard.key(), req).await,
             HOP_PATH => false,
             CALL_PATH => true,
             _ => return bare(StatusCode::NOT_FOUND),
         };
-        let Some(head) = self.head_of(&req) else {
-            slog::warn!(self.timeline.log(), "attempt of a stranger refused"; "peer" => %peer);
-            return bare(StatusCode::FORBIDDEN);
+        let incarnation = self.gossip.incarnation();
+        let checked = match self.guard.check(path, req.headers(), incarnation) {
+            Ok(checked) if checked.head.v >= OLDEST_VERSION => checked,
+            Ok(_) => return bare(StatusCode::FORBIDDEN),
+            Err(err) => return self.refuse(err, peer),
         };
-        let (id, answer) = self.run(head, req.into_body(), is_call).await;
+        let id = checked.head.id.clone();
+        let answer = self.run(checked, req.into_body(), is_call).await;
         self.response(&id, answer)
     }
 }
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -2,6 +2,7 @@
 
 use super::Acceptor;
 use super::ConfigBoard;
+use super::HostBoard;
 use super::LoadBoard;
 use super::Membership;
 use super::Node;
@@ -66,18 +67,25 @@
     pub fn start(
         settings: &Settings,
         node: &NodeSettings,
-        hosts: watch::Receiver<Arc<View>>,
+        hosts: Arc<HostBoard>,
         readiness: Readiness,
         metrics: Arc<Metrics>,
         timeline: Arc<Timeline>,
     ) -> Self {
         let incarnation = incarnation();
-        let shared = Shared::new(settings, node, incarnation, timeline, metrics);
+        let shared = Shared::new(
+            settings,
+            node,
+            incarnation,
+            Arc::clone(&hosts),
+            timeline,
+            metrics,
+        );
         let shared = Arc::new(shared);
         let (tx, view) = watch::channel(Arc::new(View::default()));
         let keeping = Keeping {
             shared: Arc::clone(&shared),
-            hosts,
+            hosts: hosts.listed(),
             listed: Arc::default(),
             view: tx,
             readiness,
@@ -150,6 +158,7 @@
 
     fn take_hosts(&mut self) {
         self.listed = Arc::clone(&self.hosts.borrow_and_update());
+        self.shared.wake();
         let own = &self.shared.node;
         let names = |test: &dyn Fn(&&Node) -> bool| -> Vec<String> {
             let nodes = self.listed.nodes().iter().filter(test);
@@ -161,8 +170,8 @@
         let mut state = self.shared.state();
         state.region = region;
         state.near = near;
-        // Two other data centres get the full pace; more share what that takes.
-        state.far_factor = u32::try_from(far.div_ceil(2)).unwrap_or(1).max(1);
+        // One other data centre gets the full pace; more of them share what that takes.
+        state.far_factor = u32::try_from(far * 2 / 3).unwrap_or(1).max(1);
     }
 
     /// Suspects neighbours that are out of reach, and gives up those that did not answer a suspicion.
@@ -220,6 +229,9 @@
             let task = tokio::spawn(dial::keep(Arc::clone(shared), peer.clone(), connects));
             self.dials.push(Dial { peer, task });
         }
+        let in_region = |dial: &&Dial| dial.peer.region == self.shared.node.region;
+        let links = self.dials.iter().filter(in_region).count();
+        shared.state().region_links = links;
     }
 
     fn update_view(&self) {
