--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -57,6 +57,7 @@
 /// Hands one call over when its claim allows it.
 struct RunCall {
     attempts: Arc<Attempts>,
+    config: Arc<dyn ConfigSource>,
     call: OwnedCall,
 }
 
@@ -64,8 +65,10 @@
 impl Run for RunCall {
     async fn run(&self) -> Result<Answer, Refusal> {
         let call = &self.call;
+        let state = self.config.state();
         let job = Job {
             caller: &call.caller,
+            state: &state,
             service: &call.service,
             method: &call.method,
             path: &call.path,
@@ -170,7 +173,12 @@
     async fn here(&self, call: OwnedCall, key: Key) -> Result<Answer, Refusal> {
         let print = fingerprint(&call);
         let attempts = Arc::clone(&self.parts.attempts);
-        let run = Arc::new(RunCall { attempts, call });
+        let config = Arc::clone(&self.parts.config);
+        let run = Arc::new(RunCall {
+            attempts,
+            config,
+            call,
+        });
         match key {
             Key::Own(key) => self.parts.once.once(Call { key, print }, run).await,
             Key::Ticket(ticket) => self.parts.tickets.redeem(&ticket, print, run).await,
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -51,6 +51,7 @@
         }
         let job = Job {
             caller,
+            state,
             service,
             method,
             path: &path,
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -7,6 +7,8 @@
 use crate::claims::Tickets;
 use crate::config;
 use crate::config::Follower;
+use crate::config::FollowerParts;
+use crate::config::StatusSource;
 use crate::entry::Attempts;
 use crate::entry::CallParts;
 use crate::entry::Calls;
@@ -22,10 +24,13 @@
 use crate::net::Handler;
 use crate::net::Listener;
 use crate::net::Protocol;
+use crate::node::Status;
 use crate::operations::Metrics;
 use crate::operations::Pages;
 use crate::operations::Readiness;
 use crate::owner::Owner;
+use crate::reconcile::Reconciler;
+use crate::reconcile::ReconcilerParts;
 use crate::settings::Settings;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
@@ -75,6 +80,7 @@
     peers: Listener,
     operations: Listener,
     follower: Follower,
+    reconciler: Reconciler,
     poller: Poller,
     claims: Claims,
     members: Members,
@@ -100,7 +106,6 @@
             membership::READY_HOSTS,
             membership::READY_GOSSIP,
         ]);
-        let follower = follower(settings, &metrics, &readiness, &timeline);
         let poller = poller(settings, &metrics, &readiness, &timeline);
         let members = Members::start(
             &settings.membership,
@@ -110,6 +115,7 @@
             Arc::clone(&metrics),
             Arc::clone(&timeline),
         );
+        let follower = follower(settings, &members, &metrics, &readiness, &timeline);
         let owner = owner(settings, &members, &metrics, &timeline);
         let attempts = attempts(settings, &members, &owner, &timeline);
         let claims = claims(settings, &metrics, &timeline);
@@ -141,7 +147,10 @@
             Arc::clone(&timeline),
             settings.entry.max_body_bytes,
         );
-        let pages = Pages::new(metrics, readiness.clone());
+        let peer_server = follower.server(Arc::new(peer_server));
+        let reconciler = reconciler(settings, &follower, &members, &metrics, &timeline);
+        let status = status(settings, &follower, &members, &readiness, &reconciler);
+        let pages = Pages::new(metrics, readiness.clone(), status);
         let http2 = Protocol::Http1And2;
         let http1 = Protocol::Http1;
         let peers = listen("peer_address", node.peer_address, http2, peer_server).await?;
@@ -154,6 +163,7 @@
             peers,
             operations,
             follower,
+            reconciler,
             poller,
             claims,
             members,
@@ -174,6 +184,7 @@
         tokio::time::sleep(self.linger).await;
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
+        self.reconciler.close();
         self.claims.close().await;
         self.follower.close();
         self.poller.close();
@@ -204,25 +215,78 @@
     }
 }
 
+fn peer_client(settings: &Settings) -> Client {
+    Client::new(&ClientOptions {
+        http2: true,
+        ping: settings.membership.ping,
+        ..client_options(settings)
+    })
+}
+
+fn log(settings: &Settings, metrics: &Arc<Metrics>) -> Arc<HttpLog> {
+    Arc::new(HttpLog::new(
+        Client::new(&client_options(settings)),
+        settings.platform.log_address,
+        settings.platform.timeout,
+        Arc::clone(metrics),
+    ))
+}
+
 fn follower(
     settings: &Settings,
+    members: &Members,
     metrics: &Arc<Metrics>,
     readiness: &Readiness,
     timeline: &Arc<Timeline>,
 ) -> Follower {
-    let log = HttpLog::new(
-        Client::new(&client_options(settings)),
-        settings.platform.log_address,
-        settings.platform.timeout,
-        Arc::clone(metrics),
-    );
-    Follower::start(
-        Arc::new(log),
-        &settings.config,
-        Arc::clone(metrics),
-        readiness.clone(),
-        Arc::clone(timeline),
-    )
+    Follower::start(FollowerParts {
+        node: &settings.node.name,
+        data_centre: &settings.node.data_centre,
+        key: &settings.node.key,
+        settings: &settings.config,
+        log: log(settings, metrics),
+        client: peer_client(settings),
+        membership: members.membership(),
+        configs: members.configs(),
+        metrics: Arc::clone(metrics),
+        readiness: readiness.clone(),
+        timeline: Arc::clone(timeline),
+    })
+}
+
+fn status(
+    settings: &Settings,
+    follower: &Follower,
+    members: &Members,
+    readiness: &Readiness,
+    reconciler: &Reconciler,
+) -> Arc<dyn StatusSource> {
+    Arc::new(Status {
+        node: settings.node.name.clone(),
+        data_centre: settings.node.data_centre.clone(),
+        config: follower.source(),
+        membership: members.membership(),
+        readiness: readiness.clone(),
+        unsettled: reconciler.unsettled(),
+    })
+}
+
+fn reconciler(
+    settings: &Settings,
+    follower: &Follower,
+    members: &Members,
+    metrics: &Arc<Metrics>,
+    timeline: &Arc<Timeline>,
+) -> Reconciler {
+    let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
+    Reconciler::start(ReconcilerParts {
+        node: settings.node.name.clone(),
+        settings: settings.reconcile.clone(),
+        config: follower.source(),
+        membership: members.membership(),
+        backends: Arc::new(backends),
+        timeline: Arc::clone(timeline),
+    })
 }
 
 fn poller(
@@ -261,28 +325,17 @@
 }
 
 fn claims(settings: &Settings, metrics: &Arc<Metrics>, timeline: &Arc<Timeline>) -> Claims {
-    let log = HttpLog::new(
-        Client::new(&client_options(settings)),
-        settings.platform.log_address,
-        settings.platform.timeout,
-        Arc::clone(metrics),
-    );
     Claims::start(
         &settings.node.name,
         &settings.claims,
-        Arc::new(log),
+        log(settings, metrics),
         Arc::clone(timeline),
     )
 }
 
 fn remote(settings: &Settings, timeline: &Arc<Timeline>) -> RemoteOwner {
-    let options = ClientOptions {
-        http2: true,
-        ping: settings.membership.ping,
-        ..client_options(settings)
-    };
     RemoteOwner::new(
-        Client::new(&options),
+        peer_client(settings),
         settings.node.key.clone(),
         Arc::clone(timeline),
     )
