--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -274,6 +274,17 @@
     assert_eq!(world.runs(), 0);
 }
 
+#[test]
+fn record_of_a_newer_version() {
+    let world = World::new(LATE);
+    world.write_newer_records();
+
+    let seen = world.call(0, world.key());
+
+    assert_eq!(seen, Seen::from("not-run log-unavailable"));
+    assert_eq!(world.runs(), 0);
+}
+
 #[test]
 fn answer_too_large_to_be_kept() {
     let world = World::new(LATE);
--- a/tests/at_most_once/world.rs
+++ b/tests/at_most_once/world.rs
@@ -244,6 +244,14 @@
         *self.backend.lock().unwrap() = backend;
     }
 
+    /// Puts a record into each stream that this version does not understand.
+    pub fn write_newer_records(&self) {
+        for shard in 0..Settings::default().shards {
+            let stream = format!("claims-{shard}");
+            FakeLog::append(&self.log, &stream, r#"{"v":2,"kind":"lease"}"#);
+        }
+    }
+
     /// Lets the log forget records that are younger than the window.
     pub fn forget_records(&self) {
         for shard in 0..Settings::default().shards {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -24,7 +24,9 @@
     options
 }
 
-async fn run(names: &str, options: RunOptions) -> Report {
+async fn run(names: &str, mut options: RunOptions) -> Report {
+    // Each run has its own folder, since tests of one process run side by side.
+    options.fleet.case = names.replace(',', "+");
     let cases = cases::pick(names).unwrap();
     cases::run(&cases, options, &|_| {}).await.unwrap()
 }
