--- a/tests/path.rs
+++ b/tests/path.rs
@@ -28,7 +28,9 @@
     // Each run has its own folder, since tests of one process run side by side.
     options.fleet.case = names.replace(',', "+");
     let cases = cases::pick(names).unwrap();
-    cases::run(&cases, options, &|_| {}).await.unwrap()
+    cases::run(&cases, options, &|line| println!("{line}"))
+        .await
+        .unwrap()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -39,14 +41,7 @@
 
     assert!(report.answered > 0, "{}", report.to_line());
     assert_eq!(report.answered, report.requests, "{}", report.to_line());
-    let broken = [
-        report.wrong,
-        report.incomplete,
-        report.double_runs,
-        report.false_not_run,
-        report.cut_off,
-    ];
-    assert_eq!(broken, [0; 5], "{}", report.to_line());
+    assert!(report.promises_kept(), "{}", report.to_line());
 }
 
 #[tokio::test(flavor = "multi_thread")]
