--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -17,6 +17,8 @@
 use crate::routing::Choice;
 use crate::routing::Loads;
 use crate::routing::Policy;
+use crate::timeline::Event;
+use crate::timeline::EventKind;
 use crate::timeline::Timeline;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -141,6 +143,9 @@
                 }
                 Err(refusal) => {
                     let again = may_try_again(job, &refusal);
+                    if again {
+                        self.note_retry(&attempt.head, &refusal);
+                    }
                     progress.note(&backend.name, refusal);
                     if !again {
                         break;
@@ -151,6 +156,15 @@
         Err(progress.refusal())
     }
 
+    fn note_retry(&self, head: &HopHead, refusal: &Refusal) {
+        let retry = Event::new(EventKind::Retry)
+            .request(&head.request)
+            .attempt(&head.id)
+            .backend(&head.backend)
+            .detail(refusal.reason());
+        self.timeline.event(retry);
+    }
+
     fn choose<'a>(
         &self,
         job: &Job<'_>,
