--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod dispatch;
+mod exchange;
 mod guard;
 pub mod mac;
 mod remote;
@@ -15,6 +16,8 @@
 
 pub use dispatch::Dispatch;
 pub use dispatch::ToOwner;
+pub use exchange::LoadExchange;
+pub use exchange::LoadExchangeParts;
 pub use remote::RemoteOwner;
 pub use serve::Forwarded;
 pub use serve::PeerServer;
@@ -25,6 +28,8 @@
 const HOP_PATH: &str = "/hop";
 /// Path of non-idempotent calls on the peer address, which go to the node that decides about their key.
 const CALL_PATH: &str = "/call";
+/// Path of the load exchange on the peer address.
+const LOADS_PATH: &str = "/loads";
 /// Header that carries the head of an attempt.
 const HEAD_HEADER: &str = "cb-hop";
 /// Header that carries the code that authenticates the other headers.
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -2,9 +2,11 @@
 
 use super::CALL_PATH;
 use super::HOP_PATH;
+use super::LOADS_PATH;
 use super::PROTOCOL_VERSION;
 use super::REPLY_HEADER;
 use super::codec;
+use super::exchange;
 use super::guard::Checked;
 use super::guard::Guard;
 use super::guard::GuardError;
@@ -51,6 +53,7 @@
     calls: Arc<dyn Forwarded>,
     gossip: Acceptor,
     guard: Guard,
+    key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
@@ -67,7 +70,8 @@
     ) -> Self {
         Self {
             owner,
-            guard: Guard::new(gossip.node(), key),
+            guard: Guard::new(gossip.node(), key.clone()),
+            key,
             calls,
             gossip,
             timeline,
@@ -129,6 +133,7 @@
         let path = req.uri().path();
         let is_call = match path {
             GOSSIP_PATH => return self.gossip.accept(req, peer),
+            LOADS_PATH => return exchange::answer(&self.owner, &self.key, req).await,
             HOP_PATH => false,
             CALL_PATH => true,
             _ => return bare(StatusCode::NOT_FOUND),
@@ -155,7 +160,7 @@
     response
 }
 
-fn bare(status: StatusCode) -> Response<Body> {
+pub(super) fn bare(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty_body());
     *response.status_mut() = status;
     response
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -13,6 +13,8 @@
 use crate::entry::CallParts;
 use crate::entry::Calls;
 use crate::entry::Entry;
+use crate::hop::LoadExchange;
+use crate::hop::LoadExchangeParts;
 use crate::hop::PeerServer;
 use crate::hop::RemoteOwner;
 use crate::hop::ToOwner;
@@ -28,9 +30,12 @@
 use crate::operations::Metrics;
 use crate::operations::Pages;
 use crate::operations::Readiness;
+use crate::owner::LoadPoller;
 use crate::owner::Owner;
+use crate::owner::OwnerParts;
 use crate::reconcile::Reconciler;
 use crate::reconcile::ReconcilerParts;
+use crate::routing::Loads;
 use crate::settings::Settings;
 use crate::timeline::Event;
 use crate::timeline::EventKind;
@@ -83,6 +88,8 @@
     reconciler: Reconciler,
     poller: Poller,
     claims: Claims,
+    load_poller: LoadPoller,
+    exchange: LoadExchange,
     members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
@@ -100,7 +107,7 @@
         let node = &settings.node;
         let timeline = Arc::new(Timeline::start(&node.name, &settings.timeline));
         let metrics = Arc::new(Metrics::new());
-        metrics.register(Box::new(timeline.stamps_dropped().clone()));
+        timeline.register(&metrics);
         let readiness = Readiness::waiting_for(&[
             config::READY_CONFIG,
             membership::READY_HOSTS,
@@ -116,8 +123,9 @@
             Arc::clone(&timeline),
         );
         let follower = follower(settings, &members, &metrics, &readiness, &timeline);
-        let owner = owner(settings, &members, &metrics, &timeline);
-        let attempts = attempts(settings, &members, &owner, &timeline);
+        let loads = Arc::new(Loads::default());
+        let owner = owner(settings, &follower, &members, &loads, &metrics, &timeline);
+        let attempts = attempts(settings, &members, &owner, &loads, &timeline);
         let claims = claims(settings, &metrics, &timeline);
         let calls = Arc::new(Calls::new(CallParts {
             node: node.name.clone(),
@@ -139,6 +147,8 @@
             Arc::clone(&metrics),
             Arc::clone(&timeline),
         );
+        let load_poller = LoadPoller::start(Arc::clone(&owner));
+        let exchange = exchange(settings, &members, &owner, &metrics);
         let peer_server = PeerServer::new(
             owner,
             calls,
@@ -166,6 +176,8 @@
             reconciler,
             poller,
             claims,
+            load_poller,
+            exchange,
             members,
             readiness,
             timeline,
@@ -188,6 +200,8 @@
         self.claims.close().await;
         self.follower.close();
         self.poller.close();
+        self.load_poller.close();
+        self.exchange.close();
         self.members.close();
         self.operations.close(OPERATIONS_LIMIT).await;
     }
@@ -311,17 +325,40 @@
 
 fn owner(
     settings: &Settings,
+    follower: &Follower,
     members: &Members,
+    loads: &Arc<Loads>,
     metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Owner> {
     let backends = HttpBackends::new(settings.node.source_ip, Arc::clone(metrics));
-    Arc::new(Owner::new(
-        &settings.owner,
-        members.membership(),
-        Arc::new(backends),
-        Arc::clone(timeline),
-    ))
+    Arc::new(Owner::new(OwnerParts {
+        node: settings.node.name.clone(),
+        settings: settings.owner.clone(),
+        is_bounded: settings.routing.policy.policy().is_bounded(),
+        config: follower.source(),
+        membership: members.membership(),
+        backends: Arc::new(backends),
+        loads: Arc::clone(loads),
+        timeline: Arc::clone(timeline),
+    }))
+}
+
+fn exchange(
+    settings: &Settings,
+    members: &Members,
+    owner: &Arc<Owner>,
+    metrics: &Arc<Metrics>,
+) -> LoadExchange {
+    LoadExchange::start(LoadExchangeParts {
+        node: settings.node.name.clone(),
+        interval: settings.routing.exchange_interval,
+        owner: Arc::clone(owner),
+        membership: members.membership(),
+        client: peer_client(settings),
+        key: settings.node.key.clone(),
+        metrics: Arc::clone(metrics),
+    })
 }
 
 fn claims(settings: &Settings, metrics: &Arc<Metrics>, timeline: &Arc<Timeline>) -> Claims {
@@ -345,6 +382,7 @@
     settings: &Settings,
     members: &Members,
     owner: &Arc<Owner>,
+    loads: &Arc<Loads>,
     timeline: &Arc<Timeline>,
 ) -> Arc<Attempts> {
     let node = &settings.node;
@@ -361,6 +399,7 @@
         members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
+        Arc::clone(loads),
         Arc::clone(timeline),
     ))
 }
