--- a/src/hop/guard.rs
+++ b/src/hop/guard.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Lends the key that all nodes share.
+    pub(super) fn key(&self) -> &DeploymentKey {
+        &self.key
+    }
+
     /// Checks the headers of an attempt that came to `path`; `incarnation` is this process's.
     ///
     /// # Errors
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -133,7 +133,7 @@
         let path = req.uri().path();
         let is_call = match path {
             GOSSIP_PATH => return self.gossip.accept(req, peer),
-            LOADS_PATH => return exchange::answer(&self.owner, &self.key, req).await,
+            LOADS_PATH => return exchange::answer(&self.owner, self.guard.key(), req).await,
             HOP_PATH => false,
             CALL_PATH => true,
             _ => return bare(StatusCode::NOT_FOUND),
