Operators' tool: declarations, plans, confirmation, intents

Cause: the tool only printed what is in force. Change: declarations in INI with every problem by file, line and key; plans with steps, teams and servers touched, load and capacity; confirmation signed by the operator, safe to repeat, refused where the plan was overtaken, with whose change; show, history, status, intents; JSON and exit statuses everywhere. A model that is not declared is not loaded.

--- a/src/config/apply.rs
+++ b/src/config/apply.rs
@@ -147,6 +147,25 @@
         Ok((next, verdict))
     }
 
+    /// Gives the state that `change` would lead to if it were appended next; who made it is not checked.
+    ///
+    /// # Errors
+    ///
+    /// Tells why it would be refused.
+    pub fn preview(&self, change: &Change) -> Result<Self, Refused> {
+        let offset = self.next();
+        let mut next = self.clone();
+        // A plan is written anew when it is confirmed, so that its age does not matter.
+        let change = Change {
+            read: self.version,
+            ..change.clone()
+        };
+        next.check(offset, &change)?;
+        next.version = Some(offset);
+        next.take(offset, change);
+        Ok(next)
+    }
+
     fn try_apply(&mut self, offset: u64, data: &str) -> Result<Verdict, Stop> {
         let (body, signature) = match read_record(data)? {
             ConfigRecord::Snapshot { .. } => return Ok(Verdict::Snapshot),
--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -341,7 +341,7 @@
             };
             for record in &read.records {
                 from = record.offset + 1;
-                let found = snapshot::from_record(&record.data, Some(&self.key));
+                let found = snapshot::from_record(&record.data, &self.key);
                 if let Some(found) = found.filter(|found| found.at + 1 >= read.first_retained) {
                     self.store.adopt(found);
                     return Progress::More;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -34,6 +34,8 @@
 pub use settings::Settings;
 pub use signature::KeyError;
 pub use signature::OperatorKey;
+pub use signature::is_public_key;
+pub use snapshot::unchecked as unchecked_snapshot;
 pub use state::State;
 pub use state::hex;
 
--- a/src/config/signature.rs
+++ b/src/config/signature.rs
@@ -55,6 +55,11 @@
     }
 }
 
+/// Tells whether `text` is a public key in hex.
+pub fn is_public_key(text: &str) -> bool {
+    public_key(text).is_some()
+}
+
 /// Tells whether `signature` over `body` is that of the operator with `public_key`. The strict check leaves no
 /// signature on which two programs may disagree.
 pub(super) fn is_valid(key: &str, body: &str, signature: &str) -> bool {
--- a/src/config/snapshot.rs
+++ b/src/config/snapshot.rs
@@ -47,14 +47,21 @@
 }
 
 /// Reads the record of a snapshot; gives nothing for other records and for snapshots that no node of this deployment
-/// has written. Without a key the origin is not checked, which only the operators' tool does.
-pub fn from_record(data: &str, key: Option<&DeploymentKey>) -> Option<Snapshot> {
+/// has written.
+pub(super) fn from_record(data: &str, key: &DeploymentKey) -> Option<Snapshot> {
+    read(data, |body, code| mac::is_valid(key, body, code))
+}
+
+/// Reads the record of a snapshot without a check of its origin, which only the operators' tool does.
+pub fn unchecked(data: &str) -> Option<Snapshot> {
+    read(data, |_, _| true)
+}
+
+fn read(data: &str, is_valid: impl Fn(&[u8], &[u8]) -> bool) -> Option<Snapshot> {
     let ConfigRecord::Snapshot { v, body, mac } = serde_json::from_str(data).ok()? else {
         return None;
     };
-    let code = unhex(&mac)?;
-    let is_valid = key.is_none_or(|key| mac::is_valid(key, body.as_bytes(), &code));
-    if v > RECORD_VERSION || !is_valid {
+    if v > RECORD_VERSION || !is_valid(body.as_bytes(), &unhex(&mac)?) {
         return None;
     }
     serde_json::from_str(&body).ok()
--- a/src/config/tests/agree.rs
+++ b/src/config/tests/agree.rs
@@ -78,7 +78,7 @@
         let (part, _) = replay(&records[..cut]);
         let record = snapshot::to_record(&part.snapshot().unwrap(), &deployment_key()).unwrap();
 
-        let found = snapshot::from_record(&record, Some(&deployment_key())).unwrap();
+        let found = snapshot::from_record(&record, &deployment_key()).unwrap();
         let (again, _) = replay_from(State::from_snapshot(found), &records);
 
         assert_eq!(again.hash(), whole.hash());
@@ -127,8 +127,8 @@
 
     let forged = record.replace("interactive", "batch");
 
-    assert!(snapshot::from_record(&record, Some(&other)).is_none());
-    assert!(snapshot::from_record(&forged, Some(&deployment_key())).is_none());
+    assert!(snapshot::from_record(&record, &other).is_none());
+    assert!(snapshot::from_record(&forged, &deployment_key()).is_none());
 }
 
 #[test]
--- /dev/null
+++ b/src/ctl/args.rs
@@ -0,0 +1,99 @@
+//! Reads the command line.
+
+use super::Command;
+use super::CtlError;
+use super::Output;
+use super::check::Check;
+use super::confirm::Confirm;
+use super::history::History;
+use super::intent;
+use super::keygen::Keygen;
+use super::plan::Plan;
+use super::show::Show;
+use super::status::Status;
+use pico_args::Arguments;
+
+/// What `--help` prints.
+pub const HELP: &str = "\
+cbctl: shows and changes what is in force.
+
+USAGE:
+  cbctl check FOLDER                    check declarations, and name every problem
+  cbctl plan FOLDER PLAN                make a plan from declarations
+  cbctl intent drain BACKEND [--undo]   make a plan: no new work for a backend server
+  cbctl intent move-team TEAM --off DATA_CENTRE
+  cbctl intent load-adapter MODEL/ADAPTER --engines A,B,C
+  cbctl intent set-role ENGINE ROLE     ROLE is prefill, decode or mixed
+  cbctl confirm PLAN [--wait]           put a plan into force; --wait until it is in force on all nodes
+  cbctl show                            what is in force
+  cbctl history                         records of the log, and what came of them
+  cbctl status                          version, readiness and backend servers of each node
+  cbctl keygen FILE                     make an operator's key, and print its public part
+
+OPTIONS:
+  --log ADDRESS      the platform's log service (plan, intent, confirm, show, history)
+  --hosts ADDRESS    the platform's host list (plan, intent)
+  --nodes A,B,C      operations addresses of nodes (status, confirm --wait)
+  --operator NAME    who plans (plan, intent)
+  --key FILE         the operator's key (confirm)
+  --plan FILE        where an intent's plan is written
+  --timeout SECONDS  longest wait of confirm --wait (30)
+  --json             print one JSON object
+  --help             print this
+  --version          print the version
+
+EXIT STATUS:
+  0  done
+  1  the platform or a node did not answer; what is known is printed
+  2  arguments, declarations or files are at fault; nothing was done
+  3  refused, for example because the plan was overtaken; nothing has changed
+  4  accepted, but not in force everywhere in time, or nodes differ
+";
+
+/// Reads a command with its arguments.
+///
+/// # Errors
+///
+/// Tells which argument is missing, bad or not known.
+pub fn parse(mut args: Arguments) -> Result<(Output, Box<dyn Command>), CtlError> {
+    let output = Output {
+        json: args.contains("--json"),
+    };
+    let name = args.subcommand().map_err(usage)?;
+    let command: Box<dyn Command> = match name.as_deref() {
+        Some("check") => Box::new(Check::parse(&mut args)?),
+        Some("plan") => Box::new(Plan::parse(&mut args)?),
+        Some("intent") => intent::parse(&mut args)?,
+        Some("confirm") => Box::new(Confirm::parse(&mut args)?),
+        Some("show") => Box::new(Show::parse(&mut args)?),
+        Some("history") => Box::new(History::parse(&mut args)?),
+        Some("status") => Box::new(Status::parse(&mut args)?),
+        Some("keygen") => Box::new(Keygen::parse(&mut args)?),
+        Some(name) => return Err(CtlError::Usage(format!("unknown command {name}"))),
+        None => return Err(CtlError::Usage("no command".to_owned())),
+    };
+    let rest = args.finish();
+    match rest.first() {
+        Some(unknown) => {
+            let text = format!("unknown argument {}", unknown.to_string_lossy());
+            Err(CtlError::Usage(text))
+        }
+        None => Ok((output, command)),
+    }
+}
+
+/// Words an error of the arguments.
+pub(super) fn usage(err: pico_args::Error) -> CtlError {
+    CtlError::Usage(err.to_string())
+}
+
+/// Reads a list that is separated by commas.
+pub(super) fn list<T: std::str::FromStr>(
+    args: &mut Arguments,
+    key: &'static str,
+) -> Result<Vec<T>, CtlError> {
+    let text: String = args.value_from_str(key).map_err(usage)?;
+    let items = text.split(',').map(str::trim).map(str::parse);
+    let items: Result<Vec<T>, T::Err> = items.collect();
+    items.map_err(|_| CtlError::Usage(format!("{key} has a bad item")))
+}
--- /dev/null
+++ b/src/ctl/confirm.rs
@@ -0,0 +1,230 @@
+//! `cbctl confirm`: puts a plan into force.
+
+use super::Command;
+use super::CtlError;
+use super::Output;
+use super::args::list;
+use super::args::usage;
+use super::nodes::statuses;
+use super::plan_file::PlanFile;
+use super::platform;
+use super::stream::Replay;
+use crate::border::AppendError;
+use crate::border::LogService;
+use crate::border::generated::config::Change;
+use crate::border::generated::config::ConfigRecord;
+use crate::border::generated::config::NodeStatus;
+use crate::config::OperatorKey;
+use crate::config::RECORD_VERSION;
+use crate::config::STREAM;
+use crate::config::Verdict;
+use async_trait::async_trait;
+use pico_args::Arguments;
+use serde::Serialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Longest wait for a change to be in force everywhere, unless asked otherwise, in seconds.
+const DEFAULT_TIMEOUT_S: u64 = 30;
+/// Times that an append is tried.
+const ATTEMPTS: usize = 6;
+/// Pause between two attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks at the nodes.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+
+pub(super) struct Confirm {
+    log: SocketAddr,
+    key: PathBuf,
+    plan: PathBuf,
+    /// Nodes to wait for.
+    nodes: Option<Vec<SocketAddr>>,
+    timeout: Duration,
+}
+
+/// What has come of a confirmed plan.
+#[derive(Serialize)]
+struct Confirmed {
+    change: String,
+    operator: String,
+    version: u64,
+    in_force_everywhere: Option<bool>,
+}
+
+impl Confirm {
+    pub(super) fn parse(args: &mut Arguments) -> Result<Self, CtlError> {
+        let nodes = if args.contains("--wait") {
+            Some(list(args, "--nodes")?)
+        } else {
+            None
+        };
+        let timeout = args.opt_value_from_str("--timeout").map_err(usage)?;
+        Ok(Self {
+            log: platform::log_address(args)?,
+            key: args.value_from_str("--key").map_err(usage)?,
+            nodes,
+            timeout: Duration::from_secs(timeout.unwrap_or(DEFAULT_TIMEOUT_S)),
+            plan: args.free_from_str().map_err(usage)?,
+        })
+    }
+
+    fn read_key(&self) -> Result<OperatorKey, CtlError> {
+        let error = |cause: &str| CtlError::File {
+            path: self.key.display().to_string(),
+            cause: cause.to_owned(),
+        };
+        let text = std::fs::read_to_string(&self.key).map_err(|err| error(&err.to_string()))?;
+        text.parse().map_err(|_| error("not an operator's key"))
+    }
+}
+
+#[async_trait]
+impl Command for Confirm {
+    async fn run(&self, output: &Output) -> Result<(), CtlError> {
+        let plan = PlanFile::read(&self.plan)?;
+        let key = self.read_key()?;
+        let log = platform::log(self.log);
+        let replay = Replay::read(log.as_ref()).await?;
+        plan.check(&replay)?;
+        let mut change = plan.change.clone();
+        // The bases stay those of the plan; only the time of writing is that of the confirmation.
+        change.read = replay.state.version;
+        let record = signed(&change, &key)?;
+        let version = append(log.as_ref(), &change, &record, output).await?;
+        output.progress(&format!("accepted as version {version}"));
+        let is_waited_for = match &self.nodes {
+            Some(nodes) => Some(self.wait(nodes, version, &plan, output).await),
+            None => None,
+        };
+        output.print(&Confirmed {
+            change: change.id,
+            operator: change.operator,
+            version,
+            in_force_everywhere: is_waited_for,
+        })?;
+        if is_waited_for == Some(false) {
+            let text =
+                format!("version {version} is accepted, but not in force everywhere in time");
+            return Err(CtlError::NotInForce(text));
+        }
+        Ok(())
+    }
+}
+
+impl Confirm {
+    /// Waits until `version` is in force on all nodes and the engines that the plan touches are as wanted.
+    async fn wait(
+        &self,
+        nodes: &[SocketAddr],
+        version: u64,
+        plan: &PlanFile,
+        output: &Output,
+    ) -> bool {
+        let until = Instant::now() + self.timeout;
+        let mut shown = String::new();
+        loop {
+            let statuses = statuses(nodes).await;
+            let reached = |status: &&NodeStatus| status.version >= Some(version);
+            let in_force = statuses.iter().flatten().filter(reached).count();
+            let unsettled = unsettled(&statuses, &plan.effect.backends);
+            let mut progress = format!("in force on {in_force} of {} nodes", nodes.len());
+            if !unsettled.is_empty() {
+                progress = format!("{progress}, not yet as wanted: {}", unsettled.join(" "));
+            }
+            if progress != shown {
+                output.progress(&progress);
+                shown = progress;
+            }
+            if in_force == nodes.len() && unsettled.is_empty() {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+fn unsettled(statuses: &[Option<NodeStatus>], touched: &[String]) -> Vec<String> {
+    let all = statuses
+        .iter()
+        .flatten()
+        .flat_map(|status| &status.unsettled);
+    let mut names: Vec<String> = all.filter(|name| touched.contains(name)).cloned().collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+fn signed(change: &Change, key: &OperatorKey) -> Result<String, CtlError> {
+    let json = |err: serde_json::Error| CtlError::System(err.into());
+    let body = serde_json::to_string(change).map_err(json)?;
+    let record = ConfigRecord::Change {
+        v: RECORD_VERSION,
+        signature: Some(key.sign(&body)),
+        body,
+    };
+    serde_json::to_string(&record).map_err(json)
+}
+
+/// Appends the change and tells the version at which it came into force. An append whose answer was lost is tried
+/// again: its id makes the repetition harmless.
+async fn append(
+    log: &dyn LogService,
+    change: &Change,
+    record: &str,
+    output: &Output,
+) -> Result<u64, CtlError> {
+    let mut last = AppendError::NotAppended("not tried".to_owned());
+    for attempt in 1..=ATTEMPTS {
+        match log.append(STREAM, record).await {
+            Ok(_) => return verdict(&Replay::read(log).await?, change),
+            Err(err) => {
+                output.progress(&format!("attempt {attempt} of {ATTEMPTS}: {err:?}"));
+                last = worse(last, err);
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    match Replay::read(log).await {
+        Ok(replay) if replay.verdict(&change.id).is_some() => verdict(&replay, change),
+        _ => Err(CtlError::Append(last)),
+    }
+}
+
+/// Keeps that an append is unsettled, whatever comes after it.
+fn worse(before: AppendError, after: AppendError) -> AppendError {
+    match before {
+        AppendError::Unsettled(_) => before,
+        AppendError::NotAppended(_) => after,
+    }
+}
+
+fn verdict(replay: &Replay, change: &Change) -> Result<u64, CtlError> {
+    match replay.verdict(&change.id) {
+        Some(found) => match &found.verdict {
+            Verdict::Refused(refused) => Err(CtlError::Refused(refused.to_string())),
+            Verdict::Accepted | Verdict::Snapshot => Ok(found.offset),
+        },
+        None => Err(CtlError::Refused("the change is not in the log".to_owned())),
+    }
+}
+
+impl fmt::Display for Confirmed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "change {} of operator {} is version {}",
+            self.change, self.operator, self.version
+        )?;
+        match self.in_force_everywhere {
+            Some(true) => f.write_str(", in force everywhere"),
+            Some(false) => f.write_str(", not yet in force everywhere"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/ctl/intent/drain.rs
@@ -0,0 +1,48 @@
+//! No new work for a backend server, or new work again.
+
+use super::Intent;
+use super::backend;
+use super::unknown;
+use crate::border::generated::config::Object;
+use crate::config::State;
+use crate::ctl::CtlError;
+use crate::ctl::args::usage;
+use crate::membership::View;
+use async_trait::async_trait;
+use pico_args::Arguments;
+
+pub(super) struct Drain {
+    backend: String,
+    undo: bool,
+}
+
+impl Drain {
+    pub(super) fn parse(args: &mut Arguments) -> Result<Self, CtlError> {
+        Ok(Self {
+            undo: args.contains("--undo"),
+            backend: args.free_from_str().map_err(usage)?,
+        })
+    }
+}
+
+#[async_trait]
+impl Intent for Drain {
+    fn note(&self) -> String {
+        let verb = if self.undo { "stop draining" } else { "drain" };
+        format!("{verb} {}", self.backend)
+    }
+
+    async fn put(&self, state: &State, view: &View) -> Result<Vec<Object>, CtlError> {
+        let mut backends = view.backends().iter();
+        if !backends.any(|backend| backend.name == self.backend) {
+            return Err(unknown("backend server", &self.backend));
+        }
+        let mut backend = backend(state, &self.backend);
+        if backend.drain != self.undo {
+            let text = format!("{} is so already", self.backend);
+            return Err(CtlError::Impossible(text));
+        }
+        backend.drain = !self.undo;
+        Ok(vec![Object::Backend { backend }])
+    }
+}
--- /dev/null
+++ b/src/ctl/intent/move_team.rs
@@ -0,0 +1,47 @@
+//! A team that is no longer served in a data centre.
+
+use super::Intent;
+use super::unknown;
+use crate::border::generated::config::Object;
+use crate::config::State;
+use crate::ctl::CtlError;
+use crate::ctl::args::usage;
+use crate::membership::View;
+use async_trait::async_trait;
+use pico_args::Arguments;
+
+pub(super) struct MoveTeam {
+    team: String,
+    off: String,
+}
+
+impl MoveTeam {
+    pub(super) fn parse(args: &mut Arguments) -> Result<Self, CtlError> {
+        Ok(Self {
+            off: args.value_from_str("--off").map_err(usage)?,
+            team: args.free_from_str().map_err(usage)?,
+        })
+    }
+}
+
+#[async_trait]
+impl Intent for MoveTeam {
+    fn note(&self) -> String {
+        format!("move team {} off {}", self.team, self.off)
+    }
+
+    async fn put(&self, state: &State, view: &View) -> Result<Vec<Object>, CtlError> {
+        let team = state.team(&self.team);
+        let mut team = team.cloned().ok_or_else(|| unknown("team", &self.team))?;
+        let mut backends = view.backends().iter();
+        if !backends.any(|backend| backend.data_centre == self.off) {
+            return Err(unknown("data centre with backend servers named", &self.off));
+        }
+        if team.excluded_data_centres.contains(&self.off) {
+            let text = format!("team {} is off {} already", self.team, self.off);
+            return Err(CtlError::Impossible(text));
+        }
+        team.excluded_data_centres.push(self.off.clone());
+        Ok(vec![Object::Team { team }])
+    }
+}
--- /dev/null
+++ b/src/ctl/keygen.rs
@@ -0,0 +1,61 @@
+//! `cbctl keygen`: makes an operator's key.
+
+use super::Command;
+use super::CtlError;
+use super::Output;
+use super::args::usage;
+use crate::config::OperatorKey;
+use async_trait::async_trait;
+use pico_args::Arguments;
+use serde::Serialize;
+use std::fmt;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::PathBuf;
+
+/// Access of the key's file: its owner alone.
+const KEY_FILE_MODE: u32 = 0o600;
+
+pub(super) struct Keygen {
+    path: PathBuf,
+}
+
+#[derive(Serialize)]
+struct Made {
+    public_key: String,
+}
+
+impl Keygen {
+    pub(super) fn parse(args: &mut Arguments) -> Result<Self, CtlError> {
+        let path = args.free_from_str().map_err(usage)?;
+        Ok(Self { path })
+    }
+}
+
+#[async_trait]
+impl Command for Keygen {
+    async fn run(&self, output: &Output) -> Result<(), CtlError> {
+        let key = OperatorKey::from_seed(rand::random());
+        // A key that is there already is never overwritten.
+        let file = OpenOptions::new()
+            .write(true)
+            .create_new(true)
+            .mode(KEY_FILE_MODE)
+            .open(&self.path);
+        let written = file.and_then(|mut file| writeln!(file, "{}", key.secret()));
+        written.map_err(|err| CtlError::File {
+            path: self.path.display().to_string(),
+            cause: err.to_string(),
+        })?;
+        output.print(&Made {
+            public_key: key.public(),
+        })
+    }
+}
+
+impl fmt::Display for Made {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "public_key = {}", self.public_key)
+    }
+}
--- /dev/null
+++ b/src/ctl/platform.rs
@@ -0,0 +1,48 @@
+//! How the tool reaches the platform.
+
+use super::CtlError;
+use super::args::usage;
+use crate::border::HostListSource;
+use crate::border::HttpHostList;
+use crate::border::HttpLog;
+use crate::border::LogService;
+use crate::membership::View;
+use crate::net::Client;
+use crate::net::ClientOptions;
+use crate::operations::Metrics;
+use pico_args::Arguments;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for an answer of the platform.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Makes the adapter for the log service at `address`.
+pub(super) fn log(address: SocketAddr) -> Arc<dyn LogService> {
+    let client = Client::new(&ClientOptions::default());
+    Arc::new(HttpLog::new(
+        client,
+        address,
+        TIMEOUT,
+        Arc::new(Metrics::new()),
+    ))
+}
+
+/// Reads the address of the log service.
+pub(super) fn log_address(args: &mut Arguments) -> Result<SocketAddr, CtlError> {
+    args.value_from_str("--log").map_err(usage)
+}
+
+/// Reads the address of the host list.
+pub(super) fn hosts_address(args: &mut Arguments) -> Result<SocketAddr, CtlError> {
+    args.value_from_str("--hosts").map_err(usage)
+}
+
+/// Asks the host list at `address` for a view of the hosts.
+pub(super) async fn view(address: SocketAddr) -> Result<View, CtlError> {
+    let client = Client::new(&ClientOptions::default());
+    let hosts = HttpHostList::new(client, address, TIMEOUT, Arc::new(Metrics::new()));
+    let list = hosts.hosts().await.map_err(CtlError::Hosts)?;
+    Ok(View::from_hosts(&list.hosts))
+}
--- /dev/null
+++ b/src/ctl/tests.rs
@@ -0,0 +1,88 @@
+use super::plan::difference;
+use super::plan_file::Wanted;
+use crate::border::generated::config::Entry;
+use crate::border::generated::config::Model;
+use crate::border::generated::config::Object;
+use crate::border::generated::config::Snapshot;
+use crate::config::Refused;
+use crate::config::State;
+use crate::config::name_of;
+
+fn model(name: &str, version: &str) -> Object {
+    Object::Model {
+        model: Model {
+            name: name.to_owned(),
+            version: version.to_owned(),
+            adapters: Vec::new(),
+        },
+    }
+}
+
+/// What is in force: each model at the offset given.
+fn in_force(models: Vec<(Object, u64)>) -> State {
+    let entry = |(object, version)| Entry {
+        version,
+        change: format!("c{version}"),
+        operator: "gerd".to_owned(),
+        object,
+    };
+    State::from_snapshot(Snapshot {
+        at: 20,
+        entries: models.into_iter().map(entry).collect(),
+        seen: Vec::new(),
+    })
+}
+
+fn wanted(object: Object) -> Wanted {
+    Wanted {
+        operator: "ola".to_owned(),
+        note: String::new(),
+        put: vec![object],
+        delete: Vec::new(),
+    }
+}
+
+#[test]
+fn a_plan_holds_what_differs_and_nothing_else() {
+    let state = in_force(vec![
+        (model("a", "1"), 3),
+        (model("b", "1"), 4),
+        (model("c", "1"), 5),
+    ]);
+    let declared = vec![model("a", "1"), model("b", "2"), model("d", "1")];
+
+    let wanted = difference(&state, declared, "ola");
+
+    let put: Vec<&str> = wanted.put.iter().map(name_of).collect();
+    let deleted: Vec<&str> = wanted
+        .delete
+        .iter()
+        .map(|object| object.name.as_str())
+        .collect();
+    assert_eq!(put, ["b", "d"]);
+    assert_eq!(deleted, ["c"]);
+}
+
+#[test]
+fn a_plan_expires_when_what_it_touches_is_changed_and_tells_by_whom() {
+    let planned_on = in_force(vec![(model("a", "1"), 3)]);
+    let change = wanted(model("a", "2")).change(&planned_on);
+    let now = in_force(vec![(model("a", "7"), 9)]);
+
+    let refused = now.preview(&change).unwrap_err();
+
+    assert!(matches!(refused, Refused::Stale(_)));
+    let text = refused.to_string();
+    assert_eq!(text, "model a was changed at version 9 by operator gerd");
+}
+
+#[test]
+fn a_plan_outlives_changes_of_other_objects() {
+    let planned_on = in_force(vec![(model("a", "1"), 3)]);
+    let change = wanted(model("a", "2")).change(&planned_on);
+    let now = in_force(vec![(model("a", "1"), 3), (model("b", "1"), 9)]);
+
+    let after = now.preview(&change).unwrap();
+
+    assert_eq!(after.model("a").unwrap().version, "2");
+}
--- /dev/null
+++ b/src/declarations/check.rs
@@ -0,0 +1,78 @@
+//! Checks what one section says against the others.
+
+use super::Problem;
+use super::fields::line_of;
+use super::folder::Declared;
+use crate::border::generated::config::Backend;
+use crate::border::generated::config::Model;
+use crate::border::generated::config::Object;
+
+/// Notes references to models and adapters that are not declared, and the lack of operators.
+pub(super) fn check(declared: &[Declared<'_>]) -> Vec<Problem> {
+    let mut problems: Vec<Problem> = declared
+        .iter()
+        .flat_map(|one| match &one.object {
+            Object::Backend { backend } => check_backend(declared, one, backend),
+            _ => Vec::new(),
+        })
+        .collect();
+    let is_operator = |one: &Declared<'_>| matches!(one.object, Object::Operator { .. });
+    if !declared.iter().any(is_operator) {
+        problems.push(Problem {
+            file: "*".to_owned(),
+            line: 0,
+            section: "operator".to_owned(),
+            key: None,
+            found: "no operator is declared".to_owned(),
+            accepted: "at least one section [operator NAME]".to_owned(),
+        });
+    }
+    problems
+}
+
+fn check_backend(declared: &[Declared<'_>], one: &Declared<'_>, backend: &Backend) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let mut problem = |key: &str, found: String, accepted: String| {
+        problems.push(Problem {
+            file: one.file.to_owned(),
+            line: line_of(one.text, one.section, Some(key)),
+            section: one.section.to_owned(),
+            key: Some(key.to_owned()),
+            found,
+            accepted,
+        });
+    };
+    for name in &backend.models {
+        if model(declared, name).is_none() {
+            let accepted = "models with a section [model NAME]".to_owned();
+            problem("models", format!("model {name} is not declared"), accepted);
+        }
+    }
+    for adapter in &backend.adapters {
+        let known = model(declared, &adapter.model).map_or(&[][..], |model| &model.adapters);
+        if !known.contains(&adapter.adapter) {
+            let found = format!(
+                "adapter {}/{} is not declared",
+                adapter.model, adapter.adapter
+            );
+            let accepted = format!("adapters of model {}: {}", adapter.model, known.join(", "));
+            problem("adapters", found, accepted);
+        }
+        if !backend.models.contains(&adapter.model) {
+            let found = format!("model {} is not among the models", adapter.model);
+            problem(
+                "adapters",
+                found,
+                "adapters of the backend's models".to_owned(),
+            );
+        }
+    }
+    problems
+}
+
+fn model<'a>(declared: &'a [Declared<'_>], name: &str) -> Option<&'a Model> {
+    declared.iter().find_map(|one| match &one.object {
+        Object::Model { model } if model.name == name => Some(model),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/src/declarations/fields.rs
@@ -0,0 +1,156 @@
+//! Reads typed values out of one section and notes every problem on the way.
+
+use super::Problem;
+use ini::Properties;
+use std::ops::RangeInclusive;
+
+/// One section of a file.
+pub(super) struct Fields<'a> {
+    pub(super) file: &'a str,
+    pub(super) text: &'a str,
+    pub(super) section: &'a str,
+    pub(super) properties: &'a Properties,
+    known: Vec<&'static str>,
+    problems: Vec<Problem>,
+}
+
+impl<'a> Fields<'a> {
+    pub(super) fn new(
+        file: &'a str,
+        text: &'a str,
+        section: &'a str,
+        properties: &'a Properties,
+    ) -> Self {
+        Self {
+            file,
+            text,
+            section,
+            properties,
+            known: Vec::new(),
+            problems: Vec::new(),
+        }
+    }
+
+    /// Reads a text that `is_accepted` must accept; gives nothing where it is missing.
+    pub(super) fn text(
+        &mut self,
+        key: &'static str,
+        accepted: &str,
+        is_accepted: fn(&str) -> bool,
+    ) -> Option<String> {
+        self.known.push(key);
+        let value = self.properties.get(key)?.trim();
+        if !is_accepted(value) {
+            self.problem(Some(key), "not an accepted value", accepted);
+        }
+        Some(value.to_owned())
+    }
+
+    /// Reads a text that must be there.
+    pub(super) fn required(
+        &mut self,
+        key: &'static str,
+        accepted: &str,
+        is_accepted: fn(&str) -> bool,
+    ) -> String {
+        let value = self.text(key, accepted, is_accepted);
+        value.unwrap_or_else(|| {
+            self.problem(Some(key), "missing", accepted);
+            String::new()
+        })
+    }
+
+    /// Reads a whole number within `range`.
+    pub(super) fn number(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> u64 {
+        self.known.push(key);
+        let Some(value) = self.properties.get(key) else {
+            return default;
+        };
+        let number = value.trim().parse().ok();
+        if let Some(number) = number.filter(|number| range.contains(number)) {
+            return number;
+        }
+        let accepted = format!("a whole number from {} to {}", range.start(), range.end());
+        self.problem(Some(key), "not an accepted value", &accepted);
+        default
+    }
+
+    /// Reads yes or no.
+    pub(super) fn flag(&mut self, key: &'static str) -> bool {
+        let value = self.text(key, "yes or no", |text| matches!(text, "yes" | "no"));
+        value.as_deref() == Some("yes")
+    }
+
+    /// Reads a list, separated by commas, of which `is_accepted` must accept each item.
+    pub(super) fn list(
+        &mut self,
+        key: &'static str,
+        accepted: &str,
+        is_accepted: fn(&str) -> bool,
+    ) -> Vec<String> {
+        self.known.push(key);
+        let value = self.properties.get(key).unwrap_or_default();
+        let items = value.split(',').map(str::trim);
+        let items: Vec<String> = items
+            .filter(|item| !item.is_empty())
+            .map(str::to_owned)
+            .collect();
+        if !items.iter().all(|item| is_accepted(item)) {
+            let accepted = format!("{accepted}; several are separated by commas");
+            self.problem(Some(key), "not an accepted value", &accepted);
+        }
+        items
+    }
+
+    /// Notes a problem.
+    pub(super) fn problem(&mut self, key: Option<&str>, found: &str, accepted: &str) {
+        self.problems.push(Problem {
+            file: self.file.to_owned(),
+            line: line_of(self.text, self.section, key),
+            section: self.section.to_owned(),
+            key: key.map(str::to_owned),
+            found: found.to_owned(),
+            accepted: accepted.to_owned(),
+        });
+    }
+
+    /// Ends the reading: notes keys that nothing asked for and returns every problem.
+    pub(super) fn finish(mut self) -> Vec<Problem> {
+        let accepted = self.known.join(", ");
+        let properties = self.properties;
+        for (key, _) in properties.iter() {
+            if !self.known.contains(&key) {
+                self.problem(Some(key), "unknown key", &accepted);
+            }
+        }
+        self.problems
+    }
+}
+
+/// Finds the line of `key` in `section`, or that of the section where it has no such key.
+pub(super) fn line_of(text: &str, section: &str, key: Option<&str>) -> usize {
+    let mut section_line = 1;
+    let mut is_inside = false;
+    for (i, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
+            is_inside = name == section;
+            if is_inside {
+                section_line = i + 1;
+            }
+        }
+        let name = line.split(['=', ':']).next().unwrap_or_default().trim();
+        if is_inside && key == Some(name) {
+            return i + 1;
+        }
+    }
+    section_line
+}
--- /dev/null
+++ b/src/declarations/folder.rs
@@ -0,0 +1,176 @@
+//! Reads all files of a folder.
+
+use super::Problem;
+use super::check::check;
+use super::fields::Fields;
+use super::fields::line_of;
+use super::objects;
+use crate::border::generated::config::Object;
+use crate::config::ObjectKind;
+use crate::config::kind_of;
+use crate::config::name_of;
+use ini::Ini;
+use std::fmt;
+use std::path::Path;
+
+/// End of the names of files that are read.
+const EXTENSION: &str = "ini";
+const SECTION: &str =
+    "[team NAME], [service NAME], [operator NAME], [model NAME] or [backend NAME]";
+
+/// An object with the place that declares it.
+pub(super) struct Declared<'a> {
+    pub(super) file: &'a str,
+    pub(super) text: &'a str,
+    pub(super) section: &'a str,
+    pub(super) object: Object,
+}
+
+/// Why declarations can't be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DeclarationsError {
+    /// A file or the folder can't be read.
+    Unreadable {
+        /// Path as given.
+        path: String,
+        /// Cause as the system words it.
+        cause: String,
+    },
+    /// Some keys are missing, unknown or have a bad value.
+    Invalid {
+        /// Every problem, in the order of the files.
+        problems: Vec<Problem>,
+    },
+}
+
+impl fmt::Display for DeclarationsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { path, cause } => write!(f, "can't read {path}: {cause}"),
+            Self::Invalid { problems } => {
+                write!(f, "the declarations have {} problem(s)", problems.len())?;
+                for problem in problems {
+                    write!(f, "\n  {problem}")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+impl std::error::Error for DeclarationsError {}
+
+/// Reads and checks all `.ini` files of `folder`, in the order of their names.
+///
+/// # Errors
+///
+/// Names every problem, or what can't be read.
+pub fn load(folder: &Path) -> Result<Vec<Object>, DeclarationsError> {
+    let unreadable = |path: &Path, err: std::io::Error| DeclarationsError::Unreadable {
+        path: path.display().to_string(),
+        cause: err.to_string(),
+    };
+    let mut paths = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(|err| unreadable(folder, err))? {
+        paths.push(entry.map_err(|err| unreadable(folder, err))?.path());
+    }
+    paths.retain(|path| path.extension().is_some_and(|end| end == EXTENSION));
+    paths.sort();
+    let mut files = Vec::new();
+    for path in paths {
+        let text = std::fs::read_to_string(&path).map_err(|err| unreadable(&path, err))?;
+        files.push((path.display().to_string(), text));
+    }
+    parse(&files)
+}
+
+/// Checks declarations given as names and texts of files, and returns the objects sorted by kind and name.
+///
+/// # Errors
+///
+/// Names every problem.
+pub fn parse(files: &[(String, String)]) -> Result<Vec<Object>, DeclarationsError> {
+    let mut problems = Vec::new();
+    let mut inis = Vec::new();
+    for (file, text) in files {
+        match Ini::load_from_str(text) {
+            Ok(ini) => inis.push((file.as_str(), text.as_str(), ini)),
+            Err(err) => problems.push(Problem {
+                file: file.clone(),
+                line: err.line,
+                section: String::new(),
+                key: None,
+                found: err.msg.to_string(),
+                accepted: "INI".to_owned(),
+            }),
+        }
+    }
+    let mut declared: Vec<Declared<'_>> = Vec::new();
+    for (file, text, ini) in &inis {
+        read_file(file, text, ini, &mut declared, &mut problems);
+    }
+    problems.extend(check(&declared));
+    if !problems.is_empty() {
+        return Err(DeclarationsError::Invalid { problems });
+    }
+    let mut objects: Vec<Object> = declared.into_iter().map(|one| one.object).collect();
+    objects.sort_by(|a, b| (kind_of(a), name_of(a)).cmp(&(kind_of(b), name_of(b))));
+    Ok(objects)
+}
+
+fn read_file<'a>(
+    file: &'a str,
+    text: &'a str,
+    ini: &'a Ini,
+    declared: &mut Vec<Declared<'a>>,
+    problems: &mut Vec<Problem>,
+) {
+    for (section, properties) in ini.iter() {
+        let section = section.unwrap_or_default();
+        let mut problem = |found: &str, accepted: &str| {
+            problems.push(Problem {
+                file: file.to_owned(),
+                line: line_of(text, section, None),
+                section: section.to_owned(),
+                key: None,
+                found: found.to_owned(),
+                accepted: accepted.to_owned(),
+            });
+        };
+        if section.is_empty() {
+            if !properties.is_empty() {
+                problem("keys before the first section", SECTION);
+            }
+            continue;
+        }
+        let name = section.split_once(' ');
+        let kind = name.and_then(|(kind, name)| Some((kind.parse().ok()?, name.trim())));
+        let Some((kind, name)) = kind else {
+            problem("unknown section", SECTION);
+            continue;
+        };
+        let kind: ObjectKind = kind;
+        if !objects::is_name(name) {
+            problem(
+                "a name with other characters",
+                "letters, digits, '-', '_' and '.'",
+            );
+            continue;
+        }
+        let is_same =
+            |one: &Declared<'_>| kind_of(&one.object) == kind && name_of(&one.object) == name;
+        if let Some(first) = declared.iter().find(|one| is_same(one)) {
+            let place = format!("one section; the first is in {}", first.file);
+            problem("declared twice", &place);
+        }
+        let mut fields = Fields::new(file, text, section, properties);
+        let object = objects::read(kind, name, &mut fields);
+        problems.extend(fields.finish());
+        declared.push(Declared {
+            file,
+            text,
+            section,
+            object,
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod border;
 pub mod claims;
 pub mod config;
+pub mod ctl;
+pub mod declarations;
 pub mod entry;
 pub mod hop;
 pub mod membership;
--- a/src/reconcile/difference.rs
+++ b/src/reconcile/difference.rs
@@ -8,8 +8,8 @@
 use crate::border::generated::config::Backend;
 use crate::config::State;
 
-/// Version of a model that the configuration does not declare.
-const UNDECLARED_VERSION: &str = "1";
+/// Orders that are worked out in advance for one engine at most.
+const MAX_ORDERS: usize = 64;
 
 /// Gives the next order, or nothing where the engine is as wanted. Loads come before unloads, so that the engine never
 /// lacks what it has to serve meanwhile.
@@ -40,8 +40,8 @@
 
 fn model_to_load(config: &State, wanted: &Backend, reported: &EngineState) -> Option<OrderAction> {
     wanted.models.iter().find_map(|model| {
-        let declared = config.model(model);
-        let version = declared.map_or(UNDECLARED_VERSION, |declared| declared.version.as_str());
+        // What is not declared has no version that could be loaded.
+        let version = config.model(model)?.version.as_str();
         let is_loaded = loaded(reported, model).is_some_and(|loaded| loaded.version == version);
         (!is_loaded).then(|| OrderAction::LoadModel {
             model: model.clone(),
@@ -98,3 +98,60 @@
 fn loaded<'a>(reported: &'a EngineState, model: &str) -> Option<&'a LoadedModel> {
     reported.models.iter().find(|loaded| loaded.model == model)
 }
+
+/// Lists in words the orders that would bring an engine from what it reports to what is wanted.
+pub fn orders(config: &State, wanted: &Backend, reported: &EngineState) -> Vec<String> {
+    let mut state = reported.clone();
+    let mut orders = Vec::new();
+    while let Some(action) = next_order(config, wanted, &state) {
+        if orders.len() == MAX_ORDERS {
+            break;
+        }
+        orders.push(describe(&action));
+        follow(&mut state, action);
+    }
+    orders
+}
+
+/// Does to `state` what the engine does on an order.
+pub(super) fn follow(state: &mut EngineState, action: OrderAction) {
+    match action {
+        OrderAction::LoadModel { model, version } => {
+            state.models.retain(|other| other.model != model);
+            state.models.push(LoadedModel {
+                adapters: Vec::new(),
+                model,
+                version,
+            });
+        }
+        OrderAction::UnloadModel { model } => state.models.retain(|other| other.model != model),
+        OrderAction::LoadAdapter { model, adapter } => {
+            if let Some(base) = base_of(state, &model) {
+                base.adapters.push(adapter);
+            }
+        }
+        OrderAction::UnloadAdapter { model, adapter } => {
+            if let Some(base) = base_of(state, &model) {
+                base.adapters.retain(|other| *other != adapter);
+            }
+        }
+        OrderAction::SetRole { role } => state.role = role,
+    }
+}
+
+fn base_of<'a>(state: &'a mut EngineState, model: &str) -> Option<&'a mut LoadedModel> {
+    state.models.iter_mut().find(|loaded| loaded.model == model)
+}
+
+/// Words an order.
+pub(super) fn describe(action: &OrderAction) -> String {
+    match action {
+        OrderAction::LoadModel { model, version } => format!("load model {model} {version}"),
+        OrderAction::UnloadModel { model } => format!("unload model {model}"),
+        OrderAction::LoadAdapter { model, adapter } => format!("load adapter {model}/{adapter}"),
+        OrderAction::UnloadAdapter { model, adapter } => {
+            format!("unload adapter {model}/{adapter}")
+        }
+        OrderAction::SetRole { role } => format!("set role {role}"),
+    }
+}
--- a/src/reconcile/mod.rs
+++ b/src/reconcile/mod.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use difference::orders;
 pub use settings::Settings;
 pub use task::Reconciler;
 pub use task::ReconcilerParts;
--- a/src/reconcile/task.rs
+++ b/src/reconcile/task.rs
@@ -1,6 +1,7 @@
 //! Compares and orders, one task for all owned engines.
 
 use super::Settings;
+use super::difference::describe;
 use super::difference::is_load;
 use super::difference::next_order;
 use super::pace;
@@ -8,7 +9,6 @@
 use crate::border::Backends;
 use crate::border::Engine;
 use crate::border::generated::backend::Order;
-use crate::border::generated::backend::OrderAction;
 use crate::config::ConfigSource;
 use crate::config::State;
 use crate::membership;
@@ -152,18 +152,6 @@
     }
 }
 
-fn describe(action: &OrderAction) -> String {
-    match action {
-        OrderAction::LoadModel { model, version } => format!("load model {model} {version}"),
-        OrderAction::UnloadModel { model } => format!("unload model {model}"),
-        OrderAction::LoadAdapter { model, adapter } => format!("load adapter {model}/{adapter}"),
-        OrderAction::UnloadAdapter { model, adapter } => {
-            format!("unload adapter {model}/{adapter}")
-        }
-        OrderAction::SetRole { role } => format!("set role {role}"),
-    }
-}
-
 fn now_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
--- a/src/reconcile/tests.rs
+++ b/src/reconcile/tests.rs
@@ -1,4 +1,5 @@
 use super::Settings;
+use super::difference::follow;
 use super::difference::next_order;
 use super::pace;
 use crate::border::generated::backend::EngineRole;
@@ -77,26 +78,6 @@
     }
 }
 
-/// Does what an engine does on an order.
-fn follow(engine: &mut EngineState, action: OrderAction) {
-    match action {
-        OrderAction::LoadModel { model, version } => {
-            engine.models.retain(|other| other.model != model);
-            engine.models.push(loaded(&model, &version, &[]));
-        }
-        OrderAction::UnloadModel { model } => engine.models.retain(|other| other.model != model),
-        OrderAction::LoadAdapter { model, adapter } => {
-            let base = engine.models.iter_mut().find(|other| other.model == model);
-            base.unwrap().adapters.push(adapter);
-        }
-        OrderAction::UnloadAdapter { model, adapter } => {
-            let base = engine.models.iter_mut().find(|other| other.model == model);
-            base.unwrap().adapters.retain(|other| *other != adapter);
-        }
-        OrderAction::SetRole { role } => engine.role = role,
-    }
-}
-
 fn settle(config: &State, engine: &mut EngineState) -> usize {
     for orders in 0..MAX_ORDERS {
         match next_order(config, &wanted("e1"), engine) {
