--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -149,11 +149,14 @@
             let is_new = !b.leaving && !progress.tried.contains(&b.name);
             is_new && may_serve(job.state, job.service, &job.caller.team, b)
         };
-        let candidates: Vec<&Backend> = view
+        let mut candidates: Vec<&Backend> = view
             .of_service(&job.service.name)
             .iter()
             .filter(usable)
             .collect();
+        if job.key.is_some() {
+            self.keep_near(view, &mut candidates);
+        }
         let caller = job.caller;
         self.policy.choose(&Choice {
             key: caller.chat.as_deref().unwrap_or(&caller.request),
@@ -164,6 +167,18 @@
         })
     }
 
+    /// Keeps to this node's data centre where that has a candidate: a call that may not be tried again should not
+    /// depend on the links to others.
+    fn keep_near(&self, view: &View, candidates: &mut Vec<&Backend>) {
+        let Some(own) = view.node(&self.node) else {
+            return;
+        };
+        let is_near = |b: &&Backend| b.data_centre == own.data_centre;
+        if candidates.iter().any(is_near) {
+            candidates.retain(is_near);
+        }
+    }
+
     fn attempt(
         &self,
         job: &Job<'_>,
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -3,12 +3,15 @@
 use crate::border::HttpBackends;
 use crate::border::HttpHostList;
 use crate::border::HttpLog;
-use crate::claims::Unclaimed;
+use crate::claims::Claims;
+use crate::claims::Tickets;
 use crate::config;
 use crate::config::Follower;
 use crate::config::FollowerParts;
 use crate::config::StatusSource;
 use crate::entry::Attempts;
+use crate::entry::CallParts;
+use crate::entry::Calls;
 use crate::entry::Entry;
 use crate::hop::PeerServer;
 use crate::hop::RemoteOwner;
@@ -79,9 +82,11 @@
     follower: Follower,
     reconciler: Reconciler,
     poller: Poller,
+    claims: Claims,
     members: Members,
     readiness: Readiness,
     timeline: Arc<Timeline>,
+    linger: Duration,
     drain_limit: Duration,
 }
 
@@ -112,9 +117,31 @@
         );
         let follower = follower(settings, &members, &metrics, &readiness, &timeline);
         let owner = owner(settings, &members, &metrics, &timeline);
-        let entry = entry(settings, &follower, &members, &owner, &metrics, &timeline);
+        let attempts = attempts(settings, &members, &owner, &timeline);
+        let claims = claims(settings, &metrics, &timeline);
+        let calls = Arc::new(Calls::new(CallParts {
+            node: node.name.clone(),
+            key: node.key.clone(),
+            shards: settings.claims.shards,
+            attempts: Arc::clone(&attempts),
+            config: follower.source(),
+            membership: members.membership(),
+            once: claims.once(),
+            tickets: Tickets::new(&node.name, &node.key, &settings.claims),
+            remote: remote(settings, &timeline),
+            timeline: Arc::clone(&timeline),
+        }));
+        let entry = Entry::new(
+            &settings.entry,
+            follower.source(),
+            attempts,
+            Arc::clone(&calls),
+            Arc::clone(&metrics),
+            Arc::clone(&timeline),
+        );
         let peer_server = PeerServer::new(
             owner,
+            calls,
             members.acceptor(),
             node.key.clone(),
             Arc::clone(&timeline),
@@ -138,20 +165,26 @@
             follower,
             reconciler,
             poller,
+            claims,
             members,
             readiness,
             timeline,
+            linger: settings.entry.linger,
             drain_limit: settings.entry.drain_limit,
         })
     }
 
-    /// Stops gracefully: takes no more callers, lets answers in flight end, then stops everything else.
+    /// Stops gracefully: hands ownership over, serves callers until they have gone elsewhere, lets answers in flight
+    /// end, then stops everything else.
     pub async fn close(self) {
         self.timeline.event(Event::new(EventKind::NodeStopping));
         self.readiness.lost(READY_RUNNING);
         self.members.leave();
+        self.callers.leave();
+        tokio::time::sleep(self.linger).await;
         self.callers.close(self.drain_limit).await;
         self.peers.close(self.drain_limit).await;
+        self.claims.close().await;
         self.reconciler.close();
         self.follower.close();
         self.poller.close();
@@ -288,41 +321,49 @@
     ))
 }
 
-fn entry(
+fn claims(settings: &Settings, metrics: &Arc<Metrics>, timeline: &Arc<Timeline>) -> Claims {
+    let log = HttpLog::new(
+        Client::new(&client_options(settings)),
+        settings.platform.log_address,
+        settings.platform.timeout,
+        Arc::clone(metrics),
+    );
+    Claims::start(
+        &settings.node.name,
+        &settings.claims,
+        Arc::new(log),
+        Arc::clone(timeline),
+    )
+}
+
+fn remote(settings: &Settings, timeline: &Arc<Timeline>) -> RemoteOwner {
+    RemoteOwner::new(
+        peer_client(settings),
+        settings.node.key.clone(),
+        Arc::clone(timeline),
+    )
+}
+
+fn attempts(
     settings: &Settings,
-    follower: &Follower,
     members: &Members,
     owner: &Arc<Owner>,
-    metrics: &Arc<Metrics>,
     timeline: &Arc<Timeline>,
-) -> Entry {
+) -> Arc<Attempts> {
     let node = &settings.node;
-    let remote = RemoteOwner::new(
-        peer_client(settings),
-        node.key.clone(),
-        Arc::clone(timeline),
-    );
     let dispatch = ToOwner::new(
         &node.name,
         members.membership(),
         Arc::clone(owner),
-        remote,
+        remote(settings, timeline),
         Arc::clone(timeline),
     );
-    let attempts = Attempts::new(
+    Arc::new(Attempts::new(
         &node.name,
         settings.entry.max_attempts,
         members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
         Arc::clone(timeline),
-    );
-    Entry::new(
-        &settings.entry,
-        follower.source(),
-        attempts,
-        Arc::new(Unclaimed),
-        Arc::clone(metrics),
-        Arc::clone(timeline),
-    )
+    ))
 }
