Operators' tool: a plan groups teams with the same figures

Cause: a plan showed one line for each of ten teams, and servers before for a team that is new. Change: teams with the same figures share a line; a new team has none before; what is removed is a step.

--- a/src/ctl/effect.rs
+++ b/src/ctl/effect.rs
@@ -6,6 +6,7 @@
 use crate::border::generated::config::Change;
 use crate::border::generated::config::Object;
 use crate::border::generated::config::Service;
+use crate::config::ObjectKind;
 use crate::config::State;
 use crate::config::kind_of;
 use crate::config::may_serve;
@@ -29,7 +30,7 @@
     pub(super) teams: Vec<String>,
     /// Backend servers for which something changes.
     pub(super) backends: Vec<String>,
-    /// Servers and load of each team and service that changes.
+    /// Servers and load of the services and teams for which they change.
     pub(super) capacity: Vec<Capacity>,
     /// What can't be met as things are.
     pub(super) unmet: Vec<String>,
@@ -39,7 +40,8 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct Capacity {
     pub(super) service: String,
-    pub(super) team: String,
+    /// Teams for which the figures are the same.
+    pub(super) teams: Vec<String>,
     pub(super) servers_before: usize,
     pub(super) servers_after: usize,
     /// Requests in flight at the servers before, as they report them.
@@ -61,6 +63,13 @@
 pub(super) async fn effect(before: &State, after: &State, change: &Change, view: &View) -> Effect {
     let reports = Reports::ask(view).await;
     let mut effect = Effect::default();
+    for object in &change.delete {
+        let step = format!("{} {} is no longer known", object.kind, object.name);
+        effect.steps.push(step);
+        if object.kind == ObjectKind::Team.as_str() {
+            effect.teams.push(object.name.clone());
+        }
+    }
     for object in &change.put {
         effect.note(object, after, view, &reports);
     }
@@ -139,17 +148,20 @@
         if capacity.servers_before == capacity.servers_after {
             return;
         }
-        if capacity.servers_after == 0 {
-            let unmet = format!(
-                "no server of {} is left for team {}",
-                capacity.service, capacity.team
-            );
-            self.unmet.push(unmet);
+        for team in &capacity.teams {
+            if capacity.servers_after == 0 {
+                let unmet = format!("no server of {} is left for team {team}", capacity.service);
+                self.unmet.push(unmet);
+            }
+            if !self.teams.contains(team) {
+                self.teams.push(team.clone());
+            }
         }
-        if !self.teams.contains(&capacity.team) {
-            self.teams.push(capacity.team.clone());
+        let mut known = self.capacity.iter_mut();
+        match known.find(|known| known.has_figures_of(&capacity)) {
+            Some(known) => known.teams.extend(capacity.teams),
+            None => self.capacity.push(capacity),
         }
-        self.capacity.push(capacity);
     }
 }
 
@@ -168,7 +180,9 @@
     let mut load = 0;
     let mut servers = [0; 2];
     for (backend, reported) in view.backends().iter().zip(&reports.loads) {
-        let former = before.service(&service.name);
+        let former = before
+            .service(&service.name)
+            .filter(|_| before.team(team).is_some());
         if former.is_some_and(|former| usable(before, former, backend)) {
             servers[0] += 1;
             load += reported.unwrap_or(0);
@@ -178,7 +192,7 @@
     let for_each = |servers: usize| f64::from(load) / servers as f64;
     Capacity {
         service: service.name.clone(),
-        team: team.to_owned(),
+        teams: vec![team.to_owned()],
         servers_before: servers[0],
         servers_after: servers[1],
         load,
@@ -212,6 +226,15 @@
     }
 }
 
+impl Capacity {
+    fn has_figures_of(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.servers_before == other.servers_before
+            && self.servers_after == other.servers_after
+            && self.load == other.load
+    }
+}
+
 impl fmt::Display for Capacity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let after = self
@@ -219,9 +242,9 @@
             .map_or("none".to_owned(), |load| format!("{load:.1}"));
         writeln!(
             f,
-            "  {} for team {}: {} servers before, {} after; load {}, for each server {:.1} before, {after} after",
+            "  {} for {}: {} servers before, {} after; load {}, for each server {:.1} before, {after} after",
             self.service,
-            self.team,
+            self.teams.join(", "),
             self.servers_before,
             self.servers_after,
             self.load,
