--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -5,6 +5,8 @@
     reason = "A test stops at whatever it does not expect."
 )]
 
+use currantbend_bench::cases;
+use currantbend_bench::cases::RunOptions;
 use currantbend_bench::fleet::Fleet;
 use currantbend_bench::fleet::FleetOptions;
 use serde_json::Value;
@@ -152,6 +154,21 @@
     site.fleet.close().await.unwrap();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_node_takes_back_a_change_while_stale_and_unreadable_ones_come() {
+    let cases = cases::pick("config").unwrap();
+    let mut options = RunOptions {
+        load_for: Duration::from_secs(4),
+        ..RunOptions::default()
+    };
+    options.fleet.node_binary = PathBuf::from(env!("CARGO_BIN_EXE_currantbend"));
+    options.fleet.out = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+
+    let report = cases::run(&cases, options, &|_| {}).await.unwrap();
+
+    assert_eq!(report.reverted, 0, "{}", report.to_line());
+}
+
 fn role(fleet: &Fleet) -> String {
     let state = fleet.with_engine("engine-2", |engine| engine.state());
     state.unwrap().role.to_string()
