--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -173,9 +173,10 @@
     async fn here(&self, call: OwnedCall, key: Key) -> Result<Answer, Refusal> {
         let print = fingerprint(&call);
         let attempts = Arc::clone(&self.parts.attempts);
+        let config = Arc::clone(&self.parts.config);
         let run = Arc::new(RunCall {
             attempts,
-            config: Arc::clone(&self.parts.config),
+            config,
             call,
         });
         match key {
--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -3,10 +3,12 @@
 use super::CALL_PATH;
 use super::HEAD_HEADER;
 use super::HOP_PATH;
+use super::LOADS_PATH;
 use super::MAC_HEADER;
 use super::PROTOCOL_VERSION;
 use super::REPLY_HEADER;
 use super::codec;
+use super::exchange;
 use super::mac;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
@@ -126,6 +128,7 @@
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
         let is_call = match req.uri().path() {
             GOSSIP_PATH => return self.gossip.accept(req, peer),
+            LOADS_PATH => return exchange::answer(&self.owner, &self.key, req).await,
             HOP_PATH => false,
             CALL_PATH => true,
             _ => return bare(StatusCode::NOT_FOUND),
@@ -149,7 +152,7 @@
     response
 }
 
-fn bare(status: StatusCode) -> Response<Body> {
+pub(super) fn bare(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty_body());
     *response.status_mut() = status;
     response
