--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,11 +7,14 @@
 mod caller;
 mod calls;
 mod chat;
+mod outgoing;
 mod plain;
 mod reply;
 mod serve;
 mod settings;
 mod silent;
+#[cfg(test)]
+mod tests;
 
 pub use attempts::Attempts;
 pub use calls::CallParts;
