--- a/src/ctl/platform.rs
+++ b/src/ctl/platform.rs
@@ -43,6 +43,7 @@
 pub(super) async fn view(address: SocketAddr) -> Result<View, CtlError> {
     let client = Client::new(&ClientOptions::default());
     let hosts = HttpHostList::new(client, address, TIMEOUT, Arc::new(Metrics::new()));
-    let list = hosts.hosts().await.map_err(CtlError::Hosts)?;
-    Ok(View::from_hosts(&list.hosts))
+    let list = hosts.hosts(None).await.map_err(CtlError::Hosts)?;
+    let hosts = list.map_or(Vec::new(), |list| list.hosts);
+    Ok(View::from_hosts(&hosts))
 }
