--- a/src/hop/tests.rs
+++ b/src/hop/tests.rs
@@ -4,6 +4,7 @@
 use super::codec;
 use super::mac;
 use crate::border::generated::peer::HopHead;
+use crate::border::generated::peer::HopReply;
 use crate::border::generated::peer::Priority;
 use crate::net::Client;
 use crate::net::ClientOptions;
@@ -12,6 +13,7 @@
 use crate::outcome::Unknown;
 use crate::owner::Attempt;
 use crate::settings::DeploymentKey;
+use crate::tests::check;
 use crate::timeline::Timeline;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -95,3 +97,33 @@
     let head: HopHead = codec::from_header(head.as_bytes()).unwrap();
     assert!(head.hlc.parse::<Timestamp>().unwrap() > sent);
 }
+
+#[test]
+fn no_bytes_in_a_header_make_the_codec_panic() {
+    check(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let mut cbor = Vec::new();
+        cbor.extend_from_slice(codec::text_of(&bytes).as_bytes());
+
+        for value in [&bytes, &cbor] {
+            let _ = codec::from_header::<HopHead>(value);
+            let _ = codec::from_header::<HopReply>(value);
+        }
+        assert_eq!(codec::bytes_of(&cbor), Ok(bytes));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_head_with_changed_bytes_is_refused_or_read_as_another() {
+    check(|u| {
+        let whole = codec::to_header(&attempt("1/1".to_owned()).head).unwrap();
+        let mut value = whole.into_bytes();
+        let i = u.choose_index(value.len())?;
+        value[i] = u.arbitrary()?;
+        value.truncate(u.int_in_range(0..=value.len())?);
+
+        let _ = codec::from_header::<HopHead>(&value);
+        Ok(())
+    });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,3 +19,6 @@
 pub mod routing;
 pub mod settings;
 pub mod timeline;
+
+#[cfg(test)]
+mod tests;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -56,3 +56,22 @@
     assert!(!problems[0].contains("secret"));
     assert!(problems[0].contains("64 hex digits"));
 }
+
+#[test]
+fn no_text_makes_the_parser_panic() {
+    crate::tests::check(|u| {
+        let text: String = u.arbitrary()?;
+        let known = Settings::known_keys();
+        let (section, key) = u.choose(&known)?;
+        let (value, number): (String, i64) = u.arbitrary()?;
+
+        for text in [
+            text,
+            format!("[{section}]\n{key} = {value}\n"),
+            format!("[{section}]\n{key} = {number}\n"),
+        ] {
+            assert!(Settings::parse(&text).is_err());
+        }
+        Ok(())
+    });
+}
--- a/src/timeline/tests.rs
+++ b/src/timeline/tests.rs
@@ -1,6 +1,11 @@
 use super::Settings;
 use super::clock::Clock;
 use super::merge;
+use super::render::Html;
+use super::render::Json;
+use super::render::Render;
+use super::render::Text;
+use crate::tests::check;
 use std::time::Duration;
 use uhlc::NTP64;
 use uhlc::Timestamp;
@@ -88,3 +93,36 @@
     assert_eq!(stamp_of(&first).get_id(), stamp_of(&again).get_id());
     assert_ne!(stamp_of(&first).get_id(), stamp_of(&other).get_id());
 }
+
+#[test]
+fn lines_in_any_order_and_with_anything_between_merge_alike() {
+    check(|u| {
+        let mut texts = Vec::new();
+        for i in 0..u.int_in_range(1..=20)? {
+            let time: u64 = u.arbitrary()?;
+            texts.push(line("n1", &format!("{time}/{:x}", i + 1), "retry"));
+        }
+        let rubbish: String = u.arbitrary()?;
+        let mut forward = Vec::new();
+        texts
+            .iter()
+            .for_each(|text| merge::read(text, &mut forward));
+        let mut backward = Vec::new();
+        merge::read(&rubbish, &mut backward);
+        backward.clear();
+        texts
+            .iter()
+            .rev()
+            .for_each(|text| merge::read(text, &mut backward));
+
+        merge::sort(&mut forward);
+        merge::sort(&mut backward);
+
+        assert_eq!(forward, backward);
+        let forms: [&dyn Render; 3] = [&Text, &Json, &Html];
+        for form in forms {
+            form.render(&forward, &mut Vec::new()).unwrap();
+        }
+        Ok(())
+    });
+}
