Entry: streams resumed, cancelled, retry budget; more cases

Cause: a stream that lost its owner, its connection or half its answer broke off at the caller; work of callers that had gone went on; retries had no budget and no pause. No case crossed answers, silenced connections, churned or surged.

Change: the entry counts the bytes it has passed on and asks the engine for the rest, through the owner and each second time at itself, after a loss or `stream_stall_ms` without a byte; where that fails the caller gets an error event and an abnormal end. A caller that goes away cancels its stream at the engine. Retries other than detours of a busy engine take from a budget (200 thousandths a success, 50 saved up) after a jittered pause; an attempt that may be followed by another gets two thirds of the time left; a refusal that may pass carries Retry-After. Bench cases churn, surge, silent and crossed.

--- a/bench/src/cases/routing.rs
+++ b/bench/src/cases/routing.rs
@@ -1,7 +1,11 @@
 //! Cases of the routing policy.
 
+mod churn;
+mod crossed;
 mod kill;
 mod paused;
+mod silent;
+mod surge;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -13,7 +17,14 @@
 
 /// All cases of this slice.
 pub fn cases() -> Vec<Box<dyn Case>> {
-    vec![Box::new(kill::Kill), Box::new(paused::Paused)]
+    vec![
+        Box::new(churn::Churn),
+        Box::new(surge::SurgeCase),
+        Box::new(silent::Silent),
+        Box::new(crossed::Crossed),
+        Box::new(kill::Kill),
+        Box::new(paused::Paused),
+    ]
 }
 
 /// Gives a case its own generator, so that cases that run together don't change each other's choices.
--- /dev/null
+++ b/bench/src/cases/routing/silent.rs
@@ -0,0 +1,49 @@
+//! Open connections that go silent without being closed, while new ones work.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rand::RngExt;
+
+use super::case_rng;
+use crate::cases::Case;
+use crate::cases::CaseCx;
+use crate::cases::Findings;
+use crate::proxy::Fault;
+use crate::proxy::Rule;
+use crate::proxy::Selector;
+
+/// Keeps the choices of this case apart from those of others.
+const SALT: u64 = 14;
+/// Longest pause between two faults.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The case.
+pub struct Silent;
+
+#[async_trait]
+impl Case for Silent {
+    fn name(&self) -> &'static str {
+        "silent"
+    }
+
+    fn about(&self) -> &'static str {
+        "open connections to engines, services and nodes go silent"
+    }
+
+    async fn faults(&self, cx: &CaseCx<'_>) -> Findings {
+        let mut rng = case_rng(cx, SALT);
+        let mut names = cx.fleet.engine_names();
+        names.extend(cx.fleet.node_names());
+        names.extend(cx.fleet.plain_names());
+        while cx.pause(rng.random_range(PAUSE / 3..=PAUSE)).await {
+            let name = &names[rng.random_range(0..names.len())];
+            cx.fleet.proxy().set_rule(Rule {
+                from: Selector::Any,
+                to: Selector::Name(name.clone()),
+                fault: Fault::SilentOpen,
+            });
+        }
+        Findings::default()
+    }
+}
--- a/bench/src/load/mod.rs
+++ b/bench/src/load/mod.rs
@@ -34,6 +34,8 @@
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Attempts after which a caller takes a refusal as final.
 pub const MAX_ATTEMPTS: u32 = 8;
+/// Number of the first caller that comes with a surge, above those of all others.
+const FIRST_OF_SURGE: u32 = 100_000;
 /// Nodes that a caller tries before it gives up on connecting.
 pub const MAX_CONNECTS: u32 = 3;
 
@@ -73,6 +75,17 @@
     pub pause: Duration,
     /// Chats in a thousand that are asked for without streaming.
     pub whole_permille: u32,
+    /// Callers of chats that come later.
+    pub surge: Option<Surge>,
+}
+
+/// Further callers of the first team, who all come at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Surge {
+    /// How many they are.
+    pub callers: u32,
+    /// Time from the start of the load until they come.
+    pub after: Duration,
 }
 
 impl Default for LoadOptions {
@@ -90,6 +103,7 @@
             answer_tokens: (8, 32),
             pause: Duration::from_millis(50),
             whole_permille: 150,
+            surge: None,
         }
     }
 }
@@ -123,6 +137,20 @@
         let caller = group::GroupCaller::new(index, options, directory.clone(), rng);
         callers.spawn(caller.run(until));
     }
+    let surge = options.surge.map_or(0, |surge| surge.callers);
+    for index in (0..surge).map(|index| FIRST_OF_SURGE + index) {
+        let options = LoadOptions {
+            teams: options.teams[..1].to_vec(),
+            ..options.clone()
+        };
+        let rng = caller_rng(options.seed, index);
+        let caller = chat::ChatCaller::new(index, &options, directory.clone(), rng);
+        let after = options.surge.map_or(Duration::ZERO, |surge| surge.after);
+        callers.spawn(async move {
+            tokio::time::sleep(after).await;
+            caller.run(until).await
+        });
+    }
     let mut records = Vec::new();
     while let Some(joined) = callers.join_next().await {
         records.extend(joined.expect("a caller does not panic"));
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -1,6 +1,10 @@
 //! Tries a request on one backend server after another, as far as that is allowed.
 
+use super::Settings;
+use super::budget::RetryBudget;
 use super::caller::Caller;
+use super::resume::Resume;
+use super::resume::resumable;
 use crate::border::generated::config::Service;
 use crate::border::generated::peer::HopHead;
 use crate::hop::Dispatch;
@@ -15,13 +19,23 @@
 use crate::routing::Choice;
 use crate::routing::Loads;
 use crate::routing::Policy;
+use crate::timeline::Event;
+use crate::timeline::EventKind;
 use crate::timeline::Timeline;
 use bytes::Bytes;
+use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 use uuid::Uuid;
 
+/// First pause before a retry; each next one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
+/// Time after which a refused caller may come back, where the owner names none.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Content type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A caller's request, ready to be sent to a backend server.
 pub(super) struct Job<'a> {
     /// The caller.
@@ -44,6 +58,8 @@
 pub struct Attempts {
     node: String,
     max_attempts: usize,
+    stream_stall: Duration,
+    budget: RetryBudget,
     membership: Arc<dyn Membership>,
     dispatch: Arc<dyn Dispatch>,
     policy: Box<dyn Policy>,
@@ -53,7 +69,7 @@
 
 /// What has come of a request so far.
 #[derive(Default)]
-struct Progress {
+pub(super) struct Progress {
     tried: Vec<String>,
     proposed: Option<String>,
     /// Where the chat's cache probably is, which the next backend server may get it from.
@@ -64,7 +80,7 @@
 }
 
 impl Progress {
-    fn note(&mut self, backend: &str, refusal: Refusal) {
+    pub(super) fn note(&mut self, backend: &str, refusal: Refusal) {
         if matches!(
             &refusal,
             Refusal::NotRun {
@@ -85,10 +101,10 @@
         }
     }
 
-    fn refusal(self) -> Refusal {
-        self.uncertain
-            .or(self.last)
-            .unwrap_or(Refusal::not_run(NotRun::NoBackend))
+    /// Gives the final outcome; what may have run is never called not run, whatever came after it.
+    pub(super) fn refusal(self) -> Refusal {
+        let last = self.last.unwrap_or(Refusal::not_run(NotRun::NoBackend));
+        self.uncertain.unwrap_or(last.or_retry_after(RETRY_AFTER))
     }
 }
 
@@ -96,7 +112,7 @@
     /// Makes a sender for the node named `node`.
     pub fn new(
         node: &str,
-        max_attempts: usize,
+        settings: &Settings,
         membership: Arc<dyn Membership>,
         dispatch: Arc<dyn Dispatch>,
         policy: Box<dyn Policy>,
@@ -105,7 +121,9 @@
     ) -> Self {
         Self {
             node: node.to_owned(),
-            max_attempts,
+            max_attempts: settings.max_attempts,
+            stream_stall: settings.stream_stall,
+            budget: RetryBudget::new(settings.retry_permille),
             membership,
             dispatch,
             policy,
@@ -133,12 +151,17 @@
             match self.dispatch.dispatch(&attempt).await {
                 Ok(answer) => {
                     self.loads.note(&backend.name, answer.load);
-                    return Ok(answer);
+                    self.budget.earn();
+                    return Ok(self.streamed(answer, job, backend, attempt.head));
                 }
                 Err(refusal) => {
                     let again = may_try_again(job, &refusal);
+                    let is_detour = refusal.is_detour();
                     progress.note(&backend.name, refusal);
-                    if !again {
+                    if !again || progress.tried.len() == self.max_attempts {
+                        break;
+                    }
+                    if !is_detour && !self.retry(&mut progress, attempt.head).await {
                         break;
                     }
                 }
@@ -147,6 +170,45 @@
         Err(progress.refusal())
     }
 
+    /// Takes one retry from the budget and waits before it; tells whether there was one.
+    async fn retry(&self, progress: &mut Progress, head: HopHead) -> bool {
+        if !self.budget.take() {
+            let spent = Refusal::not_run(NotRun::RetryBudget);
+            progress.last = Some(spent.or_retry_after(RETRY_AFTER));
+            return false;
+        }
+        let retry = Event::new(EventKind::Retry)
+            .request(&head.request)
+            .attempt(&head.id)
+            .backend(&head.backend);
+        self.timeline.event(retry);
+        let retries = u32::try_from(progress.tried.len()).unwrap_or(u32::MAX);
+        let longest = FIRST_PAUSE.saturating_mul(2u32.saturating_pow(retries));
+        let pause = rand::rng().random_range(longest / 2..=longest);
+        tokio::time::sleep(pause).await;
+        true
+    }
+
+    /// Makes a stream of an engine one that is resumed where it breaks off.
+    fn streamed(&self, answer: Answer, job: &Job<'_>, backend: &Backend, head: HopHead) -> Answer {
+        let content_type = answer.content_type.as_deref().unwrap_or_default();
+        let is_stream = answer.status == 200 && content_type.starts_with(EVENT_STREAM);
+        if !is_stream || !backend.is_engine {
+            return answer;
+        }
+        let plan = Resume {
+            dispatch: Arc::clone(&self.dispatch),
+            timeline: Arc::clone(&self.timeline),
+            head,
+            stall: self.stream_stall,
+            give_up: Duration::from_millis(job.service.deadline_ms),
+        };
+        Answer {
+            body: resumable(answer.body, plan),
+            ..answer
+        }
+    }
+
     fn choose<'a>(
         &self,
         job: &Job<'_>,
@@ -177,6 +239,13 @@
         progress: &Progress,
     ) -> Attempt {
         let caller = job.caller;
+        let is_last = progress.tried.len() + 1 >= self.max_attempts;
+        // What may be tried again leaves time for that.
+        let left = if is_last || job.key.is_some() {
+            left
+        } else {
+            left * 2 / 3
+        };
         let head = HopHead {
             v: PROTOCOL_VERSION,
             id: Uuid::now_v7().to_string(),
@@ -196,7 +265,7 @@
             tried: progress.tried.clone(),
             key: job.key.map(str::to_owned),
             resume_from: None,
-            no_spill: progress.tried.len() + 1 >= self.max_attempts,
+            no_spill: is_last,
             cached_on: cached_on(caller, backend, progress),
             hlc: self.timeline.stamp(),
         };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,16 @@
 //! caller gets one of the three outcomes; see `docs/OUTCOMES.md`.
 
 mod attempts;
+mod budget;
 mod caller;
 mod chat;
 mod plain;
 mod reply;
+mod resume;
 mod serve;
 mod settings;
+#[cfg(test)]
+mod tests;
 
 pub use attempts::Attempts;
 pub use serve::Entry;
--- /dev/null
+++ b/src/entry/resume.rs
@@ -0,0 +1,211 @@
+//! Streams that go on after the loss of their owner, of a connection, or of time.
+//!
+//! The entry counts the bytes that it has passed on. Where the answer breaks off or stalls it asks the engine, through
+//! its owner or past it, for the rest from the next byte on. Where that fails the caller gets an error event and an
+//! abnormal end, never a clean one.
+
+use crate::border::generated::peer::HopHead;
+use crate::hop::Dispatch;
+use crate::net::Body;
+use crate::net::BodyError;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::owner::Attempt;
+use crate::owner::STREAM_END;
+use crate::owner::STREAMS_PATH;
+use crate::timeline::Event;
+use crate::timeline::EventKind;
+use crate::timeline::Timeline;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use rand::RngExt;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use uuid::Uuid;
+
+/// Attempts to resume that may fail one after another.
+const MAX_FAILURES: u32 = 7;
+/// First pause between two of them; each next one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(25);
+/// Longest time for the head of a resumed answer.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in which the error event leaves before the connection ends abnormally.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+/// The last that a caller sees of a stream that could not be resumed.
+const ERROR_EVENT: &str = "\n\ndata: {\"error\":{\"type\":\"unknown\",\"code\":\"connection-lost\",\
+     \"message\":\"The answer broke off and could not be resumed.\"}}\n\n";
+
+/// How a stream is resumed.
+pub(super) struct Resume {
+    /// The way to owners.
+    pub(super) dispatch: Arc<dyn Dispatch>,
+    /// Where events go.
+    pub(super) timeline: Arc<Timeline>,
+    /// Head of the attempt that began the stream.
+    pub(super) head: HopHead,
+    /// Time without a byte after which a connection counts as silent.
+    pub(super) stall: Duration,
+    /// Time without a byte after which the stream is given up.
+    pub(super) give_up: Duration,
+}
+
+/// A stream on its way to the caller.
+struct Streaming {
+    plan: Resume,
+    body: Body,
+    delivered: u64,
+    tail: Vec<u8>,
+    failures: u32,
+    last_byte: Instant,
+    phase: Phase,
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Phase {
+    Open,
+    ErrorSent,
+    Ended,
+}
+
+/// Makes a body that goes on by `plan` where `body` breaks off.
+pub(super) fn resumable(body: Body, plan: Resume) -> Body {
+    let streaming = Streaming {
+        plan,
+        body,
+        delivered: 0,
+        tail: Vec::new(),
+        failures: 0,
+        last_byte: Instant::now(),
+        phase: Phase::Open,
+    };
+    StreamBody::new(stream::unfold(streaming, Streaming::step)).boxed_unsync()
+}
+
+impl Streaming {
+    async fn step(mut self) -> Option<(Result<Frame<Bytes>, BodyError>, Self)> {
+        match self.phase {
+            Phase::Open => {}
+            Phase::ErrorSent => {
+                tokio::time::sleep(FLUSH_TIME).await;
+                self.phase = Phase::Ended;
+                return Some((Err("the answer broke off".into()), self));
+            }
+            Phase::Ended => return None,
+        }
+        loop {
+            match tokio::time::timeout(self.plan.stall, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.remember(data);
+                    }
+                    return Some((Ok(frame), self));
+                }
+                _ if self.tail == STREAM_END => {
+                    self.phase = Phase::Ended;
+                    return None;
+                }
+                _ => {}
+            }
+            if !self.resume().await {
+                self.phase = Phase::ErrorSent;
+                let event = Frame::data(Bytes::from_static(ERROR_EVENT.as_bytes()));
+                return Some((Ok(event), self));
+            }
+        }
+    }
+
+    fn remember(&mut self, data: &[u8]) {
+        self.delivered += data.len() as u64;
+        self.failures = 0;
+        self.last_byte = Instant::now();
+        let keep = STREAM_END.len();
+        self.tail
+            .extend_from_slice(&data[data.len().saturating_sub(keep)..]);
+        let surplus = self.tail.len().saturating_sub(keep);
+        self.tail.drain(..surplus);
+    }
+
+    /// Puts a new body in the place of the lost one, and tells whether that could be had.
+    async fn resume(&mut self) -> bool {
+        while self.failures < MAX_FAILURES && self.last_byte.elapsed() < self.plan.give_up {
+            if self.failures > 0 {
+                tokio::time::sleep(pause(self.failures)).await;
+            }
+            let attempt = self.attempt("GET", Some(self.delivered));
+            // The owner may be what was lost: each second try goes past it.
+            let sent = if self.failures.is_multiple_of(2) {
+                self.plan.dispatch.dispatch(&attempt).await
+            } else {
+                self.plan.dispatch.dispatch_here(&attempt).await
+            };
+            match sent {
+                Ok(answer) if answer.status == 200 => {
+                    self.note_resumed();
+                    self.body = answer.body;
+                    return true;
+                }
+                Err(Refusal::NotRun {
+                    reason: NotRun::RefusedByBackend | NotRun::NoBackend,
+                    ..
+                }) => return false,
+                _ => self.failures += 1,
+            }
+        }
+        false
+    }
+
+    fn note_resumed(&self) {
+        let head = &self.plan.head;
+        let resumed = Event::new(EventKind::Resumed)
+            .request(&head.request)
+            .attempt(&head.id)
+            .backend(&head.backend);
+        self.plan.timeline.event(resumed);
+    }
+
+    /// Makes an attempt about the stream at the engine.
+    fn attempt(&self, method: &str, resume_from: Option<u64>) -> Attempt {
+        let begun = &self.plan.head;
+        let head = HopHead {
+            id: Uuid::now_v7().to_string(),
+            method: method.to_owned(),
+            path: format!("{STREAMS_PATH}{}", begun.id),
+            resume_from,
+            body_len: 0,
+            deadline_ms: RESUME_TIMEOUT.as_millis() as u64,
+            hlc: self.plan.timeline.stamp(),
+            ..begun.clone()
+        };
+        Attempt {
+            head,
+            body: Bytes::new(),
+        }
+    }
+}
+
+impl Drop for Streaming {
+    /// Cancels the work of a caller that has gone away.
+    fn drop(&mut self) {
+        if self.phase == Phase::Ended || self.tail == STREAM_END {
+            return;
+        }
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let attempt = self.attempt("DELETE", None);
+        let dispatch = Arc::clone(&self.plan.dispatch);
+        runtime.spawn(async move {
+            // An engine that can't be told gives the answer up by itself.
+            let _ = dispatch.dispatch(&attempt).await;
+        });
+    }
+}
+
+fn pause(failures: u32) -> Duration {
+    let longest = FIRST_PAUSE * 2u32.saturating_pow(failures);
+    rand::rng().random_range(longest / 2..=longest)
+}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -10,6 +10,10 @@
     pub max_body_bytes: usize,
     /// Most attempts for one request.
     pub max_attempts: usize,
+    /// Retries that each success allows, in thousandths.
+    pub retry_permille: u64,
+    /// Time without a byte after which a stream is resumed through another connection.
+    pub stream_stall: Duration,
     /// Time at shutdown during which callers are still served, so that the platform's balancer sees that the node is
     /// not ready before connections are closed.
     pub linger: Duration,
@@ -24,6 +28,8 @@
         Self {
             max_body_bytes: usize::try_from(max_body).unwrap_or(usize::MAX),
             max_attempts: section.number("max_attempts", 3, 1..=10) as usize,
+            retry_permille: section.number("retry_permille", 200, 0..=1_000),
+            stream_stall: section.millis("stream_stall_ms", 3_000, 50..=600_000),
             linger: section.millis("linger_ms", 1_000, 0..=60_000),
             drain_limit: section.millis("drain_limit_ms", 300_000, 100..=3_600_000),
         }
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,215 @@
+use super::attempts::Progress;
+use super::budget::RetryBudget;
+use super::resume::Resume;
+use super::resume::resumable;
+use crate::border::generated::peer::HopHead;
+use crate::border::generated::peer::Priority;
+use crate::hop::Dispatch;
+use crate::hop::PROTOCOL_VERSION;
+use crate::net::Body;
+use crate::net::BodyError;
+use crate::net::collect;
+use crate::net::full_body;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::outcome::Unknown;
+use crate::owner::Answer;
+use crate::owner::Attempt;
+use crate::timeline::Timeline;
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+const WHOLE: &str = "data: {\"a\":1}\n\ndata: {\"a\":2}\n\ndata: [DONE]\n\n";
+const LIMIT: usize = 1 << 16;
+
+/// An engine that gives so many further bytes before each loss, or says that it does not hold the stream.
+struct Engine {
+    steps: Mutex<Vec<Option<usize>>>,
+    methods: Mutex<Vec<String>>,
+}
+
+#[async_trait]
+impl Dispatch for Engine {
+    async fn dispatch(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
+        let head = &attempt.head;
+        self.methods.lock().unwrap().push(head.method.clone());
+        let step = self.steps.lock().unwrap().pop();
+        let Some(Some(count)) = step else {
+            return Err(Refusal::not_run(NotRun::RefusedByBackend));
+        };
+        assert_eq!(head.path, "/v1/streams/a1");
+        Ok(Answer {
+            status: 200,
+            content_type: None,
+            load: 1,
+            hint: None,
+            body: broken(head.resume_from.unwrap() as usize, count),
+        })
+    }
+}
+
+/// Gives `count` bytes from `from` on; the body ends with an error where that isn't all.
+fn broken(from: usize, count: usize) -> Body {
+    let to = (from + count).min(WHOLE.len());
+    let part = Bytes::from_static(&WHOLE.as_bytes()[from..to]);
+    let mut frames: Vec<Result<Frame<Bytes>, BodyError>> = vec![Ok(Frame::data(part))];
+    if to < WHOLE.len() {
+        frames.push(Err("lost".into()));
+    }
+    StreamBody::new(stream::iter(frames)).boxed_unsync()
+}
+
+fn head() -> HopHead {
+    HopHead {
+        v: PROTOCOL_VERSION,
+        id: "a1".to_owned(),
+        request: "r1".to_owned(),
+        from: "n1".to_owned(),
+        service: "assistant".to_owned(),
+        backend: "e1".to_owned(),
+        team: "team".to_owned(),
+        chat: None,
+        priority: Priority::Interactive,
+        deadline_ms: 1_000,
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        content_type: None,
+        body_len: 0,
+        hops: 0,
+        tried: Vec::new(),
+        key: None,
+        resume_from: None,
+        no_spill: false,
+        cached_on: None,
+        hlc: String::new(),
+    }
+}
+
+fn engine(mut steps: Vec<Option<usize>>) -> Arc<Engine> {
+    steps.reverse();
+    Arc::new(Engine {
+        steps: Mutex::new(steps),
+        methods: Mutex::default(),
+    })
+}
+
+fn stream_over(engine: &Arc<Engine>, body: Body) -> Body {
+    let plan = Resume {
+        dispatch: Arc::clone(engine) as Arc<dyn Dispatch>,
+        timeline: Arc::new(Timeline::silent()),
+        head: head(),
+        stall: Duration::from_secs(5),
+        give_up: Duration::from_secs(5),
+    };
+    resumable(body, plan)
+}
+
+#[test]
+fn a_stream_is_whole_wherever_it_breaks() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    arbtest::arbtest(|u| {
+        let first = u.int_in_range(0..=WHOLE.len() - 1)?;
+        let second = u.int_in_range(1..=WHOLE.len())?;
+        let engine = engine(vec![Some(second), Some(WHOLE.len())]);
+
+        let body = stream_over(&engine, broken(0, first));
+        let got = runtime.block_on(collect(body, LIMIT)).unwrap();
+
+        assert_eq!(got.as_ref(), WHOLE.as_bytes());
+        Ok(())
+    })
+    .seed(0x5eed_0004_0000_0200);
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_be_resumed_ends_with_an_error_event_and_abnormally() {
+    let engine = engine(vec![None]);
+    let mut body = stream_over(&engine, broken(0, 20));
+
+    let mut text = Vec::new();
+    let mut end = None;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => text.extend_from_slice(frame.data_ref().unwrap()),
+            Err(err) => end = Some(err),
+        }
+    }
+
+    let text = String::from_utf8(text).unwrap();
+    assert!(text.contains("\"error\""), "{text}");
+    assert!(!text.contains("[DONE]"), "{text}");
+    assert!(end.is_some());
+}
+
+#[tokio::test]
+async fn the_work_of_a_caller_that_has_gone_is_cancelled() {
+    let engine = engine(Vec::new());
+    let mut body = stream_over(&engine, broken(0, 20));
+
+    let _ = body.frame().await;
+    drop(body);
+    tokio::task::yield_now().await;
+    tokio::task::yield_now().await;
+
+    assert_eq!(*engine.methods.lock().unwrap(), ["DELETE"]);
+}
+
+#[tokio::test]
+async fn a_whole_stream_is_not_cancelled() {
+    let engine = engine(Vec::new());
+
+    let got = collect(stream_over(&engine, full_body(WHOLE)), LIMIT).await;
+    tokio::task::yield_now().await;
+
+    assert_eq!(got.unwrap().as_ref(), WHOLE.as_bytes());
+    assert!(engine.methods.lock().unwrap().is_empty());
+}
+
+#[test]
+fn an_unknown_outcome_is_kept_whatever_comes_after_it() {
+    arbtest::arbtest(|u| {
+        let mut progress = Progress::default();
+        let mut is_uncertain = false;
+        for i in 0..u.int_in_range(1..=6)? {
+            let refusal = if u.arbitrary()? {
+                Refusal::unknown(Unknown::ConnectionLost)
+            } else {
+                Refusal::not_run(NotRun::Busy)
+            };
+            is_uncertain |= !refusal.is_not_run();
+            progress.note(&format!("e{i}"), refusal);
+        }
+
+        let last = progress.refusal();
+
+        assert_eq!(last.is_not_run(), !is_uncertain);
+        assert!(is_uncertain || last.retry_after().is_some());
+        Ok(())
+    })
+    .seed(0x5eed_0005_0000_0200);
+}
+
+#[test]
+fn retries_stay_a_share_of_the_successes() {
+    let budget = RetryBudget::new(200);
+    while budget.take() {}
+
+    let retries = (0..1_000)
+        .filter(|_| {
+            budget.earn();
+            budget.take()
+        })
+        .count();
+
+    assert_eq!(retries, 200);
+}
--- a/src/hop/dispatch.rs
+++ b/src/hop/dispatch.rs
@@ -23,6 +23,15 @@
     ///
     /// Tells whether the attempt certainly did not run.
     async fn dispatch(&self, attempt: &Attempt) -> Result<Answer, Refusal>;
+
+    /// Runs one attempt at this node, past an owner that may be lost.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the attempt certainly did not run.
+    async fn dispatch_here(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
+        self.dispatch(attempt).await
+    }
 }
 
 /// Dispatches to the owner by this node's view.
@@ -78,4 +87,8 @@
         }
         self.remote.run(owner.address, attempt).await
     }
+
+    async fn dispatch_here(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
+        self.local.run(attempt).await
+    }
 }
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -303,7 +303,7 @@
     );
     let attempts = Attempts::new(
         &node.name,
-        settings.entry.max_attempts,
+        &settings.entry,
         members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
--- a/src/outcome/mod.rs
+++ b/src/outcome/mod.rs
@@ -62,6 +62,28 @@
         Self::Unknown { reason }
     }
 
+    /// Adds the time after which asking again may help, where there is none and it may.
+    pub fn or_retry_after(self, wait: Duration) -> Self {
+        match self {
+            Self::NotRun {
+                reason,
+                retry_after: None,
+                next,
+            } if reason.is_passing() => Self::NotRun {
+                reason,
+                retry_after: Some(wait),
+                next,
+            },
+            other => other,
+        }
+    }
+
+    /// Tells whether the request only takes another way, so that the next attempt is no retry.
+    pub fn is_detour(&self) -> bool {
+        let reasons = [NotRun::Busy, NotRun::QueueFull, NotRun::NotOwner];
+        matches!(self, Self::NotRun { reason, .. } if reasons.contains(reason))
+    }
+
     /// Tells whether it is certain that the request did not run.
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::NotRun { .. })
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -75,6 +75,17 @@
     }
 }
 
+impl NotRun {
+    /// Tells whether the same request may be answered later.
+    pub fn is_passing(self) -> bool {
+        let statuses = [
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        statuses.contains(&self.status())
+    }
+}
+
 reasons! {
     /// Why it is not known whether a request ran.
     Unknown {
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -69,7 +69,7 @@
     pub(super) owned: Owned,
     pub(super) slots: Slots,
     pub(super) spills: SpillTable,
-    timeline: Arc<Timeline>,
+    pub(super) timeline: Arc<Timeline>,
 }
 
 impl Owner {
@@ -119,6 +119,9 @@
         let backend = view
             .backend(&head.service, &head.backend)
             .ok_or(Refusal::not_run(NotRun::NoBackend))?;
+        if let Some(done) = self.on_stream(attempt, backend).await {
+            return done;
+        }
         if backend.leaving {
             // The sender's host list is older than this one.
             return Err(Refusal::not_run(NotRun::Stopping));
@@ -219,7 +222,7 @@
     }
 }
 
-fn refusal(err: &BackendError) -> Refusal {
+pub(super) fn refusal(err: &BackendError) -> Refusal {
     match err {
         BackendError::NotSent(_) => Refusal::not_run(NotRun::ConnectFailed),
         BackendError::NotRun => Refusal::not_run(NotRun::RefusedByBackend),
@@ -229,7 +232,7 @@
     }
 }
 
-fn event(kind: EventKind, head: &HopHead) -> Event<'_> {
+pub(super) fn event(kind: EventKind, head: &HopHead) -> Event<'_> {
     Event::new(kind)
         .request(&head.request)
         .attempt(&head.id)
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod slots;
 mod spill;
+mod streams;
 #[cfg(test)]
 mod tests;
 mod whole;
@@ -24,4 +25,6 @@
 pub use handover::OwnerParts;
 pub use poll::LoadPoller;
 pub use settings::Settings;
+pub(crate) use streams::STREAMS_PATH;
+pub(crate) use whole::STREAM_END;
 pub(crate) use whole::WholeBody;
--- /dev/null
+++ b/src/owner/streams.rs
@@ -0,0 +1,83 @@
+//! Streams that have begun at an engine: resumed for an entry that has lost its way to them, or cancelled.
+
+use super::Answer;
+use super::Attempt;
+use super::Owner;
+use super::admission::class;
+use super::handover::event;
+use super::handover::refusal;
+use super::whole::WholeBody;
+use crate::membership::Backend;
+use crate::net::empty_body;
+use crate::outcome::NotRun;
+use crate::outcome::Refusal;
+use crate::timeline::EventKind;
+
+/// Path of the streams of an engine, before the id of the attempt that began one.
+pub(crate) const STREAMS_PATH: &str = "/v1/streams/";
+
+/// Status of an answer without a body.
+const NO_CONTENT: u16 = 204;
+
+impl Owner {
+    /// Does what `attempt` asks of a stream that has begun, where it asks for that.
+    pub(super) async fn on_stream(
+        &self,
+        attempt: &Attempt,
+        backend: &Backend,
+    ) -> Option<Result<Answer, Refusal>> {
+        let head = &attempt.head;
+        let id = head.path.strip_prefix(STREAMS_PATH)?;
+        if !backend.is_engine {
+            return None;
+        }
+        Some(match (head.method.as_str(), head.resume_from) {
+            ("GET", Some(from)) => self.resume(attempt, backend, id, from).await,
+            ("DELETE", None) => self.cancel(attempt, backend, id).await,
+            _ => Err(Refusal::not_run(NotRun::BadRequest)),
+        })
+    }
+
+    async fn resume(
+        &self,
+        attempt: &Attempt,
+        backend: &Backend,
+        id: &str,
+        from: u64,
+    ) -> Result<Answer, Refusal> {
+        let head = &attempt.head;
+        // It counts before it is asked for, since it is in flight there already.
+        let mut occupied = self.slot(&backend.name).occupy(class(head));
+        occupied.started();
+        let engine = self.backends.engine(backend.address);
+        let answer = engine.resume(id, from).await.map_err(|err| refusal(&err))?;
+        self.timeline.event(event(EventKind::Resumed, head));
+        Ok(Answer {
+            status: answer.status,
+            content_type: answer.content_type,
+            load: occupied.load(),
+            hint: None,
+            // The entry knows the whole stream and checks its end.
+            body: WholeBody::wrap(answer.body, false, occupied),
+        })
+    }
+
+    async fn cancel(
+        &self,
+        attempt: &Attempt,
+        backend: &Backend,
+        id: &str,
+    ) -> Result<Answer, Refusal> {
+        let engine = self.backends.engine(backend.address);
+        engine.cancel(id).await.map_err(|err| refusal(&err))?;
+        self.timeline
+            .event(event(EventKind::Cancelled, &attempt.head));
+        Ok(Answer {
+            status: NO_CONTENT,
+            content_type: None,
+            load: self.slot(&backend.name).started(),
+            hint: None,
+            body: empty_body(),
+        })
+    }
+}
--- a/src/owner/whole.rs
+++ b/src/owner/whole.rs
@@ -12,7 +12,7 @@
 use std::task::Poll;
 
 /// Ends every whole event stream.
-const STREAM_END: &[u8] = b"data: [DONE]\n\n";
+pub(crate) const STREAM_END: &[u8] = b"data: [DONE]\n\n";
 
 /// The answer ended before its end mark.
 #[derive(Clone, Copy, Debug)]
