--- a/bench/src/cases/run.rs
+++ b/bench/src/cases/run.rs
@@ -67,6 +67,7 @@
     options.load.teams = fleet.teams().to_vec();
 
     let before = fleet.stats().await;
+    let appends = fleet.log().appends();
     let started = Instant::now();
     let cx = CaseCx {
         fleet: &fleet,
@@ -78,6 +79,7 @@
     let faults = join_all(cases.iter().map(|case| case.faults(&cx)));
     let (calls, mut findings, ()) = tokio::join!(callers, faults, show_progress(&cx, progress));
     let took = started.elapsed();
+    let log_appends = fleet.log().appends() - appends;
     let after = fleet.stats().await;
     let starts = fleet.truth().engine_starts();
     let added =
@@ -101,6 +103,7 @@
         calls: &calls,
         starts: &starts,
         runs: &runs,
+        log_appends,
         changes: &changes,
         before: &before,
         after: &after,
@@ -108,6 +111,10 @@
         added,
         reverted: findings.iter().map(|found: &Findings| found.reverted).sum(),
         failures: &failures,
+        figures: findings
+            .iter()
+            .flat_map(|found| found.figures.clone())
+            .collect(),
     };
     Ok(Report::new(&evidence))
 }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -7,6 +7,8 @@
 use super::resume::resumable;
 use crate::border::generated::config::Service;
 use crate::border::generated::peer::HopHead;
+use crate::config::State;
+use crate::config::may_serve;
 use crate::hop::Dispatch;
 use crate::hop::PROTOCOL_VERSION;
 use crate::membership::Backend;
@@ -40,6 +42,8 @@
 pub(super) struct Job<'a> {
     /// The caller.
     pub(super) caller: &'a Caller,
+    /// The configuration that the request is served under.
+    pub(super) state: &'a State,
     /// The service that is asked.
     pub(super) service: &'a Service,
     /// HTTP method.
@@ -157,11 +161,14 @@
                 Err(refusal) => {
                     let again = may_try_again(job, &refusal);
                     let is_detour = refusal.is_detour();
+                    if again {
+                        self.note_retry(&attempt.head, &refusal);
+                    }
                     progress.note(&backend.name, refusal);
                     if !again || progress.tried.len() == self.max_attempts {
                         break;
                     }
-                    if !is_detour && !self.retry(&mut progress, attempt.head).await {
+                    if !is_detour && !self.retry(&mut progress).await {
                         break;
                     }
                 }
@@ -171,17 +178,12 @@
     }
 
     /// Takes one retry from the budget and waits before it; tells whether there was one.
-    async fn retry(&self, progress: &mut Progress, head: HopHead) -> bool {
+    async fn retry(&self, progress: &mut Progress) -> bool {
         if !self.budget.take() {
             let spent = Refusal::not_run(NotRun::RetryBudget);
             progress.last = Some(spent.or_retry_after(RETRY_AFTER));
             return false;
         }
-        let retry = Event::new(EventKind::Retry)
-            .request(&head.request)
-            .attempt(&head.id)
-            .backend(&head.backend);
-        self.timeline.event(retry);
         let retries = u32::try_from(progress.tried.len()).unwrap_or(u32::MAX);
         let longest = FIRST_PAUSE.saturating_mul(2u32.saturating_pow(retries));
         let pause = rand::rng().random_range(longest / 2..=longest);
@@ -209,18 +211,33 @@
         }
     }
 
+    fn note_retry(&self, head: &HopHead, refusal: &Refusal) {
+        let retry = Event::new(EventKind::Retry)
+            .request(&head.request)
+            .attempt(&head.id)
+            .backend(&head.backend)
+            .detail(refusal.reason());
+        self.timeline.event(retry);
+    }
+
     fn choose<'a>(
         &self,
         job: &Job<'_>,
         view: &'a View,
         progress: &Progress,
     ) -> Option<&'a Backend> {
-        let usable = |b: &&Backend| !b.leaving && !progress.tried.contains(&b.name);
-        let candidates: Vec<&Backend> = view
+        let usable = |b: &&Backend| {
+            let is_new = !b.leaving && !progress.tried.contains(&b.name);
+            is_new && may_serve(job.state, job.service, &job.caller.team, b)
+        };
+        let mut candidates: Vec<&Backend> = view
             .of_service(&job.service.name)
             .iter()
             .filter(usable)
             .collect();
+        if job.key.is_some() {
+            self.keep_near(view, &mut candidates);
+        }
         let caller = job.caller;
         self.policy.choose(&Choice {
             key: caller.chat.as_deref().unwrap_or(&caller.request),
@@ -231,6 +248,18 @@
         })
     }
 
+    /// Keeps to this node's data centre where that has a candidate: a call that may not be tried again should not
+    /// depend on the links to others.
+    fn keep_near(&self, view: &View, candidates: &mut Vec<&Backend>) {
+        let Some(own) = view.node(&self.node) else {
+            return;
+        };
+        let is_near = |b: &&Backend| b.data_centre == own.data_centre;
+        if candidates.iter().any(is_near) {
+            candidates.retain(is_near);
+        }
+    }
+
     fn attempt(
         &self,
         job: &Job<'_>,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,15 +6,20 @@
 mod attempts;
 mod budget;
 mod caller;
+mod calls;
 mod chat;
+mod outgoing;
 mod plain;
 mod reply;
 mod resume;
 mod serve;
 mod settings;
+mod silent;
 #[cfg(test)]
 mod tests;
 
 pub use attempts::Attempts;
+pub use calls::CallParts;
+pub use calls::Calls;
 pub use serve::Entry;
 pub use settings::Settings;
--- a/src/hop/tests.rs
+++ b/src/hop/tests.rs
@@ -88,7 +88,7 @@
     let sent: Timestamp = timeline.stamp().parse().unwrap();
 
     let req = remote
-        .encode("127.0.0.1:1".parse().unwrap(), &attempt)
+        .encode("127.0.0.1:1".parse().unwrap(), super::HOP_PATH, &attempt)
         .unwrap();
 
     let head = req.headers().get(HEAD_HEADER).unwrap();
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -27,4 +27,3 @@
 pub use settings::Settings;
 pub(crate) use streams::STREAMS_PATH;
 pub(crate) use whole::STREAM_END;
-pub(crate) use whole::WholeBody;
--- a/src/owner/tests/bound.rs
+++ b/src/owner/tests/bound.rs
@@ -8,6 +8,7 @@
         floor,
         kind: "model".to_owned(),
         name: "assistant".to_owned(),
+        data_centres: Vec::new(),
         non_idempotent: Vec::new(),
     }
 }
