--- a/src/hop/remote.rs
+++ b/src/hop/remote.rs
@@ -1,14 +1,13 @@
 //! Sends attempts to owners on other nodes.
 
 use super::CALL_PATH;
-use super::HEAD_HEADER;
 use super::HOP_PATH;
-use super::MAC_HEADER;
 use super::REPLY_HEADER;
 use super::codec;
-use super::mac;
+use super::guard::Signer;
 use crate::border::generated::peer::HopHead;
 use crate::border::generated::peer::HopReply;
+use crate::membership::Node;
 use crate::net::Body;
 use crate::net::Client;
 use crate::net::SendError;
@@ -23,8 +22,9 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
-use std::net::SocketAddr;
+use hyper::header::HeaderName;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,7 +34,7 @@
 /// Sends attempts over HTTP/2.
 pub struct RemoteOwner {
     client: Client,
-    key: DeploymentKey,
+    signer: Signer,
     timeline: Arc<Timeline>,
 }
 
@@ -43,43 +43,44 @@
     pub fn new(client: Client, key: DeploymentKey, timeline: Arc<Timeline>) -> Self {
         Self {
             client,
-            key,
+            signer: Signer::new(key),
             timeline,
         }
     }
 
-    /// Runs `attempt` at the node at `address`.
+    /// Runs `attempt` at the node `owner`.
     ///
     /// # Errors
     ///
     /// Tells whether the attempt certainly did not run.
-    pub async fn run(&self, address: SocketAddr, attempt: &Attempt) -> Result<Answer, Refusal> {
-        self.send(address, HOP_PATH, attempt)
+    pub async fn run(&self, owner: &Node, attempt: &Attempt) -> Result<Answer, Refusal> {
+        self.send(owner, HOP_PATH, attempt)
             .await
             .unwrap_or(Err(Refusal::not_run(NotRun::ConnectFailed)))
     }
 
-    /// Sends a non-idempotent call to the node at `address`, which decides about its key; nothing where no connection
-    /// was made.
+    /// Sends a non-idempotent call to the node `owner`, which decides about its key; nothing where no connection
+    /// was made or it did not read the call.
     pub async fn forward(
         &self,
-        address: SocketAddr,
+        owner: &Node,
         attempt: &Attempt,
     ) -> Option<Result<Answer, Refusal>> {
-        self.send(address, CALL_PATH, attempt).await
+        self.send(owner, CALL_PATH, attempt).await
     }
 
     async fn send(
         &self,
-        address: SocketAddr,
+        owner: &Node,
         path: &str,
         attempt: &Attempt,
     ) -> Option<Result<Answer, Refusal>> {
-        let Some(req) = self.encode(address, path, attempt) else {
+        let Some(req) = self.encode(owner, path, attempt) else {
             return Some(Err(Refusal::not_run(NotRun::BadRequest)));
         };
         let limit = Duration::from_millis(attempt.head.deadline_ms) + ANSWER_GRACE;
         match self.client.send(req, limit).await {
+            Ok(response) if is_refused_unread(response.status()) => None,
             Ok(response) => Some(self.decode(&attempt.head.id, response)),
             Err(SendError::NotSent(_)) => None,
             Err(SendError::Lost(_)) => Some(Err(Refusal::unknown(Unknown::ConnectionLost))),
@@ -90,7 +91,7 @@
     /// The stamp is taken here, after the event of sending, so that the owner's events come after that.
     pub(super) fn encode(
         &self,
-        address: SocketAddr,
+        owner: &Node,
         path: &str,
         attempt: &Attempt,
     ) -> Option<Request<Body>> {
@@ -98,13 +99,17 @@
             hlc: self.timeline.stamp(),
             ..attempt.head.clone()
         };
-        let head = codec::to_header(&head).ok()?;
-        let code = codec::text_of(&mac::code(&self.key, head.as_bytes()));
-        Request::post(format!("http://{address}{path}"))
-            .header(HEAD_HEADER, head)
-            .header(MAC_HEADER, code)
+        let headers =
+            self.signer
+                .sign(path, &owner.name, owner.incarnation, &head, &attempt.body)?;
+        let mut req = Request::post(format!("http://{}{path}", owner.address))
             .body(full_body(attempt.body.clone()))
-            .ok()
+            .ok()?;
+        req.headers_mut().extend(headers.map(|(name, value)| {
+            let name = HeaderName::from_static(name);
+            (Some(name), value)
+        }));
+        Some(req)
     }
 
     fn decode(&self, id: &str, response: Response<Incoming>) -> Result<Answer, Refusal> {
@@ -129,3 +134,12 @@
         })
     }
 }
+
+/// Tells whether the other node refused an attempt before it read it: it does not know the sender, or is not the
+/// process that the attempt was meant for.
+fn is_refused_unread(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::FORBIDDEN | StatusCode::MISDIRECTED_REQUEST
+    )
+}
