--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,14 @@
 //! caller gets one of the three outcomes; see `docs/OUTCOMES.md`.
 
 mod attempts;
+mod budget;
 mod caller;
 mod calls;
 mod chat;
 mod outgoing;
 mod plain;
 mod reply;
+mod resume;
 mod serve;
 mod settings;
 mod silent;
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,3 +1,5 @@
+mod streams;
+
 use super::outgoing::CacheUse;
 use super::outgoing::cache_use;
 use super::reply::Counted;
--- a/src/hop/dispatch.rs
+++ b/src/hop/dispatch.rs
@@ -23,6 +23,15 @@
     ///
     /// Tells whether the attempt certainly did not run.
     async fn dispatch(&self, attempt: &Attempt) -> Result<Answer, Refusal>;
+
+    /// Runs one attempt at this node, past an owner that may be lost.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the attempt certainly did not run.
+    async fn dispatch_here(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
+        self.dispatch(attempt).await
+    }
 }
 
 /// Dispatches to the owner by this node's view.
@@ -90,4 +99,8 @@
         self.timeline.event(returned);
         answer
     }
+
+    async fn dispatch_here(&self, attempt: &Attempt) -> Result<Answer, Refusal> {
+        self.local.run(attempt).await
+    }
 }
--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -395,7 +395,7 @@
     );
     Arc::new(Attempts::new(
         &node.name,
-        settings.entry.max_attempts,
+        &settings.entry,
         members.membership(),
         Arc::new(dispatch),
         settings.routing.policy.policy(),
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -121,6 +121,9 @@
         let backend = view
             .backend(&head.service, &head.backend)
             .ok_or(Refusal::not_run(NotRun::NoBackend))?;
+        if let Some(done) = self.on_stream(attempt, backend).await {
+            return done;
+        }
         if backend.leaving {
             // The sender's host list is older than this one.
             return Err(Refusal::not_run(NotRun::Stopping));
@@ -222,7 +225,7 @@
     }
 }
 
-fn refusal(err: &BackendError) -> Refusal {
+pub(super) fn refusal(err: &BackendError) -> Refusal {
     match err {
         BackendError::NotSent(_) => Refusal::not_run(NotRun::ConnectFailed),
         BackendError::NotRun => Refusal::not_run(NotRun::RefusedByBackend),
