--- a/src/hop/dispatch.rs
+++ b/src/hop/dispatch.rs
@@ -78,7 +78,7 @@
         let answer = if owner.name == self.node {
             self.local.run(attempt).await
         } else {
-            self.remote.run(owner.address, attempt).await
+            self.remote.run(&owner, attempt).await
         };
         let ended = answer.as_ref().map_or_else(Refusal::reason, |_| "answered");
         let returned = Event::new(EventKind::AttemptReturned)
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -6,8 +6,10 @@
 mod codec;
 mod dispatch;
 mod exchange;
+mod guard;
 pub mod mac;
 mod remote;
+mod replay;
 mod serve;
 #[cfg(test)]
 mod tests;
@@ -30,7 +32,7 @@
 const LOADS_PATH: &str = "/loads";
 /// Header that carries the head of an attempt.
 const HEAD_HEADER: &str = "cb-hop";
-/// Header that carries the code that authenticates the head.
+/// Header that carries the code that authenticates the other headers.
 const MAC_HEADER: &str = "cb-mac";
 /// Header that carries the head of a reply.
 const REPLY_HEADER: &str = "cb-reply";
