--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -70,7 +70,7 @@
     pub(super) owned: Owned,
     pub(super) slots: Slots,
     pub(super) spills: SpillTable,
-    timeline: Arc<Timeline>,
+    pub(super) timeline: Arc<Timeline>,
 }
 
 impl Owner {
@@ -127,11 +127,8 @@
         }
         let mut occupied = self.admit(attempt, backend, &view).await?;
         self.bring_cache(attempt, backend, &view).await;
-        self.timeline.event(
-            event(EventKind::HandedOver, head)
-                .load(occupied.load())
-                .took(came.elapsed()),
-        );
+        let handed = event(EventKind::HandedOver, head).load(occupied.load());
+        self.timeline.event(handed.took(came.elapsed()));
         let sending = self.send(backend, head, attempt.body.clone());
         let sent = until_started(sending, &mut occupied).await;
         let ended = sent.as_ref().map_or_else(Refusal::reason, |_| "answered");
@@ -235,7 +232,8 @@
     }
 }
 
-fn event(kind: EventKind, head: &HopHead) -> Event<'_> {
+/// Makes an event about an attempt.
+pub(super) fn event(kind: EventKind, head: &HopHead) -> Event<'_> {
     Event::new(kind)
         .request(&head.request)
         .attempt(&head.id)
