--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -53,6 +53,7 @@
     calls: Arc<dyn Forwarded>,
     gossip: Acceptor,
     guard: Guard,
+    key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
@@ -69,7 +70,8 @@
     ) -> Self {
         Self {
             owner,
-            guard: Guard::new(gossip.node(), key),
+            guard: Guard::new(gossip.node(), key.clone()),
+            key,
             calls,
             gossip,
             timeline,
--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -3,6 +3,7 @@
 use super::Attempt;
 use super::Owner;
 use super::bound::Bound;
+use super::handover::event;
 use super::owned;
 use super::owned::OwnedBackend;
 use super::queue::Class;
@@ -19,6 +20,7 @@
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
 use crate::routing::rendezvous;
+use crate::timeline::EventKind;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -61,10 +63,15 @@
         let queued = match slot.admit(class, &head.team, weight, limits) {
             Ok(Admission::Admitted(occupied)) => return Ok(occupied),
             Ok(Admission::Queued(waiting)) => waiting,
-            Err(_) => return Err(self.elsewhere(head, service, view, NotRun::QueueFull)),
+            Err(_) => {
+                self.note_refused(head, NotRun::QueueFull);
+                return Err(self.elsewhere(head, service, view, NotRun::QueueFull));
+            }
         };
+        self.timeline.event(event(EventKind::Queued, head));
         let limit = self.patience(attempt, class);
         if let Some(occupied) = self.wait(queued, &slot, limit, service, backend).await {
+            self.timeline.event(event(EventKind::Admitted, head));
             return Ok(occupied);
         }
         let reason = if head.no_spill {
@@ -72,9 +79,15 @@
         } else {
             NotRun::Busy
         };
+        self.note_refused(head, reason);
         Err(self.elsewhere(head, service, view, reason))
     }
 
+    fn note_refused(&self, head: &HopHead, reason: NotRun) {
+        let refused = event(EventKind::RefusedBusy, head).detail(reason.as_str());
+        self.timeline.event(refused);
+    }
+
     /// Gives the longest wait of an attempt.
     fn patience(&self, attempt: &Attempt, class: Class) -> Duration {
         let settings = &self.settings;
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -130,11 +130,8 @@
         }
         let mut occupied = self.admit(attempt, backend, &view).await?;
         self.bring_cache(attempt, backend, &view).await;
-        self.timeline.event(
-            event(EventKind::HandedOver, head)
-                .load(occupied.load())
-                .took(came.elapsed()),
-        );
+        let handed = event(EventKind::HandedOver, head).load(occupied.load());
+        self.timeline.event(handed.took(came.elapsed()));
         let sending = self.send(backend, head, attempt.body.clone());
         let sent = until_started(sending, &mut occupied).await;
         let ended = sent.as_ref().map_or_else(Refusal::reason, |_| "answered");
@@ -238,6 +235,7 @@
     }
 }
 
+/// Makes an event about an attempt.
 pub(super) fn event(kind: EventKind, head: &HopHead) -> Event<'_> {
     Event::new(kind)
         .request(&head.request)
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -95,6 +95,21 @@
     });
 }
 
+#[test]
+fn append_arrives_twice() {
+    let world = World::new(LATE);
+    let key = world.key();
+    world.set_log(LogFault::AppendsTwice);
+    world.set_backend(Backend::HangsAfter);
+    world.begin(0, key);
+    world.set_backend(Backend::Answers);
+
+    let seen: Vec<Seen> = (0..20).map(|_| world.call(1, key)).collect();
+
+    assert_eq!(seen, vec![Seen::from("unknown key-running"); 20]);
+    assert_eq!(world.runs(), 1);
+}
+
 #[test]
 fn append_answer_lost_and_stream_unreadable() {
     check(&Row {
@@ -259,6 +274,17 @@
     assert_eq!(world.runs(), 0);
 }
 
+#[test]
+fn record_of_a_newer_version() {
+    let world = World::new(LATE);
+    world.write_newer_records();
+
+    let seen = world.call(0, world.key());
+
+    assert_eq!(seen, Seen::from("not-run log-unavailable"));
+    assert_eq!(world.runs(), 0);
+}
+
 #[test]
 fn answer_too_large_to_be_kept() {
     let world = World::new(LATE);
--- a/tests/at_most_once/world.rs
+++ b/tests/at_most_once/world.rs
@@ -51,6 +51,7 @@
     LosesAnswersUnreadable,
     Unreadable,
     Slow,
+    AppendsTwice,
 }
 
 /// What the backend server does with a call.
@@ -116,6 +117,9 @@
             _ => {}
         }
         let offset = FakeLog::append(self, stream, data);
+        if fault == LogFault::AppendsTwice {
+            FakeLog::append(self, stream, data);
+        }
         match fault {
             LogFault::LosesAnswers | LogFault::LosesAnswersUnreadable => Err(lost()),
             _ => Ok(offset),
@@ -240,6 +244,14 @@
         *self.backend.lock().unwrap() = backend;
     }
 
+    /// Puts a record into each stream that this version does not understand.
+    pub fn write_newer_records(&self) {
+        for shard in 0..Settings::default().shards {
+            let stream = format!("claims-{shard}");
+            FakeLog::append(&self.log, &stream, r#"{"v":2,"kind":"lease"}"#);
+        }
+    }
+
     /// Lets the log forget records that are younger than the window.
     pub fn forget_records(&self) {
         for shard in 0..Settings::default().shards {
