--- a/src/hop/serve.rs
+++ b/src/hop/serve.rs
@@ -53,7 +53,6 @@
     calls: Arc<dyn Forwarded>,
     gossip: Acceptor,
     guard: Guard,
-    key: DeploymentKey,
     timeline: Arc<Timeline>,
     max_body_bytes: usize,
 }
@@ -70,8 +69,7 @@
     ) -> Self {
         Self {
             owner,
-            guard: Guard::new(gossip.node(), key.clone()),
-            key,
+            guard: Guard::new(gossip.node(), key),
             calls,
             gossip,
             timeline,
