Owner: work is handed over only where an engine's load is known

Cause: with an owner killed, paused or restarted the bound was not kept. Traces showed four causes: a new owner began with a count it could not know; two nodes handed work to one engine while their views differed; a request whose entry had died gave its place back though the engine went on with it; and the mean held on to the loads of engines whose owner was gone, so the limit stayed high while the true mean fell.

--- a/src/node/build.rs
+++ b/src/node/build.rs
@@ -335,6 +335,7 @@
     Arc::new(Owner::new(OwnerParts {
         node: settings.node.name.clone(),
         settings: settings.owner.clone(),
+        exchange_interval: settings.routing.exchange_interval,
         is_bounded: settings.routing.policy.policy().is_bounded(),
         config: follower.source(),
         membership: members.membership(),
--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -28,7 +28,11 @@
 /// Time between two looks of a waiting request at the mean.
 const RECHECK: Duration = Duration::from_millis(10);
 /// Time after which a refused caller may come back.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after a change of owner in which the former one may still hand work over, since it hears of it later.
+const HANDOVER_SETTLE: Duration = Duration::from_millis(150);
+/// Age from which an engine's load report no longer tells what it carries; after a pause of this process it is older.
+const REPORT_MAX_AGE: Duration = Duration::from_secs(1);
 /// Thousandths of one.
 const PERMILLE: u64 = 1_000;
 
@@ -129,9 +133,12 @@
     fn limits(&self, service: &Service, backend: &Backend, view: &Arc<View>) -> Limits {
         let bound = Bound::new(service, self.settings.margin_permille);
         let (owned, _) = self.owned.of(&self.node, view);
+        let owned = owned::find(&owned, &backend.name);
+        if owned.is_none_or(|owned| !self.is_load_known(owned)) && backend.is_engine {
+            return Limits::NONE;
+        }
         let limit = bound.limit(self.mean(&service.name, view));
-        let share = owned::find(&owned, &backend.name)
-            .map_or(1.0, |owned| owned.share(self.settings.slow_start));
+        let share = owned.map_or(1.0, |owned| owned.share(self.settings.slow_start));
         let total = ((f64::from(limit) * share) as u32).max(bound.limit(0.0).min(limit));
         let batch = u64::from(total) * u64::from(self.settings.batch_permille) / PERMILLE;
         Limits {
@@ -140,28 +147,56 @@
         }
     }
 
-    /// Gives the service's mean load over the live backend servers whose load is known, with one more request.
+    /// Tells whether the backend server has reported its load since its former owner stopped to hand work over, and
+    /// lately; until then this node can't tell what it carries.
+    pub(super) fn is_load_known(&self, owned: &OwnedBackend) -> bool {
+        let slot = self.slot(&owned.backend.name);
+        slot.reported_for().is_some_and(|moment| {
+            moment >= owned.since + HANDOVER_SETTLE && moment.elapsed() <= REPORT_MAX_AGE
+        })
+    }
+
+    /// Gives the service's mean load over the live backend servers that can be reached, with one more request.
     fn mean(&self, service: &str, view: &Arc<View>) -> f64 {
         let (owned, _) = self.owned.of(&self.node, view);
         let live = view.of_service(service).iter().filter(|b| !b.leaving);
         let (sum, count) = live
-            .filter_map(|b| self.known_load(&b.name, &owned, Slot::started))
+            .filter_map(|b| self.sure_load(&b.name, &owned, view))
             .fold((1, 0u32), |(sum, count), load| (sum + load, count + 1));
         f64::from(sum) / f64::from(count.max(1))
     }
 
+    /// Gives the load that a backend server surely has: none where it was heard of too long ago, since it may have
+    /// become idle; nothing at all where it can't be reached any more.
+    fn sure_load(&self, backend: &str, owned: &[OwnedBackend], view: &View) -> Option<u32> {
+        if let Some(owned) = owned::find(owned, backend) {
+            let is_new = owned.since.elapsed() <= REPORT_MAX_AGE;
+            return match self.is_load_known(owned) {
+                true => Some(self.slot(backend).started()),
+                false => is_new.then_some(0),
+            };
+        }
+        let slot = self.slots.known(backend).filter(|slot| slot.is_used());
+        let own = slot.map(|slot| slot.started());
+        let nodes = u32::try_from(view.nodes().len()).unwrap_or(u32::MAX);
+        let fresh = self.exchange_interval.saturating_mul(nodes);
+        let heard = match self.loads.known(backend, fresh) {
+            Some(load) => Some(load),
+            None => self
+                .loads
+                .known(backend, self.settings.load_max_age)
+                .map(|_| 0),
+        };
+        own.max(heard)
+    }
+
     /// Gives the load of a backend server: counted here where this node owns it, else as last heard.
-    fn known_load(
-        &self,
-        backend: &str,
-        owned: &[OwnedBackend],
-        count: fn(&Slot) -> u32,
-    ) -> Option<u32> {
+    fn known_load(&self, backend: &str, owned: &[OwnedBackend]) -> Option<u32> {
         let slot = self.slots.known(backend);
         if owned::find(owned, backend).is_some() {
-            return Some(slot.map_or(0, |slot| count(&slot)));
+            return Some(slot.map_or(0, |slot| slot.load()));
         }
-        let own = slot.filter(|slot| slot.is_used()).map(|slot| count(&slot));
+        let own = slot.filter(|slot| slot.is_used()).map(|slot| slot.load());
         own.max(self.loads.known(backend, self.settings.load_max_age))
     }
 
@@ -193,7 +228,7 @@
         view: &'v Arc<View>,
     ) -> Option<&'v Backend> {
         let (owned, _) = self.owned.of(&self.node, view);
-        let load = |b: &&Backend| self.known_load(&b.name, &owned, Slot::load).unwrap_or(0);
+        let load = |b: &&Backend| self.known_load(&b.name, &owned).unwrap_or(0);
         let limit = Bound::new(service, self.settings.margin_permille)
             .limit(self.mean(&service.name, view));
         let has_room = |b: &&Backend| load(b) < limit;
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -3,12 +3,14 @@
 use super::Answer;
 use super::Attempt;
 use super::Settings;
+use super::admission::RETRY_AFTER;
+use super::carried::Carried;
 use super::carry;
 use super::owned::Owned;
 use super::owned::OwnedBackend;
-use super::slots::Occupied;
 use super::slots::Slots;
 use super::spill::SpillTable;
+use super::whole::Kept;
 use super::whole::WholeBody;
 use crate::border::BackendAnswer;
 use crate::border::BackendError;
@@ -44,6 +46,8 @@
     pub node: String,
     /// How owned backend servers are treated.
     pub settings: Settings,
+    /// Time between two exchanges of loads with some of the other nodes.
+    pub exchange_interval: Duration,
     /// Whether the load bound is kept; baselines go without.
     pub is_bounded: bool,
     /// Configuration in force.
@@ -62,6 +66,7 @@
 pub struct Owner {
     pub(super) node: String,
     pub(super) settings: Settings,
+    pub(super) exchange_interval: Duration,
     pub(super) is_bounded: bool,
     pub(super) config: Arc<dyn ConfigSource>,
     pub(super) membership: Arc<dyn Membership>,
@@ -82,6 +87,7 @@
             owned: Owned::default(),
             node: parts.node,
             settings: parts.settings,
+            exchange_interval: parts.exchange_interval,
             is_bounded: parts.is_bounded,
             config: parts.config,
             membership: parts.membership,
@@ -128,16 +134,28 @@
             // The sender's host list is older than this one.
             return Err(Refusal::not_run(NotRun::Stopping));
         }
-        let mut occupied = self.admit(attempt, backend, &view).await?;
+        if self.is_bounded && backend.is_engine && !self.is_owner(backend, &view) {
+            // The sender's view is another; two nodes that hand work over would both keep the bound by half the count.
+            return Err(Refusal::not_run_until(NotRun::NotOwner, RETRY_AFTER));
+        }
+        let occupied = self.admit(attempt, backend, &view).await?;
         self.bring_cache(attempt, backend, &view).await;
         let handed = event(EventKind::HandedOver, head).load(occupied.load());
         self.timeline.event(handed.took(came.elapsed()));
+        let engine = backend
+            .is_engine
+            .then(|| self.backends.engine(backend.address));
+        let mut carried = Carried::new(occupied, &head.id, engine);
         let sending = self.send(backend, head, attempt.body.clone());
-        let sent = until_started(sending, &mut occupied).await;
-        let ended = sent.as_ref().map_or_else(Refusal::reason, |_| "answered");
+        let sent = until_started(sending, &mut carried).await;
+        let answer = match sent {
+            Ok(answer) => Ok(whole(answer, carried)),
+            Err(err) => Err(ended(carried, &err)),
+        };
+        let how = answer.as_ref().map_or_else(Refusal::reason, |_| "answered");
         self.timeline
-            .event(event(EventKind::AttemptEnded, head).detail(ended));
-        let mut answer = whole(sent?, occupied);
+            .event(event(EventKind::AttemptEnded, head).detail(how));
+        let mut answer = answer?;
         answer.hint = head.chat.as_ref().map(|_| head.backend.clone());
         Ok(answer)
     }
@@ -171,12 +189,17 @@
         }
     }
 
+    fn is_owner(&self, backend: &Backend, view: &View) -> bool {
+        let owner = view.owner(backend);
+        owner.is_some_and(|owner| owner.name == self.node)
+    }
+
     async fn send(
         &self,
         backend: &Backend,
         head: &HopHead,
         body: Bytes,
-    ) -> Result<BackendAnswer, Refusal> {
+    ) -> Result<BackendAnswer, BackendError> {
         let left = Duration::from_millis(head.deadline_ms);
         let req = BackendRequest {
             id: &head.id,
@@ -189,29 +212,28 @@
             body,
             timeout: left.min(self.settings.first_byte_timeout),
         };
-        let sent = if backend.is_engine {
+        if backend.is_engine {
             self.backends.engine(backend.address).chat(&req).await
         } else {
             self.backends.service(backend.address).call(&req).await
-        };
-        sent.map_err(|err| refusal(&err))
+        }
     }
 }
 
 /// Waits for the head of an answer; the request has begun when that comes, or after a time in which it surely has.
-async fn until_started<T>(sending: impl Future<Output = T>, occupied: &mut Occupied) -> T {
+async fn until_started<T>(sending: impl Future<Output = T>, carried: &mut Carried) -> T {
     let mut sending = std::pin::pin!(sending);
     let early = tokio::time::timeout(STARTED_AFTER, &mut sending).await;
-    occupied.started();
+    carried.started();
     match early {
         Ok(sent) => sent,
         Err(_) => sending.await,
     }
 }
 
-fn whole(answer: BackendAnswer, occupied: Occupied) -> Answer {
+fn whole(answer: BackendAnswer, carried: Carried) -> Answer {
     // Read only now: the head of an answer that is not streamed comes long after the hand-over.
-    let load = occupied.load();
+    let load = carried.load();
     let is_stream = answer
         .content_type
         .as_deref()
@@ -221,8 +243,16 @@
         content_type: answer.content_type,
         load,
         hint: None,
-        body: WholeBody::wrap(answer.body, is_stream, occupied),
+        body: WholeBody::wrap(answer.body, is_stream, carried),
+    }
+}
+
+/// Ends an attempt that has no answer; where the backend server may have begun it, it keeps its place for now.
+pub(super) fn ended(carried: Carried, err: &BackendError) -> Refusal {
+    if matches!(err, BackendError::NotSent(_) | BackendError::NotRun) {
+        carried.whole();
     }
+    refusal(err)
 }
 
 pub(super) fn refusal(err: &BackendError) -> Refusal {
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod answer;
 mod bound;
+mod carried;
 mod carry;
 mod handover;
 mod owned;
--- a/src/owner/owned.rs
+++ b/src/owner/owned.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct OwnedBackend {
     pub(super) backend: Backend,
+    /// When this node came to own it.
+    pub(super) since: Instant,
     /// When it joined, where that was seen.
     joined: Option<Instant>,
 }
@@ -55,6 +57,8 @@
             .iter()
             .filter(|backend| view.owner(backend).is_some_and(|owner| owner.name == node))
             .map(|backend| OwnedBackend {
+                since: find(&state.owned, &backend.name)
+                    .map_or_else(Instant::now, |before| before.since),
                 joined: joined(&state, backend),
                 backend: backend.clone(),
             })
--- a/src/owner/poll.rs
+++ b/src/owner/poll.rs
@@ -2,6 +2,7 @@
 
 use super::Owner;
 use super::owned::OwnedBackend;
+use super::slots::Slot;
 use crate::border::BackendError;
 use crate::border::generated::backend::LoadReport;
 use std::sync::Arc;
@@ -9,6 +10,9 @@
 use std::time::Instant;
 use tokio::task::JoinHandle;
 
+/// Time between two questions to a backend server whose load is not known yet.
+const UNKNOWN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The task that polls.
 pub struct LoadPoller(JoinHandle<()>);
 
@@ -25,23 +29,39 @@
 }
 
 async fn poll(owner: Arc<Owner>) {
+    let mut last = Instant::now();
     loop {
+        let is_due = last.elapsed() >= owner.settings.poll_interval;
+        if is_due {
+            last = Instant::now();
+        }
         for owned in owner.owned_now().iter() {
-            // One that is silent must not hold up the others.
-            tokio::spawn(poll_one(Arc::clone(&owner), owned.clone()));
+            if is_due || !owner.is_load_known(owned) {
+                // One that is silent must not hold up the others.
+                tokio::spawn(poll_one(Arc::clone(&owner), owned.clone()));
+            }
         }
-        tokio::time::sleep(owner.settings.poll_interval).await;
+        let interval = owner.settings.poll_interval;
+        tokio::time::sleep(interval.min(UNKNOWN_INTERVAL)).await;
     }
 }
 
 async fn poll_one(owner: Arc<Owner>, owned: OwnedBackend) {
+    let slot = owner.slot(&owned.backend.name);
+    if slot.ask() {
+        ask(&owner, &owned, &slot).await;
+        slot.asked();
+    }
+}
+
+async fn ask(owner: &Owner, owned: &OwnedBackend, slot: &Slot) {
     let asked = Instant::now();
-    let Ok(report) = load(&owner, &owned).await else {
+    let Ok(report) = load(owner, owned).await else {
         return;
     };
     let age = Duration::from_millis(report.age_ms) + asked.elapsed();
     let load = report.running + report.waiting;
-    owner.slot(&owned.backend.name).report(load, age);
+    slot.report(load, age);
 }
 
 async fn load(owner: &Owner, owned: &OwnedBackend) -> Result<LoadReport, BackendError> {
--- a/src/owner/slots.rs
+++ b/src/owner/slots.rs
@@ -29,6 +29,11 @@
     pub(super) batch: u32,
 }
 
+impl Limits {
+    /// No request at all.
+    pub(super) const NONE: Self = Self { total: 0, batch: 0 };
+}
+
 /// What the owner keeps of one backend server.
 #[derive(Debug)]
 pub(super) struct Slot {
@@ -44,6 +49,10 @@
     own_started: u32,
     /// Requests of other owners, by the backend server's last report.
     foreign: u32,
+    /// Moment that the backend server's last report is about.
+    reported_for: Option<Instant>,
+    /// Whether a report has been asked for and has not come yet.
+    is_asked: bool,
     limits: Limits,
     queue: Queue<Waiter>,
     history: VecDeque<(Instant, u32)>,
@@ -76,7 +85,9 @@
                 own_batch: 0,
                 own_started: 0,
                 foreign,
-                limits: Limits { total: 0, batch: 0 },
+                reported_for: None,
+                is_asked: false,
+                limits: Limits::NONE,
                 queue: Queue::default(),
                 history: VecDeque::new(),
             }),
@@ -113,8 +124,25 @@
     /// at their most around that time, since a request is counted here before it starts and until its last byte.
     pub(super) fn report(&self, load: u32, age: Duration) {
         let mut inner = self.lock();
-        let own_then = inner.own_around(Instant::now(), age);
+        let now = Instant::now();
+        let own_then = inner.own_around(now, age);
         inner.foreign = load.saturating_sub(own_then);
+        inner.reported_for = now.checked_sub(age);
+    }
+
+    /// Gives the moment that the backend server's last report is about.
+    pub(super) fn reported_for(&self) -> Option<Instant> {
+        self.lock().reported_for
+    }
+
+    /// Notes that a report is asked for; tells whether none was under way.
+    pub(super) fn ask(&self) -> bool {
+        !std::mem::replace(&mut self.lock().is_asked, true)
+    }
+
+    /// Notes that the report asked for has come, or won't.
+    pub(super) fn asked(&self) {
+        self.lock().is_asked = false;
     }
 
     /// Takes a place where there is one, else waits in the queue.
--- a/src/owner/streams.rs
+++ b/src/owner/streams.rs
@@ -4,6 +4,8 @@
 use super::Attempt;
 use super::Owner;
 use super::admission::class;
+use super::carried::Carried;
+use super::handover::ended;
 use super::handover::event;
 use super::handover::refusal;
 use super::whole::WholeBody;
@@ -12,6 +14,7 @@
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
 use crate::timeline::EventKind;
+use std::sync::Arc;
 
 /// Path of the streams of an engine, before the id of the attempt that began one.
 pub(crate) const STREAMS_PATH: &str = "/v1/streams/";
@@ -47,18 +50,22 @@
     ) -> Result<Answer, Refusal> {
         let head = &attempt.head;
         // It counts before it is asked for, since it is in flight there already.
-        let mut occupied = self.slot(&backend.name).occupy(class(head));
-        occupied.started();
         let engine = self.backends.engine(backend.address);
-        let answer = engine.resume(id, from).await.map_err(|err| refusal(&err))?;
+        let occupied = self.slot(&backend.name).occupy(class(head));
+        let mut carried = Carried::new(occupied, id, Some(Arc::clone(&engine)));
+        carried.started();
+        let answer = match engine.resume(id, from).await {
+            Ok(answer) => answer,
+            Err(err) => return Err(ended(carried, &err)),
+        };
         self.timeline.event(event(EventKind::Resumed, head));
         Ok(Answer {
             status: answer.status,
             content_type: answer.content_type,
-            load: occupied.load(),
+            load: carried.load(),
             hint: None,
             // The entry knows the whole stream and checks its end.
-            body: WholeBody::wrap(answer.body, false, occupied),
+            body: WholeBody::wrap(answer.body, false, carried),
         })
     }
 
--- a/src/owner/whole.rs
+++ b/src/owner/whole.rs
@@ -26,7 +26,17 @@
 
 impl std::error::Error for CutShortError {}
 
-/// A body that drops `guard` at its end and, for an event stream, fails where the end mark is missing.
+/// What is kept for a body while it is on its way.
+pub(super) trait Kept: Send + Unpin + 'static {
+    /// Ends the keeping: the body is whole. Without this it is dropped.
+    fn whole(self);
+}
+
+impl Kept for () {
+    fn whole(self) {}
+}
+
+/// A body that ends the keeping of `guard` at its end and, for an event stream, fails where the end mark is missing.
 pub(super) struct WholeBody<G> {
     inner: Body,
     needs_mark: bool,
@@ -35,7 +45,7 @@
     guard: Option<G>,
 }
 
-impl<G: Send + Unpin + 'static> WholeBody<G> {
+impl<G: Kept> WholeBody<G> {
     /// Wraps `inner`; `is_stream` tells whether it must end with the mark of event streams.
     pub(super) fn wrap(inner: Body, is_stream: bool, guard: G) -> Body {
         let body = Self {
@@ -61,15 +71,18 @@
 
     fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.ended = true;
-        self.guard = None;
+        let guard = self.guard.take();
         if self.needs_mark && self.tail != STREAM_END {
             return Some(Err(Box::new(CutShortError)));
         }
+        if let Some(guard) = guard {
+            guard.whole();
+        }
         None
     }
 }
 
-impl<G: Send + Unpin + 'static> hyper::body::Body for WholeBody<G> {
+impl<G: Kept> hyper::body::Body for WholeBody<G> {
     type Data = Bytes;
     type Error = BodyError;
 
