Owner: takes over at the load that the former owner told

Cause: engines that waited 0.4 s for a report after a change of owner stood idle, so the true mean fell and the others were over the bound. Change: a new owner begins at once where the former one told its load until the end, and counts that load until the first report; the mean takes only what has surely begun.

--- a/src/owner/admission.rs
+++ b/src/owner/admission.rs
@@ -134,7 +134,9 @@
         let bound = Bound::new(service, self.settings.margin_permille);
         let (owned, _) = self.owned.of(&self.node, view);
         let owned = owned::find(&owned, &backend.name);
-        if owned.is_none_or(|owned| !self.is_load_known(owned)) && backend.is_engine {
+        let may_admit = owned
+            .is_some_and(|owned| self.is_load_known(owned) || self.has_taken_over(owned, view));
+        if backend.is_engine && !may_admit {
             return Limits::NONE;
         }
         let limit = bound.limit(self.mean(&service.name, view));
@@ -156,6 +158,33 @@
         })
     }
 
+    /// Takes a backend server over that has not reported yet, where its former owner told its load until the end.
+    fn has_taken_over(&self, owned: &OwnedBackend, view: &View) -> bool {
+        let name = &owned.backend.name;
+        let age = owned.since.elapsed();
+        let told = self.loads.known(name, age + self.fresh(view));
+        let Some(told) = told.filter(|_| age <= REPORT_MAX_AGE) else {
+            return false;
+        };
+        self.slot(name).take_over(owned.since, told);
+        true
+    }
+
+    /// Gives the age up to which a load that was heard of counts, by the time that all owners take to tell theirs.
+    fn fresh(&self, view: &View) -> Duration {
+        let nodes = u32::try_from(view.nodes().len()).unwrap_or(u32::MAX);
+        self.exchange_interval.saturating_mul(nodes)
+    }
+
+    /// Gives the load of an owned backend server for the mean: what its former owner had begun may have ended.
+    pub(super) fn told_load(&self, owned: &OwnedBackend) -> u32 {
+        let slot = self.slot(&owned.backend.name);
+        match self.is_load_known(owned) {
+            true => slot.started(),
+            false => slot.own_started(),
+        }
+    }
+
     /// Gives the service's mean load over the live backend servers that can be reached, with one more request.
     fn mean(&self, service: &str, view: &Arc<View>) -> f64 {
         let (owned, _) = self.owned.of(&self.node, view);
@@ -171,16 +200,12 @@
     fn sure_load(&self, backend: &str, owned: &[OwnedBackend], view: &View) -> Option<u32> {
         if let Some(owned) = owned::find(owned, backend) {
             let is_new = owned.since.elapsed() <= REPORT_MAX_AGE;
-            return match self.is_load_known(owned) {
-                true => Some(self.slot(backend).started()),
-                false => is_new.then_some(0),
-            };
+            let counts = is_new || self.is_load_known(owned);
+            return counts.then(|| self.told_load(owned));
         }
         let slot = self.slots.known(backend).filter(|slot| slot.is_used());
         let own = slot.map(|slot| slot.started());
-        let nodes = u32::try_from(view.nodes().len()).unwrap_or(u32::MAX);
-        let fresh = self.exchange_interval.saturating_mul(nodes);
-        let heard = match self.loads.known(backend, fresh) {
+        let heard = match self.loads.known(backend, self.fresh(view)) {
             Some(load) => Some(load),
             None => self
                 .loads
--- a/src/owner/handover.rs
+++ b/src/owner/handover.rs
@@ -101,7 +101,7 @@
     pub fn summary(&self) -> Vec<EngineLoad> {
         let load = |owned: &OwnedBackend| EngineLoad {
             b: owned.backend.name.clone(),
-            l: self.slot(&owned.backend.name).started(),
+            l: self.told_load(owned),
         };
         self.owned_now().iter().map(load).collect()
     }
--- a/src/owner/slots.rs
+++ b/src/owner/slots.rs
@@ -49,6 +49,8 @@
     own_started: u32,
     /// Requests of other owners, by the backend server's last report.
     foreign: u32,
+    /// When this node took the backend server over last.
+    taken_over: Option<Instant>,
     /// Moment that the backend server's last report is about.
     reported_for: Option<Instant>,
     /// Whether a report has been asked for and has not come yet.
@@ -85,6 +87,7 @@
                 own_batch: 0,
                 own_started: 0,
                 foreign,
+                taken_over: None,
                 reported_for: None,
                 is_asked: false,
                 limits: Limits::NONE,
@@ -130,6 +133,20 @@
         inner.reported_for = now.checked_sub(age);
     }
 
+    /// Takes the backend server over at the load that its former owner told, once for each time `since`.
+    pub(super) fn take_over(&self, since: Instant, told: u32) {
+        let mut inner = self.lock();
+        if inner.taken_over != Some(since) {
+            inner.taken_over = Some(since);
+            inner.foreign = told;
+        }
+    }
+
+    /// Gives this node's own requests that the backend server has surely begun.
+    pub(super) fn own_started(&self) -> u32 {
+        self.lock().own_started
+    }
+
     /// Gives the moment that the backend server's last report is about.
     pub(super) fn reported_for(&self) -> Option<Instant> {
         self.lock().reported_for
