Reconciliation: a turn goes by the engines known before it began

Change: a turn is shared out among the engines that were wanted when the turn before it was first looked at.

--- a/src/reconcile/task.rs
+++ b/src/reconcile/task.rs
@@ -4,7 +4,7 @@
 use super::difference::describe;
 use super::difference::is_load;
 use super::difference::next_order;
-use super::pace;
+use super::pace::Turns;
 use crate::border::BackendError;
 use crate::border::Backends;
 use crate::border::Engine;
@@ -17,6 +17,7 @@
 use futures_util::future::join_all;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -49,6 +50,7 @@
 pub(super) struct Reconciling {
     pub(super) parts: ReconcilerParts,
     pub(super) unsettled: Arc<Mutex<Vec<String>>>,
+    pub(super) turns: Mutex<Turns>,
 }
 
 impl Reconciler {
@@ -58,6 +60,7 @@
         let reconciling = Reconciling {
             parts,
             unsettled: Arc::clone(&unsettled),
+            turns: Mutex::default(),
         };
         let task = tokio::spawn(reconciling.run());
         Self { unsettled, task }
@@ -85,6 +88,7 @@
     /// Compares every owned engine once, and gives each at most one order.
     pub(super) async fn compare_all(&self, now_ms: u64) {
         let config = self.parts.config.state();
+        self.turns().look(&config, &self.parts.settings, now_ms);
         let view = self.parts.membership.view();
         let is_owned = |backend: &&membership::Backend| {
             let owner = view.owner(backend);
@@ -118,7 +122,10 @@
             return unsettled;
         }
         let id = if is_load {
-            let Some(turn) = pace::turn(config, &self.parts.settings, &backend.name, now_ms) else {
+            let turn = self
+                .turns()
+                .turn(&self.parts.settings, &backend.name, now_ms);
+            let Some(turn) = turn else {
                 return unsettled;
             };
             // Two owners who order the same load in the same turn order it once.
@@ -135,6 +142,10 @@
         unsettled
     }
 
+    fn turns(&self) -> MutexGuard<'_, Turns> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn give(&self, engine: &dyn Engine, name: &str, order: &Order) {
         let log = self.parts.timeline.log();
         let action = describe(&order.action);
--- a/src/reconcile/tests.rs
+++ b/src/reconcile/tests.rs
@@ -1,7 +1,7 @@
 use super::Settings;
 use super::difference::follow;
 use super::difference::next_order;
-use super::pace;
+use super::pace::Turns;
 use crate::border::generated::backend::EngineRole;
 use crate::border::generated::backend::EngineState;
 use crate::border::generated::backend::LoadedModel;
@@ -152,12 +152,14 @@
         backend: wanted(name),
     });
     let config = state(backends.collect());
+    let mut turns = Turns::default();
     // A load that begins at one time may last until its limit.
     let mut begun: Vec<Vec<u64>> = vec![Vec::new(); names.len()];
 
     for now in (0..20_000).step_by(50) {
+        turns.look(&config, &settings, now);
         for (name, begun) in names.iter().zip(&mut begun) {
-            if pace::turn(&config, &settings, name, now).is_some() {
+            if turns.turn(&settings, name, now).is_some() {
                 begun.push(now);
             }
         }
@@ -168,3 +170,40 @@
 
     assert!(begun.iter().all(|begun| !begun.is_empty()));
 }
+
+/// Owners that hear of a new engine at different times, within a turn's time for loads, still agree about the turns.
+#[test]
+fn a_change_within_a_turn_moves_no_load() {
+    let settings = Settings {
+        interval: Duration::from_millis(100),
+        weight_loads: 1,
+        load_limit: Duration::from_millis(1_000),
+    };
+    let config_of = |names: &[&str]| {
+        let backend = |name: &&str| Object::Backend {
+            backend: wanted(name),
+        };
+        state(names.iter().map(backend).collect())
+    };
+    let before = config_of(&["e1", "e3"]);
+    let after = config_of(&["e1", "e2", "e3"]);
+    let mut owners = [(Turns::default(), 8_100), (Turns::default(), 8_300)];
+    let mut loaded = Vec::new();
+
+    for now in (0..40_000).step_by(50) {
+        let mut loading = Vec::new();
+        for (turns, heard_at) in &mut owners {
+            let config = if now < *heard_at { &before } else { &after };
+            turns.look(config, &settings, now);
+            let may_load = |name: &&str| turns.turn(&settings, name, now).is_some();
+            loading.extend(["e1", "e2", "e3"].into_iter().filter(may_load));
+        }
+        loading.sort_unstable();
+        loading.dedup();
+
+        assert!(loading.len() <= 1, "{loading:?} load at {now} ms");
+        loaded.extend(loading);
+    }
+
+    assert!(loaded.contains(&"e2"));
+}
