--- /dev/null
+++ b/src/catalog/beliefs.rs
@@ -0,0 +1,168 @@
+//! The newest configuration and server list, with the moments that prove how old they are.
+
+use super::config::Catalog;
+use super::roster::BackendServer;
+use super::roster::Roster;
+use super::roster::ServerRecord;
+use crate::clock::Moment;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// How long beliefs hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BeliefBounds {
+    /// Age of the newest proof up to which a key may be believed; nothing where keys are never taken back at once.
+    pub key_proof: Option<Duration>,
+    /// Time after the list's return within which entries that it lost may come back.
+    pub list_grace: Duration,
+    /// Silence of the list after which entries may have lapsed on their own.
+    pub list_silence: Duration,
+}
+
+/// What became of a configuration that was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConfigChange {
+    /// It is now in force.
+    Applied,
+    /// It is the version in force, or older than it.
+    Kept,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    catalog: Option<Arc<Catalog>>,
+    config_proof: Option<Moment>,
+    roster: Roster,
+    servers: Arc<Vec<BackendServer>>,
+    servers_version: u64,
+    list_read: Option<Moment>,
+    grace_until: Option<Moment>,
+}
+
+/// What the gateway believes, shared by all its tasks.
+#[derive(Debug)]
+pub struct Beliefs {
+    bounds: BeliefBounds,
+    state: Mutex<State>,
+}
+
+impl Beliefs {
+    /// Starts without any knowledge.
+    pub fn new(bounds: BeliefBounds) -> Self {
+        Self {
+            bounds,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes in a configuration; versions only go forward.
+    pub fn apply_config(&self, catalog: Catalog) -> ConfigChange {
+        let mut state = self.lock();
+        let known = state.catalog.as_ref().map(|known| known.version());
+        if known.is_some_and(|known| known >= catalog.version()) {
+            return ConfigChange::Kept;
+        }
+        state.catalog = Some(Arc::new(catalog));
+        ConfigChange::Applied
+    }
+
+    /// Notes that a read which began at `began` showed nothing newer than what is known now.
+    pub fn prove_config(&self, began: Moment) {
+        let mut state = self.lock();
+        state.config_proof = state.config_proof.max(Some(began));
+    }
+
+    /// Gives the configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.lock().catalog.clone()
+    }
+
+    /// Gives the age of the newest proof that the configuration is current.
+    pub fn config_age(&self, now: Moment) -> Option<Duration> {
+        self.lock().config_proof.map(|proof| now.since(proof))
+    }
+
+    /// Tells whether keys may be believed now.
+    pub fn are_keys_proven(&self, now: Moment) -> bool {
+        let Some(limit) = self.bounds.key_proof else {
+            return true;
+        };
+        self.config_age(now).is_some_and(|age| age < limit)
+    }
+
+    /// Notes a good read of the list that began at `began`, before its records are applied.
+    ///
+    /// After a silence the list may have lost entries of servers that live on, so removals wait for a while.
+    pub fn note_list_read(&self, began: Moment) {
+        let mut state = self.lock();
+        let silence = state.list_read.map(|last| began.since(last));
+        if silence.is_some_and(|silence| silence > self.bounds.list_silence) {
+            state.grace_until = Some(Moment::now().plus(self.bounds.list_grace));
+        }
+        state.list_read = Some(began);
+    }
+
+    /// Takes in records of the server list; returns the names whose standing changed.
+    pub fn apply_servers(&self, records: Vec<(String, ServerRecord)>, now: Moment) -> Vec<String> {
+        let mut state = self.lock();
+        let grace = state.grace_until.filter(|until| *until > now);
+        let mut changed = Vec::new();
+        for (id, record) in records {
+            if state.roster.apply(&id, record, grace) {
+                changed.push(id);
+            }
+        }
+        state.settle(now, changed)
+    }
+
+    /// Takes in the names of a whole list, sorted: what it lacks has been taken off.
+    pub fn apply_whole_list(&self, names: &[String], now: Moment) -> Vec<String> {
+        let mut state = self.lock();
+        let grace = state.grace_until.filter(|until| *until > now);
+        let lost = state.roster.keep_only(names, grace);
+        state.settle(now, lost)
+    }
+
+    /// Lets go of servers that did not come back in time; returns their names.
+    pub fn expire_servers(&self, now: Moment) -> Vec<String> {
+        self.lock().settle(now, Vec::new())
+    }
+
+    /// Gives the servers that may get new work, and the version of that list.
+    pub fn servers(&self) -> (Arc<Vec<BackendServer>>, u64) {
+        let state = self.lock();
+        (Arc::clone(&state.servers), state.servers_version)
+    }
+
+    /// Tells whether `id`, at the incarnation started at `born_ms`, may still get new work.
+    pub fn is_usable(&self, id: &str, born_ms: u64) -> bool {
+        let state = self.lock();
+        let found = state
+            .servers
+            .binary_search_by(|server| server.id.as_str().cmp(id));
+        found.is_ok_and(|at| state.servers[at].entry.born_ms == born_ms)
+    }
+
+    /// Gives the time since the newest good read of the server list began.
+    pub fn list_age(&self, now: Moment) -> Option<Duration> {
+        self.lock().list_read.map(|read| now.since(read))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn settle(&mut self, now: Moment, mut changed: Vec<String>) -> Vec<String> {
+        changed.extend(self.roster.expire(now));
+        if !changed.is_empty() {
+            self.servers = Arc::new(self.roster.usable());
+            self.servers_version += 1;
+        }
+        changed
+    }
+}
--- /dev/null
+++ b/src/catalog/follow.rs
@@ -0,0 +1,270 @@
+//! Follows the platform's configuration and server list, on a schedule taken from the bounds.
+
+use super::beliefs::Beliefs;
+use super::beliefs::ConfigChange;
+use super::config::Catalog;
+use super::roster::ServerRecord;
+use crate::clock::Moment;
+use crate::logs::Logs;
+use async_trait::async_trait;
+use slog::info;
+use slog::warn;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Why a source gave nothing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SourceError {
+    /// No answer came in time.
+    Timeout,
+    /// The connection failed.
+    Unreachable(String),
+    /// The source turned the call away, with its status.
+    Refused(u16),
+    /// The answer can't be read.
+    Malformed(String),
+}
+
+impl fmt::Display for SourceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Timeout => f.write_str("no answer in time"),
+            Self::Unreachable(cause) => write!(f, "unreachable: {cause}"),
+            Self::Refused(status) => write!(f, "turned away with status {status}"),
+            Self::Malformed(cause) => write!(f, "answer can't be read: {cause}"),
+        }
+    }
+}
+
+/// What one look at the configuration gave.
+#[derive(Debug)]
+pub enum ConfigRead {
+    /// A configuration, possibly one that is known already.
+    Found(Catalog),
+    /// Nothing new since the last look.
+    Unchanged,
+    /// The newest record can't be read, with the reason.
+    Unusable(String),
+}
+
+/// Where the configuration comes from.
+#[async_trait]
+pub trait ConfigSource: Send + 'static {
+    /// Looks for a newer configuration and waits for one for at most `wait`, within `limit` in all.
+    async fn next(&mut self, wait: Duration, limit: Duration) -> Result<ConfigRead, SourceError>;
+}
+
+/// What one look at the server list gave.
+#[derive(Debug)]
+pub enum ServerRead {
+    /// Records since the last look, oldest first.
+    Changes(Vec<(String, ServerRecord)>),
+    /// The newest record of every server.
+    Whole(Vec<(String, ServerRecord)>),
+}
+
+/// Where the list of backend servers comes from.
+#[async_trait]
+pub trait ServerList: Send + 'static {
+    /// Reads what is new on the list, within `limit`.
+    async fn read(&mut self, limit: Duration) -> Result<ServerRead, SourceError>;
+}
+
+/// When the sources are read.
+#[derive(Clone, Copy, Debug)]
+pub struct Schedule {
+    /// Longest wait for a newer configuration in one read; the proof of the configuration is at most twice as old.
+    pub config_wait: Duration,
+    /// Time between two reads of the server list.
+    pub list_interval: Duration,
+    /// Time over its wait after which a read is given up.
+    pub read_timeout: Duration,
+}
+
+/// First pause after a failed read.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest pause after failed reads; it keeps the return of the store noticed within the two seconds of grace.
+const RETRY_MOST: Duration = Duration::from_millis(600);
+
+/// The two tasks that keep the beliefs current.
+pub struct Follower {
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Follower {
+    /// Starts to follow both sources.
+    pub fn start(
+        beliefs: &Arc<Beliefs>,
+        logs: &Logs,
+        schedule: Schedule,
+        config: Box<dyn ConfigSource>,
+        servers: Box<dyn ServerList>,
+    ) -> Self {
+        let following_config = follow_config(Arc::clone(beliefs), logs.clone(), schedule, config);
+        let following_servers =
+            follow_servers(Arc::clone(beliefs), logs.clone(), schedule, servers);
+        Self {
+            tasks: vec![
+                tokio::spawn(following_config),
+                tokio::spawn(following_servers),
+            ],
+        }
+    }
+
+    /// Ends following.
+    pub fn close(self) {
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Tells of a dependency once when it is lost and once when it is back.
+struct Contact {
+    name: &'static str,
+    lost_at: Option<Moment>,
+    failures: u32,
+}
+
+impl Contact {
+    fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            lost_at: None,
+            failures: 0,
+        }
+    }
+
+    fn good(&mut self, logs: &Logs) {
+        if let Some(lost_at) = self.lost_at.take() {
+            let away_ms = Moment::now().since(lost_at).as_millis() as u64;
+            info!(logs.log(), "dependency regained"; "dependency" => self.name, "away_ms" => away_ms,
+                "failures" => self.failures);
+        }
+        self.failures = 0;
+    }
+
+    fn bad(&mut self, err: &SourceError, logs: &Logs) -> Duration {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(Moment::now());
+            warn!(logs.log(), "dependency lost"; "dependency" => self.name, "cause" => %err);
+        }
+        self.failures += 1;
+        let pause = RETRY_FIRST * 2u32.saturating_pow(self.failures.min(8) - 1);
+        // Spread, so that nodes that lost the store together don't come back together.
+        pause.min(RETRY_MOST).mul_f64(rand::random_range(0.7..1.0))
+    }
+}
+
+async fn follow_config(
+    beliefs: Arc<Beliefs>,
+    logs: Logs,
+    schedule: Schedule,
+    mut source: Box<dyn ConfigSource>,
+) {
+    let mut contact = Contact::new("configuration");
+    let mut wait = Duration::ZERO;
+    loop {
+        let began = Moment::now();
+        match source.next(wait, wait + schedule.read_timeout).await {
+            Ok(read) => {
+                contact.good(&logs);
+                take_config(&beliefs, &logs, began, read);
+                wait = schedule.config_wait;
+            }
+            Err(err) => {
+                let pause = contact.bad(&err, &logs);
+                // A read that doesn't wait shows soonest whether the source is back.
+                wait = Duration::ZERO;
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+fn take_config(beliefs: &Beliefs, logs: &Logs, began: Moment, read: ConfigRead) {
+    match read {
+        ConfigRead::Found(catalog) => {
+            let version = catalog.version();
+            let routes = catalog.routes().len();
+            let change = beliefs.apply_config(catalog);
+            beliefs.prove_config(began);
+            let read_ms = Moment::now().since(began).as_millis() as u64;
+            let outcome = if change == ConfigChange::Applied {
+                "applied"
+            } else {
+                "kept"
+            };
+            info!(logs.log(), "configuration read"; "version" => version, "routes" => routes,
+                "outcome" => outcome, "read_ms" => read_ms);
+        }
+        ConfigRead::Unchanged => beliefs.prove_config(began),
+        // What follows it may name keys that were taken away, so it proves nothing.
+        ConfigRead::Unusable(reason) => {
+            warn!(logs.log(), "configuration unusable"; "cause" => reason);
+        }
+    }
+}
+
+async fn follow_servers(
+    beliefs: Arc<Beliefs>,
+    logs: Logs,
+    schedule: Schedule,
+    mut source: Box<dyn ServerList>,
+) {
+    let mut contact = Contact::new("server list");
+    loop {
+        let began = Moment::now();
+        let pause = match source.read(schedule.read_timeout).await {
+            Ok(read) => {
+                contact.good(&logs);
+                take_servers(&beliefs, &logs, began, read);
+                schedule
+                    .list_interval
+                    .saturating_sub(Moment::now().since(began))
+            }
+            Err(err) => {
+                note_changes(&logs, &beliefs, &beliefs.expire_servers(Moment::now()));
+                contact.bad(&err, &logs)
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn take_servers(beliefs: &Beliefs, logs: &Logs, began: Moment, read: ServerRead) {
+    beliefs.note_list_read(began);
+    let now = Moment::now();
+    let (records, is_whole) = match read {
+        ServerRead::Changes(records) => (records, false),
+        ServerRead::Whole(records) => (records, true),
+    };
+    for (id, record) in &records {
+        if let ServerRecord::Unusable(reason) = record {
+            warn!(logs.log(), "server entry unusable"; "server" => id, "cause" => reason);
+        }
+    }
+    let mut names: Vec<String> = records.iter().map(|(id, _)| id.clone()).collect();
+    let mut changed = beliefs.apply_servers(records, now);
+    if is_whole {
+        names.sort();
+        changed.extend(beliefs.apply_whole_list(&names, now));
+    }
+    note_changes(logs, beliefs, &changed);
+}
+
+fn note_changes(logs: &Logs, beliefs: &Beliefs, changed: &[String]) {
+    if changed.is_empty() {
+        return;
+    }
+    let (servers, version) = beliefs.servers();
+    for id in changed {
+        let found = servers.iter().find(|server| &server.id == id);
+        let standing = if found.is_some() { "usable" } else { "out" };
+        let born_ms = found.map_or(0, |server| server.entry.born_ms);
+        info!(logs.log(), "server changed"; "server" => id, "standing" => standing, "born_ms" => born_ms,
+            "list_version" => version, "usable" => servers.len());
+    }
+}
--- /dev/null
+++ b/src/catalog/mod.rs
@@ -0,0 +1,34 @@
+//! What a gateway believes: the configuration in force and the backend servers, each with version and age.
+//!
+//! The platform's adapter decodes and delivers; what is believed, and for how long, is decided here. See
+//! `docs/PLATFORM.md`.
+
+mod beliefs;
+mod config;
+mod follow;
+mod roster;
+#[cfg(test)]
+mod tests;
+
+pub use beliefs::BeliefBounds;
+pub use beliefs::Beliefs;
+pub use beliefs::ConfigChange;
+pub use config::Catalog;
+pub use config::EngineLimits;
+pub use config::Limits;
+pub use config::Repeat;
+pub use config::Route;
+pub use config::Service;
+pub use config::Share;
+pub use config::Team;
+pub use follow::ConfigRead;
+pub use follow::ConfigSource;
+pub use follow::Follower;
+pub use follow::Schedule;
+pub use follow::ServerList;
+pub use follow::ServerRead;
+pub use follow::SourceError;
+pub use roster::BackendServer;
+pub use roster::Roster;
+pub use roster::ServerEntry;
+pub use roster::ServerRecord;
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,23 @@
+//! Decisions on load, apart from input and output: state and time come in, a choice goes out.
+//!
+//! Each file names the load pattern that it answers; its test replays that pattern. See `docs/LOAD.md`.
+
+mod health;
+mod place;
+mod reject;
+mod retry;
+#[cfg(test)]
+mod tests;
+
+pub use health::Health;
+pub use health::HealthPolicy;
+pub use health::RunResult;
+pub use place::EnginePlacement;
+pub use place::Placement;
+pub use place::PlainPlacement;
+pub use place::PromptPart;
+pub use place::ServerView;
+pub use place::Work;
+pub use reject::Returns;
+pub use retry::RetryBudget;
+pub use retry::RetryTerms;
--- /dev/null
+++ b/src/decide/place.rs
@@ -0,0 +1,159 @@
+//! Chooses a backend server.
+//!
+//! Load pattern: a few large prompt parts that many requests share, one of them suddenly hot. Placing by load alone reads
+//! each part at every engine; placing by hash alone drowns the hot part's engine. Each part has an order of homes that
+//! does not depend on load, and a request goes to the first home that is not far above the mean.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// A part of a prompt that other requests may share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Identifies the part's text and all that comes before it.
+    pub id: u64,
+    /// Length in tokens.
+    pub tokens: u32,
+}
+
+/// What is placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Work<'a> {
+    /// Parts of the prompt, in order; the last belongs to the request or its session alone.
+    pub parts: &'a [PromptPart],
+    /// A number that differs between requests, which breaks ties.
+    pub salt: u64,
+}
+
+/// A server as placement sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerView<'a> {
+    /// Name of the server.
+    pub id: &'a str,
+    /// Whether it stands in the gateway's data centre.
+    pub is_near: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests that run and wait there, as far as known.
+    pub load: u32,
+    /// Whether it has lately failed more than its like.
+    pub is_suspended: bool,
+    /// Whether it was tried for this request already.
+    pub is_tried: bool,
+}
+
+/// Chooses among the servers of one service.
+pub trait Placement: Send + Sync {
+    /// Gives the place of the chosen server in `servers`, or nothing where none may be used.
+    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<usize>;
+}
+
+/// Servers that are left for choice: those in good standing, or all that were not tried where none is.
+fn eligible(servers: &[ServerView<'_>]) -> Vec<usize> {
+    let pick = |keep: &dyn Fn(&ServerView<'_>) -> bool| -> Vec<usize> {
+        (0..servers.len())
+            .filter(|&at| keep(&servers[at]))
+            .collect()
+    };
+    let good = pick(&|server| !server.is_tried && !server.is_suspended);
+    if good.is_empty() {
+        pick(&|server| !server.is_tried)
+    } else {
+        good
+    }
+}
+
+fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for part in parts {
+        hasher.write(part);
+        hasher.write_u8(0xff);
+    }
+    hasher.finish()
+}
+
+/// Places plain calls: the server with the most room, near ones first while they have room.
+#[derive(Clone, Copy, Debug)]
+pub struct PlainPlacement {
+    /// Share of its slots up to which a near server is preferred; bytes between data centres cost.
+    pub near_fill: f64,
+}
+
+impl Placement for PlainPlacement {
+    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<usize> {
+        let eligible = eligible(servers);
+        let fill = |at: usize| f64::from(servers[at].load) / f64::from(servers[at].slots.max(1));
+        let tie = |at: usize| hash(&[servers[at].id.as_bytes(), &work.salt.to_le_bytes()]);
+        let least =
+            |a: &usize, b: &usize| fill(*a).total_cmp(&fill(*b)).then(tie(*a).cmp(&tie(*b)));
+        let near = eligible
+            .iter()
+            .copied()
+            .filter(|&at| servers[at].is_near && fill(at) < self.near_fill)
+            .min_by(least);
+        near.or_else(|| eligible.into_iter().min_by(least))
+    }
+}
+
+/// Places chats by the homes of their shared prompt parts, within a bound on load.
+#[derive(Clone, Copy, Debug)]
+pub struct EnginePlacement {
+    /// Multiple of the mean load up to which a home is used; the fleet's bound less what may be unknown.
+    pub bound_factor: f64,
+    /// Requests over the mean that are always allowed.
+    pub bound_extra: f64,
+    /// Homes of a part among which the least loaded is taken, once the first is over the mean.
+    pub homes: usize,
+}
+
+impl EnginePlacement {
+    /// Servers in the order in which they are homes of `key`.
+    fn homes_of(&self, key: u64, eligible: &[usize], servers: &[ServerView<'_>]) -> Vec<usize> {
+        let mut ranked: Vec<(u64, usize)> = eligible
+            .iter()
+            .map(|&at| (hash(&[servers[at].id.as_bytes(), &key.to_le_bytes()]), at))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// The part that decides: the last shared one, since it is cached only together with all before it.
+    fn key(work: &Work<'_>) -> u64 {
+        match work.parts {
+            [] => work.salt,
+            [own] => own.id,
+            [.., shared, _] => shared.id,
+        }
+    }
+}
+
+impl Placement for EnginePlacement {
+    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<usize> {
+        let eligible = eligible(servers);
+        if eligible.is_empty() {
+            return None;
+        }
+        let total: u32 = eligible.iter().map(|&at| servers[at].load).sum();
+        let mean = f64::from(total) / eligible.len() as f64;
+        let bound = mean * self.bound_factor + self.bound_extra;
+        let has_room = |at: &usize| {
+            let server = &servers[*at];
+            f64::from(server.load) < bound && server.load < server.slots
+        };
+        let homes = self.homes_of(Self::key(work), &eligible, servers);
+        let within = homes
+            .iter()
+            .take(self.homes)
+            .copied()
+            .find(|at| has_room(at));
+        within
+            .or_else(|| {
+                homes
+                    .iter()
+                    .copied()
+                    .filter(has_room)
+                    .min_by_key(|&at| servers[at].load)
+            })
+            .or_else(|| homes.into_iter().min_by_key(|&at| servers[at].load))
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,191 @@
+//! One send to one backend server, and what is certain about it afterwards.
+
+use super::dialect::Dialect;
+use super::dialect::Forward;
+use super::loads::Place;
+use super::pool::ConnectError;
+use super::pool::Lease;
+use super::pool::Pool;
+use crate::catalog::BackendServer;
+use crate::decide::RunResult;
+use crate::net::full_body;
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::http::response;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A caller's request as it goes to servers.
+#[derive(Clone, Debug)]
+pub(super) struct Outbound {
+    pub(super) method: Method,
+    /// Path and query, unchanged.
+    pub(super) target: String,
+    /// The caller's head without what concerned the caller's connection.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) request_id: String,
+}
+
+/// A server's answer to the request, up to its body.
+pub(super) struct Answered {
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    pub(super) lease: Lease,
+    pub(super) place: Place,
+}
+
+/// What is certain after a send.
+pub(super) enum Sent {
+    /// The head of an answer came.
+    Answered(Box<Answered>),
+    /// No byte of the request left, so the server did not run it.
+    Unsent(String),
+    /// The server says that it did not run the request.
+    NotRun(StatusCode),
+    /// The request may have run.
+    Unknown(String),
+    /// No answer came in time; the request may have run.
+    Silent,
+}
+
+/// How a request is sent this time.
+pub(super) struct Sending<'a> {
+    pub(super) server: &'a BackendServer,
+    pub(super) team: Option<&'a str>,
+    pub(super) resume_after: Option<u64>,
+    /// End of the time in which the caller has use for an answer.
+    pub(super) deadline: Instant,
+    /// Longest wait for the head of the answer.
+    pub(super) head_timeout: Duration,
+    /// Connections that the server takes from all callers.
+    pub(super) connections_most: u32,
+}
+
+/// Connections that are tried in turn where an idle one turns out to be closed before anything was sent.
+const CONNECTIONS_MOST: usize = 4;
+
+/// Sends `outbound` once; `place` counts it at the server while it lasts.
+pub(super) async fn send(
+    outbound: &Outbound,
+    sending: &Sending<'_>,
+    dialect: &dyn Dialect,
+    pool: &Pool,
+    place: Place,
+) -> Sent {
+    let mut last = String::from("no connection");
+    for _ in 0..CONNECTIONS_MOST {
+        let mut lease = match open(sending, pool).await {
+            Ok(lease) => lease,
+            Err(cause) => {
+                place.note_result(RunResult::Unreachable);
+                return Sent::Unsent(cause);
+            }
+        };
+        let is_reused = lease.is_reused();
+        let answering = lease
+            .sender()
+            .try_send_request(request(outbound, sending, dialect));
+        match tokio::time::timeout(sending.head_timeout, answering).await {
+            Err(_) => {
+                lease.close();
+                place.note_result(RunResult::Silent);
+                return Sent::Silent;
+            }
+            Ok(Ok(response)) => return judge(response, outbound, dialect, lease, place),
+            Ok(Err(mut err)) => {
+                let is_unsent = err.take_message().is_some();
+                last = err.into_error().to_string();
+                if !is_unsent {
+                    place.note_result(RunResult::Broken);
+                    return Sent::Unknown(last);
+                }
+                if !is_reused {
+                    place.note_result(RunResult::Unreachable);
+                    return Sent::Unsent(last);
+                }
+            }
+        }
+    }
+    Sent::Unsent(last)
+}
+
+async fn open(sending: &Sending<'_>, pool: &Pool) -> Result<Lease, String> {
+    if let Some(lease) = pool.take_idle(sending.server) {
+        return Ok(lease);
+    }
+    match Pool::connect(sending.server, sending.connections_most).await {
+        Ok(lease) => Ok(lease),
+        Err(ConnectError::Timeout) => Err("connecting timed out".to_owned()),
+        Err(ConnectError::Failed(cause)) => Err(cause),
+    }
+}
+
+fn request(
+    outbound: &Outbound,
+    sending: &Sending<'_>,
+    dialect: &dyn Dialect,
+) -> Request<crate::net::Body> {
+    let mut req = Request::new(full_body(outbound.body.clone()));
+    *req.method_mut() = outbound.method.clone();
+    if let Ok(uri) = outbound.target.parse() {
+        *req.uri_mut() = uri;
+    }
+    let mut headers = outbound.headers.clone();
+    let forward = Forward {
+        server_id: &sending.server.id,
+        time_left: sending.deadline.saturating_duration_since(Instant::now()),
+        team: sending.team,
+        resume_after: sending.resume_after,
+    };
+    dialect.mark_forward(&mut headers, &forward);
+    *req.headers_mut() = headers;
+    req
+}
+
+fn judge(
+    response: Response<Incoming>,
+    outbound: &Outbound,
+    dialect: &dyn Dialect,
+    lease: Lease,
+    place: Place,
+) -> Sent {
+    let (head, body) = response.into_parts();
+    let marks = dialect.read_marks(head.status, &head.headers);
+    if marks.is_not_run {
+        if let Some(load) = marks.load {
+            place.note_load(load);
+        }
+        lease.close();
+        return Sent::NotRun(head.status);
+    }
+    let is_other = marks
+        .request_id
+        .as_ref()
+        .is_some_and(|id| *id != outbound.request_id);
+    let is_unsealed = head.status.is_success() && !(marks.is_sealed && marks.request_id.is_some());
+    if is_other || is_unsealed {
+        lease.close();
+        place.note_result(RunResult::Broken);
+        let cause = if is_other {
+            "answer to another request"
+        } else {
+            "answer without proof"
+        };
+        return Sent::Unknown(cause.to_owned());
+    }
+    if let Some(load) = marks.load {
+        place.note_load(load);
+    }
+    Sent::Answered(Box::new(Answered {
+        head,
+        body,
+        lease,
+        place,
+    }))
+}
--- /dev/null
+++ b/src/gateway/dialect.rs
@@ -0,0 +1,76 @@
+//! What the gateway needs to know of a request or an answer, whatever the headers are called.
+
+use crate::decide::PromptPart;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use std::time::Duration;
+
+/// What a caller's head says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Ask {
+    /// Identifies the request; each attempt of a caller has one of its own.
+    pub request_id: Option<String>,
+    /// How long the caller waits.
+    pub time_left: Option<Duration>,
+    /// Key that shows the caller's team.
+    pub key: Option<String>,
+    /// Parts of the prompt, in order.
+    pub parts: Vec<PromptPart>,
+    /// Last event of a stream that the caller has; the answer goes on after it.
+    pub resume_after: Option<u64>,
+}
+
+/// What the gateway tells a backend server besides the caller's own head.
+#[derive(Clone, Copy, Debug)]
+pub struct Forward<'a> {
+    /// Name of the server that is meant; another one at the address doesn't run the request.
+    pub server_id: &'a str,
+    /// How long the answer is still of use.
+    pub time_left: Duration,
+    /// Team of the caller.
+    pub team: Option<&'a str>,
+    /// Last event that the caller has, where it is not the one in the caller's own head.
+    pub resume_after: Option<u64>,
+}
+
+/// Work at a server, as it tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What the head of a server's answer says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AnswerMarks {
+    /// Request that is answered.
+    pub request_id: Option<String>,
+    /// The server says that it did not run the request and will not.
+    pub is_not_run: bool,
+    /// The answer carries the server's proof of its body.
+    pub is_sealed: bool,
+    /// The server's load.
+    pub load: Option<ServerLoad>,
+}
+
+/// The names and formats that callers and backend servers use.
+pub trait Dialect: Send + Sync {
+    /// Reads a caller's head.
+    fn read_ask(&self, headers: &HeaderMap) -> Ask;
+
+    /// Takes out of a head what only the gateway may set, and sets it.
+    fn mark_forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
+
+    /// Reads the head of a server's answer.
+    fn read_marks(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMarks;
+
+    /// Marks an answer of the gateway's own with the request that it belongs to.
+    fn mark_own(&self, headers: &mut HeaderMap, request_id: &str);
+
+    /// Gives the path on which the balancer asks whether the node is ready.
+    fn ready_path(&self) -> &str;
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,73 @@
+//! Cuts a stream into whole events.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Bytes that an event may have before its end; more is no event stream.
+const EVENT_BYTES_MOST: usize = 1024 * 1024;
+
+/// Collects bytes and gives whole events.
+#[derive(Debug, Default)]
+pub(super) struct EventCutter {
+    buf: BytesMut,
+    seen: usize,
+}
+
+/// Whole events, back to back.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Events {
+    /// Their bytes, unchanged.
+    pub(super) bytes: Bytes,
+    /// Number of the first that has one.
+    pub(super) first_id: Option<u64>,
+    /// Number of the last that has one.
+    pub(super) last_id: Option<u64>,
+}
+
+/// The stream has an event without end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct EventTooLong;
+
+impl EventCutter {
+    /// Takes in bytes and gives the events that are whole with them.
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, EventTooLong> {
+        self.buf.extend_from_slice(bytes);
+        let Some(end) = self.last_end() else {
+            self.seen = self.buf.len().saturating_sub(3);
+            if self.buf.len() > EVENT_BYTES_MOST {
+                return Err(EventTooLong);
+            }
+            return Ok(None);
+        };
+        let bytes = self.buf.split_to(end).freeze();
+        self.seen = 0;
+        let mut ids = bytes.split(|&byte| byte == b'\n').filter_map(event_id);
+        let first_id = ids.next();
+        let last_id = ids.next_back().or(first_id);
+        Ok(Some(Events {
+            bytes,
+            first_id,
+            last_id,
+        }))
+    }
+
+    /// Tells whether bytes of an unfinished event are held.
+    pub(super) fn has_rest(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Finds the end of the last whole event: an empty line, with either line end.
+    fn last_end(&self) -> Option<usize> {
+        let buf = &self.buf;
+        (self.seen..buf.len()).rev().find_map(|at| {
+            let is_empty_line =
+                buf[at] == b'\n' && (buf[..at].ends_with(b"\n") || buf[..at].ends_with(b"\n\r"));
+            is_empty_line.then_some(at + 1)
+        })
+    }
+}
+
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/gateway/loads.rs
@@ -0,0 +1,175 @@
+//! What this node knows of each backend server's load and health.
+
+use super::dialect::ServerLoad;
+use crate::catalog::BackendServer;
+use crate::clock::Moment;
+use crate::decide::Health;
+use crate::decide::HealthPolicy;
+use crate::decide::RunResult;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Age up to which a server's own report of its load is used: some runs' length, beyond which others began and ended.
+const REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: u32,
+    own_then: u32,
+    at: Moment,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Row {
+    id: String,
+    born_ms: u64,
+    service: String,
+    own: u32,
+    report: Option<Report>,
+    health: Health,
+}
+
+/// Loads of all servers that were ever placed on.
+#[derive(Clone, Default)]
+pub(super) struct Loads {
+    rows: Arc<Mutex<Vec<Row>>>,
+    policy: HealthPolicy,
+}
+
+/// One request at a server, counted until it is dropped.
+pub(super) struct Place {
+    loads: Loads,
+    id: String,
+    born_ms: u64,
+}
+
+/// Load and standing of a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Standing {
+    pub(super) load: u32,
+    pub(super) is_aside: bool,
+}
+
+impl Loads {
+    /// Gives load and standing of `server`.
+    pub(super) fn standing(&self, server: &BackendServer, now: Moment) -> Standing {
+        let rows = self.lock();
+        let Ok(at) = rows.binary_search_by(|row| row.id.as_str().cmp(&server.id)) else {
+            return Standing::default();
+        };
+        let row = &rows[at];
+        if row.born_ms != server.entry.born_ms {
+            return Standing::default();
+        }
+        Standing {
+            load: row.load(now),
+            is_aside: row.health.is_aside(now),
+        }
+    }
+
+    /// Counts a request that is about to be sent to `server`.
+    pub(super) fn begin(&self, server: &BackendServer) -> Place {
+        let mut rows = self.lock();
+        let at = match rows.binary_search_by(|row| row.id.as_str().cmp(&server.id)) {
+            Ok(at) => at,
+            Err(at) => {
+                rows.insert(at, Row::default());
+                at
+            }
+        };
+        let row = &mut rows[at];
+        if row.id.is_empty() || row.born_ms != server.entry.born_ms {
+            // Nothing that was known of an earlier incarnation holds for this one.
+            *row = Row {
+                id: server.id.clone(),
+                born_ms: server.entry.born_ms,
+                service: server.entry.service.clone(),
+                ..Row::default()
+            };
+        }
+        row.own += 1;
+        Place {
+            loads: self.clone(),
+            id: server.id.clone(),
+            born_ms: server.entry.born_ms,
+        }
+    }
+
+    /// Forgets servers that `is_known` doesn't name and that nothing runs at.
+    pub(super) fn prune(&self, is_known: &dyn Fn(&str) -> bool) {
+        self.lock().retain(|row| row.own > 0 || is_known(&row.id));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Row>> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Row {
+    fn load(&self, now: Moment) -> u32 {
+        let reported = self
+            .report
+            .filter(|report| now.since(report.at) < REPORT_AGE)
+            .map_or(0, |report| {
+                (report.load + self.own).saturating_sub(report.own_then)
+            });
+        reported.max(self.own)
+    }
+}
+
+impl Place {
+    /// Takes in the load that the server told with an answer.
+    pub(super) fn note_load(&self, load: ServerLoad) {
+        self.with_row(|row| {
+            row.report = Some(Report {
+                load: load.running + load.waiting,
+                own_then: row.own,
+                at: Moment::now(),
+            });
+        });
+    }
+
+    /// Takes in how a request at the server ended; returns for how long the server is set aside, if it is.
+    pub(super) fn note_result(&self, result: RunResult) -> Option<Duration> {
+        let mut rows = self.loads.lock();
+        let at = rows
+            .binary_search_by(|row| row.id.as_str().cmp(&self.id))
+            .ok()?;
+        if rows[at].born_ms != self.born_ms {
+            return None;
+        }
+        let service = &rows[at].service;
+        let others = rows
+            .iter()
+            .filter(|row| &row.service == service && row.id != self.id);
+        let (count, sum) = others.fold((0u32, 0.0), |(count, sum), row| {
+            (count + 1, sum + row.health.failure_rate())
+        });
+        let mean = if count > 0 {
+            sum / f64::from(count)
+        } else {
+            0.0
+        };
+        rows[at]
+            .health
+            .note(result, mean, Moment::now(), &self.loads.policy)
+    }
+
+    fn with_row(&self, change: impl FnOnce(&mut Row)) {
+        let mut rows = self.loads.lock();
+        if let Ok(at) = rows.binary_search_by(|row| row.id.as_str().cmp(&self.id))
+            && rows[at].born_ms == self.born_ms
+        {
+            change(&mut rows[at]);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.with_row(|row| row.own = row.own.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,30 @@
+//! The straight data path: callers' requests go from the node they reach to the backend server itself.
+//!
+//! What may be placed where is decided in [`crate::decide`], what is believed in [`crate::catalog`]; `docs/PLATFORM.md`
+//! tells why no second node carries the bytes.
+
+mod answer;
+mod attempt;
+mod dialect;
+mod events;
+mod handler;
+mod headers;
+mod loads;
+mod meters;
+mod node;
+mod pages;
+mod pool;
+mod relay;
+mod settings;
+#[cfg(test)]
+mod tests;
+
+pub use dialect::AnswerMarks;
+pub use dialect::Ask;
+pub use dialect::Dialect;
+pub use dialect::Forward;
+pub use dialect::ServerLoad;
+pub use node::GatewayNode;
+pub use node::Sources;
+pub use node::StartError;
+pub use settings::GatewaySettings;
--- /dev/null
+++ b/src/gateway/pages.rs
@@ -0,0 +1,77 @@
+//! What the balancer and operators see of a gateway: readiness and metrics.
+
+use super::handler::Gateway;
+use crate::clock::Moment;
+use crate::net::Body;
+use crate::net::Handler;
+use crate::net::full_body;
+use async_trait::async_trait;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+/// Serves the ready address and the metrics address.
+pub(super) struct Pages {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) is_leaving: Arc<AtomicBool>,
+}
+
+impl Pages {
+    /// What keeps the node from serving, if anything.
+    fn missing(&self) -> Option<&'static str> {
+        let beliefs = &self.gateway.beliefs;
+        if self.is_leaving.load(Ordering::Relaxed) {
+            return Some("leaving");
+        }
+        if beliefs.catalog().is_none() {
+            return Some("no configuration yet");
+        }
+        if beliefs.servers().0.is_empty() {
+            return Some("no servers yet");
+        }
+        if !beliefs.are_keys_proven(Moment::now()) {
+            return Some("configuration unproven");
+        }
+        None
+    }
+
+    fn metrics(&self) -> Vec<u8> {
+        let now = Moment::now();
+        let beliefs = &self.gateway.beliefs;
+        let version = beliefs.catalog().map_or(0, |catalog| catalog.version());
+        let meters = &self.gateway.meters;
+        let servers = beliefs.servers().0.len();
+        meters.beliefs(
+            version,
+            beliefs.config_age(now),
+            beliefs.list_age(now),
+            servers,
+        );
+        meters.render()
+    }
+}
+
+#[async_trait]
+impl Handler for Pages {
+    async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let path = req.uri().path();
+        let (status, text) = if path == self.gateway.dialect.ready_path() {
+            match self.missing() {
+                None => (StatusCode::OK, b"ready\n".to_vec()),
+                Some(missing) => (StatusCode::SERVICE_UNAVAILABLE, missing.as_bytes().to_vec()),
+            }
+        } else if path == "/metrics" {
+            (StatusCode::OK, self.metrics())
+        } else {
+            (StatusCode::NOT_FOUND, b"no such page\n".to_vec())
+        };
+        let mut response = Response::new(full_body(text));
+        *response.status_mut() = status;
+        response
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,134 @@
+//! The settings of a gateway, in INI; `docs/SETTINGS.md` is the reference.
+
+use crate::settings::Reader;
+use crate::settings::Section;
+use crate::settings::SettingsError;
+use crate::settings::known_keys;
+use crate::settings::read_sections;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const ADDRESS: &str = "an IP address and port, such as 10.0.0.7:8080";
+const NAME: &str = "a name";
+
+/// Who the gateway is and where it listens.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GatewayPlace {
+    /// Name of the host, for logs and other nodes.
+    pub name: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub ready_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// Where the platform's store listens.
+    pub store_address: SocketAddr,
+}
+
+/// Promises to callers and operators that schedules are taken from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GatewayBounds {
+    /// Time after which a changed configuration holds everywhere.
+    pub config_apply: Duration,
+    /// Time after which a leaving server gets nothing new.
+    pub drain: Duration,
+    /// Time after which a key that was taken away opens nothing.
+    pub revoke: Duration,
+    /// Whether that holds on nodes that are cut off as well.
+    pub strict_revoke: bool,
+    /// Time between a request to stop and the end of the process.
+    pub grace: Duration,
+    /// Window of the budget of repeated sends.
+    pub retry_window: Duration,
+    /// Repeated sends for each request of the window, in thousandths.
+    pub retry_ratio_milli: u64,
+    /// Repeated sends in a window besides.
+    pub retry_slack: u64,
+}
+
+/// Everything that a gateway learns from its settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GatewaySettings {
+    /// Who it is and where it listens.
+    pub place: GatewayPlace,
+    /// What it promises.
+    pub bounds: GatewayBounds,
+}
+
+impl GatewaySettings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names every problem of the file, or why it can't be read.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|err| SettingsError::Unreadable {
+            path: path.display().to_string(),
+            cause: err.to_string(),
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Checks settings given as text.
+    ///
+    /// # Errors
+    ///
+    /// Names every problem of the text.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        read_sections(text, Self::read)
+    }
+
+    /// Lists every section and key that a file may hold, sorted, so that the reference can be checked against it.
+    pub fn known_keys() -> Vec<(String, String)> {
+        known_keys(|reader| {
+            Self::read(reader);
+        })
+    }
+
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            place: reader.section("gateway", GatewayPlace::read),
+            bounds: reader.section("bounds", GatewayBounds::read),
+        }
+    }
+}
+
+impl GatewayPlace {
+    fn read(section: &mut Section<'_>) -> Self {
+        let nowhere = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+        Self {
+            name: section.required("name", String::new(), NAME),
+            data_centre: section.required("data_centre", String::new(), NAME),
+            caller_address: section.required("caller_address", nowhere, ADDRESS),
+            ready_address: section.required("ready_address", nowhere, ADDRESS),
+            metrics_address: section.required("metrics_address", nowhere, ADDRESS),
+            store_address: section.required("store_address", nowhere, ADDRESS),
+        }
+    }
+}
+
+impl GatewayBounds {
+    fn read(section: &mut Section<'_>) -> Self {
+        let seconds = "a number of seconds";
+        let grace_s: f64 = section.or("grace_s", 8.0, seconds);
+        let window_s: f64 = section.or("retry_window_s", 10.0, seconds);
+        let ratio: f64 = section.or("retry_ratio", 0.2, "a share from 0 to 1");
+        let slack: f64 = section.or("retry_slack", 0.0, "a number of sends");
+        Self {
+            config_apply: section.millis("config_apply_ms", 2_000, 200..=60_000),
+            drain: section.millis("drain_ms", 2_000, 200..=60_000),
+            revoke: section.millis("revoke_ms", 5_000, 500..=600_000),
+            strict_revoke: section.or("strict_revoke", true, "true or false"),
+            grace: Duration::try_from_secs_f64(grace_s).unwrap_or(Duration::from_secs(8)),
+            retry_window: Duration::try_from_secs_f64(window_s).unwrap_or(Duration::from_secs(10)),
+            retry_ratio_milli: (ratio * 1_000.0) as u64,
+            retry_slack: slack as u64,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,12 +5,17 @@
 //! [`owner`]) and from there to the backend server ([`border`]).
 
 pub mod border;
+pub mod catalog;
 pub mod claims;
+pub mod clock;
 pub mod config;
 pub mod ctl;
+pub mod decide;
 pub mod declarations;
 pub mod entry;
+pub mod gateway;
 pub mod hop;
+pub mod logs;
 pub mod membership;
 pub mod net;
 pub mod node;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -30,6 +31,8 @@
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two looks at whether connections are still open.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Time between pings on HTTP/2 connections, and the time that one may stay unanswered.
 const HTTP2_PING: Duration = Duration::from_secs(2);
 
@@ -53,6 +56,7 @@
 pub struct Listener {
     address: SocketAddr,
     is_leaving: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
     stop: oneshot::Sender<Duration>,
     task: JoinHandle<()>,
 }
@@ -72,15 +76,18 @@
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
         let is_leaving = Arc::new(AtomicBool::new(false));
+        let open = Arc::new(AtomicUsize::new(0));
         let serving = Serving {
             protocol,
             handler,
             is_leaving: Arc::clone(&is_leaving),
+            open: Arc::clone(&open),
         };
         let task = tokio::spawn(accept(listener, serving, stopped));
         Ok(Self {
             address,
             is_leaving,
+            open,
             stop,
             task,
         })
@@ -96,6 +103,14 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Goes on serving until no connection is open, for at most `limit`.
+    pub async fn drain(&self, limit: Duration) {
+        let end = tokio::time::Instant::now() + limit;
+        while self.open.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+    }
+
     /// Accepts no more connections, lets requests in flight end for at most `limit`, then closes what is left.
     pub async fn close(self, limit: Duration) {
         if self.stop.send(limit).is_ok() {
@@ -110,6 +125,23 @@
     protocol: Protocol,
     handler: Arc<dyn Handler>,
     is_leaving: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
+}
+
+/// Counts a connection while it is open.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 async fn accept(listener: TcpListener, serving: Serving, mut stopped: oneshot::Receiver<Duration>) {
@@ -162,7 +194,9 @@
             .max_concurrent_streams(u32::MAX);
     }
     let watcher = graceful.watcher();
+    let open = OpenConnection::new(&serving.open);
     tokio::spawn(async move {
+        let _open = open;
         let conn = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
         // An error of one connection is the other end's; its requests have got their outcome.
         let _ = watcher.watch(conn.into_owned()).await;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -26,7 +26,7 @@
 use crate::routing;
 use crate::timeline;
 use ini::Ini;
-use section::Reader;
+pub(crate) use section::Reader;
 use std::path::Path;
 
 /// Everything that a node learns from its settings file.
@@ -74,25 +74,14 @@
     ///
     /// Names every problem of the text.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let ini = Ini::load_from_str(text).map_err(|err| SettingsError::Malformed {
-            cause: err.to_string(),
-        })?;
-        let mut reader = Reader::new(&ini);
-        let settings = Self::read(&mut reader);
-        let problems = reader.finish();
-        if problems.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError::Invalid { problems })
-        }
+        read_sections(text, Self::read)
     }
 
     /// Lists every section and key that a file may hold, sorted, so that the reference can be checked against it.
     pub fn known_keys() -> Vec<(String, String)> {
-        let ini = Ini::new();
-        let mut reader = Reader::new(&ini);
-        Self::read(&mut reader);
-        reader.known_keys()
+        known_keys(|reader| {
+            Self::read(reader);
+        })
     }
 
     fn read(reader: &mut Reader<'_>) -> Self {
@@ -110,3 +99,33 @@
         }
     }
 }
+
+/// Reads the sections of an INI text with `read` and collects every problem on the way.
+///
+/// # Errors
+///
+/// Names every problem of the text.
+pub(crate) fn read_sections<T>(
+    text: &str,
+    read: impl FnOnce(&mut Reader<'_>) -> T,
+) -> Result<T, SettingsError> {
+    let ini = Ini::load_from_str(text).map_err(|err| SettingsError::Malformed {
+        cause: err.to_string(),
+    })?;
+    let mut reader = Reader::new(&ini);
+    let settings = read(&mut reader);
+    let problems = reader.finish();
+    if problems.is_empty() {
+        Ok(settings)
+    } else {
+        Err(SettingsError::Invalid { problems })
+    }
+}
+
+/// Lists every section and key that `read` asks for, sorted.
+pub(crate) fn known_keys(read: impl FnOnce(&mut Reader<'_>)) -> Vec<(String, String)> {
+    let ini = Ini::new();
+    let mut reader = Reader::new(&ini);
+    read(&mut reader);
+    reader.known_keys()
+}
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Reads the sections of one file.
-pub(super) struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     ini: &'a Ini,
     problems: Vec<Problem>,
     known: Vec<(String, String)>,
@@ -24,7 +24,7 @@
     }
 
     /// Reads one section through `read` and notes keys that it did not ask for.
-    pub(super) fn section<T>(&mut self, name: &str, read: fn(&mut Section<'_>) -> T) -> T {
+    pub(crate) fn section<T>(&mut self, name: &str, read: fn(&mut Section<'_>) -> T) -> T {
         let properties = self.ini.section(Some(name));
         let mut section = Section {
             name,
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -5,6 +5,7 @@
     reason = "A test stops at whatever it does not expect."
 )]
 
+use currantbend::gateway::GatewaySettings;
 use currantbend::settings::Settings;
 use currantbend::timeline::EventKind;
 use std::fs;
@@ -53,10 +54,10 @@
     );
 }
 
-fn documented_keys() -> Vec<String> {
+fn documented_keys(name: &str) -> Vec<String> {
     let mut section = String::new();
     let mut keys = Vec::new();
-    for line in page("SETTINGS.md").lines() {
+    for line in page(name).lines() {
         if let Some(heading) = line.strip_prefix("## `[") {
             section = heading.trim_end_matches("]`").to_owned();
         } else if let Some(key) = row_name(line) {
@@ -90,7 +91,23 @@
         .map(|(section, key)| format!("[{section}] {key}"))
         .collect();
 
-    compare("SETTINGS.md", &documented_keys(), &sorted(known));
+    compare(
+        "SETTINGS.md",
+        &documented_keys("SETTINGS.md"),
+        &sorted(known),
+    );
+}
+
+#[test]
+fn every_gateway_settings_key_is_in_its_reference_and_no_other() {
+    let known = GatewaySettings::known_keys()
+        .into_iter()
+        .map(|(section, key)| format!("[{section}] {key}"))
+        .collect();
+
+    let documented = documented_keys("GATEWAY-SETTINGS.md");
+
+    compare("GATEWAY-SETTINGS.md", &documented, &sorted(known));
 }
 
 #[test]
