Gateway: a stopping node turns away what would outlive it

Change: decide/leave.rs takes streams for 2.5 s after the request to stop and plain calls while their route's whole time fits; later ones get a true 503 with Retry-After. The node stays at least 2.5 s, until the balancer has noticed, and serves to 0.6 s before the end of the grace.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Each file names the load pattern that it answers; its test replays that pattern. See `docs/LOAD.md`.
 
 mod health;
+mod leave;
 mod place;
 mod reject;
 mod retry;
@@ -12,6 +13,7 @@
 pub use health::Health;
 pub use health::HealthPolicy;
 pub use health::RunResult;
+pub use leave::Leave;
 pub use place::EnginePlacement;
 pub use place::Placement;
 pub use place::PlainPlacement;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1,1 +1,5 @@
+//! Each decision against the load pattern that it answers.
 
+mod leave;
+mod place;
+mod retry;
--- /dev/null
+++ b/src/decide/tests/retry.rs
@@ -0,0 +1,60 @@
+//! A service fails for everybody, and each node would retry each request.
+
+use crate::clock::Moment;
+use crate::decide::RetryBudget;
+use crate::decide::RetryTerms;
+use std::time::Duration;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(RetryTerms {
+        ratio: 0.2,
+        window: WINDOW,
+        slack: 54.0,
+    })
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(ms))
+}
+
+#[test]
+fn repeats_of_any_window_stay_under_the_share() {
+    let mut budget = budget();
+    let mut repeats = Vec::new();
+
+    for request in 0..3_000u64 {
+        let now = at(request * 20);
+        budget.request(now);
+        if budget.take(now, 7) {
+            repeats.push(now);
+        }
+    }
+
+    let most = repeats
+        .iter()
+        .map(|start| {
+            let in_window = |at: &&Moment| **at >= *start && at.since(*start) < WINDOW;
+            repeats.iter().filter(in_window).count()
+        })
+        .max();
+    let allowed = 500.0 * 0.2 + 54.0 / 7.0;
+    assert!(
+        most.is_some_and(|most| most as f64 <= allowed),
+        "{most:?} of {allowed}"
+    );
+    assert!(!repeats.is_empty());
+}
+
+#[test]
+fn nodes_together_keep_the_fixed_part() {
+    let mut nodes: Vec<RetryBudget> = (0..7).map(|_| budget()).collect();
+
+    let taken: usize = nodes
+        .iter_mut()
+        .map(|node| (0..100).filter(|_| node.take(at(0), 7)).count())
+        .sum();
+
+    assert!(taken <= 54, "{taken} repeats without a request");
+}
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -21,6 +21,7 @@
 use crate::catalog::Service;
 use crate::clock::Moment;
 use crate::decide::EnginePlacement;
+use crate::decide::Leave;
 use crate::decide::Placement;
 use crate::decide::PlainPlacement;
 use crate::decide::RetryBudget;
@@ -48,6 +49,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -83,6 +85,9 @@
     pub(super) nodes: AtomicU32,
     pub(super) engines: EnginePlacement,
     pub(super) plain: PlainPlacement,
+    pub(super) leave: Leave,
+    /// Set once the node has been asked to stop.
+    pub(super) leaving_since: OnceLock<Moment>,
     /// Returns of callers while this node can't serve them.
     pub(super) returns: Returns,
 }
@@ -291,6 +296,14 @@
             .retry_after(self.returns.after(salt, left))
     }
 
+    /// Tells whether a request can be served before this node is gone.
+    fn takes(&self, route: &Route, now: Moment) -> bool {
+        self.leaving_since.get().is_none_or(|since| {
+            self.leave
+                .takes(now.since(*since), route.repeat.is_stream(), route.timeout)
+        })
+    }
+
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let at = match budgets.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
@@ -364,6 +377,9 @@
         if outbound.request_id.is_empty() {
             return fail(StatusCode::BAD_REQUEST, "no request id", report);
         }
+        if !gateway.takes(&route, now) {
+            return refuse("node is stopping", report);
+        }
         let Some(service_name) = pick_share(&route, salt) else {
             return refuse("route without service", report);
         };
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -15,7 +15,9 @@
 use crate::catalog::Follower;
 use crate::catalog::Schedule;
 use crate::catalog::ServerList;
+use crate::clock::Moment;
 use crate::decide::EnginePlacement;
+use crate::decide::Leave;
 use crate::decide::PlainPlacement;
 use crate::decide::RetryTerms;
 use crate::decide::Returns;
@@ -29,16 +31,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
 /// Time between two rounds of closing old connections and forgetting gone servers.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time before the end of the grace in which the last connections are closed.
-const GRACE_MARGIN: Duration = Duration::from_millis(1_200);
+/// Time before the end of the grace in which the last connections are closed and the last lines are written.
+const GRACE_MARGIN: Duration = Duration::from_millis(600);
+/// Time for which callers may still be sent here: the balancer asks each second and acts on the second miss.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_500);
 /// Time for a key to be used at a server after it was judged here: the longest way and a wait for the processor.
 const KEY_MARGIN: Duration = Duration::from_millis(500);
 /// Time that the platform gives lapsed entries to come back after the store's return.
@@ -87,8 +90,7 @@
     metrics: Listener,
     follower: Follower,
     pruner: JoinHandle<()>,
-    is_leaving: Arc<AtomicBool>,
-    grace: Duration,
+    gateway: Arc<Gateway>,
     logs: Logs,
 }
 
@@ -128,10 +130,8 @@
         let bounds = &settings.bounds;
         let beliefs = Arc::new(Beliefs::new(belief_bounds(bounds)));
         let gateway = Arc::new(gateway(settings, &beliefs, &sources, &logs));
-        let is_leaving = Arc::new(AtomicBool::new(false));
         let pages: Arc<dyn Handler> = Arc::new(Pages {
             gateway: Arc::clone(&gateway),
-            is_leaving: Arc::clone(&is_leaving),
         });
         let place = &settings.place;
         let ready = listen("readiness", place.ready_address, &pages).await?;
@@ -145,7 +145,7 @@
             sources.config,
             sources.servers,
         );
-        let pruner = tokio::spawn(prune(gateway));
+        let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
         info!(logs.log(), "started"; "version" => env!("CARGO_PKG_VERSION"),
             "data_centre" => &place.data_centre, "callers" => %place.caller_address);
         Ok(Self {
@@ -154,19 +154,21 @@
             metrics,
             follower,
             pruner,
-            is_leaving,
-            grace: bounds.grace,
+            gateway,
             logs,
         })
     }
 
     /// Stops: the node is no longer ready, serves on while callers leave, and ends before the grace is over.
     pub async fn close(self) {
-        info!(self.logs.log(), "stopping"; "grace_ms" => self.grace.as_millis() as u64);
-        self.is_leaving.store(true, Ordering::Relaxed);
+        let serving = self.gateway.leave.serves_for;
+        info!(self.logs.log(), "stopping"; "serves_ms" => serving.as_millis() as u64);
+        // It is set here alone, and a node is closed once.
+        let _ = self.gateway.leaving_since.set(Moment::now());
         self.callers.leave();
-        let serving = self.grace.saturating_sub(GRACE_MARGIN);
-        self.callers.drain(serving).await;
+        tokio::time::sleep(BALANCER_NOTICE.min(serving)).await;
+        let rest = serving.saturating_sub(BALANCER_NOTICE);
+        self.callers.drain(rest).await;
         self.callers.close(Duration::from_millis(200)).await;
         self.follower.close();
         self.pruner.abort();
@@ -204,6 +206,10 @@
             homes: 2,
         },
         plain: PlainPlacement { near_fill: 0.67 },
+        leave: Leave {
+            serves_for: bounds.grace.saturating_sub(GRACE_MARGIN),
+        },
+        leaving_since: OnceLock::new(),
         returns: Returns {
             soonest: Duration::from_millis(150),
             spread: Duration::from_millis(850),
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -12,20 +12,17 @@
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 /// Serves the ready address and the metrics address.
 pub(super) struct Pages {
     pub(super) gateway: Arc<Gateway>,
-    pub(super) is_leaving: Arc<AtomicBool>,
 }
 
 impl Pages {
     /// What keeps the node from serving, if anything.
     fn missing(&self) -> Option<&'static str> {
         let beliefs = &self.gateway.beliefs;
-        if self.is_leaving.load(Ordering::Relaxed) {
+        if self.gateway.leaving_since.get().is_some() {
             return Some("leaving");
         }
         if beliefs.catalog().is_none() {
