Peers: one relay in each data centre reads the store and adds up the loads

Change: src/peers: nodes announce themselves in a topic of their own; the oldest of a data centre is its relay, reads for all and exchanges sums of loads with the other relays; the others ask it four times a second. What is told is as old as the question and the relay's own read together. Nodes read for themselves at 5/8 of the bound.

Grace for lapsed entries begins after two heartbeats of silence instead of two read intervals.

--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -126,6 +126,27 @@
         state.settle(now, lost)
     }
 
+    /// Takes in what another node knew of the list at `read`: the whole of it, or that it hasn't changed.
+    ///
+    /// What this node read later itself holds.
+    pub fn take_told_servers(&self, servers: Option<Vec<BackendServer>>, read: Moment) {
+        if self.lock().list_read.is_some_and(|last| last > read) {
+            return;
+        }
+        self.note_list_read(read);
+        let Some(servers) = servers else {
+            return;
+        };
+        let now = Moment::now();
+        let mut names: Vec<String> = servers.iter().map(|server| server.id.clone()).collect();
+        names.sort();
+        let records = servers
+            .into_iter()
+            .map(|server| (server.id, ServerRecord::Report(server.entry)));
+        self.apply_servers(records.collect(), now);
+        self.apply_whole_list(&names, now);
+    }
+
     /// Lets go of servers that did not come back in time; returns their names.
     pub fn expire_servers(&self, now: Moment) -> Vec<String> {
         self.lock().settle(now, Vec::new())
--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -1,9 +1,11 @@
 //! One version of the configuration: routes, services, teams and limits.
 
+use serde::Deserialize;
+use serde::Serialize;
 use std::time::Duration;
 
 /// What may be done with a request more than once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Repeat {
     /// A plain call that may run any number of times.
     Idempotent,
@@ -28,7 +30,7 @@
 }
 
 /// A service that takes part of a route's requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Share {
     /// Name of the service.
     pub service: String,
@@ -37,7 +39,7 @@
 }
 
 /// How requests of one host and path prefix are treated.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Route {
     /// Name, for logs and metrics.
     pub name: String,
@@ -64,7 +66,7 @@
 }
 
 /// Sizes of a service's engines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EngineLimits {
     /// Requests in one batch.
     pub slots: u32,
@@ -73,7 +75,7 @@
 }
 
 /// A service that backend servers offer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Service {
     /// Name that routes and servers use.
     pub name: String,
@@ -84,7 +86,7 @@
 }
 
 /// A team and the keys of its callers.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Team {
     /// Name that backend servers see.
     pub name: String,
@@ -95,7 +97,7 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Limits {
     /// Bytes of a request's head.
     pub header_bytes: usize,
@@ -108,7 +110,7 @@
 }
 
 /// One version of the configuration, arranged for lookups.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Catalog {
     version: u64,
     routes: Vec<Route>,
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -11,6 +11,8 @@
 use slog::warn;
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
@@ -52,8 +54,8 @@
 /// Where the configuration comes from.
 #[async_trait]
 pub trait ConfigSource: Send + 'static {
-    /// Looks for a newer configuration and waits for one for at most `wait`, within `limit` in all.
-    async fn next(&mut self, wait: Duration, limit: Duration) -> Result<ConfigRead, SourceError>;
+    /// Looks for a newer configuration, within `limit`.
+    async fn read(&mut self, limit: Duration) -> Result<ConfigRead, SourceError>;
 }
 
 /// What one look at the server list gave.
@@ -75,11 +77,15 @@
 /// When the sources are read.
 #[derive(Clone, Copy, Debug)]
 pub struct Schedule {
-    /// Longest wait for a newer configuration in one read; the proof of the configuration is at most twice as old.
-    pub config_wait: Duration,
+    /// Time between two reads of the configuration.
+    pub config_interval: Duration,
+    /// Age of the proof from which a node that isn't the relay reads the configuration itself.
+    pub config_age: Duration,
     /// Time between two reads of the server list.
     pub list_interval: Duration,
-    /// Time over its wait after which a read is given up.
+    /// Age from which a node that isn't the relay reads the server list itself.
+    pub list_age: Duration,
+    /// Time after which a read is given up.
     pub read_timeout: Duration,
 }
 
@@ -88,6 +94,9 @@
 /// Longest pause after failed reads; it keeps the return of the store noticed within the two seconds of grace.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
+/// Time between two looks at whether what the relay tells has grown too old.
+const TOLD_LOOK: Duration = Duration::from_millis(100);
+
 /// The two tasks that keep the beliefs current.
 pub struct Follower {
     tasks: Vec<JoinHandle<()>>,
@@ -99,12 +108,17 @@
         beliefs: &Arc<Beliefs>,
         logs: &Logs,
         schedule: Schedule,
-        config: Box<dyn ConfigSource>,
-        servers: Box<dyn ServerList>,
+        is_relay: &Arc<AtomicBool>,
+        sources: (Box<dyn ConfigSource>, Box<dyn ServerList>),
     ) -> Self {
-        let following_config = follow_config(Arc::clone(beliefs), logs.clone(), schedule, config);
-        let following_servers =
-            follow_servers(Arc::clone(beliefs), logs.clone(), schedule, servers);
+        let following = Following {
+            beliefs: Arc::clone(beliefs),
+            logs: logs.clone(),
+            schedule,
+            is_relay: Arc::clone(is_relay),
+        };
+        let following_config = follow_config(following.clone(), sources.0);
+        let following_servers = follow_servers(following, sources.1);
         Self {
             tasks: vec![
                 tokio::spawn(following_config),
@@ -121,6 +135,26 @@
     }
 }
 
+/// What both tasks need.
+#[derive(Clone)]
+struct Following {
+    beliefs: Arc<Beliefs>,
+    logs: Logs,
+    schedule: Schedule,
+    is_relay: Arc<AtomicBool>,
+}
+
+impl Following {
+    /// Waits while a relay keeps the belief younger than `limit`; returns at once on the relay itself.
+    async fn wait_while_told(&self, age: impl Fn(&Beliefs) -> Option<Duration>, limit: Duration) {
+        while !self.is_relay.load(Ordering::Relaxed)
+            && age(&self.beliefs).is_some_and(|age| age < limit)
+        {
+            tokio::time::sleep(TOLD_LOOK).await;
+        }
+    }
+}
+
 /// Tells of a dependency once when it is lost and once when it is back.
 struct Contact {
     name: &'static str,
@@ -158,29 +192,29 @@
     }
 }
 
-async fn follow_config(
-    beliefs: Arc<Beliefs>,
-    logs: Logs,
-    schedule: Schedule,
-    mut source: Box<dyn ConfigSource>,
-) {
+async fn follow_config(following: Following, mut source: Box<dyn ConfigSource>) {
+    let Following {
+        beliefs,
+        logs,
+        schedule,
+        ..
+    } = &following;
     let mut contact = Contact::new("configuration");
-    let mut wait = Duration::ZERO;
     loop {
+        let age = |beliefs: &Beliefs| beliefs.config_age(Moment::now());
+        following.wait_while_told(age, schedule.config_age).await;
         let began = Moment::now();
-        match source.next(wait, wait + schedule.read_timeout).await {
+        let pause = match source.read(schedule.read_timeout).await {
             Ok(read) => {
-                contact.good(&logs);
-                take_config(&beliefs, &logs, began, read);
-                wait = schedule.config_wait;
-            }
-            Err(err) => {
-                let pause = contact.bad(&err, &logs);
-                // A read that doesn't wait shows soonest whether the source is back.
-                wait = Duration::ZERO;
-                tokio::time::sleep(pause).await;
+                contact.good(logs);
+                take_config(beliefs, logs, began, read);
+                schedule
+                    .config_interval
+                    .saturating_sub(Moment::now().since(began))
             }
-        }
+            Err(err) => contact.bad(&err, logs),
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -208,26 +242,29 @@
     }
 }
 
-async fn follow_servers(
-    beliefs: Arc<Beliefs>,
-    logs: Logs,
-    schedule: Schedule,
-    mut source: Box<dyn ServerList>,
-) {
+async fn follow_servers(following: Following, mut source: Box<dyn ServerList>) {
+    let Following {
+        beliefs,
+        logs,
+        schedule,
+        ..
+    } = &following;
     let mut contact = Contact::new("server list");
     loop {
+        let age = |beliefs: &Beliefs| beliefs.list_age(Moment::now());
+        following.wait_while_told(age, schedule.list_age).await;
         let began = Moment::now();
         let pause = match source.read(schedule.read_timeout).await {
             Ok(read) => {
-                contact.good(&logs);
-                take_servers(&beliefs, &logs, began, read);
+                contact.good(logs);
+                take_servers(beliefs, logs, began, read);
                 schedule
                     .list_interval
                     .saturating_sub(Moment::now().since(began))
             }
             Err(err) => {
-                note_changes(&logs, &beliefs, &beliefs.expire_servers(Moment::now()));
-                contact.bad(&err, &logs)
+                note_changes(logs, beliefs, &beliefs.expire_servers(Moment::now()));
+                contact.bad(&err, logs)
             }
         };
         tokio::time::sleep(pause).await;
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -1,11 +1,13 @@
 //! The backend servers that may be used, as they report themselves.
 
 use crate::clock::Moment;
+use serde::Deserialize;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What a backend server says of itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ServerEntry {
     /// Service that it offers.
     pub service: String,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -32,6 +32,11 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Gives the moment that is `time` earlier, or the start of the clock where there is none.
+    pub fn before(self, time: Duration) -> Self {
+        Self(self.0.saturating_sub(time))
+    }
+
     /// Gives the moment that is `time` later.
     pub fn plus(self, time: Duration) -> Self {
         Self(self.0.saturating_add(time))
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 mod leave;
 mod place;
 mod reject;
+mod relay;
 mod retry;
 #[cfg(test)]
 mod tests;
@@ -21,5 +22,6 @@
 pub use place::ServerView;
 pub use place::Work;
 pub use reject::Returns;
+pub use relay::relays;
 pub use retry::RetryBudget;
 pub use retry::RetryTerms;
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -51,8 +51,6 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -70,6 +68,9 @@
 /// Least time for the head of an answer before a request is sent elsewhere.
 const PATIENCE_LEAST: Duration = Duration::from_millis(600);
 
+/// Nodes that are assumed before their number is known: the users' next size.
+const NODES_UNKNOWN: u32 = 100;
+
 /// Everything that the tasks of a gateway share.
 pub(super) struct Gateway {
     pub(super) data_centre: String,
@@ -82,7 +83,7 @@
     pub(super) budgets: Mutex<Vec<(String, RetryBudget)>>,
     pub(super) retry_terms: RetryTerms,
     /// Nodes that share the fixed part of the budget of repeats.
-    pub(super) nodes: AtomicU32,
+    pub(super) nodes: OnceLock<Arc<dyn Fn() -> u32 + Send + Sync>>,
     pub(super) engines: EnginePlacement,
     pub(super) plain: PlainPlacement,
     pub(super) leave: Leave,
@@ -533,7 +534,11 @@
     }
 
     fn take_budget(&self) -> bool {
-        let nodes = self.gateway.nodes.load(Ordering::Relaxed);
+        let nodes = self
+            .gateway
+            .nodes
+            .get()
+            .map_or(NODES_UNKNOWN, |count| count());
         let now = Moment::now();
         self.gateway
             .with_budget(&self.service_name, |budget| budget.take(now, nodes))
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -6,6 +6,7 @@
 use crate::decide::Health;
 use crate::decide::HealthPolicy;
 use crate::decide::RunResult;
+use crate::peers::LoadEntry;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,6 +16,9 @@
 /// Age up to which a server's own report of its load is used: some runs' length, beyond which others began and ended.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
 
+/// Age up to which the loads of other nodes are used: some unanswered questions to the relay.
+const OTHERS_AGE: Duration = Duration::from_millis(2_000);
+
 #[derive(Clone, Copy, Debug)]
 struct Report {
     load: u32,
@@ -29,6 +33,7 @@
     service: String,
     own: u32,
     report: Option<Report>,
+    others: Option<(u32, Moment)>,
     health: Health,
 }
 
@@ -73,23 +78,7 @@
     /// Counts a request that is about to be sent to `server`.
     pub(super) fn begin(&self, server: &BackendServer) -> Place {
         let mut rows = self.lock();
-        let at = match rows.binary_search_by(|row| row.id.as_str().cmp(&server.id)) {
-            Ok(at) => at,
-            Err(at) => {
-                rows.insert(at, Row::default());
-                at
-            }
-        };
-        let row = &mut rows[at];
-        if row.id.is_empty() || row.born_ms != server.entry.born_ms {
-            // Nothing that was known of an earlier incarnation holds for this one.
-            *row = Row {
-                id: server.id.clone(),
-                born_ms: server.entry.born_ms,
-                service: server.entry.service.clone(),
-                ..Row::default()
-            };
-        }
+        let row = row_of(&mut rows, server);
         row.own += 1;
         Place {
             loads: self.clone(),
@@ -98,6 +87,35 @@
         }
     }
 
+    /// Gives this node's own requests by server, sorted.
+    pub(super) fn own(&self) -> Vec<LoadEntry> {
+        self.lock()
+            .iter()
+            .filter(|row| row.own > 0)
+            .map(|row| LoadEntry {
+                server: row.id.clone(),
+                in_flight: row.own,
+            })
+            .collect()
+    }
+
+    /// Takes in the requests of all other nodes together, sorted by server; a server that is not named has none.
+    pub(super) fn note_others(&self, others: &[LoadEntry]) {
+        let now = Moment::now();
+        for row in self.lock().iter_mut() {
+            let found = others.binary_search_by(|entry| entry.server.cmp(&row.id));
+            row.others = Some((found.map_or(0, |at| others[at].in_flight), now));
+        }
+    }
+
+    /// Makes a row for each server that has none, so that the loads of other nodes find it.
+    pub(super) fn know(&self, servers: &[BackendServer]) {
+        let mut rows = self.lock();
+        for server in servers {
+            row_of(&mut rows, server);
+        }
+    }
+
     /// Forgets servers that `is_known` doesn't name and that nothing runs at.
     pub(super) fn prune(&self, is_known: &dyn Fn(&str) -> bool) {
         self.lock().retain(|row| row.own > 0 || is_known(&row.id));
@@ -108,8 +126,35 @@
     }
 }
 
+/// Finds the row of a server's present incarnation, or makes one.
+fn row_of<'a>(rows: &'a mut Vec<Row>, server: &BackendServer) -> &'a mut Row {
+    let at = match rows.binary_search_by(|row| row.id.as_str().cmp(&server.id)) {
+        Ok(at) => at,
+        Err(at) => {
+            rows.insert(at, Row::default());
+            at
+        }
+    };
+    let row = &mut rows[at];
+    if row.id.is_empty() || row.born_ms != server.entry.born_ms {
+        // Nothing that was known of an earlier incarnation holds for this one.
+        *row = Row {
+            id: server.id.clone(),
+            born_ms: server.entry.born_ms,
+            service: server.entry.service.clone(),
+            ..Row::default()
+        };
+    }
+    row
+}
+
 impl Row {
+    /// Own requests and those of the other nodes where these are known, else what the server itself told.
     fn load(&self, now: Moment) -> u32 {
+        let others = self.others.filter(|(_, at)| now.since(*at) < OTHERS_AGE);
+        if let Some((others, _)) = others {
+            return others + self.own;
+        }
         let reported = self
             .report
             .filter(|report| now.since(report.at) < REPORT_AGE)
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -8,6 +8,7 @@
 use super::pages::Pages;
 use super::pool::Pool;
 use super::settings::GatewayBounds;
+use super::settings::GatewayPlace;
 use super::settings::GatewaySettings;
 use crate::catalog::BeliefBounds;
 use crate::catalog::Beliefs;
@@ -25,6 +26,12 @@
 use crate::net::Handler;
 use crate::net::Listener;
 use crate::net::Protocol;
+use crate::peers::NodeDirectory;
+use crate::peers::NodeEntry;
+use crate::peers::OtherLoads;
+use crate::peers::OwnLoads;
+use crate::peers::PeerSettings;
+use crate::peers::Peers;
 use slog::info;
 use std::fmt;
 use std::io;
@@ -32,8 +39,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use std::time::SystemTime;
 use tokio::task::JoinHandle;
 
 /// Time between two rounds of closing old connections and forgetting gone servers.
@@ -53,6 +61,8 @@
     pub config: Box<dyn ConfigSource>,
     /// The backend servers.
     pub servers: Box<dyn ServerList>,
+    /// The other gateways.
+    pub directory: Arc<dyn NodeDirectory>,
     /// Names and formats that callers and servers use.
     pub dialect: Arc<dyn Dialect>,
 }
@@ -89,29 +99,60 @@
     ready: Listener,
     metrics: Listener,
     follower: Follower,
+    peers: Peers,
     pruner: JoinHandle<()>,
     gateway: Arc<Gateway>,
     logs: Logs,
 }
 
+fn peer_settings(place: &GatewayPlace) -> PeerSettings {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let born_ms = since_epoch.unwrap_or_default().as_millis();
+    PeerSettings {
+        own: NodeEntry {
+            name: place.name.clone(),
+            data_centre: place.data_centre.clone(),
+            address: place.peer_address,
+            born_ms: u64::try_from(born_ms).unwrap_or(u64::MAX),
+        },
+        data_centres: place.data_centres.clone(),
+    }
+}
+
+/// Gives and takes loads on behalf of the other nodes.
+fn loads(gateway: &Arc<Gateway>) -> (OwnLoads, OtherLoads) {
+    let own = gateway.loads.clone();
+    let others = Arc::clone(gateway);
+    (
+        Arc::new(move || own.own()),
+        Arc::new(move |loads| {
+            let (servers, _) = others.beliefs.servers();
+            others.loads.know(&servers);
+            others.loads.note_others(&loads);
+        }),
+    )
+}
+
 fn belief_bounds(bounds: &GatewayBounds) -> BeliefBounds {
     BeliefBounds {
         key_proof: bounds
             .strict_revoke
             .then(|| bounds.revoke.saturating_sub(KEY_MARGIN)),
         list_grace: LIST_GRACE,
-        // Three reads in a row that failed.
-        list_silence: schedule(bounds).list_interval * 2,
+        // An entry lapses after three heartbeats without one, and the last may have come one before the silence.
+        list_silence: bounds.heartbeat * 2,
     }
 }
 
 /// Derives the reading schedule from the bounds, each with room for one lost read.
 fn schedule(bounds: &GatewayBounds) -> Schedule {
     Schedule {
-        // Two waits and a lost read fit into the age up to which keys are believed.
-        config_wait: (bounds.revoke * 3 / 10).min(Duration::from_secs(10)),
-        // A leaving server is known after one interval, or two where a read is lost.
-        list_interval: bounds.drain * 2 / 5,
+        // What the relay read is told on within one interval and one question, which stays under the age at which
+        // a node reads for itself; that age, a look and a read that fails once stay under the bound.
+        config_interval: bounds.config_apply * 7 / 20,
+        config_age: bounds.config_apply * 5 / 8,
+        list_interval: bounds.drain * 7 / 20,
+        list_age: bounds.drain * 5 / 8,
         read_timeout: Duration::from_millis(400),
     }
 }
@@ -138,13 +179,29 @@
         let metrics = listen("metrics", place.metrics_address, &pages).await?;
         let handler: Arc<dyn Handler> = Arc::new(Caller(Arc::clone(&gateway)));
         let callers = listen("callers", place.caller_address, &handler).await?;
+        let is_relay = Arc::new(AtomicBool::new(true));
         let follower = Follower::start(
             &beliefs,
             &logs,
             schedule(bounds),
-            sources.config,
-            sources.servers,
+            &is_relay,
+            (sources.config, sources.servers),
         );
+        let peers = Peers::start(
+            peer_settings(place),
+            &beliefs,
+            &logs,
+            sources.directory,
+            is_relay,
+            loads(&gateway),
+        );
+        let peers = peers.await.map_err(|cause| StartError::Listen {
+            purpose: "peers",
+            address: place.peer_address,
+            cause,
+        })?;
+        // It is set here alone.
+        let _ = gateway.nodes.set(peers.counter());
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
         info!(logs.log(), "started"; "version" => env!("CARGO_PKG_VERSION"),
             "data_centre" => &place.data_centre, "callers" => %place.caller_address);
@@ -153,6 +210,7 @@
             ready,
             metrics,
             follower,
+            peers,
             pruner,
             gateway,
             logs,
@@ -171,6 +229,7 @@
         self.callers.drain(rest).await;
         self.callers.close(Duration::from_millis(200)).await;
         self.follower.close();
+        self.peers.close().await;
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
@@ -199,7 +258,7 @@
             window: bounds.retry_window,
             slack: bounds.retry_slack as f64,
         },
-        nodes: AtomicU32::new(16),
+        nodes: OnceLock::new(),
         engines: EnginePlacement {
             bound_factor: 1.6,
             bound_extra: 2.0,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,7 @@
 
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.7:8080";
 const NAME: &str = "a name";
+const NAMES: &str = "names, separated by commas";
 
 /// Who the gateway is and where it listens.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,6 +22,10 @@
     pub name: String,
     /// Data centre of the host.
     pub data_centre: String,
+    /// Names of all data centres of the fleet.
+    pub data_centres: Vec<String>,
+    /// Where other gateways connect.
+    pub peer_address: SocketAddr,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where the balancer asks whether the node is ready.
@@ -42,6 +47,8 @@
     pub revoke: Duration,
     /// Whether that holds on nodes that are cut off as well.
     pub strict_revoke: bool,
+    /// Time between two reports of a backend server; three without one, and its entry lapses.
+    pub heartbeat: Duration,
     /// Time between a request to stop and the end of the process.
     pub grace: Duration,
     /// Window of the budget of repeated sends.
@@ -99,12 +106,22 @@
     }
 }
 
+fn names(list: &str) -> Vec<String> {
+    let names = list.split(',').map(str::trim);
+    names
+        .filter(|name| !name.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
 impl GatewayPlace {
     fn read(section: &mut Section<'_>) -> Self {
         let nowhere = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
         Self {
             name: section.required("name", String::new(), NAME),
             data_centre: section.required("data_centre", String::new(), NAME),
+            data_centres: names(&section.or("data_centres", String::new(), NAMES)),
+            peer_address: section.required("peer_address", nowhere, ADDRESS),
             caller_address: section.required("caller_address", nowhere, ADDRESS),
             ready_address: section.required("ready_address", nowhere, ADDRESS),
             metrics_address: section.required("metrics_address", nowhere, ADDRESS),
@@ -125,6 +142,7 @@
             drain: section.millis("drain_ms", 2_000, 200..=60_000),
             revoke: section.millis("revoke_ms", 5_000, 500..=600_000),
             strict_revoke: section.or("strict_revoke", true, "true or false"),
+            heartbeat: section.millis("heartbeat_ms", 1_200, 50..=60_000),
             grace: Duration::try_from_secs_f64(grace_s).unwrap_or(Duration::from_secs(8)),
             retry_window: Duration::try_from_secs_f64(window_s).unwrap_or(Duration::from_secs(10)),
             retry_ratio_milli: (ratio * 1_000.0) as u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod operations;
 pub mod outcome;
 pub mod owner;
+pub mod peers;
 pub mod reconcile;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/src/peers/link.rs
@@ -0,0 +1,59 @@
+//! A connection to another gateway, on which this one asks.
+
+use super::directory::NodeEntry;
+use super::message::Ask;
+use super::message::Tell;
+use super::message::decode;
+use super::message::encode;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+/// Longest wait for a connection: over ten times the sheets' longest way there and back.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for an answer, after which the other node counts as lost.
+const TELL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// An open connection.
+pub(super) struct Link {
+    socket: WebSocketStream<TcpStream>,
+}
+
+impl Link {
+    /// Connects to `node`.
+    pub(super) async fn open(node: &NodeEntry) -> Result<Self, String> {
+        let opening = async {
+            let stream = TcpStream::connect(node.address).await;
+            let stream = stream.map_err(|err| err.to_string())?;
+            stream.set_nodelay(true).map_err(|err| err.to_string())?;
+            let url = format!("ws://{}/peers", node.address);
+            let opened = tokio_tungstenite::client_async(url, stream).await;
+            let (socket, _) = opened.map_err(|err| err.to_string())?;
+            Ok(Self { socket })
+        };
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, opening).await;
+        opened.unwrap_or_else(|_| Err("connecting timed out".to_owned()))
+    }
+
+    /// Asks once.
+    pub(super) async fn ask(&mut self, ask: &Ask) -> Result<Tell, String> {
+        let bytes = encode(ask)?;
+        let asking = async {
+            let sent = self.socket.send(Message::binary(bytes)).await;
+            sent.map_err(|err| err.to_string())?;
+            loop {
+                let Some(message) = self.socket.next().await else {
+                    return Err("closed".to_owned());
+                };
+                if let Message::Binary(bytes) = message.map_err(|err| err.to_string())? {
+                    return decode(&bytes);
+                }
+            }
+        };
+        let told = tokio::time::timeout(TELL_TIMEOUT, asking).await;
+        told.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
+}
--- /dev/null
+++ b/src/peers/message.rs
@@ -0,0 +1,89 @@
+//! Messages between gateways, in CBOR over WebSocket.
+
+use super::directory::NodeEntry;
+use crate::catalog::Catalog;
+use crate::catalog::ServerEntry;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Requests in flight at one backend server.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct LoadEntry {
+    /// Name of the server.
+    pub server: String,
+    /// Requests that were sent and have no whole answer.
+    pub in_flight: u32,
+}
+
+/// Loads of one data centre's gateways together.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(super) struct CentreLoads {
+    pub(super) data_centre: String,
+    /// Sorted by server.
+    pub(super) loads: Vec<LoadEntry>,
+}
+
+/// What a gateway asks of another, a few times a second.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(super) struct Ask {
+    pub(super) node: String,
+    pub(super) data_centre: String,
+    /// The asking node's own loads; of its whole data centre where it is that one's relay and asks another's.
+    pub(super) loads: Vec<LoadEntry>,
+    /// Version of the configuration that it has.
+    pub(super) config_version: Option<u64>,
+    /// Stamp of the server list that it was last told.
+    pub(super) servers_stamp: Option<Stamp>,
+    /// Stamp of the node list that it was last told.
+    pub(super) nodes_stamp: Option<Stamp>,
+}
+
+/// A version of something that one process keeps.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(super) struct Stamp {
+    /// Unix time of the process's start in milliseconds.
+    pub(super) born_ms: u64,
+    pub(super) version: u64,
+}
+
+/// A backend server as it is passed on.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(super) struct ToldServer {
+    pub(super) id: String,
+    pub(super) entry: ServerEntry,
+}
+
+/// The answer to an [`Ask`]; ages are as of the moment at which it was made, so that they bound what is told from the
+/// moment of the question.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub(super) struct Tell {
+    /// Age of the teller's proof that its configuration is current.
+    pub(super) config_age_ms: Option<u64>,
+    /// Version of the teller's configuration.
+    pub(super) config_version: Option<u64>,
+    /// The configuration, where it is newer than the asker's.
+    pub(super) config: Option<Catalog>,
+    /// Age of the teller's newest read of the server list.
+    pub(super) servers_age_ms: Option<u64>,
+    pub(super) servers_stamp: Stamp,
+    /// The whole list of usable servers, where its stamp differs from the asker's.
+    pub(super) servers: Option<Vec<ToldServer>>,
+    pub(super) nodes_stamp: Stamp,
+    /// The list of gateways, where its stamp differs from the asker's.
+    pub(super) nodes: Option<Vec<NodeEntry>>,
+    /// Loads by data centre.
+    pub(super) centres: Vec<CentreLoads>,
+}
+
+/// Encodes a message.
+pub(super) fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, String> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(message, &mut buf).map_err(|err| err.to_string())?;
+    Ok(buf)
+}
+
+/// Decodes a message.
+pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    ciborium::from_reader(bytes).map_err(|err| err.to_string())
+}
