Peers: a node goes on reading where its relay got to

A relay that knows less than its member learnt from the store itself is left. Changes of servers that don't matter for placing are neither told nor logged.

--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -1,6 +1,7 @@
 //! The newest configuration and server list, with the moments that prove how old they are.
 
 use super::config::Catalog;
+use super::follow::Position;
 use super::roster::BackendServer;
 use super::roster::Roster;
 use super::roster::ServerRecord;
@@ -35,6 +36,8 @@
 struct State {
     catalog: Option<Arc<Catalog>>,
     config_proof: Option<Moment>,
+    config_position: Option<Position>,
+    servers_position: Option<Position>,
     roster: Roster,
     servers: Arc<Vec<BackendServer>>,
     servers_version: u64,
@@ -75,6 +78,28 @@
         state.config_proof = state.config_proof.max(Some(began));
     }
 
+    /// Tells how far the configuration's source has been read.
+    pub fn config_position(&self) -> Option<Position> {
+        self.lock().config_position
+    }
+
+    /// Notes how far the configuration's source has been read, here or by the node that told of it.
+    pub fn note_config_position(&self, position: Position) {
+        let mut state = self.lock();
+        state.config_position = state.config_position.max(Some(position));
+    }
+
+    /// Tells how far the server list has been read.
+    pub fn servers_position(&self) -> Option<Position> {
+        self.lock().servers_position
+    }
+
+    /// Notes how far the server list has been read, here or by the node that told of it.
+    pub fn note_servers_position(&self, position: Position) {
+        let mut state = self.lock();
+        state.servers_position = state.servers_position.max(Some(position));
+    }
+
     /// Gives the configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.lock().catalog.clone()
@@ -128,23 +153,28 @@
 
     /// Takes in what another node knew of the list at `read`: the whole of it, or that it hasn't changed.
     ///
-    /// What this node read later itself holds.
-    pub fn take_told_servers(&self, servers: Option<Vec<BackendServer>>, read: Moment) {
+    /// What this node read later itself holds. Returns the names whose standing changed.
+    pub fn take_told_servers(
+        &self,
+        servers: Option<Vec<BackendServer>>,
+        read: Moment,
+    ) -> Vec<String> {
         if self.lock().list_read.is_some_and(|last| last > read) {
-            return;
+            return Vec::new();
         }
         self.note_list_read(read);
+        let now = Moment::now();
         let Some(servers) = servers else {
-            return;
+            return self.expire_servers(now);
         };
-        let now = Moment::now();
         let mut names: Vec<String> = servers.iter().map(|server| server.id.clone()).collect();
         names.sort();
         let records = servers
             .into_iter()
             .map(|server| (server.id, ServerRecord::Report(server.entry)));
-        self.apply_servers(records.collect(), now);
-        self.apply_whole_list(&names, now);
+        let mut changed = self.apply_servers(records.collect(), now);
+        changed.extend(self.apply_whole_list(&names, now));
+        changed
     }
 
     /// Lets go of servers that did not come back in time; returns their names.
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// How far a source has been read; a node can go on where another one got to.
+pub type Position = u64;
+
 /// What one look at the configuration gave.
 #[derive(Debug)]
 pub enum ConfigRead {
@@ -54,8 +57,8 @@
 /// Where the configuration comes from.
 #[async_trait]
 pub trait ConfigSource: Send + 'static {
-    /// Looks for a newer configuration, within `limit`.
-    async fn read(&mut self, limit: Duration) -> Result<ConfigRead, SourceError>;
+    /// Looks for a newer configuration than the one known at `from`, or for the newest where nothing is known.
+    async fn read(&self, from: Option<Position>) -> Result<(ConfigRead, Position), SourceError>;
 }
 
 /// What one look at the server list gave.
@@ -70,8 +73,8 @@
 /// Where the list of backend servers comes from.
 #[async_trait]
 pub trait ServerList: Send + 'static {
-    /// Reads what is new on the list, within `limit`.
-    async fn read(&mut self, limit: Duration) -> Result<ServerRead, SourceError>;
+    /// Reads what is new on the list since `from`, or the whole list where nothing is known.
+    async fn read(&self, from: Option<Position>) -> Result<(ServerRead, Position), SourceError>;
 }
 
 /// When the sources are read.
@@ -85,8 +88,6 @@
     pub list_interval: Duration,
     /// Age from which a node that isn't the relay reads the server list itself.
     pub list_age: Duration,
-    /// Time after which a read is given up.
-    pub read_timeout: Duration,
 }
 
 /// First pause after a failed read.
@@ -192,7 +193,7 @@
     }
 }
 
-async fn follow_config(following: Following, mut source: Box<dyn ConfigSource>) {
+async fn follow_config(following: Following, source: Box<dyn ConfigSource>) {
     let Following {
         beliefs,
         logs,
@@ -204,10 +205,11 @@
         let age = |beliefs: &Beliefs| beliefs.config_age(Moment::now());
         following.wait_while_told(age, schedule.config_age).await;
         let began = Moment::now();
-        let pause = match source.read(schedule.read_timeout).await {
-            Ok(read) => {
+        let pause = match source.read(beliefs.config_position()).await {
+            Ok((read, position)) => {
                 contact.good(logs);
                 take_config(beliefs, logs, began, read);
+                beliefs.note_config_position(position);
                 schedule
                     .config_interval
                     .saturating_sub(Moment::now().since(began))
@@ -242,7 +244,7 @@
     }
 }
 
-async fn follow_servers(following: Following, mut source: Box<dyn ServerList>) {
+async fn follow_servers(following: Following, source: Box<dyn ServerList>) {
     let Following {
         beliefs,
         logs,
@@ -254,10 +256,11 @@
         let age = |beliefs: &Beliefs| beliefs.list_age(Moment::now());
         following.wait_while_told(age, schedule.list_age).await;
         let began = Moment::now();
-        let pause = match source.read(schedule.read_timeout).await {
-            Ok(read) => {
+        let pause = match source.read(beliefs.servers_position()).await {
+            Ok((read, position)) => {
                 contact.good(logs);
                 take_servers(beliefs, logs, began, read);
+                beliefs.note_servers_position(position);
                 schedule
                     .list_interval
                     .saturating_sub(Moment::now().since(began))
@@ -297,8 +300,12 @@
         return;
     }
     let (servers, version) = beliefs.servers();
+    let mut changed: Vec<&String> = changed.iter().collect();
+    changed.sort();
+    changed.dedup();
     for id in changed {
-        let found = servers.iter().find(|server| &server.id == id);
+        let found = servers.binary_search_by(|server| server.id.cmp(id));
+        let found = found.ok().map(|at| &servers[at]);
         let standing = if found.is_some() { "usable" } else { "out" };
         let born_ms = found.map_or(0, |server| server.entry.born_ms);
         info!(logs.log(), "server changed"; "server" => id, "standing" => standing, "born_ms" => born_ms,
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -97,8 +97,9 @@
             entry,
             standing,
         };
+        let is_usable = row.usable().is_some();
         self.rows.insert(at, row);
-        true
+        is_usable
     }
 
     /// Treats every listed server that `names` lacks as taken off; `names` is a whole list, sorted.
@@ -142,9 +143,7 @@
         self.rows
             .iter()
             .filter_map(|row| {
-                let entry = row.entry.as_ref()?;
-                let is_listed = matches!(row.standing, Standing::Listed | Standing::Leaving { .. });
-                (is_listed && !entry.is_draining).then(|| BackendServer {
+                row.usable().map(|entry| BackendServer {
                     id: row.id.clone(),
                     entry: entry.clone(),
                 })
@@ -154,49 +153,54 @@
 }
 
 impl Row {
+    /// Takes a record in and tells whether that matters for placing work.
     fn update(&mut self, record: ServerRecord, grace_until: Option<Moment>) -> bool {
+        let before = self.usable().cloned();
         match record {
             ServerRecord::Report(entry) => self.report(entry),
             ServerRecord::Gone => self.leave(grace_until),
             ServerRecord::Unusable(_) => {
-                let is_change = matches!(self.standing, Standing::Listed);
-                if is_change {
+                if matches!(self.standing, Standing::Listed) {
                     self.standing = Standing::Unusable;
                 }
-                is_change
             }
         }
+        match (&before, self.usable()) {
+            (Some(before), Some(after)) => before.differs(after),
+            (before, after) => before.is_some() != after.is_some(),
+        }
+    }
+
+    /// Gives the entry of a server that may get new work.
+    fn usable(&self) -> Option<&ServerEntry> {
+        let is_listed = matches!(self.standing, Standing::Listed | Standing::Leaving { .. });
+        self.entry
+            .as_ref()
+            .filter(|entry| is_listed && !entry.is_draining)
     }
 
     /// An older report than the newest known one is a late copy and changes nothing.
-    fn report(&mut self, entry: ServerEntry) -> bool {
+    fn report(&mut self, entry: ServerEntry) {
         let order = |entry: &ServerEntry| (entry.born_ms, entry.sequence);
         if let Some(known) = &self.entry {
-            let is_same_report = order(known) == order(&entry);
-            let is_back = !matches!(self.standing, Standing::Gone | Standing::Leaving { .. });
-            if order(&entry) < order(known) || (is_same_report && !is_back) {
-                return false;
+            let is_away = matches!(self.standing, Standing::Gone | Standing::Leaving { .. });
+            let is_late =
+                order(&entry) < order(known) || (is_away && order(&entry) == order(known));
+            if is_late {
+                return;
             }
         }
-        let is_change = !matches!(self.standing, Standing::Listed)
-            || self
-                .entry
-                .as_ref()
-                .is_none_or(|known| known.differs(&entry));
         self.standing = Standing::Listed;
         self.entry = Some(entry);
-        is_change
     }
 
-    fn leave(&mut self, grace_until: Option<Moment>) -> bool {
-        let is_listed = matches!(self.standing, Standing::Listed | Standing::Unusable);
-        if is_listed {
+    fn leave(&mut self, grace_until: Option<Moment>) {
+        if matches!(self.standing, Standing::Listed | Standing::Unusable) {
             self.standing = match grace_until {
                 Some(until) => Standing::Leaving { until },
                 None => Standing::Gone,
             };
         }
-        is_listed
     }
 }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -153,7 +153,6 @@
         config_age: bounds.config_apply * 5 / 8,
         list_interval: bounds.drain * 7 / 20,
         list_age: bounds.drain * 5 / 8,
-        read_timeout: Duration::from_millis(400),
     }
 }
 
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use super::directory::NodeEntry;
 use crate::catalog::Catalog;
+use crate::catalog::Position;
 use crate::catalog::ServerEntry;
 use serde::Deserialize;
 use serde::Serialize;
@@ -62,10 +63,14 @@
     pub(super) config_age_ms: Option<u64>,
     /// Version of the teller's configuration.
     pub(super) config_version: Option<u64>,
+    /// How far the teller has read the configuration's source.
+    pub(super) config_position: Option<Position>,
     /// The configuration, where it is newer than the asker's.
     pub(super) config: Option<Catalog>,
     /// Age of the teller's newest read of the server list.
     pub(super) servers_age_ms: Option<u64>,
+    /// How far the teller has read the server list.
+    pub(super) servers_position: Option<Position>,
     pub(super) servers_stamp: Stamp,
     /// The whole list of usable servers, where its stamp differs from the asker's.
     pub(super) servers: Option<Vec<ToldServer>>,
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -37,6 +37,9 @@
 const LOST_PAUSE: Duration = Duration::from_secs(3);
 /// Time after which a node looks whether an older one than its relay is back.
 const RELAY_TERM: Duration = Duration::from_secs(5);
+/// How much older a relay's proof may be than this node's own before the relay counts as cut off from the store: more
+/// than lies between two reads and two questions.
+const BLIND_LAG: Duration = Duration::from_millis(1_500);
 /// Longest wait for the node list's store.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest pause after a failed call to the node list's store.
@@ -147,6 +150,13 @@
         }
     }
 
+    /// Tells whether the teller knows less of the configuration than this node learnt from the store by itself.
+    fn is_blind(&self, tell: &Tell) -> bool {
+        let own_age = self.beliefs.config_age(Moment::now());
+        let told_age = tell.config_age_ms.map(Duration::from_millis);
+        own_age.is_some_and(|own| told_age.is_none_or(|told| told > own + BLIND_LAG))
+    }
+
     /// Takes in what the relay told in answer to a question that was asked at `asked`.
     fn take(&self, tell: Tell, asked: Moment, own: &[LoadEntry], told: &mut Told) {
         if let Some(catalog) = tell.config {
@@ -174,8 +184,15 @@
             });
             let is_first = told.servers != Some(tell.servers_stamp);
             if servers.is_some() || !is_first {
-                self.beliefs.take_told_servers(servers, read);
+                let changed = self.beliefs.take_told_servers(servers, read);
+                if !changed.is_empty() {
+                    info!(self.logs.log(), "servers told"; "changed" => changed.join(","),
+                        "age_ms" => age_ms);
+                }
                 told.servers = Some(tell.servers_stamp);
+                if let Some(position) = tell.servers_position {
+                    self.beliefs.note_servers_position(position);
+                }
             }
         }
         if let Some(nodes) = tell.nodes {
@@ -340,6 +357,9 @@
         let tell = link.ask(&shared.ask(own.clone(), &told)).await?;
         shared.note_reached(node);
         shared.set_relay(false);
+        if shared.is_blind(&tell) {
+            return Err("it does not reach the store".to_owned());
+        }
         shared.take(tell, asked, &own, &mut told);
         if asked.since(began) > RELAY_TERM && is_older_back(shared, node) {
             return Ok(());
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -88,10 +88,12 @@
     Tell {
         config_age_ms: shared.beliefs.config_age(now).map(millis),
         config_version,
+        config_position: shared.beliefs.config_position(),
         config: catalog
             .filter(|_| wants_config)
             .map(|catalog| (*catalog).clone()),
         servers_age_ms: shared.beliefs.list_age(now).map(millis),
+        servers_position: shared.beliefs.servers_position(),
         servers_stamp,
         servers: wants_servers.then(|| {
             let told = servers.iter().map(|server| ToldServer {
