--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -42,6 +42,8 @@
     servers: Arc<Vec<BackendServer>>,
     servers_version: u64,
     list_read: Option<Moment>,
+    is_config_lost: bool,
+    is_list_lost: bool,
     grace_until: Option<Moment>,
 }
 
@@ -89,6 +91,22 @@
         state.config_position = state.config_position.max(Some(position));
     }
 
+    /// Notes whether the last read of the configuration failed.
+    pub fn note_config_lost(&self, is_lost: bool) {
+        self.lock().is_config_lost = is_lost;
+    }
+
+    /// Notes whether the last read of the server list failed.
+    pub fn note_list_lost(&self, is_lost: bool) {
+        self.lock().is_list_lost = is_lost;
+    }
+
+    /// Tells whether this node's own reads fail at present.
+    pub fn is_cut_off(&self) -> bool {
+        let state = self.lock();
+        state.is_config_lost || state.is_list_lost
+    }
+
     /// Tells how far the server list has been read.
     pub fn servers_position(&self) -> Option<Position> {
         self.lock().servers_position
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -148,6 +148,8 @@
 impl Following {
     /// Waits while a relay keeps the belief younger than `limit`; returns at once on the relay itself.
     async fn wait_while_told(&self, age: impl Fn(&Beliefs) -> Option<Duration>, limit: Duration) {
+        // Spread, so that nodes whose relay is lost don't all read at the same moment.
+        let limit = limit.mul_f64(rand::random_range(0.9..1.0));
         while !self.is_relay.load(Ordering::Relaxed)
             && age(&self.beliefs).is_some_and(|age| age < limit)
         {
@@ -208,13 +210,17 @@
         let pause = match source.read(beliefs.config_position()).await {
             Ok((read, position)) => {
                 contact.good(logs);
+                beliefs.note_config_lost(false);
                 take_config(beliefs, logs, began, read);
                 beliefs.note_config_position(position);
                 schedule
                     .config_interval
                     .saturating_sub(Moment::now().since(began))
             }
-            Err(err) => contact.bad(&err, logs),
+            Err(err) => {
+                beliefs.note_config_lost(true);
+                contact.bad(&err, logs)
+            }
         };
         tokio::time::sleep(pause).await;
     }
@@ -259,6 +265,7 @@
         let pause = match source.read(beliefs.servers_position()).await {
             Ok((read, position)) => {
                 contact.good(logs);
+                beliefs.note_list_lost(false);
                 take_servers(beliefs, logs, began, read);
                 beliefs.note_servers_position(position);
                 schedule
@@ -266,6 +273,7 @@
                     .saturating_sub(Moment::now().since(began))
             }
             Err(err) => {
+                beliefs.note_list_lost(true);
                 note_changes(logs, beliefs, &beliefs.expire_servers(Moment::now()));
                 contact.bad(&err, logs)
             }
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -59,6 +59,8 @@
 /// moment of the question.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) struct Tell {
+    /// The teller's own reads of the store fail at present.
+    pub(super) is_cut_off: bool,
     /// Age of the teller's proof that its configuration is current.
     pub(super) config_age_ms: Option<u64>,
     /// Version of the teller's configuration.
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -40,6 +40,8 @@
 /// How much older a relay's proof may be than this node's own before the relay counts as cut off from the store: more
 /// than lies between two reads and two questions.
 const BLIND_LAG: Duration = Duration::from_millis(1_500);
+/// Relays that are tried in a row before this node reads for itself: where all are cut off, it is the store.
+const TRIED_MOST: usize = 3;
 /// Longest wait for the node list's store.
 const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest pause after a failed call to the node list's store.
@@ -150,11 +152,13 @@
         }
     }
 
-    /// Tells whether the teller knows less of the configuration than this node learnt from the store by itself.
+    /// Tells whether the teller can't read the store, or knows less of the configuration than this node learnt from the store by itself.
     fn is_blind(&self, tell: &Tell) -> bool {
         let own_age = self.beliefs.config_age(Moment::now());
         let told_age = tell.config_age_ms.map(Duration::from_millis);
-        own_age.is_some_and(|own| told_age.is_none_or(|told| told > own + BLIND_LAG))
+        let is_behind =
+            own_age.is_some_and(|own| told_age.is_none_or(|told| told > own + BLIND_LAG));
+        tell.is_cut_off || is_behind
     }
 
     /// Takes in what the relay told in answer to a question that was asked at `asked`.
@@ -320,6 +324,7 @@
     loop {
         let (nodes, _) = shared.nodes();
         let mut is_relay = true;
+        let mut tried = 0;
         for node in relays(&nodes, &shared.own.data_centre) {
             if node.name == shared.own.name {
                 break;
@@ -334,6 +339,10 @@
                 }
                 Err(cause) => shared.note_lost(node, &cause),
             }
+            tried += 1;
+            if tried >= TRIED_MOST {
+                break;
+            }
         }
         if is_relay {
             shared.set_relay(true);
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -86,6 +86,7 @@
     let wants_nodes = is_member && ask.nodes_stamp != Some(nodes_stamp);
     let wants_config = is_member && config_version > ask.config_version;
     Tell {
+        is_cut_off: shared.beliefs.is_cut_off(),
         config_age_ms: shared.beliefs.config_age(now).map(millis),
         config_version,
         config_position: shared.beliefs.config_position(),
