Tests: whole gateways against stand-ins of the store and of backend servers

Found and mended: a request that may be repeated and that every server turned away got 502 without a time of return, as if it might have run.

--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -11,7 +11,9 @@
 pub mod lagged;
 pub mod log;
 pub mod orders;
+pub mod replica;
 pub mod service;
+pub mod store;
 pub mod streams;
 pub mod weights;
 
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -107,6 +107,8 @@
     tried: Vec<String>,
     sends: u32,
     unreachable: u32,
+    /// A server may have begun to work on the request.
+    may_have_run: bool,
     pub(super) report: Report,
 }
 
@@ -402,6 +404,7 @@
             tried: Vec::new(),
             sends: 0,
             unreachable: 0,
+            may_have_run: false,
             report,
         })
     }
@@ -488,6 +491,7 @@
             let server = self.next_server()?;
             match self.send_to(&server, resume_after).await {
                 Sent::Answered(answered) => {
+                    self.may_have_run = true;
                     let is_failure = answered.head.status.is_server_error();
                     if !(is_failure && self.may_repeat()) {
                         return Ok(answered);
@@ -514,10 +518,12 @@
                     }
                 }
                 Sent::Unknown(cause) => {
+                    self.may_have_run = true;
                     self.note("unknown");
                     self.after_unknown("answer lost", &cause)?;
                 }
                 Sent::Silent => {
+                    self.may_have_run = true;
                     self.note("silent");
                     self.after_unknown("server silent", "")?;
                 }
@@ -567,19 +573,15 @@
 
     /// A refusal for want of a server; it promises that nothing ran, so it holds only while that is certain.
     fn no_server(&self, cause: &'static str) -> Refusal {
-        if self.has_run_maybe() {
+        if self.may_have_run {
             return Refusal::new(StatusCode::BAD_GATEWAY, cause);
         }
         self.gateway.unavailable(cause, self.salt, self.time_left())
     }
 
-    fn has_run_maybe(&self) -> bool {
-        self.sends > 0 && self.route.repeat.is_repeatable()
-    }
-
     fn next_server(&mut self) -> Result<BackendServer, Refusal> {
         if self.time_left() <= LEAST_TIME {
-            let status = if self.has_run_maybe() {
+            let status = if self.may_have_run {
                 StatusCode::GATEWAY_TIMEOUT
             } else {
                 StatusCode::SERVICE_UNAVAILABLE
