Peers: hosts with wide links are relays, and a slow read is no lost store

Change: nodes tell their link's bandwidth and relays are chosen by it; three reads in a row must take too long before the store counts as lost; a configuration is encoded once for all members.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -95,6 +95,8 @@
 /// Longest pause after failed reads; it keeps the return of the store noticed within the two seconds of grace.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
+/// Reads in a row that take too long before their source counts as lost.
+const TIMEOUTS_LOST: u32 = 3;
 /// Time between two looks at whether what the relay tells has grown too old.
 const TOLD_LOOK: Duration = Duration::from_millis(100);
 
@@ -183,6 +185,11 @@
         self.failures = 0;
     }
 
+    /// Tells whether the source counts as lost after `err`: a read that takes too long once may only be slow.
+    fn is_lost(&self, err: &SourceError) -> bool {
+        *err != SourceError::Timeout || self.failures >= TIMEOUTS_LOST
+    }
+
     fn bad(&mut self, err: &SourceError, logs: &Logs) -> Duration {
         if self.lost_at.is_none() {
             self.lost_at = Some(Moment::now());
@@ -218,8 +225,9 @@
                     .saturating_sub(Moment::now().since(began))
             }
             Err(err) => {
-                beliefs.note_config_lost(true);
-                contact.bad(&err, logs)
+                let pause = contact.bad(&err, logs);
+                beliefs.note_config_lost(contact.is_lost(&err));
+                pause
             }
         };
         tokio::time::sleep(pause).await;
@@ -273,9 +281,10 @@
                     .saturating_sub(Moment::now().since(began))
             }
             Err(err) => {
-                beliefs.note_list_lost(true);
                 note_changes(logs, beliefs, &beliefs.expire_servers(Moment::now()));
-                contact.bad(&err, logs)
+                let pause = contact.bad(&err, logs);
+                beliefs.note_list_lost(contact.is_lost(&err));
+                pause
             }
         };
         tokio::time::sleep(pause).await;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -2,4 +2,5 @@
 
 mod leave;
 mod place;
+mod relay;
 mod retry;
--- /dev/null
+++ b/src/decide/tests/relay.rs
@@ -0,0 +1,44 @@
+//! Many nodes, of which one reads the store for its data centre.
+
+use crate::decide::relays;
+use crate::peers::NodeEntry;
+use std::net::SocketAddr;
+
+fn node(name: &str, data_centre: &str, born_ms: u64, link_mbps: u64) -> NodeEntry {
+    NodeEntry {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7340)),
+        born_ms,
+        link_mbps,
+    }
+}
+
+fn names<'a>(nodes: &'a [NodeEntry], data_centre: &str) -> Vec<&'a str> {
+    let relays = relays(nodes, data_centre);
+    relays.into_iter().map(|node| node.name.as_str()).collect()
+}
+
+#[test]
+fn a_restart_does_not_take_the_part_from_an_older_node() {
+    let before = [
+        node("a", "x", 1, 200),
+        node("b", "x", 2, 200),
+        node("c", "y", 0, 200),
+    ];
+    let after = [
+        node("a", "x", 9, 200),
+        node("b", "x", 2, 200),
+        node("c", "y", 0, 200),
+    ];
+
+    assert_eq!(names(&before, "x"), ["a", "b"]);
+    assert_eq!(names(&after, "x"), ["b", "a"]);
+}
+
+#[test]
+fn a_host_with_a_narrow_link_reads_only_where_there_is_no_other() {
+    let nodes = [node("narrow", "x", 1, 10), node("wide", "x", 5, 200)];
+
+    assert_eq!(names(&nodes, "x"), ["wide", "narrow"]);
+}
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -114,6 +114,7 @@
             data_centre: place.data_centre.clone(),
             address: place.peer_address,
             born_ms: u64::try_from(born_ms).unwrap_or(u64::MAX),
+            link_mbps: place.link_mbps,
         },
         data_centres: place.data_centres.clone(),
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -24,6 +24,8 @@
     pub data_centre: String,
     /// Names of all data centres of the fleet.
     pub data_centres: Vec<String>,
+    /// Bandwidth of the host's link in Mbit/s; hosts with wide links read the store for others.
+    pub link_mbps: u64,
     /// Where other gateways connect.
     pub peer_address: SocketAddr,
     /// Where callers connect.
@@ -121,6 +123,7 @@
             name: section.required("name", String::new(), NAME),
             data_centre: section.required("data_centre", String::new(), NAME),
             data_centres: names(&section.or("data_centres", String::new(), NAMES)),
+            link_mbps: section.or("link_mbps", 1_000.0, "a number of Mbit/s") as u64,
             peer_address: section.required("peer_address", nowhere, ADDRESS),
             caller_address: section.required("caller_address", nowhere, ADDRESS),
             ready_address: section.required("ready_address", nowhere, ADDRESS),
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     /// Unix time of the process's start in milliseconds.
     pub born_ms: u64,
+    /// Bandwidth of the host's link in Mbit/s.
+    pub link_mbps: u64,
 }
 
 /// Where gateways announce themselves.
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -1,9 +1,9 @@
 //! Messages between gateways, in CBOR over WebSocket.
 
 use super::directory::NodeEntry;
-use crate::catalog::Catalog;
 use crate::catalog::Position;
 use crate::catalog::ServerEntry;
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -67,8 +67,8 @@
     pub(super) config_version: Option<u64>,
     /// How far the teller has read the configuration's source.
     pub(super) config_position: Option<Position>,
-    /// The configuration, where it is newer than the asker's.
-    pub(super) config: Option<Catalog>,
+    /// The configuration in CBOR, where it is newer than the asker's; it is encoded once for all askers.
+    pub(super) config: Option<Bytes>,
     /// Age of the teller's newest read of the server list.
     pub(super) servers_age_ms: Option<u64>,
     /// How far the teller has read the server list.
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -10,12 +10,16 @@
 use super::message::LoadEntry;
 use super::message::Stamp;
 use super::message::Tell;
+use super::message::decode;
+use super::message::encode;
 use super::serve;
 use crate::catalog::BackendServer;
 use crate::catalog::Beliefs;
+use crate::catalog::Catalog;
 use crate::clock::Moment;
 use crate::decide::relays;
 use crate::logs::Logs;
+use bytes::Bytes;
 use slog::info;
 use slog::warn;
 use std::io;
@@ -69,6 +73,8 @@
     pub(super) logs: Logs,
     nodes: Mutex<Nodes>,
     lost: Mutex<Vec<(String, Moment)>>,
+    /// The newest configuration that was asked for, by version.
+    encoded: Mutex<Option<(u64, Bytes)>>,
     is_relay: Arc<AtomicBool>,
     own_loads: OwnLoads,
     other_loads: OtherLoads,
@@ -93,6 +99,27 @@
         (nodes.list.clone(), nodes.version)
     }
 
+    /// Encodes a configuration, once for all that ask for it.
+    pub(super) fn encoded(&self, catalog: &Catalog) -> Option<Bytes> {
+        let mut encoded = lock(&self.encoded);
+        if let Some((version, bytes)) = &*encoded
+            && *version == catalog.version()
+        {
+            return Some(bytes.clone());
+        }
+        match encode(catalog) {
+            Ok(bytes) => {
+                let bytes = Bytes::from(bytes);
+                *encoded = Some((catalog.version(), bytes.clone()));
+                Some(bytes)
+            }
+            Err(cause) => {
+                warn!(self.logs.log(), "configuration not told"; "cause" => cause);
+                None
+            }
+        }
+    }
+
     /// Takes in a node list; this node is on it whatever it says.
     fn note_nodes(&self, mut list: Vec<NodeEntry>) {
         list.retain(|node| node.name != self.own.name);
@@ -141,6 +168,14 @@
         }
     }
 
+    fn decoded(&self, bytes: &[u8]) -> Option<Catalog> {
+        decode(bytes)
+            .inspect_err(|cause| {
+                warn!(self.logs.log(), "told configuration unusable"; "cause" => cause);
+            })
+            .ok()
+    }
+
     fn ask(&self, loads: Vec<LoadEntry>, told: &Told) -> Ask {
         Ask {
             node: self.own.name.clone(),
@@ -163,7 +198,7 @@
 
     /// Takes in what the relay told in answer to a question that was asked at `asked`.
     fn take(&self, tell: Tell, asked: Moment, own: &[LoadEntry], told: &mut Told) {
-        if let Some(catalog) = tell.config {
+        if let Some(catalog) = tell.config.and_then(|bytes| self.decoded(&bytes)) {
             let version = catalog.version();
             let change = self.beliefs.apply_config(catalog);
             info!(self.logs.log(), "configuration told"; "version" => version,
@@ -248,6 +283,7 @@
             logs: logs.clone(),
             nodes: Mutex::default(),
             lost: Mutex::default(),
+            encoded: Mutex::default(),
             is_relay,
             own_loads: loads.0,
             other_loads: loads.1,
