--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub use health::HealthPolicy;
 pub use health::RunResult;
 pub use leave::Leave;
+pub use place::Choice;
 pub use place::EnginePlacement;
 pub use place::Placement;
 pub use place::PlainPlacement;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -42,10 +42,19 @@
     pub is_tried: bool,
 }
 
+/// A choice among servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Place of the chosen server in the list.
+    pub at: usize,
+    /// How many homes of the request's prompt part were passed over for it.
+    pub passed_over: usize,
+}
+
 /// Chooses among the servers of one service.
 pub trait Placement: Send + Sync {
-    /// Gives the place of the chosen server in `servers`, or nothing where none may be used.
-    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<usize>;
+    /// Chooses one of `servers`, or none where none may be used.
+    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<Choice>;
 }
 
 /// Servers that are left for choice: those in good standing, or all that were not tried where none is.
@@ -80,7 +89,7 @@
 }
 
 impl Placement for PlainPlacement {
-    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<usize> {
+    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<Choice> {
         let eligible = eligible(servers);
         let fill = |at: usize| f64::from(servers[at].load) / f64::from(servers[at].slots.max(1));
         let tie = |at: usize| hash(&[servers[at].id.as_bytes(), &work.salt.to_le_bytes()]);
@@ -91,7 +100,8 @@
             .copied()
             .filter(|&at| servers[at].is_near && fill(at) < self.near_fill)
             .min_by(least);
-        near.or_else(|| eligible.into_iter().min_by(least))
+        let at = near.or_else(|| eligible.into_iter().min_by(least))?;
+        Some(Choice { at, passed_over: 0 })
     }
 }
 
@@ -128,7 +138,7 @@
 }
 
 impl Placement for EnginePlacement {
-    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<usize> {
+    fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<Choice> {
         let eligible = eligible(servers);
         if eligible.is_empty() {
             return None;
@@ -146,14 +156,11 @@
             .take(self.homes)
             .copied()
             .find(|at| has_room(at));
-        within
-            .or_else(|| {
-                homes
-                    .iter()
-                    .copied()
-                    .filter(has_room)
-                    .min_by_key(|&at| servers[at].load)
-            })
-            .or_else(|| homes.into_iter().min_by_key(|&at| servers[at].load))
+        let least = |at: &usize| servers[*at].load;
+        let at = within
+            .or_else(|| homes.iter().copied().filter(has_room).min_by_key(least))
+            .or_else(|| homes.iter().copied().min_by_key(least))?;
+        let passed_over = homes.iter().position(|home| *home == at).unwrap_or(0);
+        Some(Choice { at, passed_over })
     }
 }
--- a/src/decide/tests/place.rs
+++ b/src/decide/tests/place.rs
@@ -1,5 +1,6 @@
 //! Shared prompt parts, one of them hot, and plain calls over data centres.
 
+use crate::decide::Choice;
 use crate::decide::EnginePlacement;
 use crate::decide::Placement;
 use crate::decide::PlainPlacement;
@@ -41,7 +42,7 @@
 fn requests_that_share_a_part_go_to_one_engine_under_even_load() {
     let views = engines(&[5; 9]);
 
-    let chosen: Vec<Option<usize>> = (0..50)
+    let chosen: Vec<Option<Choice>> = (0..50)
         .map(|own| {
             let parts = prompt(77, own);
             placement().choose(
@@ -54,7 +55,11 @@
         })
         .collect();
 
-    assert!(chosen.iter().all(|at| at.is_some() && *at == chosen[0]));
+    assert!(
+        chosen
+            .iter()
+            .all(|choice| choice.is_some() && *choice == chosen[0])
+    );
 }
 
 #[test]
@@ -67,7 +72,7 @@
             parts: &parts,
             salt: own,
         };
-        let at = placement().choose(&work, &engines(&loads)).unwrap();
+        let at = placement().choose(&work, &engines(&loads)).unwrap().at;
         loads[at] += 1;
         let mean = f64::from(loads.iter().sum::<u32>()) / 9.0;
         assert!(f64::from(loads[at]) <= 2.0 * mean + 3.0, "{loads:?}");
@@ -87,7 +92,7 @@
                 },
                 &views,
             );
-            views[at.unwrap()].id
+            views[at.unwrap().at].id
         })
         .collect();
     let rest: Vec<ServerView<'_>> = views
@@ -106,7 +111,8 @@
                 },
                 &rest,
             )
-            .unwrap();
+            .unwrap()
+            .at;
         homes[shared as usize] != "c" && rest[at].id != homes[shared as usize]
     });
 
@@ -132,6 +138,6 @@
     let idle = placement.choose(&work, &[server("far", false, 0), server("near", true, 3)]);
     let full = placement.choose(&work, &[server("far", false, 0), server("near", true, 6)]);
 
-    assert_eq!(idle, Some(1));
-    assert_eq!(full, Some(0));
+    assert_eq!(idle.map(|choice| choice.at), Some(1));
+    assert_eq!(full.map(|choice| choice.at), Some(0));
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -121,6 +121,7 @@
     service: String,
     servers: Vec<String>,
     load: u32,
+    passed_over: usize,
     config_version: u64,
     config_age_ms: u64,
     list_version: u64,
@@ -144,6 +145,7 @@
             service: String::new(),
             servers: Vec::new(),
             load: 0,
+            passed_over: 0,
             config_version: 0,
             config_age_ms: 0,
             list_version: 0,
@@ -199,7 +201,7 @@
             return;
         };
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
-            "service" => &self.service, "servers" => self.servers.join(","), "load" => self.load,
+            "service" => &self.service, "servers" => self.servers.join(","), "load" => self.load, "passed_over" => self.passed_over,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.events,
             "resumed" => self.resumed, "ms" => self.began.elapsed().as_millis() as u64,
@@ -612,11 +614,12 @@
         } else {
             &self.gateway.plain
         };
-        let Some(at) = placement.choose(&work, &views) else {
+        let Some(choice) = placement.choose(&work, &views) else {
             return Err(self.no_server("no server"));
         };
-        self.report.load = views[at].load;
-        Ok(offered[at].clone())
+        self.report.load = views[choice.at].load;
+        self.report.passed_over = choice.passed_over;
+        Ok(offered[choice.at].clone())
     }
 
     fn view<'a>(&self, server: &'a BackendServer, now: Moment) -> ServerView<'a> {
