Placement: servers without any sign of life get no new work

Cause: after a cut between data centres, requests that may run once went on being sent to servers behind it until their callers left after 2.4 s; nothing was learnt from a caller that leaves.

Change: a server that has work and has given no byte for 0.8 s is passed over; a request that ends so counts as silent, and silence sets a server aside at once, as an unreachable one is. The node list is told lost and regained once, and a relay that is cut off is not told as regained.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -1,7 +1,8 @@
 //! Sets backend servers aside that fail more than their like.
 //!
 //! Load pattern: one server of a service fails, hangs or resets part of its requests while it reports itself healthy. If
-//! all servers fail alike it is the service, and setting servers aside would only move the load.
+//! all servers fail alike it is the service, and setting servers aside would only move the load. A server that can't be
+//! reached or gives no sign at all is set aside at once, as after a cut between data centres.
 
 use crate::clock::Moment;
 use std::time::Duration;
@@ -56,7 +57,7 @@
 pub struct Health {
     rate: f64,
     results: u32,
-    unreachable_in_row: u32,
+    dark_in_row: u32,
     pauses: u32,
     aside_until: Option<Moment>,
 }
@@ -85,10 +86,10 @@
         let failure = if result == RunResult::Good { 0.0 } else { 1.0 };
         self.rate += (failure - self.rate) * policy.gain;
         self.results = self.results.saturating_add(1);
-        if result == RunResult::Unreachable {
-            self.unreachable_in_row += 1;
+        if matches!(result, RunResult::Unreachable | RunResult::Silent) {
+            self.dark_in_row += 1;
         } else {
-            self.unreachable_in_row = 0;
+            self.dark_in_row = 0;
         }
         if result == RunResult::Good {
             if self.rate < policy.gain {
@@ -96,7 +97,7 @@
             }
             return None;
         }
-        let is_dark = self.unreachable_in_row >= 1;
+        let is_dark = self.dark_in_row > 0;
         let is_worse =
             self.results >= policy.least_results && self.rate > mean_rate + policy.excess;
         if !(is_dark || is_worse) || self.is_aside(now) {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -1,5 +1,6 @@
 //! Each decision against the load pattern that it answers.
 
+mod health;
 mod leave;
 mod place;
 mod relay;
--- /dev/null
+++ b/src/decide/tests/health.rs
@@ -0,0 +1,89 @@
+//! A server that fails while others don't, and a service that fails as a whole.
+
+use crate::clock::Moment;
+use crate::decide::Health;
+use crate::decide::HealthPolicy;
+use crate::decide::RunResult;
+use std::time::Duration;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(ms))
+}
+
+fn note_all(health: &mut Health, results: &[RunResult], mean_rate: f64) -> Option<Duration> {
+    let policy = HealthPolicy::default();
+    let mut pause = None;
+    for (number, result) in results.iter().enumerate() {
+        pause = health
+            .note(*result, mean_rate, at(number as u64), &policy)
+            .or(pause);
+    }
+    pause
+}
+
+#[test]
+fn a_server_that_fails_among_sound_ones_is_set_aside_and_tried_again() {
+    let mut health = Health::default();
+
+    let pause = note_all(&mut health, &[RunResult::Failed; 3], 0.1);
+
+    let pause = pause.expect("set aside");
+    assert!(health.is_aside(at(10)));
+    assert!(!health.is_aside(at(10).plus(pause)));
+}
+
+#[test]
+fn servers_that_all_fail_alike_stay_in_use() {
+    let mut health = Health::default();
+
+    let pause = note_all(&mut health, &[RunResult::Failed; 20], 0.9);
+
+    assert_eq!(pause, None);
+}
+
+#[test]
+fn natural_failures_set_no_server_aside() {
+    let mut health = Health::default();
+    let mut results = [RunResult::Good; 21];
+    for failed in [3, 10, 17] {
+        results[failed] = RunResult::Failed;
+    }
+
+    let pause = note_all(&mut health, &results, 0.14);
+
+    assert_eq!(pause, None);
+}
+
+#[test]
+fn a_server_without_any_sign_is_set_aside_at_once() {
+    for result in [RunResult::Unreachable, RunResult::Silent] {
+        let mut health = Health::default();
+
+        let pause = note_all(
+            &mut health,
+            &[RunResult::Good, RunResult::Good, result],
+            0.0,
+        );
+
+        assert!(pause.is_some(), "{result:?}");
+    }
+}
+
+#[test]
+fn pauses_grow_to_their_limit() {
+    let policy = HealthPolicy::default();
+    let mut health = Health::default();
+    let mut now = at(0);
+    let mut last = Duration::ZERO;
+
+    for _ in 0..6 {
+        let pause = health
+            .note(RunResult::Unreachable, 0.0, now, &policy)
+            .unwrap();
+        assert!(pause >= last);
+        last = pause;
+        now = now.plus(pause);
+    }
+
+    assert_eq!(last, policy.longest_pause);
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -159,6 +159,7 @@
     lease: Lease,
     place: Place,
 ) -> Sent {
+    place.note_sign();
     let (head, body) = response.into_parts();
     let marks = dialect.read_marks(head.status, &head.headers);
     if marks.is_not_run {
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -19,6 +19,9 @@
 /// Age up to which the loads of other nodes are used: some unanswered questions to the relay.
 const OTHERS_AGE: Duration = Duration::from_millis(2_000);
 
+/// Time without any sign of a server that has work after which it gets none: twice the longest prompt of the sheets,
+/// and nearly twice the longest plain call.
+const SILENCE_LIMIT: Duration = Duration::from_millis(800);
 /// Time after which a server that joined holds what it is the home of: most parts are asked for several times in it.
 const YOUNG_FOR: Duration = Duration::from_secs(12);
 
@@ -37,6 +40,8 @@
     own: u32,
     report: Option<Report>,
     others: Option<(u32, Moment)>,
+    /// Since when requests have waited there without any sign of the server.
+    unanswered_since: Option<Moment>,
     /// When it joined the servers that were known already.
     joined: Option<Moment>,
     health: Health,
@@ -77,7 +82,7 @@
         }
         Standing {
             load: row.load(now),
-            is_aside: row.health.is_aside(now),
+            is_aside: row.health.is_aside(now) || row.is_silent(now),
             is_young: row
                 .joined
                 .is_some_and(|joined| now.since(joined) < YOUNG_FOR),
@@ -89,6 +94,7 @@
         let mut rows = self.lock();
         let row = row_of(&mut rows, server);
         row.own += 1;
+        row.unanswered_since = row.unanswered_since.or(Some(Moment::now()));
         Place {
             loads: self.clone(),
             id: server.id.clone(),
@@ -164,6 +170,11 @@
 }
 
 impl Row {
+    fn is_silent(&self, now: Moment) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.since(since) > SILENCE_LIMIT)
+    }
+
     /// Own requests and those of the other nodes where these are known, else what the server itself told.
     fn load(&self, now: Moment) -> u32 {
         let others = self.others.filter(|(_, at)| now.since(*at) < OTHERS_AGE);
@@ -181,6 +192,11 @@
 }
 
 impl Place {
+    /// Notes that bytes came from the server.
+    pub(super) fn note_sign(&self) {
+        self.with_row(|row| row.unanswered_since = Some(Moment::now()));
+    }
+
     /// Takes in the load that the server told with an answer.
     pub(super) fn note_load(&self, load: ServerLoad) {
         self.with_row(|row| {
@@ -230,6 +246,21 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.with_row(|row| row.own = row.own.saturating_sub(1));
+        let is_silent = {
+            let now = Moment::now();
+            let mut is_silent = false;
+            self.with_row(|row| is_silent = row.is_silent(now));
+            is_silent
+        };
+        if is_silent {
+            // The caller left, or the time was over, without any sign of the server.
+            self.note_result(RunResult::Silent);
+        }
+        self.with_row(|row| {
+            row.own = row.own.saturating_sub(1);
+            if row.own == 0 {
+                row.unanswered_since = None;
+            }
+        });
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -218,6 +218,7 @@
                 None => return Piece::End,
                 Some(Err(err)) => return Piece::Lost(err.to_string()),
                 Some(Ok(frame)) => {
+                    self.place.note_sign();
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -331,6 +331,7 @@
         pause(DIRECTORY_PAUSE).await;
     }
     let mut is_known = false;
+    let mut is_lost = false;
     loop {
         if is_known && !shared.is_relay.load(Ordering::Relaxed) {
             pause(DIRECTORY_PAUSE).await;
@@ -340,10 +341,17 @@
             Ok(list) => {
                 shared.note_nodes(list);
                 is_known = true;
+                if is_lost {
+                    info!(shared.logs.log(), "dependency regained"; "dependency" => "node list");
+                    is_lost = false;
+                }
                 pause(NODES_INTERVAL).await;
             }
             Err(err) => {
-                warn!(shared.logs.log(), "node list not read"; "cause" => %err);
+                if !is_lost {
+                    warn!(shared.logs.log(), "dependency lost"; "dependency" => "node list", "cause" => %err);
+                    is_lost = true;
+                }
                 pause(DIRECTORY_PAUSE).await;
             }
         }
@@ -400,11 +408,11 @@
         let asked = Moment::now();
         let own = (shared.own_loads)();
         let tell = link.ask(&shared.ask(own.clone(), &told)).await?;
-        shared.note_reached(node);
-        shared.set_relay(false);
         if shared.is_blind(&tell) {
             return Err("it does not reach the store".to_owned());
         }
+        shared.note_reached(node);
+        shared.set_relay(false);
         shared.take(tell, asked, &own, &mut told);
         if asked.since(began) > RELAY_TERM && is_older_back(shared, node) {
             return Ok(());
