Gateway: a replaced server costs no attempt

Change: where another server has the address, the one that was meant is set aside, as one that can't be reached, and the request goes on to the next within the budget of repeats.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -47,6 +47,8 @@
     Answered(Box<Answered>),
     /// No byte of the request left, so the server did not run it.
     Unsent(String),
+    /// Another server has the address; it did not run the request, and the one that was meant is gone.
+    Misdirected,
     /// The server says that it did not run the request.
     NotRun(StatusCode),
     /// The request may have run.
@@ -167,6 +169,10 @@
             place.note_load(load);
         }
         lease.close();
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            place.note_result(RunResult::Unreachable);
+            return Sent::Misdirected;
+        }
         return Sent::NotRun(head.status);
     }
     let is_other = marks
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -516,6 +516,14 @@
                         return Err(self.no_server("servers unreachable").detail(cause));
                     }
                 }
+                Sent::Misdirected => {
+                    self.note("misdirected");
+                    self.sends -= 1;
+                    self.unreachable += 1;
+                    if self.unreachable >= UNREACHABLE_MOST || !self.take_budget() {
+                        return Err(self.no_server("servers replaced"));
+                    }
+                }
                 Sent::NotRun(status) => {
                     self.note("not run");
                     let is_last = self.sends >= self.route.attempts || !self.take_budget();
