Pool: connections of a server that fell silent or was reset are all given up

Change: where one connection to a server is reset or silent, its idle ones are closed; the next request connects anew, and what can't connect was not sent.

--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -166,6 +166,7 @@
     let mut res = Response::new(body);
     *res.status_mut() = status;
     http::set_header(&mut res, "currantbend-instance-id", &shared.id);
+    http::set_header(&mut res, "keep-alive", "timeout=10");
     let load = format!("{},0,8", shared.running.load(Relaxed));
     http::set_header(&mut res, "currantbend-server-load", &load);
     res
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -99,6 +99,7 @@
         match tokio::time::timeout(sending.head_timeout, answering).await {
             Err(_) => {
                 lease.close();
+                pool.discard(&sending.server.id);
                 place.note_result(RunResult::Silent);
                 return Sent::Silent;
             }
@@ -107,6 +108,7 @@
                 let is_unsent = err.take_message().is_some();
                 last = err.into_error().to_string();
                 if !is_unsent {
+                    pool.discard(&sending.server.id);
                     place.note_result(RunResult::Broken);
                     return Sent::Unknown(last);
                 }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -146,6 +146,12 @@
         });
     }
 
+    /// Closes all idle connections to a server: where one was reset or fell silent, the others likely are too.
+    pub(super) fn discard(&self, server_id: &str) {
+        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        rows.retain(|(id, _)| id != server_id);
+    }
+
     /// Closes idle connections that are too old, and those of servers that `is_usable` no longer knows.
     pub(super) fn prune(&self, is_usable: &dyn Fn(&str) -> bool) {
         let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
@@ -166,6 +172,11 @@
         &mut self.sender
     }
 
+    /// Gives the name of the server at the other end.
+    pub(super) fn server_id(&self) -> &str {
+        &self.server_id
+    }
+
     /// Tells whether the connection carried a request before.
     pub(super) fn is_reused(&self) -> bool {
         self.is_reused
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -174,6 +174,7 @@
 
     fn abandon(&mut self, result: RunResult) {
         if let Some(run) = self.run.take() {
+            self.exchange.gateway.pool.discard(run.lease.server_id());
             run.abandon(result);
         }
     }
