--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -191,7 +191,10 @@
             .into_iter()
             .map(|server| (server.id, ServerRecord::Report(server.entry)));
         let mut changed = self.apply_servers(records.collect(), now);
-        changed.extend(self.apply_whole_list(&names, now));
+        // The teller has kept what may come back; what it left out is leaving or gone.
+        let mut state = self.lock();
+        let lost = state.roster.keep_only(&names, None);
+        changed.extend(state.settle(now, lost));
         changed
     }
 
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -1,1 +1,216 @@
+//! What is believed of configuration and servers, and for how long.
 
+use super::BackendServer;
+use super::BeliefBounds;
+use super::Beliefs;
+use super::Catalog;
+use super::ConfigChange;
+use super::Limits;
+use super::Repeat;
+use super::Route;
+use super::ServerEntry;
+use super::ServerRecord;
+use super::Team;
+use crate::clock::Moment;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const GRACE: Duration = Duration::from_secs(2);
+const SILENCE: Duration = Duration::from_millis(2_400);
+
+fn beliefs() -> Beliefs {
+    Beliefs::new(BeliefBounds {
+        key_proof: Some(Duration::from_millis(4_500)),
+        list_grace: GRACE,
+        list_silence: SILENCE,
+    })
+}
+
+fn entry(sequence: u64, is_draining: bool, born_ms: u64) -> ServerEntry {
+    ServerEntry {
+        service: "app".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        data_centre: "north".to_owned(),
+        slots: 6,
+        is_draining,
+        cold_left: Duration::ZERO,
+        sequence,
+        born_ms,
+    }
+}
+
+fn report(id: &str, sequence: u64, is_draining: bool, born_ms: u64) -> (String, ServerRecord) {
+    let record = ServerRecord::Report(entry(sequence, is_draining, born_ms));
+    (id.to_owned(), record)
+}
+
+fn gone(id: &str) -> (String, ServerRecord) {
+    (id.to_owned(), ServerRecord::Gone)
+}
+
+fn usable(beliefs: &Beliefs) -> Vec<String> {
+    let (servers, _) = beliefs.servers();
+    servers.iter().map(|server| server.id.clone()).collect()
+}
+
+/// Beliefs about servers a and b whose list was then out of reach for `silence`.
+fn after_silence(silence: Duration) -> (Beliefs, Moment) {
+    let beliefs = beliefs();
+    let now = Moment::now();
+    beliefs.note_list_read(now.before(silence));
+    beliefs.apply_servers(
+        vec![report("a", 1, false, 1), report("b", 1, false, 1)],
+        now,
+    );
+    beliefs.note_list_read(now);
+    (beliefs, now)
+}
+
+fn catalog(version: u64, paths: &[&str], teams: Vec<Team>) -> Catalog {
+    let route = |path: &&str| Route {
+        name: (*path).to_owned(),
+        host: "h".to_owned(),
+        path_prefix: (*path).to_owned(),
+        shares: Vec::new(),
+        repeat: Repeat::Once,
+        timeout: Duration::from_secs(1),
+        latency_target: Duration::from_millis(100),
+        gap_target: Duration::from_millis(100),
+        attempts: 1,
+        priority: 0,
+        is_public: false,
+    };
+    let limits = Limits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    Catalog::new(
+        version,
+        paths.iter().map(route).collect(),
+        Vec::new(),
+        teams,
+        limits,
+    )
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let catalog = catalog(1, &["/", "/a/", "/a/b/"], Vec::new());
+    let found = |host: &str, path: &str| catalog.route(host, path).map(|route| route.name.clone());
+
+    assert_eq!(found("h", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(found("h", "/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(found("h", "/x").as_deref(), Some("/"));
+    assert_eq!(found("other", "/a/"), None);
+}
+
+#[test]
+fn versions_only_go_forward() {
+    let beliefs = beliefs();
+
+    let changes =
+        [4, 4, 3, 9].map(|version| beliefs.apply_config(catalog(version, &[], Vec::new())));
+
+    use ConfigChange::Applied;
+    use ConfigChange::Kept;
+    assert_eq!(changes, [Applied, Kept, Kept, Applied]);
+    assert_eq!(beliefs.catalog().map(|catalog| catalog.version()), Some(9));
+}
+
+#[test]
+fn keys_are_believed_only_while_their_proof_is_young() {
+    let beliefs = beliefs();
+    let now = Moment::now();
+    let before = beliefs.are_keys_proven(now);
+
+    beliefs.prove_config(now);
+
+    assert!(!before);
+    assert!(beliefs.are_keys_proven(now.plus(Duration::from_millis(4_400))));
+    assert!(!beliefs.are_keys_proven(now.plus(Duration::from_millis(4_600))));
+}
+
+#[test]
+fn an_older_proof_does_not_replace_a_newer_one() {
+    let beliefs = beliefs();
+    let now = Moment::now().plus(Duration::from_secs(60));
+    beliefs.prove_config(now);
+
+    beliefs.prove_config(now.before(Duration::from_secs(30)));
+
+    assert_eq!(beliefs.config_age(now), Some(Duration::ZERO));
+}
+
+#[test]
+fn late_copies_of_reports_change_nothing() {
+    let beliefs = beliefs();
+    let now = Moment::now();
+    beliefs.apply_servers(vec![report("a", 5, true, 10)], now);
+
+    beliefs.apply_servers(
+        vec![report("a", 4, false, 10), report("a", 99, false, 9)],
+        now,
+    );
+
+    assert!(usable(&beliefs).is_empty());
+}
+
+#[test]
+fn a_new_incarnation_under_an_old_name_counts_from_its_own_start() {
+    let beliefs = beliefs();
+    let now = Moment::now();
+    beliefs.apply_servers(vec![report("a", 50, true, 10)], now);
+
+    beliefs.apply_servers(vec![report("a", 1, false, 11)], now);
+
+    assert_eq!(usable(&beliefs), ["a"]);
+    assert!(beliefs.is_usable("a", 11));
+    assert!(!beliefs.is_usable("a", 10));
+}
+
+#[test]
+fn a_server_taken_off_a_list_in_reach_is_out_at_once() {
+    let (beliefs, now) = after_silence(Duration::from_millis(700));
+
+    beliefs.apply_servers(vec![gone("a")], now);
+
+    assert_eq!(usable(&beliefs), ["b"]);
+}
+
+#[test]
+fn entries_that_lapsed_while_the_list_was_away_have_two_seconds_to_come_back() {
+    let (beliefs, now) = after_silence(SILENCE * 2);
+
+    beliefs.apply_servers(vec![gone("a"), gone("b")], now);
+    beliefs.apply_servers(vec![report("a", 2, false, 1)], now.plus(GRACE / 2));
+    let in_grace = usable(&beliefs);
+    beliefs.expire_servers(now.plus(GRACE * 2));
+
+    assert_eq!(in_grace, ["a", "b"]);
+    assert_eq!(usable(&beliefs), ["a"]);
+}
+
+#[test]
+fn what_a_relay_leaves_out_is_out_at_once_even_after_a_silence() {
+    let (beliefs, now) = after_silence(SILENCE * 2);
+    let told = vec![BackendServer {
+        id: "b".to_owned(),
+        entry: entry(2, false, 1),
+    }];
+
+    let changed = beliefs.take_told_servers(Some(told), now.plus(Duration::from_millis(1)));
+
+    assert_eq!(changed, ["a"]);
+    assert_eq!(usable(&beliefs), ["b"]);
+}
+
+#[test]
+fn what_was_told_never_replaces_what_was_read_later() {
+    let (beliefs, now) = after_silence(Duration::ZERO);
+
+    beliefs.take_told_servers(Some(Vec::new()), now.before(Duration::from_secs(1)));
+
+    assert_eq!(usable(&beliefs), ["a", "b"]);
+}
