--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -3,5 +3,6 @@
 mod health;
 mod leave;
 mod place;
+mod reject;
 mod relay;
 mod retry;
