Placement: plain calls are spread by chance and usual load

Change: servers are drawn by the room that they usually have, over about a second; near ones alone while under half full, and step by step less until they are full.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -36,6 +36,8 @@
     pub slots: u32,
     /// Requests that run and wait there, as far as known.
     pub load: u32,
+    /// The same over the last second or so, in which loads of short calls change many times.
+    pub usual_load: f64,
     /// Whether it has lately failed more than its like.
     pub is_suspended: bool,
     /// Whether it was tried for this request already.
@@ -85,26 +87,64 @@
     hasher.finish()
 }
 
-/// Places plain calls: the server with the most room, near ones first while they have room.
+/// Places plain calls by chance, servers with more room more often.
+///
+/// Load pattern: many nodes place short calls by loads that are some calls old. Were all to take the emptiest server, or
+/// the near one while it looks free, they would flood it together and be turned away while others stand idle.
 #[derive(Clone, Copy, Debug)]
 pub struct PlainPlacement {
-    /// Share of its slots up to which a near server is preferred; bytes between data centres cost.
-    pub near_fill: f64,
+    /// Usual share of its slots up to which a near server gets all calls; bytes between data centres cost.
+    pub near_all_below: f64,
+    /// Usual share of its slots from which a near server is treated like any other.
+    pub near_none_above: f64,
+}
+
+/// Share of room that counts for a server without any, so that it is still tried.
+const ROOM_LEAST: f64 = 0.05;
+/// Usual load, in shares of the slots, up to which a server has room: some calls may wait.
+const ROOM_MOST: f64 = 1.25;
+
+impl PlainPlacement {
+    fn near_share(&self, fill: f64) -> f64 {
+        let span = (self.near_none_above - self.near_all_below).max(f64::EPSILON);
+        ((self.near_none_above - fill) / span).clamp(0.0, 1.0)
+    }
+}
+
+/// Draws one of `places` by their weights; `chance` is from 0 to 1.
+fn draw(places: &[usize], weight: impl Fn(usize) -> f64, chance: f64) -> Option<usize> {
+    let total: f64 = places.iter().map(|&at| weight(at)).sum();
+    let mut left = chance * total;
+    for &at in places {
+        left -= weight(at);
+        if left < 0.0 {
+            return Some(at);
+        }
+    }
+    places.last().copied()
 }
 
 impl Placement for PlainPlacement {
     fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<Choice> {
         let eligible = eligible(servers);
-        let fill = |at: usize| f64::from(servers[at].load) / f64::from(servers[at].slots.max(1));
-        let tie = |at: usize| hash(&[servers[at].id.as_bytes(), &work.salt.to_le_bytes()]);
-        let least =
-            |a: &usize, b: &usize| fill(*a).total_cmp(&fill(*b)).then(tie(*a).cmp(&tie(*b)));
-        let near = eligible
+        let fill = |at: usize| servers[at].usual_load / f64::from(servers[at].slots.max(1));
+        let room = |at: usize| (ROOM_MOST - fill(at)).max(ROOM_LEAST);
+        let chance = |number: u8| {
+            let drawn = hash(&[&work.salt.to_le_bytes(), &[number]]);
+            f64::from((drawn >> 32) as u32) / f64::from(u32::MAX)
+        };
+        let near: Vec<usize> = eligible
             .iter()
             .copied()
-            .filter(|&at| servers[at].is_near && fill(at) < self.near_fill)
-            .min_by(least);
-        let at = near.or_else(|| eligible.into_iter().min_by(least))?;
+            .filter(|&at| servers[at].is_near)
+            .collect();
+        let near_fill = near.iter().map(|&at| fill(at)).sum::<f64>() / near.len().max(1) as f64;
+        let places = if !near.is_empty() && chance(0) < self.near_share(near_fill) {
+            near
+        } else {
+            eligible
+        };
+        let at = draw(&places, room, chance(1))?;
         Some(Choice {
             at,
             passed_over: 0,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -646,6 +646,7 @@
             is_near: server.entry.data_centre == self.gateway.data_centre,
             slots: server.entry.slots,
             load: standing.load,
+            usual_load: standing.usual,
             is_suspended: standing.is_aside,
             is_tried: self.tried.contains(&server.id),
             is_young: standing.is_young,
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -19,6 +19,8 @@
 /// Age up to which the loads of other nodes are used: some unanswered questions to the relay.
 const OTHERS_AGE: Duration = Duration::from_millis(2_000);
 
+/// Weight of the newest of four loads a second in their moving mean, which then looks back about a second.
+const USUAL_GAIN: f64 = 0.25;
 /// Time without any sign of a server that has work after which it gets none: twice the longest prompt of the sheets,
 /// and nearly twice the longest plain call.
 const SILENCE_LIMIT: Duration = Duration::from_millis(800);
@@ -40,6 +42,8 @@
     own: u32,
     report: Option<Report>,
     others: Option<(u32, Moment)>,
+    /// Moving mean of the load.
+    usual: f64,
     /// Since when requests have waited there without any sign of the server.
     unanswered_since: Option<Moment>,
     /// When it joined the servers that were known already.
@@ -65,6 +69,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Standing {
     pub(super) load: u32,
+    pub(super) usual: f64,
     pub(super) is_aside: bool,
     pub(super) is_young: bool,
 }
@@ -82,6 +87,8 @@
         }
         Standing {
             load: row.load(now),
+            // A node's own calls are known at once; the rest is known four times a second.
+            usual: row.usual.max(f64::from(row.own)),
             is_aside: row.health.is_aside(now) || row.is_silent(now),
             is_young: row
                 .joined
@@ -120,6 +127,7 @@
         for row in self.lock().iter_mut() {
             let found = others.binary_search_by(|entry| entry.server.cmp(&row.id));
             row.others = Some((found.map_or(0, |at| others[at].in_flight), now));
+            row.usual += (f64::from(row.load(now)) - row.usual) * USUAL_GAIN;
         }
     }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -264,7 +264,11 @@
             bound_extra: 2.0,
             homes: 2,
         },
-        plain: PlainPlacement { near_fill: 0.67 },
+        plain: PlainPlacement {
+            // A service of the sheets is a good half full on an even day: up to then near servers suffice.
+            near_all_below: 0.5,
+            near_none_above: 1.0,
+        },
         leave: Leave {
             serves_for: bounds.grace.saturating_sub(GRACE_MARGIN),
         },
