--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -17,8 +17,6 @@
     pub key: Option<String>,
     /// Parts of the prompt, in order.
     pub parts: Vec<PromptPart>,
-    /// Last event of a stream that the caller has; the answer goes on after it.
-    pub resume_after: Option<u64>,
 }
 
 /// What the gateway tells a backend server besides the caller's own head.
