Programs: one module for arguments and ends; settings problems name file and line

Cause: the gateway's program had been written by copying the node's, and a problem in a settings file named section and key only; numbers out of range (a negative ratio, a grace of zero) were turned into something else without a word. Tests: problems_of_a_file_name_its_line.

--- a/src/bin/currantbend.rs
+++ b/src/bin/currantbend.rs
@@ -1,11 +1,12 @@
 //! The node: carries callers' chats and calls to backend servers.
 
 use currantbend::node::Node;
-use currantbend::node::StartError;
+use currantbend::program;
+use currantbend::program::Program;
+use currantbend::program::ProgramError;
 use currantbend::settings::Settings;
 use currantbend::settings::SettingsError;
-use std::fmt;
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::ExitCode;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -28,90 +29,42 @@
   2  the arguments or the settings are at fault; nothing was started
 ";
 
-/// Why the program ends with an error.
-enum RunError {
-    Usage(String),
-    Settings(SettingsError),
-    Start(StartError),
-    System(std::io::Error),
-}
+/// The program of a node.
+struct NodeProgram;
 
-impl fmt::Display for RunError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Usage(text) => write!(f, "{text}; see --help"),
-            Self::Settings(err) => err.fmt(f),
-            Self::Start(err) => err.fmt(f),
-            Self::System(err) => err.fmt(f),
-        }
+impl Program for NodeProgram {
+    fn name(&self) -> &'static str {
+        "currantbend"
     }
-}
 
-impl RunError {
-    fn status(&self) -> u8 {
-        match self {
-            Self::Usage(_) | Self::Settings(_) => 2,
-            Self::Start(_) | Self::System(_) => 1,
-        }
+    fn version(&self) -> &'static str {
+        env!("CARGO_PKG_VERSION")
     }
-}
-
-/// What the arguments ask for.
-enum Request {
-    Help,
-    Version,
-    Check(PathBuf),
-    Serve(PathBuf),
-}
 
-fn parse() -> Result<Request, RunError> {
-    let mut args = pico_args::Arguments::from_env();
-    if args.contains("--help") {
-        return Ok(Request::Help);
+    fn help(&self) -> &'static str {
+        HELP
     }
-    if args.contains("--version") {
-        return Ok(Request::Version);
-    }
-    let usage = |err: pico_args::Error| RunError::Usage(err.to_string());
-    let check = args.contains("--check");
-    let path: PathBuf = args.value_from_str("--settings").map_err(usage)?;
-    let rest = args.finish();
-    if let Some(unknown) = rest.first() {
-        let text = format!("unknown argument {}", unknown.to_string_lossy());
-        return Err(RunError::Usage(text));
+
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        Settings::load(path).map(|_| ())
     }
-    Ok(if check {
-        Request::Check(path)
-    } else {
-        Request::Serve(path)
-    })
-}
 
-fn run() -> Result<(), RunError> {
-    match parse()? {
-        Request::Help => print!("{HELP}"),
-        Request::Version => println!("currantbend {}", env!("CARGO_PKG_VERSION")),
-        Request::Check(path) => {
-            Settings::load(&path).map_err(RunError::Settings)?;
-            println!("the settings are good");
-        }
-        Request::Serve(path) => {
-            let settings = Settings::load(&path).map_err(RunError::Settings)?;
-            let runtime = tokio::runtime::Builder::new_multi_thread()
-                .worker_threads(settings.node.worker_threads)
-                .enable_all()
-                .build()
-                .map_err(RunError::System)?;
-            runtime.block_on(serve(&settings))?;
-        }
+    fn serve(&self, path: &Path) -> Result<(), ProgramError> {
+        let settings = Settings::load(path).map_err(ProgramError::Settings)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.node.worker_threads)
+            .enable_all()
+            .build()
+            .map_err(ProgramError::System)?;
+        runtime.block_on(serve(&settings))
     }
-    Ok(())
 }
 
-async fn serve(settings: &Settings) -> Result<(), RunError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::System)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::System)?;
-    let node = Node::start(settings).await.map_err(RunError::Start)?;
+async fn serve(settings: &Settings) -> Result<(), ProgramError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(ProgramError::System)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(ProgramError::System)?;
+    let node = Node::start(settings).await;
+    let node = node.map_err(|err| ProgramError::Start(err.to_string()))?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -121,11 +74,5 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("currantbend: {err}");
-            ExitCode::from(err.status())
-        }
-    }
+    program::run(&NodeProgram)
 }
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -1,11 +1,11 @@
 //! Checks what one section says against the others.
 
 use super::Problem;
-use super::fields::line_of;
 use super::folder::Declared;
 use crate::border::generated::config::Backend;
 use crate::border::generated::config::Model;
 use crate::border::generated::config::Object;
+use crate::settings::line_of;
 
 /// Notes references to models and adapters that are not declared, and the lack of operators.
 pub(super) fn check(declared: &[Declared<'_>]) -> Vec<Problem> {
--- a/src/declarations/fields.rs
+++ b/src/declarations/fields.rs
@@ -1,6 +1,7 @@
 //! Reads typed values out of one section and notes every problem on the way.
 
 use super::Problem;
+use crate::settings::line_of;
 use ini::Properties;
 use std::ops::RangeInclusive;
 
@@ -131,26 +132,3 @@
         self.problems
     }
 }
-
-/// Finds the line of `key` in `section`, or that of the section where it has no such key.
-pub(super) fn line_of(text: &str, section: &str, key: Option<&str>) -> usize {
-    let mut section_line = 1;
-    let mut is_inside = false;
-    for (i, line) in text.lines().enumerate() {
-        let line = line.trim();
-        if let Some(name) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'))
-        {
-            is_inside = name == section;
-            if is_inside {
-                section_line = i + 1;
-            }
-        }
-        let name = line.split(['=', ':']).next().unwrap_or_default().trim();
-        if is_inside && key == Some(name) {
-            return i + 1;
-        }
-    }
-    section_line
-}
--- a/src/declarations/folder.rs
+++ b/src/declarations/folder.rs
@@ -3,12 +3,12 @@
 use super::Problem;
 use super::check::check;
 use super::fields::Fields;
-use super::fields::line_of;
 use super::objects;
 use crate::border::generated::config::Object;
 use crate::config::ObjectKind;
 use crate::config::kind_of;
 use crate::config::name_of;
+use crate::settings::line_of;
 use ini::Ini;
 use std::fmt;
 use std::path::Path;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,10 +1,10 @@
-//! The settings of a gateway, in INI; `docs/SETTINGS.md` is the reference.
+//! The settings of a gateway, in INI; `docs/GATEWAY-SETTINGS.md` is the reference.
 
 use crate::settings::Reader;
 use crate::settings::Section;
 use crate::settings::SettingsError;
 use crate::settings::known_keys;
-use crate::settings::read_file;
+use crate::settings::load_file;
 use crate::settings::read_sections;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -78,7 +78,7 @@
     ///
     /// Names every problem of the file, or why it can't be read.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        Self::parse(&read_file(path)?)
+        load_file(path, Self::parse)
     }
 
     /// Checks settings given as text.
@@ -120,7 +120,7 @@
             name: section.required("name", String::new(), NAME),
             data_centre: section.required("data_centre", String::new(), NAME),
             data_centres: names(&section.or("data_centres", String::new(), NAMES)),
-            link_mbps: section.or("link_mbps", 1_000.0, "a number of Mbit/s") as u64,
+            link_mbps: section.real("link_mbps", 1_000.0, 1.0..=1_000_000.0) as u64,
             peer_address: section.required("peer_address", nowhere, ADDRESS),
             caller_address: section.required("caller_address", nowhere, ADDRESS),
             ready_address: section.required("ready_address", nowhere, ADDRESS),
@@ -132,19 +132,18 @@
 
 impl GatewayBounds {
     fn read(section: &mut Section<'_>) -> Self {
-        let seconds = "a number of seconds";
-        let grace_s: f64 = section.or("grace_s", 8.0, seconds);
-        let window_s: f64 = section.or("retry_window_s", 10.0, seconds);
-        let ratio: f64 = section.or("retry_ratio", 0.2, "a share from 0 to 1");
-        let slack: f64 = section.or("retry_slack", 0.0, "a number of sends");
+        let grace_s = section.real("grace_s", 8.0, 1.0..=3_600.0);
+        let window_s = section.real("retry_window_s", 10.0, 0.1..=3_600.0);
+        let ratio = section.real("retry_ratio", 0.2, 0.0..=1.0);
+        let slack = section.real("retry_slack", 0.0, 0.0..=1_000_000.0);
         Self {
             config_apply: section.millis("config_apply_ms", 2_000, 200..=60_000),
             drain: section.millis("drain_ms", 2_000, 200..=60_000),
             revoke: section.millis("revoke_ms", 5_000, 500..=600_000),
             strict_revoke: section.or("strict_revoke", true, "true or false"),
             heartbeat: section.millis("heartbeat_ms", 1_200, 50..=60_000),
-            grace: Duration::try_from_secs_f64(grace_s).unwrap_or(Duration::from_secs(8)),
-            retry_window: Duration::try_from_secs_f64(window_s).unwrap_or(Duration::from_secs(10)),
+            grace: Duration::from_secs_f64(grace_s),
+            retry_window: Duration::from_secs_f64(window_s),
             retry_ratio_milli: (ratio * 1_000.0) as u64,
             retry_slack: slack as u64,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outcome;
 pub mod owner;
 pub mod peers;
+pub mod program;
 pub mod reconcile;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/src/program.rs
@@ -0,0 +1,131 @@
+//! What the programs that serve have in common: their arguments, and how they end.
+
+use crate::settings::SettingsError;
+use std::fmt;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Why a program ends with an error.
+#[derive(Debug)]
+pub enum ProgramError {
+    /// The arguments are at fault.
+    Usage(String),
+    /// The settings are at fault.
+    Settings(SettingsError),
+    /// Something that the settings ask for can't be had, such as an address to listen on.
+    Start(String),
+    /// The operating system refused something.
+    System(io::Error),
+}
+
+impl fmt::Display for ProgramError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(text) => write!(f, "{text}; see --help"),
+            Self::Settings(err) => err.fmt(f),
+            Self::Start(text) => f.write_str(text),
+            Self::System(err) => err.fmt(f),
+        }
+    }
+}
+
+impl ProgramError {
+    /// Gives the exit status: 2 where nothing was started because of what the operator wrote, else 1.
+    pub fn status(&self) -> u8 {
+        match self {
+            Self::Usage(_) | Self::Settings(_) => 2,
+            Self::Start(_) | Self::System(_) => 1,
+        }
+    }
+}
+
+/// A program that serves by a settings file.
+pub trait Program {
+    /// Gives its name on the command line.
+    fn name(&self) -> &'static str;
+
+    /// Gives its version.
+    fn version(&self) -> &'static str;
+
+    /// Gives the text of `--help`.
+    fn help(&self) -> &'static str;
+
+    /// Checks the settings at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names every problem of the file, or why it can't be read.
+    fn check(&self, path: &Path) -> Result<(), SettingsError>;
+
+    /// Serves by the settings at `path` until it is asked to stop.
+    ///
+    /// # Errors
+    ///
+    /// Tells why it could not start.
+    fn serve(&self, path: &Path) -> Result<(), ProgramError>;
+}
+
+/// What the arguments ask for.
+#[derive(Debug, Eq, PartialEq)]
+pub enum Request {
+    /// Print the help.
+    Help,
+    /// Print the version.
+    Version,
+    /// Check a settings file.
+    Check(PathBuf),
+    /// Serve by a settings file.
+    Serve(PathBuf),
+}
+
+/// Reads the arguments of a program that serves.
+///
+/// # Errors
+///
+/// Names the argument that is missing or unknown.
+pub fn parse(mut args: pico_args::Arguments) -> Result<Request, ProgramError> {
+    if args.contains("--help") {
+        return Ok(Request::Help);
+    }
+    if args.contains("--version") {
+        return Ok(Request::Version);
+    }
+    let is_check = args.contains("--check");
+    let path = args.value_from_str("--settings");
+    let path: PathBuf = path.map_err(|err| ProgramError::Usage(err.to_string()))?;
+    if let Some(unknown) = args.finish().first() {
+        let text = format!("unknown argument {}", unknown.to_string_lossy());
+        return Err(ProgramError::Usage(text));
+    }
+    Ok(if is_check {
+        Request::Check(path)
+    } else {
+        Request::Serve(path)
+    })
+}
+
+fn act(program: &dyn Program) -> Result<(), ProgramError> {
+    match parse(pico_args::Arguments::from_env())? {
+        Request::Help => print!("{}", program.help()),
+        Request::Version => println!("{} {}", program.name(), program.version()),
+        Request::Check(path) => {
+            program.check(&path).map_err(ProgramError::Settings)?;
+            println!("the settings are good");
+        }
+        Request::Serve(path) => program.serve(&path)?,
+    }
+    Ok(())
+}
+
+/// Does what the arguments ask of `program`; errors go to the standard error stream.
+pub fn run(program: &dyn Program) -> ExitCode {
+    match act(program) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{}: {err}", program.name());
+            ExitCode::from(err.status())
+        }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -27,6 +27,7 @@
 use crate::timeline;
 use ini::Ini;
 pub(crate) use section::Reader;
+pub(crate) use section::line_of;
 use std::path::Path;
 
 /// Everything that a node learns from its settings file.
@@ -61,7 +62,7 @@
     ///
     /// Names every problem of the file, or why it can't be read.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        Self::parse(&read_file(path)?)
+        load_file(path, Self::parse)
     }
 
     /// Checks settings given as text.
@@ -108,32 +109,45 @@
     let ini = Ini::load_from_str(text).map_err(|err| SettingsError::Malformed {
         cause: err.to_string(),
     })?;
-    let mut reader = Reader::new(&ini);
+    let mut reader = Reader::new(text, &ini);
     let settings = read(&mut reader);
     let problems = reader.finish();
     if problems.is_empty() {
         Ok(settings)
     } else {
-        Err(SettingsError::Invalid { problems })
+        Err(SettingsError::Invalid {
+            path: None,
+            problems,
+        })
     }
 }
 
 /// Lists every section and key that `read` asks for, sorted.
 pub(crate) fn known_keys(read: impl FnOnce(&mut Reader<'_>)) -> Vec<(String, String)> {
     let ini = Ini::new();
-    let mut reader = Reader::new(&ini);
+    let mut reader = Reader::new("", &ini);
     read(&mut reader);
     reader.known_keys()
 }
 
-/// Reads a settings file.
+/// Reads the settings file at `path` with `parse`.
 ///
 /// # Errors
 ///
-/// Tells why it can't be read.
-pub(crate) fn read_file(path: &Path) -> Result<String, SettingsError> {
-    std::fs::read_to_string(path).map_err(|err| SettingsError::Unreadable {
+/// Tells why the file can't be read, or names every problem of its text.
+pub(crate) fn load_file<T>(
+    path: &Path,
+    parse: impl FnOnce(&str) -> Result<T, SettingsError>,
+) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|err| SettingsError::Unreadable {
         path: path.display().to_string(),
         cause: err.to_string(),
+    })?;
+    parse(&text).map_err(|err| match err {
+        SettingsError::Invalid { problems, .. } => SettingsError::Invalid {
+            path: Some(path.display().to_string()),
+            problems,
+        },
+        other => other,
     })
 }
--- a/src/settings/problem.rs
+++ b/src/settings/problem.rs
@@ -5,6 +5,8 @@
 /// One thing that is wrong with a settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Problem {
+    /// Line of the key, or of its section where the key is missing; the first is 1.
+    pub line: usize,
     /// Section that holds the key.
     pub section: String,
     /// Key, or nothing where the section itself is at fault.
@@ -43,6 +45,8 @@
     },
     /// Some keys are missing, unknown or have a bad value.
     Invalid {
+        /// Path of the file, or nothing where the settings were given as text.
+        path: Option<String>,
         /// Every problem, in the order of the sections.
         problems: Vec<Problem>,
     },
@@ -53,10 +57,11 @@
         match self {
             Self::Unreadable { path, cause } => write!(f, "can't read settings {path}: {cause}"),
             Self::Malformed { cause } => write!(f, "settings are not valid INI: {cause}"),
-            Self::Invalid { problems } => {
+            Self::Invalid { path, problems } => {
                 write!(f, "settings have {} problem(s)", problems.len())?;
+                let path = path.as_deref().unwrap_or("line");
                 for problem in problems {
-                    write!(f, "\n  {problem}")?;
+                    write!(f, "\n  {path}:{}: {problem}", problem.line)?;
                 }
                 Ok(())
             }
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -9,14 +9,16 @@
 
 /// Reads the sections of one file.
 pub(crate) struct Reader<'a> {
+    text: &'a str,
     ini: &'a Ini,
     problems: Vec<Problem>,
     known: Vec<(String, String)>,
 }
 
 impl<'a> Reader<'a> {
-    pub(super) fn new(ini: &'a Ini) -> Self {
+    pub(super) fn new(text: &'a str, ini: &'a Ini) -> Self {
         Self {
+            text,
             ini,
             problems: Vec::new(),
             known: Vec::new(),
@@ -27,6 +29,7 @@
     pub(crate) fn section<T>(&mut self, name: &str, read: fn(&mut Section<'_>) -> T) -> T {
         let properties = self.ini.section(Some(name));
         let mut section = Section {
+            text: self.text,
             name,
             properties,
             known: Vec::new(),
@@ -58,6 +61,7 @@
         let Some(name) = name else {
             if !self.ini.general_section().is_empty() {
                 self.problems.push(Problem {
+                    line: 1,
                     section: String::new(),
                     key: None,
                     found: "keys before the first section".to_owned(),
@@ -72,6 +76,7 @@
         let mut names: Vec<&str> = self.known.iter().map(|(name, _)| name.as_str()).collect();
         names.dedup();
         self.problems.push(Problem {
+            line: line_of(self.text, name, None),
             section: name.to_owned(),
             key: None,
             found: "unknown section".to_owned(),
@@ -82,6 +87,7 @@
 
 /// One section of a settings file, as a slice reads it.
 pub struct Section<'a> {
+    text: &'a str,
     name: &'a str,
     properties: Option<&'a Properties>,
     known: Vec<&'static str>,
@@ -122,6 +128,17 @@
         default
     }
 
+    /// Reads a number within `range`, whole or not.
+    pub fn real(&mut self, key: &'static str, default: f64, range: RangeInclusive<f64>) -> f64 {
+        let accepted = format!("a number from {} to {}", range.start(), range.end());
+        let value = self.or(key, default, &accepted);
+        if range.contains(&value) {
+            return value;
+        }
+        self.problem(key, &format!("{value} is out of range"), &accepted);
+        default
+    }
+
     /// Reads a time in milliseconds within `range`.
     pub fn millis(
         &mut self,
@@ -135,6 +152,7 @@
     /// Notes a problem with the value of `key`.
     pub fn problem(&mut self, key: &str, found: &str, accepted: &str) {
         self.problems.push(Problem {
+            line: line_of(self.text, self.name, Some(key)),
             section: self.name.to_owned(),
             key: Some(key.to_owned()),
             found: found.to_owned(),
@@ -168,3 +186,26 @@
         }
     }
 }
+
+/// Finds the line of `key` in `section`, or that of the section where it has no such key.
+pub(crate) fn line_of(text: &str, section: &str, key: Option<&str>) -> usize {
+    let mut section_line = 1;
+    let mut is_inside = false;
+    for (i, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line
+            .strip_prefix('[')
+            .and_then(|rest| rest.strip_suffix(']'))
+        {
+            is_inside = name == section;
+            if is_inside {
+                section_line = i + 1;
+            }
+        }
+        let name = line.split(['=', ':']).next().unwrap_or_default().trim();
+        if is_inside && key == Some(name) {
+            return i + 1;
+        }
+    }
+    section_line
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -13,7 +13,7 @@
 
 fn problems_of(text: &str) -> Vec<String> {
     match Settings::parse(text) {
-        Err(SettingsError::Invalid { problems }) => {
+        Err(SettingsError::Invalid { problems, .. }) => {
             problems.iter().map(ToString::to_string).collect()
         }
         other => panic!("expected problems, got {other:?}"),
@@ -46,6 +46,20 @@
     assert!(problems[3].starts_with("[extra] *: unknown section"));
 }
 
+#[test]
+fn problems_of_a_file_name_its_line() {
+    let path = std::env::temp_dir().join(format!("cb-{}-lines.ini", std::process::id()));
+    let text = valid_text().replace("127.0.0.1:4", "localhost:4") + "[entry]\nspeed = 1\n";
+    std::fs::write(&path, text).unwrap();
+
+    let err = Settings::load(&path).unwrap_err().to_string();
+
+    std::fs::remove_file(&path).unwrap();
+    let named = |line: usize, key: &str| format!("{}:{line}: {key}:", path.display());
+    assert!(err.contains(&named(10, "[platform] log_address")), "{err}");
+    assert!(err.contains(&named(13, "[entry] speed")), "{err}");
+}
+
 #[test]
 fn a_bad_key_is_never_shown() {
     let text = valid_text().replace(KEY, "secret-but-short");
