Gateway: bounds can change while it runs; choice of a server in a file of its own

Cause: values of a changed settings file took effect at the next start only. The exchange held the choice of a server and looked through all servers of all services for each request; configuration and list were followed by two copies of one loop. Change: set_bounds of beliefs, schedule, budgets of repeats and time for stopping; servers are kept by service; loads are looked up under one lock; one loop follows either source.

--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -40,6 +40,8 @@
     servers_position: Option<Position>,
     roster: Roster,
     servers: Arc<Vec<BackendServer>>,
+    /// The same by service, sorted by its name.
+    by_service: Vec<(String, Arc<Vec<BackendServer>>)>,
     servers_version: u64,
     list_read: Option<Moment>,
     is_config_lost: bool,
@@ -50,7 +52,7 @@
 /// What the gateway believes, shared by all its tasks.
 #[derive(Debug)]
 pub struct Beliefs {
-    bounds: BeliefBounds,
+    bounds: Mutex<BeliefBounds>,
     state: Mutex<State>,
 }
 
@@ -58,11 +60,20 @@
     /// Starts without any knowledge.
     pub fn new(bounds: BeliefBounds) -> Self {
         Self {
-            bounds,
+            bounds: Mutex::new(bounds),
             state: Mutex::default(),
         }
     }
 
+    /// Judges by other bounds from now on.
+    pub fn set_bounds(&self, bounds: BeliefBounds) {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
+    }
+
+    fn bounds(&self) -> BeliefBounds {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes in a configuration; versions only go forward.
     pub fn apply_config(&self, catalog: Catalog) -> ConfigChange {
         let mut state = self.lock();
@@ -130,7 +141,7 @@
 
     /// Tells whether keys may be believed now.
     pub fn are_keys_proven(&self, now: Moment) -> bool {
-        let Some(limit) = self.bounds.key_proof else {
+        let Some(limit) = self.bounds().key_proof else {
             return true;
         };
         self.config_age(now).is_some_and(|age| age < limit)
@@ -140,10 +151,11 @@
     ///
     /// After a silence the list may have lost entries of servers that live on, so removals wait for a while.
     pub fn note_list_read(&self, began: Moment) {
+        let bounds = self.bounds();
         let mut state = self.lock();
         let silence = state.list_read.map(|last| began.since(last));
-        if silence.is_some_and(|silence| silence > self.bounds.list_silence) {
-            state.grace_until = Some(Moment::now().plus(self.bounds.list_grace));
+        if silence.is_some_and(|silence| silence > bounds.list_silence) {
+            state.grace_until = Some(Moment::now().plus(bounds.list_grace));
         }
         state.list_read = Some(began);
     }
@@ -209,6 +221,16 @@
         (Arc::clone(&state.servers), state.servers_version)
     }
 
+    /// Gives those of one service, sorted by name, and the version of the list.
+    pub fn servers_of(&self, service: &str) -> (Arc<Vec<BackendServer>>, u64) {
+        let state = self.lock();
+        let at = state
+            .by_service
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        let servers = at.map(|at| Arc::clone(&state.by_service[at].1));
+        (servers.unwrap_or_default(), state.servers_version)
+    }
+
     /// Tells whether `id`, at the incarnation started at `born_ms`, may still get new work.
     pub fn is_usable(&self, id: &str, born_ms: u64) -> bool {
         let state = self.lock();
@@ -233,8 +255,26 @@
         changed.extend(self.roster.expire(now));
         if !changed.is_empty() {
             self.servers = Arc::new(self.roster.usable());
+            self.by_service = by_service(&self.servers);
             self.servers_version += 1;
         }
         changed
     }
 }
+
+fn by_service(servers: &[BackendServer]) -> Vec<(String, Arc<Vec<BackendServer>>)> {
+    let mut names: Vec<&String> = servers.iter().map(|server| &server.entry.service).collect();
+    names.sort();
+    names.dedup();
+    let of = |name: &String| {
+        servers
+            .iter()
+            .filter(|server| server.entry.service == *name)
+            .cloned()
+            .collect()
+    };
+    names
+        .into_iter()
+        .map(|name| (name.clone(), Arc::new(of(name))))
+        .collect()
+}
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -11,6 +11,8 @@
 use slog::warn;
 use std::fmt;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -56,7 +58,7 @@
 
 /// Where the configuration comes from.
 #[async_trait]
-pub trait ConfigSource: Send + 'static {
+pub trait ConfigSource: Send + Sync + 'static {
     /// Looks for a newer configuration than the one known at `from`, or for the newest where nothing is known.
     async fn read(&self, from: Option<Position>) -> Result<(ConfigRead, Position), SourceError>;
 }
@@ -72,22 +74,27 @@
 
 /// Where the list of backend servers comes from.
 #[async_trait]
-pub trait ServerList: Send + 'static {
+pub trait ServerList: Send + Sync + 'static {
     /// Reads what is new on the list since `from`, or the whole list where nothing is known.
     async fn read(&self, from: Option<Position>) -> Result<(ServerRead, Position), SourceError>;
 }
 
+/// When one source is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Time between two reads.
+    pub interval: Duration,
+    /// Age of the belief from which a node that isn't the relay reads the source itself.
+    pub told_age: Duration,
+}
+
 /// When the sources are read.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Schedule {
-    /// Time between two reads of the configuration.
-    pub config_interval: Duration,
-    /// Age of the proof from which a node that isn't the relay reads the configuration itself.
-    pub config_age: Duration,
-    /// Time between two reads of the server list.
-    pub list_interval: Duration,
-    /// Age from which a node that isn't the relay reads the server list itself.
-    pub list_age: Duration,
+    /// Reads of the configuration.
+    pub config: Pace,
+    /// Reads of the server list.
+    pub list: Pace,
 }
 
 /// First pause after a failed read.
@@ -102,6 +109,7 @@
 
 /// The two tasks that keep the beliefs current.
 pub struct Follower {
+    schedule: Arc<Mutex<Schedule>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -114,22 +122,26 @@
         is_relay: &Arc<AtomicBool>,
         sources: (Box<dyn ConfigSource>, Box<dyn ServerList>),
     ) -> Self {
+        let schedule = Arc::new(Mutex::new(schedule));
         let following = Following {
             beliefs: Arc::clone(beliefs),
             logs: logs.clone(),
-            schedule,
+            schedule: Arc::clone(&schedule),
             is_relay: Arc::clone(is_relay),
         };
-        let following_config = follow_config(following.clone(), sources.0);
-        let following_servers = follow_servers(following, sources.1);
+        let config = follow(following.clone(), Box::new(FollowedConfig(sources.0)));
+        let list = follow(following, Box::new(FollowedList(sources.1)));
         Self {
-            tasks: vec![
-                tokio::spawn(following_config),
-                tokio::spawn(following_servers),
-            ],
+            schedule,
+            tasks: vec![tokio::spawn(config), tokio::spawn(list)],
         }
     }
 
+    /// Reads by another schedule from the next read on.
+    pub fn set_schedule(&self, schedule: Schedule) {
+        *self.schedule.lock().unwrap_or_else(PoisonError::into_inner) = schedule;
+    }
+
     /// Ends following.
     pub fn close(self) {
         for task in self.tasks {
@@ -143,23 +155,51 @@
 struct Following {
     beliefs: Arc<Beliefs>,
     logs: Logs,
-    schedule: Schedule,
+    schedule: Arc<Mutex<Schedule>>,
     is_relay: Arc<AtomicBool>,
 }
 
 impl Following {
-    /// Waits while a relay keeps the belief younger than `limit`; returns at once on the relay itself.
-    async fn wait_while_told(&self, age: impl Fn(&Beliefs) -> Option<Duration>, limit: Duration) {
+    fn pace(&self, followed: &dyn Followed) -> Pace {
+        let schedule = self.schedule.lock().unwrap_or_else(PoisonError::into_inner);
+        followed.pace(&schedule)
+    }
+
+    /// Waits while a relay keeps the belief young enough; returns at once on the relay itself.
+    async fn wait_while_told(&self, followed: &dyn Followed) {
         // Spread, so that nodes whose relay is lost don't all read at the same moment.
-        let limit = limit.mul_f64(rand::random_range(0.9..1.0));
+        let share = rand::random_range(0.9..1.0);
         while !self.is_relay.load(Ordering::Relaxed)
-            && age(&self.beliefs).is_some_and(|age| age < limit)
+            && followed
+                .age(&self.beliefs)
+                .is_some_and(|age| age < self.pace(followed).told_age.mul_f64(share))
         {
             tokio::time::sleep(TOLD_LOOK).await;
         }
     }
 }
 
+/// A source together with the belief that it feeds.
+#[async_trait]
+trait Followed: Send + Sync {
+    /// Gives the dependency's name for the log.
+    fn name(&self) -> &'static str;
+
+    fn pace(&self, schedule: &Schedule) -> Pace;
+
+    /// Gives the age of the belief.
+    fn age(&self, beliefs: &Beliefs) -> Option<Duration>;
+
+    /// Reads once and takes in what that gave.
+    async fn read(&self, beliefs: &Beliefs, logs: &Logs) -> Result<(), SourceError>;
+
+    /// Notes whether this node's own reads fail at present.
+    fn note_lost(&self, beliefs: &Beliefs, is_lost: bool);
+
+    /// Does what falls due while the source can't be read.
+    fn pass_time(&self, beliefs: &Beliefs, logs: &Logs);
+}
+
 /// Tells of a dependency once when it is lost and once when it is back.
 struct Contact {
     name: &'static str,
@@ -202,31 +242,24 @@
     }
 }
 
-async fn follow_config(following: Following, source: Box<dyn ConfigSource>) {
-    let Following {
-        beliefs,
-        logs,
-        schedule,
-        ..
-    } = &following;
-    let mut contact = Contact::new("configuration");
+/// Keeps one belief current: reads its source at the schedule's pace, and less often while that fails.
+async fn follow(following: Following, followed: Box<dyn Followed>) {
+    let Following { beliefs, logs, .. } = &following;
+    let mut contact = Contact::new(followed.name());
     loop {
-        let age = |beliefs: &Beliefs| beliefs.config_age(Moment::now());
-        following.wait_while_told(age, schedule.config_age).await;
+        following.wait_while_told(&*followed).await;
         let began = Moment::now();
-        let pause = match source.read(beliefs.config_position()).await {
-            Ok((read, position)) => {
+        let pause = match followed.read(beliefs, logs).await {
+            Ok(()) => {
                 contact.good(logs);
-                beliefs.note_config_lost(false);
-                take_config(beliefs, logs, began, read);
-                beliefs.note_config_position(position);
-                schedule
-                    .config_interval
-                    .saturating_sub(Moment::now().since(began))
+                followed.note_lost(beliefs, false);
+                let interval = following.pace(&*followed).interval;
+                interval.saturating_sub(Moment::now().since(began))
             }
             Err(err) => {
+                followed.pass_time(beliefs, logs);
                 let pause = contact.bad(&err, logs);
-                beliefs.note_config_lost(contact.is_lost(&err));
+                followed.note_lost(beliefs, contact.is_lost(&err));
                 pause
             }
         };
@@ -234,6 +267,72 @@
     }
 }
 
+struct FollowedConfig(Box<dyn ConfigSource>);
+
+#[async_trait]
+impl Followed for FollowedConfig {
+    fn name(&self) -> &'static str {
+        "configuration"
+    }
+
+    fn pace(&self, schedule: &Schedule) -> Pace {
+        schedule.config
+    }
+
+    fn age(&self, beliefs: &Beliefs) -> Option<Duration> {
+        beliefs.config_age(Moment::now())
+    }
+
+    async fn read(&self, beliefs: &Beliefs, logs: &Logs) -> Result<(), SourceError> {
+        let began = Moment::now();
+        let (read, position) = self.0.read(beliefs.config_position()).await?;
+        take_config(beliefs, logs, began, read);
+        beliefs.note_config_position(position);
+        Ok(())
+    }
+
+    fn note_lost(&self, beliefs: &Beliefs, is_lost: bool) {
+        beliefs.note_config_lost(is_lost);
+    }
+
+    fn pass_time(&self, _: &Beliefs, _: &Logs) {
+        // Only its proof grows old, and that is looked at when a request needs it.
+    }
+}
+
+struct FollowedList(Box<dyn ServerList>);
+
+#[async_trait]
+impl Followed for FollowedList {
+    fn name(&self) -> &'static str {
+        "server list"
+    }
+
+    fn pace(&self, schedule: &Schedule) -> Pace {
+        schedule.list
+    }
+
+    fn age(&self, beliefs: &Beliefs) -> Option<Duration> {
+        beliefs.list_age(Moment::now())
+    }
+
+    async fn read(&self, beliefs: &Beliefs, logs: &Logs) -> Result<(), SourceError> {
+        let began = Moment::now();
+        let (read, position) = self.0.read(beliefs.servers_position()).await?;
+        take_servers(beliefs, logs, began, read);
+        beliefs.note_servers_position(position);
+        Ok(())
+    }
+
+    fn note_lost(&self, beliefs: &Beliefs, is_lost: bool) {
+        beliefs.note_list_lost(is_lost);
+    }
+
+    fn pass_time(&self, beliefs: &Beliefs, logs: &Logs) {
+        note_changes(logs, beliefs, &beliefs.expire_servers(Moment::now()));
+    }
+}
+
 fn take_config(beliefs: &Beliefs, logs: &Logs, began: Moment, read: ConfigRead) {
     match read {
         ConfigRead::Found(catalog) => {
@@ -258,39 +357,6 @@
     }
 }
 
-async fn follow_servers(following: Following, source: Box<dyn ServerList>) {
-    let Following {
-        beliefs,
-        logs,
-        schedule,
-        ..
-    } = &following;
-    let mut contact = Contact::new("server list");
-    loop {
-        let age = |beliefs: &Beliefs| beliefs.list_age(Moment::now());
-        following.wait_while_told(age, schedule.list_age).await;
-        let began = Moment::now();
-        let pause = match source.read(beliefs.servers_position()).await {
-            Ok((read, position)) => {
-                contact.good(logs);
-                beliefs.note_list_lost(false);
-                take_servers(beliefs, logs, began, read);
-                beliefs.note_servers_position(position);
-                schedule
-                    .list_interval
-                    .saturating_sub(Moment::now().since(began))
-            }
-            Err(err) => {
-                note_changes(logs, beliefs, &beliefs.expire_servers(Moment::now()));
-                let pause = contact.bad(&err, logs);
-                beliefs.note_list_lost(contact.is_lost(&err));
-                pause
-            }
-        };
-        tokio::time::sleep(pause).await;
-    }
-}
-
 fn take_servers(beliefs: &Beliefs, logs: &Logs, began: Moment, read: ServerRead) {
     beliefs.note_list_read(began);
     let now = Moment::now();
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -24,6 +24,7 @@
 pub use follow::ConfigRead;
 pub use follow::ConfigSource;
 pub use follow::Follower;
+pub use follow::Pace;
 pub use follow::Position;
 pub use follow::Schedule;
 pub use follow::ServerList;
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Goes by other terms; what was counted under the old ones still counts.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        self.terms = terms;
+    }
+
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Moment) {
         self.step(now).requests += 1;
--- /dev/null
+++ b/src/gateway/choice.rs
@@ -0,0 +1,125 @@
+//! Which service and which of its servers a request goes to.
+//!
+//! The decisions are in [`crate::decide`]; this part shows them what the gateway believes.
+
+use super::answer::Refusal;
+use super::exchange::Exchange;
+use super::exchange::LEAST_TIME;
+use crate::catalog::BackendServer;
+use crate::catalog::Route;
+use crate::clock::Moment;
+use crate::decide::Placement;
+use crate::decide::ServerView;
+use crate::decide::Work;
+use hyper::StatusCode;
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+/// Where a request is sent.
+pub(super) struct Target {
+    pub(super) server: BackendServer,
+    /// Server that the prompt's shared parts may be copied from.
+    pub(super) copy_from: Option<SocketAddr>,
+}
+
+impl Exchange {
+    /// Chooses the server for the next send.
+    pub(super) fn next_server(&mut self) -> Result<Target, Refusal> {
+        if self.time_left() <= LEAST_TIME {
+            let status = if self.may_have_run {
+                StatusCode::GATEWAY_TIMEOUT
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            return Err(Refusal::new(status, "time is over"));
+        }
+        let (servers, list_version) = self.gateway.beliefs.servers_of(&self.service_name);
+        self.report.list_version = list_version;
+        let views = self.views(&servers);
+        let is_engine = self
+            .service
+            .as_ref()
+            .is_some_and(|service| service.engine.is_some());
+        if !is_engine && self.sends == 0 && !self.is_admitted(&views) {
+            return Err(self.no_server("service full"));
+        }
+        let placement: &dyn Placement = if is_engine {
+            &self.gateway.engines
+        } else {
+            &self.gateway.plain
+        };
+        let work = Work {
+            parts: &self.ask.parts,
+            salt: self.salt,
+        };
+        let Some(choice) = placement.choose(&work, &views) else {
+            return Err(self.no_server("no server"));
+        };
+        self.report.load = views[choice.at].load;
+        self.report.passed_over = choice.passed_over;
+        Ok(Target {
+            server: servers[choice.at].clone(),
+            copy_from: choice.copy_from.map(|at| servers[at].entry.address),
+        })
+    }
+
+    /// Tells whether a plain call can still be answered in time, by how full its service usually is.
+    fn is_admitted(&self, views: &[ServerView<'_>]) -> bool {
+        let sound = || views.iter().filter(|view| !view.is_suspended);
+        let load: f64 = sound().map(|view| view.usual_load).sum();
+        let slots: u32 = sound().map(|view| view.slots).sum();
+        let chance = f64::from(self.salt as u32) / f64::from(u32::MAX);
+        slots == 0
+            || self
+                .gateway
+                .admission
+                .takes(load / f64::from(slots), chance)
+    }
+
+    fn views<'a>(&self, servers: &'a [BackendServer]) -> Vec<ServerView<'a>> {
+        let standings = self.gateway.loads.standings(servers, Moment::now());
+        servers
+            .iter()
+            .zip(standings)
+            .map(|(server, standing)| ServerView {
+                id: &server.id,
+                is_near: server.entry.data_centre == self.gateway.data_centre,
+                slots: server.entry.slots,
+                load: standing.load,
+                usual_load: standing.usual,
+                is_suspended: standing.is_aside,
+                is_tried: self.tried.contains(&server.id),
+                is_young: standing.is_young,
+            })
+            .collect()
+    }
+}
+
+/// Makes a number of a request's id that spreads evenly and is the same wherever the request is decided on.
+pub(super) fn salt_of(request_id: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(request_id.as_bytes());
+    hasher.finish()
+}
+
+/// Picks one of the route's services by their weights.
+pub(super) fn pick_share(route: &Route, salt: u64) -> Option<String> {
+    let total: u64 = route
+        .shares
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = salt % total;
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if at < weight {
+            return Some(share.service.clone());
+        }
+        at -= weight;
+    }
+    None
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,29 +6,25 @@
 use super::attempt::Outbound;
 use super::attempt::Sending;
 use super::attempt::Sent;
+use super::choice::Target;
+use super::choice::pick_share;
+use super::choice::salt_of;
 use super::dialect::Ask;
 use super::handler::Gateway;
 use super::headers::strip_connection;
 use super::relay;
 use super::report::Report;
-use crate::catalog::BackendServer;
 use crate::catalog::Repeat;
 use crate::catalog::Route;
 use crate::catalog::Service;
 use crate::clock::Moment;
-use crate::decide::Placement;
 use crate::decide::RunResult;
-use crate::decide::ServerView;
-use crate::decide::Work;
 use crate::net::Body;
 use crate::net::collect;
 use crate::net::full_body;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::HOST;
-use siphasher::sip::SipHasher13;
-use std::hash::Hasher;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -36,7 +32,7 @@
 /// Bytes of a plain answer that is read whole before it goes on, so that a broken one can be replaced.
 const ANSWER_BYTES_MOST: usize = 8 * 1024 * 1024;
 /// Time below which a send is of no use to the caller.
-const LEAST_TIME: Duration = Duration::from_millis(20);
+pub(super) const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Servers that may be found unreachable for one request; nothing is sent to them.
 const UNREACHABLE_MOST: u32 = 4;
 /// Time for the head of an answer, in multiples of the latency target, after which a request that may be repeated is
@@ -52,27 +48,21 @@
 pub(super) struct Exchange {
     pub(super) gateway: Arc<Gateway>,
     pub(super) route: Route,
-    service: Option<Service>,
-    service_name: String,
+    pub(super) service: Option<Service>,
+    pub(super) service_name: String,
     outbound: Outbound,
-    ask: Ask,
+    pub(super) ask: Ask,
     team: Option<String>,
-    salt: u64,
+    pub(super) salt: u64,
     pub(super) deadline: Instant,
-    tried: Vec<String>,
-    sends: u32,
+    pub(super) tried: Vec<String>,
+    pub(super) sends: u32,
     unreachable: u32,
     /// A server may have begun to work on the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     pub(super) report: Report,
 }
 
-/// Where a request is sent.
-struct Target {
-    server: BackendServer,
-    copy_from: Option<SocketAddr>,
-}
-
 /// A refusal with the report that is still to be written.
 pub(super) type Failed = Box<(Refusal, Report)>;
 
@@ -317,7 +307,7 @@
         Err(Refusal::new(status, cause).detail(detail))
     }
 
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
@@ -326,89 +316,15 @@
     }
 
     /// A refusal for want of a server; it promises that nothing ran, so it holds only while that is certain.
-    fn no_server(&self, cause: &'static str) -> Refusal {
+    pub(super) fn no_server(&self, cause: &'static str) -> Refusal {
         if self.may_have_run {
             return Refusal::new(StatusCode::BAD_GATEWAY, cause);
         }
         self.gateway.unavailable(cause, self.salt, self.time_left())
     }
 
-    fn next_server(&mut self) -> Result<Target, Refusal> {
-        if self.time_left() <= LEAST_TIME {
-            let status = if self.may_have_run {
-                StatusCode::GATEWAY_TIMEOUT
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            };
-            return Err(Refusal::new(status, "time is over"));
-        }
-        let (servers, list_version) = self.gateway.beliefs.servers();
-        self.report.list_version = list_version;
-        let now = Moment::now();
-        let offered: Vec<&BackendServer> = servers
-            .iter()
-            .filter(|server| server.entry.service == self.service_name)
-            .collect();
-        let views: Vec<ServerView<'_>> = offered
-            .iter()
-            .map(|server| self.view(server, now))
-            .collect();
-        let work = Work {
-            parts: &self.ask.parts,
-            salt: self.salt,
-        };
-        let is_engine = self
-            .service
-            .as_ref()
-            .is_some_and(|service| service.engine.is_some());
-        if !is_engine && self.sends == 0 && !self.is_admitted(&views) {
-            return Err(self.no_server("service full"));
-        }
-        let placement: &dyn Placement = if is_engine {
-            &self.gateway.engines
-        } else {
-            &self.gateway.plain
-        };
-        let Some(choice) = placement.choose(&work, &views) else {
-            return Err(self.no_server("no server"));
-        };
-        self.report.load = views[choice.at].load;
-        self.report.passed_over = choice.passed_over;
-        Ok(Target {
-            server: offered[choice.at].clone(),
-            copy_from: choice.copy_from.map(|at| offered[at].entry.address),
-        })
-    }
-
-    /// Tells whether a plain call can still be answered in time, by how full its service usually is.
-    fn is_admitted(&self, views: &[ServerView<'_>]) -> bool {
-        let sound = || views.iter().filter(|view| !view.is_suspended);
-        let load: f64 = sound().map(|view| view.usual_load).sum();
-        let slots: u32 = sound().map(|view| view.slots).sum();
-        let chance = f64::from(self.salt as u32) / f64::from(u32::MAX);
-        slots == 0
-            || self
-                .gateway
-                .admission
-                .takes(load / f64::from(slots), chance)
-    }
-
-    fn view<'a>(&self, server: &'a BackendServer, now: Moment) -> ServerView<'a> {
-        let standing = self.gateway.loads.standing(server, now);
-        ServerView {
-            id: &server.id,
-            is_near: server.entry.data_centre == self.gateway.data_centre,
-            slots: server.entry.slots,
-            load: standing.load,
-            usual_load: standing.usual,
-            is_suspended: standing.is_aside,
-            is_tried: self.tried.contains(&server.id),
-            is_young: standing.is_young,
-        }
-    }
-
     async fn send_to(&mut self, target: &Target, resume_after: Option<u64>) -> Sent {
-        let server = &target.server;
+        let Target { server, .. } = target;
         self.tried.push(server.id.clone());
         self.report.servers.push(server.id.clone());
         self.sends += 1;
@@ -476,29 +392,3 @@
         }
     }
 }
-
-fn salt_of(request_id: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(request_id.as_bytes());
-    hasher.finish()
-}
-
-fn pick_share(route: &Route, salt: u64) -> Option<String> {
-    let total: u64 = route
-        .shares
-        .iter()
-        .map(|share| u64::from(share.weight))
-        .sum();
-    if total == 0 {
-        return None;
-    }
-    let mut at = salt % total;
-    for share in &route.shares {
-        let weight = u64::from(share.weight);
-        if at < weight {
-            return Some(share.service.clone());
-        }
-        at -= weight;
-    }
-    None
-}
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -42,6 +42,13 @@
 /// Bytes of a body before a configuration tells the limit.
 const BODY_BYTES_UNCONFIGURED: usize = 4 * 1024 * 1024;
 
+/// What the operator may change while the gateway runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    pub(super) retry: RetryTerms,
+    pub(super) leave: Leave,
+}
+
 /// Everything that the tasks of a gateway share.
 pub(super) struct Gateway {
     pub(super) data_centre: String,
@@ -52,13 +59,12 @@
     pub(super) pool: Pool,
     pub(super) loads: Loads,
     pub(super) budgets: Mutex<Vec<(String, RetryBudget)>>,
-    pub(super) retry_terms: RetryTerms,
+    pub(super) terms: Mutex<Terms>,
     /// Nodes that share the fixed part of the budget of repeats.
     pub(super) nodes: OnceLock<Arc<dyn Fn() -> u32 + Send + Sync>>,
     pub(super) engines: EnginePlacement,
     pub(super) plain: PlainPlacement,
     pub(super) admission: Admission,
-    pub(super) leave: Leave,
     /// Set once the node has been asked to stop.
     pub(super) leaving_since: OnceLock<Moment>,
     /// Returns of callers while this node can't serve them.
@@ -155,21 +161,36 @@
     /// Tells whether a request can be served before this node is gone.
     pub(super) fn takes(&self, route: &Route, now: Moment) -> bool {
         self.leaving_since.get().is_none_or(|since| {
-            self.leave
+            self.terms()
+                .leave
                 .takes(now.since(*since), route.repeat.is_stream(), route.timeout)
         })
     }
 
+    pub(super) fn terms(&self) -> Terms {
+        *self.terms.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Goes by other terms from now on; repeats of the past still count.
+    pub(super) fn set_terms(&self, terms: Terms) {
+        *self.terms.lock().unwrap_or_else(PoisonError::into_inner) = terms;
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        for (_, budget) in budgets.iter_mut() {
+            budget.set_terms(terms.retry);
+        }
+    }
+
     pub(super) fn with_budget<T>(
         &self,
         service: &str,
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
+        let terms = self.terms().retry;
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let at = match budgets.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                let budget = RetryBudget::new(self.retry_terms);
+                let budget = RetryBudget::new(terms);
                 budgets.insert(at, (service.to_owned(), budget));
                 at
             }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -75,25 +75,16 @@
 }
 
 impl Loads {
-    /// Gives load and standing of `server`.
-    pub(super) fn standing(&self, server: &BackendServer, now: Moment) -> Standing {
+    /// Gives load and standing of each of `servers`, in their order.
+    pub(super) fn standings(&self, servers: &[BackendServer], now: Moment) -> Vec<Standing> {
         let rows = self.lock();
-        let Ok(at) = rows.binary_search_by(|row| row.id.as_str().cmp(&server.id)) else {
-            return Standing::default();
+        let standing = |server: &BackendServer| {
+            let at = rows.binary_search_by(|row| row.id.as_str().cmp(&server.id));
+            let row = at.ok().map(|at| &rows[at]);
+            row.filter(|row| row.born_ms == server.entry.born_ms)
+                .map_or_else(Standing::default, |row| row.standing(now))
         };
-        let row = &rows[at];
-        if row.born_ms != server.entry.born_ms {
-            return Standing::default();
-        }
-        Standing {
-            load: row.load(now),
-            // A node's own calls are known at once; the rest is known four times a second.
-            usual: row.usual.max(f64::from(row.own)),
-            is_aside: row.health.is_aside(now) || row.is_silent(now),
-            is_young: row
-                .joined
-                .is_some_and(|joined| now.since(joined) < YOUNG_FOR),
-        }
+        servers.iter().map(standing).collect()
     }
 
     /// Counts a request that is about to be sent to `server`.
@@ -178,6 +169,18 @@
 }
 
 impl Row {
+    fn standing(&self, now: Moment) -> Standing {
+        Standing {
+            load: self.load(now),
+            // A node's own calls are known at once; the rest is known four times a second.
+            usual: self.usual.max(f64::from(self.own)),
+            is_aside: self.health.is_aside(now) || self.is_silent(now),
+            is_young: self
+                .joined
+                .is_some_and(|joined| now.since(joined) < YOUNG_FOR),
+        }
+    }
+
     fn is_silent(&self, now: Moment) -> bool {
         self.unanswered_since
             .is_some_and(|since| now.since(since) > SILENCE_LIMIT)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod choice;
 mod dialect;
 mod events;
 mod exchange;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -3,6 +3,7 @@
 use super::dialect::Dialect;
 use super::handler::Caller;
 use super::handler::Gateway;
+use super::handler::Terms;
 use super::loads::Loads;
 use super::meters::Meters;
 use super::pages::Pages;
@@ -14,6 +15,7 @@
 use crate::catalog::Beliefs;
 use crate::catalog::ConfigSource;
 use crate::catalog::Follower;
+use crate::catalog::Pace;
 use crate::catalog::Schedule;
 use crate::catalog::ServerList;
 use crate::clock::Moment;
@@ -148,13 +150,15 @@
 
 /// Derives the reading schedule from the bounds, each with room for one lost read.
 fn schedule(bounds: &GatewayBounds) -> Schedule {
-    Schedule {
+    let pace = |bound: Duration| Pace {
         // What the relay read is told on within one interval and one question, which stays under the age at which
         // a node reads for itself; that age, a look and a read that fails once stay under the bound.
-        config_interval: bounds.config_apply * 7 / 20,
-        config_age: bounds.config_apply * 5 / 8,
-        list_interval: bounds.drain * 7 / 20,
-        list_age: bounds.drain * 5 / 8,
+        interval: bound * 7 / 20,
+        told_age: bound * 5 / 8,
+    };
+    Schedule {
+        config: pace(bounds.config_apply),
+        list: pace(bounds.drain),
     }
 }
 
@@ -218,9 +222,16 @@
         })
     }
 
+    /// Goes by other bounds from now on: beliefs, reads, budgets of repeats and the time for stopping.
+    pub fn set_bounds(&self, bounds: &GatewayBounds) {
+        self.gateway.beliefs.set_bounds(belief_bounds(bounds));
+        self.gateway.set_terms(terms(bounds));
+        self.follower.set_schedule(schedule(bounds));
+    }
+
     /// Stops: the node is no longer ready, serves on while callers leave, and ends before the grace is over.
     pub async fn close(self) {
-        let serving = self.gateway.leave.serves_for;
+        let serving = self.gateway.terms().leave.serves_for;
         info!(self.logs.log(), "stopping"; "serves_ms" => serving.as_millis() as u64);
         // It is set here alone, and a node is closed once.
         let _ = self.gateway.leaving_since.set(Moment::now());
@@ -238,6 +249,19 @@
     }
 }
 
+fn terms(bounds: &GatewayBounds) -> Terms {
+    Terms {
+        retry: RetryTerms {
+            ratio: bounds.retry_ratio_milli as f64 / 1_000.0,
+            window: bounds.retry_window,
+            slack: bounds.retry_slack as f64,
+        },
+        leave: Leave {
+            serves_for: bounds.grace.saturating_sub(GRACE_MARGIN),
+        },
+    }
+}
+
 fn gateway(
     settings: &GatewaySettings,
     beliefs: &Arc<Beliefs>,
@@ -254,11 +278,7 @@
         pool: Pool::default(),
         loads: Loads::default(),
         budgets: Mutex::default(),
-        retry_terms: RetryTerms {
-            ratio: bounds.retry_ratio_milli as f64 / 1_000.0,
-            window: bounds.retry_window,
-            slack: bounds.retry_slack as f64,
-        },
+        terms: Mutex::new(terms(bounds)),
         nodes: OnceLock::new(),
         engines: EnginePlacement {
             bound_factor: 1.6,
@@ -277,9 +297,6 @@
             take_least_above: 4.0,
             turned_away_most: 0.8,
         },
-        leave: Leave {
-            serves_for: bounds.grace.saturating_sub(GRACE_MARGIN),
-        },
         leaving_since: OnceLock::new(),
         returns: Returns {
             soonest: Duration::from_millis(150),
