--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -1,14 +1,19 @@
 //! Structured logs on the standard output stream, which never block and have a ceiling.
 
+#[cfg(test)]
+mod tests;
+
 use slog::Drain;
 use slog::Logger;
 use slog::o;
+use slog_async::AsyncGuard;
 use slog_async::OverflowStrategy;
 use std::io::LineWriter;
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::mpsc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -41,6 +46,8 @@
 pub struct Logs {
     log: Logger,
     window: Arc<Mutex<Window>>,
+    /// Ends the writer's thread once what waits is written.
+    guard: Arc<Mutex<Option<AsyncGuard>>>,
 }
 
 impl Logs {
@@ -53,17 +60,33 @@
             .chan_size(QUEUE_LINES)
             .overflow_strategy(OverflowStrategy::DropAndReport)
             .build_with_guard();
-        // Dropping the guard would wait for a writer that may be blocked for good.
-        std::mem::forget(guard);
-        Self::over(Logger::root(drain.fuse(), o!("node" => node.to_owned())))
+        let log = Logger::root(drain.fuse(), o!("node" => node.to_owned()));
+        Self::over(log, Some(guard))
     }
 
     /// Makes logs that write nowhere, for tests.
     pub fn silent() -> Self {
-        Self::over(Logger::root(slog::Discard, o!()))
+        Self::over(Logger::root(slog::Discard, o!()), None)
+    }
+
+    /// Writes the lines that wait, for `limit` at most: a writer that is blocked must not keep a process from ending.
+    pub fn close(self, limit: Duration) {
+        let mut guard = self.guard.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(guard) = guard.take() else {
+            return;
+        };
+        let (tx, rx) = mpsc::channel();
+        // Dropping the guard waits for the writer, however long it takes.
+        std::thread::spawn(move || {
+            drop(guard);
+            // Nobody listens any more where the limit is over.
+            let _ = tx.send(());
+        });
+        // Lines that are not written by then are lost, and nothing is left to say so to.
+        let _ = rx.recv_timeout(limit);
     }
 
-    fn over(log: Logger) -> Self {
+    fn over(log: Logger, guard: Option<AsyncGuard>) -> Self {
         let window = Window {
             started: Instant::now(),
             lines: 0,
@@ -72,6 +95,7 @@
         Self {
             log,
             window: Arc::new(Mutex::new(window)),
+            guard: Arc::new(Mutex::new(guard)),
         }
     }
 
--- /dev/null
+++ b/src/logs/tests.rs
@@ -0,0 +1,61 @@
+//! A writer that is slow or blocked, when the process ends.
+
+use super::Logs;
+use slog::info;
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+/// A writer that takes `pause` for each write.
+struct SlowWriter {
+    pause: Duration,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for SlowWriter {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(self.pause);
+        self.written.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn slow_logs(pause: Duration) -> (Logs, Arc<Mutex<Vec<u8>>>) {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let writer = SlowWriter {
+        pause,
+        written: Arc::clone(&written),
+    };
+    (Logs::start("n-1", Box::new(writer)), written)
+}
+
+#[test]
+fn lines_that_wait_are_written_before_the_end() {
+    let (logs, written) = slow_logs(Duration::from_millis(20));
+
+    for number in 0..5 {
+        info!(logs.log(), "line"; "number" => number);
+    }
+    logs.close(Duration::from_secs(5));
+
+    let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
+    assert_eq!(text.lines().count(), 5, "{text}");
+}
+
+#[test]
+fn a_blocked_writer_does_not_hold_up_the_end() {
+    let (logs, _) = slow_logs(Duration::from_secs(30));
+    info!(logs.log(), "line");
+    let began = Instant::now();
+
+    logs.close(Duration::from_millis(100));
+
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
