Admission by expected wait, for chats as well; a model and a load tool to compare decisions

Cause: nothing turned chats away: at more than engines can run every chat waited through their queues and was late. Plain calls were turned away at fixed multiples of the slots, which fit the sheets' work and targets alone. Callers that were turned away came back within a second, into the same burst, and were treated as newcomers. Change: src/decide/reject.rs goes by the time that a request is expected to wait (load and slot time, both learnt) against what latency targets leave for waiting; the least urgent are turned away first, never more than four in five; returns are recognised by the time that callers announce (src/decide/returns.rs), favoured, and told to come back after one to five seconds where a service is full. lab/ is a model of engines and plain servers in simulated time, with patterns and policies side by side; its tests replay them. New metrics: repeats, fill and expected wait by service, store calls by outcome.

--- /dev/null
+++ b/lab/src/plain.rs
@@ -0,0 +1,105 @@
+//! A model of a plain server: slots, and a short queue.
+
+use crate::job::Job;
+use crate::job::Millis;
+use crate::server::Arrival;
+use crate::server::Server;
+use crate::server::Sign;
+use crate::server::Toll;
+use std::collections::VecDeque;
+
+/// Size of a plain server; the defaults are those of the sheets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlainSpec {
+    /// Calls that run at once.
+    pub slots: usize,
+    /// Calls that wait at most.
+    pub queue: usize,
+}
+
+impl Default for PlainSpec {
+    fn default() -> Self {
+        Self {
+            slots: 6,
+            queue: 24,
+        }
+    }
+}
+
+/// The model.
+#[derive(Clone, Debug, Default)]
+pub struct PlainServer {
+    spec: PlainSpec,
+    /// Calls that run, with the times of their ends.
+    runs: Vec<(usize, Millis)>,
+    waiting: VecDeque<Job>,
+}
+
+impl PlainServer {
+    /// Makes a server without work.
+    pub fn new(spec: PlainSpec) -> Self {
+        Self {
+            spec,
+            ..Self::default()
+        }
+    }
+
+    fn start(&mut self, now: Millis) {
+        while self.runs.len() < self.spec.slots {
+            let Some(job) = self.waiting.pop_front() else {
+                return;
+            };
+            // A call whose time passed in the queue is not run.
+            if job.deadline > now {
+                self.runs.push((job.number, now + job.work));
+            }
+        }
+    }
+}
+
+impl Server for PlainServer {
+    fn offer(&mut self, now: Millis, arrival: Arrival) -> Result<(), Job> {
+        if self.waiting.len() >= self.spec.queue {
+            return Err(arrival.job);
+        }
+        self.waiting.push_back(arrival.job);
+        self.start(now);
+        Ok(())
+    }
+
+    fn next_step(&self) -> Option<Millis> {
+        let ends = self.runs.iter().map(|(_, end)| *end);
+        ends.min_by(f64::total_cmp)
+    }
+
+    fn step(&mut self, signs: &mut Vec<Sign>) {
+        let Some(now) = self.next_step() else { return };
+        self.runs.retain(|(number, end)| {
+            let is_done = *end <= now;
+            if is_done {
+                signs.push(Sign::First(*number, now));
+                signs.push(Sign::End(*number, now));
+            }
+            !is_done
+        });
+        self.start(now);
+    }
+
+    fn load(&self) -> u32 {
+        (self.runs.len() + self.waiting.len()) as u32
+    }
+
+    fn crash(&mut self) -> Vec<usize> {
+        let running = self.runs.drain(..).map(|(number, _)| number);
+        let waiting = self.waiting.drain(..).map(|job| job.number);
+        running.chain(waiting).collect()
+    }
+
+    fn held(&self, _: &Job) -> u32 {
+        0
+    }
+
+    fn toll(&self) -> Toll {
+        Toll::default()
+    }
+}
--- /dev/null
+++ b/lab/src/world.rs
@@ -0,0 +1,474 @@
+//! Plays a pattern by a policy: nodes that know loads late, servers that work, callers that come back.
+
+use crate::engine::Engine;
+use crate::job::Fate;
+use crate::job::Job;
+use crate::job::Millis;
+use crate::pattern::Change;
+use crate::pattern::Fleet;
+use crate::pattern::Pattern;
+use crate::plain::PlainServer;
+use crate::policy::Policy;
+use crate::policy::Waiting;
+use crate::server::Arrival;
+use crate::server::Server;
+use crate::server::Sign;
+use crate::server::Toll;
+use currantbend::decide::Arrivals;
+use currantbend::decide::Call;
+use currantbend::decide::ServerView;
+use currantbend::decide::ServiceLog;
+use currantbend::decide::Work;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::cmp::Ordering;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// Time between two exchanges of loads between nodes, as in `currantbend::peers`.
+const EXCHANGE: Millis = 250.0;
+/// Weight of the newest load in its moving mean, as in the gateway.
+const USUAL_GAIN: f64 = 0.25;
+/// Time for which a server counts as young, as in the gateway.
+const YOUNG_FOR: Millis = 12_000.0;
+/// Time to set up a copy of prompt parts, in milliseconds, from the sheets.
+const COPY_SETUP: Millis = 4.0;
+/// Tokens that are copied in a millisecond: 163,840 bytes a token at 370 Gbit/s, from the sheets.
+const COPY_PER_MS: f64 = 282.0;
+/// Time after which an impatient caller comes back, whatever it was told.
+const IMPATIENT_AFTER: Millis = 10.0;
+/// Times that an impatient caller comes back.
+const IMPATIENT_RETURNS: u32 = 3;
+/// Share of its time that a request may wait at a node before it is turned away.
+const HELD_SHARE: f64 = 0.125;
+
+/// What a play gave.
+#[derive(Clone, Debug, Default)]
+pub struct Play {
+    /// What became of each request, in the order of the pattern.
+    pub fates: Vec<Fate>,
+    /// Work of all servers together.
+    pub toll: Toll,
+    /// Prompt tokens that were copied between engines.
+    pub copied: u64,
+}
+
+/// A server in the world, with what nodes know of it.
+struct Place {
+    id: String,
+    server: Box<dyn Server>,
+    joined: Option<Millis>,
+    is_listed: bool,
+    /// Requests of each node in flight.
+    in_flight: Vec<u32>,
+    /// All requests in flight at the last exchange, and those of each node.
+    exchanged: Vec<u32>,
+    usual: f64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive(Job),
+    Exchange,
+    Change(Change),
+    Back(usize),
+}
+
+struct Due {
+    at: Millis,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at
+            .total_cmp(&other.at)
+            .then(self.order.cmp(&other.order))
+    }
+}
+
+fn duration(time: Millis) -> Duration {
+    Duration::from_secs_f64(time.max(0.0) / 1_000.0)
+}
+
+/// How full the servers usually are, in multiples of their slots.
+fn fill(views: &[ServerView<'_>]) -> f64 {
+    let load: f64 = views.iter().map(|view| view.usual_load).sum();
+    let slots: u32 = views.iter().map(|view| view.slots).sum();
+    load / f64::from(slots.max(1))
+}
+
+/// Where a request is sent.
+struct Chosen {
+    place: usize,
+    /// How full the server is known to be, in multiples of its slots.
+    fill: f64,
+    copy_from: Option<usize>,
+}
+
+struct World<'a> {
+    pattern: &'a Pattern,
+    policy: &'a Policy,
+    places: Vec<Place>,
+    due: BinaryHeap<Reverse<Due>>,
+    orders: u64,
+    /// Requests that wait at each node.
+    held: Vec<Vec<Job>>,
+    /// What each node learnt of callers' times.
+    arrivals: Vec<Arrivals>,
+    /// What each node learnt of the service.
+    logs: Vec<ServiceLog>,
+    /// When each request was sent, and how full its server was known to be.
+    sent: Vec<(Millis, f64)>,
+    /// Where each request is: its node and server.
+    whereabouts: Vec<Option<(usize, usize)>>,
+    last_event: Vec<Millis>,
+    play: Play,
+    rng: StdRng,
+    now: Millis,
+}
+
+/// Plays `pattern` by `policy`; equal seeds give equal plays.
+pub fn play(pattern: &Pattern, policy: &Policy, seed: u64) -> Play {
+    let mut world = World {
+        pattern,
+        policy,
+        places: Vec::new(),
+        due: BinaryHeap::new(),
+        orders: 0,
+        held: vec![Vec::new(); pattern.nodes],
+        arrivals: vec![Arrivals::default(); pattern.nodes],
+        logs: vec![ServiceLog::default(); pattern.nodes],
+        sent: vec![(0.0, 0.0); pattern.jobs.len()],
+        whereabouts: vec![None; pattern.jobs.len()],
+        last_event: vec![0.0; pattern.jobs.len()],
+        play: Play {
+            fates: vec![Fate::default(); pattern.jobs.len()],
+            ..Play::default()
+        },
+        rng: StdRng::seed_from_u64(seed),
+        now: 0.0,
+    };
+    world.run();
+    for place in &world.places {
+        let toll = place.server.toll();
+        world.play.toll.read += toll.read;
+        world.play.toll.read_shared += toll.read_shared;
+        world.play.toll.preempted += toll.preempted;
+    }
+    world.play
+}
+
+impl World<'_> {
+    fn run(&mut self) {
+        for _ in 0..self.pattern.fleet.servers() {
+            self.join(None);
+        }
+        for job in &self.pattern.jobs {
+            self.schedule(job.arrival, Event::Arrive(job.clone()));
+        }
+        for (at, change) in &self.pattern.changes {
+            self.schedule(*at, Event::Change(*change));
+        }
+        self.schedule(EXCHANGE, Event::Exchange);
+        let end = self.pattern.jobs.iter().map(|job| job.deadline);
+        let end = end.fold(0.0, f64::max);
+        let mut signs = Vec::new();
+        loop {
+            let next_server = self.next_server();
+            let next_event = self.due.peek().map(|Reverse(due)| due.at);
+            let is_server_first = match (next_server, next_event) {
+                (Some((at, _)), Some(event)) => at <= event,
+                (Some(_), None) => true,
+                (None, _) => false,
+            };
+            if is_server_first && let Some((at, place)) = next_server {
+                self.now = self.now.max(at);
+                self.places[place].server.step(&mut signs);
+                for sign in signs.drain(..) {
+                    self.take_sign(sign);
+                }
+            } else if let Some(Reverse(due)) = self.due.pop() {
+                self.now = due.at;
+                if self.now > end {
+                    return;
+                }
+                self.happen(due.event);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn next_server(&self) -> Option<(Millis, usize)> {
+        let steps = self.places.iter().enumerate();
+        steps
+            .filter_map(|(at, place)| Some((place.server.next_step()?, at)))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    fn schedule(&mut self, at: Millis, event: Event) {
+        self.orders += 1;
+        self.due.push(Reverse(Due {
+            at,
+            order: self.orders,
+            event,
+        }));
+    }
+
+    fn join(&mut self, joined: Option<Millis>) {
+        let server: Box<dyn Server> = match self.pattern.fleet {
+            Fleet::Engines(_, spec) => {
+                let by_urgency = self.policy.waiting != Waiting::AtServer;
+                Box::new(Engine::new(crate::engine::EngineSpec {
+                    by_urgency,
+                    ..spec
+                }))
+            }
+            Fleet::Plain(_, spec) => Box::new(PlainServer::new(spec)),
+        };
+        self.places.push(Place {
+            id: format!("s-{}", self.places.len()),
+            server,
+            joined,
+            is_listed: true,
+            in_flight: vec![0; self.pattern.nodes],
+            exchanged: vec![0; self.pattern.nodes],
+            usual: 0.0,
+        });
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive(job) => {
+                let node = self.rng.random_range(0..self.pattern.nodes);
+                self.place(node, job, true);
+            }
+            Event::Exchange => {
+                for place in &mut self.places {
+                    place.exchanged.clone_from(&place.in_flight);
+                    let load: u32 = place.exchanged.iter().sum();
+                    place.usual += (f64::from(load) - place.usual) * USUAL_GAIN;
+                }
+                for node in 0..self.pattern.nodes {
+                    self.place_held(node);
+                }
+                self.schedule(self.now + EXCHANGE, Event::Exchange);
+            }
+            Event::Change(Change::Crash(server, away)) => {
+                self.places[server].is_listed = false;
+                for number in self.places[server].server.crash() {
+                    self.leave(number);
+                    self.play.fates[number].is_lost = true;
+                }
+                self.schedule(self.now + away, Event::Back(server));
+            }
+            Event::Change(Change::Replace(server)) => {
+                self.places[server].is_listed = false;
+                self.join(Some(self.now));
+            }
+            Event::Back(server) => {
+                self.places[server].is_listed = true;
+                self.places[server].joined = Some(self.now);
+            }
+        }
+    }
+
+    /// Takes a request off the books of its node and server; gives the node.
+    fn leave(&mut self, number: usize) -> Option<usize> {
+        let (node, server) = self.whereabouts[number].take()?;
+        let in_flight = &mut self.places[server].in_flight[node];
+        *in_flight = in_flight.saturating_sub(1);
+        Some(node)
+    }
+
+    fn take_sign(&mut self, sign: Sign) {
+        match sign {
+            Sign::First(number, at) => {
+                let fate = &mut self.play.fates[number];
+                // A run that left the memory begins again; its caller has the first events already.
+                if fate.first.is_none() {
+                    fate.first = Some(at);
+                    self.last_event[number] = at;
+                }
+            }
+            Sign::Event(number, at) => {
+                let fate = &mut self.play.fates[number];
+                fate.longest_gap = fate.longest_gap.max(at - self.last_event[number]);
+                self.last_event[number] = at;
+            }
+            Sign::End(number, at) => {
+                self.play.fates[number].end = Some(at);
+                if let Some(node) = self.leave(number) {
+                    let (sent, fill) = self.sent[number];
+                    self.logs[node].note_time(duration(at - sent), fill);
+                    self.place_held(node);
+                }
+            }
+        }
+    }
+
+    fn place_held(&mut self, node: usize) {
+        let mut held = std::mem::take(&mut self.held[node]);
+        held.sort_by_key(|job| (job.urgency, job.number));
+        for job in held {
+            self.place(node, job, false);
+        }
+    }
+
+    /// Places a request that came to `node`, or that has waited there.
+    fn place(&mut self, node: usize, job: Job, is_new: bool) {
+        // Each attempt of a caller has an id of its own.
+        let attempt = (job.number as u64) << 8 | u64::from(self.play.fates[job.number].refusals);
+        let salt = (attempt + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        if is_new && !self.is_admitted(node, &job, salt) {
+            self.refuse(job, salt);
+            return;
+        }
+        let Some(chosen) = self.choose(node, &job, salt) else {
+            self.refuse(job, salt);
+            return;
+        };
+        if self.policy.waiting == Waiting::AtNode && chosen.fill >= 1.0 {
+            let limit = job.arrival + (job.deadline - job.arrival) * HELD_SHARE;
+            if self.now > limit {
+                self.refuse(job, salt);
+            } else {
+                self.held[node].push(job);
+            }
+            return;
+        }
+        self.send(node, job, &chosen, salt);
+    }
+
+    fn is_admitted(&mut self, node: usize, job: &Job, salt: u64) -> bool {
+        let kind = &self.pattern.kinds[job.kind];
+        let left = duration(job.deadline - self.now);
+        let is_return = self.arrivals[node].is_return(kind.name, left);
+        let Some(admission) = &self.policy.admission else {
+            return true;
+        };
+        let call = Call {
+            chance: f64::from(salt as u32) / f64::from(u32::MAX),
+            rank: job.urgency,
+            is_return,
+            latency_target: duration(kind.aim),
+            is_stream: !job.parts.is_empty(),
+        };
+        let fill = fill(&self.views(node));
+        let return_share = self.arrivals[node].return_share(kind.name);
+        let log = &mut self.logs[node];
+        log.note_call(&call);
+        admission.takes(&log.crowd(fill, return_share), &call)
+    }
+
+    fn choose(&self, node: usize, job: &Job, salt: u64) -> Option<Chosen> {
+        let listed = self.listed();
+        let views = self.views(node);
+        let work = Work {
+            parts: &job.parts,
+            salt,
+        };
+        let choice = self.policy.placement.choose(&work, &views)?;
+        let view = &views[choice.at];
+        Some(Chosen {
+            place: listed[choice.at],
+            fill: f64::from(view.load) / f64::from(view.slots),
+            copy_from: choice.copy_from.map(|from| listed[from]),
+        })
+    }
+
+    fn send(&mut self, node: usize, job: Job, chosen: &Chosen, salt: u64) {
+        let held = self.places[chosen.place].server.held(&job);
+        let source = chosen.copy_from.map(|from| &self.places[from].server);
+        let copied = source.map_or(0, |source| source.held(&job).saturating_sub(held));
+        let mut arrival = Arrival {
+            job,
+            ready: self.now,
+            copied: 0,
+        };
+        if copied > 0 {
+            self.play.copied += u64::from(copied);
+            arrival.ready += COPY_SETUP + f64::from(copied) / COPY_PER_MS;
+            arrival.copied = held + copied;
+        }
+        let number = arrival.job.number;
+        let place = &mut self.places[chosen.place];
+        match place.server.offer(self.now, arrival) {
+            Ok(()) => {
+                place.in_flight[node] += 1;
+                self.whereabouts[number] = Some((node, chosen.place));
+                self.sent[number] = (self.now, chosen.fill);
+            }
+            Err(job) => self.refuse(job, salt),
+        }
+    }
+
+    fn refuse(&mut self, mut job: Job, salt: u64) {
+        self.play.fates[job.number].refusals += 1;
+        let left = (job.deadline - self.now).max(0.0);
+        let is_impatient = !job.is_return && self.rng.random_bool(self.pattern.impatient);
+        if is_impatient {
+            job.returns_left = IMPATIENT_RETURNS;
+        }
+        if job.returns_left == 0 || left == 0.0 {
+            return;
+        }
+        job.returns_left -= 1;
+        job.is_return = true;
+        let after = if is_impatient || job.returns_left > 0 {
+            IMPATIENT_AFTER
+        } else {
+            let left = duration(left);
+            self.policy.returns.after(salt, left).as_secs_f64() * 1_000.0
+        };
+        self.schedule(self.now + after, Event::Arrive(job));
+    }
+
+    /// Places of the servers that may get work.
+    fn listed(&self) -> Vec<usize> {
+        (0..self.places.len())
+            .filter(|&at| self.places[at].is_listed)
+            .collect()
+    }
+
+    fn views(&self, node: usize) -> Vec<ServerView<'_>> {
+        let listed = self.listed();
+        listed.iter().map(|&at| self.view(node, at)).collect()
+    }
+
+    fn view(&self, node: usize, at: usize) -> ServerView<'_> {
+        let place = &self.places[at];
+        let others: u32 = place.exchanged.iter().sum::<u32>() - place.exchanged[node];
+        let own = place.in_flight[node];
+        ServerView {
+            id: &place.id,
+            is_near: at % 3 == node % 3,
+            slots: self.pattern.fleet.slots(),
+            load: others + own,
+            usual_load: place.usual.max(f64::from(own)),
+            is_suspended: false,
+            is_tried: false,
+            is_young: place
+                .joined
+                .is_some_and(|joined| self.now - joined < YOUNG_FOR),
+        }
+    }
+}
--- /dev/null
+++ b/lab/tests/decisions.rs
@@ -0,0 +1,99 @@
+//! Each decision against its load pattern: today's policy beside the one that it replaced.
+
+use currantbend_lab::pattern;
+use currantbend_lab::pattern::Pattern;
+use currantbend_lab::policy;
+use currantbend_lab::policy::Policy;
+use currantbend_lab::policy::TODAY;
+use currantbend_lab::summary::Summary;
+use currantbend_lab::summary::sum_up;
+use currantbend_lab::world::play;
+
+const SEED: u64 = 7;
+
+fn summary(pattern: &Pattern, policies: &[Policy], name: &str) -> Summary {
+    let policy = policies.iter().find(|policy| policy.name == name);
+    let play = play(pattern, policy.expect("a policy of the list"), SEED);
+    sum_up(pattern, &play, name, SEED)
+}
+
+fn chats(pattern: &str, policy: &str) -> Summary {
+    let pattern = pattern::chats(pattern, SEED).expect("a pattern of the list");
+    summary(&pattern, &policy::for_chats(), policy)
+}
+
+fn calls(pattern: &str, policy: &str) -> Summary {
+    let pattern = pattern::calls(pattern, SEED).expect("a pattern of the list");
+    summary(&pattern, &policy::for_calls(), policy)
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures() {
+    assert_eq!(chats("burst", TODAY), chats("burst", TODAY));
+}
+
+#[test]
+fn homes_spare_reading_shared_parts_that_the_least_loaded_engine_lacks() {
+    let (before, now) = (chats("even", "least-loaded"), chats("even", TODAY));
+
+    assert!(now.shared_read_k * 3.0 < before.shared_read_k);
+    assert!(now.all.on_time > 0.99, "{}", now.all.on_time);
+    assert!(before.all.on_time < 0.5, "{}", before.all.on_time);
+}
+
+#[test]
+fn a_hot_part_spreads_instead_of_drowning_its_engine() {
+    let (before, now) = (chats("hot-part", "by-hash"), chats("hot-part", TODAY));
+
+    assert!(now.all.first_p99 < before.all.first_p99);
+    assert!(now.all.payoff > before.all.payoff);
+}
+
+#[test]
+fn chats_that_could_only_be_late_are_turned_away_and_the_others_are_on_time() {
+    for pattern in ["burst", "hot-team", "retry-storm"] {
+        let (before, now) = (chats(pattern, "homes"), chats(pattern, TODAY));
+
+        assert!(now.all.payoff > before.all.payoff + 0.1, "{pattern}");
+        assert!(now.all.on_time > before.all.on_time + 0.1, "{pattern}");
+        assert!(now.worst_team > before.worst_team, "{pattern}");
+    }
+}
+
+#[test]
+fn no_kind_of_chat_is_starved_in_a_burst() {
+    let served = |summary: &Summary| {
+        let share = |kind: &(String, _)| -> f64 {
+            let (_, service): &(String, currantbend_lab::summary::Service) = kind;
+            service.on_time + service.late
+        };
+        summary.kinds.iter().map(share).fold(1.0, f64::min)
+    };
+
+    let by_urgency = served(&chats("burst", "homes, urgency"));
+    let now = served(&chats("burst", TODAY));
+
+    assert!(now > 0.7, "{now}");
+    assert!(by_urgency < now, "{by_urgency}, {now}");
+}
+
+#[test]
+fn fewer_callers_are_left_without_an_answer_when_returns_are_late_and_favoured() {
+    for pattern in ["burst", "retry-storm"] {
+        let (before, now) = (calls(pattern, "drawn"), calls(pattern, TODAY));
+
+        let unserved = |summary: &Summary| summary.all.refused + summary.all.failed;
+        assert!(unserved(&now) < unserved(&before) * 0.75, "{pattern}");
+        assert!(now.returns_answered > before.returns_answered, "{pattern}");
+        assert!(now.all.payoff > before.all.payoff - 0.01, "{pattern}");
+    }
+}
+
+#[test]
+fn nobody_is_turned_away_while_there_is_room() {
+    for pattern in ["even", "hot-part", "release", "crash"] {
+        let refused = calls(pattern, TODAY).all.refused;
+
+        assert!(refused == 0.0, "{pattern}: {refused}");
+    }
+}
--- /dev/null
+++ b/lab/tests/models.rs
@@ -0,0 +1,163 @@
+//! The models of an engine and of a plain server.
+
+use currantbend::decide::PromptPart;
+use currantbend_lab::engine::Engine;
+use currantbend_lab::engine::EngineSpec;
+use currantbend_lab::job::Job;
+use currantbend_lab::plain::PlainServer;
+use currantbend_lab::plain::PlainSpec;
+use currantbend_lab::server::Arrival;
+use currantbend_lab::server::Server;
+use currantbend_lab::server::Sign;
+
+fn job(number: usize, shared: (u64, u32), own: u32, output: u32) -> Job {
+    Job {
+        number,
+        kind: 0,
+        team: 0,
+        arrival: 0.0,
+        deadline: 60_000.0,
+        urgency: 1,
+        parts: vec![
+            PromptPart {
+                id: shared.0,
+                tokens: shared.1,
+            },
+            PromptPart {
+                id: 1_000 + number as u64,
+                tokens: own,
+            },
+        ],
+        output,
+        work: 60.0,
+        returns_left: 0,
+        is_return: false,
+    }
+}
+
+fn offer(server: &mut dyn Server, job: Job) -> bool {
+    let arrival = Arrival {
+        job,
+        ready: 0.0,
+        copied: 0,
+    };
+    server.offer(0.0, arrival).is_ok()
+}
+
+/// Works until there is nothing to do.
+fn signs(server: &mut dyn Server) -> Vec<Sign> {
+    let mut signs = Vec::new();
+    while server.next_step().is_some() {
+        server.step(&mut signs);
+    }
+    signs
+}
+
+fn first(signs: &[Sign], wanted: usize) -> f64 {
+    let first = signs.iter().find_map(|sign| match sign {
+        Sign::First(number, at) if *number == wanted => Some(*at),
+        _ => None,
+    });
+    first.expect("a first event")
+}
+
+#[test]
+fn a_long_prompt_takes_its_time_and_a_kept_part_doesnt() {
+    let mut engine = Engine::new(EngineSpec::default());
+
+    offer(&mut engine, job(0, (1, 10_000), 100, 5));
+    let cold = first(&signs(&mut engine), 0);
+    let began = engine.next_step();
+    offer(&mut engine, job(1, (1, 10_000), 100, 5));
+    let warm = first(&signs(&mut engine), 1);
+
+    assert!(began.is_none());
+    // 10,100 tokens at 68.2 a millisecond, in five steps of 3.82 ms.
+    assert!((160.0..175.0).contains(&cold), "{cold}");
+    assert!(warm < 10.0, "{warm}");
+}
+
+#[test]
+fn prompts_that_are_read_hold_up_the_streams_beside_them() {
+    let mut alone = Engine::new(EngineSpec::default());
+    let mut beside = Engine::new(EngineSpec::default());
+
+    offer(&mut alone, job(0, (1, 100), 10, 50));
+    offer(&mut beside, job(0, (1, 100), 10, 50));
+    offer(&mut beside, job(1, (2, 10_000), 10, 50));
+    let end = |engine: &mut Engine| {
+        let ended = signs(engine).into_iter().find_map(|sign| match sign {
+            Sign::End(0, at) => Some(at),
+            _ => None,
+        });
+        ended.expect("an end")
+    };
+    let (alone, beside) = (end(&mut alone), end(&mut beside));
+
+    assert!(beside > alone + 140.0, "{alone}, {beside}");
+}
+
+#[test]
+fn parts_that_were_not_used_lately_yield_their_memory() {
+    let mut engine = Engine::new(EngineSpec {
+        memory: 12_000,
+        ..EngineSpec::default()
+    });
+
+    offer(&mut engine, job(0, (1, 5_000), 10, 2));
+    signs(&mut engine);
+    offer(&mut engine, job(1, (2, 9_000), 10, 2));
+    signs(&mut engine);
+
+    assert_eq!(engine.held(&job(2, (1, 5_000), 10, 2)), 0);
+    assert_eq!(engine.held(&job(2, (2, 9_000), 10, 2)), 9_000);
+}
+
+#[test]
+fn the_most_urgent_request_starts_first_where_ranks_are_told() {
+    let spec = EngineSpec {
+        slots: 1,
+        ..EngineSpec::default()
+    };
+    let starts = |by_urgency: bool| {
+        let mut engine = Engine::new(EngineSpec { by_urgency, ..spec });
+        for number in 0..3 {
+            let mut job = job(number, (1, 100), 10, 5);
+            job.urgency = if number == 2 { 0 } else { 1 };
+            offer(&mut engine, job);
+        }
+        let signs = signs(&mut engine);
+        first(&signs, 2) < first(&signs, 0)
+    };
+
+    assert!(starts(true));
+    assert!(!starts(false));
+}
+
+#[test]
+fn a_plain_server_runs_what_it_has_slots_for_and_turns_away_beyond_its_queue() {
+    let mut server = PlainServer::new(PlainSpec { slots: 2, queue: 1 });
+
+    let taken: Vec<bool> = (0..4)
+        .map(|number| offer(&mut server, job(number, (1, 0), 0, 0)))
+        .collect();
+    let signs = signs(&mut server);
+
+    assert_eq!(taken, [true, true, true, false]);
+    assert_eq!(first(&signs, 0), 60.0);
+    assert_eq!(first(&signs, 2), 120.0);
+}
+
+#[test]
+fn a_crash_takes_all_requests_and_all_parts() {
+    let mut engine = Engine::new(EngineSpec::default());
+    offer(&mut engine, job(0, (1, 500), 10, 2));
+    signs(&mut engine);
+    offer(&mut engine, job(1, (1, 500), 10, 50));
+
+    let lost = engine.crash();
+
+    assert_eq!(lost, [1]);
+    assert_eq!(engine.held(&job(2, (1, 500), 10, 2)), 0);
+    assert_eq!(engine.load(), 0);
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,15 +2,21 @@
 //!
 //! Each file names the load pattern that it answers; its test replays that pattern. See `docs/LOAD.md`.
 
+mod crowd;
 mod health;
 mod leave;
 mod place;
 mod reject;
 mod relay;
 mod retry;
+mod returns;
 #[cfg(test)]
 mod tests;
 
+pub use crowd::Call;
+pub use crowd::Crowd;
+pub use crowd::RANKS;
+pub use crowd::ServiceLog;
 pub use health::Health;
 pub use health::HealthPolicy;
 pub use health::RunResult;
@@ -23,7 +29,8 @@
 pub use place::ServerView;
 pub use place::Work;
 pub use reject::Admission;
-pub use reject::Returns;
 pub use relay::relays;
 pub use retry::RetryBudget;
 pub use retry::RetryTerms;
+pub use returns::Arrivals;
+pub use returns::Returns;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -104,6 +104,16 @@
 /// Usual load, in shares of the slots, up to which a server has room: some calls may wait.
 const ROOM_MOST: f64 = 1.25;
 
+impl Default for PlainPlacement {
+    fn default() -> Self {
+        Self {
+            // A service of the sheets is a good half full on an even day: up to then near servers suffice.
+            near_all_below: 0.5,
+            near_none_above: 1.0,
+        }
+    }
+}
+
 impl PlainPlacement {
     fn near_share(&self, fill: f64) -> f64 {
         let span = (self.near_none_above - self.near_all_below).max(f64::EPSILON);
@@ -164,6 +174,17 @@
     pub homes: usize,
 }
 
+impl Default for EnginePlacement {
+    fn default() -> Self {
+        Self {
+            // Under the fleet's bound of twice the mean and three, by what others send between two exchanges of loads.
+            bound_factor: 1.6,
+            bound_extra: 2.0,
+            homes: 2,
+        }
+    }
+}
+
 impl EnginePlacement {
     /// Servers in the order in which they are homes of `key`.
     fn homes_of(&self, key: u64, eligible: &[usize], servers: &[ServerView<'_>]) -> Vec<usize> {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -6,3 +6,4 @@
 mod reject;
 mod relay;
 mod retry;
+mod returns;
--- /dev/null
+++ b/src/decide/tests/returns.rs
@@ -0,0 +1,90 @@
+//! Many callers are turned away in the same instant, and come back among newcomers.
+
+use crate::decide::Arrivals;
+use crate::decide::Returns;
+use std::time::Duration;
+
+const FULL: Duration = Duration::from_millis(4_000);
+
+#[test]
+fn a_caller_with_less_time_than_newcomers_has_been_here_before() {
+    let mut arrivals = Arrivals::default();
+
+    let newcomer = arrivals.is_return("orders", FULL);
+    let same_again = arrivals.is_return("orders", FULL - Duration::from_millis(40));
+    let back = arrivals.is_return("orders", FULL - Duration::from_millis(300));
+    let other_route = arrivals.is_return("lookups", FULL - Duration::from_millis(300));
+
+    assert_eq!(
+        (newcomer, same_again, back, other_route),
+        (false, false, true, false)
+    );
+}
+
+#[test]
+fn a_route_whose_callers_have_less_time_from_now_on_is_learnt_anew() {
+    let mut arrivals = Arrivals::default();
+    arrivals.is_return("orders", FULL);
+
+    let taken_for_returns = (0..300)
+        .filter(|_| arrivals.is_return("orders", FULL / 2))
+        .count();
+
+    assert!(taken_for_returns < 150, "{taken_for_returns}");
+}
+
+#[test]
+fn routes_that_are_gone_take_no_room() {
+    let mut arrivals = Arrivals::default();
+    arrivals.is_return("orders", FULL);
+
+    arrivals.prune(&|route| route != "orders");
+
+    assert!(!arrivals.is_return("orders", FULL / 2));
+}
+
+/// Numbers as far apart as hashes of request ids are.
+fn salts() -> impl Iterator<Item = u64> {
+    (0..1_000u64).map(|number| number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+#[test]
+fn callers_that_are_turned_away_together_come_back_spread_out() {
+    let left = Duration::from_secs(12);
+
+    let mut tenths = [0usize; 10];
+    for salt in salts() {
+        let after = Returns::ELSEWHERE.after(salt, left);
+        tenths[((after.as_millis() - 150) / 85).min(9) as usize] += 1;
+    }
+
+    assert!(
+        tenths.iter().all(|&callers| (50..=150).contains(&callers)),
+        "{tenths:?}"
+    );
+}
+
+#[test]
+fn callers_with_little_time_are_spread_over_a_third_of_it() {
+    let left = Duration::from_secs(3);
+
+    let times: Vec<Duration> = salts()
+        .map(|salt| Returns::WHEN_FULL.after(salt, left))
+        .collect();
+
+    let second = Duration::from_secs(1);
+    assert!(times.iter().all(|time| *time <= second));
+    let late = Returns::WHEN_FULL.after(u64::MAX, Duration::from_secs(12));
+    assert_eq!(late, Duration::from_secs(4));
+}
+
+#[test]
+fn no_caller_is_told_to_wait_longer_than_it_would() {
+    let left = Duration::from_millis(600);
+
+    let longest = salts()
+        .map(|salt| Returns::ELSEWHERE.after(salt, left))
+        .max();
+
+    assert!(longest <= Some(left / 3));
+}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -8,6 +8,7 @@
 use crate::catalog::BackendServer;
 use crate::catalog::Route;
 use crate::clock::Moment;
+use crate::decide::Call;
 use crate::decide::Placement;
 use crate::decide::ServerView;
 use crate::decide::Work;
@@ -19,6 +20,8 @@
 /// Where a request is sent.
 pub(super) struct Target {
     pub(super) server: BackendServer,
+    /// How full it is known to be, in multiples of its slots.
+    pub(super) fill: f64,
     /// Server that the prompt's shared parts may be copied from.
     pub(super) copy_from: Option<SocketAddr>,
 }
@@ -41,8 +44,8 @@
             .service
             .as_ref()
             .is_some_and(|service| service.engine.is_some());
-        if !is_engine && self.sends == 0 && !self.is_admitted(&views) {
-            return Err(self.no_server("service full"));
+        if self.sends == 0 && !self.is_admitted(&views) {
+            return Err(self.too_full("service full"));
         }
         let placement: &dyn Placement = if is_engine {
             &self.gateway.engines
@@ -56,25 +59,36 @@
         let Some(choice) = placement.choose(&work, &views) else {
             return Err(self.no_server("no server"));
         };
-        self.report.load = views[choice.at].load;
+        let chosen = &views[choice.at];
+        self.report.load = chosen.load;
         self.report.passed_over = choice.passed_over;
         Ok(Target {
             server: servers[choice.at].clone(),
+            fill: f64::from(chosen.load) / f64::from(chosen.slots.max(1)),
             copy_from: choice.copy_from.map(|at| servers[at].entry.address),
         })
     }
 
-    /// Tells whether a plain call can still be answered in time, by how full its service usually is.
+    /// Tells whether the request can still be answered in time, by how crowded its service is.
     fn is_admitted(&self, views: &[ServerView<'_>]) -> bool {
         let sound = || views.iter().filter(|view| !view.is_suspended);
         let load: f64 = sound().map(|view| view.usual_load).sum();
         let slots: u32 = sound().map(|view| view.slots).sum();
-        let chance = f64::from(self.salt as u32) / f64::from(u32::MAX);
-        slots == 0
-            || self
-                .gateway
-                .admission
-                .takes(load / f64::from(slots), chance)
+        if slots == 0 {
+            return true;
+        }
+        let fill = load / f64::from(slots);
+        let crowds = &self.gateway.crowds;
+        let call = Call {
+            chance: f64::from(self.salt as u32) / f64::from(u32::MAX),
+            rank: self.rank,
+            is_return: self.is_return,
+            latency_target: self.route.latency_target,
+            is_stream: self.route.repeat.is_stream(),
+        };
+        let crowd = crowds.crowd(&self.route.name, &self.service_name, fill, &call);
+        self.gateway.meters.crowd(&self.service_name, &crowd);
+        self.gateway.admission.takes(&crowd, &call)
     }
 
     fn views<'a>(&self, servers: &'a [BackendServer]) -> Vec<ServerView<'a>> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use crate::catalog::Route;
 use crate::catalog::Service;
 use crate::clock::Moment;
+use crate::decide::Returns;
 use crate::decide::RunResult;
 use crate::net::Body;
 use crate::net::collect;
@@ -55,8 +56,14 @@
     team: Option<String>,
     pub(super) salt: u64,
     pub(super) deadline: Instant,
+    /// Rank of the team, or of the route where the team has none; 0 is the most urgent.
+    pub(super) rank: u8,
+    /// The caller was turned away before.
+    pub(super) is_return: bool,
     pub(super) tried: Vec<String>,
     pub(super) sends: u32,
+    /// When the request was sent last, and how full its server was known to be, in multiples of its slots.
+    sent: (Instant, f64),
     unreachable: u32,
     /// A server may have begun to work on the request.
     pub(super) may_have_run: bool,
@@ -77,8 +84,7 @@
         let now = Moment::now();
         let salt = salt_of(&outbound.request_id);
         let left = ask.time_left.unwrap_or(Duration::from_secs(1));
-        let refuse =
-            |cause, report| Err(Box::new((gateway.unavailable(cause, salt, left), report)));
+        let refuse = |cause, report| Err(Box::new((elsewhere(cause, salt, left), report)));
         let fail = |status, cause, report| Err(Box::new((Refusal::new(status, cause), report)));
         let Some(catalog) = gateway.beliefs.catalog() else {
             return refuse("no configuration yet", report);
@@ -103,6 +109,7 @@
         };
         report.route.clone_from(&route.name);
         let mut team = None;
+        let mut rank = route.priority;
         if !route.is_public {
             if !is_proven {
                 return refuse("configuration unproven", report);
@@ -111,6 +118,7 @@
             let Some(found) = found else {
                 return fail(StatusCode::UNAUTHORIZED, "unknown key", report);
             };
+            rank = found.priority.unwrap_or(rank);
             team = Some(found.name.clone());
         }
         if outbound.request_id.is_empty() {
@@ -119,6 +127,8 @@
         if !gateway.takes(&route, now) {
             return refuse("node is stopping", report);
         }
+        let is_return = gateway.crowds.is_return(&route.name, ask.time_left);
+        report.is_return = is_return;
         let Some(service_name) = pick_share(&route, salt) else {
             return refuse("route without service", report);
         };
@@ -137,8 +147,11 @@
             ask,
             team,
             salt,
+            rank,
+            is_return,
             tried: Vec::new(),
             sends: 0,
+            sent: (Instant::now(), 0.0),
             unreachable: 0,
             may_have_run: false,
             report,
@@ -206,6 +219,7 @@
             RunResult::Good
         });
         drop(place);
+        self.note_time();
         self.gateway.pool.keep(lease, &head.headers);
         strip_connection(&mut head.headers);
         self.report.first();
@@ -257,7 +271,7 @@
                     let is_last = self.sends >= self.route.attempts || !self.take_budget();
                     if is_last {
                         return Err(self
-                            .no_server("turned away by server")
+                            .too_full("turned away by server")
                             .detail(status.as_str()));
                     }
                 }
@@ -290,8 +304,11 @@
             .get()
             .map_or(NODES_UNKNOWN, |count| count());
         let now = Moment::now();
-        self.gateway
-            .with_budget(&self.service_name, |budget| budget.take(now, nodes))
+        let is_granted = self
+            .gateway
+            .with_budget(&self.service_name, |budget| budget.take(now, nodes));
+        self.gateway.meters.repeated(&self.service_name, is_granted);
+        is_granted
     }
 
     fn after_unknown(&mut self, cause: &'static str, detail: &str) -> Result<(), Refusal> {
@@ -307,6 +324,14 @@
         Err(Refusal::new(status, cause).detail(detail))
     }
 
+    /// Notes the time at the server, once an answer is complete.
+    pub(super) fn note_time(&self) {
+        let (sent, fill) = self.sent;
+        self.gateway
+            .crowds
+            .note_time(&self.service_name, sent.elapsed(), fill);
+    }
+
     pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -315,12 +340,22 @@
         self.gateway.meters.sent(&self.service_name, result);
     }
 
-    /// A refusal for want of a server; it promises that nothing ran, so it holds only while that is certain.
+    /// A refusal for want of a server that can be reached.
     pub(super) fn no_server(&self, cause: &'static str) -> Refusal {
+        self.not_run(cause, Returns::ELSEWHERE)
+    }
+
+    /// A refusal because all servers have too much to do.
+    pub(super) fn too_full(&self, cause: &'static str) -> Refusal {
+        self.not_run(cause, Returns::WHEN_FULL)
+    }
+
+    /// Promises that nothing ran, which holds only while that is certain.
+    fn not_run(&self, cause: &'static str, returns: Returns) -> Refusal {
         if self.may_have_run {
             return Refusal::new(StatusCode::BAD_GATEWAY, cause);
         }
-        self.gateway.unavailable(cause, self.salt, self.time_left())
+        unavailable(cause, returns.after(self.salt, self.time_left()))
     }
 
     async fn send_to(&mut self, target: &Target, resume_after: Option<u64>) -> Sent {
@@ -328,6 +363,7 @@
         self.tried.push(server.id.clone());
         self.report.servers.push(server.id.clone());
         self.sends += 1;
+        self.sent = (Instant::now(), target.fill);
         let place = self.gateway.loads.begin(server);
         // Beliefs may have grown old since the request was admitted, above all on a machine that was suspended.
         let is_current = self
@@ -379,6 +415,15 @@
     }
 }
 
+fn unavailable(cause: &'static str, after: Duration) -> Refusal {
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, cause).retry_after(after)
+}
+
+/// A refusal by this node, for what another one may serve.
+fn elsewhere(cause: &'static str, salt: u64, left: Duration) -> Refusal {
+    unavailable(cause, Returns::ELSEWHERE.after(salt, left))
+}
+
 impl Gateway {
     /// Reads the rest of an answer that is not passed on, so that its connection can be kept.
     async fn pool_after_failure(&self, answered: Answered) {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -2,6 +2,7 @@
 
 use super::answer::Refusal;
 use super::attempt::Outbound;
+use super::crowds::Crowds;
 use super::dialect::Ask;
 use super::dialect::Dialect;
 use super::exchange::Exchange;
@@ -20,7 +21,6 @@
 use crate::decide::PlainPlacement;
 use crate::decide::RetryBudget;
 use crate::decide::RetryTerms;
-use crate::decide::Returns;
 use crate::logs::Logs;
 use crate::net::Body;
 use crate::net::CollectError;
@@ -36,7 +36,6 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Bytes of a body before a configuration tells the limit.
@@ -60,6 +59,7 @@
     pub(super) loads: Loads,
     pub(super) budgets: Mutex<Vec<(String, RetryBudget)>>,
     pub(super) terms: Mutex<Terms>,
+    pub(super) crowds: Crowds,
     /// Nodes that share the fixed part of the budget of repeats.
     pub(super) nodes: OnceLock<Arc<dyn Fn() -> u32 + Send + Sync>>,
     pub(super) engines: EnginePlacement,
@@ -67,8 +67,6 @@
     pub(super) admission: Admission,
     /// Set once the node has been asked to stop.
     pub(super) leaving_since: OnceLock<Moment>,
-    /// Returns of callers while this node can't serve them.
-    pub(super) returns: Returns,
 }
 
 #[async_trait]
@@ -153,11 +151,6 @@
         Ok((outbound, ask))
     }
 
-    pub(super) fn unavailable(&self, cause: &'static str, salt: u64, left: Duration) -> Refusal {
-        Refusal::new(StatusCode::SERVICE_UNAVAILABLE, cause)
-            .retry_after(self.returns.after(salt, left))
-    }
-
     /// Tells whether a request can be served before this node is gone.
     pub(super) fn takes(&self, route: &Route, now: Moment) -> bool {
         self.leaving_since.get().is_none_or(|since| {
--- a/src/gateway/meters.rs
+++ b/src/gateway/meters.rs
@@ -1,6 +1,8 @@
 //! Metrics of the gateway; `docs/METRICS.md` tells what to watch.
 
+use crate::decide::Crowd;
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
@@ -15,12 +17,36 @@
 /// Upper bounds of latency buckets, in seconds; they include the sheets' latency targets.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.4, 0.8, 2.0, 5.0];
 
+/// Counts calls to what feeds the gateway's beliefs, by the kind of call and how it ended.
+#[derive(Clone, Debug)]
+pub struct SourceMeter(IntCounterVec);
+
+impl Default for SourceMeter {
+    fn default() -> Self {
+        Self(counters(
+            "currantbend_gateway_store_calls_total",
+            "Calls to the store by kind and outcome.",
+            &["call", "outcome"],
+        ))
+    }
+}
+
+impl SourceMeter {
+    /// Notes that a call ended; `outcome` has few values.
+    pub fn note(&self, call: &str, outcome: &str) {
+        self.0.with_label_values(&[call, outcome]).inc();
+    }
+}
+
 /// Metrics of one gateway.
 pub(super) struct Meters {
     registry: Registry,
     requests: IntCounterVec,
     latency: HistogramVec,
     sends: IntCounterVec,
+    repeats: IntCounterVec,
+    fill: GaugeVec,
+    wait_ms: GaugeVec,
     config_version: IntGauge,
     config_age_ms: IntGauge,
     list_age_ms: IntGauge,
@@ -29,7 +55,7 @@
 }
 
 impl Meters {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(sources: &SourceMeter) -> Self {
         let meters = Self {
             registry: Registry::new(),
             requests: counters(
@@ -51,6 +77,21 @@
                 "Sends to backend servers by service and result.",
                 &["service", "result"],
             ),
+            repeats: counters(
+                "currantbend_gateway_repeats_total",
+                "Repeated sends that the budget granted or denied, by service.",
+                &["service", "outcome"],
+            ),
+            fill: gauges(
+                "currantbend_gateway_service_fill",
+                "Usual load of a service's servers, in multiples of their slots.",
+                &["service"],
+            ),
+            wait_ms: gauges(
+                "currantbend_gateway_service_wait_ms",
+                "Expected wait for a slot of a service.",
+                &["service"],
+            ),
             config_version: gauge(
                 "currantbend_gateway_config_version",
                 "Version of the configuration in force.",
@@ -72,10 +113,14 @@
                 "Callers' requests that have no whole answer yet.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 9] = [
+        let collectors: [Box<dyn Collector>; 13] = [
             Box::new(meters.requests.clone()),
             Box::new(meters.latency.clone()),
             Box::new(meters.sends.clone()),
+            Box::new(meters.repeats.clone()),
+            Box::new(meters.fill.clone()),
+            Box::new(meters.wait_ms.clone()),
+            Box::new(sources.0.clone()),
             Box::new(meters.config_version.clone()),
             Box::new(meters.config_age_ms.clone()),
             Box::new(meters.list_age_ms.clone()),
@@ -112,6 +157,19 @@
         self.sends.with_label_values(&[service, result]).inc();
     }
 
+    /// Notes that a repeated send was asked of the budget.
+    pub(super) fn repeated(&self, service: &str, is_granted: bool) {
+        let outcome = if is_granted { "granted" } else { "denied" };
+        self.repeats.with_label_values(&[service, outcome]).inc();
+    }
+
+    /// Notes how crowded a service was when a request came for it.
+    pub(super) fn crowd(&self, service: &str, crowd: &Crowd) {
+        self.fill.with_label_values(&[service]).set(crowd.fill);
+        let wait_ms = crowd.expected_wait().as_secs_f64() * 1_000.0;
+        self.wait_ms.with_label_values(&[service]).set(wait_ms);
+    }
+
     /// Notes what is believed and how old it is.
     pub(super) fn beliefs(
         &self,
@@ -141,6 +199,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid")
 }
 
+fn gauges(name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    GaugeVec::new(Opts::new(name, help), labels).expect("the name is valid")
+}
+
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the name is valid")
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod attempt;
 mod choice;
+mod crowds;
 mod dialect;
 mod events;
 mod exchange;
@@ -27,6 +28,7 @@
 pub use dialect::Dialect;
 pub use dialect::Forward;
 pub use dialect::ServerLoad;
+pub use meters::SourceMeter;
 pub use node::GatewayNode;
 pub use node::Sources;
 pub use node::StartError;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -1,11 +1,13 @@
 //! Puts a gateway together and takes it down.
 
+use super::crowds::Crowds;
 use super::dialect::Dialect;
 use super::handler::Caller;
 use super::handler::Gateway;
 use super::handler::Terms;
 use super::loads::Loads;
 use super::meters::Meters;
+use super::meters::SourceMeter;
 use super::pages::Pages;
 use super::pool::Pool;
 use super::settings::GatewayBounds;
@@ -24,7 +26,6 @@
 use crate::decide::Leave;
 use crate::decide::PlainPlacement;
 use crate::decide::RetryTerms;
-use crate::decide::Returns;
 use crate::logs::Logs;
 use crate::net::Handler;
 use crate::net::Listener;
@@ -66,6 +67,8 @@
     pub servers: Box<dyn ServerList>,
     /// The other gateways.
     pub directory: Arc<dyn NodeDirectory>,
+    /// Counts what the sources ask for.
+    pub meter: SourceMeter,
     /// Names and formats that callers and servers use.
     pub dialect: Arc<dyn Dialect>,
 }
@@ -274,34 +277,17 @@
         beliefs: Arc::clone(beliefs),
         dialect: Arc::clone(&sources.dialect),
         logs: logs.clone(),
-        meters: Arc::new(Meters::new()),
+        meters: Arc::new(Meters::new(&sources.meter)),
         pool: Pool::default(),
         loads: Loads::default(),
         budgets: Mutex::default(),
         terms: Mutex::new(terms(bounds)),
+        crowds: Crowds::default(),
         nodes: OnceLock::new(),
-        engines: EnginePlacement {
-            bound_factor: 1.6,
-            bound_extra: 2.0,
-            homes: 2,
-        },
-        plain: PlainPlacement {
-            // A service of the sheets is a good half full on an even day: up to then near servers suffice.
-            near_all_below: 0.5,
-            near_none_above: 1.0,
-        },
-        admission: Admission {
-            // Half a slot's worth of waiting keeps a call of the sheets (60 ms) at a third of its target (300 ms).
-            take_all_below: 1.5,
-            // Waiting takes as long as the target lets it.
-            take_least_above: 4.0,
-            turned_away_most: 0.8,
-        },
+        engines: EnginePlacement::default(),
+        plain: PlainPlacement::default(),
+        admission: Admission::default(),
         leaving_since: OnceLock::new(),
-        returns: Returns {
-            soonest: Duration::from_millis(150),
-            spread: Duration::from_millis(850),
-        },
     }
 }
 
@@ -330,5 +316,11 @@
         };
         gateway.pool.prune(&is_known);
         gateway.loads.prune(&is_known);
+        if let Some(catalog) = gateway.beliefs.catalog() {
+            let routes = catalog.routes();
+            let is_route = |name: &str| routes.iter().any(|route| route.name == name);
+            let is_service = |name: &str| catalog.service(name).is_some();
+            gateway.crowds.prune(&is_route, &is_service);
+        }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -182,6 +182,7 @@
     fn finish(&mut self) {
         if let Some(run) = self.run.take() {
             run.place.note_result(RunResult::Good);
+            self.exchange.note_time();
             self.exchange.gateway.pool.keep(run.lease, &run.headers);
         }
         self.exchange.report.end(self.status, "answered", "");
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -17,6 +17,7 @@
     pub(super) route: String,
     pub(super) service: String,
     pub(super) servers: Vec<String>,
+    pub(super) is_return: bool,
     pub(super) load: u32,
     pub(super) passed_over: usize,
     pub(super) config_version: u64,
@@ -41,6 +42,7 @@
             route: String::new(),
             service: String::new(),
             servers: Vec::new(),
+            is_return: false,
             load: 0,
             passed_over: 0,
             config_version: 0,
@@ -98,7 +100,7 @@
             return;
         };
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
-            "service" => &self.service, "servers" => self.servers.join(","), "load" => self.load, "passed_over" => self.passed_over,
+            "service" => &self.service, "servers" => self.servers.join(","), "return" => self.is_return, "load" => self.load, "passed_over" => self.passed_over,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.events,
             "resumed" => self.resumed, "ms" => self.began.elapsed().as_millis() as u64,
