Gateway: the failure of the only server reaches the caller

Change: a request is only repeated where a server is left that it was not sent to, so that a ready answer is passed on. Test: the_failure_of_the_only_server_reaches_the_caller (502 before, 500 with the server's proof now).

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -69,6 +69,14 @@
         })
     }
 
+    /// Tells whether a server is left that the request was not sent to; without one, what there is has to do.
+    pub(super) fn has_untried(&self) -> bool {
+        let (servers, _) = self.gateway.beliefs.servers_of(&self.service_name);
+        servers
+            .iter()
+            .any(|server| !self.tried.contains(&server.id))
+    }
+
     /// Tells whether the request can still be answered in time, by how crowded its service is.
     fn is_admitted(&self, views: &[ServerView<'_>]) -> bool {
         let sound = || views.iter().filter(|view| !view.is_suspended);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -294,6 +294,7 @@
         self.route.repeat.is_repeatable()
             && self.sends < self.route.attempts
             && self.time_left() > LEAST_TIME
+            && self.has_untried()
             && self.take_budget()
     }
 
