Placing: prompt parts are copied from their home while it leaves

A released engine falls out of the list of those that may be placed on; its parts moved to engines that read them anew, 150 ms each for 10,000 tokens in which all their streams stand still, while the leaving engine still held them for two seconds. Change: the list keeps leaving servers apart; where the home of a part leaves, the next home copies from it. Members are told of leaving servers too, and the log line 'server changed' says 'leaving'. Tests: a_part_is_copied_from_its_home_that_is_leaving, nothing_is_copied_from_a_leaving_engine_that_was_not_the_home. Served better: those whose streams run at an engine that takes parts over, and who ask for the parts.

--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -42,7 +42,8 @@
 
 impl Placement for LeastLoaded {
     fn choose(&self, _: &Work<'_>, servers: &[ServerView<'_>]) -> Option<Choice> {
-        let at = (0..servers.len()).min_by_key(|&at| servers[at].load)?;
+        let sound = (0..servers.len()).filter(|&at| servers[at].is_sound());
+        let at = sound.min_by_key(|&at| servers[at].load)?;
         Some(Choice {
             at,
             passed_over: 0,
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -37,6 +37,8 @@
 const COPY_SETUP: Millis = 4.0;
 /// Tokens that are copied in a millisecond: 163,840 bytes a token at 370 Gbit/s, from the sheets.
 const COPY_PER_MS: f64 = 282.0;
+/// Time for which a leaving server is on the list: two seconds of the sheets and somewhat more.
+const LEAVES_FOR: Millis = 2_500.0;
 /// Time after which an impatient caller comes back, whatever it was told.
 const IMPATIENT_AFTER: Millis = 10.0;
 /// Times that an impatient caller comes back.
@@ -61,6 +63,7 @@
     server: Box<dyn Server>,
     joined: Option<Millis>,
     is_listed: bool,
+    is_leaving: bool,
     /// Requests of each node in flight.
     in_flight: Vec<u32>,
     /// All requests in flight at the last exchange, and those of each node.
@@ -74,6 +77,7 @@
     Exchange,
     Change(Change),
     Back(usize),
+    Gone(usize),
 }
 
 struct Due {
@@ -110,8 +114,9 @@
 
 /// How full the servers usually are, in multiples of their slots.
 fn fill(views: &[ServerView<'_>]) -> f64 {
-    let load: f64 = views.iter().map(|view| view.usual_load).sum();
-    let slots: u32 = views.iter().map(|view| view.slots).sum();
+    let sound = || views.iter().filter(|view| view.is_sound());
+    let load: f64 = sound().map(|view| view.usual_load).sum();
+    let slots: u32 = sound().map(|view| view.slots).sum();
     load / f64::from(slots.max(1))
 }
 
@@ -249,6 +254,7 @@
             server,
             joined,
             is_listed: true,
+            is_leaving: false,
             in_flight: vec![0; self.pattern.nodes],
             exchanged: vec![0; self.pattern.nodes],
             usual: 0.0,
@@ -281,9 +287,11 @@
                 self.schedule(self.now + away, Event::Back(server));
             }
             Event::Change(Change::Replace(server)) => {
-                self.places[server].is_listed = false;
+                self.places[server].is_leaving = true;
                 self.join(Some(self.now));
+                self.schedule(self.now + LEAVES_FOR, Event::Gone(server));
             }
+            Event::Gone(server) => self.places[server].is_listed = false,
             Event::Back(server) => {
                 self.places[server].is_listed = true;
                 self.places[server].joined = Some(self.now);
@@ -442,7 +450,7 @@
         self.schedule(self.now + after, Event::Arrive(job));
     }
 
-    /// Places of the servers that may get work.
+    /// Places of the servers on the list, those that are leaving among them.
     fn listed(&self) -> Vec<usize> {
         (0..self.places.len())
             .filter(|&at| self.places[at].is_listed)
@@ -469,6 +477,7 @@
             is_young: place
                 .joined
                 .is_some_and(|joined| self.now - joined < YOUNG_FOR),
+            is_leaving: place.is_leaving,
         }
     }
 }
--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -40,6 +40,8 @@
     servers_position: Option<Position>,
     roster: Roster,
     servers: Arc<Vec<BackendServer>>,
+    /// Those and the ones that are leaving, sorted by name.
+    listed: Arc<Vec<BackendServer>>,
     /// The same by service, sorted by its name.
     by_service: Vec<(String, Arc<Vec<BackendServer>>)>,
     servers_version: u64,
@@ -221,7 +223,13 @@
         (Arc::clone(&state.servers), state.servers_version)
     }
 
-    /// Gives those of one service, sorted by name, and the version of the list.
+    /// Gives those and the ones that are leaving, and the version of that list.
+    pub fn listed(&self) -> (Arc<Vec<BackendServer>>, u64) {
+        let state = self.lock();
+        (Arc::clone(&state.listed), state.servers_version)
+    }
+
+    /// Gives the servers of one service, leaving ones among them, sorted by name, and the version of the list.
     pub fn servers_of(&self, service: &str) -> (Arc<Vec<BackendServer>>, u64) {
         let state = self.lock();
         let at = state
@@ -254,8 +262,11 @@
     fn settle(&mut self, now: Moment, mut changed: Vec<String>) -> Vec<String> {
         changed.extend(self.roster.expire(now));
         if !changed.is_empty() {
-            self.servers = Arc::new(self.roster.usable());
-            self.by_service = by_service(&self.servers);
+            let listed = self.roster.listed();
+            let usable = listed.iter().filter(|server| !server.entry.is_draining);
+            self.servers = Arc::new(usable.cloned().collect());
+            self.by_service = by_service(&listed);
+            self.listed = Arc::new(listed);
             self.servers_version += 1;
         }
         changed
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -382,16 +382,20 @@
     if changed.is_empty() {
         return;
     }
-    let (servers, version) = beliefs.servers();
+    let (servers, version) = beliefs.listed();
     let mut changed: Vec<&String> = changed.iter().collect();
     changed.sort();
     changed.dedup();
     for id in changed {
         let found = servers.binary_search_by(|server| server.id.cmp(id));
         let found = found.ok().map(|at| &servers[at]);
-        let standing = if found.is_some() { "usable" } else { "out" };
+        let standing = match found {
+            Some(server) if server.entry.is_draining => "leaving",
+            Some(_) => "usable",
+            None => "out",
+        };
         let born_ms = found.map_or(0, |server| server.entry.born_ms);
         info!(logs.log(), "server changed"; "server" => id, "standing" => standing, "born_ms" => born_ms,
-            "list_version" => version, "usable" => servers.len());
+            "list_version" => version, "listed" => servers.len());
     }
 }
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -97,9 +97,9 @@
             entry,
             standing,
         };
-        let is_usable = row.usable().is_some();
+        let is_listed = row.listed().is_some();
         self.rows.insert(at, row);
-        is_usable
+        is_listed
     }
 
     /// Treats every listed server that `names` lacks as taken off; `names` is a whole list, sorted.
@@ -138,24 +138,23 @@
         expired
     }
 
-    /// Lists the servers that may get new work, sorted by name.
-    pub fn usable(&self) -> Vec<BackendServer> {
-        self.rows
-            .iter()
-            .filter_map(|row| {
-                row.usable().map(|entry| BackendServer {
-                    id: row.id.clone(),
-                    entry: entry.clone(),
-                })
+    /// Lists the servers that may get new work and those that are leaving, sorted by name.
+    pub fn listed(&self) -> Vec<BackendServer> {
+        let server = |row: &Row| {
+            let entry = row.listed()?.clone();
+            Some(BackendServer {
+                id: row.id.clone(),
+                entry,
             })
-            .collect()
+        };
+        self.rows.iter().filter_map(server).collect()
     }
 }
 
 impl Row {
     /// Takes a record in and tells whether that matters for placing work.
     fn update(&mut self, record: ServerRecord, grace_until: Option<Moment>) -> bool {
-        let before = self.usable().cloned();
+        let before = self.listed().cloned();
         match record {
             ServerRecord::Report(entry) => self.report(entry),
             ServerRecord::Gone => self.leave(grace_until),
@@ -165,18 +164,16 @@
                 }
             }
         }
-        match (&before, self.usable()) {
+        match (&before, self.listed()) {
             (Some(before), Some(after)) => before.differs(after),
             (before, after) => before.is_some() != after.is_some(),
         }
     }
 
-    /// Gives the entry of a server that may get new work.
-    fn usable(&self) -> Option<&ServerEntry> {
+    /// Gives the entry of a server that may get new work, or that is leaving.
+    fn listed(&self) -> Option<&ServerEntry> {
         let is_listed = matches!(self.standing, Standing::Listed | Standing::Leaving { .. });
-        self.entry
-            .as_ref()
-            .filter(|entry| is_listed && !entry.is_draining)
+        self.entry.as_ref().filter(|_| is_listed)
     }
 
     /// An older report than the newest known one is a late copy and changes nothing.
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -44,6 +44,15 @@
     pub is_tried: bool,
     /// Whether it joined so lately that it may not hold the prompt parts that it is now the home of.
     pub is_young: bool,
+    /// Whether it gets no new work any more, and still holds the prompt parts that it was the home of.
+    pub is_leaving: bool,
+}
+
+impl ServerView<'_> {
+    /// Tells whether it counts among those that share the work.
+    pub fn is_sound(&self) -> bool {
+        !self.is_suspended && !self.is_leaving
+    }
 }
 
 /// A choice among servers.
@@ -70,9 +79,9 @@
             .filter(|&at| keep(&servers[at]))
             .collect()
     };
-    let good = pick(&|server| !server.is_tried && !server.is_suspended);
+    let good = pick(&|server| !server.is_tried && server.is_sound());
     if good.is_empty() {
-        pick(&|server| !server.is_tried)
+        pick(&|server| !server.is_tried && !server.is_leaving)
     } else {
         good
     }
@@ -196,6 +205,15 @@
         ranked.into_iter().map(|(_, at)| at).collect()
     }
 
+    /// Finds the engine that was the first home of `key` and is leaving.
+    fn leaving_home(&self, key: u64, homes: &[usize], servers: &[ServerView<'_>]) -> Option<usize> {
+        let first = homes.first()?;
+        let leaving = (0..servers.len()).filter(|&at| servers[at].is_leaving);
+        let candidates: Vec<usize> = leaving.chain([*first]).collect();
+        let was_home = *self.homes_of(key, &candidates, servers).first()?;
+        servers[was_home].is_leaving.then_some(was_home)
+    }
+
     /// The part that decides: the last shared one, since it is cached only together with all before it.
     fn key(work: &Work<'_>) -> u64 {
         match work.parts {
@@ -210,18 +228,23 @@
 /// long as reading some 270.
 const COPY_TOKENS_LEAST: u32 = 512;
 
-/// Finds the engine that held the prompt's shared parts before: the first home where it was passed over, and the next
-/// one where the first has only just joined, since that was the home until then.
+/// Finds the engine that held the prompt's shared parts before: `leaving`, where that would be the home; else the first
+/// home where it was passed over, and the next one where the first has only just joined, since that was the home until
+/// then.
 fn holder(
     work: &Work<'_>,
     servers: &[ServerView<'_>],
     homes: &[usize],
     passed_over: usize,
+    leaving: Option<usize>,
 ) -> Option<usize> {
     let (_, shared) = work.parts.split_last()?;
     if shared.iter().map(|part| part.tokens).sum::<u32>() < COPY_TOKENS_LEAST {
         return None;
     }
+    if leaving.is_some() {
+        return leaving;
+    }
     let chosen = *homes.get(passed_over)?;
     let mut others = homes.iter().copied().filter(|&at| at != chosen);
     if passed_over > 0 || servers[chosen].is_young {
@@ -255,10 +278,11 @@
             .or_else(|| homes.iter().copied().filter(has_room).min_by_key(least))
             .or_else(|| homes.iter().copied().min_by_key(least))?;
         let passed_over = homes.iter().position(|home| *home == at).unwrap_or(0);
+        let leaving = self.leaving_home(Self::key(work), &homes, servers);
         Some(Choice {
             at,
             passed_over,
-            copy_from: holder(work, servers, &homes, passed_over),
+            copy_from: holder(work, servers, &homes, passed_over, leaving),
         })
     }
 }
--- a/src/decide/tests/place.rs
+++ b/src/decide/tests/place.rs
@@ -23,6 +23,7 @@
             is_suspended: false,
             is_tried: false,
             is_young: false,
+            is_leaving: false,
         })
         .collect()
 }
@@ -131,6 +132,7 @@
         is_suspended: false,
         is_tried: false,
         is_young: false,
+        is_leaving: false,
     }
 }
 
@@ -279,3 +281,37 @@
     assert_eq!(choice.at, home);
     assert_eq!(choice.copy_from.map(|at| views[at].id), Some(before));
 }
+
+#[test]
+fn a_part_is_copied_from_its_home_that_is_leaving() {
+    let mut views = engines(&[5; 9]);
+    let parts = prompt(77, 1);
+    let work = Work {
+        parts: &parts,
+        salt: 1,
+    };
+    let home = placement().choose(&work, &views).unwrap();
+
+    views[home.at].is_leaving = true;
+    let next = placement().choose(&work, &views).unwrap();
+
+    assert_ne!(next.at, home.at);
+    assert_eq!(home.copy_from, None);
+    assert_eq!(next.copy_from, Some(home.at));
+}
+
+#[test]
+fn nothing_is_copied_from_a_leaving_engine_that_was_not_the_home() {
+    let mut views = engines(&[5; 9]);
+    let parts = prompt(77, 1);
+    let work = Work {
+        parts: &parts,
+        salt: 1,
+    };
+    let home = placement().choose(&work, &views).unwrap().at;
+
+    views[(home + 1) % 9].is_leaving = true;
+    let choice = placement().choose(&work, &views).unwrap();
+
+    assert_eq!((choice.at, choice.copy_from), (home, None));
+}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -74,12 +74,12 @@
         let (servers, _) = self.gateway.beliefs.servers_of(&self.service_name);
         servers
             .iter()
-            .any(|server| !self.tried.contains(&server.id))
+            .any(|server| !server.entry.is_draining && !self.tried.contains(&server.id))
     }
 
     /// Tells whether the request can still be answered in time, by how crowded its service is.
     fn is_admitted(&self, views: &[ServerView<'_>]) -> bool {
-        let sound = || views.iter().filter(|view| !view.is_suspended);
+        let sound = || views.iter().filter(|view| view.is_sound());
         let load: f64 = sound().map(|view| view.usual_load).sum();
         let slots: u32 = sound().map(|view| view.slots).sum();
         if slots == 0 {
@@ -113,6 +113,7 @@
                 is_suspended: standing.is_aside,
                 is_tried: self.tried.contains(&server.id),
                 is_young: standing.is_young,
+                is_leaving: server.entry.is_draining,
             })
             .collect()
     }
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -77,7 +77,7 @@
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     let catalog = shared.beliefs.catalog();
     let config_version = catalog.as_ref().map(|catalog| catalog.version());
-    let (servers, list_version) = shared.beliefs.servers();
+    let (servers, list_version) = shared.beliefs.listed();
     let servers_stamp = shared.stamp(list_version);
     let (nodes, nodes_version) = shared.nodes();
     let nodes_stamp = shared.stamp(nodes_version);
