--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -98,6 +98,11 @@
             admission: Some(equal_admission()),
             ..policy("admission, soon", homes(), Waiting::AtServer)
         },
+        Policy {
+            admission: Some(equal_admission()),
+            returns: Returns::WHEN_FULL,
+            ..policy("admission, equal", homes(), Waiting::AtServer)
+        },
         Policy {
             admission: Some(Admission::default()),
             returns: Returns::WHEN_FULL,
--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -32,6 +32,16 @@
     Kept,
 }
 
+impl ConfigChange {
+    /// Names it as it stands in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Applied => "applied",
+            Self::Kept => "kept",
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     catalog: Option<Arc<Catalog>>,
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,7 +1,6 @@
 //! Follows the platform's configuration and server list, on a schedule taken from the bounds.
 
 use super::beliefs::Beliefs;
-use super::beliefs::ConfigChange;
 use super::config::Catalog;
 use super::roster::ServerRecord;
 use crate::clock::Moment;
@@ -341,13 +340,8 @@
             let change = beliefs.apply_config(catalog);
             beliefs.prove_config(began);
             let read_ms = Moment::now().since(began).as_millis() as u64;
-            let outcome = if change == ConfigChange::Applied {
-                "applied"
-            } else {
-                "kept"
-            };
             info!(logs.log(), "configuration read"; "version" => version, "routes" => routes,
-                "outcome" => outcome, "read_ms" => read_ms);
+                "outcome" => change.as_str(), "read_ms" => read_ms);
         }
         ConfigRead::Unchanged => beliefs.prove_config(began),
         // What follows it may name keys that were taken away, so it proves nothing.
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -204,7 +204,7 @@
             let version = catalog.version();
             let change = self.beliefs.apply_config(catalog);
             info!(self.logs.log(), "configuration told"; "version" => version,
-                "age_ms" => tell.config_age_ms, "outcome" => ?change);
+                "age_ms" => tell.config_age_ms, "outcome" => change.as_str());
         }
         let known = self.beliefs.catalog().map(|catalog| catalog.version());
         // The teller's proof is for its own version; it says nothing about an older one here.
--- a/src/timeline/follow.rs
+++ b/src/timeline/follow.rs
@@ -13,6 +13,9 @@
 /// Time before a request's arrival from which changes on its nodes are shown: a lost dependency shows in answers at the
 /// latest when its beliefs have grown too old, some seconds later.
 const BEFORE: Duration = Duration::from_secs(10);
+/// Time after a request's end up to which changes of its servers are shown: the entry of one that crashed lapses after
+/// three heartbeats, and is noticed within a second or two.
+const AFTER: Duration = Duration::from_secs(6);
 /// Line on a request.
 const REQUEST: &str = "request";
 /// Line on a change of one backend server, shown where the request was sent to it.
@@ -83,7 +86,8 @@
     entries.extend(text.lines().filter_map(Entry::parse));
 }
 
-/// Gives the lines on the request `id`, and what its nodes noted from ten seconds before it to its end, by time.
+/// Gives the lines on the request `id`, and what its nodes noted from ten seconds before it to its end, and of its servers
+/// up to six seconds after it, by time.
 ///
 /// Nothing is given where no line is on the request: its node was killed before it ended, or the id is wrong.
 pub fn follow<'a>(entries: &'a [Entry], id: &str) -> Vec<&'a Entry> {
@@ -92,8 +96,13 @@
     let is_around = |entry: &Entry| {
         own.iter().any(|request| {
             let from = request.began().max(NTP64::from(BEFORE)) - NTP64::from(BEFORE);
+            let after = if entry.message == SERVER_CHANGED {
+                NTP64::from(AFTER)
+            } else {
+                NTP64(0)
+            };
             entry.node == request.node
-                && (from..=request.time).contains(&entry.time)
+                && (from..=request.time + after).contains(&entry.time)
                 && concerns(entry, request)
         })
     };
