--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -59,7 +59,8 @@
 }
 
 /// The JSON line of a run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Report {
     /// Names of the cases.
     pub case: String,
--- a/bench/src/standin/cache.rs
+++ b/bench/src/standin/cache.rs
@@ -11,7 +11,8 @@
 use crate::answer::tokens_of;
 
 /// A chat up to and including one message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Prefix {
     /// Hash of all messages so far.
     pub hash: u64,
--- a/bench/src/standin/service.rs
+++ b/bench/src/standin/service.rs
@@ -90,7 +90,8 @@
 }
 
 /// Body of a plain service's answer.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Echo<'a> {
     server: &'a str,
     request_id: &'a str,
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -13,7 +13,8 @@
 const WINDOW: Millis = 2_000.0;
 
 /// What the callers of one kind, or of all, got.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Service {
     /// Requests.
     pub asked: usize,
@@ -34,7 +35,8 @@
 }
 
 /// One play in figures.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Summary {
     /// Pattern that was played.
     pub pattern: String,
--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 /// What may be done with a request more than once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Repeat {
     /// A plain call that may run any number of times.
     Idempotent,
@@ -30,7 +31,8 @@
 }
 
 /// A service that takes part of a route's requests.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Share {
     /// Name of the service.
     pub service: String,
@@ -39,7 +41,8 @@
 }
 
 /// How requests of one host and path prefix are treated.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Route {
     /// Name, for logs and metrics.
     pub name: String,
@@ -66,7 +69,8 @@
 }
 
 /// Sizes of a service's engines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineLimits {
     /// Requests in one batch.
     pub slots: u32,
@@ -75,7 +79,8 @@
 }
 
 /// A service that backend servers offer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Service {
     /// Name that routes and servers use.
     pub name: String,
@@ -86,7 +91,8 @@
 }
 
 /// A team and the keys of its callers.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Team {
     /// Name that backend servers see.
     pub name: String,
@@ -97,7 +103,8 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Limits {
     /// Bytes of a request's head.
     pub header_bytes: usize,
@@ -110,7 +117,8 @@
 }
 
 /// One version of the configuration, arranged for lookups.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Catalog {
     version: u64,
     routes: Vec<Route>,
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 /// What a backend server says of itself.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServerEntry {
     /// Service that it offers.
     pub service: String,
--- a/src/ctl/effect.rs
+++ b/src/ctl/effect.rs
@@ -22,7 +22,8 @@
 use std::sync::Arc;
 
 /// What a change would do.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct Effect {
     /// What happens one after another.
     pub(super) steps: Vec<String>,
@@ -37,7 +38,8 @@
 }
 
 /// The servers that may serve a team, before and after.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct Capacity {
     pub(super) service: String,
     /// Teams for which the figures are the same.
--- a/src/ctl/plan_file.rs
+++ b/src/ctl/plan_file.rs
@@ -34,7 +34,8 @@
 }
 
 /// A plan as it stands in its file. It holds hashes of teams' keys, but no key.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct PlanFile {
     form: u32,
     /// The change that confirming it appends.
--- a/src/declarations/problem.rs
+++ b/src/declarations/problem.rs
@@ -4,7 +4,8 @@
 use std::fmt;
 
 /// One thing that is wrong with a declaration. Values are never repeated: they may be secrets.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Problem {
     /// Name of the file.
     pub file: String,
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 /// One gateway.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct NodeEntry {
     /// Name of the host.
     pub name: String,
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -16,7 +16,8 @@
 const UNPACKED_BYTES_MOST: u64 = 32 * 1024 * 1024;
 
 /// Requests in flight at one backend server.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadEntry {
     /// Name of the server.
     pub server: String,
@@ -25,7 +26,8 @@
 }
 
 /// Loads of one data centre's gateways together.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct CentreLoads {
     pub(super) data_centre: String,
     /// Sorted by server.
@@ -33,7 +35,8 @@
 }
 
 /// What a gateway asks of another, a few times a second.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct Ask {
     pub(super) node: String,
     pub(super) data_centre: String,
@@ -51,7 +54,8 @@
 }
 
 /// A version of something that one process keeps.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct Stamp {
     /// Unix time of the process's start in milliseconds.
     pub(super) born_ms: u64,
@@ -59,7 +63,8 @@
 }
 
 /// A backend server as it is passed on.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct ToldServer {
     pub(super) id: String,
     pub(super) entry: ServerEntry,
@@ -67,7 +72,8 @@
 
 /// The answer to an [`Ask`]; ages are as of the moment at which it was made, so that they bound what is told from the
 /// moment of the question.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub(super) struct Tell {
     /// The teller's own reads of the store fail at present.
     pub(super) is_cut_off: bool,
--- a/src/timeline/merge.rs
+++ b/src/timeline/merge.rs
@@ -7,7 +7,8 @@
 use uhlc::Timestamp;
 
 /// One event as it stands in a log line; other lines are passed over.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Line {
     /// Hybrid logical clock stamp.
     pub hlc: String,
