--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -1,6 +1,9 @@
 //! Plays a pattern by a policy: nodes that know loads late, servers that work, callers that come back.
 
+use crate::agenda::Agenda;
+use crate::agenda::Event;
 use crate::engine::Engine;
+use crate::engine::EngineSpec;
 use crate::job::Fate;
 use crate::job::Job;
 use crate::job::Millis;
@@ -22,9 +25,6 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::cmp::Ordering;
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 /// Time between two exchanges of loads between nodes, as in `currantbend::peers`.
@@ -71,43 +71,6 @@
     usual: f64,
 }
 
-#[derive(Clone, Debug)]
-enum Event {
-    Arrive(Job),
-    Exchange,
-    Change(Change),
-    Back(usize),
-    Gone(usize),
-}
-
-struct Due {
-    at: Millis,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.at
-            .total_cmp(&other.at)
-            .then(self.order.cmp(&other.order))
-    }
-}
-
 fn duration(time: Millis) -> Duration {
     Duration::from_secs_f64(time.max(0.0) / 1_000.0)
 }
@@ -132,8 +95,7 @@
     pattern: &'a Pattern,
     policy: &'a Policy,
     places: Vec<Place>,
-    due: BinaryHeap<Reverse<Due>>,
-    orders: u64,
+    agenda: Agenda,
     /// Requests that wait at each node.
     held: Vec<Vec<Job>>,
     /// What each node learnt of callers' times.
@@ -156,8 +118,7 @@
         pattern,
         policy,
         places: Vec::new(),
-        due: BinaryHeap::new(),
-        orders: 0,
+        agenda: Agenda::default(),
         held: vec![Vec::new(); pattern.nodes],
         arrivals: vec![Arrivals::default(); pattern.nodes],
         logs: vec![ServiceLog::default(); pattern.nodes],
@@ -187,18 +148,18 @@
             self.join(None);
         }
         for job in &self.pattern.jobs {
-            self.schedule(job.arrival, Event::Arrive(job.clone()));
+            self.agenda.add(job.arrival, Event::Arrive(job.clone()));
         }
         for (at, change) in &self.pattern.changes {
-            self.schedule(*at, Event::Change(*change));
+            self.agenda.add(*at, Event::Change(*change));
         }
-        self.schedule(EXCHANGE, Event::Exchange);
+        self.agenda.add(EXCHANGE, Event::Exchange);
         let end = self.pattern.jobs.iter().map(|job| job.deadline);
         let end = end.fold(0.0, f64::max);
         let mut signs = Vec::new();
         loop {
             let next_server = self.next_server();
-            let next_event = self.due.peek().map(|Reverse(due)| due.at);
+            let next_event = self.agenda.next_at();
             let is_server_first = match (next_server, next_event) {
                 (Some((at, _)), Some(event)) => at <= event,
                 (Some(_), None) => true,
@@ -210,12 +171,12 @@
                 for sign in signs.drain(..) {
                     self.take_sign(sign);
                 }
-            } else if let Some(Reverse(due)) = self.due.pop() {
-                self.now = due.at;
+            } else if let Some((at, event)) = self.agenda.take_next() {
+                self.now = at;
                 if self.now > end {
                     return;
                 }
-                self.happen(due.event);
+                self.happen(event);
             } else {
                 return;
             }
@@ -229,23 +190,11 @@
             .min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
-    fn schedule(&mut self, at: Millis, event: Event) {
-        self.orders += 1;
-        self.due.push(Reverse(Due {
-            at,
-            order: self.orders,
-            event,
-        }));
-    }
-
     fn join(&mut self, joined: Option<Millis>) {
         let server: Box<dyn Server> = match self.pattern.fleet {
             Fleet::Engines(_, spec) => {
                 let by_urgency = self.policy.waiting != Waiting::AtServer;
-                Box::new(Engine::new(crate::engine::EngineSpec {
-                    by_urgency,
-                    ..spec
-                }))
+                Box::new(Engine::new(EngineSpec { by_urgency, ..spec }))
             }
             Fleet::Plain(_, spec) => Box::new(PlainServer::new(spec)),
         };
@@ -276,7 +225,7 @@
                 for node in 0..self.pattern.nodes {
                     self.place_held(node);
                 }
-                self.schedule(self.now + EXCHANGE, Event::Exchange);
+                self.agenda.add(self.now + EXCHANGE, Event::Exchange);
             }
             Event::Change(Change::Crash(server, away)) => {
                 self.places[server].is_listed = false;
@@ -284,12 +233,12 @@
                     self.leave(number);
                     self.play.fates[number].is_lost = true;
                 }
-                self.schedule(self.now + away, Event::Back(server));
+                self.agenda.add(self.now + away, Event::Back(server));
             }
             Event::Change(Change::Replace(server)) => {
                 self.places[server].is_leaving = true;
                 self.join(Some(self.now));
-                self.schedule(self.now + LEAVES_FOR, Event::Gone(server));
+                self.agenda.add(self.now + LEAVES_FOR, Event::Gone(server));
             }
             Event::Gone(server) => self.places[server].is_listed = false,
             Event::Back(server) => {
@@ -447,7 +396,7 @@
             let left = duration(left);
             self.policy.returns.after(salt, left).as_secs_f64() * 1_000.0
         };
-        self.schedule(self.now + after, Event::Arrive(job));
+        self.agenda.add(self.now + after, Event::Arrive(job));
     }
 
     /// Places of the servers on the list, those that are leaving among them.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -62,14 +62,21 @@
     pub(super) is_return: bool,
     pub(super) tried: Vec<String>,
     pub(super) sends: u32,
-    /// When the request was sent last, and how full its server was known to be, in multiples of its slots.
-    sent: (Instant, f64),
+    last_send: LastSend,
     unreachable: u32,
     /// A server may have begun to work on the request.
     pub(super) may_have_run: bool,
     pub(super) report: Report,
 }
 
+/// The newest send of a request.
+#[derive(Clone, Copy, Debug)]
+struct LastSend {
+    at: Instant,
+    /// How full its server was known to be, in multiples of its slots.
+    fill: f64,
+}
+
 /// A refusal with the report that is still to be written.
 pub(super) type Failed = Box<(Refusal, Report)>;
 
@@ -151,7 +158,10 @@
             is_return,
             tried: Vec::new(),
             sends: 0,
-            sent: (Instant::now(), 0.0),
+            last_send: LastSend {
+                at: Instant::now(),
+                fill: 0.0,
+            },
             unreachable: 0,
             may_have_run: false,
             report,
@@ -327,10 +337,10 @@
 
     /// Notes the time at the server, once an answer is complete.
     pub(super) fn note_time(&self) {
-        let (sent, fill) = self.sent;
+        let LastSend { at, fill } = self.last_send;
         self.gateway
             .crowds
-            .note_time(&self.service_name, sent.elapsed(), fill);
+            .note_time(&self.service_name, at.elapsed(), fill);
     }
 
     pub(super) fn time_left(&self) -> Duration {
@@ -364,7 +374,10 @@
         self.tried.push(server.id.clone());
         self.report.servers.push(server.id.clone());
         self.sends += 1;
-        self.sent = (Instant::now(), target.fill);
+        self.last_send = LastSend {
+            at: Instant::now(),
+            fill: target.fill,
+        };
         let place = self.gateway.loads.begin(server);
         // Beliefs may have grown old since the request was admitted, above all on a machine that was suspended.
         let is_current = self
