Returns: callers whose times differ are not taken for returns

Change: a return has less than 0.8 of the most time; one that a full service turned away has lost a second or a third. In cb-lab callers' times differ alike.

--- a/lab/src/pattern.rs
+++ b/lab/src/pattern.rs
@@ -358,7 +358,8 @@
         kind,
         team,
         arrival: at,
-        deadline: at + recipe.kind.time,
+        // Callers' times differ as on the sheets' deployments.
+        deadline: at + recipe.kind.time * rng.random_range(0.85..1.0),
         urgency: recipe.kind.urgency,
         parts,
         output: (around(rng, recipe.output) as u32).max(u32::from(recipe.own > 0.0)),
--- a/src/decide/returns.rs
+++ b/src/decide/returns.rs
@@ -5,7 +5,8 @@
 //! and that come back within it find it full again, and take the places of others if they are let in.
 //!
 //! Nothing on the wire marks a return, and it mostly reaches another node; but callers announce how much of their time is
-//! left, and a return has less than the newcomers of its route.
+//! left, and a return has a good deal less than the newcomers of its route. Times of newcomers differ as well, so that returns
+//! soon after the first attempt aren't recognised.
 
 use std::time::Duration;
 
@@ -45,8 +46,9 @@
     }
 }
 
-/// Time that a return has lost at least: a little less than the soonest return.
-const LOST_LEAST: Duration = Duration::from_millis(100);
+/// Share of the most time of its route's callers that a return has at most: newcomers of the sheets have 0.85 of it and more,
+/// and a caller that a full service turned away has lost a second or a third of its time.
+const RETURN_SHARE: f64 = 0.8;
 /// Requests of a route over which the most time is remembered, once and once more: some seconds on a busy route.
 const REMEMBERED: u32 = 64;
 
@@ -93,7 +95,8 @@
         }
         row.counted += 1;
         row.most = row.most.max(time_left);
-        let is_return = time_left + LOST_LEAST < row.most.max(row.most_before);
+        let most = row.most.max(row.most_before);
+        let is_return = time_left < most.mul_f64(RETURN_SHARE);
         row.return_share += (f64::from(u8::from(is_return)) - row.return_share) * SHARE_GAIN;
         is_return
     }
