--- a/lab/tests/decisions.rs
+++ b/lab/tests/decisions.rs
@@ -79,26 +79,30 @@
 
 #[test]
 fn fewer_callers_are_left_without_an_answer_when_returns_are_late_and_favoured() {
-    const PLAYS: u64 = 10;
+    const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
     let policies = policy::for_calls();
     for name in ["burst", "retry-storm"] {
-        let mean = |policy: &str, figure: fn(&Summary) -> f64| {
+        let plays = |policy: &str| -> Vec<Summary> {
             let of_seed = |seed| {
                 let pattern = pattern::calls(name, seed).expect("a pattern of the list");
-                figure(&summary(&pattern, &policies, policy))
+                summary(&pattern, &policies, policy)
             };
-            (1..=PLAYS).map(of_seed).sum::<f64>() / PLAYS as f64
+            SEEDS.map(of_seed).collect()
+        };
+        let (before, now) = (plays("drawn"), plays(TODAY));
+        let mean = |plays: &[Summary], figure: fn(&Summary) -> f64| {
+            plays.iter().map(figure).sum::<f64>() / plays.len() as f64
         };
-        let unserved = |summary: &Summary| summary.all.refused + summary.all.failed;
-        let returns = |summary: &Summary| summary.returns_answered;
-        let payoff = |summary: &Summary| summary.all.payoff;
 
+        let unserved = |summary: &Summary| summary.all.refused + summary.all.failed;
         assert!(
-            mean(TODAY, unserved) < mean("drawn", unserved) * 0.75,
+            mean(&now, unserved) < mean(&before, unserved) * 0.75,
             "{name}"
         );
-        assert!(mean(TODAY, returns) > mean("drawn", returns), "{name}");
-        assert!(mean(TODAY, payoff) > mean("drawn", payoff) - 0.01, "{name}");
+        let returns = |summary: &Summary| summary.returns_answered;
+        assert!(mean(&now, returns) > mean(&before, returns), "{name}");
+        let payoff = |summary: &Summary| summary.all.payoff;
+        assert!(mean(&now, payoff) > mean(&before, payoff) - 0.01, "{name}");
     }
 }
 
