Gateway: what was kept or worked out twice is kept once

Cause: reading the change once more. Change: one place for each (ServerView::fill, usual_fill, Shared::first_relay, decide/hash). Behaviour is the same, but for the order in which a node that the store turns away asks far nodes of equal rank, which is a hash of names before and now. Tried and taken back: the request's salt from the same hash. It is another number, and a_server_that_fell_silent_gets_no_further_once_requests needs one of four named requests to be drawn to the first server.

--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -47,7 +47,7 @@
     Stalls(u64),
     /// Answers with the name of another request.
     MistakesName,
-    /// Answers without the proof.
+    /// Answers without the signature.
     OmitsSeal,
 }
 
--- a/src/catalog/beliefs.rs
+++ b/src/catalog/beliefs.rs
@@ -42,8 +42,9 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    bounds: BeliefBounds,
     catalog: Option<Arc<Catalog>>,
     config_proof: Option<Moment>,
     config_position: Option<Position>,
@@ -64,7 +65,6 @@
 /// What the gateway believes, shared by all its tasks.
 #[derive(Debug)]
 pub struct Beliefs {
-    bounds: Mutex<BeliefBounds>,
     state: Mutex<State>,
 }
 
@@ -72,18 +72,13 @@
     /// Starts without any knowledge.
     pub fn new(bounds: BeliefBounds) -> Self {
         Self {
-            bounds: Mutex::new(bounds),
-            state: Mutex::default(),
+            state: Mutex::new(State::new(bounds)),
         }
     }
 
     /// Judges by other bounds from now on.
     pub fn set_bounds(&self, bounds: BeliefBounds) {
-        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
-    }
-
-    fn bounds(&self) -> BeliefBounds {
-        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
+        self.lock().bounds = bounds;
     }
 
     /// Takes in a configuration; versions only go forward.
@@ -148,23 +143,24 @@
 
     /// Gives the age of the newest proof that the configuration is current.
     pub fn config_age(&self, now: Moment) -> Option<Duration> {
-        self.lock().config_proof.map(|proof| now.since(proof))
+        self.lock().config_age(now)
     }
 
     /// Tells whether keys may be believed now.
     pub fn are_keys_proven(&self, now: Moment) -> bool {
-        let Some(limit) = self.bounds().key_proof else {
-            return true;
-        };
-        self.config_age(now).is_some_and(|age| age < limit)
+        let state = self.lock();
+        state
+            .bounds
+            .key_proof
+            .is_none_or(|limit| state.config_age(now).is_some_and(|age| age < limit))
     }
 
     /// Notes a good read of the list that began at `began`, before its records are applied.
     ///
     /// After a silence the list may have lost entries of servers that live on, so removals wait for a while.
     pub fn note_list_read(&self, began: Moment) {
-        let bounds = self.bounds();
         let mut state = self.lock();
+        let bounds = state.bounds;
         let silence = state.list_read.map(|last| began.since(last));
         if silence.is_some_and(|silence| silence > bounds.list_silence) {
             state.grace_until = Some(Moment::now().plus(bounds.list_grace));
@@ -269,6 +265,29 @@
 }
 
 impl State {
+    fn new(bounds: BeliefBounds) -> Self {
+        Self {
+            bounds,
+            catalog: None,
+            config_proof: None,
+            config_position: None,
+            servers_position: None,
+            roster: Roster::default(),
+            servers: Arc::default(),
+            listed: Arc::default(),
+            by_service: Vec::new(),
+            servers_version: 0,
+            list_read: None,
+            is_config_lost: false,
+            is_list_lost: false,
+            grace_until: None,
+        }
+    }
+
+    fn config_age(&self, now: Moment) -> Option<Duration> {
+        self.config_proof.map(|proof| now.since(proof))
+    }
+
     fn settle(&mut self, now: Moment, mut changed: Vec<String>) -> Vec<String> {
         changed.extend(self.roster.expire(now));
         if !changed.is_empty() {
--- /dev/null
+++ b/src/decide/hash.rs
@@ -0,0 +1,14 @@
+//! Numbers that spread evenly and are the same on every node and in every run.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// Hashes `parts` in their order; where one ends and the next begins matters.
+pub(super) fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for part in parts {
+        hasher.write(part);
+        hasher.write_u8(0xff);
+    }
+    hasher.finish()
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Each file names the load pattern that it answers; its test replays that pattern. See `docs/LOAD.md`.
 
 mod crowd;
+mod hash;
 mod health;
 mod leave;
 mod place;
@@ -28,6 +29,7 @@
 pub use place::PromptPart;
 pub use place::ServerView;
 pub use place::Work;
+pub use place::usual_fill;
 pub use reject::Admission;
 pub use relay::relays;
 pub use relay::sources;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -4,8 +4,7 @@
 //! each part at every engine; placing by hash alone drowns the hot part's engine. Each part has an order of homes that
 //! does not depend on load, and a request goes to the first home that is not far above the mean.
 
-use siphasher::sip::SipHasher13;
-use std::hash::Hasher;
+use super::hash::hash;
 
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -53,6 +52,24 @@
     pub fn is_sound(&self) -> bool {
         !self.is_suspended && !self.is_leaving
     }
+
+    /// Tells how full it is, in multiples of its slots.
+    pub fn fill(&self) -> f64 {
+        f64::from(self.load) / f64::from(self.slots.max(1))
+    }
+
+    fn usual_fill(&self) -> f64 {
+        self.usual_load / f64::from(self.slots.max(1))
+    }
+}
+
+/// Tells how full the sound ones of `servers` usually are together, in multiples of their slots; nothing where there is
+/// none.
+pub fn usual_fill(servers: &[ServerView<'_>]) -> Option<f64> {
+    let sound = || servers.iter().filter(|server| server.is_sound());
+    let load: f64 = sound().map(|server| server.usual_load).sum();
+    let slots: u32 = sound().map(|server| server.slots).sum();
+    (slots > 0).then(|| load / f64::from(slots))
 }
 
 /// A choice among servers.
@@ -87,15 +104,6 @@
     }
 }
 
-fn hash(parts: &[&[u8]]) -> u64 {
-    let mut hasher = SipHasher13::new();
-    for part in parts {
-        hasher.write(part);
-        hasher.write_u8(0xff);
-    }
-    hasher.finish()
-}
-
 /// Places plain calls by chance, servers with more room more often.
 ///
 /// Load pattern: many nodes place short calls by loads that are some calls old. Were all to take the emptiest server, or
@@ -146,7 +154,7 @@
 impl Placement for PlainPlacement {
     fn choose(&self, work: &Work<'_>, servers: &[ServerView<'_>]) -> Option<Choice> {
         let eligible = eligible(servers);
-        let fill = |at: usize| servers[at].usual_load / f64::from(servers[at].slots.max(1));
+        let fill = |at: usize| servers[at].usual_fill();
         let room = |at: usize| (ROOM_MOST - fill(at)).max(ROOM_LEAST);
         let chance = |number: u8| {
             let drawn = hash(&[&work.salt.to_le_bytes(), &[number]]);
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -5,23 +5,14 @@
 //! wide link is preferred; among equals the node that has run longest, so that restarts don't move the part. A node that
 //! the store turns away while it serves others asks those, wherever they are.
 
+use super::hash::hash;
 use crate::peers::NodeEntry;
-use siphasher::sip::SipHasher13;
 use std::cmp::Reverse;
-use std::hash::Hasher;
 
 fn rank(node: &NodeEntry) -> (Reverse<u64>, u64) {
     (Reverse(node.link_mbps), node.born_ms)
 }
 
-fn mix(a: &str, b: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(a.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(b.as_bytes());
-    hasher.finish()
-}
-
 /// Gives the nodes of `data_centre` in the order in which they are its relay.
 pub fn relays<'a>(nodes: &'a [NodeEntry], data_centre: &str) -> Vec<&'a NodeEntry> {
     let mut relays: Vec<&NodeEntry> = nodes
@@ -49,6 +40,11 @@
         .filter(|node| node.data_centre != own.data_centre)
         .collect();
     // Spread by the pair of names, so that the nodes of a data centre that is turned away don't all ask the same one.
-    far.sort_by_key(|node| (rank(node).0, mix(&own.name, &node.name)));
+    far.sort_by_key(|node| {
+        (
+            rank(node).0,
+            hash(&[own.name.as_bytes(), node.name.as_bytes()]),
+        )
+    });
     near.into_iter().filter(is_other).chain(far).collect()
 }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -12,6 +12,7 @@
 use crate::decide::Placement;
 use crate::decide::ServerView;
 use crate::decide::Work;
+use crate::decide::usual_fill;
 use hyper::StatusCode;
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
@@ -40,13 +41,13 @@
         let (servers, list_version) = self.gateway.beliefs.servers_of(&self.service_name);
         self.report.list_version = list_version;
         let views = self.views(&servers);
+        if self.sends == 0 && !self.is_admitted(&views) {
+            return Err(self.too_full("service full"));
+        }
         let is_engine = self
             .service
             .as_ref()
             .is_some_and(|service| service.engine.is_some());
-        if self.sends == 0 && !self.is_admitted(&views) {
-            return Err(self.too_full("service full"));
-        }
         let placement: &dyn Placement = if is_engine {
             &self.gateway.engines
         } else {
@@ -64,33 +65,33 @@
         self.report.passed_over = choice.passed_over;
         Ok(Target {
             server: servers[choice.at].clone(),
-            fill: f64::from(chosen.load) / f64::from(chosen.slots.max(1)),
+            fill: chosen.fill(),
             copy_from: choice.copy_from.map(|at| servers[at].entry.address),
         })
     }
 
+    fn is_tried(&self, server: &BackendServer) -> bool {
+        self.report.servers.contains(&server.id)
+    }
+
     /// Tells whether a server is left that the request was not sent to; without one, what there is has to do.
     pub(super) fn has_untried(&self) -> bool {
         let (servers, _) = self.gateway.beliefs.servers_of(&self.service_name);
         servers
             .iter()
-            .any(|server| !server.entry.is_draining && !self.tried.contains(&server.id))
+            .any(|server| !server.entry.is_draining && !self.is_tried(server))
     }
 
     /// Tells whether the request can still be answered in time, by how crowded its service is.
     fn is_admitted(&self, views: &[ServerView<'_>]) -> bool {
-        let sound = || views.iter().filter(|view| view.is_sound());
-        let load: f64 = sound().map(|view| view.usual_load).sum();
-        let slots: u32 = sound().map(|view| view.slots).sum();
-        if slots == 0 {
+        let Some(fill) = usual_fill(views) else {
             return true;
-        }
-        let fill = load / f64::from(slots);
+        };
         let crowds = &self.gateway.crowds;
         let call = Call {
             chance: f64::from(self.salt as u32) / f64::from(u32::MAX),
             rank: self.rank,
-            is_return: self.is_return,
+            is_return: self.report.is_return,
             latency_target: self.route.latency_target,
             is_stream: self.route.repeat.is_stream(),
         };
@@ -111,7 +112,7 @@
                 load: standing.load,
                 usual_load: standing.usual,
                 is_suspended: standing.is_aside,
-                is_tried: self.tried.contains(&server.id),
+                is_tried: self.is_tried(server),
                 is_young: standing.is_young,
                 is_leaving: server.entry.is_draining,
             })
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -52,7 +52,7 @@
     pub request_id: Option<String>,
     /// The server says that it did not run the request and will not.
     pub is_not_run: bool,
-    /// The answer carries the server's proof of its body.
+    /// The answer carries the server's signature of its body.
     pub is_sealed: bool,
     /// The server's load.
     pub load: Option<ServerLoad>,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -58,9 +58,6 @@
     pub(super) deadline: Instant,
     /// Rank of the team, or of the route where the team has none; 0 is the most urgent.
     pub(super) rank: u8,
-    /// The caller was turned away before.
-    pub(super) is_return: bool,
-    pub(super) tried: Vec<String>,
     pub(super) sends: u32,
     last_send: LastSend,
     unreachable: u32,
@@ -134,8 +131,7 @@
         if !gateway.takes(&route, now) {
             return refuse("node is stopping", report);
         }
-        let is_return = gateway.crowds.is_return(&route.name, ask.time_left);
-        report.is_return = is_return;
+        report.is_return = gateway.crowds.is_return(&route.name, ask.time_left);
         let Some(service_name) = pick_share(&route, salt) else {
             return refuse("route without service", report);
         };
@@ -155,8 +151,6 @@
             team,
             salt,
             rank,
-            is_return,
-            tried: Vec::new(),
             sends: 0,
             last_send: LastSend {
                 at: Instant::now(),
@@ -371,7 +365,6 @@
 
     async fn send_to(&mut self, target: &Target, resume_after: Option<u64>) -> Sent {
         let Target { server, .. } = target;
-        self.tried.push(server.id.clone());
         self.report.servers.push(server.id.clone());
         self.sends += 1;
         self.last_send = LastSend {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -178,12 +178,11 @@
         service: &str,
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let terms = self.terms().retry;
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let at = match budgets.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                let budget = RetryBudget::new(terms);
+                let budget = RetryBudget::new(self.terms().retry);
                 budgets.insert(at, (service.to_owned(), budget));
                 at
             }
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -162,6 +162,19 @@
             .any(|(name, at)| *name == node.name && now.since(*at) < LOST_PAUSE)
     }
 
+    /// Finds the first relay of `data_centre` that may be asked.
+    fn first_relay(&self, data_centre: &str) -> Option<NodeEntry> {
+        let nodes = lock(&self.nodes);
+        let mut relays = relays(&nodes.list, data_centre).into_iter();
+        relays.find(|node| !self.is_lost(node)).cloned()
+    }
+
+    /// Tells whether another node than `relay` is the first relay of `data_centre`.
+    fn has_other_relay(&self, data_centre: &str, relay: &NodeEntry) -> bool {
+        let first = self.first_relay(data_centre);
+        first.is_some_and(|first| first.name != relay.name)
+    }
+
     fn set_relay(&self, is_relay: bool) {
         if self.is_relay.swap(is_relay, Ordering::Relaxed) != is_relay {
             let part = if is_relay { "relay" } else { "member" };
@@ -397,11 +410,12 @@
 /// Adds up what the nodes of this data centre and the other relays told.
 fn be_relay(shared: &Shared) {
     shared.set_relay(true);
-    shared.board.note_own((shared.own_loads)());
+    let own = (shared.own_loads)();
+    shared.board.note_own(own.clone());
     let now = Moment::now();
     let centres = shared.board.all_centres(&shared.own.data_centre, now);
     let all = add_up(centres.iter().map(|centre| centre.loads.as_slice()));
-    (shared.other_loads)(without(all, &(shared.own_loads)()));
+    (shared.other_loads)(without(all, &own));
 }
 
 async fn ask_for_a_term(shared: &Shared, node: &NodeEntry, is_cut_off: bool) -> Result<(), String> {
@@ -421,35 +435,21 @@
         shared.set_relay(false);
         shared.take(tell, asked, &own, &mut told);
         let is_over = asked.since(began) > RELAY_TERM;
-        if is_over && (is_cut_off || is_older_back(shared, node)) {
+        if is_over && (is_cut_off || shared.has_other_relay(&shared.own.data_centre, node)) {
             return Ok(());
         }
         tokio::time::sleep(ASK_INTERVAL).await;
     }
 }
 
-/// Tells whether a node that comes before `relay` may be asked again.
-fn is_older_back(shared: &Shared, relay: &NodeEntry) -> bool {
-    let (nodes, _) = shared.nodes();
-    let first = relays(&nodes, &shared.own.data_centre)
-        .into_iter()
-        .find(|node| !shared.is_lost(node));
-    first.is_some_and(|first| first.name != relay.name)
-}
-
 /// While this node is the relay, exchanges sums with the relay of `data_centre`.
 async fn keep_centre(shared: Arc<Shared>, data_centre: String) {
     loop {
-        if shared.is_relay.load(Ordering::Relaxed) {
-            let (nodes, _) = shared.nodes();
-            let first = relays(&nodes, &data_centre)
-                .into_iter()
-                .find(|node| !shared.is_lost(node));
-            if let Some(node) = first
-                && let Err(cause) = exchange(&shared, node, &data_centre).await
-            {
-                shared.note_lost(node, &cause);
-            }
+        if shared.is_relay.load(Ordering::Relaxed)
+            && let Some(node) = shared.first_relay(&data_centre)
+            && let Err(cause) = exchange(&shared, &node, &data_centre).await
+        {
+            shared.note_lost(&node, &cause);
         }
         tokio::time::sleep(ASK_INTERVAL).await;
     }
@@ -471,14 +471,9 @@
             let now = Moment::now();
             shared.board.note_centre(data_centre, theirs.loads, now);
         }
-        if Moment::now().since(began) > RELAY_TERM {
-            let (nodes, _) = shared.nodes();
-            let first = relays(&nodes, data_centre)
-                .into_iter()
-                .find(|node| !shared.is_lost(node));
-            if first.is_some_and(|first| first.name != node.name) {
-                return Ok(());
-            }
+        let is_over = Moment::now().since(began) > RELAY_TERM;
+        if is_over && shared.has_other_relay(data_centre, node) {
+            return Ok(());
         }
         tokio::time::sleep(ASK_INTERVAL).await;
     }
