--- a/src/bin/currantbend.rs
+++ b/src/bin/currantbend.rs
@@ -11,24 +11,6 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
-const HELP: &str = "\
-currantbend: carries chats and calls from callers to backend servers.
-
-USAGE:
-  currantbend --settings FILE [--check]
-
-OPTIONS:
-  --settings FILE  the node's settings, in INI
-  --check          check the settings, name every problem and exit
-  --help           print this
-  --version        print the version
-
-EXIT STATUS:
-  0  stopped as asked, or the settings are good
-  1  could not start
-  2  the arguments or the settings are at fault; nothing was started
-";
-
 /// The program of a node.
 struct NodeProgram;
 
@@ -37,12 +19,12 @@
         "currantbend"
     }
 
-    fn version(&self) -> &'static str {
-        env!("CARGO_PKG_VERSION")
+    fn summary(&self) -> &'static str {
+        "carries chats and calls from callers to backend servers"
     }
 
-    fn help(&self) -> &'static str {
-        HELP
+    fn serves_as(&self) -> &'static str {
+        "node"
     }
 
     fn check(&self, path: &Path) -> Result<(), SettingsError> {
--- a/src/program.rs
+++ b/src/program.rs
@@ -46,11 +46,11 @@
     /// Gives its name on the command line.
     fn name(&self) -> &'static str;
 
-    /// Gives its version.
-    fn version(&self) -> &'static str;
+    /// Says in a few words what it does, for the help.
+    fn summary(&self) -> &'static str;
 
-    /// Gives the text of `--help`.
-    fn help(&self) -> &'static str;
+    /// Names what the settings are those of, for the help.
+    fn serves_as(&self) -> &'static str;
 
     /// Checks the settings at `path`.
     ///
@@ -106,10 +106,33 @@
     })
 }
 
+fn help(program: &dyn Program) -> String {
+    let (name, summary, serves_as) = (program.name(), program.summary(), program.serves_as());
+    format!(
+        "\
+{name}: {summary}.
+
+USAGE:
+  {name} --settings FILE [--check]
+
+OPTIONS:
+  --settings FILE  the {serves_as}'s settings, in INI
+  --check          check the settings, name every problem and exit
+  --help           print this
+  --version        print the version
+
+EXIT STATUS:
+  0  stopped as asked, or the settings are good
+  1  could not start
+  2  the arguments or the settings are at fault; nothing was started
+"
+    )
+}
+
 fn act(program: &dyn Program) -> Result<(), ProgramError> {
     match parse(pico_args::Arguments::from_env())? {
-        Request::Help => print!("{}", program.help()),
-        Request::Version => println!("{} {}", program.name(), program.version()),
+        Request::Help => print!("{}", help(program)),
+        Request::Version => println!("{} {}", program.name(), env!("CARGO_PKG_VERSION")),
         Request::Check(path) => {
             program.check(&path).map_err(ProgramError::Settings)?;
             println!("the settings are good");
