Lab: the field's word credit, and one recipe for both kinds of calls

Cause: lab and docs/LOAD.md said payoff, a word of the users' pages; two recipes of calls differed in name and rate alone; a struct of two sums served one function. Change: credit throughout (column and JSON field too), const fn call, two locals.

--- a/lab/src/job.rs
+++ b/lab/src/job.rs
@@ -18,9 +18,9 @@
     pub gap_aim: Millis,
     /// Time that the caller has, in milliseconds.
     pub time: Millis,
-    /// Payoff of an answer on time.
+    /// Credit of an answer on time.
     pub worth: f64,
-    /// Payoff of a late answer.
+    /// Credit of a late answer.
     pub late_worth: f64,
 }
 
--- a/lab/src/pattern.rs
+++ b/lab/src/pattern.rs
@@ -233,26 +233,12 @@
     },
 ];
 
-const CALLS: [Recipe; 2] = [
-    Recipe {
-        kind: JobKind {
-            name: "order",
-            urgency: 2,
-            aim: 300.0,
-            gap_aim: f64::INFINITY,
-            time: 4_000.0,
-            worth: 1.0,
-            late_worth: 0.3,
-        },
-        per_second: 180.0,
-        shared: [(0, 0); 2],
-        own: 0.0,
-        output: 0.0,
-        work: 60.0,
-    },
+const CALLS: [Recipe; 2] = [call("order", 180.0), call("lookup", 70.0)];
+
+const fn call(name: &'static str, per_second: f64) -> Recipe {
     Recipe {
         kind: JobKind {
-            name: "lookup",
+            name,
             urgency: 2,
             aim: 300.0,
             gap_aim: f64::INFINITY,
@@ -260,13 +246,13 @@
             worth: 1.0,
             late_worth: 0.3,
         },
-        per_second: 70.0,
+        per_second,
         shared: [(0, 0); 2],
         own: 0.0,
         output: 0.0,
         work: 60.0,
-    },
-];
+    }
+}
 
 fn make(shape: &Shape, fleet: Fleet, recipes: &[Recipe], seed: u64) -> Pattern {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/lab/src/summary.rs
+++ b/lab/src/summary.rs
@@ -26,8 +26,8 @@
     pub refused: f64,
     /// Share without an answer for another reason.
     pub failed: f64,
-    /// Payoff earned over payoff owed.
-    pub payoff: f64,
+    /// Credit earned over credit owed.
+    pub credit: f64,
     /// Half of the first events came within this time, in milliseconds.
     pub first_p50: Millis,
     /// All but one in a hundred of the first events came within this time, in milliseconds.
@@ -48,9 +48,9 @@
     pub all: Service,
     /// Each kind by name.
     pub kinds: Vec<(String, Service)>,
-    /// Least share of payoff in any two seconds.
+    /// Least share of credit in any two seconds.
     pub worst_window: f64,
-    /// Least share of payoff of any team.
+    /// Least share of credit of any team.
     pub worst_team: f64,
     /// Share of those that came back after a refusal that were answered.
     pub returns_answered: f64,
@@ -62,12 +62,7 @@
     pub preempted: u64,
 }
 
-struct Sum {
-    earned: f64,
-    owed: f64,
-}
-
-fn payoff(job: &Job, fate: &Fate, kind: &JobKind) -> (f64, bool) {
+fn credit(job: &Job, fate: &Fate, kind: &JobKind) -> (f64, bool) {
     let Some(first) = fate.first.filter(|_| fate.end.is_some()) else {
         return (0.0, false);
     };
@@ -87,17 +82,14 @@
         asked,
         ..Service::default()
     };
-    let mut sum = Sum {
-        earned: 0.0,
-        owed: 0.0,
-    };
+    let (mut earned_in_all, mut owed) = (0.0, 0.0);
     let mut firsts = Vec::new();
     let share = 1.0 / asked.max(1) as f64;
     for job in jobs() {
         let (fate, kind) = (&play.fates[job.number], &pattern.kinds[job.kind]);
-        let (earned, is_on_time) = payoff(job, fate, kind);
-        sum.earned += earned;
-        sum.owed += kind.worth;
+        let (earned, is_on_time) = credit(job, fate, kind);
+        earned_in_all += earned;
+        owed += kind.worth;
         let count = if is_on_time {
             &mut service.on_time
         } else if earned > 0.0 {
@@ -119,7 +111,7 @@
     };
     service.first_p50 = at(0.5).unwrap_or(0.0);
     service.first_p99 = at(0.99).unwrap_or(0.0);
-    service.payoff = sum.earned / sum.owed.max(f64::EPSILON);
+    service.credit = earned_in_all / owed.max(f64::EPSILON);
     service
 }
 
@@ -132,10 +124,10 @@
     let windows = (0..(LENGTH / WINDOW) as usize).map(|window| {
         let from = window as f64 * WINDOW;
         let within = |job: &Job| (from..from + WINDOW).contains(&job.arrival);
-        service(pattern, play, within).payoff
+        service(pattern, play, within).credit
     });
     let teams = pattern.jobs.iter().map(|job| job.team).max().unwrap_or(0);
-    let by_team = (0..=teams).map(|team| service(pattern, play, |job| job.team == team).payoff);
+    let by_team = (0..=teams).map(|team| service(pattern, play, |job| job.team == team).credit);
     let returned: Vec<&Fate> = play.fates.iter().filter(|fate| fate.refusals > 0).collect();
     let answered = returned.iter().filter(|fate| fate.end.is_some()).count();
     Summary {
@@ -163,7 +155,7 @@
         "{:<12} {:<22} {:>6} {:>7} {:>6} {:>7} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}\n",
         "pattern",
         "policy",
-        "payoff",
+        "credit",
         "on time",
         "late",
         "refused",
@@ -182,7 +174,7 @@
             "{:<12} {:<22} {:>6.3} {:>7.3} {:>6.3} {:>7.3} {:>6.3} {:>7.3} {:>7.3} {:>7.3} {:>7.0} {:>7.0} {:>8.0} {:>8.0}\n",
             row.pattern,
             row.policy,
-            all.payoff,
+            all.credit,
             all.on_time,
             all.late,
             all.refused,
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -22,6 +22,7 @@
 use currantbend::decide::ServerView;
 use currantbend::decide::ServiceLog;
 use currantbend::decide::Work;
+use currantbend::decide::usual_fill;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -75,14 +76,6 @@
     Duration::from_secs_f64(time.max(0.0) / 1_000.0)
 }
 
-/// How full the servers usually are, in multiples of their slots.
-fn fill(views: &[ServerView<'_>]) -> f64 {
-    let sound = || views.iter().filter(|view| view.is_sound());
-    let load: f64 = sound().map(|view| view.usual_load).sum();
-    let slots: u32 = sound().map(|view| view.slots).sum();
-    load / f64::from(slots.max(1))
-}
-
 /// Where a request is sent.
 struct Chosen {
     place: usize,
@@ -329,7 +322,7 @@
             latency_target: duration(kind.aim),
             is_stream: !job.parts.is_empty(),
         };
-        let fill = fill(&self.views(node));
+        let fill = usual_fill(&self.views(node)).unwrap_or(0.0);
         let return_share = self.arrivals[node].return_share(kind.name);
         let log = &mut self.logs[node];
         log.note_call(&call);
@@ -344,10 +337,9 @@
             salt,
         };
         let choice = self.policy.placement.choose(&work, &views)?;
-        let view = &views[choice.at];
         Some(Chosen {
             place: listed[choice.at],
-            fill: f64::from(view.load) / f64::from(view.slots),
+            fill: views[choice.at].fill(),
             copy_from: choice.copy_from.map(|from| listed[from]),
         })
     }
--- a/lab/tests/decisions.rs
+++ b/lab/tests/decisions.rs
@@ -46,7 +46,7 @@
     let (before, now) = (chats("hot-part", "by-hash"), chats("hot-part", TODAY));
 
     assert!(now.all.first_p99 < before.all.first_p99);
-    assert!(now.all.payoff > before.all.payoff);
+    assert!(now.all.credit > before.all.credit);
 }
 
 #[test]
@@ -54,7 +54,7 @@
     for pattern in ["burst", "hot-team", "retry-storm"] {
         let (before, now) = (chats(pattern, "homes"), chats(pattern, TODAY));
 
-        assert!(now.all.payoff > before.all.payoff + 0.1, "{pattern}");
+        assert!(now.all.credit > before.all.credit + 0.1, "{pattern}");
         assert!(now.all.on_time > before.all.on_time + 0.1, "{pattern}");
         assert!(now.worst_team > before.worst_team, "{pattern}");
     }
@@ -101,8 +101,8 @@
         );
         let returns = |summary: &Summary| summary.returns_answered;
         assert!(mean(&now, returns) > mean(&before, returns), "{name}");
-        let payoff = |summary: &Summary| summary.all.payoff;
-        assert!(mean(&now, payoff) > mean(&before, payoff) - 0.01, "{name}");
+        let credit = |summary: &Summary| summary.all.credit;
+        assert!(mean(&now, credit) > mean(&before, credit) - 0.01, "{name}");
     }
 }
 
