--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -32,6 +32,8 @@
 
 /// Maximum number of keys on one page of newest records.
 const PAGE_KEYS: usize = 500;
+/// Maximum size in KiB of the records that one read returns unless the call sets `max-kb`.
+const MAX_READ_KB: u64 = 1_024;
 
 /// Faults that can be set while the store runs.
 #[derive(Debug, Default)]
@@ -223,7 +225,8 @@
             }
             "/api/log-read" => {
                 let from = http::query_number(Some(&query), "from").unwrap_or(0);
-                Ok(self.read(&topic, from))
+                let max_kb = http::query_number(Some(&query), "max-kb").unwrap_or(MAX_READ_KB);
+                Ok(self.read(&topic, from, max_kb.min(MAX_READ_KB) as usize * 1_024))
             }
             "/api/log-newest" => {
                 let after = query_parameter(&query, "after").unwrap_or_default();
@@ -276,7 +279,8 @@
         })
     }
 
-    fn read(&self, topic: &str, from: u64) -> Response<ResponseBody> {
+    /// Returns the records from offset `from` on, of at most `max_bytes` altogether but at least one.
+    fn read(&self, topic: &str, from: u64, max_bytes: usize) -> Response<ResponseBody> {
         self.with_topic(topic, |topic| {
             if from < topic.first_offset {
                 return http::json(StatusCode::GONE, &json!({"first": topic.first_offset}));
@@ -284,11 +288,16 @@
             let mut buf = BytesMut::new();
             buf.put_u64(topic.end_offset());
             buf.put_u64(topic.first_offset);
+            let mut bytes = 0;
             for record in topic
                 .records
                 .iter()
                 .skip((from - topic.first_offset) as usize)
             {
+                bytes += 4 + record.len();
+                if bytes > max_bytes && bytes > 4 + record.len() {
+                    break;
+                }
                 buf.put_u32(record.len() as u32);
                 buf.put_slice(record);
             }
