catalog: an undecodable configuration does not verify the one before it

The node read on after the record that it could not decode, found no change, and verified the configuration before it, which may hold keys that the record took away. Change: the position stays before such a record, so each read finds it again until a newer one replaces it. No caller is known to have met this; the platform accepts only valid configurations.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -300,8 +300,11 @@
     async fn read(&self, catalog: &Catalog, logs: &Logs) -> Result<(), SourceError> {
         let began = BootInstant::now();
         let (read, position) = self.0.read(catalog.config_position()).await?;
+        // Reading on after a record that can't be decoded would find no change and verify the configuration before it.
+        if !matches!(read, ConfigRead::Unusable(_)) {
+            catalog.record_config_position(position);
+        }
         apply_config_read(catalog, logs, began, read);
-        catalog.record_config_position(position);
         Ok(())
     }
 
