gateway: deny a route or key for good only by a current configuration

Cause: of the same class, what an old answer lacks was taken for nonexistent. A host answered 404 and 401 by a configuration up to `revoke_ms` less 500 ms old, and of any age without strict revocation, though a change counts from `config_apply_ms` on. Callers don't come back after these statuses. Change: beyond `config_apply_ms` an unknown route or key gets 503 and a time of return, so the caller finds another host. Known routes and keys are served as before.

--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -18,6 +18,9 @@
     /// Time since the configuration was last verified as current up to which callers' keys are accepted; `None` if the
     /// revocation of a key need not take effect within a bound.
     pub max_key_verification_age: Option<Duration>,
+    /// Time since the configuration was last verified as current up to which a route or key that it lacks is denied for
+    /// good; an older configuration may merely not have it yet.
+    pub max_denial_age: Duration,
     /// Time after the list becomes readable again during which servers that are missing from it stay usable, so that
     /// they can report again.
     pub list_grace: Duration,
@@ -169,6 +172,13 @@
             .is_none_or(|limit| state.config_age(now).is_some_and(|age| age < limit))
     }
 
+    /// Returns whether the configuration was verified recently enough to deny a route or key that it lacks.
+    pub fn may_deny(&self, now: BootInstant) -> bool {
+        let state = self.lock();
+        let age = state.config_age(now);
+        age.is_some_and(|age| age < state.bounds.max_denial_age)
+    }
+
     /// Records a successful read of the list that began at `began`; must be called before its records are applied.
     ///
     /// After a long gap, entries of servers that still run may have expired, so removals take effect only after the
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -21,6 +21,7 @@
 fn new_catalog() -> Catalog {
     Catalog::new(CatalogBounds {
         max_key_verification_age: Some(Duration::from_millis(4_500)),
+        max_denial_age: Duration::from_millis(2_000),
         list_grace: GRACE,
         max_list_gap: MAX_LIST_GAP,
     })
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -117,6 +117,7 @@
         let age = gateway.catalog.config_age(now).unwrap_or(Duration::MAX);
         report.config_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         let is_verified = gateway.catalog.are_keys_verified(now);
+        let may_deny = gateway.catalog.may_deny(now);
         let host = outbound
             .headers
             .get(HOST)
@@ -126,9 +127,8 @@
         });
         let path = outbound.target.split('?').next().unwrap_or("/");
         let Some(route) = configuration.route(host, path).cloned() else {
-            // A configuration that is not verified as current may lack a new route, so the caller is sent to another
-            // node.
-            if !is_verified {
+            // The caller is sent to another node, which may have the route.
+            if !may_deny {
                 return refuse_temporarily("configuration unproven", report);
             }
             return refuse_with_status(StatusCode::NOT_FOUND, "no such route", report);
@@ -145,6 +145,9 @@
                 .as_deref()
                 .and_then(|key| configuration.team_of_key(key));
             let Some(found) = found else {
+                if !may_deny {
+                    return refuse_temporarily("configuration unproven", report);
+                }
                 return refuse_with_status(StatusCode::UNAUTHORIZED, "unknown key", report);
             };
             rank = found.priority.unwrap_or(rank);
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -149,6 +149,7 @@
         max_key_verification_age: bounds
             .strict_revoke
             .then(|| bounds.revoke.saturating_sub(KEY_USE_MARGIN)),
+        max_denial_age: bounds.config_apply,
         list_grace: LIST_RECOVERY_GRACE,
         // An entry expires three heartbeat intervals after its last heartbeat, which may have come up to one interval
         // before the last successful read.
