gateway: log software versions and the stream that a caller resumes

Cause: no line of a gateway named a server's software version or the attempt whose stream a caller resumes, so logs could not tell a stream resumed by the gateway from one that its caller took up elsewhere. Request lines give `versions`, `resumes` and `first_attempt`. No decision uses them.

--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -16,6 +16,9 @@
     pub address: SocketAddr,
     /// Data centre in which it runs.
     pub data_centre: String,
+    /// Version of its software; `None` in an entry received from a gateway that doesn't pass versions on.
+    #[serde(default)]
+    pub software_version: Option<String>,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is draining: it finishes its requests and takes no new ones.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -32,6 +32,7 @@
         service: "app".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         data_centre: "north".to_owned(),
+        software_version: Some("v1".to_owned()),
         slots: 6,
         is_draining,
         cold_left: Duration::ZERO,
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -17,6 +17,15 @@
     pub key: Option<String>,
     /// Parts of the prompt, in order.
     pub parts: Vec<PromptPart>,
+    /// Stream of an earlier attempt that the request resumes; `None` if the caller has no event yet.
+    pub resumed_stream: Option<ResumedStream>,
+}
+
+/// A stream that a caller resumes after it broke off in an earlier attempt.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ResumedStream {
+    /// Id of the attempt that brought the first event of the stream; `None` if the caller doesn't name it.
+    pub first_attempt: Option<String>,
 }
 
 /// Metadata that the gateway adds to a caller's headers for a backend server.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -134,6 +134,10 @@
             return refuse_with_status(StatusCode::NOT_FOUND, "no such route", report);
         };
         report.route.clone_from(&route.name);
+        if let Some(resumed_stream) = &metadata.resumed_stream {
+            report.resumes_stream = true;
+            report.first_attempt = resumed_stream.first_attempt.clone().unwrap_or_default();
+        }
         let mut team = None;
         let mut rank = route.priority;
         if !route.is_public {
@@ -419,6 +423,10 @@
     async fn send_to(&mut self, target: &Target, resume_after: Option<u64>) -> SendOutcome {
         let Target { server, .. } = target;
         self.report.servers.push(server.id.clone());
+        let software_version = server.entry.software_version.clone();
+        self.report
+            .software_versions
+            .push(software_version.unwrap_or_default());
         self.sends += 1;
         self.last_send = LastSend {
             sent_at: Instant::now(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub use dialect::ForwardMetadata;
 pub use dialect::RequestMetadata;
 pub use dialect::ResponseMetadata;
+pub use dialect::ResumedStream;
 pub use dialect::ServerLoad;
 pub use metrics::SourceMetrics;
 pub use node::GatewayNode;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -17,6 +17,12 @@
     pub(super) route: String,
     pub(super) service: String,
     pub(super) servers: Vec<String>,
+    /// Software versions of `servers`, in the same order; empty text where the version is unknown.
+    pub(super) software_versions: Vec<String>,
+    /// Whether the request resumes the stream of an earlier attempt.
+    pub(super) resumes_stream: bool,
+    /// Id of the attempt whose stream the request resumes; empty if it resumes none or doesn't name it.
+    pub(super) first_attempt: String,
     pub(super) is_caller_retry: bool,
     /// Load of the server that was chosen last.
     pub(super) load: u32,
@@ -45,6 +51,9 @@
             route: String::new(),
             service: String::new(),
             servers: Vec::new(),
+            software_versions: Vec::new(),
+            resumes_stream: false,
+            first_attempt: String::new(),
             is_caller_retry: false,
             load: 0,
             passed_over: 0,
@@ -104,7 +113,9 @@
             return;
         };
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
-            "service" => &self.service, "servers" => self.servers.join(","), "return" => self.is_caller_retry,
+            "service" => &self.service, "servers" => self.servers.join(","),
+            "versions" => self.software_versions.join(","), "resumes" => self.resumes_stream,
+            "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
