--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -70,6 +70,7 @@
 struct Shared {
     id: String,
     work_time: Duration,
+    software_version: Mutex<String>,
     behavior: Mutex<Behavior>,
     runs: Mutex<Vec<Run>>,
     running: AtomicU32,
@@ -108,6 +109,7 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             work_time,
+            software_version: Mutex::new("v1".to_owned()),
             behavior: Mutex::default(),
             runs: Mutex::default(),
             running: AtomicU32::new(0),
@@ -137,6 +139,11 @@
         *lock(&self.shared.behavior) = behavior;
     }
 
+    /// Sets the version of its software, which its entry and the events of its streams name.
+    pub fn set_software_version(&self, version: &str) {
+        version.clone_into(&mut lock(&self.shared.software_version));
+    }
+
     /// Returns the requests that it ran, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.runs).clone()
@@ -149,8 +156,9 @@
 
     /// Returns its entry for the server list, as JSON.
     pub fn entry(&self, service: &str, data_centre: &str, state: &str, sequence: u64) -> Vec<u8> {
+        let version = lock(&self.shared.software_version).clone();
         let entry = serde_json::json!({
-            "service": service, "address": self.address(), "zone": data_centre, "version": "v1",
+            "service": service, "address": self.address(), "zone": data_centre, "version": version,
             "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": 1_700_000_000_000u64,
         });
         entry.to_string().into_bytes()
@@ -209,7 +217,9 @@
     let is_stream = headers.contains_key("currantbend-token-counts");
     let mut res = if is_stream {
         let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
-        build_response(&shared, StatusCode::OK, events(running, behavior, after))
+        let version = lock(&shared.software_version).clone();
+        let body = events(running, behavior, after, version);
+        build_response(&shared, StatusCode::OK, body)
     } else {
         tokio::time::sleep(shared.work_time).await;
         match behavior {
@@ -242,10 +252,10 @@
     Ok(res)
 }
 
-/// Streams the events that follow event number `after`.
+/// Streams the events that follow event number `after`; each names the software version of the server.
 ///
 /// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event.
-fn events(running: RunningGuard, behavior: Behavior, after: u64) -> ResponseBody {
+fn events(running: RunningGuard, behavior: Behavior, after: u64, version: String) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
         let _running = running;
@@ -265,7 +275,7 @@
             }
             let chunks = [
                 format!("id: {number}\ndata: to"),
-                format!("ken {number}\n\n"),
+                format!("ken {number} {version}\n\n"),
             ];
             for chunk in chunks {
                 if tx.send(Ok(Bytes::from(chunk))).await.is_err() {
