--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -370,12 +370,12 @@
 }
 
 fn apply_server_read(catalog: &Catalog, logs: &Logs, began: BootInstant, read: ServerRead) {
-    catalog.record_list_read(began);
-    let now = BootInstant::now();
     let (records, is_whole) = match read {
         ServerRead::Changes(records) => (records, false),
         ServerRead::Whole(records) => (records, true),
     };
+    catalog.record_list_read(began, !is_whole);
+    let now = BootInstant::now();
     for (id, record) in &records {
         if let ServerRecord::Unusable(reason) = record {
             warn!(logs.log(), "server entry unusable"; "server" => id, "cause" => reason);
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -9,6 +9,7 @@
 mod state;
 #[cfg(test)]
 mod tests;
+mod version_history;
 
 pub use config::Configuration;
 pub use config::EngineLimits;
@@ -34,3 +35,6 @@
 pub use state::Catalog;
 pub use state::CatalogBounds;
 pub use state::ConfigChange;
+pub use version_history::FormerVersion;
+pub use version_history::VERSION_MEMORY;
+pub use version_history::VersionHistory;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -5,6 +5,8 @@
 use super::roster::BackendServer;
 use super::roster::Roster;
 use super::roster::ServerRecord;
+use super::version_history::FormerVersion;
+use super::version_history::VersionHistory;
 use crate::clock::BootInstant;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -67,6 +69,8 @@
     by_service: Vec<(String, Arc<Vec<BackendServer>>)>,
     /// Counts the changes of the server lists above.
     servers_version: u64,
+    /// Software versions on the list, now and before.
+    version_history: VersionHistory,
     /// Start of the last successful read of the server list, by this node or by a peer.
     list_read_at: Option<BootInstant>,
     /// Whether this node's reads of the configuration are failing.
@@ -182,14 +186,19 @@
     /// Records a successful read of the list that began at `began`; must be called before its records are applied.
     ///
     /// After a long gap, entries of servers that still run may have expired, so removals take effect only after the
-    /// grace period.
-    pub fn record_list_read(&self, began: BootInstant) {
+    /// grace period. Unless `has_all_changes`, which says that the read returned every change since the last one, servers
+    /// may also have come and gone unseen.
+    pub fn record_list_read(&self, began: BootInstant, has_all_changes: bool) {
         let mut state = self.lock();
         let bounds = state.bounds;
         let gap = state.list_read_at.map(|last| began.since(last));
-        if gap.is_some_and(|gap| gap > bounds.max_list_gap) {
+        let has_gap = gap.is_some_and(|gap| gap > bounds.max_list_gap);
+        if has_gap {
             state.grace_until = Some(BootInstant::now().plus(bounds.list_grace));
         }
+        if gap.is_none() || (has_gap && !has_all_changes) {
+            state.version_history.restart(began);
+        }
         state.list_read_at = Some(began);
     }
 
@@ -203,6 +212,9 @@
         let grace = state.grace_until.filter(|until| *until > now);
         let mut changed = Vec::new();
         for (id, record) in records {
+            if let ServerRecord::Report(entry) = &record {
+                state.version_history.record_report(entry, now);
+            }
             if state.roster.apply(&id, record, grace) {
                 changed.push(id);
             }
@@ -230,7 +242,7 @@
         if self.lock().list_read_at.is_some_and(|last| last > read_at) {
             return Vec::new();
         }
-        self.record_list_read(read_at);
+        self.record_list_read(read_at, false);
         let now = BootInstant::now();
         let Some(servers) = servers else {
             return self.expire_servers(now);
@@ -275,6 +287,26 @@
         (servers.unwrap_or_default(), state.servers_version)
     }
 
+    /// Returns the software version that all servers of `service` have had since `since`; `None` if there were several
+    /// or if that is not known.
+    pub fn only_version(&self, service: &str, since: BootInstant) -> Option<String> {
+        let state = self.lock();
+        let version = state.version_history.only_version(service, since);
+        version.map(str::to_owned)
+    }
+
+    /// Returns the software versions on the list, now and before.
+    pub fn version_history(&self) -> VersionHistory {
+        self.lock().version_history.clone()
+    }
+
+    /// Adds a peer's knowledge of earlier software versions, as in [`VersionHistory::adopt`].
+    pub fn adopt_version_history(&self, known_since: BootInstant, versions: Vec<FormerVersion>) {
+        let now = BootInstant::now();
+        let mut state = self.lock();
+        state.version_history.adopt(known_since, versions, now);
+    }
+
     /// Returns whether the incarnation of server `id` that started at `start_time_ms` may still get new work.
     pub fn is_usable(&self, id: &str, start_time_ms: u64) -> bool {
         let state = self.lock();
@@ -308,6 +340,7 @@
             listed: Arc::default(),
             by_service: Vec::new(),
             servers_version: 0,
+            version_history: VersionHistory::default(),
             list_read_at: None,
             is_config_failing: false,
             is_list_failing: false,
@@ -325,6 +358,7 @@
         changed.extend(self.roster.expire(now));
         if !changed.is_empty() {
             let listed = self.roster.listed();
+            self.version_history.record_list(&listed, now);
             let usable = listed.iter().filter(|server| !server.entry.is_draining);
             self.servers = Arc::new(usable.cloned().collect());
             self.by_service = group_by_service(&listed);
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -5,6 +5,7 @@
 use super::CatalogBounds;
 use super::ConfigChange;
 use super::Configuration;
+use super::FormerVersion;
 use super::Limits;
 use super::RetryMode;
 use super::Route;
@@ -64,12 +65,12 @@
 fn after_list_gap(gap: Duration) -> (Catalog, BootInstant) {
     let catalog = new_catalog();
     let now = BootInstant::now();
-    catalog.record_list_read(now.before(gap));
+    catalog.record_list_read(now.before(gap), false);
     catalog.apply_servers(
         vec![report("a", 1, false, 1), report("b", 1, false, 1)],
         now,
     );
-    catalog.record_list_read(now);
+    catalog.record_list_read(now, false);
     (catalog, now)
 }
 
@@ -231,3 +232,97 @@
 
     assert_eq!(usable(&catalog), ["a", "b"]);
 }
+
+/// Returns a report of server `id` with the given software version.
+fn report_of_version(id: &str, sequence: u64, version: &str) -> (String, ServerRecord) {
+    let entry = ServerEntry {
+        software_version: Some(version.to_owned()),
+        ..entry(sequence, false, 1)
+    };
+    (id.to_owned(), ServerRecord::Report(entry))
+}
+
+#[test]
+fn the_only_software_version_is_known_from_the_first_read_of_the_list() {
+    let catalog = new_catalog();
+    let now = BootInstant::now();
+    catalog.record_list_read(now, false);
+    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], now);
+
+    assert_eq!(catalog.only_version("app", now).as_deref(), Some("v1"));
+    let before = now.before(Duration::from_millis(1));
+    assert_eq!(catalog.only_version("app", before), None);
+    assert_eq!(catalog.only_version("other", now), None);
+}
+
+#[test]
+fn a_software_version_counts_until_its_last_server_has_left_for_long_enough() {
+    let catalog = new_catalog();
+    let start = BootInstant::now();
+    let second = |number| start.plus(Duration::from_secs(number));
+    catalog.record_list_read(start, false);
+    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], start);
+    catalog.apply_servers(vec![report_of_version("b", 1, "v2")], second(1));
+    catalog.apply_servers(vec![removed("a")], second(2));
+
+    assert_eq!(catalog.only_version("app", second(2)), None);
+    assert_eq!(
+        catalog.only_version("app", second(3)).as_deref(),
+        Some("v2")
+    );
+}
+
+#[test]
+fn a_software_version_that_came_and_went_between_two_reads_counts() {
+    let catalog = new_catalog();
+    let now = BootInstant::now();
+    catalog.record_list_read(now, true);
+    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], now);
+
+    catalog.apply_servers(vec![report_of_version("b", 1, "v2"), removed("b")], now);
+
+    assert_eq!(catalog.only_version("app", now), None);
+}
+
+#[test]
+fn software_versions_are_not_known_across_a_gap_in_the_reads_of_the_list() {
+    let catalog = new_catalog();
+    let start = BootInstant::now();
+    catalog.record_list_read(start, false);
+    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], start);
+    let after_gap = start.plus(MAX_LIST_GAP * 2);
+    catalog.record_list_read(after_gap, true);
+    let with_all_changes = catalog.only_version("app", start);
+    let after_gap = after_gap.plus(MAX_LIST_GAP * 2);
+    catalog.record_list_read(after_gap, false);
+
+    assert_eq!(with_all_changes.as_deref(), Some("v1"));
+    assert_eq!(catalog.only_version("app", start), None);
+    assert_eq!(
+        catalog.only_version("app", after_gap).as_deref(),
+        Some("v1")
+    );
+}
+
+#[test]
+fn a_restarted_gateway_knows_the_software_versions_that_its_peer_knows() {
+    let catalog = new_catalog();
+    let now = BootInstant::now();
+    let earlier = |seconds| now.before(Duration::from_secs(seconds));
+    catalog.record_list_read(now, false);
+    catalog.apply_servers(vec![report_of_version("a", 1, "v2")], now);
+    let former = FormerVersion {
+        service: "app".to_owned(),
+        software_version: Some("v1".to_owned()),
+        unlisted_at: earlier(20),
+    };
+
+    catalog.adopt_version_history(earlier(60), vec![former]);
+
+    assert_eq!(
+        catalog.only_version("app", earlier(10)).as_deref(),
+        Some("v2")
+    );
+    assert_eq!(catalog.only_version("app", earlier(30)), None);
+    assert_eq!(catalog.only_version("app", earlier(90)), None);
+}
--- /dev/null
+++ b/src/catalog/version_history.rs
@@ -0,0 +1,145 @@
+//! The software versions that served each service recently.
+
+use super::roster::BackendServer;
+use super::roster::ServerEntry;
+use crate::clock::BootInstant;
+use std::time::Duration;
+
+/// Time for which a software version that is no longer listed is remembered.
+pub const VERSION_MEMORY: Duration = Duration::from_secs(600);
+
+/// Name of a service and a software version of it; `None` if the version is unknown.
+pub type ServiceVersion = (String, Option<String>);
+
+/// A software version that no listed server of its service has any more.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FormerVersion {
+    /// Name of the service.
+    pub service: String,
+    /// The version; `None` if it is unknown.
+    pub software_version: Option<String>,
+    /// When the last server of this version left the list.
+    pub unlisted_at: BootInstant,
+}
+
+/// The software versions on the server list since a point in time.
+///
+/// A stream goes on only at the software version that began it (`docs/PLATFORM.md`). Where a service has had a single
+/// version for longer than any stream lasts, that is the version of each of its streams.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    /// Time since which the list has been followed without a gap; `None` before its first read.
+    known_since: Option<BootInstant>,
+    /// Versions of the listed servers, sorted, each once.
+    listed: Vec<ServiceVersion>,
+    former: Vec<FormerVersion>,
+}
+
+impl VersionHistory {
+    /// Records that the list has been followed only since `read_at`: it was read for the first time, or after a gap in
+    /// which servers may have come and gone.
+    pub fn restart(&mut self, read_at: BootInstant) {
+        self.known_since = Some(read_at);
+    }
+
+    /// Records a server's report, which may be followed by its removal before the list is next recorded.
+    pub fn record_report(&mut self, entry: &ServerEntry, now: BootInstant) {
+        let version = (entry.service.clone(), entry.software_version.clone());
+        if self.listed.binary_search(&version).is_err() {
+            let (service, software_version) = version;
+            self.former.push(FormerVersion {
+                service,
+                software_version,
+                unlisted_at: now,
+            });
+            self.forget(now);
+        }
+    }
+
+    /// Records the servers that are listed from `now` on.
+    pub fn record_list(&mut self, servers: &[BackendServer], now: BootInstant) {
+        let version = |server: &BackendServer| {
+            let entry = &server.entry;
+            (entry.service.clone(), entry.software_version.clone())
+        };
+        let mut listed: Vec<ServiceVersion> = servers.iter().map(version).collect();
+        listed.sort();
+        listed.dedup();
+        for (service, software_version) in std::mem::replace(&mut self.listed, listed) {
+            self.former.push(FormerVersion {
+                service,
+                software_version,
+                unlisted_at: now,
+            });
+        }
+        self.forget(now);
+    }
+
+    /// Adds what a peer knows: it has followed the list since `known_since`, and `versions` are those that it has seen
+    /// there since, each with the time at which it was last listed. Has no effect before the first read of the list.
+    pub fn adopt(
+        &mut self,
+        known_since: BootInstant,
+        versions: Vec<FormerVersion>,
+        now: BootInstant,
+    ) {
+        self.known_since = self.known_since.map(|own| own.min(known_since));
+        self.former.extend(versions);
+        self.forget(now);
+    }
+
+    /// Returns the versions of the listed servers with their services, sorted, each once.
+    pub fn listed(&self) -> &[ServiceVersion] {
+        &self.listed
+    }
+
+    /// Returns the time since which the list has been followed without a gap, if it has been read.
+    pub fn known_since(&self) -> Option<BootInstant> {
+        self.known_since
+    }
+
+    /// Returns the versions that left the list.
+    pub fn former(&self) -> &[FormerVersion] {
+        &self.former
+    }
+
+    /// Returns the version that all servers of `service` have had since `since`; `None` if there were several, or if
+    /// the list or a version is not known for that long.
+    pub fn only_version(&self, service: &str, since: BootInstant) -> Option<&str> {
+        if self.known_since? > since {
+            return None;
+        }
+        let listed = self.listed.iter().filter(|(name, _)| name == service);
+        let former = self
+            .former
+            .iter()
+            .filter(|former| former.service == service && former.unlisted_at >= since);
+        let mut versions = listed
+            .map(|(_, version)| version)
+            .chain(former.map(|former| &former.software_version));
+        let first = versions.next()?;
+        if versions.all(|version| version == first) {
+            first.as_deref()
+        } else {
+            None
+        }
+    }
+
+    /// Drops former versions that are listed again or older than [`VERSION_MEMORY`], and all but the newest of each.
+    fn forget(&mut self, now: BootInstant) {
+        let listed = &self.listed;
+        self.former.retain(|former| {
+            let version = (former.service.clone(), former.software_version.clone());
+            now.since(former.unlisted_at) < VERSION_MEMORY
+                && listed.binary_search(&version).is_err()
+        });
+        self.former.sort_by(|a, b| {
+            let name =
+                |former: &FormerVersion| (former.service.clone(), former.software_version.clone());
+            (name(a), b.unlisted_at).cmp(&(name(b), a.unlisted_at))
+        });
+        self.former.dedup_by(|later, first| {
+            later.service == first.service && later.software_version == first.software_version
+        });
+    }
+}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -60,6 +60,11 @@
             parts: &self.metadata.parts,
             salt: self.salt,
         };
+        let (servers, server_views): (Vec<&BackendServer>, Vec<ServerView<'_>>) = servers
+            .iter()
+            .zip(server_views)
+            .filter(|(server, _)| self.has_stream_version(server))
+            .unzip();
         let Some(choice) = placement.choose(&placement_request, &server_views) else {
             return Err(self.no_server_refusal("no server"));
         };
@@ -78,13 +83,14 @@
         self.report.servers.contains(&server.id)
     }
 
-    /// Returns whether the service has a server that is not draining and has not been sent the request yet. If there is
-    /// none, the request is not retried, and the caller gets the result of the last send.
+    /// Returns whether the service has a server of the stream's software version that is not draining and has not been
+    /// sent the request yet. If there is none, the request is not retried, and the caller gets the result of the last
+    /// send.
     pub(super) fn has_untried_server(&self) -> bool {
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
-        servers
-            .iter()
-            .any(|server| !server.entry.is_draining && !self.is_tried(server))
+        servers.iter().any(|server| {
+            !server.entry.is_draining && !self.is_tried(server) && self.has_stream_version(server)
+        })
     }
 
     /// Records the request in the load statistics of its service, and returns whether it is admitted at the present
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use super::refusal::Refusal;
 use super::report::RequestReport;
 use super::stream;
+use super::stream_version::StreamVersion;
 use crate::catalog::RetryMode;
 use crate::catalog::Route;
 use crate::catalog::Service;
@@ -65,6 +66,8 @@
     team: Option<String>,
     /// Hash of the request id, the same on every node; used for choices that must be spread evenly over requests.
     pub(super) salt: u64,
+    /// Software version that servers of the stream must have.
+    pub(super) stream_version: StreamVersion,
     /// End of the time that the caller announced or of the route's timeout, whichever is earlier.
     pub(super) deadline: Instant,
     /// Rank of the team, or of the route if the team has none; 0 is the most urgent.
@@ -184,6 +187,7 @@
             metadata,
             team,
             salt,
+            stream_version: StreamVersion::Any,
             rank,
             sends: 0,
             last_send: LastSend {
@@ -197,6 +201,9 @@
     }
 
     pub(super) async fn run(mut self) -> Result<Response<Body>, FailedExchange> {
+        if let Err(refusal) = self.resolve_stream_version().await {
+            return Err(Box::new((refusal, self.report)));
+        }
         loop {
             let response = match self.next_response(None).await {
                 Ok(response) => response,
@@ -480,11 +487,13 @@
     }
 
     /// Returns the time without an event after which a resumable stream continues at another server, or `None` if it
-    /// may not continue.
+    /// may not continue or there is no such server.
     pub(super) fn stall_limit(&self) -> Option<Duration> {
-        let is_resumable = self.route.retry_mode == RetryMode::ResumableStream;
+        let may_continue = self.route.retry_mode == RetryMode::ResumableStream
+            && self.sends < self.route.max_attempts
+            && self.has_untried_server();
         let limit = (self.route.gap_target * FAILOVER_TIMEOUT_FACTOR).max(MIN_FAILOVER_TIMEOUT);
-        (is_resumable && self.sends < self.route.max_attempts).then_some(limit)
+        may_continue.then_some(limit)
     }
 }
 
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -26,6 +26,7 @@
 use crate::net::CollectError;
 use crate::net::Handler;
 use crate::net::collect;
+use crate::peers::StreamDirectory;
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::Response;
@@ -66,6 +67,8 @@
     pub(super) admission_stats: AdmissionStats,
     /// Returns the number of nodes that share the fixed part of the retry budget; unset until the peers have started.
     pub(super) node_count: OnceLock<Arc<dyn Fn() -> u32 + Send + Sync>>,
+    /// Knows the software versions at which streams began; unset until the peers have started.
+    pub(super) streams: OnceLock<Arc<dyn StreamDirectory>>,
     /// Chooses among the servers of an engine service.
     pub(super) engines: EnginePlacement,
     /// Chooses among the servers of a plain service.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod report;
 mod settings;
 mod stream;
+mod stream_version;
 #[cfg(test)]
 mod tests;
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -215,8 +215,9 @@
             address: host.peer_address,
             cause,
         })?;
-        // Can't fail: it is set nowhere else.
+        // Can't fail: they are set nowhere else.
         let _ = gateway.node_count.set(peers.counter());
+        let _ = gateway.streams.set(peers.streams());
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
         info!(logs.log(), "started"; "version" => env!("CARGO_PKG_VERSION"),
             "data_centre" => &host.data_centre, "callers" => %host.caller_address);
@@ -293,6 +294,7 @@
         runtime_settings: Mutex::new(runtime_settings(bounds)),
         admission_stats: AdmissionStats::default(),
         node_count: OnceLock::new(),
+        streams: OnceLock::new(),
         engines: EnginePlacement::default(),
         plain: PlainPlacement::default(),
         admission: Admission::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -83,6 +83,9 @@
     };
     exchange.report.record_first_byte();
     exchange.report.record_event(last_id);
+    if first_events.is_some() {
+        exchange.record_stream_start();
+    }
     let mut response = Response::new(());
     *response.status_mut() = status;
     *response.headers_mut() = server_stream.headers.clone();
--- /dev/null
+++ b/src/gateway/stream_version.rs
@@ -0,0 +1,97 @@
+//! Keeps a stream at the software version that began it, within one response and over a caller's attempts.
+//!
+//! What servers of two software versions write does not fit together, and servers don't check it. A request that resumes
+//! a stream is therefore refused unless the version is known (`docs/PLATFORM.md`).
+
+use super::choice::hash_request_id;
+use super::exchange::Exchange;
+use super::refusal::Refusal;
+use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
+use crate::peers::StreamKey;
+
+/// Number of times that a request waits for another gateway's knowledge of its stream, one sync interval each: a record
+/// reaches the relay within one, and a gateway that has just started needs another to connect to its peers.
+const MAX_WAITS: u32 = 2;
+
+/// The software version that the servers of a request must have.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum StreamVersion {
+    /// The caller has no event of the stream, so any version may begin it.
+    Any,
+    /// The caller has events of this version.
+    Only(String),
+    /// The caller has events of an unknown version, so no server may continue the stream.
+    Unknown,
+}
+
+impl Exchange {
+    /// Finds the software version of the stream that the caller resumes, if it resumes one.
+    ///
+    /// Refuses the request if the version is unknown.
+    pub(super) async fn resolve_stream_version(&mut self) -> Result<(), Refusal> {
+        let Some(resumed_stream) = &self.metadata.resumed_stream else {
+            return Ok(());
+        };
+        if !self.route.retry_mode.is_stream() {
+            return Ok(());
+        }
+        let stream = resumed_stream.first_attempt.as_deref().map(hash_request_id);
+        let mut version = self.find_version(stream).await;
+        for _ in 0..MAX_WAITS {
+            if version.is_none()
+                && let Some(streams) = self.gateway.streams.get()
+            {
+                streams.wait_for_records().await;
+                version = self.find_version(stream).await;
+            }
+        }
+        match version {
+            Some(version) => {
+                self.stream_version = StreamVersion::Only(version);
+                Ok(())
+            }
+            None => Err(self.no_server_refusal("stream of unknown version")),
+        }
+    }
+
+    /// Returns the version at which `stream` began, from the records of gateways or because no other version has served
+    /// lately. `stream` is `None` if the caller doesn't name it.
+    async fn find_version(&self, stream: Option<StreamKey>) -> Option<String> {
+        if let (Some(stream), Some(streams)) = (stream, self.gateway.streams.get()) {
+            let version = streams.find(stream).await;
+            if version.is_some() {
+                return version;
+            }
+        }
+        // The server that the stream broke off at was listed then, and callers don't wait longer than the timeout.
+        let since = BootInstant::now().before(self.route.timeout);
+        self.gateway.catalog.only_version(&self.service_name, since)
+    }
+
+    /// Records that the caller gets the first event of the stream, from the server that the request was last sent to.
+    pub(super) fn record_stream_start(&mut self) {
+        if self.stream_version != StreamVersion::Any {
+            return;
+        }
+        let version = self.report.software_versions.last();
+        let Some(version) = version.filter(|version| !version.is_empty()) else {
+            self.stream_version = StreamVersion::Unknown;
+            return;
+        };
+        if let Some(streams) = self.gateway.streams.get() {
+            let lifetime = self.metadata.time_left.unwrap_or(self.route.timeout);
+            streams.record(self.salt, version, lifetime);
+        }
+        self.stream_version = StreamVersion::Only(version.clone());
+    }
+
+    /// Returns whether `server` may be sent the request as far as its software version is concerned.
+    pub(super) fn has_stream_version(&self, server: &BackendServer) -> bool {
+        match &self.stream_version {
+            StreamVersion::Any => true,
+            StreamVersion::Only(version) => server.entry.software_version.as_ref() == Some(version),
+            StreamVersion::Unknown => false,
+        }
+    }
+}
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -1,12 +1,12 @@
 //! Outgoing connection to another gateway, for sync requests.
 
 use super::directory::NodeEntry;
-use super::message::SyncRequest;
-use super::message::SyncResponse;
 use super::message::decode;
 use super::message::encode;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
@@ -40,7 +40,10 @@
     }
 
     /// Sends one request and waits for its response.
-    pub(super) async fn request(&mut self, request: &SyncRequest) -> Result<SyncResponse, String> {
+    pub(super) async fn request<Q: Serialize, R: DeserializeOwned>(
+        &mut self,
+        request: &Q,
+    ) -> Result<R, String> {
         let bytes = encode(request)?;
         let exchange = async {
             let sent = self.socket.send(Message::binary(bytes)).await;
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -1,8 +1,12 @@
 //! Messages between gateways, in CBOR over WebSocket.
 
 use super::directory::NodeEntry;
+use super::streams::StreamRecords;
+use crate::catalog::FormerVersion;
 use crate::catalog::Position;
 use crate::catalog::ServerEntry;
+use crate::catalog::VersionHistory;
+use crate::clock::BootInstant;
 use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
@@ -11,6 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::io::Read;
+use std::time::Duration;
 
 /// Maximum size of a decompressed message; bounds the memory that a corrupt one can use.
 const MAX_UNPACKED_BYTES: u64 = 32 * 1024 * 1024;
@@ -56,6 +61,57 @@
     pub(super) servers_stamp: Option<Stamp>,
     /// Stamp of the last node list that the requesting node received on this connection.
     pub(super) nodes_stamp: Option<Stamp>,
+    /// Streams that began at the requesting node or, in a request to the relay of another data centre, anywhere in the
+    /// requesting node's data centre.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) streams: Vec<StreamRecords>,
+    /// Whether the requesting node has followed the server list for so short a time that it asks for its history.
+    #[serde(default)]
+    pub(super) wants_version_history: bool,
+}
+
+/// The software versions on the server list and those that left it, as sent between gateways.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct SyncedVersionHistory {
+    /// Time for which the responding node has followed the list without a gap.
+    pub(super) known_for_ms: u64,
+    /// Service, version and time in milliseconds since the version was last listed.
+    pub(super) versions: Vec<(String, Option<String>, u64)>,
+}
+
+impl SyncedVersionHistory {
+    /// Converts the history for a message; returns `None` if the list has not been read.
+    pub(super) fn new(history: &VersionHistory, now: BootInstant) -> Option<Self> {
+        let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let former = history.former().iter().map(|former| {
+            let age_ms = age_ms(former.unlisted_at);
+            (
+                former.service.clone(),
+                former.software_version.clone(),
+                age_ms,
+            )
+        });
+        let listed = history.listed().iter().cloned();
+        let listed = listed.map(|(service, software_version)| (service, software_version, 0));
+        Some(Self {
+            known_for_ms: age_ms(history.known_since()?),
+            versions: former.chain(listed).collect(),
+        })
+    }
+
+    /// Converts the history received at `now`: when the peer began to follow the list, and when each version was last
+    /// listed. The message was under way, so all are taken for later than they were.
+    pub(super) fn into_parts(self, now: BootInstant) -> (BootInstant, Vec<FormerVersion>) {
+        let at = |age_ms| now.before(Duration::from_millis(age_ms));
+        let versions = self.versions.into_iter();
+        let former = versions.map(|(service, software_version, age_ms)| FormerVersion {
+            service,
+            software_version,
+            unlisted_at: at(age_ms),
+        });
+        (at(self.known_for_ms), former.collect())
+    }
 }
 
 /// Version of a list held by one process; versions of different processes are not comparable.
@@ -109,6 +165,9 @@
     pub(super) nodes: Option<Vec<NodeEntry>>,
     /// Loads of every data centre.
     pub(super) centres: Vec<CentreLoads>,
+    /// Earlier software versions on the server list, if the requester asks for them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) version_history: Option<SyncedVersionHistory>,
 }
 
 /// Encodes a message as CBOR.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod node;
 mod serve;
+mod streams;
 #[cfg(test)]
 mod tests;
 
@@ -22,3 +23,5 @@
 pub use node::OwnLoads;
 pub use node::PeerSettings;
 pub use node::Peers;
+pub use streams::StreamDirectory;
+pub use streams::StreamKey;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -13,12 +13,17 @@
 use super::message::Stamp;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
+use super::message::SyncedVersionHistory;
 use super::message::pack;
 use super::message::unpack;
 use super::serve;
+use super::streams::RecordSource;
+use super::streams::StreamDirectory;
+use super::streams::StreamTable;
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Configuration;
+use crate::catalog::VERSION_MEMORY;
 use crate::clock::BootInstant;
 use crate::decide::relay_order;
 use crate::decide::sync_sources;
@@ -38,7 +43,7 @@
 use tokio::task::JoinHandle;
 
 /// Time between two sync requests; the load of a backend server changes by about one request in that time.
-const SYNC_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const SYNC_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time between two reads of the node list from the directory by a relay.
 const NODE_LIST_INTERVAL: Duration = Duration::from_secs(6);
 /// Time during which a node that failed to answer, or can't serve as a source, is not contacted again.
@@ -80,6 +85,7 @@
     pub(super) own: NodeEntry,
     pub(super) catalog: Arc<Catalog>,
     pub(super) load_table: LoadTable,
+    pub(super) streams: StreamTable,
     pub(super) logs: Logs,
     nodes: Mutex<Nodes>,
     /// Nodes that failed to answer the last request or can't serve as a source, each with the time at which this was
@@ -87,6 +93,8 @@
     unreachable: Mutex<Vec<(String, BootInstant)>>,
     /// Last configuration packed for a response, with its version.
     packed: Mutex<Option<(u64, Bytes)>>,
+    /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
+    backup_centre: Option<String>,
     is_relay: Arc<AtomicBool>,
     own_loads: OwnLoads,
     other_loads: OtherLoads,
@@ -196,6 +204,19 @@
         first.is_some_and(|first| first.name != relay.name)
     }
 
+    /// Returns the first reachable relay of each data centre, this node excluded.
+    pub(super) fn other_relays(&self) -> Vec<NodeEntry> {
+        let (nodes, _) = self.nodes();
+        let mut data_centres: Vec<&str> =
+            nodes.iter().map(|node| node.data_centre.as_str()).collect();
+        data_centres.sort_unstable();
+        data_centres.dedup();
+        let relays = data_centres
+            .into_iter()
+            .filter_map(|data_centre| self.first_relay(data_centre));
+        relays.filter(|relay| relay.name != self.own.name).collect()
+    }
+
     /// Sets whether this node is the relay and logs a change of its role.
     fn set_relay(&self, is_relay: bool) {
         if self.is_relay.swap(is_relay, Ordering::Relaxed) != is_relay {
@@ -229,6 +250,23 @@
                 .map(|configuration| configuration.version()),
             servers_stamp: received.servers,
             nodes_stamp: received.nodes,
+            // The caller sets this to the records that the receiver does not have yet.
+            streams: Vec::new(),
+            wants_version_history: self.wants_version_history(),
+        }
+    }
+
+    /// Returns whether this node has followed the server list for less than [`VERSION_MEMORY`].
+    fn wants_version_history(&self) -> bool {
+        let known_since = self.catalog.version_history().known_since();
+        known_since.is_none_or(|at| BootInstant::now().since(at) < VERSION_MEMORY)
+    }
+
+    /// Adds the software versions that a peer has seen on the server list.
+    fn apply_version_history(&self, history: Option<SyncedVersionHistory>) {
+        if let Some(history) = history {
+            let (known_since, versions) = history.into_parts(BootInstant::now());
+            self.catalog.adopt_version_history(known_since, versions);
         }
     }
 
@@ -301,6 +339,7 @@
                 }
             }
         }
+        self.apply_version_history(response.version_history);
         if let Some(nodes) = response.nodes {
             self.apply_node_list(nodes);
             received.nodes = Some(response.nodes_stamp);
@@ -353,14 +392,17 @@
         loads: (OwnLoads, OtherLoads),
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.own.address).await?;
+        let backup_centre = backup_centre(&settings.data_centres, &settings.own.data_centre);
         let shared = Arc::new(Shared {
             own: settings.own,
             catalog: Arc::clone(catalog),
             load_table: LoadTable::default(),
+            streams: StreamTable::default(),
             logs: logs.clone(),
             nodes: Mutex::default(),
             unreachable: Mutex::default(),
             packed: Mutex::default(),
+            backup_centre,
             is_relay,
             own_loads: loads.0,
             other_loads: loads.1,
@@ -389,6 +431,11 @@
         })
     }
 
+    /// Returns the directory of the streams that began at any gateway.
+    pub fn streams(&self) -> Arc<dyn StreamDirectory> {
+        Arc::clone(&self.shared) as Arc<dyn StreamDirectory>
+    }
+
     /// Returns a function that returns the number of gateways on the last known node list, this one included.
     pub fn counter(&self) -> Arc<dyn Fn() -> u32 + Send + Sync> {
         let shared = Arc::clone(&self.shared);
@@ -407,6 +454,15 @@
     }
 }
 
+/// Returns the data centre after `own` in alphabetical order, and the first one after the last; `None` if there is only
+/// one.
+fn backup_centre(data_centres: &[String], own: &str) -> Option<String> {
+    let mut others: Vec<&String> = data_centres.iter().filter(|name| *name != own).collect();
+    others.sort();
+    let next = others.iter().find(|name| name.as_str() > own);
+    next.or(others.first()).map(|name| (*name).clone())
+}
+
 /// Registers this node in the directory, retrying until that succeeds, then keeps the node list current.
 ///
 /// The list is read once at the start and then only while this node is the relay; others receive it from their relay.
@@ -508,12 +564,16 @@
 async fn sync_with(shared: &Shared, node: &NodeEntry, asks_all_nodes: bool) -> Result<(), String> {
     let mut link = Link::open(node).await?;
     let mut received = ReceivedStamps::default();
+    let mut next_record = 0;
     let began = BootInstant::now();
     loop {
         let sent_at = BootInstant::now();
         let own = (shared.own_loads)();
         let mut request = shared.sync_request(own.clone(), &received);
         request.is_disconnected = asks_all_nodes;
+        let sources = [RecordSource::Own];
+        (request.streams, next_record) =
+            shared.streams.records_from(next_record, &sources, sent_at);
         let response = link.request(&request).await?;
         if shared.is_unusable_source(&response) {
             return Err("peer cannot reach the store".to_owned());
@@ -552,11 +612,20 @@
     let mut link = Link::open(node).await?;
     // Stays empty, since the relay of another data centre returns only loads, and no lists.
     let received = ReceivedStamps::default();
+    let sources = [RecordSource::Own, RecordSource::Member];
+    let mut next_record = 0;
     let began = BootInstant::now();
     while shared.is_relay.load(Ordering::Relaxed) {
-        let loads = shared.load_table.own_centre(BootInstant::now());
-        let response = link.request(&shared.sync_request(loads, &received)).await?;
+        let now = BootInstant::now();
+        let loads = shared.load_table.own_centre(now);
+        let mut request = shared.sync_request(loads, &received);
+        if shared.backup_centre.as_deref() == Some(data_centre) {
+            (request.streams, next_record) =
+                shared.streams.records_from(next_record, &sources, now);
+        }
+        let response: SyncResponse = link.request(&request).await?;
         shared.mark_reachable(node);
+        shared.apply_version_history(response.version_history);
         let theirs = response
             .centres
             .into_iter()
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -3,9 +3,13 @@
 use super::message::SyncRequest;
 use super::message::SyncResponse;
 use super::message::SyncedServer;
+use super::message::SyncedVersionHistory;
 use super::message::decode;
 use super::message::encode;
 use super::node::Shared;
+use super::streams::RecordSource;
+use super::streams::StreamLookup;
+use super::streams::StreamLookupResponse;
 use crate::clock::BootInstant;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -58,8 +62,14 @@
         let Message::Binary(bytes) = message else {
             continue;
         };
-        let request: SyncRequest = decode(&bytes)?;
-        let response = encode(&respond(shared, request))?;
+        let response = match decode::<SyncRequest>(&bytes) {
+            Ok(request) => encode(&respond(shared, request))?,
+            Err(cause) => {
+                let lookup: StreamLookup = decode(&bytes).map_err(|_| cause)?;
+                let software_version = shared.streams.find(lookup.stream, BootInstant::now());
+                encode(&StreamLookupResponse { software_version })?
+            }
+        };
         let sending = socket.send(Message::binary(response));
         let sent = tokio::time::timeout(IDLE_TIMEOUT, sending).await;
         sent.map_err(|_| "timed out sending the response".to_owned())?
@@ -81,6 +91,15 @@
             .load_table
             .record_centre(&request.data_centre, request.loads, now);
     }
+    let source = if is_member {
+        RecordSource::Member
+    } else {
+        RecordSource::OtherCentre
+    };
+    shared.streams.record_received(request.streams, source, now);
+    let version_history = request
+        .wants_version_history
+        .then(|| SyncedVersionHistory::new(&shared.catalog.version_history(), now));
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     let configuration = shared.catalog.configuration();
     let config_version = configuration
@@ -115,5 +134,6 @@
         nodes_stamp,
         nodes: wants_nodes.then_some(nodes),
         centres: shared.load_table.all_centres(&shared.own.data_centre, now),
+        version_history: version_history.flatten(),
     }
 }
--- /dev/null
+++ b/src/peers/streams.rs
@@ -0,0 +1,247 @@
+//! The software versions at which streams began, kept by several gateways so that a stream outlives its gateway.
+//!
+//! A gateway records each stream that it begins and sends its records to the relay of its data centre with the next sync
+//! request. The relay sends those of its data centre to the relay of one other data centre. A gateway at which a caller
+//! resumes a stream asks all relays. A record that is lost costs a refusal, never a wrong version.
+
+use super::directory::NodeEntry;
+use super::link::Link;
+use super::node::SYNC_INTERVAL;
+use super::node::Shared;
+use crate::clock::BootInstant;
+use async_trait::async_trait;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Maximum number of records kept; the oldest are dropped first.
+const MAX_RECORDS: usize = 200_000;
+/// Maximum number of records in one message; the others follow in the next ones.
+const MAX_RECORDS_SENT: usize = 2_000;
+/// Maximum time for which a record is kept, whatever its caller announces.
+const MAX_LIFETIME: Duration = Duration::from_secs(120);
+/// Time within which a relay must answer whether it knows a stream.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Identifies a stream: the hash of the id of the attempt that brought its first event.
+pub type StreamKey = u64;
+
+/// Knows the software versions at which streams began.
+#[async_trait]
+pub trait StreamDirectory: Send + Sync {
+    /// Records that `stream` began at this gateway at a server of `software_version`. Its caller may resume it for
+    /// `lifetime`.
+    fn record(&self, stream: StreamKey, software_version: &str, lifetime: Duration);
+
+    /// Returns the software version at which `stream` began, from this gateway's records or those of the relays; `None`
+    /// if none of them answers that it knows the stream.
+    async fn find(&self, stream: StreamKey) -> Option<String>;
+
+    /// Waits until the records that other gateways had at the time of the call have reached their relay.
+    async fn wait_for_records(&self);
+}
+
+/// Records of streams of one software version, as sent between gateways.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct StreamRecords {
+    pub(super) software_version: String,
+    /// Each stream with the time in milliseconds for which its record is kept.
+    pub(super) streams: Vec<(StreamKey, u32)>,
+}
+
+/// Request for the software version at which a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct StreamLookup {
+    pub(super) stream: StreamKey,
+}
+
+/// Response to a [`StreamLookup`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct StreamLookupResponse {
+    /// `None` if the responding gateway doesn't know the stream.
+    pub(super) software_version: Option<String>,
+}
+
+/// Where a record comes from, which decides to whom it is sent on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RecordSource {
+    /// The stream began at this gateway.
+    Own,
+    /// Received from a gateway that this one serves as relay.
+    Member,
+    /// Received from the relay of another data centre.
+    OtherCentre,
+}
+
+struct Row {
+    stream: StreamKey,
+    software_version: Arc<str>,
+    expires_at: BootInstant,
+    source: RecordSource,
+}
+
+#[derive(Default)]
+struct State {
+    /// Number of the first row. Rows are numbered in order of arrival, so that each receiver is sent the rows after the
+    /// last one that it got.
+    first_number: u64,
+    rows: VecDeque<Row>,
+}
+
+/// The records of one gateway, in order of arrival.
+#[derive(Default)]
+pub(super) struct StreamTable {
+    state: Mutex<State>,
+}
+
+impl StreamTable {
+    pub(super) fn record(
+        &self,
+        stream: StreamKey,
+        software_version: &str,
+        lifetime: Duration,
+        now: BootInstant,
+    ) {
+        let row = Row {
+            stream,
+            software_version: software_version.into(),
+            expires_at: now.plus(lifetime.min(MAX_LIFETIME)),
+            source: RecordSource::Own,
+        };
+        self.lock().add(row, now);
+    }
+
+    pub(super) fn record_received(
+        &self,
+        records: Vec<StreamRecords>,
+        source: RecordSource,
+        now: BootInstant,
+    ) {
+        let mut state = self.lock();
+        for records in records {
+            let software_version: Arc<str> = records.software_version.into();
+            for (stream, lifetime_ms) in records.streams {
+                let lifetime = Duration::from_millis(lifetime_ms.into());
+                let row = Row {
+                    stream,
+                    software_version: Arc::clone(&software_version),
+                    expires_at: now.plus(lifetime.min(MAX_LIFETIME)),
+                    source,
+                };
+                state.add(row, now);
+            }
+        }
+    }
+
+    /// Returns the software version of `stream`. Scans the records, since streams are rarely resumed.
+    pub(super) fn find(&self, stream: StreamKey, now: BootInstant) -> Option<String> {
+        let state = self.lock();
+        let found = state
+            .rows
+            .iter()
+            .rev()
+            .find(|row| row.stream == stream && row.expires_at > now);
+        found.map(|row| row.software_version.to_string())
+    }
+
+    /// Returns the records numbered from `first` on that come from one of `sources`, and the number to continue from.
+    pub(super) fn records_from(
+        &self,
+        first: u64,
+        sources: &[RecordSource],
+        now: BootInstant,
+    ) -> (Vec<StreamRecords>, u64) {
+        let state = self.lock();
+        let skipped =
+            usize::try_from(first.saturating_sub(state.first_number)).unwrap_or(usize::MAX);
+        let mut next = first.max(state.first_number);
+        let mut records: Vec<StreamRecords> = Vec::new();
+        for row in state.rows.iter().skip(skipped).take(MAX_RECORDS_SENT) {
+            next += 1;
+            if row.expires_at <= now || !sources.contains(&row.source) {
+                continue;
+            }
+            let lifetime_ms = row.expires_at.since(now).as_millis();
+            let stream = (row.stream, u32::try_from(lifetime_ms).unwrap_or(u32::MAX));
+            let known = records
+                .binary_search_by(|known| (*known.software_version).cmp(&*row.software_version));
+            match known {
+                Ok(index) => records[index].streams.push(stream),
+                Err(index) => records.insert(
+                    index,
+                    StreamRecords {
+                        software_version: row.software_version.to_string(),
+                        streams: vec![stream],
+                    },
+                ),
+            }
+        }
+        (records, next)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Adds a row, and drops rows from the front that have expired or are too many.
+    fn add(&mut self, row: Row, now: BootInstant) {
+        self.rows.push_back(row);
+        while self.rows.len() > MAX_RECORDS
+            || self.rows.front().is_some_and(|row| row.expires_at <= now)
+        {
+            self.rows.pop_front();
+            self.first_number += 1;
+        }
+    }
+}
+
+#[async_trait]
+impl StreamDirectory for Shared {
+    fn record(&self, stream: StreamKey, software_version: &str, lifetime: Duration) {
+        let now = BootInstant::now();
+        self.streams.record(stream, software_version, lifetime, now);
+    }
+
+    async fn find(&self, stream: StreamKey) -> Option<String> {
+        let known = self.streams.find(stream, BootInstant::now());
+        if known.is_some() {
+            return known;
+        }
+        let relays = self.other_relays();
+        let mut lookups: FuturesUnordered<_> = relays
+            .iter()
+            .map(|relay| tokio::time::timeout(LOOKUP_TIMEOUT, look_up(relay, stream)))
+            .collect();
+        while let Some(answer) = lookups.next().await {
+            if let Ok(Ok(StreamLookupResponse {
+                software_version: Some(software_version),
+            })) = answer
+            {
+                return Some(software_version);
+            }
+        }
+        None
+    }
+
+    async fn wait_for_records(&self) {
+        tokio::time::sleep(SYNC_INTERVAL).await;
+    }
+}
+
+/// Asks a relay for the software version at which `stream` began.
+async fn look_up(relay: &NodeEntry, stream: StreamKey) -> Result<StreamLookupResponse, String> {
+    let mut link = Link::open(relay).await?;
+    link.request(&StreamLookup { stream }).await
+}
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -6,6 +6,9 @@
 use super::message::LoadEntry;
 use super::message::pack;
 use super::message::unpack;
+use super::streams::RecordSource;
+use super::streams::StreamRecords;
+use super::streams::StreamTable;
 use crate::clock::BootInstant;
 use std::time::Duration;
 
@@ -63,3 +66,65 @@
         assert!(unpack::<Vec<LoadEntry>>(&packed[..end]).is_err());
     }
 }
+
+const LIFETIME: Duration = Duration::from_secs(10);
+
+fn stream_records(software_version: &str, streams: &[(u64, u32)]) -> StreamRecords {
+    StreamRecords {
+        software_version: software_version.to_owned(),
+        streams: streams.to_vec(),
+    }
+}
+
+#[test]
+fn each_record_of_a_stream_is_sent_once() {
+    let table = StreamTable::default();
+    let now = BootInstant::now();
+    table.record(1, "v2", LIFETIME, now);
+    table.record(2, "v1", LIFETIME, now);
+    let (first, next) = table.records_from(0, &[RecordSource::Own], now);
+    table.record(3, "v1", LIFETIME, now);
+
+    let (second, _) = table.records_from(next, &[RecordSource::Own], now);
+
+    assert_eq!(
+        first,
+        [
+            stream_records("v1", &[(2, 10_000)]),
+            stream_records("v2", &[(1, 10_000)])
+        ]
+    );
+    assert_eq!(second, [stream_records("v1", &[(3, 10_000)])]);
+}
+
+#[test]
+fn records_from_another_data_centre_are_found_but_not_sent_on() {
+    let table = StreamTable::default();
+    let now = BootInstant::now();
+    let received = vec![stream_records("v1", &[(1, 5_000)])];
+    table.record_received(received, RecordSource::OtherCentre, now);
+    let received = vec![stream_records("v2", &[(2, 5_000)])];
+    table.record_received(received, RecordSource::Member, now);
+
+    let sources = [RecordSource::Own, RecordSource::Member];
+    let (sent, _) = table.records_from(0, &sources, now);
+
+    assert_eq!(sent, [stream_records("v2", &[(2, 5_000)])]);
+    assert_eq!(table.find(1, now).as_deref(), Some("v1"));
+}
+
+#[test]
+fn an_expired_record_is_neither_found_nor_sent() {
+    let table = StreamTable::default();
+    let now = BootInstant::now();
+    table.record(1, "v1", LIFETIME, now);
+    table.record(2, "v1", LIFETIME * 3, now);
+
+    let later = now.plus(LIFETIME);
+    table.record(3, "v1", LIFETIME, later);
+
+    assert_eq!(table.find(1, later), None);
+    assert_eq!(table.find(2, later).as_deref(), Some("v1"));
+    let (sent, _) = table.records_from(0, &[RecordSource::Own], later);
+    assert_eq!(sent, [stream_records("v1", &[(2, 20_000), (3, 10_000)])]);
+}
