bench: fleets started by one process get folders of their own

Cause: the folder of a run was named by case, seed and process, so two tests of tests/path.rs that run at the same time wrote their nodes' settings over each other's; nodes then found their ports in use. Change: the name ends with the number of the fleet in its process.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -23,6 +23,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -48,6 +50,9 @@
 use crate::truth::Truth;
 use crate::wire::platform::Host;
 
+/// Number of fleets that this process has started.
+static STARTED_FLEETS: AtomicU32 = AtomicU32::new(0);
+
 /// Name of the callers and of the bench itself in the proxy.
 pub const CALLER: &str = "caller";
 /// Name of the log service in the proxy.
@@ -109,7 +114,10 @@
     ///
     /// Returns an error if a part of the fleet cannot be started. The parts started before it are stopped.
     pub async fn start(options: FleetOptions) -> Result<Fleet, FleetError> {
-        let run = format!("{}-{}-{}", options.case, options.seed, std::process::id());
+        // A process may start several fleets at the same time.
+        let number = STARTED_FLEETS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let run = format!("{}-{}-{process}-{number}", options.case, options.seed);
         let out = options.out.join(run);
         std::fs::create_dir_all(&out)
             .map_err(io_error(format!("create folder {}", out.display())))?;
