store: positions are of one era of the store

Cause: a store that comes back from a copy gives offsets out again. A gateway read on from its former offset once the topic had grown past it, missed what had been written below, and counted the configuration as verified; positions never went back. Change: a position holds the era that the store tells in its responses, and a later era is a later position whatever the offset. Gateways pass the era on with the offset, in a field of its own. The simulated store can be copied and restored.

--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -30,6 +30,8 @@
 use crate::standin::faults::FaultRate;
 use crate::truth::lock;
 
+/// Header that counts how often the store was restored from a copy.
+const ERA_HEADER: &str = "store-era";
 /// Maximum number of keys on one page of newest records.
 const PAGE_KEYS: usize = 500;
 /// Maximum size in KiB of the records that one read returns unless the call sets `max-kb`.
@@ -72,7 +74,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     /// Offset of the first retained record.
     first_offset: u64,
@@ -86,9 +88,15 @@
     faults: StoreFaults,
     /// Sorted by name.
     topics: Mutex<Vec<(String, Topic)>>,
+    /// Number of times that the store was restored from a copy.
+    era: AtomicU64,
     calls: AtomicU64,
 }
 
+/// The records of the store at some time.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(Vec<(String, Topic)>);
+
 /// The running store.
 #[derive(Debug)]
 pub struct StoreService {
@@ -107,7 +115,13 @@
         let handler_shared = Arc::clone(&shared);
         let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
             let shared = Arc::clone(&handler_shared);
-            Box::pin(async move { shared.handle(req).await })
+            Box::pin(async move {
+                let mut res = shared.handle(req).await?;
+                if !res.headers().contains_key(ERA_HEADER) {
+                    shared.set_era(&mut res);
+                }
+                Ok(res)
+            })
         });
         let server = Server::start(listen, handler).await?;
         Ok(Self { server, shared })
@@ -142,6 +156,18 @@
         });
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.shared.topics).clone())
+    }
+
+    /// Restores the records of `copy`; what was written since is lost, and its offsets are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut topics = lock(&self.shared.topics);
+        self.shared.era.fetch_add(1, Relaxed);
+        *topics = copy.0;
+    }
+
     /// Returns the keys of a topic, sorted.
     pub fn keys(&self, topic: &str) -> Vec<String> {
         self.shared.with_topic(topic, |topic| {
@@ -204,7 +230,7 @@
         f(&mut topics[i].1)
     }
 
-    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerResult {
+    async fn handle(self: &Arc<Self>, req: Request<Incoming>) -> HandlerResult {
         self.calls.fetch_add(1, Relaxed);
         match self.faults.refuse_with.load(Relaxed) {
             0 => {}
@@ -279,10 +305,16 @@
         })
     }
 
+    /// Sets the header that counts how often the store was restored. The responses to reads get it while the topics are
+    /// locked, so that it belongs to their records.
+    fn set_era(&self, res: &mut Response<ResponseBody>) {
+        http::set_header(res, ERA_HEADER, &self.era.load(Relaxed).to_string());
+    }
+
     /// Returns the records from offset `from` on, of at most `max_bytes` altogether but at least one.
     fn read(&self, topic: &str, from: u64, max_bytes: usize) -> Response<ResponseBody> {
         self.with_topic(topic, |topic| {
-            if from < topic.first_offset {
+            if from < topic.first_offset || from > topic.end_offset() {
                 return http::json(StatusCode::GONE, &json!({"first": topic.first_offset}));
             }
             let mut buf = BytesMut::new();
@@ -301,7 +333,9 @@
                 buf.put_u32(record.len() as u32);
                 buf.put_slice(record);
             }
-            Response::new(http::full(buf.freeze()))
+            let mut res = Response::new(http::full(buf.freeze()));
+            self.set_era(&mut res);
+            res
         })
     }
 
@@ -320,7 +354,9 @@
                 .collect();
             let has_more = later.count() > items.len();
             let page = json!({"items": items, "has-more": has_more, "end": topic.end_offset()});
-            http::json(StatusCode::OK, &page)
+            let mut res = http::json(StatusCode::OK, &page);
+            self.set_era(&mut res);
+            res
         })
     }
 }
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -44,8 +44,14 @@
 }
 
 /// Position up to which a source has been read. It means the same on every node, so one node can continue from the
-/// position of another.
-pub type Position = u64;
+/// position of another. Later positions are greater.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Number of times that the source was restored from a copy, after which it gives offsets out again.
+    pub era: u64,
+    /// Offset of the next record.
+    pub offset: u64,
+}
 
 /// Result of one read of the configuration source.
 #[derive(Debug)]
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -3,7 +3,6 @@
 use super::directory::NodeEntry;
 use super::streams::StreamRecords;
 use crate::catalog::FormerVersion;
-use crate::catalog::Position;
 use crate::catalog::ServerEntry;
 use crate::catalog::VersionHistory;
 use crate::clock::BootInstant;
@@ -146,15 +145,21 @@
     pub(super) config_age_ms: Option<u64>,
     /// Version of the configuration in force at the responding node.
     pub(super) config_version: Option<u64>,
-    /// Position up to which the responding node has read the configuration source.
-    pub(super) config_position: Option<Position>,
+    /// Offset up to which the responding node has read the configuration source.
+    pub(super) config_position: Option<u64>,
+    /// Era of that offset.
+    #[serde(default)]
+    pub(super) config_era: u64,
     /// Configuration encoded by [`pack`], if newer than the requester's. It is packed once and shared by all responses.
     pub(super) config: Option<Bytes>,
     /// Time since the start of the read from which the responding node's server list comes. That read may have been
     /// another node's.
     pub(super) servers_age_ms: Option<u64>,
-    /// Position in the list's source that corresponds to that read.
-    pub(super) servers_position: Option<Position>,
+    /// Offset in the list's source that corresponds to that read.
+    pub(super) servers_position: Option<u64>,
+    /// Era of that offset.
+    #[serde(default)]
+    pub(super) servers_era: u64,
     /// Stamp of the responding node's server list.
     pub(super) servers_stamp: Stamp,
     /// Complete list of backend servers, draining ones included, if its stamp differs from the requester's.
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -23,6 +23,7 @@
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Configuration;
+use crate::catalog::Position;
 use crate::catalog::VERSION_MEMORY;
 use crate::clock::BootInstant;
 use crate::decide::relay_order;
@@ -334,7 +335,9 @@
                 received.servers = Some(response.servers_stamp);
                 // Recorded so that this node reads on from where the peer's list ends when it reads the source itself,
                 // as the relay or because the data received from peers is stale.
-                if let Some(position) = response.servers_position {
+                if let Some(offset) = response.servers_position {
+                    let era = response.servers_era;
+                    let position = Position { era, offset };
                     self.catalog.record_servers_position(position);
                 }
             }
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -107,6 +107,8 @@
         .map(|configuration| configuration.version());
     let (servers, list_version) = shared.catalog.listed();
     let servers_stamp = shared.stamp(list_version);
+    let config_position = shared.catalog.config_position();
+    let servers_position = shared.catalog.servers_position();
     let (nodes, nodes_version) = shared.nodes();
     let nodes_stamp = shared.stamp(nodes_version);
     // The relay of another data centre reads the store itself, so it gets only the loads.
@@ -117,12 +119,14 @@
         is_disconnected: shared.catalog.is_disconnected(),
         config_age_ms: shared.catalog.config_age(now).map(millis),
         config_version,
-        config_position: shared.catalog.config_position(),
+        config_position: config_position.map(|position| position.offset),
+        config_era: config_position.unwrap_or_default().era,
         config: configuration
             .filter(|_| wants_config)
             .and_then(|configuration| shared.packed_configuration(&configuration)),
         servers_age_ms: shared.catalog.list_age(now).map(millis),
-        servers_position: shared.catalog.servers_position(),
+        servers_position: servers_position.map(|position| position.offset),
+        servers_era: servers_position.unwrap_or_default().era,
         servers_stamp,
         servers: wants_servers.then(|| {
             let synced = servers.iter().map(|server| SyncedServer {
