catalog: an older configuration in the store verifies none

Cause: a store that comes back from a copy may hold an older version until the operator writes the newer one again. The node kept the newer one, but counted it as verified, though a version that it had never seen could be among what was lost, with keys taken away. Change: a read whose newest version is older than the one in force verifies nothing and doesn't move the position, so each read finds it until the newer one is back. Keys then open nothing once the last verification is too old.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -306,11 +306,10 @@
     async fn read(&self, catalog: &Catalog, logs: &Logs) -> Result<(), SourceError> {
         let began = BootInstant::now();
         let (read, position) = self.0.read(catalog.config_position()).await?;
-        // Reading on after a record that can't be decoded would find no change and verify the configuration before it.
-        if !matches!(read, ConfigRead::Unusable(_)) {
+        // Reading on after a record that verifies nothing would find no change and verify the configuration in force.
+        if apply_config_read(catalog, logs, began, read) {
             catalog.record_config_position(position);
         }
-        apply_config_read(catalog, logs, began, read);
         Ok(())
     }
 
@@ -356,21 +355,32 @@
     }
 }
 
-fn apply_config_read(catalog: &Catalog, logs: &Logs, began: BootInstant, read: ConfigRead) {
+/// Applies a read of the configuration that began at `began`; returns whether it verified the configuration in force.
+fn apply_config_read(catalog: &Catalog, logs: &Logs, began: BootInstant, read: ConfigRead) -> bool {
     match read {
         ConfigRead::Found(configuration) => {
             let version = configuration.version();
             let routes = configuration.routes().len();
             let change = catalog.apply_config(configuration);
-            catalog.record_config_verified(began);
+            let in_force = catalog.configuration();
+            // A source that was restored from a copy may hold an older version until the newer one is written again.
+            let is_newest = in_force.is_none_or(|in_force| in_force.version() <= version);
+            if is_newest {
+                catalog.record_config_verified(began);
+            }
             let read_ms = BootInstant::now().since(began).as_millis() as u64;
             info!(logs.log(), "configuration read"; "version" => version, "routes" => routes,
                 "outcome" => change.as_str(), "read_ms" => read_ms);
+            is_newest
+        }
+        ConfigRead::Unchanged => {
+            catalog.record_config_verified(began);
+            true
         }
-        ConfigRead::Unchanged => catalog.record_config_verified(began),
         // The unreadable record may revoke keys, so the configuration in force is not verified as current.
         ConfigRead::Unusable(reason) => {
             warn!(logs.log(), "configuration unusable"; "cause" => reason);
+            false
         }
     }
 }
