catalog: servers that a restored store lost stay in use for the grace period

Cause: the list of a store that comes back from a copy lacks the servers that registered since; the node took them for gone at once, and callers got 503 until they had registered again. A report that is older than the known one is ignored, as before, so a draining server stays draining. Measured: servers_that_a_restored_store_lost_are_kept_for_a_grace_period failed before with 503 and passes.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -341,6 +341,11 @@
     async fn read(&self, catalog: &Catalog, logs: &Logs) -> Result<(), SourceError> {
         let began = BootInstant::now();
         let (read, position) = self.0.read(catalog.servers_position()).await?;
+        let known = catalog.servers_position();
+        if known.is_some_and(|known| known.era < position.era) {
+            catalog.start_list_grace();
+            warn!(logs.log(), "store restored from a copy"; "era" => position.era);
+        }
         apply_server_read(catalog, logs, began, read);
         catalog.record_servers_position(position);
         Ok(())
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -202,6 +202,13 @@
         state.list_read_at = Some(began);
     }
 
+    /// Starts the grace period because the source was restored from a copy, so entries of servers that still run may be
+    /// missing.
+    pub fn start_list_grace(&self) {
+        let mut state = self.lock();
+        state.grace_until = Some(BootInstant::now().plus(state.bounds.list_grace));
+    }
+
     /// Applies records of the server list; returns the names of the servers that changed.
     pub fn apply_servers(
         &self,
