peers: a gateway registers again when the node list has lost its entry

Cause: a store that comes back from a copy loses the entries of gateways that registered since; a gateway registered once, at its start, so the others never knew it again. Change: a gateway that is missing from the lists that it gets for twelve seconds, two reads by the relay, registers again. Measured: a_gateway_whose_entry_a_restored_store_lost_registers_again failed before (not within 20 s) and passes.

--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -47,6 +47,8 @@
 pub(super) const SYNC_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time between two reads of the node list from the directory by a relay.
 const NODE_LIST_INTERVAL: Duration = Duration::from_secs(6);
+/// Time within which a registered node appears in the lists that it receives: two reads by the relay.
+const REGISTRATION_LAG: Duration = Duration::from_secs(12);
 /// Time during which a node that failed to answer, or can't serve as a source, is not contacted again.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
 /// Minimum period of syncing or exchanging loads with one node, unless a request fails or, for an exchange, this node
@@ -107,6 +109,8 @@
     list: Vec<NodeEntry>,
     /// Raised at every change of the list.
     version: u64,
+    /// When a list first lacked this node's own entry; `None` if the last list had it.
+    unlisted_since: Option<BootInstant>,
 }
 
 impl Shared {
@@ -146,10 +150,13 @@
 
     /// Applies a node list; this node's own entry is always included, in its current form.
     fn apply_node_list(&self, mut list: Vec<NodeEntry>) {
+        let is_listed = list.contains(&self.own);
         list.retain(|node| node.name != self.own.name);
         list.push(self.own.clone());
         list.sort_by(|a, b| a.name.cmp(&b.name));
         let mut nodes = lock(&self.nodes);
+        let now = BootInstant::now();
+        nodes.unlisted_since = (!is_listed).then(|| nodes.unlisted_since.unwrap_or(now));
         if nodes.list != list {
             nodes.list = list;
             nodes.version += 1;
@@ -157,6 +164,13 @@
         }
     }
 
+    /// Returns whether the lists of the last [`REGISTRATION_LAG`] lacked this node's own entry, so that it must be
+    /// registered again.
+    fn is_unregistered(&self) -> bool {
+        let unlisted_since = lock(&self.nodes).unlisted_since;
+        unlisted_since.is_some_and(|since| BootInstant::now().since(since) > REGISTRATION_LAG)
+    }
+
     /// Records that `node` has just failed to answer or can't serve as a source; logs only the first time since it was
     /// last reachable.
     fn mark_unreachable(&self, node: &NodeEntry, cause: &str) {
@@ -466,17 +480,19 @@
     next.or(others.first()).map(|name| (*name).clone())
 }
 
-/// Registers this node in the directory, retrying until that succeeds, then keeps the node list current.
+/// Registers this node in the directory, retrying until that succeeds, then keeps the node list current. Registers it
+/// again if the directory has lost its entry.
 ///
 /// The list is read once at the start and then only while this node is the relay; others receive it from their relay.
 async fn follow_directory(shared: Arc<Shared>, directory: Arc<dyn NodeDirectory>) {
-    while let Err(err) = directory.announce(&shared.own, DIRECTORY_TIMEOUT).await {
-        warn!(shared.logs.log(), "node could not be registered in the node list"; "cause" => %err);
-        pause(MAX_DIRECTORY_PAUSE).await;
-    }
+    register(&shared, &*directory).await;
     let mut has_list = false;
     let mut is_unreachable = false;
     loop {
+        if shared.is_unregistered() {
+            register(&shared, &*directory).await;
+            lock(&shared.nodes).unlisted_since = None;
+        }
         if has_list && !shared.is_relay.load(Ordering::Relaxed) {
             pause(MAX_DIRECTORY_PAUSE).await;
             continue;
@@ -502,6 +518,13 @@
     }
 }
 
+async fn register(shared: &Shared, directory: &dyn NodeDirectory) {
+    while let Err(err) = directory.announce(&shared.own, DIRECTORY_TIMEOUT).await {
+        warn!(shared.logs.log(), "node could not be registered in the node list"; "cause" => %err);
+        pause(MAX_DIRECTORY_PAUSE).await;
+    }
+}
+
 /// Sleeps for 70 to 100 % of `time`, chosen at random, so that nodes that started together don't call the store
 /// together.
 async fn pause(time: Duration) {
