peers: a member goes on reading the configuration where its relay got to

Cause: the relay's position in the configuration was sent and not used, unlike that of the server list. A member that began to read for itself read the history since its own start, up to 1 MB, before the newest version. Change: with a verification by the relay a member takes over the relay's position, under the same condition.

--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -91,6 +91,8 @@
     /// Number of times that the store was restored from a copy.
     era: AtomicU64,
     calls: AtomicU64,
+    /// Bytes of records in responses to reads.
+    sent_bytes: AtomicU64,
 }
 
 /// The records of the store at some time.
@@ -142,6 +144,11 @@
         self.shared.calls.load(Relaxed)
     }
 
+    /// Returns the number of bytes in its responses to reads.
+    pub fn sent_bytes(&self) -> u64 {
+        self.shared.sent_bytes.load(Relaxed)
+    }
+
     /// Writes a record, as the operator or a backend server does; a value of `None` deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<&[u8]>) {
         let record = keyed_record(key, value.unwrap_or_default());
@@ -333,6 +340,7 @@
                 buf.put_u32(record.len() as u32);
                 buf.put_slice(record);
             }
+            self.sent_bytes.fetch_add(buf.len() as u64, Relaxed);
             let mut res = Response::new(http::full(buf.freeze()));
             self.set_era(&mut res);
             res
@@ -354,6 +362,8 @@
                 .collect();
             let has_more = later.count() > items.len();
             let page = json!({"items": items, "has-more": has_more, "end": topic.end_offset()});
+            let length = page.to_string().len() as u64;
+            self.sent_bytes.fetch_add(length, Relaxed);
             let mut res = http::json(StatusCode::OK, &page);
             self.set_era(&mut res);
             res
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -321,12 +321,18 @@
             .catalog
             .configuration()
             .map(|configuration| configuration.version());
-        // The peer verified its own version as current, so its verification does not hold for an older version here.
+        // The peer verified its own version as current, so its verification and its position do not hold for an older
+        // version here.
         if known >= response.config_version
             && let Some(age_ms) = response.config_age_ms
         {
             self.catalog
                 .record_config_verified(sent_at.before(Duration::from_millis(age_ms)));
+            if let Some(offset) = response.config_position {
+                let era = response.config_era;
+                let position = Position { era, offset };
+                self.catalog.record_config_position(position);
+            }
         }
         if let Some(age_ms) = response.servers_age_ms {
             let read_at = sent_at.before(Duration::from_millis(age_ms));
