gateway: a server that says it leaves gets no further request

Cause: a server that leaves says so in its responses before the server list does; the header was not read, and the gateway went on sending to it until the list said so, up to two seconds later or, for a server that never reports it, not at all. Change: the header closes this incarnation of the server to new requests at this gateway at once, whatever the list says. Requests in flight go on.

--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
@@ -37,6 +38,8 @@
     Healthy,
     /// Rejects them and reports that it did not run them.
     Rejects,
+    /// Rejects them like [`Behavior::Rejects`] and asks for no requests for this number of seconds.
+    RejectsFor(u64),
     /// Runs them and responds with status 500; streams are not affected.
     Fails,
     /// Runs them and never responds.
@@ -74,6 +77,8 @@
     behavior: Mutex<Behavior>,
     runs: Mutex<Vec<Run>>,
     running: AtomicU32,
+    rejected: AtomicU32,
+    is_leaving: AtomicBool,
 }
 
 /// Counts a request as running until it is dropped.
@@ -113,6 +118,8 @@
             behavior: Mutex::default(),
             runs: Mutex::default(),
             running: AtomicU32::new(0),
+            rejected: AtomicU32::new(0),
+            is_leaving: AtomicBool::new(false),
         });
         let handler_shared = Arc::clone(&shared);
         let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
@@ -144,6 +151,16 @@
         version.clone_into(&mut lock(&self.shared.software_version));
     }
 
+    /// Makes it say in its responses that it leaves, while its entry stays as it is.
+    pub fn set_leaving(&self) {
+        self.shared.is_leaving.store(true, Relaxed);
+    }
+
+    /// Returns the number of requests that it rejected.
+    pub fn rejected(&self) -> u32 {
+        self.shared.rejected.load(Relaxed)
+    }
+
     /// Returns the requests that it ran, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.runs).clone()
@@ -181,6 +198,9 @@
     http::set_header(&mut res, "keep-alive", "timeout=10");
     let load = format!("{},0,8", shared.running.load(Relaxed));
     http::set_header(&mut res, "currantbend-server-load", &load);
+    if shared.is_leaving.load(Relaxed) {
+        http::set_header(&mut res, "server-leaving", "1");
+    }
     res
 }
 
@@ -200,8 +220,13 @@
     if !expected.is_empty() && expected != shared.id {
         return Ok(not_run_response(&shared, StatusCode::MISDIRECTED_REQUEST));
     }
-    if behavior == Behavior::Rejects {
-        return Ok(not_run_response(&shared, StatusCode::SERVICE_UNAVAILABLE));
+    if let Behavior::Rejects | Behavior::RejectsFor(_) = behavior {
+        shared.rejected.fetch_add(1, Relaxed);
+        let mut res = not_run_response(&shared, StatusCode::SERVICE_UNAVAILABLE);
+        if let Behavior::RejectsFor(seconds) = behavior {
+            http::set_header(&mut res, "retry-after", &seconds.to_string());
+        }
+        return Ok(res);
     }
     lock(&shared.runs).push(Run {
         at: Instant::now(),
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -49,7 +49,7 @@
     pub is_tried: bool,
     /// Whether it joined so recently that it may not have cached the prompt parts that it is now the home of.
     pub is_warming_up: bool,
-    /// Whether it gets no new requests; it still has the prompt parts cached that it was the home of.
+    /// Whether it gets no new requests, by the server list or since it said so; it still has the prompt parts cached that it was the home of.
     pub is_draining: bool,
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -177,6 +177,9 @@
     guard.record_activity();
     let (head, body) = response.into_parts();
     let metadata = dialect.read_response(head.status, &head.headers);
+    if metadata.is_leaving {
+        guard.record_leaving();
+    }
     if metadata.is_not_run {
         if let Some(load) = metadata.load {
             guard.record_load(load);
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -83,13 +83,16 @@
         self.report.servers.contains(&server.id)
     }
 
-    /// Returns whether the service has a server of the stream's software version that is not draining and has not been
-    /// sent the request yet. If there is none, the request is not retried, and the caller gets the result of the last
+    /// Returns whether the service has a server of the stream's software version that accepts requests and has not been
+    /// sent this one yet. If there is none, the request is not retried, and the caller gets the result of the last
     /// send.
     pub(super) fn has_untried_server(&self) -> bool {
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
         servers.iter().any(|server| {
-            !server.entry.is_draining && !self.is_tried(server) && self.has_stream_version(server)
+            !server.entry.is_draining
+                && !self.is_tried(server)
+                && self.has_stream_version(server)
+                && !self.gateway.loads.is_closed(server)
         })
     }
 
@@ -137,7 +140,7 @@
                 is_suspended: status.is_suspended,
                 is_tried: self.is_tried(server),
                 is_warming_up: status.is_warming_up,
-                is_draining: server.entry.is_draining,
+                is_draining: server.entry.is_draining || status.is_closed,
             })
             .collect()
     }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -65,6 +65,8 @@
     pub has_signature: bool,
     /// Load of the server, if it reports it.
     pub load: Option<ServerLoad>,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// The header names and formats that callers and backend servers use.
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -58,6 +58,8 @@
     inactive_since: Option<BootInstant>,
     /// When the server joined; `None` if it was in the first server list that this node read.
     joined_at: Option<BootInstant>,
+    /// Whether the incarnation has said that it leaves.
+    is_leaving: bool,
     health: Health,
 }
 
@@ -89,6 +91,8 @@
     pub(super) is_suspended: bool,
     /// Whether the server joined less than [`WARM_UP_TIME`] ago.
     pub(super) is_warming_up: bool,
+    /// Whether the server has told this node that it wants no requests.
+    pub(super) is_closed: bool,
 }
 
 impl ServerLoads {
@@ -110,6 +114,16 @@
         servers.iter().map(status).collect()
     }
 
+    /// Returns whether `server` has told this node that it wants no requests.
+    pub(super) fn is_closed(&self, server: &BackendServer) -> bool {
+        let states = self.lock();
+        let index = states.binary_search_by(|state| state.id.as_str().cmp(&server.id));
+        index.is_ok_and(|index| {
+            let state = &states[index];
+            state.start_time_ms == server.entry.start_time_ms && state.is_closed()
+        })
+    }
+
     /// Counts a request that is about to be sent to `server` as in flight.
     pub(super) fn start_request(&self, server: &BackendServer) -> InFlightGuard {
         let mut states = self.lock();
@@ -208,9 +222,15 @@
             is_warming_up: self
                 .joined_at
                 .is_some_and(|joined| now.since(joined) < WARM_UP_TIME),
+            is_closed: self.is_closed(),
         }
     }
 
+    /// Returns whether the server has told this node that it wants no requests.
+    fn is_closed(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Returns whether requests are in flight at the server although no byte has arrived from it for longer than
     /// [`MAX_TIME_WITHOUT_ACTIVITY`].
     fn is_unresponsive(&self, now: BootInstant) -> bool {
@@ -243,6 +263,11 @@
         self.update(|state| state.inactive_since = Some(BootInstant::now()));
     }
 
+    /// Records that the server said that it leaves; it gets no further requests, whatever the server list says.
+    pub(super) fn record_leaving(&self) {
+        self.update(|state| state.is_leaving = true);
+    }
+
     /// Records the load that the server reported with a response.
     pub(super) fn record_load(&self, load: ServerLoad) {
         self.update(|state| {
