--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -35,6 +35,6 @@
 pub use state::Catalog;
 pub use state::CatalogBounds;
 pub use state::ConfigChange;
-pub use version_history::FormerVersion;
+pub use version_history::SeenVersion;
 pub use version_history::VERSION_MEMORY;
 pub use version_history::VersionHistory;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -5,7 +5,7 @@
 use super::roster::BackendServer;
 use super::roster::Roster;
 use super::roster::ServerRecord;
-use super::version_history::FormerVersion;
+use super::version_history::SeenVersion;
 use super::version_history::VersionHistory;
 use crate::clock::BootInstant;
 use std::sync::Arc;
@@ -308,7 +308,7 @@
     }
 
     /// Adds a peer's knowledge of earlier software versions, as in [`VersionHistory::adopt`].
-    pub fn adopt_version_history(&self, known_since: BootInstant, versions: Vec<FormerVersion>) {
+    pub fn adopt_version_history(&self, known_since: BootInstant, versions: Vec<SeenVersion>) {
         let now = BootInstant::now();
         let mut state = self.lock();
         state.version_history.adopt(known_since, versions, now);
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -5,10 +5,10 @@
 use super::CatalogBounds;
 use super::ConfigChange;
 use super::Configuration;
-use super::FormerVersion;
 use super::Limits;
 use super::RetryMode;
 use super::Route;
+use super::SeenVersion;
 use super::ServerEntry;
 use super::ServerRecord;
 use super::Team;
@@ -311,10 +311,10 @@
     let earlier = |seconds| now.before(Duration::from_secs(seconds));
     catalog.record_list_read(now, false);
     catalog.apply_servers(vec![report_of_version("a", 1, "v2")], now);
-    let former = FormerVersion {
+    let former = SeenVersion {
         service: "app".to_owned(),
         software_version: Some("v1".to_owned()),
-        unlisted_at: earlier(20),
+        last_listed_at: earlier(20),
     };
 
     catalog.adopt_version_history(earlier(60), vec![former]);
--- a/src/catalog/version_history.rs
+++ b/src/catalog/version_history.rs
@@ -11,15 +11,15 @@
 /// Name of a service and a software version of it; `None` if the version is unknown.
 pub type ServiceVersion = (String, Option<String>);
 
-/// A software version that no listed server of its service has any more.
+/// A software version that servers of a service have or had.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct FormerVersion {
+pub struct SeenVersion {
     /// Name of the service.
     pub service: String,
     /// The version; `None` if it is unknown.
     pub software_version: Option<String>,
-    /// When the last server of this version left the list.
-    pub unlisted_at: BootInstant,
+    /// Time until which a server of this version was listed.
+    pub last_listed_at: BootInstant,
 }
 
 /// The software versions on the server list since a point in time.
@@ -32,7 +32,8 @@
     known_since: Option<BootInstant>,
     /// Versions of the listed servers, sorted, each once.
     listed: Vec<ServiceVersion>,
-    former: Vec<FormerVersion>,
+    /// Versions that no listed server has any more.
+    former: Vec<SeenVersion>,
 }
 
 impl VersionHistory {
@@ -47,10 +48,10 @@
         let version = (entry.service.clone(), entry.software_version.clone());
         if self.listed.binary_search(&version).is_err() {
             let (service, software_version) = version;
-            self.former.push(FormerVersion {
+            self.former.push(SeenVersion {
                 service,
                 software_version,
-                unlisted_at: now,
+                last_listed_at: now,
             });
             self.forget(now);
         }
@@ -66,10 +67,10 @@
         listed.sort();
         listed.dedup();
         for (service, software_version) in std::mem::replace(&mut self.listed, listed) {
-            self.former.push(FormerVersion {
+            self.former.push(SeenVersion {
                 service,
                 software_version,
-                unlisted_at: now,
+                last_listed_at: now,
             });
         }
         self.forget(now);
@@ -80,7 +81,7 @@
     pub fn adopt(
         &mut self,
         known_since: BootInstant,
-        versions: Vec<FormerVersion>,
+        versions: Vec<SeenVersion>,
         now: BootInstant,
     ) {
         self.known_since = self.known_since.map(|own| own.min(known_since));
@@ -99,7 +100,7 @@
     }
 
     /// Returns the versions that left the list.
-    pub fn former(&self) -> &[FormerVersion] {
+    pub fn former(&self) -> &[SeenVersion] {
         &self.former
     }
 
@@ -113,7 +114,7 @@
         let former = self
             .former
             .iter()
-            .filter(|former| former.service == service && former.unlisted_at >= since);
+            .filter(|former| former.service == service && former.last_listed_at >= since);
         let mut versions = listed
             .map(|(_, version)| version)
             .chain(former.map(|former| &former.software_version));
@@ -130,13 +131,13 @@
         let listed = &self.listed;
         self.former.retain(|former| {
             let version = (former.service.clone(), former.software_version.clone());
-            now.since(former.unlisted_at) < VERSION_MEMORY
+            now.since(former.last_listed_at) < VERSION_MEMORY
                 && listed.binary_search(&version).is_err()
         });
         self.former.sort_by(|a, b| {
             let name =
-                |former: &FormerVersion| (former.service.clone(), former.software_version.clone());
-            (name(a), b.unlisted_at).cmp(&(name(b), a.unlisted_at))
+                |former: &SeenVersion| (former.service.clone(), former.software_version.clone());
+            (name(a), b.last_listed_at).cmp(&(name(b), a.last_listed_at))
         });
         self.former.dedup_by(|later, first| {
             later.service == first.service && later.software_version == first.software_version
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -2,7 +2,7 @@
 
 use super::directory::NodeEntry;
 use super::streams::StreamRecords;
-use crate::catalog::FormerVersion;
+use crate::catalog::SeenVersion;
 use crate::catalog::ServerEntry;
 use crate::catalog::VersionHistory;
 use crate::clock::BootInstant;
@@ -84,7 +84,7 @@
     pub(super) fn new(history: &VersionHistory, now: BootInstant) -> Option<Self> {
         let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         let former = history.former().iter().map(|former| {
-            let age_ms = age_ms(former.unlisted_at);
+            let age_ms = age_ms(former.last_listed_at);
             (
                 former.service.clone(),
                 former.software_version.clone(),
@@ -101,13 +101,13 @@
 
     /// Converts the history received at `now`: when the peer began to follow the list, and when each version was last
     /// listed. The message was under way, so all are taken for later than they were.
-    pub(super) fn into_parts(self, now: BootInstant) -> (BootInstant, Vec<FormerVersion>) {
+    pub(super) fn into_parts(self, now: BootInstant) -> (BootInstant, Vec<SeenVersion>) {
         let at = |age_ms| now.before(Duration::from_millis(age_ms));
         let versions = self.versions.into_iter();
-        let former = versions.map(|(service, software_version, age_ms)| FormerVersion {
+        let former = versions.map(|(service, software_version, age_ms)| SeenVersion {
             service,
             software_version,
-            unlisted_at: at(age_ms),
+            last_listed_at: at(age_ms),
         });
         (at(self.known_for_ms), former.collect())
     }
