gateway: refuse a stream of an unnamed attempt at once where several versions served

Cause: a request that resumes a stream of unknown version waited up to two sync intervals for other gateways' knowledge, also where the caller names no attempt and several versions are known to have served: nothing that could arrive would tell. Change: such a request is refused at once; a named one, or one at a gateway that doesn't know the list for long enough, still waits.

--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -302,6 +302,12 @@
         version.map(str::to_owned)
     }
 
+    /// Returns whether servers of `service` are known to have had several software versions since `since`.
+    pub fn has_several_versions(&self, service: &str, since: BootInstant) -> bool {
+        let state = self.lock();
+        state.version_history.has_several_versions(service, since)
+    }
+
     /// Returns the software versions on the list, now and before.
     pub fn version_history(&self) -> VersionHistory {
         self.lock().version_history.clone()
--- a/src/catalog/version_history.rs
+++ b/src/catalog/version_history.rs
@@ -110,20 +110,30 @@
         if self.known_since? > since {
             return None;
         }
-        let listed = self.listed.iter().filter(|(name, _)| name == service);
+        let mut versions = self.versions_since(service, since);
+        let first = versions.next()?;
+        versions.next().is_none().then_some(first)?.as_deref()
+    }
+
+    /// Returns whether servers of `service` have had several versions since `since`, as far as the list is known.
+    pub fn has_several_versions(&self, service: &str, since: BootInstant) -> bool {
+        self.versions_since(service, since).nth(1).is_some()
+    }
+
+    /// Returns the versions that servers of `service` have had since `since`, each once.
+    fn versions_since(
+        &self,
+        service: &str,
+        since: BootInstant,
+    ) -> impl Iterator<Item = &Option<String>> {
+        let listed = self.listed.iter().filter(move |(name, _)| name == service);
         let former = self
             .former
             .iter()
-            .filter(|former| former.service == service && former.last_listed_at >= since);
-        let mut versions = listed
+            .filter(move |former| former.service == service && former.last_listed_at >= since);
+        listed
             .map(|(_, version)| version)
-            .chain(former.map(|former| &former.software_version));
-        let first = versions.next()?;
-        if versions.all(|version| version == first) {
-            first.as_deref()
-        } else {
-            None
-        }
+            .chain(former.map(|former| &former.software_version))
     }
 
     /// Drops former versions that are listed again or older than [`VERSION_MEMORY`], and all but the newest of each.
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -37,8 +37,11 @@
             return Ok(());
         }
         let stream = resumed_stream.first_attempt.as_deref().map(hash_request_id);
+        // An attempt that isn't named is on no record, so only a single version can tell.
+        let is_known_unknown = stream.is_none() && self.has_several_versions();
+        let waits = if is_known_unknown { 0 } else { MAX_WAITS };
         let mut version = self.find_version(stream).await;
-        for _ in 0..MAX_WAITS {
+        for _ in 0..waits {
             if version.is_none()
                 && let Some(streams) = self.gateway.streams.get()
             {
@@ -64,9 +67,19 @@
                 return version;
             }
         }
-        // The server that the stream broke off at was listed then, and callers don't wait longer than the timeout.
-        let since = BootInstant::now().before(self.route.timeout);
-        self.gateway.catalog.only_version(&self.service_name, since)
+        let catalog = &self.gateway.catalog;
+        catalog.only_version(&self.service_name, self.first_break())
+    }
+
+    fn has_several_versions(&self) -> bool {
+        let catalog = &self.gateway.catalog;
+        catalog.has_several_versions(&self.service_name, self.first_break())
+    }
+
+    /// Returns the earliest time at which a stream that is resumed now can have broken off, since callers don't wait
+    /// longer than the route's timeout. The server was listed then.
+    fn first_break(&self) -> BootInstant {
+        BootInstant::now().before(self.route.timeout)
     }
 
     /// Records that the caller gets the first event of the stream, from the server that the request was last sent to.
