--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -137,6 +137,7 @@
             return refuse_with_status(StatusCode::NOT_FOUND, "no such route", report);
         };
         report.route.clone_from(&route.name);
+        report.parts.clone_from(&metadata.parts);
         if let Some(resumed_stream) = &metadata.resumed_stream {
             report.resumes_stream = true;
             report.first_attempt = resumed_stream.first_attempt.clone().unwrap_or_default();
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -2,6 +2,7 @@
 
 use super::handler::Gateway;
 use super::metrics::GatewayMetrics;
+use crate::decide::PromptPart;
 use crate::logs::Logs;
 use crate::logs::RequestOutcome;
 use hyper::StatusCode;
@@ -19,6 +20,8 @@
     pub(super) servers: Vec<String>,
     /// Software versions of `servers`, in the same order; empty text where the version is unknown.
     pub(super) software_versions: Vec<String>,
+    /// Parts of the prompt, in order; only the line of a request that failed names them.
+    pub(super) parts: Vec<PromptPart>,
     /// Whether the request resumes the stream of an earlier attempt.
     pub(super) resumes_stream: bool,
     /// Id of the attempt whose stream the request resumes; empty if it resumes none or doesn't name it.
@@ -52,6 +55,7 @@
             service: String::new(),
             servers: Vec::new(),
             software_versions: Vec::new(),
+            parts: Vec::new(),
             resumes_stream: false,
             first_attempt: String::new(),
             is_caller_retry: false,
@@ -109,12 +113,17 @@
         } else {
             RequestOutcome::Failure
         };
+        let parts = if self.outcome == "answered" {
+            String::new()
+        } else {
+            format_parts(&self.parts)
+        };
         let Some(log) = self.logs.request_logger(outcome) else {
             return;
         };
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
             "service" => &self.service, "servers" => self.servers.join(","),
-            "versions" => self.software_versions.join(","), "resumes" => self.resumes_stream,
+            "versions" => self.software_versions.join(","), "parts" => parts, "resumes" => self.resumes_stream,
             "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
@@ -124,6 +133,12 @@
     }
 }
 
+/// Returns the ids of prompt parts in hexadecimal, separated by commas.
+fn format_parts(parts: &[PromptPart]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Returns the part of a cause before its details, which has few distinct values and so can be a metric label.
 fn cause_label(cause: &str) -> &str {
     cause.split_once(':').map_or(cause, |(label, _)| label)
