--- a/bench/src/http.rs
+++ b/bench/src/http.rs
@@ -31,6 +31,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
@@ -89,6 +90,11 @@
         self.address
     }
 
+    /// Returns a handle with which a handler can crash the server.
+    pub fn crash_handle(&self) -> CrashHandle {
+        CrashHandle(self.task.abort_handle())
+    }
+
     /// Stops listening and waits until the requests in flight are finished.
     pub async fn close_gracefully(self) {
         self.closing.send_replace(true);
@@ -103,6 +109,17 @@
     }
 }
 
+/// Stops a server at once, without waiting for that.
+#[derive(Clone, Debug)]
+pub struct CrashHandle(AbortHandle);
+
+impl CrashHandle {
+    /// Stops listening and aborts all connections.
+    pub fn crash(&self) {
+        self.0.abort();
+    }
+}
+
 async fn accept(listener: TcpListener, handler: Handler, mut closing: watch::Receiver<bool>) {
     let mut connections = JoinSet::new();
     loop {
--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering::Relaxed;
@@ -20,6 +21,7 @@
 
 use crate::http;
 use crate::http::Abort;
+use crate::http::CrashHandle;
 use crate::http::HandlerResult;
 use crate::http::ResponseBody;
 use crate::http::Server;
@@ -79,6 +81,30 @@
     running: AtomicU32,
     rejected: AtomicU32,
     is_leaving: AtomicBool,
+    /// Time from a request for a stream to its first event.
+    first_event_delay: Mutex<Duration>,
+    /// Parts of prompts that crash the server as it begins to answer a request with one of them.
+    crashing_parts: Mutex<Vec<String>>,
+    crash_handle: OnceLock<CrashHandle>,
+    crashed_at: OnceLock<Instant>,
+}
+
+impl Shared {
+    fn crash(&self) {
+        self.crashed_at.get_or_init(Instant::now);
+        if let Some(handle) = self.crash_handle.get() {
+            handle.crash();
+        }
+    }
+
+    /// Returns whether a part of the prompt, the last one excepted, crashes the server.
+    fn has_crashing_part(&self, headers: &HeaderMap) -> bool {
+        let parts = http::header(headers, "currantbend-prompt-prefix");
+        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+        let crashing = lock(&self.crashing_parts);
+        ids.any(|id| crashing.iter().any(|part| part == id))
+    }
 }
 
 /// Counts a request as running until it is dropped.
@@ -120,6 +146,10 @@
             running: AtomicU32::new(0),
             rejected: AtomicU32::new(0),
             is_leaving: AtomicBool::new(false),
+            first_event_delay: Mutex::default(),
+            crashing_parts: Mutex::default(),
+            crash_handle: OnceLock::new(),
+            crashed_at: OnceLock::new(),
         });
         let handler_shared = Arc::clone(&shared);
         let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
@@ -128,6 +158,7 @@
         });
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(any, handler).await?;
+        shared.crash_handle.get_or_init(|| server.crash_handle());
         Ok(Self { server, shared })
     }
 
@@ -156,6 +187,26 @@
         self.shared.is_leaving.store(true, Relaxed);
     }
 
+    /// Sets the time from a request for a stream to its first event.
+    pub fn set_first_event_delay(&self, delay: Duration) {
+        *lock(&self.shared.first_event_delay) = delay;
+    }
+
+    /// Sets the parts of prompts that crash it as it begins to answer a request with one of them.
+    pub fn set_crashing_parts(&self, parts: &[&str]) {
+        *lock(&self.shared.crashing_parts) = parts.iter().map(|part| (*part).to_owned()).collect();
+    }
+
+    /// Crashes it: it stops listening and aborts all connections.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// Returns when it crashed, or `None` if it hasn't.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        self.shared.crashed_at.get().copied()
+    }
+
     /// Returns the number of requests that it rejected.
     pub fn rejected(&self) -> u32 {
         self.shared.rejected.load(Relaxed)
@@ -243,7 +294,10 @@
     let mut res = if is_stream {
         let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
         let version = lock(&shared.software_version).clone();
-        let body = events(running, behavior, after, version);
+        let delay = *lock(&shared.first_event_delay);
+        let is_crashing = shared.has_crashing_part(&headers);
+        let crash = is_crashing.then(|| Arc::clone(&shared));
+        let body = events(running, behavior, after, version, (delay, crash));
         build_response(&shared, StatusCode::OK, body)
     } else {
         tokio::time::sleep(shared.work_time).await;
@@ -279,11 +333,24 @@
 
 /// Streams the events that follow event number `after`; each names the software version of the server.
 ///
-/// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event.
-fn events(running: RunningGuard, behavior: Behavior, after: u64, version: String) -> ResponseBody {
+/// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event. The first event comes
+/// after the delay in `start`, or the server in `start` crashes then.
+fn events(
+    running: RunningGuard,
+    behavior: Behavior,
+    after: u64,
+    version: String,
+    start: (Duration, Option<Arc<Shared>>),
+) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
         let _running = running;
+        let (delay, crash) = start;
+        tokio::time::sleep(delay).await;
+        if let Some(shared) = crash {
+            shared.crash();
+            return;
+        }
         for number in after + 1..=EVENTS {
             let sent = number - after - 1;
             match behavior {
