--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -254,7 +254,8 @@
         match path.as_str() {
             "/api/log-append" => {
                 let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
-                self.append(&topic, body).await
+                let at = http::query_number(Some(&query), "at");
+                self.append(&topic, body, at).await
             }
             "/api/log-read" => {
                 let from = http::query_number(Some(&query), "from").unwrap_or(0);
@@ -269,7 +270,12 @@
         }
     }
 
-    async fn append(self: &Arc<Self>, topic: &str, mut body: Bytes) -> HandlerResult {
+    async fn append(
+        self: &Arc<Self>,
+        topic: &str,
+        mut body: Bytes,
+        at: Option<u64>,
+    ) -> HandlerResult {
         if topic == "keyed.op" || topic == "keyed.servers" {
             return Ok(http::empty(StatusCode::FORBIDDEN));
         }
@@ -288,11 +294,18 @@
             let topic = topic.to_owned();
             tokio::spawn(async move {
                 tokio::time::sleep(lost_append_delay).await;
-                shared.append_all(&topic, records);
+                // Its caller has given up on the response, so nobody learns whether the condition held.
+                let _ = shared.append_all(&topic, records, at);
             });
             return std::future::pending().await;
         }
-        let (offset, end_offset) = self.append_all(topic, records);
+        let (offset, end_offset) = match self.append_all(topic, records, at) {
+            Ok(offsets) => offsets,
+            Err(end) => {
+                let body = json!({"end": end});
+                return Ok(http::json(StatusCode::PRECONDITION_FAILED, &body));
+            }
+        };
         if is_response_lost {
             std::future::pending::<()>().await;
         }
@@ -302,13 +315,23 @@
         ))
     }
 
-    fn append_all(&self, topic: &str, records: Vec<Bytes>) -> (u64, u64) {
+    /// Appends records if the topic ends at `at` or `at` is `None`. Returns the offsets of the first record and after the
+    /// last one, or where the topic ends if that is elsewhere.
+    fn append_all(
+        &self,
+        topic: &str,
+        records: Vec<Bytes>,
+        at: Option<u64>,
+    ) -> Result<(u64, u64), u64> {
         self.with_topic(topic, |topic| {
             let offset = topic.end_offset();
+            if at.is_some_and(|at| at != offset) {
+                return Err(offset);
+            }
             for record in records {
                 topic.append(record);
             }
-            (offset, topic.end_offset())
+            Ok((offset, topic.end_offset()))
         })
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod caller_retry;
+mod crash_blame;
 mod drain;
 mod hash;
 mod health;
@@ -19,6 +20,13 @@
 pub use admission::Admission;
 pub use caller_retry::CallerRetryDetector;
 pub use caller_retry::RetryAfter;
+pub use crash_blame::Crash;
+pub use crash_blame::CrashBlame;
+pub use crash_blame::CrashNews;
+pub use crash_blame::Hold;
+pub use crash_blame::PartId;
+pub use crash_blame::PartVerdict;
+pub use crash_blame::Suspect;
 pub use drain::DrainPolicy;
 pub use health::Health;
 pub use health::HealthPolicy;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller_retry;
+mod crash_blame;
 mod drain;
 mod health;
 mod placement;
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -9,6 +9,7 @@
 use crate::catalog::Route;
 use crate::clock::BootInstant;
 use crate::decide::AdmissionRequest;
+use crate::decide::Choice;
 use crate::decide::Placement;
 use crate::decide::PlacementRequest;
 use crate::decide::ServerView;
@@ -65,7 +66,12 @@
             .zip(server_views)
             .filter(|(server, _)| self.has_stream_version(server))
             .unzip();
-        let Some(choice) = placement.choose(&placement_request, &server_views) else {
+        let choice = if self.crash_guard.is_trial() {
+            least_loaded(&server_views)
+        } else {
+            placement.choose(&placement_request, &server_views)
+        };
+        let Some(choice) = choice else {
             return Err(self.no_server_refusal("no server"));
         };
         let chosen = &server_views[choice.index];
@@ -147,6 +153,18 @@
     }
 }
 
+/// Chooses the usable server with the fewest requests in flight.
+fn least_loaded(server_views: &[ServerView<'_>]) -> Option<Choice> {
+    let views = server_views.iter().enumerate();
+    let usable = views.filter(|(_, view)| !view.is_draining && !view.is_suspended);
+    let index = usable.min_by_key(|(_, view)| view.load)?.0;
+    Some(Choice {
+        index,
+        passed_over: 0,
+        copy_from: None,
+    })
+}
+
 /// Hashes a request id to a number that is evenly distributed and the same on every node.
 pub(super) fn hash_request_id(request_id: &str) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use super::choice::Target;
 use super::choice::hash_request_id;
 use super::choice::pick_service;
+use super::crash_guard::CrashGuard;
 use super::dialect::RequestMetadata;
 use super::handler::Gateway;
 use super::headers::remove_hop_by_hop;
@@ -80,6 +81,7 @@
     undelivered_sends: u32,
     /// Whether a server may have started to run the request.
     pub(super) may_have_run: bool,
+    pub(super) crash_guard: CrashGuard,
     pub(super) report: RequestReport,
 }
 
@@ -185,7 +187,6 @@
             route,
             service_name,
             outbound,
-            metadata,
             team,
             salt,
             stream_version: StreamVersion::Any,
@@ -197,6 +198,8 @@
             },
             undelivered_sends: 0,
             may_have_run: false,
+            crash_guard: CrashGuard::new(&metadata.parts),
+            metadata,
             report,
         })
     }
@@ -217,6 +220,10 @@
                     Err(failed) => {
                         let (exchange, cause) = *failed;
                         self = exchange;
+                        if self.has_crashed_server().await {
+                            let refusal = server_crashed_refusal(&cause);
+                            return Err(Box::new((refusal, self.report)));
+                        }
                         if let Err(refusal) = self.retry_or_refuse("stream broken", &cause) {
                             return Err(Box::new((refusal, self.report)));
                         }
@@ -226,6 +233,10 @@
                 match self.read_whole(response).await {
                     Ok(response) => return Ok(response),
                     Err(cause) => {
+                        if self.has_crashed_server().await {
+                            let refusal = server_crashed_refusal(&cause);
+                            return Err(Box::new((refusal, self.report)));
+                        }
                         if let Err(refusal) = self.retry_or_refuse("answer broken", &cause) {
                             return Err(Box::new((refusal, self.report)));
                         }
@@ -269,6 +280,10 @@
         });
         drop(guard);
         self.record_response_time();
+        if head.status.is_success() {
+            self.record_progress();
+            self.record_sound();
+        }
         self.gateway.pool.put_idle(lease, &head.headers);
         remove_hop_by_hop(&mut head.headers);
         self.report.record_first_byte();
@@ -289,6 +304,7 @@
         resume_after: Option<u64>,
     ) -> Result<Box<ServerResponse>, Refusal> {
         loop {
+            self.check_parts().await?;
             let target = self.choose_server()?;
             match self.send_to(&target, resume_after).await {
                 SendOutcome::Responded(response) => {
@@ -334,6 +350,9 @@
                 SendOutcome::Unknown(cause) => {
                     self.may_have_run = true;
                     self.count_send("unknown");
+                    if self.has_crashed_server().await {
+                        return Err(server_crashed_refusal(&cause));
+                    }
                     self.retry_or_refuse("answer lost", &cause)?;
                 }
                 SendOutcome::TimedOut => {
@@ -440,6 +459,7 @@
             sent_at: Instant::now(),
             load_per_slot: target.load_per_slot,
         };
+        self.crash_guard.record_send(target);
         let guard = self.gateway.loads.start_request(server);
         // Since the request was prepared, the catalog state may have changed so that the server is no longer usable,
         // or the configuration may have become too old to accept callers' keys, especially if the machine slept in
@@ -498,6 +518,11 @@
     }
 }
 
+/// Returns a refusal of a request that may have crashed its server, so that it is not sent to another one.
+fn server_crashed_refusal(cause: &str) -> Refusal {
+    Refusal::new(StatusCode::BAD_GATEWAY, "server crashed").with_detail(cause)
+}
+
 fn unavailable_refusal(cause: &'static str, retry_after: Duration) -> Refusal {
     Refusal::new(StatusCode::SERVICE_UNAVAILABLE, cause).with_retry_after(retry_after)
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -11,6 +11,7 @@
 use super::pool::Pool;
 use super::refusal::Refusal;
 use super::report::RequestReport;
+use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Limits;
 use crate::catalog::Route;
@@ -27,6 +28,8 @@
 use crate::net::Handler;
 use crate::net::collect;
 use crate::peers::StreamDirectory;
+use crate::quarantine::Quarantine;
+use crate::quarantine::TrialClaims;
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::Response;
@@ -69,6 +72,10 @@
     pub(super) node_count: OnceLock<Arc<dyn Fn() -> u32 + Send + Sync>>,
     /// Knows the software versions at which streams began; unset until the peers have started.
     pub(super) streams: OnceLock<Arc<dyn StreamDirectory>>,
+    /// Knows the parts of prompts that crash servers.
+    pub(super) quarantine: Arc<Quarantine>,
+    /// Claims the requests that find out whether a held part still crashes servers.
+    pub(super) trial_claims: TrialClaims,
     /// Chooses among the servers of an engine service.
     pub(super) engines: EnginePlacement,
     /// Chooses among the servers of a plain service.
@@ -176,6 +183,16 @@
         })
     }
 
+    /// Returns whether `server` is expected to end, so that its end is no crash.
+    pub(super) fn is_leaving(&self, server: &BackendServer, now: BootInstant) -> bool {
+        let (listed, _) = self.catalog.listed();
+        let index = listed.binary_search_by(|known| known.id.cmp(&server.id));
+        let is_draining = index.map_or(server.entry.is_draining, |index| {
+            listed[index].entry.is_draining
+        });
+        is_draining || self.loads.is_closed(server, now)
+    }
+
     pub(super) fn runtime_settings(&self) -> RuntimeSettings {
         *self
             .runtime_settings
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -52,6 +52,7 @@
     list_age_ms: IntGauge,
     servers: IntGauge,
     in_flight: IntGauge,
+    held_parts: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -112,8 +113,12 @@
                 "currantbend_gateway_requests_in_flight",
                 "Callers' requests that have no whole answer yet.",
             ),
+            held_parts: gauge(
+                "currantbend_gateway_held_parts",
+                "Prompt parts whose requests are held back.",
+            ),
         };
-        let collectors: [Box<dyn Collector>; 13] = [
+        let collectors: [Box<dyn Collector>; 14] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.sends.clone()),
@@ -126,6 +131,7 @@
             Box::new(metrics.list_age_ms.clone()),
             Box::new(metrics.servers.clone()),
             Box::new(metrics.in_flight.clone()),
+            Box::new(metrics.held_parts.clone()),
             Box::new(ProcessCollector::for_self()),
         ];
         for collector in collectors {
@@ -189,6 +195,11 @@
     }
 
     /// Renders everything in Prometheus text format.
+    pub(super) fn record_held_parts(&self, count: usize) {
+        self.held_parts
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
         // Encoding into memory fails only if a collector breaks an invariant; the page is then incomplete.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod admission_stats;
 mod attempt;
 mod choice;
+mod crash_guard;
 mod dialect;
 mod events;
 mod exchange;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -36,6 +36,10 @@
 use crate::peers::OwnLoads;
 use crate::peers::PeerSettings;
 use crate::peers::Peers;
+use crate::quarantine::HoldLedger;
+use crate::quarantine::LedgerSync;
+use crate::quarantine::Quarantine;
+use crate::quarantine::TrialClaims;
 use slog::info;
 use std::fmt;
 use std::io;
@@ -70,6 +74,8 @@
     pub servers: Box<dyn ServerList>,
     /// Directory of the other gateways.
     pub directory: Arc<dyn NodeDirectory>,
+    /// Held parts of prompts in the store.
+    pub held_parts: Arc<dyn HoldLedger>,
     /// Counts the calls that the sources make to the store.
     pub source_metrics: SourceMetrics,
     /// Header names and formats of callers and backend servers.
@@ -109,6 +115,7 @@
     metrics: Listener,
     follower: Follower,
     peers: Peers,
+    ledger_sync: LedgerSync,
     pruner: JoinHandle<()>,
     gateway: Arc<Gateway>,
     logs: Logs,
@@ -202,6 +209,12 @@
             &is_relay,
             (sources.config, sources.servers),
         );
+        let ledger_sync = LedgerSync::start(
+            &gateway.quarantine,
+            sources.held_parts,
+            Arc::clone(&is_relay),
+            &logs,
+        );
         let peers = Peers::start(
             peer_settings(host),
             &catalog,
@@ -209,6 +222,7 @@
             sources.directory,
             is_relay,
             load_callbacks(&gateway),
+            &gateway.quarantine,
         );
         let peers = peers.await.map_err(|cause| StartError::Listen {
             purpose: "peers",
@@ -227,6 +241,7 @@
             metrics,
             follower,
             peers,
+            ledger_sync,
             pruner,
             gateway,
             logs,
@@ -255,6 +270,7 @@
         self.callers.close(Duration::from_millis(200)).await;
         self.follower.close();
         self.peers.close().await;
+        self.ledger_sync.close();
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
@@ -282,6 +298,7 @@
     logs: &Logs,
 ) -> Gateway {
     let bounds = &settings.bounds;
+    let quarantine = Arc::new(Quarantine::new(logs.clone()));
     Gateway {
         data_centre: settings.host.data_centre.clone(),
         catalog: Arc::clone(catalog),
@@ -295,6 +312,8 @@
         admission_stats: AdmissionStats::default(),
         node_count: OnceLock::new(),
         streams: OnceLock::new(),
+        trial_claims: TrialClaims::new(&quarantine, &sources.held_parts, logs),
+        quarantine,
         engines: EnginePlacement::default(),
         plain: PlainPlacement::default(),
         admission: Admission::default(),
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -1,4 +1,4 @@
-//! HTTP endpoints for readiness probes and metrics.
+//! HTTP endpoints for readiness probes, metrics and held parts of prompts.
 
 use super::handler::Gateway;
 use crate::clock::BootInstant;
@@ -6,13 +6,27 @@
 use crate::net::Handler;
 use crate::net::full_body;
 use async_trait::async_trait;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Path of the list of held parts; a part's own path is below it.
+const HELD_PARTS_PATH: &str = "/held-parts";
+
+/// A held part as listed on the page.
+#[derive(Serialize)]
+struct HeldPartRow {
+    part: String,
+    age_ms: u64,
+    trials: u32,
+    crashes: usize,
+}
+
 /// Handles requests on the readiness address and the metrics address.
 pub(super) struct Pages {
     pub(super) gateway: Arc<Gateway>,
@@ -51,8 +65,36 @@
             catalog.list_age(now),
             servers,
         );
+        metrics.record_held_parts(self.gateway.quarantine.held_parts().len());
         metrics.render()
     }
+
+    /// Returns the held parts as JSON.
+    fn held_parts(&self) -> Vec<u8> {
+        let held = self.gateway.quarantine.held_parts().into_iter();
+        let rows: Vec<HeldPartRow> = held
+            .map(|held| HeldPartRow {
+                part: format!("{:x}", held.part),
+                age_ms: u64::try_from(held.age.as_millis()).unwrap_or(u64::MAX),
+                trials: held.trials,
+                crashes: held.crashes,
+            })
+            .collect();
+        let mut page = serde_json::to_vec(&rows).expect("the rows have string keys only");
+        page.push(b'\n');
+        page
+    }
+
+    /// Lets the held part with this hexadecimal id through at all gateways.
+    fn release(&self, part: &str) -> (StatusCode, Vec<u8>) {
+        match u64::from_str_radix(part, 16) {
+            Ok(part) if self.gateway.quarantine.release(part) => {
+                (StatusCode::OK, b"let through\n".to_vec())
+            }
+            Ok(_) => (StatusCode::NOT_FOUND, b"not held\n".to_vec()),
+            Err(_) => (StatusCode::BAD_REQUEST, b"not a hexadecimal id\n".to_vec()),
+        }
+    }
 }
 
 #[async_trait]
@@ -66,6 +108,14 @@
             }
         } else if path == "/metrics" {
             (StatusCode::OK, self.metrics())
+        } else if path == HELD_PARTS_PATH {
+            (StatusCode::OK, self.held_parts())
+        } else if req.method() == Method::DELETE
+            && let Some(part) = path
+                .strip_prefix(HELD_PARTS_PATH)
+                .and_then(|rest| rest.strip_prefix('/'))
+        {
+            self.release(part)
         } else {
             (StatusCode::NOT_FOUND, b"no such page\n".to_vec())
         };
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -83,6 +83,9 @@
     };
     exchange.report.record_first_byte();
     exchange.report.record_event(last_id);
+    if first_events.is_some() {
+        exchange.record_progress();
+    }
     if first_events.is_some() {
         exchange.record_stream_start();
     }
@@ -133,6 +136,7 @@
                 StreamItem::Events(events) if self.is_in_order(&events) => {
                     self.last_id = events.last_id.or(self.last_id);
                     self.exchange.report.record_event(events.last_id);
+                    self.exchange.record_progress();
                     return Some(Ok(events.bytes));
                 }
                 StreamItem::Events(_) => {
@@ -149,6 +153,9 @@
                 }
                 StreamItem::Broken(cause) => {
                     self.abandon(RunResult::Broken);
+                    if self.exchange.has_crashed_server().await {
+                        return Some(Err(self.fail(&format!("server crashed: {cause}"))));
+                    }
                     if let Err(cause) = self.resume(&cause).await {
                         return Some(Err(self.fail(&cause)));
                     }
@@ -207,6 +214,7 @@
     fn finish(&mut self) {
         if let Some(server_stream) = self.server_stream.take() {
             server_stream.guard.record_result(RunResult::Good);
+            self.exchange.record_sound();
             self.exchange.record_response_time();
             self.exchange
                 .gateway
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod owner;
 pub mod peers;
 pub mod program;
+pub mod quarantine;
 pub mod reconcile;
 pub mod routing;
 pub mod settings;
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -6,6 +6,7 @@
 use crate::catalog::ServerEntry;
 use crate::catalog::VersionHistory;
 use crate::clock::BootInstant;
+use crate::quarantine::CrashRecord;
 use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
@@ -67,6 +68,13 @@
     /// Whether the requesting node has followed the server list for so short a time that it asks for its history.
     #[serde(default)]
     pub(super) wants_version_history: bool,
+    /// What the requesting node or those that it serves as relay have learned about crashes of servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) crash_records: Vec<CrashRecord>,
+    /// Number of the responding node's first record about crashes that the requesting node has not received on this
+    /// connection; `None` if it wants none.
+    #[serde(default)]
+    pub(super) next_crash_record: Option<u64>,
 }
 
 /// The software versions on the server list and those that left it, as sent between gateways.
@@ -170,6 +178,12 @@
     pub(super) nodes: Option<Vec<NodeEntry>>,
     /// Loads of every data centre.
     pub(super) centres: Vec<CentreLoads>,
+    /// Records about crashes of servers from the requested number on.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) crash_records: Vec<CrashRecord>,
+    /// Number of the record that follows them.
+    #[serde(default)]
+    pub(super) next_crash_record: u64,
     /// Earlier software versions on the server list, if the requester asks for them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) version_history: Option<SyncedVersionHistory>,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! other data centres. Every other node sends a sync request to its relay a few times a second. A node that can reach
 //! no node ranked before it acts as relay itself. See `docs/PLATFORM.md`.
 
+mod crash_cursor;
 mod directory;
 mod link;
 mod load_table;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -3,6 +3,7 @@
 //! One node of each data centre is its relay: it reads the store for all nodes there, sums their loads, and exchanges
 //! these sums with the relays of the other data centres. The other nodes of the data centre sync from it.
 
+use super::crash_cursor::CrashCursor;
 use super::directory::NodeDirectory;
 use super::directory::NodeEntry;
 use super::link::Link;
@@ -29,6 +30,7 @@
 use crate::decide::relay_order;
 use crate::decide::sync_sources;
 use crate::logs::Logs;
+use crate::quarantine::Quarantine;
 use bytes::Bytes;
 use slog::info;
 use slog::warn;
@@ -89,6 +91,7 @@
     pub(super) catalog: Arc<Catalog>,
     pub(super) load_table: LoadTable,
     pub(super) streams: StreamTable,
+    pub(super) quarantine: Arc<Quarantine>,
     pub(super) logs: Logs,
     nodes: Mutex<Nodes>,
     /// Nodes that failed to answer the last request or can't serve as a source, each with the time at which this was
@@ -267,6 +270,8 @@
             nodes_stamp: received.nodes,
             // The caller sets this to the records that the receiver does not have yet.
             streams: Vec::new(),
+            crash_records: Vec::new(),
+            next_crash_record: None,
             wants_version_history: self.wants_version_history(),
         }
     }
@@ -402,6 +407,7 @@
     ///
     /// `is_relay` is kept `true` while this node is the relay, which reads the store for its data centre. `loads` are
     /// the callback that returns this node's own loads and the one that receives the sum of all other nodes' loads.
+    /// What is learned about crashes of servers is exchanged between the quarantines of the nodes.
     ///
     /// # Errors
     ///
@@ -413,6 +419,7 @@
         directory: Arc<dyn NodeDirectory>,
         is_relay: Arc<AtomicBool>,
         loads: (OwnLoads, OtherLoads),
+        quarantine: &Arc<Quarantine>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.own.address).await?;
         let backup_centre = backup_centre(&settings.data_centres, &settings.own.data_centre);
@@ -421,6 +428,7 @@
             catalog: Arc::clone(catalog),
             load_table: LoadTable::default(),
             streams: StreamTable::default(),
+            quarantine: Arc::clone(quarantine),
             logs: logs.clone(),
             nodes: Mutex::default(),
             unreachable: Mutex::default(),
@@ -597,6 +605,7 @@
     let mut link = Link::open(node).await?;
     let mut received = ReceivedStamps::default();
     let mut next_record = 0;
+    let mut crash_cursor = CrashCursor::new(&shared.quarantine);
     let began = BootInstant::now();
     loop {
         let sent_at = BootInstant::now();
@@ -606,18 +615,21 @@
         let sources = [RecordSource::Own];
         (request.streams, next_record) =
             shared.streams.records_from(next_record, &sources, sent_at);
-        let response = link.request(&request).await?;
+        request.crash_records = crash_cursor.records_to_send(&shared.quarantine, sent_at);
+        request.next_crash_record = Some(crash_cursor.next_received);
+        let mut response: SyncResponse = link.request(&request).await?;
         if shared.is_unusable_source(&response) {
             return Err("peer cannot reach the store".to_owned());
         }
         shared.mark_reachable(node);
         shared.set_relay(false);
+        crash_cursor.apply(&shared.quarantine, &mut response);
         shared.apply_response(response, sent_at, &own, &mut received);
         let is_over = sent_at.since(began) > RELAY_RECHECK_INTERVAL;
         if is_over && (asks_all_nodes || shared.has_other_relay(&shared.own.data_centre, node)) {
             return Ok(());
         }
-        tokio::time::sleep(SYNC_INTERVAL).await;
+        crash_cursor.wait(SYNC_INTERVAL).await;
     }
 }
 
@@ -646,6 +658,7 @@
     let received = ReceivedStamps::default();
     let sources = [RecordSource::Own, RecordSource::Member];
     let mut next_record = 0;
+    let mut crash_cursor = CrashCursor::new(&shared.quarantine);
     let began = BootInstant::now();
     while shared.is_relay.load(Ordering::Relaxed) {
         let now = BootInstant::now();
@@ -655,6 +668,7 @@
             (request.streams, next_record) =
                 shared.streams.records_from(next_record, &sources, now);
         }
+        request.crash_records = crash_cursor.records_to_send(&shared.quarantine, now);
         let response: SyncResponse = link.request(&request).await?;
         shared.mark_reachable(node);
         shared.apply_version_history(response.version_history);
@@ -672,7 +686,7 @@
         if is_over && shared.has_other_relay(data_centre, node) {
             return Ok(());
         }
-        tokio::time::sleep(SYNC_INTERVAL).await;
+        crash_cursor.wait(SYNC_INTERVAL).await;
     }
     Ok(())
 }
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -11,6 +11,8 @@
 use super::streams::StreamLookup;
 use super::streams::StreamLookupResponse;
 use crate::clock::BootInstant;
+use crate::quarantine;
+use crate::quarantine::CrashRecord;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use slog::debug;
@@ -26,6 +28,13 @@
 /// Pause after a failed accept, which avoids a busy loop while the process is out of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Sources of the records about crashes that a member is sent.
+const ALL_RECORDS: [quarantine::RecordSource; 3] = [
+    quarantine::RecordSource::Own,
+    quarantine::RecordSource::Member,
+    quarantine::RecordSource::Relay,
+];
+
 /// Accepts connections on `listener` until the task is aborted.
 pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     loop {
@@ -97,6 +106,12 @@
         RecordSource::OtherCentre
     };
     shared.streams.record_received(request.streams, source, now);
+    let (crash_records, next_crash_record) = exchange_crash_records(
+        shared,
+        (request.crash_records, request.next_crash_record),
+        is_member,
+        now,
+    );
     let version_history = request
         .wants_version_history
         .then(|| SyncedVersionHistory::new(&shared.catalog.version_history(), now));
@@ -137,7 +152,29 @@
         }),
         nodes_stamp,
         nodes: wants_nodes.then_some(nodes),
+        crash_records,
+        next_crash_record,
         centres: shared.load_table.all_centres(&shared.own.data_centre, now),
         version_history: version_history.flatten(),
     }
 }
+
+/// Applies the records about crashes that a request brought, and returns those that the requester wants, with the number
+/// to continue from.
+fn exchange_crash_records(
+    shared: &Shared,
+    (records, next): (Vec<CrashRecord>, Option<u64>),
+    is_member: bool,
+    now: BootInstant,
+) -> (Vec<CrashRecord>, u64) {
+    let source = if is_member {
+        quarantine::RecordSource::Member
+    } else {
+        quarantine::RecordSource::Relay
+    };
+    shared.quarantine.apply(records, source, now);
+    match next {
+        Some(next) => shared.quarantine.records_from(next, &ALL_RECORDS, now),
+        None => (Vec::new(), 0),
+    }
+}
--- /dev/null
+++ b/src/quarantine/ledger.rs
@@ -0,0 +1,255 @@
+//! The held parts in the store, which outlive a restart of all gateways, and the claims of trials.
+
+use super::state::Quarantine;
+use crate::catalog::Position;
+use crate::catalog::SourceError;
+use crate::clock::BootInstant;
+use crate::decide::Hold;
+use crate::decide::PartId;
+use crate::logs::Logs;
+use async_trait::async_trait;
+use slog::info;
+use slog::warn;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Timeout for a call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for a call while a request waits for the claim of a trial.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(150);
+/// Pause after a failed call, and interval at which a gateway that has become the relay finds out that it writes now.
+const RETRY_INTERVAL: Duration = Duration::from_millis(800);
+
+/// A held part in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LedgerEntry {
+    /// The part.
+    pub part: PartId,
+    /// Number of trials that were claimed.
+    pub trials: u32,
+}
+
+/// All held parts in the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Ledger {
+    /// Sorted by part.
+    pub entries: Vec<LedgerEntry>,
+    /// End of what was read.
+    pub end: Position,
+}
+
+/// A change of the held parts in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LedgerChange {
+    /// Adds or replaces an entry.
+    Put(LedgerEntry),
+    /// Removes the entry of a part.
+    Remove(PartId),
+}
+
+/// Reads and writes the held parts in the store.
+#[async_trait]
+pub trait HoldLedger: Send + Sync {
+    /// Reads all entries.
+    async fn read(&self, timeout: Duration) -> Result<Ledger, SourceError>;
+
+    /// Makes a change unless another one was made since `end`; returns whether it was made.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store did not confirm the change; it may have been made nevertheless.
+    async fn write(
+        &self,
+        change: LedgerChange,
+        end: Position,
+        timeout: Duration,
+    ) -> Result<bool, SourceError>;
+}
+
+impl Ledger {
+    fn trials(&self, part: PartId) -> Option<u32> {
+        let index = self.entries.binary_search_by_key(&part, |entry| entry.part);
+        index.ok().map(|index| self.entries[index].trials)
+    }
+}
+
+/// Claims trials of held parts in the store, so that only one gateway sends each.
+pub struct TrialClaims {
+    quarantine: Arc<Quarantine>,
+    ledger: Arc<dyn HoldLedger>,
+    logs: Logs,
+}
+
+impl TrialClaims {
+    /// Creates the claims of a gateway.
+    pub fn new(quarantine: &Arc<Quarantine>, ledger: &Arc<dyn HoldLedger>, logs: &Logs) -> Self {
+        Self {
+            quarantine: Arc::clone(quarantine),
+            ledger: Arc::clone(ledger),
+            logs: logs.clone(),
+        }
+    }
+
+    /// Claims the next trial of a held part. Returns whether this gateway may send one request with it.
+    pub async fn claim(&self, part: PartId) -> bool {
+        if !self.quarantine.start_claim() {
+            return false;
+        }
+        match self.try_claim(part).await {
+            Ok(is_claimed) => is_claimed,
+            Err(err) => {
+                info!(self.logs.log(), "trial not claimed"; "part" => format!("{part:x}"), "cause" => %err);
+                false
+            }
+        }
+    }
+
+    async fn try_claim(&self, part: PartId) -> Result<bool, SourceError> {
+        let ledger = self.ledger.read(CLAIM_TIMEOUT).await?;
+        let holds = self.quarantine.holds();
+        let Some(hold) = holds.into_iter().find(|hold| hold.part == part) else {
+            return Ok(false);
+        };
+        let known = ledger.trials(part).unwrap_or(0);
+        let (trials, is_claimed) = if known > hold.trials {
+            // Another gateway has claimed this trial.
+            (known, false)
+        } else {
+            let trials = hold.trials + 1;
+            let change = LedgerChange::Put(LedgerEntry { part, trials });
+            if !self.ledger.write(change, ledger.end, CLAIM_TIMEOUT).await? {
+                return Ok(false);
+            }
+            (trials, true)
+        };
+        self.quarantine.record_hold(Hold {
+            trials,
+            last_trial_at: Some(BootInstant::now()),
+            ..hold
+        });
+        Ok(is_claimed)
+    }
+}
+
+/// Keeps the store's held parts and those of this gateway in step.
+pub struct LedgerSync {
+    task: JoinHandle<()>,
+}
+
+impl LedgerSync {
+    /// Starts to read the ledger and, while this gateway is the relay of its data centre, to write to it.
+    pub fn start(
+        quarantine: &Arc<Quarantine>,
+        ledger: Arc<dyn HoldLedger>,
+        is_relay: Arc<AtomicBool>,
+        logs: &Logs,
+    ) -> Self {
+        let quarantine = Arc::clone(quarantine);
+        let task = tokio::spawn(run(quarantine, ledger, is_relay, logs.clone()));
+        Self { task }
+    }
+
+    /// Stops reading and writing.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
+/// Loads the ledger, then writes this gateway's changes to it while it is the relay.
+async fn run(
+    quarantine: Arc<Quarantine>,
+    ledger: Arc<dyn HoldLedger>,
+    is_relay: Arc<AtomicBool>,
+    logs: Logs,
+) {
+    let mut changes = quarantine.changes();
+    let mut written = Vec::new();
+    let mut has_read = false;
+    let mut is_failing = false;
+    loop {
+        let held = held_entries(&quarantine);
+        let may_write = is_relay.load(Ordering::Relaxed);
+        if !has_read || (may_write && held != written) {
+            match sync(&quarantine, &*ledger, &written, may_write).await {
+                Ok(entries) => {
+                    written = entries;
+                    quarantine.set_loaded();
+                    has_read = true;
+                    is_failing = false;
+                    continue;
+                }
+                Err(err) if !is_failing => {
+                    warn!(logs.log(), "held parts not synchronized with the store"; "cause" => %err);
+                    is_failing = true;
+                }
+                Err(_) => {}
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+            continue;
+        }
+        // A change while the task was busy is noticed by the comparison with what was written.
+        let _ = tokio::time::timeout(RETRY_INTERVAL, changes.changed()).await;
+    }
+}
+
+fn held_entries(quarantine: &Quarantine) -> Vec<LedgerEntry> {
+    let holds = quarantine.holds().into_iter();
+    holds
+        .map(|hold| LedgerEntry {
+            part: hold.part,
+            trials: hold.trials,
+        })
+        .collect()
+}
+
+/// Adopts what the ledger holds beyond this gateway and, if `may_write`, writes what it lacks. `written` are the entries of the ledger
+/// after the last call; one of them that is not held any more is removed. Returns the entries of the ledger now.
+async fn sync(
+    quarantine: &Quarantine,
+    ledger: &dyn HoldLedger,
+    written: &[LedgerEntry],
+    may_write: bool,
+) -> Result<Vec<LedgerEntry>, SourceError> {
+    let read = ledger.read(CALL_TIMEOUT).await?;
+    let now = BootInstant::now();
+    let mut changes = Vec::new();
+    for entry in &read.entries {
+        let held = held_entries(quarantine);
+        let held = held.iter().find(|known| known.part == entry.part);
+        let was_known = written.iter().any(|known| known.part == entry.part);
+        if held.is_none() && was_known {
+            changes.push(LedgerChange::Remove(entry.part));
+        } else if held.is_none_or(|held| held.trials < entry.trials) {
+            // The time of the trials is unknown, so the next one waits its full time from now.
+            quarantine.record_hold(Hold {
+                part: entry.part,
+                since: now,
+                trials: entry.trials,
+                last_trial_at: None,
+            });
+        }
+    }
+    if !may_write {
+        return Ok(read.entries);
+    }
+    for entry in held_entries(quarantine) {
+        if read
+            .trials(entry.part)
+            .is_none_or(|trials| trials < entry.trials)
+        {
+            changes.push(LedgerChange::Put(entry));
+        }
+    }
+    let mut end = read.end;
+    for change in changes {
+        if !ledger.write(change, end, CALL_TIMEOUT).await? {
+            // Another relay was faster; the next call reads what it wrote.
+            return Ok(read.entries);
+        }
+        end.offset += 1;
+    }
+    Ok(held_entries(quarantine))
+}
--- /dev/null
+++ b/src/quarantine/mod.rs
@@ -0,0 +1,25 @@
+//! Holds back requests whose prompts have a part that crashes servers.
+//!
+//! A gateway that sees a server crash tells the others which requests the server had not begun to answer, and every
+//! gateway draws the same conclusions from these reports ([`crate::decide::CrashBlame`]). The held parts are also kept in
+//! the store, so that they outlive a restart of all gateways. See `docs/CRASHING-PARTS.md`.
+
+mod ledger;
+mod probe;
+mod record;
+mod rows;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use ledger::HoldLedger;
+pub use ledger::Ledger;
+pub use ledger::LedgerChange;
+pub use ledger::LedgerEntry;
+pub use ledger::LedgerSync;
+pub use ledger::TrialClaims;
+pub use record::CrashRecord;
+pub use record::SuspectRecord;
+pub use rows::RecordSource;
+pub use state::HeldPart;
+pub use state::Quarantine;
--- /dev/null
+++ b/src/quarantine/rows.rs
@@ -0,0 +1,75 @@
+//! The records of one gateway in order of arrival, of which each other gateway is sent those that it has not got yet.
+
+use super::record::CrashEvent;
+use super::record::CrashRecord;
+use crate::clock::BootInstant;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Maximum number of records kept; the oldest are dropped first.
+const MAX_ROWS: usize = 1_024;
+/// Maximum number of records in one message; the others follow in the next ones.
+const MAX_ROWS_SENT: usize = 200;
+/// Age from which crashes and answers are not sent any more. Held parts are, until they are let through.
+const MAX_ROW_AGE: Duration = Duration::from_secs(600);
+
+/// Where a record comes from, which decides to whom it is sent on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecordSource {
+    /// This gateway.
+    Own,
+    /// A gateway that this one serves as relay.
+    Member,
+    /// The relay that serves this gateway, or the relay of another data centre.
+    Relay,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    event: CrashEvent,
+    source: RecordSource,
+}
+
+/// Numbered records.
+#[derive(Debug, Default)]
+pub(super) struct Rows {
+    first_number: u64,
+    rows: VecDeque<Row>,
+}
+
+impl Rows {
+    pub(super) fn push(&mut self, event: CrashEvent, source: RecordSource) {
+        self.rows.push_back(Row { event, source });
+        if self.rows.len() > MAX_ROWS {
+            self.rows.pop_front();
+            self.first_number += 1;
+        }
+    }
+
+    /// Returns the records numbered from `first` on that come from one of `sources` and for which `is_current` holds,
+    /// and the number to continue from.
+    pub(super) fn records_from(
+        &self,
+        first: u64,
+        sources: &[RecordSource],
+        now: BootInstant,
+        is_held: &dyn Fn(u64) -> bool,
+    ) -> (Vec<CrashRecord>, u64) {
+        let first = first.clamp(
+            self.first_number,
+            self.first_number + self.rows.len() as u64,
+        );
+        let skipped = usize::try_from(first - self.first_number).unwrap_or(usize::MAX);
+        let is_current = |event: &CrashEvent| match event {
+            CrashEvent::Hold(hold) => is_held(hold.part),
+            CrashEvent::Crash(_) | CrashEvent::Sound(..) | CrashEvent::Release(..) => {
+                now.since(event.at()) < MAX_ROW_AGE
+            }
+        };
+        let rows = self.rows.iter().skip(skipped).take(MAX_ROWS_SENT);
+        let next = first + rows.len() as u64;
+        let current = rows.filter(|row| sources.contains(&row.source) && is_current(&row.event));
+        let records = current.map(|row| row.event.to_record(now)).collect();
+        (records, next)
+    }
+}
