--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::dialect::Dialect;
 use super::dialect::ForwardMetadata;
+use super::dialect::RateLimitNotice;
 use super::loads::InFlightGuard;
 use super::pool::ConnectError;
 use super::pool::Lease;
@@ -37,6 +38,8 @@
 pub(super) struct ServerResponse {
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
+    /// What the server says of the requests that it takes.
+    pub(super) rate_limit: RateLimitNotice,
     pub(super) lease: Lease,
     pub(super) guard: InFlightGuard,
 }
@@ -216,6 +219,7 @@
     SendOutcome::Responded(Box::new(ServerResponse {
         head,
         body,
+        rate_limit: metadata.rate_limit,
         lease,
         guard,
     }))
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -54,8 +54,20 @@
     pub slots: u32,
 }
 
+/// What a response says of the number of requests a second that its server takes from all gateways together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimitNotice {
+    /// The server names no limit, or no longer.
+    #[default]
+    Unlimited,
+    /// The server takes this number of requests a second.
+    PerSecond(f64),
+    /// The server names a limit that can't be read, so the last one still holds.
+    Unreadable,
+}
+
 /// Metadata from the headers of a server's response.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -65,6 +77,8 @@
     pub has_signature: bool,
     /// Load of the server, if it reports it.
     pub load: Option<ServerLoad>,
+    /// What the server says of the requests that it takes.
+    pub rate_limit: RateLimitNotice,
     /// Whether the server says that it leaves.
     pub is_leaving: bool,
     /// Time for which the server wants no requests from this node; only in a response with status 503.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -309,6 +309,7 @@
             match self.send_to(&target, resume_after).await {
                 SendOutcome::Responded(response) => {
                     self.may_have_run = true;
+                    self.report.record_rate_limit(response.rate_limit);
                     let is_failure = response.head.status.is_server_error();
                     if !(is_failure && self.take_retry()) {
                         return Ok(response);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 
 pub use dialect::Dialect;
 pub use dialect::ForwardMetadata;
+pub use dialect::RateLimitNotice;
 pub use dialect::RequestMetadata;
 pub use dialect::ResponseMetadata;
 pub use dialect::ResumedStream;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -1,5 +1,6 @@
 //! Writes one log line and the metrics of a request when it has ended.
 
+use super::dialect::RateLimitNotice;
 use super::handler::Gateway;
 use super::metrics::GatewayMetrics;
 use crate::decide::PromptPart;
@@ -34,6 +35,8 @@
     pub(super) config_version: u64,
     pub(super) config_age_ms: u64,
     pub(super) list_version: u64,
+    /// Requests a second that the server that answered last takes from all gateways; `None` if it names no limit.
+    rate_limit: Option<f64>,
     pub(super) started_at: Instant,
     /// Milliseconds until the response could be passed on: the whole response, or the first events of a stream.
     first_ms: Option<u64>,
@@ -64,6 +67,7 @@
             config_version: 0,
             config_age_ms: 0,
             list_version: 0,
+            rate_limit: None,
             started_at: Instant::now(),
             first_ms: None,
             last_event_id: None,
@@ -93,6 +97,14 @@
         self.last_event_id = last_id.or(self.last_event_id);
     }
 
+    /// Records the limit that a server's answer names.
+    pub(super) fn record_rate_limit(&mut self, notice: RateLimitNotice) {
+        self.rate_limit = match notice {
+            RateLimitNotice::PerSecond(limit) => Some(limit),
+            RateLimitNotice::Unlimited | RateLimitNotice::Unreadable => None,
+        };
+    }
+
     /// Records that a stream was resumed at another server.
     pub(super) fn record_resume(&mut self) {
         self.resumes += 1;
@@ -126,6 +138,7 @@
             "versions" => self.software_versions.join(","), "parts" => parts, "resumes" => self.resumes_stream,
             "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
+            "limit" => self.rate_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
             "resumed" => self.resumes, "ms" => self.started_at.elapsed().as_millis() as u64,
