--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -81,6 +81,8 @@
     running: AtomicU32,
     rejected: AtomicU32,
     is_leaving: AtomicBool,
+    /// Limit on requests that it names in its responses, as text.
+    rate_limit: Mutex<Option<String>>,
     /// Time from a request for a stream to its first event.
     first_event_delay: Mutex<Duration>,
     /// Parts of prompts that crash the server as it begins to answer a request with one of them.
@@ -146,6 +148,7 @@
             running: AtomicU32::new(0),
             rejected: AtomicU32::new(0),
             is_leaving: AtomicBool::new(false),
+            rate_limit: Mutex::default(),
             first_event_delay: Mutex::default(),
             crashing_parts: Mutex::default(),
             crash_handle: OnceLock::new(),
@@ -187,6 +190,11 @@
         self.shared.is_leaving.store(true, Relaxed);
     }
 
+    /// Sets the limit on requests a second that it names in its responses, as the text of the header.
+    pub fn set_rate_limit(&self, limit: Option<&str>) {
+        *lock(&self.shared.rate_limit) = limit.map(str::to_owned);
+    }
+
     /// Sets the time from a request for a stream to its first event.
     pub fn set_first_event_delay(&self, delay: Duration) {
         *lock(&self.shared.first_event_delay) = delay;
@@ -249,6 +257,9 @@
     http::set_header(&mut res, "keep-alive", "timeout=10");
     let load = format!("{},0,8", shared.running.load(Relaxed));
     http::set_header(&mut res, "currantbend-server-load", &load);
+    if let Some(limit) = &*lock(&shared.rate_limit) {
+        http::set_header(&mut res, "server-limit", limit);
+    }
     if shared.is_leaving.load(Relaxed) {
         http::set_header(&mut res, "server-leaving", "1");
     }
