--- a/src/decide/hash.rs
+++ b/src/decide/hash.rs
@@ -4,7 +4,7 @@
 use std::hash::Hasher;
 
 /// Hashes `parts` in their order; the boundaries between the parts affect the result.
-pub(super) fn hash(parts: &[&[u8]]) -> u64 {
+pub(crate) fn hash(parts: &[&[u8]]) -> u64 {
     let mut hasher = SipHasher13::new();
     for part in parts {
         hasher.write(part);
--- /dev/null
+++ b/src/decide/server_limit.rs
@@ -0,0 +1,79 @@
+//! Decides whether a server that names a limit on its requests gets another one.
+//!
+//! Load pattern: a server in need takes only so many requests a second from all gateways together. Its gateways get
+//! very unequal shares of the load, and each knows what the others sent some tenths of a second late. If each kept to the
+//! limit by itself, the server would get it once for each gateway; if all used what is left at the same moment, it would
+//! get a burst.
+//!
+//! Each request is therefore accepted with the probability at which the fleet's requests for the server add up to the
+//! limit, wherever they come. A count of what the fleet has sent lately bounds what chance adds to that.
+
+use crate::clock::BootInstant;
+use std::time::Duration;
+
+/// Length of the window in which requests are counted: it covers the time until all gateways know what one has sent, and
+/// is short beside the time in which a limit changes.
+pub const RATE_WINDOW: Duration = Duration::from_secs(2);
+const BUCKET_COUNT: usize = 8;
+const BUCKET_LENGTH: Duration = Duration::from_millis(250);
+/// Number of requests above the limit that a window may hold, so that a limit below one request a window is used.
+const WINDOW_SLACK: f64 = 1.0;
+/// Lowest rate at which requests are sent to a server with a limit, in requests a second: only an answer shows that the
+/// limit has ended.
+const MIN_RATE: f64 = 0.25;
+
+/// Counts events of the last [`RATE_WINDOW`].
+#[derive(Clone, Debug, Default)]
+pub struct RateWindow {
+    buckets: [u32; BUCKET_COUNT],
+    /// Number of the newest bucket since the start of the clock.
+    newest: u128,
+}
+
+impl RateWindow {
+    /// Counts one event at `now`.
+    pub fn record(&mut self, now: BootInstant) {
+        self.advance(now);
+        self.buckets[(self.newest % BUCKET_COUNT as u128) as usize] += 1;
+    }
+
+    /// Returns the number of events in the window that ends at `now`.
+    pub fn count(&mut self, now: BootInstant) -> u32 {
+        self.advance(now);
+        self.buckets.iter().sum()
+    }
+
+    fn advance(&mut self, now: BootInstant) {
+        let number = now.since(BootInstant::default()).as_millis() / BUCKET_LENGTH.as_millis();
+        let passed = number.saturating_sub(self.newest).min(BUCKET_COUNT as u128);
+        for offset in 0..passed {
+            self.buckets[((number - offset) % BUCKET_COUNT as u128) as usize] = 0;
+        }
+        self.newest = self.newest.max(number);
+    }
+}
+
+/// Requests for one server in the last [`RATE_WINDOW`], from all gateways.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FleetRequests {
+    /// Requests for which the server was chosen, this one included, whether or not they were sent there.
+    pub chosen: u32,
+    /// Requests that were sent there.
+    pub sent: u32,
+}
+
+impl FleetRequests {
+    /// Returns whether a server that takes `limit` requests a second has got all that it takes for now.
+    pub fn exhaust(&self, limit: f64) -> bool {
+        let allowed = limit.max(MIN_RATE) * RATE_WINDOW.as_secs_f64() + WINDOW_SLACK;
+        f64::from(self.sent) + 1.0 > allowed
+    }
+
+    /// Returns whether a request is sent to a server that takes `limit` requests a second. `fraction` is a number from 0
+    /// to 1 that is evenly distributed over requests.
+    pub fn may_send(&self, limit: f64, fraction: f64) -> bool {
+        let probability =
+            limit.max(MIN_RATE) * RATE_WINDOW.as_secs_f64() / f64::from(self.chosen.max(1));
+        fraction < probability && !self.exhaust(limit)
+    }
+}
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -8,3 +8,4 @@
 mod placement;
 mod relay;
 mod retry_budget;
+mod server_limit;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use super::pool::ConnectError;
 use super::pool::Lease;
 use super::pool::Pool;
+use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
 use crate::decide::RunResult;
 use crate::net::full_body;
@@ -77,6 +78,8 @@
     pub(super) head_timeout: Duration,
     /// Maximum number of connections that the server accepts from all its clients together.
     pub(super) max_connections: u32,
+    /// Learns of the limit that the server names.
+    pub(super) rates: &'a ServerRates,
 }
 
 /// Maximum number of connections tried in one send; another is tried if an idle one was closed before any byte was
@@ -113,7 +116,7 @@
                 return SendOutcome::TimedOut;
             }
             Ok(Ok(response)) => {
-                return classify_response(response, outbound, dialect, lease, guard);
+                return classify_response(response, outbound, params, dialect, (lease, guard));
             }
             Ok(Err(mut err)) => {
                 let is_unsent = err.take_message().is_some();
@@ -173,13 +176,19 @@
 fn classify_response(
     response: Response<Incoming>,
     outbound: &OutboundRequest,
+    params: &SendParams<'_>,
     dialect: &dyn Dialect,
-    lease: Lease,
-    guard: InFlightGuard,
+    (lease, guard): (Lease, InFlightGuard),
 ) -> SendOutcome {
     guard.record_activity();
     let (head, body) = response.into_parts();
     let metadata = dialect.read_response(head.status, &head.headers);
+    // Another server may have the address now, and it speaks for itself.
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        params
+            .rates
+            .record_notice(params.server, metadata.rate_limit);
+    }
     if metadata.is_leaving {
         guard.record_leaving();
     }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -13,12 +13,17 @@
 use crate::decide::Placement;
 use crate::decide::PlacementRequest;
 use crate::decide::ServerView;
+use crate::decide::hash;
 use crate::decide::smoothed_load_per_slot;
 use hyper::StatusCode;
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
 use std::net::SocketAddr;
 
+/// Number of servers at their limits that are chosen before all of those whose limits are used up are left out, which
+/// bounds the time for a choice among many.
+const MAX_LIMITED_CHOICES: u32 = 8;
+
 /// The server that a request is sent to.
 pub(super) struct Target {
     pub(super) server: BackendServer,
@@ -61,18 +66,27 @@
             parts: &self.metadata.parts,
             salt: self.salt,
         };
-        let (servers, server_views): (Vec<&BackendServer>, Vec<ServerView<'_>>) = servers
+        let (servers, mut server_views): (Vec<&BackendServer>, Vec<ServerView<'_>>) = servers
             .iter()
             .zip(server_views)
             .filter(|(server, _)| self.has_stream_version(server))
             .unzip();
-        let choice = if self.crash_guard.is_trial() {
-            least_loaded(&server_views)
-        } else {
-            placement.choose(&placement_request, &server_views)
+        let is_trial = self.crash_guard.is_trial();
+        let choose = |views: &[ServerView<'_>]| {
+            if is_trial {
+                least_loaded(views)
+            } else {
+                placement.choose(&placement_request, views)
+            }
         };
+        let (choice, over_limit) = self.choose_within_limits(&servers, &mut server_views, &choose);
+        self.report.over_limit = over_limit;
         let Some(choice) = choice else {
-            return Err(self.no_server_refusal("no server"));
+            return Err(if over_limit > 0 {
+                self.overload_refusal("servers at their limits")
+            } else {
+                self.no_server_refusal("no server")
+            });
         };
         let chosen = &server_views[choice.index];
         self.report.load = chosen.load;
@@ -84,6 +98,37 @@
         })
     }
 
+    /// Chooses a server by `choose` that may get the request within the limit that it names, if it names one. Returns
+    /// also how many servers were passed over because of their limits.
+    fn choose_within_limits(
+        &self,
+        servers: &[&BackendServer],
+        server_views: &mut [ServerView<'_>],
+        choose: &dyn Fn(&[ServerView<'_>]) -> Option<Choice>,
+    ) -> (Option<Choice>, u32) {
+        let nodes = self.gateway.node_count();
+        let mut over_limit = 0;
+        loop {
+            let Some(choice) = choose(server_views) else {
+                return (None, over_limit);
+            };
+            let server = servers[choice.index];
+            let random = hash(&[&self.salt.to_le_bytes(), server.id.as_bytes()]);
+            let fraction = f64::from((random >> 32) as u32) / f64::from(u32::MAX);
+            if self.gateway.rates.may_send(server, fraction, nodes) {
+                return (Some(choice), over_limit);
+            }
+            over_limit += 1;
+            server_views[choice.index].is_draining = true;
+            if over_limit == MAX_LIMITED_CHOICES {
+                // One placement is enough for the others: those whose limits are used up are left out.
+                for (view, server) in server_views.iter_mut().zip(servers) {
+                    view.is_draining |= self.gateway.rates.is_exhausted(server, nodes);
+                }
+            }
+        }
+    }
+
     /// Returns whether the request has been sent to `server` before.
     fn is_tried(&self, server: &BackendServer) -> bool {
         self.report.servers.contains(&server.id)
@@ -94,12 +139,14 @@
     /// send.
     pub(super) fn has_untried_server(&self) -> bool {
         let now = BootInstant::now();
+        let nodes = self.gateway.node_count();
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
         servers.iter().any(|server| {
             !server.entry.is_draining
                 && !self.is_tried(server)
                 && self.has_stream_version(server)
                 && !self.gateway.loads.is_closed(server, now)
+                && !self.gateway.rates.is_exhausted(server, nodes)
         })
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -51,10 +51,6 @@
 /// for reading the rest of a failed response that is not passed on.
 const MIN_FAILOVER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Number of nodes assumed to share the slack of the retry budget before [`Gateway::node_count`] is set: the next
-/// planned size of the fleet.
-const ASSUMED_NODES: u32 = 100;
-
 /// A caller's request while it is being processed.
 pub(super) struct Exchange {
     pub(super) gateway: Arc<Gateway>,
@@ -376,11 +372,7 @@
 
     /// Takes one retry from the service's retry budget; returns whether the budget granted it.
     fn take_from_budget(&self) -> bool {
-        let nodes = self
-            .gateway
-            .node_count
-            .get()
-            .map_or(ASSUMED_NODES, |count| count());
+        let nodes = self.gateway.node_count();
         let now = BootInstant::now();
         let is_granted = self
             .gateway
@@ -461,6 +453,7 @@
             load_per_slot: target.load_per_slot,
         };
         self.crash_guard.record_send(target);
+        self.gateway.rates.record_send(server);
         let guard = self.gateway.loads.start_request(server);
         // Since the request was prepared, the catalog state may have changed so that the server is no longer usable,
         // or the configuration may have become too old to accept callers' keys, especially if the machine slept in
@@ -480,6 +473,7 @@
             copy_from: target.copy_from,
             deadline: self.deadline,
             head_timeout: self.head_timeout(),
+            rates: &self.gateway.rates,
             max_connections: self
                 .service
                 .as_ref()
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -11,6 +11,7 @@
 use super::pool::Pool;
 use super::refusal::Refusal;
 use super::report::RequestReport;
+use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Limits;
@@ -45,6 +46,10 @@
 /// Maximum size of a request body until a configuration sets the limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Number of nodes assumed to share a limit of the fleet before [`Gateway::node_count`] is set: the next planned size of
+/// the fleet.
+const ASSUMED_NODES: u32 = 100;
+
 /// Settings that the operator may change while the gateway runs.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RuntimeSettings {
@@ -64,6 +69,8 @@
     pub(super) metrics: Arc<GatewayMetrics>,
     pub(super) pool: Pool,
     pub(super) loads: ServerLoads,
+    /// Limits that servers name on their requests.
+    pub(super) rates: ServerRates,
     /// By service name, sorted.
     pub(super) retry_budgets: Mutex<Vec<(String, RetryBudget)>>,
     pub(super) runtime_settings: Mutex<RuntimeSettings>,
@@ -193,6 +200,11 @@
         is_draining || self.loads.is_closed(server, now)
     }
 
+    /// Returns the number of gateways.
+    pub(super) fn node_count(&self) -> u32 {
+        self.node_count.get().map_or(ASSUMED_NODES, |count| count())
+    }
+
     pub(super) fn runtime_settings(&self) -> RuntimeSettings {
         *self
             .runtime_settings
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -147,6 +147,7 @@
             .map(|state| LoadEntry {
                 server: state.id.clone(),
                 in_flight: state.own_in_flight,
+                requests: None,
             })
             .collect()
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -53,6 +53,7 @@
     servers: IntGauge,
     in_flight: IntGauge,
     held_parts: IntGauge,
+    limited_servers: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -117,8 +118,12 @@
                 "currantbend_gateway_held_parts",
                 "Prompt parts whose requests are held back.",
             ),
+            limited_servers: gauge(
+                "currantbend_gateway_limited_servers",
+                "Backend servers that name a limit on requests.",
+            ),
         };
-        let collectors: [Box<dyn Collector>; 14] = [
+        let collectors: [Box<dyn Collector>; 15] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.sends.clone()),
@@ -132,6 +137,7 @@
             Box::new(metrics.servers.clone()),
             Box::new(metrics.in_flight.clone()),
             Box::new(metrics.held_parts.clone()),
+            Box::new(metrics.limited_servers.clone()),
             Box::new(ProcessCollector::for_self()),
         ];
         for collector in collectors {
@@ -200,6 +206,11 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(super) fn record_limited_servers(&self, count: usize) {
+        self.limited_servers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
         // Encoding into memory fails only if a collector breaks an invariant; the page is then incomplete.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod refusal;
 mod report;
+mod server_rates;
 mod settings;
 mod stream;
 mod stream_version;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -10,6 +10,7 @@
 use super::metrics::SourceMetrics;
 use super::pages::Pages;
 use super::pool::Pool;
+use super::server_rates::ServerRates;
 use super::settings::GatewayBounds;
 use super::settings::GatewayHost;
 use super::settings::GatewaySettings;
@@ -139,14 +140,19 @@
 /// Returns the callbacks that exchange loads with other nodes: one returns this node's requests in flight, the other
 /// applies those of the other nodes.
 fn load_callbacks(gateway: &Arc<Gateway>) -> (OwnLoads, OtherLoads) {
-    let own_loads = gateway.loads.clone();
+    let own = Arc::clone(gateway);
     let shared = Arc::clone(gateway);
     (
-        Arc::new(move || own_loads.own_in_flight()),
+        Arc::new(move || {
+            let mut loads = own.loads.own_in_flight();
+            own.rates.add_to_loads(&mut loads);
+            loads
+        }),
         Arc::new(move |remote| {
             let (servers, _) = shared.catalog.servers();
             shared.loads.track(&servers);
             shared.loads.record_remote(&remote);
+            shared.rates.record_remote(&remote, &servers);
         }),
     )
 }
@@ -307,6 +313,7 @@
         metrics: Arc::new(GatewayMetrics::new(&sources.source_metrics)),
         pool: Pool::default(),
         loads: ServerLoads::default(),
+        rates: ServerRates::default(),
         retry_budgets: Mutex::default(),
         runtime_settings: Mutex::new(runtime_settings(bounds)),
         admission_stats: AdmissionStats::default(),
@@ -346,6 +353,7 @@
         };
         gateway.pool.prune(&is_known);
         gateway.loads.prune(&is_known);
+        gateway.rates.prune(&is_known);
         if let Some(configuration) = gateway.catalog.configuration() {
             let routes = configuration.routes().iter();
             let mut names: Vec<&str> = routes.map(|route| route.name.as_str()).collect();
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -66,6 +66,7 @@
             servers,
         );
         metrics.record_held_parts(self.gateway.quarantine.held_parts().len());
+        metrics.record_limited_servers(self.gateway.rates.limited_count());
         metrics.render()
     }
 
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -32,6 +32,8 @@
     pub(super) load: u32,
     /// Number of homes of the prompt part that rank before the server that was chosen last.
     pub(super) passed_over: usize,
+    /// Number of servers that were passed over at the last choice because of their limits.
+    pub(super) over_limit: u32,
     pub(super) config_version: u64,
     pub(super) config_age_ms: u64,
     pub(super) list_version: u64,
@@ -64,6 +66,7 @@
             is_caller_retry: false,
             load: 0,
             passed_over: 0,
+            over_limit: 0,
             config_version: 0,
             config_age_ms: 0,
             list_version: 0,
@@ -138,7 +141,7 @@
             "versions" => self.software_versions.join(","), "parts" => parts, "resumes" => self.resumes_stream,
             "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
-            "limit" => self.rate_limit,
+            "limit" => self.rate_limit, "over_limit" => self.over_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
             "resumed" => self.resumes, "ms" => self.started_at.elapsed().as_millis() as u64,
--- /dev/null
+++ b/src/gateway/server_rates.rs
@@ -0,0 +1,221 @@
+//! The limits that servers name on their requests, and how many requests the fleet has for each.
+
+use super::dialect::RateLimitNotice;
+use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
+use crate::decide::FleetRequests;
+use crate::decide::RateWindow;
+use crate::peers::LoadEntry;
+use crate::peers::ServerRequests;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Maximum age of the other gateways' requests, the time that a few sync requests to the relay take if none is answered.
+const MAX_REMOTE_AGE: Duration = Duration::from_millis(2_000);
+/// Time after a server's last word about its limit for which the gateways tell each other of its requests.
+const LIMIT_MEMORY: Duration = Duration::from_secs(10);
+
+/// A server's last word about its limit, to this or another gateway.
+#[derive(Clone, Copy, Debug)]
+struct LimitNotice {
+    /// Requests a second, or `None` if the limit has ended.
+    limit: Option<f64>,
+    at: BootInstant,
+}
+
+/// Requests for one incarnation of a server.
+#[derive(Clone, Debug, Default)]
+struct ServerState {
+    id: String,
+    start_time_ms: u64,
+    chosen: RateWindow,
+    sent: RateWindow,
+    /// Requests of the other gateways, and when they were received.
+    remote: Option<(FleetRequests, BootInstant)>,
+    /// `None` if the server has never named a limit, or not for [`LIMIT_MEMORY`].
+    notice: Option<LimitNotice>,
+}
+
+/// Requests and limits of the known servers.
+#[derive(Debug, Default)]
+pub(super) struct ServerRates {
+    /// Sorted by server name.
+    states: Mutex<Vec<ServerState>>,
+}
+
+impl ServerRates {
+    /// Records what a response says of its server's limit.
+    pub(super) fn record_notice(&self, server: &BackendServer, notice: RateLimitNotice) {
+        let limit = match notice {
+            RateLimitNotice::PerSecond(limit) => Some(limit),
+            RateLimitNotice::Unlimited => None,
+            RateLimitNotice::Unreadable => return,
+        };
+        let at = BootInstant::now();
+        let mut states = self.lock();
+        let state = current_state(&mut states, server);
+        if limit.is_some() || state.notice.is_some() {
+            state.notice = Some(LimitNotice { limit, at });
+        }
+    }
+
+    /// Records that `server` was chosen for a request, and returns whether its limit allows to send it there. `fraction`
+    /// is a number from 0 to 1 that is evenly distributed over requests; `nodes` is the number of gateways, all of which
+    /// are taken to send as much as this one while nothing is known of the others.
+    pub(super) fn may_send(&self, server: &BackendServer, fraction: f64, nodes: u32) -> bool {
+        let now = BootInstant::now();
+        let mut states = self.lock();
+        let state = current_state(&mut states, server);
+        state.chosen.record(now);
+        let Some(limit) = state.limit() else {
+            return true;
+        };
+        state.fleet_requests(now, nodes).may_send(limit, fraction)
+    }
+
+    /// Returns whether `server` has got all requests that its limit allows for now.
+    pub(super) fn is_exhausted(&self, server: &BackendServer, nodes: u32) -> bool {
+        let mut states = self.lock();
+        let state = current_state(&mut states, server);
+        state.limit().is_some_and(|limit| {
+            let requests = state.fleet_requests(BootInstant::now(), nodes);
+            requests.exhaust(limit)
+        })
+    }
+
+    /// Records that a request is sent to `server`.
+    pub(super) fn record_send(&self, server: &BackendServer) {
+        let mut states = self.lock();
+        let state = current_state(&mut states, server);
+        state.sent.record(BootInstant::now());
+    }
+
+    /// Adds this gateway's requests for servers with limits to its loads, which are sorted by server name.
+    pub(super) fn add_to_loads(&self, loads: &mut Vec<LoadEntry>) {
+        let now = BootInstant::now();
+        for state in self.lock().iter_mut() {
+            let Some(notice) = state.notice else {
+                continue;
+            };
+            if now.since(notice.at) > LIMIT_MEMORY {
+                state.notice = None;
+                continue;
+            }
+            let age_ms = u64::try_from(now.since(notice.at).as_millis()).unwrap_or(u64::MAX);
+            let requests = ServerRequests {
+                chosen: state.chosen.count(now),
+                sent: state.sent.count(now),
+                limit_milli: notice.limit.map(|limit| (limit * 1_000.0) as u64),
+                limit_age_ms: age_ms,
+            };
+            match loads.binary_search_by(|entry| entry.server.cmp(&state.id)) {
+                Ok(index) => loads[index].requests = Some(requests),
+                Err(index) => loads.insert(
+                    index,
+                    LoadEntry {
+                        server: state.id.clone(),
+                        in_flight: 0,
+                        requests: Some(requests),
+                    },
+                ),
+            }
+        }
+    }
+
+    /// Records the requests of all other gateways together and the newest limits that they know of, sorted by server
+    /// name; `servers` is the present server list.
+    pub(super) fn record_remote(&self, remote: &[LoadEntry], servers: &[BackendServer]) {
+        let now = BootInstant::now();
+        let mut states = self.lock();
+        for server in servers {
+            let found = remote.binary_search_by(|entry| entry.server.cmp(&server.id));
+            let requests = found.ok().and_then(|index| remote[index].requests);
+            let state = current_state(&mut states, server);
+            let Some(requests) = requests else {
+                state.remote = state.notice.map(|_| (FleetRequests::default(), now));
+                continue;
+            };
+            let fleet = FleetRequests {
+                chosen: requests.chosen,
+                sent: requests.sent,
+            };
+            state.remote = Some((fleet, now));
+            let at = now.before(Duration::from_millis(requests.limit_age_ms));
+            if state.notice.is_none_or(|notice| notice.at < at) {
+                let limit = requests.limit_milli.map(|milli| milli as f64 / 1_000.0);
+                state.notice = Some(LimitNotice { limit, at });
+            }
+        }
+    }
+
+    /// Returns the number of servers that name a limit.
+    pub(super) fn limited_count(&self) -> usize {
+        let states = self.lock();
+        states
+            .iter()
+            .filter(|state| state.limit().is_some())
+            .count()
+    }
+
+    /// Removes servers that are not known any more.
+    pub(super) fn prune(&self, is_known: &dyn Fn(&str) -> bool) {
+        self.lock().retain(|state| is_known(&state.id));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<ServerState>> {
+        self.states.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ServerState {
+    fn limit(&self) -> Option<f64> {
+        self.notice.and_then(|notice| notice.limit)
+    }
+
+    /// Returns the requests of all gateways.
+    fn fleet_requests(&mut self, now: BootInstant, nodes: u32) -> FleetRequests {
+        let own = FleetRequests {
+            chosen: self.chosen.count(now),
+            sent: self.sent.count(now),
+        };
+        let remote = self
+            .remote
+            .filter(|(_, received_at)| now.since(*received_at) < MAX_REMOTE_AGE);
+        match remote {
+            Some((remote, _)) => FleetRequests {
+                chosen: own.chosen + remote.chosen,
+                sent: own.sent + remote.sent,
+            },
+            None => FleetRequests {
+                chosen: own.chosen.saturating_mul(nodes),
+                sent: own.sent.saturating_mul(nodes),
+            },
+        }
+    }
+}
+
+/// Returns the state of a server's current incarnation, adding a new one if there is none.
+fn current_state<'a>(
+    states: &'a mut Vec<ServerState>,
+    server: &BackendServer,
+) -> &'a mut ServerState {
+    let index = match states.binary_search_by(|state| state.id.as_str().cmp(&server.id)) {
+        Ok(index) => index,
+        Err(index) => {
+            states.insert(index, ServerState::default());
+            index
+        }
+    };
+    let state = &mut states[index];
+    if state.id.is_empty() || state.start_time_ms != server.entry.start_time_ms {
+        // What an earlier incarnation took says nothing of this one.
+        *state = ServerState {
+            id: server.id.clone(),
+            start_time_ms: server.entry.start_time_ms,
+            ..ServerState::default()
+        };
+    }
+    state
+}
--- a/src/peers/load_table.rs
+++ b/src/peers/load_table.rs
@@ -110,7 +110,7 @@
     entries.dedup_by(|later, first| {
         let is_same = later.server == first.server;
         if is_same {
-            first.in_flight += later.in_flight;
+            first.add(later);
         }
         is_same
     });
@@ -119,14 +119,12 @@
 
 /// Returns `sum` minus the node's own loads; `own` must be sorted by server name.
 pub(super) fn subtract_own(sum: Vec<LoadEntry>, own: &[LoadEntry]) -> Vec<LoadEntry> {
-    let own_load = |server: &str| {
-        let found = own.binary_search_by(|entry| entry.server.as_str().cmp(server));
-        found.map_or(0, |at| own[at].in_flight)
-    };
-    sum.into_iter()
-        .map(|entry| LoadEntry {
-            in_flight: entry.in_flight.saturating_sub(own_load(&entry.server)),
-            server: entry.server,
-        })
-        .collect()
+    let mut rest = sum;
+    for entry in &mut rest {
+        let found = own.binary_search_by(|known| known.server.cmp(&entry.server));
+        if let Ok(index) = found {
+            entry.subtract(&own[index]);
+        }
+    }
+    rest
 }
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -28,6 +28,60 @@
     pub server: String,
     /// Requests that were sent and whose response is not complete yet.
     pub in_flight: u32,
+    /// Requests for a server that names a limit; `None` for others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requests: Option<ServerRequests>,
+}
+
+/// Requests for a server that names a limit on them or did so lately, in the last two seconds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ServerRequests {
+    /// Requests for which the server was chosen, whether or not they were sent there.
+    pub chosen: u32,
+    /// Requests that were sent there.
+    pub sent: u32,
+    /// Requests in a thousand seconds that the server takes from all gateways; `None` if its limit has ended.
+    pub limit_milli: Option<u64>,
+    /// Time since the answer that said so.
+    pub limit_age_ms: u64,
+}
+
+impl ServerRequests {
+    /// Adds the requests of other gateways, and takes over the limit if theirs is newer.
+    fn add(&mut self, other: &Self) {
+        self.chosen += other.chosen;
+        self.sent += other.sent;
+        if other.limit_age_ms < self.limit_age_ms {
+            self.limit_milli = other.limit_milli;
+            self.limit_age_ms = other.limit_age_ms;
+        }
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.chosen = self.chosen.saturating_sub(other.chosen);
+        self.sent = self.sent.saturating_sub(other.sent);
+    }
+}
+
+impl LoadEntry {
+    /// Adds the load of other gateways on the same server.
+    pub(super) fn add(&mut self, other: &Self) {
+        self.in_flight += other.in_flight;
+        match (&mut self.requests, &other.requests) {
+            (Some(requests), Some(other)) => requests.add(other),
+            (None, Some(other)) => self.requests = Some(*other),
+            (_, None) => {}
+        }
+    }
+
+    /// Subtracts the load that one gateway has put on the same server.
+    pub(super) fn subtract(&mut self, own: &Self) {
+        self.in_flight = self.in_flight.saturating_sub(own.in_flight);
+        if let (Some(requests), Some(own)) = (&mut self.requests, &own.requests) {
+            requests.subtract(own);
+        }
+    }
 }
 
 /// Total load that all gateways of one data centre put on each backend server.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -20,6 +20,7 @@
 pub use directory::NodeEntry;
 pub use load_table::LoadTable;
 pub use message::LoadEntry;
+pub use message::ServerRequests;
 pub use node::OtherLoads;
 pub use node::OwnLoads;
 pub use node::PeerSettings;
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -16,6 +16,7 @@
     LoadEntry {
         server: server.to_owned(),
         in_flight,
+        requests: None,
     }
 }
 
