--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -105,6 +105,7 @@
             }
         };
         let is_reused = lease.is_reused();
+        lease.head_limit().await_head();
         let pending_response = lease
             .sender()
             .try_send_request(build_request(outbound, params, dialect));
@@ -116,6 +117,7 @@
                 return SendOutcome::TimedOut;
             }
             Ok(Ok(response)) => {
+                lease.head_limit().record_head();
                 return classify_response(response, outbound, params, dialect, (lease, guard));
             }
             Ok(Err(mut err)) => {
--- /dev/null
+++ b/src/gateway/head_limit.rs
@@ -0,0 +1,112 @@
+//! Limits the bytes that a backend server sends before the head of its response is complete.
+//!
+//! The HTTP library limits the size of one head, but reads any number of interim heads before it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Maximum number of bytes until a head is complete. It exceeds the largest head that the HTTP library reads, since the
+/// beginning of the body may arrive together with the head.
+const MAX_HEAD_BYTES: usize = 512 * 1024;
+
+/// Counts the bytes that arrive on a connection while the head of a response is awaited.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeadLimit {
+    /// Bytes that may still arrive; `usize::MAX` while no head is awaited.
+    left: Arc<AtomicUsize>,
+}
+
+impl HeadLimit {
+    /// Starts to count, since a request is about to be sent.
+    pub(super) fn await_head(&self) {
+        self.left.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Stops counting, since the head is complete.
+    pub(super) fn record_head(&self) {
+        self.left.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Counts `bytes`, and returns an error if there are too many.
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        let left = self.left.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return Ok(());
+        }
+        if bytes > left {
+            let cause = "response head without end";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
+        }
+        self.left.store(left - bytes, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+/// A connection whose reads fail once a [`HeadLimit`] is exceeded.
+pub(super) struct HeadLimitedStream {
+    stream: TcpStream,
+    limit: HeadLimit,
+}
+
+impl HeadLimitedStream {
+    pub(super) fn new(stream: TcpStream, limit: &HeadLimit) -> Self {
+        Self {
+            stream,
+            limit: limit.clone(),
+        }
+    }
+}
+
+impl AsyncRead for HeadLimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        match polled {
+            Poll::Ready(Ok(())) => Poll::Ready(self.limit.count(buf.filled().len() - before)),
+            Poll::Ready(Err(_)) | Poll::Pending => polled,
+        }
+    }
+}
+
+impl AsyncWrite for HeadLimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod events;
 mod exchange;
 mod handler;
+mod head_limit;
 mod headers;
 mod loads;
 mod metrics;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,6 +1,8 @@
 //! Pool of connections to backend servers. Each carries one request at a time, and is kept for further requests until
 //! shortly before the server would close it.
 
+use super::head_limit::HeadLimit;
+use super::head_limit::HeadLimitedStream;
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
 use crate::catalog::BackendServer;
@@ -48,6 +50,7 @@
 pub(super) struct Lease {
     sender: SendRequest<Body>,
     task: ConnectionTask,
+    head_limit: HeadLimit,
     server_id: String,
     /// Start time of the server's incarnation; a connection is not reused for another incarnation.
     server_start_time_ms: u64,
@@ -120,6 +123,8 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
             .map_err(|err| failed(&err))?;
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimitedStream::new(stream, &head_limit);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|err| failed(&err))?;
@@ -128,6 +133,7 @@
         Ok(Lease {
             sender,
             task: ConnectionTask(task.abort_handle()),
+            head_limit,
             server_id: server.id.clone(),
             server_start_time_ms: server.entry.start_time_ms,
             max_idle: (max_connections / IDLE_DIVISOR).max(2) as usize,
@@ -202,6 +208,11 @@
         &mut self.sender
     }
 
+    /// Returns the limit on the bytes before the head of a response.
+    pub(super) fn head_limit(&self) -> &HeadLimit {
+        &self.head_limit
+    }
+
     /// Returns the name of the server at the other end.
     pub(super) fn server_id(&self) -> &str {
         &self.server_id
