--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -25,7 +25,6 @@
 use crate::decide::RetryAfter;
 use crate::decide::RunResult;
 use crate::net::Body;
-use crate::net::collect;
 use crate::net::full_body;
 use hyper::Response;
 use hyper::StatusCode;
@@ -34,9 +33,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Maximum size of a response that is not a stream; a larger one counts as broken. Such a response is read whole before
-/// it is passed on, so that the request can be retried if the response breaks off.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Minimum time until the request's deadline for a send; with less, the response would come too late.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// A request is refused after this number of sends that did not reach the chosen server: it was unreachable, another
@@ -254,7 +250,9 @@
             guard,
             ..
         } = *response;
-        let collecting = collect(body, MAX_RESPONSE_BYTES);
+        // The response is read whole before it is passed on, so that the request can be retried if it breaks off.
+        let gateway = Arc::clone(&self.gateway);
+        let collecting = gateway.response_memory.collect(body);
         let body = match tokio::time::timeout_at(self.deadline, collecting).await {
             Ok(Ok(body)) => body,
             Ok(Err(err)) => {
@@ -533,7 +531,7 @@
         let ServerResponse {
             head, body, lease, ..
         } = response;
-        let collecting = collect(body, MAX_RESPONSE_BYTES);
+        let collecting = self.response_memory.collect(body);
         match tokio::time::timeout(MIN_FAILOVER_TIMEOUT, collecting).await {
             Ok(Ok(_)) => self.pool.put_idle(lease, &head.headers),
             Ok(Err(_)) | Err(_) => lease.close(),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -11,6 +11,7 @@
 use super::pool::Pool;
 use super::refusal::Refusal;
 use super::report::RequestReport;
+use super::response_memory::ResponseMemory;
 use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
@@ -69,6 +70,8 @@
     pub(super) metrics: Arc<GatewayMetrics>,
     pub(super) pool: Pool,
     pub(super) loads: ServerLoads,
+    /// Memory for responses that are read whole.
+    pub(super) response_memory: ResponseMemory,
     /// Limits that servers name on their requests.
     pub(super) rates: ServerRates,
     /// By service name, sorted.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod refusal;
 mod report;
+mod response_memory;
 mod server_rates;
 mod settings;
 mod stream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -10,6 +10,7 @@
 use super::metrics::SourceMetrics;
 use super::pages::Pages;
 use super::pool::Pool;
+use super::response_memory::ResponseMemory;
 use super::server_rates::ServerRates;
 use super::settings::GatewayBounds;
 use super::settings::GatewayHost;
@@ -314,6 +315,7 @@
         pool: Pool::default(),
         loads: ServerLoads::default(),
         rates: ServerRates::default(),
+        response_memory: ResponseMemory::default(),
         retry_budgets: Mutex::default(),
         runtime_settings: Mutex::new(runtime_settings(bounds)),
         admission_stats: AdmissionStats::default(),
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,8 +4,18 @@
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
 use super::headers::remove_hop_by_hop;
+use super::response_memory::MAX_RESPONSE_BYTES;
+use super::response_memory::MAX_TOTAL_BYTES;
+use super::response_memory::ResponseMemory;
 use super::settings::GatewaySettings;
+use crate::net::CollectError;
+use crate::net::full_body;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http_body_util::StreamBody;
 use hyper::HeaderMap;
+use hyper::body::Frame;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use std::time::Duration;
@@ -92,3 +102,38 @@
         assert!(text.contains(named), "{text}");
     }
 }
+
+#[tokio::test]
+async fn responses_that_are_read_at_the_same_time_share_bounded_memory() {
+    let memory = ResponseMemory::default();
+    let block = Bytes::from(vec![0; 1024 * 1024]);
+    // Each body stays open after seven blocks, so that all are read at the same time.
+    let body = || {
+        let frames = std::iter::repeat_n(block.clone(), 7);
+        let frames = stream::iter(frames.map(|block| Ok::<_, std::io::Error>(Frame::data(block))));
+        StreamBody::new(Box::pin(frames.chain(stream::pending())))
+    };
+
+    let reading = (0..12).map(|_| memory.collect(body()));
+    let reading = futures_util::future::join_all(
+        reading.map(|reading| tokio::time::timeout(std::time::Duration::from_millis(200), reading)),
+    );
+    let results = reading.await;
+
+    let refused = results
+        .iter()
+        .filter(|result| matches!(result, Ok(Err(CollectError::TooLarge))));
+    assert_eq!(refused.count(), 12 - MAX_TOTAL_BYTES / (7 * 1024 * 1024));
+    let small = memory.collect(full_body("whole")).await;
+    assert_eq!(small.unwrap(), "whole");
+}
+
+#[tokio::test]
+async fn a_response_beyond_the_bound_is_broken() {
+    let memory = ResponseMemory::default();
+    let body = full_body(vec![0; MAX_RESPONSE_BYTES + 1]);
+
+    let result = memory.collect(body).await;
+
+    assert!(matches!(result, Err(CollectError::TooLarge)));
+}
