--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -14,9 +14,11 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Maximum number of bytes until a head is complete. It exceeds the largest head that the HTTP library reads, since the
-/// beginning of the body may arrive together with the head.
-const MAX_HEAD_BYTES: usize = 512 * 1024;
+/// Size of the buffer into which a connection is read, and so of the largest head.
+pub(super) const BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes until a head is complete: the largest head after as many bytes of interim heads, or together
+/// with as many bytes of the body.
+const MAX_HEAD_BYTES: usize = 2 * BUFFER_BYTES;
 
 /// Counts the bytes that arrive on a connection while the head of a response is awaited.
 #[derive(Clone, Debug, Default)]
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to backend servers. Each carries one request at a time, and is kept for further requests until
 //! shortly before the server would close it.
 
+use super::head_limit::BUFFER_BYTES;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimitedStream;
 use super::headers::has_connection_close;
@@ -125,7 +126,9 @@
             .map_err(|err| failed(&err))?;
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream::new(stream, &head_limit);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| failed(&err))?;
         // The request on the connection fails with the same error, so it is ignored here.
