--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,6 +21,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -31,6 +32,9 @@
     lease: Lease,
     guard: InFlightGuard,
     splitter: EventSplitter,
+    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
+    is_unframed: bool,
+    has_events: bool,
 }
 
 /// The next item of a server's stream.
@@ -235,7 +239,12 @@
 
 impl ServerStream {
     fn new(response: ServerResponse) -> (Self, StatusCode) {
+        let headers = &response.head.headers;
+        let is_unframed =
+            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
         let server_stream = Self {
+            is_unframed,
+            has_events: false,
             body: response.body,
             headers: response.head.headers,
             lease: response.lease,
@@ -261,6 +270,10 @@
                 None if self.splitter.has_partial_event() => {
                     return StreamItem::Broken("event cut off".to_owned());
                 }
+                // A server that crashes before its first event ends such a stream like a complete one.
+                None if self.is_unframed && !self.has_events => {
+                    return StreamItem::Broken("ended before the first event".to_owned());
+                }
                 None => return StreamItem::End,
                 Some(Err(err)) => return StreamItem::Broken(err.to_string()),
                 Some(Ok(frame)) => {
@@ -269,7 +282,10 @@
                         continue;
                     };
                     match self.splitter.push(&bytes) {
-                        Ok(Some(events)) => return StreamItem::Events(events),
+                        Ok(Some(events)) => {
+                            self.has_events = true;
+                            return StreamItem::Events(events);
+                        }
                         Ok(None) => {}
                         Err(_) => return StreamItem::Broken("event without end".to_owned()),
                     }
