--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -50,9 +50,7 @@
         let (servers, list_version) = self.gateway.catalog.servers_of(&self.service_name);
         self.report.list_version = list_version;
         let server_views = self.server_views(&servers);
-        if self.sends == 0 && !self.is_admitted(&server_views) {
-            return Err(self.overload_refusal("service full"));
-        }
+        let is_admitted = self.sends > 0 || self.is_admitted(&servers, &server_views);
         let is_engine = self
             .service
             .as_ref()
@@ -88,6 +86,10 @@
                 self.no_server_refusal("no server")
             });
         };
+        // A server with a limit has room within it, however full the others are.
+        if !is_admitted && !self.gateway.rates.has_limit(servers[choice.index]) {
+            return Err(self.overload_refusal("service full"));
+        }
         let chosen = &server_views[choice.index];
         self.report.load = chosen.load;
         self.report.passed_over = choice.passed_over;
@@ -113,6 +115,10 @@
                 return (None, over_limit);
             };
             let server = servers[choice.index];
+            if over_limit > 0 && server_views[choice.index].is_suspended {
+                // What the others can't take would keep a suspended server from recovering.
+                return (None, over_limit);
+            }
             let random = hash(&[&self.salt.to_le_bytes(), server.id.as_bytes()]);
             let fraction = f64::from((random >> 32) as u32) / f64::from(u32::MAX);
             if self.gateway.rates.may_send(server, fraction, nodes) {
@@ -153,8 +159,13 @@
     /// Records the request in the load statistics of its service, and returns whether it is admitted at the present
     /// load. Under overload some requests are rejected, so that the admitted ones are answered in time. If no server is
     /// available, the load is unknown and the request is admitted.
-    fn is_admitted(&self, server_views: &[ServerView<'_>]) -> bool {
-        let Some(load_per_slot) = smoothed_load_per_slot(server_views) else {
+    ///
+    /// Servers with limits are left out, since they can't take what is too much for the others.
+    fn is_admitted(&self, servers: &[BackendServer], server_views: &[ServerView<'_>]) -> bool {
+        let views = servers.iter().zip(server_views);
+        let unlimited = views.filter(|(server, _)| !self.gateway.rates.has_limit(server));
+        let unlimited: Vec<ServerView<'_>> = unlimited.map(|(_, view)| *view).collect();
+        let Some(load_per_slot) = smoothed_load_per_slot(&unlimited) else {
             return true;
         };
         let stats = &self.gateway.admission_stats;
--- a/src/gateway/server_rates.rs
+++ b/src/gateway/server_rates.rs
@@ -85,6 +85,16 @@
         })
     }
 
+    /// Returns whether `server` names a limit.
+    pub(super) fn has_limit(&self, server: &BackendServer) -> bool {
+        let states = self.lock();
+        let index = states.binary_search_by(|state| state.id.as_str().cmp(&server.id));
+        index.is_ok_and(|index| {
+            let state = &states[index];
+            state.start_time_ms == server.entry.start_time_ms && state.limit().is_some()
+        })
+    }
+
     /// Records that a request is sent to `server`.
     pub(super) fn record_send(&self, server: &BackendServer) {
         let mut states = self.lock();
