--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -360,6 +360,8 @@
         tokio::time::sleep(delay).await;
         if let Some(shared) = crash {
             shared.crash();
+            // The body must not end before the connection does.
+            tx.closed().await;
             return;
         }
         for number in after + 1..=EVENTS {
