--- a/src/gateway/server_rates.rs
+++ b/src/gateway/server_rates.rs
@@ -17,6 +17,10 @@
 /// Time after a server's last word about its limit for which the gateways tell each other of its requests.
 const LIMIT_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time by which a limit that another gateway has heard must be newer than this gateway's own to replace it: more than a
+/// message between gateways takes, so that a gateway does not take its own old word for a new one when it comes back.
+const MIN_NEWER: Duration = Duration::from_millis(300);
+
 /// A server's last word about its limit, to this or another gateway.
 #[derive(Clone, Copy, Debug)]
 struct LimitNotice {
@@ -152,8 +156,13 @@
                 sent: requests.sent,
             };
             state.remote = Some((fleet, now));
-            let at = now.before(Duration::from_millis(requests.limit_age_ms));
-            if state.notice.is_none_or(|notice| notice.at < at) {
+            let age = Duration::from_millis(requests.limit_age_ms);
+            let at = now.before(age);
+            if age < LIMIT_MEMORY
+                && state
+                    .notice
+                    .is_none_or(|notice| notice.at.plus(MIN_NEWER) < at)
+            {
                 let limit = requests.limit_milli.map(|milli| milli as f64 / 1_000.0);
                 state.notice = Some(LimitNotice { limit, at });
             }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the parts of the data path that need no connection.
 
+use super::dialect::RateLimitNotice;
 use super::events::EventSplitter;
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
@@ -7,9 +8,14 @@
 use super::response_memory::MAX_RESPONSE_BYTES;
 use super::response_memory::MAX_TOTAL_BYTES;
 use super::response_memory::ResponseMemory;
+use super::server_rates::ServerRates;
 use super::settings::GatewaySettings;
+use crate::catalog::BackendServer;
+use crate::catalog::ServerEntry;
 use crate::net::CollectError;
 use crate::net::full_body;
+use crate::peers::LoadEntry;
+use crate::peers::ServerRequests;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -116,7 +122,7 @@
 
     let reading = (0..12).map(|_| memory.collect(body()));
     let reading = futures_util::future::join_all(
-        reading.map(|reading| tokio::time::timeout(std::time::Duration::from_millis(200), reading)),
+        reading.map(|reading| tokio::time::timeout(Duration::from_millis(200), reading)),
     );
     let results = reading.await;
 
@@ -137,3 +143,92 @@
 
     assert!(matches!(result, Err(CollectError::TooLarge)));
 }
+
+fn server(id: &str, start_time_ms: u64) -> BackendServer {
+    BackendServer {
+        id: id.to_owned(),
+        entry: ServerEntry {
+            service: "llm".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: "north".to_owned(),
+            software_version: None,
+            slots: 8,
+            is_draining: false,
+            cold_left: Duration::ZERO,
+            sequence: 1,
+            start_time_ms,
+        },
+    }
+}
+
+/// Returns what another gateway says of server `a`.
+fn remote(limit_milli: Option<u64>, limit_age_ms: u64) -> LoadEntry {
+    LoadEntry {
+        server: "a".to_owned(),
+        in_flight: 0,
+        requests: Some(ServerRequests {
+            chosen: 0,
+            sent: 0,
+            limit_milli,
+            limit_age_ms,
+        }),
+    }
+}
+
+/// Returns the limit that is told of server `a`, and its age.
+fn told(rates: &ServerRates) -> Option<(Option<u64>, u64)> {
+    let mut loads = Vec::new();
+    rates.add_to_loads(&mut loads);
+    let requests = loads.first()?.requests?;
+    Some((requests.limit_milli, requests.limit_age_ms))
+}
+
+#[test]
+fn a_limit_that_comes_back_from_the_relay_is_not_taken_for_a_new_one() {
+    let rates = ServerRates::default();
+    let server = server("a", 1);
+    rates.record_notice(&server, RateLimitNotice::PerSecond(4.0));
+
+    std::thread::sleep(Duration::from_millis(350));
+    rates.record_remote(&[remote(Some(4_000), 300)], std::slice::from_ref(&server));
+
+    let (limit, age_ms) = told(&rates).unwrap();
+    assert_eq!(limit, Some(4_000));
+    assert!(age_ms >= 350, "{age_ms}");
+}
+
+#[test]
+fn a_newer_word_of_another_gateway_ends_a_limit() {
+    let rates = ServerRates::default();
+    let server = server("a", 1);
+    rates.record_notice(&server, RateLimitNotice::PerSecond(4.0));
+
+    std::thread::sleep(Duration::from_millis(350));
+    rates.record_remote(&[remote(None, 0)], std::slice::from_ref(&server));
+
+    assert!(!rates.has_limit(&server));
+    assert_eq!(told(&rates).unwrap().0, None);
+}
+
+#[test]
+fn a_limit_that_is_forgotten_elsewhere_is_not_adopted() {
+    let rates = ServerRates::default();
+    let server = server("a", 1);
+
+    rates.record_remote(
+        &[remote(Some(4_000), 11_000)],
+        std::slice::from_ref(&server),
+    );
+
+    assert!(!rates.has_limit(&server));
+}
+
+#[test]
+fn a_server_that_starts_again_begins_without_its_limit() {
+    let rates = ServerRates::default();
+    rates.record_notice(&server("a", 1), RateLimitNotice::PerSecond(0.0));
+
+    assert!(rates.has_limit(&server("a", 1)));
+    assert!(rates.may_send(&server("a", 2), 0.99, 7));
+    assert!(!rates.has_limit(&server("a", 2)));
+}
--- a/src/peers/load_table.rs
+++ b/src/peers/load_table.rs
@@ -23,8 +23,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// This node's own loads.
-    own: Vec<LoadEntry>,
+    /// This node's own loads, and when they were recorded.
+    own: (BootInstant, Vec<LoadEntry>),
     /// Loads of the nodes that this node serves as relay, sorted by node.
     members: Vec<Row>,
     /// Loads of the other data centres, sorted by data centre.
@@ -39,8 +39,8 @@
 
 impl LoadTable {
     /// Records this node's own loads.
-    pub fn record_own(&self, loads: Vec<LoadEntry>) {
-        self.lock().own = loads;
+    pub fn record_own(&self, loads: Vec<LoadEntry>, now: BootInstant) {
+        self.lock().own = (now, loads);
     }
 
     /// Records the loads received from a node that this node serves as relay.
@@ -60,10 +60,13 @@
             .members
             .iter()
             .filter(|row| now.since(row.received_at) < MAX_LOAD_AGE);
-        let all = fresh
-            .map(|row| row.loads.as_slice())
-            .chain([state.own.as_slice()]);
-        sum_loads(all)
+        let fresh = fresh.map(|row| (row.received_at, row.loads.as_slice()));
+        let own = (state.own.0, state.own.1.as_slice());
+        let all: Vec<Vec<LoadEntry>> = fresh
+            .chain([own])
+            .map(|(at, loads)| aged(loads, now.since(at)))
+            .collect();
+        sum_loads(all.iter().map(Vec::as_slice))
     }
 
     /// Returns the loads of every data centre; `own` is the name of this node's data centre.
@@ -79,7 +82,7 @@
             .filter(|row| now.since(row.received_at) < MAX_LOAD_AGE);
         centres.extend(fresh.map(|row| CentreLoads {
             data_centre: row.name.clone(),
-            loads: row.loads.clone(),
+            loads: aged(&row.loads, now.since(row.received_at)),
         }));
         centres
     }
@@ -103,6 +106,13 @@
     }
 }
 
+/// Returns `loads` as they are after `time`.
+pub(super) fn aged(loads: &[LoadEntry], time: Duration) -> Vec<LoadEntry> {
+    let mut loads = loads.to_vec();
+    loads.iter_mut().for_each(|entry| entry.age_by(time));
+    loads
+}
+
 /// Sums loads by backend server; the result is sorted by server name.
 pub(super) fn sum_loads<'a>(all: impl Iterator<Item = &'a [LoadEntry]>) -> Vec<LoadEntry> {
     let mut entries: Vec<LoadEntry> = all.flatten().cloned().collect();
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -65,6 +65,14 @@
 }
 
 impl LoadEntry {
+    /// Adds `time` to the age of the limit; called for the time that the entry waited or was under way.
+    pub(super) fn age_by(&mut self, time: Duration) {
+        if let Some(requests) = &mut self.requests {
+            let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            requests.limit_age_ms = requests.limit_age_ms.saturating_add(millis);
+        }
+    }
+
     /// Adds the load of other gateways on the same server.
     pub(super) fn add(&mut self, other: &Self) {
         self.in_flight += other.in_flight;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -8,6 +8,7 @@
 use super::directory::NodeEntry;
 use super::link::Link;
 use super::load_table::LoadTable;
+use super::load_table::aged;
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
 use super::message::LoadEntry;
@@ -378,6 +379,8 @@
                 .iter()
                 .map(|centre| centre.loads.as_slice()),
         );
+        // The peer computed the ages after the request was sent, so they are never taken for less than they are.
+        let all = aged(&all, BootInstant::now().since(sent_at));
         (self.other_loads)(subtract_own(all, own));
     }
 }
@@ -585,8 +588,8 @@
 fn act_as_relay(shared: &Shared) {
     shared.set_relay(true);
     let own = (shared.own_loads)();
-    shared.load_table.record_own(own.clone());
     let now = BootInstant::now();
+    shared.load_table.record_own(own.clone(), now);
     let centres = shared.load_table.all_centres(&shared.own.data_centre, now);
     let all = sum_loads(centres.iter().map(|centre| centre.loads.as_slice()));
     (shared.other_loads)(subtract_own(all, &own));
@@ -677,10 +680,11 @@
             .into_iter()
             .find(|centre| centre.data_centre == data_centre);
         if let Some(theirs) = theirs {
-            let now = BootInstant::now();
+            let received_at = BootInstant::now();
+            let loads = aged(&theirs.loads, received_at.since(now));
             shared
                 .load_table
-                .record_centre(data_centre, theirs.loads, now);
+                .record_centre(data_centre, loads, received_at);
         }
         let is_over = BootInstant::now().since(began) > RELAY_RECHECK_INTERVAL;
         if is_over && shared.has_other_relay(data_centre, node) {
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -4,6 +4,7 @@
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
 use super::message::LoadEntry;
+use super::message::ServerRequests;
 use super::message::pack;
 use super::message::unpack;
 use super::streams::RecordSource;
@@ -24,7 +25,7 @@
 fn data_centre_load_is_the_sum_over_its_nodes() {
     let load_table = LoadTable::default();
     let now = BootInstant::now();
-    load_table.record_own(vec![load("a", 1)]);
+    load_table.record_own(vec![load("a", 1)], now);
     load_table.record_member("n-1", vec![load("a", 2), load("b", 3)], now);
     load_table.record_member("n-2", vec![load("b", 4)], now);
 
@@ -46,6 +47,47 @@
     assert_eq!(load_table.all_centres("north", later).len(), 1);
 }
 
+/// Returns the requests for a server that named `limit` `age_ms` ago.
+fn limited(chosen: u32, sent: u32, limit_milli: Option<u64>, age_ms: u64) -> LoadEntry {
+    LoadEntry {
+        requests: Some(ServerRequests {
+            chosen,
+            sent,
+            limit_milli,
+            limit_age_ms: age_ms,
+        }),
+        ..load("a", 1)
+    }
+}
+
+#[test]
+fn requests_are_summed_and_the_newest_limit_holds() {
+    let load_table = LoadTable::default();
+    let now = BootInstant::now();
+    load_table.record_own(vec![limited(5, 2, Some(4_000), 900)], now);
+    load_table.record_member("n-1", vec![limited(7, 3, None, 100)], now);
+    load_table.record_member("n-2", vec![load("a", 1)], now);
+
+    let sum = load_table.own_centre(now);
+    let others = subtract_own(sum.clone(), &[limited(5, 2, Some(4_000), 900)]);
+
+    assert_eq!(sum[0].requests, limited(12, 5, None, 100).requests);
+    assert_eq!(others[0].requests, limited(7, 3, None, 100).requests);
+}
+
+#[test]
+fn a_limit_ages_while_a_relay_keeps_it() {
+    let load_table = LoadTable::default();
+    let now = BootInstant::now();
+    load_table.record_member("n-1", vec![limited(7, 3, Some(4_000), 100)], now);
+
+    let later = now.plus(Duration::from_millis(400));
+    load_table.record_member("n-2", vec![limited(1, 1, None, 300)], later);
+
+    let sum = load_table.own_centre(later);
+    assert_eq!(sum[0].requests, limited(8, 4, None, 300).requests);
+}
+
 #[test]
 fn own_loads_are_subtracted_from_a_sum() {
     let all = sum_loads([&[load("a", 4), load("b", 1)][..], &[load("b", 2)]].into_iter());
