--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -115,8 +115,9 @@
                 return (None, over_limit);
             };
             let server = servers[choice.index];
-            if over_limit > 0 && server_views[choice.index].is_suspended {
-                // What the others can't take would keep a suspended server from recovering.
+            let view = &server_views[choice.index];
+            if over_limit > 0 && view.is_suspended && view.load >= view.slots {
+                // What the others can't take would keep a full server that no longer responds from recovering.
                 return (None, over_limit);
             }
             let random = hash(&[&self.salt.to_le_bytes(), server.id.as_bytes()]);
