--- a/src/decide/server_limit.rs
+++ b/src/decide/server_limit.rs
@@ -22,7 +22,7 @@
 /// limit has ended.
 const MIN_RATE: f64 = 0.25;
 
-/// Counts events of the last [`RATE_WINDOW`].
+/// Counts events of the last two seconds (`RATE_WINDOW`).
 #[derive(Clone, Debug, Default)]
 pub struct RateWindow {
     buckets: [u32; BUCKET_COUNT],
@@ -53,7 +53,7 @@
     }
 }
 
-/// Requests for one server in the last [`RATE_WINDOW`], from all gateways.
+/// Requests for one server in the last two seconds (`RATE_WINDOW`), from all gateways.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct FleetRequests {
     /// Requests for which the server was chosen, this one included, whether or not they were sent there.
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -70,7 +70,8 @@
         self.lock().blame.verdict(parts, BootInstant::now())
     }
 
-    /// Returns whether the held parts are known, or nobody could be asked for them for [`MAX_LOAD_TIME`].
+    /// Returns whether the held parts are known, or nobody could be asked for them for two
+    /// seconds (`MAX_LOAD_TIME`).
     pub fn is_loaded(&self) -> bool {
         self.lock().is_loaded || BootInstant::now().since(self.started_at) > MAX_LOAD_TIME
     }
