--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -56,6 +56,30 @@
     OmitsSignature,
 }
 
+/// Point of a response at which a server pauses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PausePoint {
+    /// Before the head.
+    Head,
+    /// After the head and this number of events of a stream.
+    AfterEvents(u64),
+    /// Within the event that follows this number of events of a stream.
+    WithinEvent(u64),
+    /// Within the body of a response that is no stream.
+    WithinBody,
+}
+
+/// A time for which a server says nothing, after which it goes on as if nothing had been.
+#[derive(Clone, Copy, Debug)]
+pub struct Pause {
+    /// Where it falls silent.
+    pub point: PausePoint,
+    /// How long it is silent.
+    pub time: Duration,
+    /// Whether it pauses in each response, not only in the first that gets to this point.
+    pub is_repeated: bool,
+}
+
 /// A request that the server ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -85,6 +109,9 @@
     rate_limit: Mutex<Option<String>>,
     /// Time from a request for a stream to its first event.
     first_event_delay: Mutex<Duration>,
+    pause: Mutex<Option<Pause>>,
+    /// Until when the server writes nothing to any connection.
+    silent_until: Mutex<Option<Instant>>,
     /// Parts of prompts that crash the server as it begins to answer a request with one of them.
     crashing_parts: Mutex<Vec<String>>,
     crash_handle: OnceLock<CrashHandle>,
@@ -99,6 +126,31 @@
         }
     }
 
+    /// Waits out the pause that is set for `point`, and the time for which the whole server is silent.
+    async fn pause_at(&self, point: PausePoint) {
+        let due = {
+            let mut pause = lock(&self.pause);
+            match *pause {
+                Some(due) if due.point == point => {
+                    *pause = pause.filter(|pause| pause.is_repeated);
+                    Some(due)
+                }
+                _ => None,
+            }
+        };
+        if let Some(due) = due {
+            tokio::time::sleep(due.time).await;
+        }
+        self.wait_while_silent().await;
+    }
+
+    async fn wait_while_silent(&self) {
+        let silent_until = *lock(&self.silent_until);
+        if let Some(until) = silent_until {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+
     /// Returns whether a part of the prompt, the last one excepted, crashes the server.
     fn has_crashing_part(&self, headers: &HeaderMap) -> bool {
         let parts = http::header(headers, "currantbend-prompt-prefix");
@@ -150,6 +202,8 @@
             is_leaving: AtomicBool::new(false),
             rate_limit: Mutex::default(),
             first_event_delay: Mutex::default(),
+            pause: Mutex::default(),
+            silent_until: Mutex::default(),
             crashing_parts: Mutex::default(),
             crash_handle: OnceLock::new(),
             crashed_at: OnceLock::new(),
@@ -200,6 +254,16 @@
         *lock(&self.shared.first_event_delay) = delay;
     }
 
+    /// Sets the pause that it makes from now on, or none.
+    pub fn set_pause(&self, pause: Option<Pause>) {
+        *lock(&self.shared.pause) = pause;
+    }
+
+    /// Lets it fall silent on all connections for `time`, after which it goes on.
+    pub fn fall_silent(&self, time: Duration) {
+        *lock(&self.shared.silent_until) = Some(Instant::now() + time);
+    }
+
     /// Sets the parts of prompts that crash it as it begins to answer a request with one of them.
     pub fn set_crashing_parts(&self, parts: &[&str]) {
         *lock(&self.shared.crashing_parts) = parts.iter().map(|part| (*part).to_owned()).collect();
@@ -279,6 +343,7 @@
     let request_id = http::header(&headers, "currantbend-request-id").to_owned();
     let behavior = *lock(&shared.behavior);
     let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
+    shared.wait_while_silent().await;
     if !expected.is_empty() && expected != shared.id {
         return Ok(not_run_response(&shared, StatusCode::MISDIRECTED_REQUEST));
     }
@@ -303,15 +368,12 @@
     }
     let is_stream = headers.contains_key("currantbend-token-counts");
     let mut res = if is_stream {
-        let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
-        let version = lock(&shared.software_version).clone();
-        let delay = *lock(&shared.first_event_delay);
-        let is_crashing = shared.has_crashing_part(&headers);
-        let crash = is_crashing.then(|| Arc::clone(&shared));
-        let body = events(running, behavior, after, version, (delay, crash));
+        shared.pause_at(PausePoint::Head).await;
+        let body = events(running, behavior, &headers);
         build_response(&shared, StatusCode::OK, body)
     } else {
         tokio::time::sleep(shared.work_time).await;
+        shared.pause_at(PausePoint::Head).await;
         match behavior {
             Behavior::Breaks(_) => return Err(Abort),
             Behavior::Fails => build_response(
@@ -319,11 +381,14 @@
                 StatusCode::INTERNAL_SERVER_ERROR,
                 http::full("failed"),
             ),
-            _ => build_response(
-                &shared,
-                StatusCode::OK,
-                http::full(format!("run by {}", shared.id)),
-            ),
+            _ => {
+                let text = format!("run by {}", shared.id);
+                let length = text.len().to_string();
+                let body = plain_body(running, Bytes::from(text));
+                let mut res = build_response(&shared, StatusCode::OK, body);
+                http::set_header(&mut res, "content-length", &length);
+                res
+            }
         }
     };
     let echoed = if behavior == Behavior::WrongRequestId {
@@ -342,23 +407,36 @@
     Ok(res)
 }
 
-/// Streams the events that follow event number `after`; each names the software version of the server.
+/// Sends the body of a response that is no stream in two chunks.
+fn plain_body(running: RunningGuard, mut text: Bytes) -> ResponseBody {
+    let (tx, body) = http::channel(1);
+    tokio::spawn(async move {
+        let rest = text.split_off(text.len() / 2);
+        // A reader that disconnected needs neither of them.
+        let _ = tx.send(Ok(text)).await;
+        tokio::select! {
+            () = running.0.pause_at(PausePoint::WithinBody) => {}
+            () = tx.closed() => return,
+        }
+        let _ = tx.send(Ok(rest)).await;
+    });
+    body
+}
+
+/// Streams the events that follow the one that the request has last; each names the software version of the server.
 ///
 /// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event. The first event comes
-/// after the delay in `start`, or the server in `start` crashes then.
-fn events(
-    running: RunningGuard,
-    behavior: Behavior,
-    after: u64,
-    version: String,
-    start: (Duration, Option<Arc<Shared>>),
-) -> ResponseBody {
+/// after the server's delay, or the server crashes then.
+fn events(running: RunningGuard, behavior: Behavior, headers: &HeaderMap) -> ResponseBody {
+    let after: u64 = http::header(headers, "last-event-id").parse().unwrap_or(0);
+    let is_crashing = running.0.has_crashing_part(headers);
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
-        let _running = running;
-        let (delay, crash) = start;
+        let shared = &running.0;
+        let version = lock(&shared.software_version).clone();
+        let delay = *lock(&shared.first_event_delay);
         tokio::time::sleep(delay).await;
-        if let Some(shared) = crash {
+        if is_crashing {
             shared.crash();
             // The body must not end before the connection does.
             tx.closed().await;
@@ -379,10 +457,20 @@
                 _ => {}
             }
             let chunks = [
-                format!("id: {number}\ndata: to"),
-                format!("ken {number} {version}\n\n"),
+                (
+                    PausePoint::AfterEvents(sent),
+                    format!("id: {number}\ndata: to"),
+                ),
+                (
+                    PausePoint::WithinEvent(sent),
+                    format!("ken {number} {version}\n\n"),
+                ),
             ];
-            for chunk in chunks {
+            for (point, chunk) in chunks {
+                tokio::select! {
+                    () = shared.pause_at(point) => {}
+                    () = tx.closed() => return,
+                }
                 if tx.send(Ok(Bytes::from(chunk))).await.is_err() {
                     return;
                 }
