--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -62,6 +62,8 @@
     consecutive_unresponsive: u32,
     suspensions: u32,
     suspended_until: Option<BootInstant>,
+    /// Whether the last suspension is for silence.
+    is_silent: bool,
 }
 
 impl Health {
@@ -75,6 +77,16 @@
         self.failure_rate
     }
 
+    /// Records that a server that was silent goes on, which ends its suspension. Its failure rate stays, since a server
+    /// that falls silent again and again is no better than one that fails.
+    pub fn end_silence(&mut self) {
+        if self.is_silent {
+            self.is_silent = false;
+            self.suspended_until = None;
+            self.consecutive_unresponsive = 0;
+        }
+    }
+
     /// Records a result; `mean_failure_rate` is the mean over the other servers of the service.
     ///
     /// Returns the duration of the suspension if this result suspends the server.
@@ -108,6 +120,7 @@
         let suspension = policy.base_suspension * 2u32.saturating_pow(self.suspensions.min(8));
         let suspension = suspension.min(policy.max_suspension);
         self.suspensions += 1;
+        self.is_silent = result == RunResult::Silent;
         self.suspended_until = Some(now.plus(suspension));
         Some(suspension)
     }
--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -24,6 +24,17 @@
 /// Share of the budget that is used. The rest is a margin for nodes that fail: their counts are lost, but the retries
 /// that they sent still count towards the fleet's limit.
 const USED_BUDGET_SHARE: f64 = 0.7;
+/// Share of the used part that is left for the retries that are needed.
+const RESERVED_SHARE: f64 = 0.5;
+
+/// How much depends on a retry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryNeed {
+    /// The request fails without it, or a server that responds may answer it earlier.
+    Full,
+    /// It is a second chance beside a send that may still be answered, at a server that may be no better.
+    Spare,
+}
 
 /// Number of requests and retries in one part of the window, which begins at `start`.
 #[derive(Clone, Copy, Debug)]
@@ -59,9 +70,9 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Takes one retry out of the budget and returns `true`, or returns `false` if the budget is used up. `nodes` is
-    /// the number of live nodes that share the slack.
-    pub fn try_acquire(&mut self, now: BootInstant, nodes: u32) -> bool {
+    /// Takes one retry out of the budget and returns `true`, or returns `false` if the budget is used up as far as `need`
+    /// goes. `nodes` is the number of live nodes that share the slack.
+    pub fn try_acquire(&mut self, now: BootInstant, nodes: u32, need: RetryNeed) -> bool {
         self.current_bucket(now);
         let (requests, retries) = self
             .buckets
@@ -70,7 +81,11 @@
                 (requests + bucket.requests, retries + bucket.retries)
             });
         let node_slack = self.policy.slack / f64::from(nodes.max(1));
-        let allowed = (f64::from(requests) * self.policy.ratio + node_slack) * USED_BUDGET_SHARE;
+        let share = match need {
+            RetryNeed::Full => USED_BUDGET_SHARE,
+            RetryNeed::Spare => USED_BUDGET_SHARE * (1.0 - RESERVED_SHARE),
+        };
+        let allowed = (f64::from(requests) * self.policy.ratio + node_slack) * share;
         let is_allowed = f64::from(retries + 1) <= allowed;
         if is_allowed {
             self.current_bucket(now).retries += 1;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -4,6 +4,7 @@
 mod caller_retry;
 mod crash_blame;
 mod drain;
+mod failover;
 mod health;
 mod placement;
 mod relay;
--- a/src/decide/tests/health.rs
+++ b/src/decide/tests/health.rs
@@ -91,3 +91,24 @@
 
     assert_eq!(last, policy.max_suspension);
 }
+
+#[test]
+fn a_server_that_was_silent_gets_requests_again_once_it_goes_on() {
+    let mut health = Health::default();
+    record_all(&mut health, &[RunResult::Silent], 0.0);
+    assert!(health.is_suspended(at(10)));
+
+    health.end_silence();
+
+    assert!(!health.is_suspended(at(10)));
+}
+
+#[test]
+fn a_server_that_fails_stays_suspended_when_a_silent_request_goes_on() {
+    let mut health = Health::default();
+    record_all(&mut health, &[RunResult::Failed; 3], 0.1);
+
+    health.end_silence();
+
+    assert!(health.is_suspended(at(10)));
+}
--- a/src/decide/tests/retry_budget.rs
+++ b/src/decide/tests/retry_budget.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::BootInstant;
 use crate::decide::RetryBudget;
+use crate::decide::RetryNeed;
 use crate::decide::RetryPolicy;
 use std::time::Duration;
 
@@ -27,7 +28,7 @@
     for request in 0..3_000u64 {
         let now = at(request * 20);
         budget.record_request(now);
-        if budget.try_acquire(now, 7) {
+        if budget.try_acquire(now, 7, RetryNeed::Full) {
             retries.push(now);
         }
     }
@@ -53,8 +54,24 @@
 
     let taken: usize = nodes
         .iter_mut()
-        .map(|node| (0..100).filter(|_| node.try_acquire(at(0), 7)).count())
+        .map(|node| {
+            (0..100)
+                .filter(|_| node.try_acquire(at(0), 7, RetryNeed::Full))
+                .count()
+        })
         .sum();
 
     assert!(taken <= 54, "{taken} retries without a request");
 }
+
+#[test]
+fn second_chances_leave_retries_for_requests_that_fail_without_one() {
+    let mut budget = budget();
+
+    let spare = (0..100).filter(|_| budget.try_acquire(at(0), 1, RetryNeed::Spare));
+    let spare = spare.count();
+    let needed = (0..100).filter(|_| budget.try_acquire(at(0), 1, RetryNeed::Full));
+
+    assert!(spare > 0);
+    assert!(needed.count() >= spare);
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
 use tokio::time::Instant;
 
 /// A caller's request as it is sent to servers.
@@ -42,7 +42,7 @@
     /// What the server says of the requests that it takes.
     pub(super) rate_limit: RateLimitNotice,
     pub(super) lease: Lease,
-    pub(super) guard: InFlightGuard,
+    pub(super) guard: Arc<InFlightGuard>,
 }
 
 /// Outcome of a send: a response, or the failure and whether the request may have run nevertheless.
@@ -57,7 +57,7 @@
     NotRun(StatusCode),
     /// The connection broke or the response was invalid, for this cause; the request may have run.
     Unknown(String),
-    /// The response head did not arrive in time; the request may have run.
+    /// The response head did not arrive before the deadline; the request may have run.
     TimedOut,
 }
 
@@ -74,8 +74,6 @@
     /// Deadline of the request: the end of the time that the caller announced or of the route's timeout, whichever is
     /// earlier.
     pub(super) deadline: Instant,
-    /// Timeout for the head of the response.
-    pub(super) head_timeout: Duration,
     /// Maximum number of connections that the server accepts from all its clients together.
     pub(super) max_connections: u32,
     /// Learns of the limit that the server names.
@@ -93,7 +91,7 @@
     params: &SendParams<'_>,
     dialect: &dyn Dialect,
     pool: &Pool,
-    guard: InFlightGuard,
+    guard: &Arc<InFlightGuard>,
 ) -> SendOutcome {
     let mut last_error = String::from("no connection");
     for _ in 0..MAX_CONNECTION_TRIES {
@@ -109,7 +107,7 @@
         let pending_response = lease
             .sender()
             .try_send_request(build_request(outbound, params, dialect));
-        match tokio::time::timeout(params.head_timeout, pending_response).await {
+        match tokio::time::timeout_at(params.deadline, pending_response).await {
             Err(_) => {
                 lease.close();
                 pool.close_idle(&params.server.id);
@@ -118,7 +116,7 @@
             }
             Ok(Ok(response)) => {
                 lease.head_limit().record_head();
-                return classify_response(response, outbound, params, dialect, (lease, guard));
+                return classify_response(response, outbound, params, dialect, lease, guard);
             }
             Ok(Err(mut err)) => {
                 let is_unsent = err.take_message().is_some();
@@ -180,7 +178,8 @@
     outbound: &OutboundRequest,
     params: &SendParams<'_>,
     dialect: &dyn Dialect,
-    (lease, guard): (Lease, InFlightGuard),
+    lease: Lease,
+    guard: &Arc<InFlightGuard>,
 ) -> SendOutcome {
     guard.record_activity();
     let (head, body) = response.into_parts();
@@ -232,6 +231,6 @@
         body,
         rate_limit: metadata.rate_limit,
         lease,
-        guard,
+        guard: Arc::clone(guard),
     }))
 }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -142,19 +142,26 @@
     }
 
     /// Returns whether the service has a server of the stream's software version that accepts requests and has not been
-    /// sent this one yet. If there is none, the request is not retried, and the caller gets the result of the last
-    /// send.
-    pub(super) fn has_untried_server(&self) -> bool {
+    /// sent this one yet, and whether one of these is known to respond. If there is none, the request is not retried,
+    /// and the caller gets the result of the earlier sends.
+    pub(super) fn untried_servers(&self) -> (bool, bool) {
         let now = BootInstant::now();
         let nodes = self.gateway.node_count();
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
-        servers.iter().any(|server| {
+        let statuses = self.gateway.loads.statuses(&servers, now);
+        let untried = servers.iter().zip(statuses).filter(|(server, status)| {
             !server.entry.is_draining
+                && !status.is_closed
                 && !self.is_tried(server)
                 && self.has_stream_version(server)
-                && !self.gateway.loads.is_closed(server, now)
                 && !self.gateway.rates.is_exhausted(server, nodes)
-        })
+        });
+        let (mut has_untried, mut has_responsive) = (false, false);
+        for (_, status) in untried {
+            has_untried = true;
+            has_responsive |= !status.is_suspended;
+        }
+        (has_untried, has_responsive)
     }
 
     /// Records the request in the load statistics of its service, and returns whether it is admitted at the present
--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard.rs
@@ -17,21 +17,38 @@
 /// first event that leaves just before the crash.
 const SOUND_TIME: Duration = Duration::from_millis(50);
 
-/// What is known of a request's present server as to its crash.
+/// One send of a request.
 #[derive(Clone, Debug)]
-struct Sent {
-    server: BackendServer,
-    at: BootInstant,
+pub(super) struct Sent {
+    pub(super) server: BackendServer,
+    /// Load of the server as known before the send, in multiples of its slots.
+    pub(super) load_per_slot: f64,
+    pub(super) at: BootInstant,
     /// When the first event or the whole answer arrived.
     began_at: Option<BootInstant>,
+    /// Whether the answer has been reported as a sign that its parts are sound.
     is_reported: bool,
 }
 
+impl Sent {
+    /// Returns a send to `target` that starts now.
+    pub(super) fn new(target: &Target) -> Self {
+        Self {
+            server: target.server.clone(),
+            load_per_slot: target.load_per_slot,
+            at: BootInstant::now(),
+            began_at: None,
+            is_reported: false,
+        }
+    }
+}
+
 /// The part of an exchange that has to do with crashes of servers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashGuard {
     /// Parts of the prompt that other requests may share; the last part is the request's own.
     shared_parts: Vec<PartId>,
+    /// The send whose answer is passed on.
     sent: Option<Sent>,
     /// Whether the request was let through to find out whether a held part still crashes servers.
     is_trial: bool,
@@ -51,14 +68,14 @@
         self.is_trial
     }
 
-    /// Records that the request is about to be sent.
-    pub(super) fn record_send(&mut self, target: &Target) {
-        self.sent = Some(Sent {
-            server: target.server.clone(),
-            at: BootInstant::now(),
-            began_at: None,
-            is_reported: false,
-        });
+    /// Returns the send whose answer is passed on, if there is one.
+    pub(super) fn sent(&self) -> Option<&Sent> {
+        self.sent.as_ref()
+    }
+
+    /// Records that the answer to `sent` is passed on.
+    pub(super) fn set_sent(&mut self, sent: Sent) {
+        self.sent = Some(sent);
     }
 }
 
@@ -122,15 +139,13 @@
         }
     }
 
-    /// Returns whether the present server broke off because it crashed as it began to answer this request or before; the
-    /// other gateways then learn of it. Such a request is not sent to another server: it may be the one that crashed it.
-    pub(super) async fn has_crashed_server(&mut self) -> bool {
+    /// Returns whether the server of `sent` broke off because it crashed as it began to answer this request or before;
+    /// the other gateways then learn of it. Such a request is not sent to another server: it may be the one that crashed
+    /// it.
+    pub(super) async fn has_crashed_server(&self, sent: &Sent) -> bool {
         if self.crash_guard.shared_parts.is_empty() {
             return false;
         }
-        let Some(sent) = &self.crash_guard.sent else {
-            return false;
-        };
         let now = BootInstant::now();
         let has_begun = sent
             .began_at
--- /dev/null
+++ b/src/gateway/delivery.rs
@@ -0,0 +1,205 @@
+//! Sends a request to one server and waits until there is something that can be passed on to the caller.
+
+use super::attempt;
+use super::attempt::OutboundRequest;
+use super::attempt::SendOutcome;
+use super::attempt::SendParams;
+use super::attempt::ServerResponse;
+use super::dialect::RateLimitNotice;
+use super::events::Events;
+use super::handler::Gateway;
+use super::loads::InFlightGuard;
+use super::server_stream::ServerStream;
+use super::server_stream::StreamItem;
+use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
+use crate::decide::RunResult;
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::http::response;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use tokio::time::Instant;
+
+/// What a server has sent that can be passed on to the caller.
+pub(super) enum Delivery {
+    /// A stream with its next events, or `None` if it is complete.
+    Stream(Box<ServerStream>, Option<Events>),
+    /// A whole response that is not a stream of events.
+    Whole(Box<WholeResponse>),
+}
+
+/// A response that was read to its end.
+pub(super) struct WholeResponse {
+    pub(super) head: response::Parts,
+    pub(super) body: Bytes,
+}
+
+/// How one send ended.
+pub(super) enum SendEnd {
+    /// The server responded; what it says of the requests that it takes comes with the response.
+    Delivered(Delivery, RateLimitNotice),
+    /// No byte of the request was sent, so the server did not run it; with the cause.
+    NotSent(String),
+    /// Another server now has the address. It did not run the request.
+    Misdirected,
+    /// The server reported with this status that it did not run the request.
+    NotRun(StatusCode),
+    /// The response is of no use, for this cause; the request may have run.
+    Broken(String),
+    /// The deadline passed; the request may have run.
+    Late,
+}
+
+/// One send of a request to a server.
+pub(super) struct ServerSend {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) outbound: Arc<OutboundRequest>,
+    pub(super) server: BackendServer,
+    /// Whether the callers' keys must be known to be valid when the request is sent.
+    pub(super) needs_verified_keys: bool,
+    pub(super) team: Option<String>,
+    /// Id of the last event that the caller has received, if a broken stream is resumed.
+    pub(super) resume_after: Option<u64>,
+    /// Server from which the shared parts of the prompt may be copied.
+    pub(super) copy_from: Option<SocketAddr>,
+    pub(super) deadline: Instant,
+    /// Maximum number of connections that the server accepts from all its clients together.
+    pub(super) max_connections: u32,
+    /// Whether a successful response is a stream of events.
+    pub(super) is_stream: bool,
+    pub(super) guard: Arc<InFlightGuard>,
+    /// Set when the head of the response arrives.
+    pub(super) head_at: Arc<OnceLock<Instant>>,
+}
+
+impl ServerSend {
+    /// Sends the request and waits for the first events or the whole response, until the deadline at most.
+    pub(super) async fn run(self) -> SendEnd {
+        let gateway = &self.gateway;
+        if !self.is_current() {
+            return SendEnd::NotSent("beliefs grew old".to_owned());
+        }
+        let params = SendParams {
+            server: &self.server,
+            team: self.team.as_deref(),
+            resume_after: self.resume_after,
+            copy_from: self.copy_from,
+            deadline: self.deadline,
+            rates: &gateway.rates,
+            max_connections: self.max_connections,
+        };
+        let sending = attempt::send(
+            &self.outbound,
+            &params,
+            &*gateway.dialect,
+            &gateway.pool,
+            &self.guard,
+        );
+        let response = match sending.await {
+            SendOutcome::Responded(response) => *response,
+            SendOutcome::NotSent(cause) => return SendEnd::NotSent(cause),
+            SendOutcome::Misdirected => return SendEnd::Misdirected,
+            SendOutcome::NotRun(status) => return SendEnd::NotRun(status),
+            SendOutcome::Unknown(cause) => return SendEnd::Broken(cause),
+            SendOutcome::TimedOut => return SendEnd::Late,
+        };
+        self.head_at.get_or_init(Instant::now);
+        let rate_limit = response.rate_limit;
+        if self.is_stream && response.head.status.is_success() {
+            let stream = ServerStream::new(response);
+            let stream = Box::new(stream);
+            next_events(
+                gateway,
+                stream,
+                self.resume_after,
+                self.deadline,
+                rate_limit,
+            )
+            .await
+        } else {
+            self.read_whole(response, rate_limit).await
+        }
+    }
+
+    /// Returns whether what the server was chosen by still holds. Since then it may have become unusable, or the
+    /// configuration too old to accept callers' keys, especially if the host slept in between.
+    fn is_current(&self) -> bool {
+        let catalog = &self.gateway.catalog;
+        let server = &self.server;
+        catalog.is_usable(&server.id, server.entry.start_time_ms)
+            && (!self.needs_verified_keys || catalog.are_keys_verified(BootInstant::now()))
+    }
+
+    /// Reads the whole of a response that is not a stream, so that the request can be retried if it breaks off.
+    async fn read_whole(&self, response: ServerResponse, rate_limit: RateLimitNotice) -> SendEnd {
+        let ServerResponse {
+            head,
+            body,
+            lease,
+            guard,
+            ..
+        } = response;
+        let gateway = &self.gateway;
+        let collecting = gateway.response_memory.collect(body);
+        let body = match tokio::time::timeout_at(self.deadline, collecting).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(err)) => {
+                lease.close();
+                guard.record_result(RunResult::Broken);
+                return SendEnd::Broken(format!("{err:?}"));
+            }
+            Err(_) => {
+                lease.close();
+                guard.record_result(RunResult::Silent);
+                return SendEnd::Late;
+            }
+        };
+        guard.record_result(if head.status.is_server_error() {
+            RunResult::Failed
+        } else {
+            RunResult::Good
+        });
+        gateway.pool.put_idle(lease, &head.headers);
+        let response = Box::new(WholeResponse { head, body });
+        SendEnd::Delivered(Delivery::Whole(response), rate_limit)
+    }
+}
+
+/// Waits for the next events of `stream`. `last_id` is the id of the last event that the caller has of it; a server whose
+/// events don't follow it can't go on with the stream.
+pub(super) async fn next_events(
+    gateway: &Gateway,
+    mut stream: Box<ServerStream>,
+    last_id: Option<u64>,
+    deadline: Instant,
+    rate_limit: RateLimitNotice,
+) -> SendEnd {
+    match stream.next(None, deadline).await {
+        StreamItem::Events(events) if events.follows(last_id) => {
+            SendEnd::Delivered(Delivery::Stream(stream, Some(events)), rate_limit)
+        }
+        StreamItem::End => SendEnd::Delivered(Delivery::Stream(stream, None), rate_limit),
+        StreamItem::Events(_) => {
+            gateway.abandon(*stream, RunResult::Broken);
+            SendEnd::Broken("events out of order".to_owned())
+        }
+        StreamItem::Broken(cause) => {
+            gateway.abandon(*stream, RunResult::Broken);
+            SendEnd::Broken(cause)
+        }
+        StreamItem::Silent | StreamItem::DeadlineExceeded => {
+            gateway.abandon(*stream, RunResult::Silent);
+            SendEnd::Late
+        }
+    }
+}
+
+impl Gateway {
+    /// Records `result` for the server of a stream, and closes its connection and all idle ones to that server.
+    pub(super) fn abandon(&self, stream: ServerStream, result: RunResult) {
+        self.pool.close_idle(stream.server_id());
+        stream.abandon(result);
+    }
+}
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -29,6 +29,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct EventTooLong;
 
+impl Events {
+    /// Returns whether the ids go on after event `last_id`, without a gap or a duplicate. Events without ids do.
+    pub(super) fn follows(&self, last_id: Option<u64>) -> bool {
+        match (last_id, self.first_id) {
+            (Some(last), Some(first)) => first == last + 1,
+            _ => true,
+        }
+    }
+}
+
 impl EventSplitter {
     /// Appends bytes and returns the events that are complete now, or `None` if there are none.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, EventTooLong> {
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -11,6 +11,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Maximum age of a server's own load report, the time that a few requests take: the requests that an older report
@@ -80,6 +82,8 @@
     loads: ServerLoads,
     id: String,
     start_time_ms: u64,
+    /// Whether the server has been recorded as silent for this request.
+    is_silent: AtomicBool,
 }
 
 /// Load and health of a server.
@@ -136,6 +140,7 @@
             loads: self.clone(),
             id: server.id.clone(),
             start_time_ms: server.entry.start_time_ms,
+            is_silent: AtomicBool::new(false),
         }
     }
 
@@ -288,9 +293,21 @@
         });
     }
 
+    /// Records that the server goes on with the request. If it was suspended because this request had been silent, it gets
+    /// requests again.
+    pub(super) fn record_recovery(&self) {
+        if self.is_silent.swap(false, Ordering::Relaxed) {
+            self.update(|state| state.health.end_silence());
+        }
+    }
+
     /// Records how a request at the server ended, and compares the server's failure rate with the mean of the other
-    /// servers of its service. Returns the duration of the suspension if this result suspends the server.
+    /// servers of its service. Silence counts once. Returns the duration of the suspension if this result suspends the
+    /// server.
     pub(super) fn record_result(&self, result: RunResult) -> Option<Duration> {
+        if result == RunResult::Silent && self.is_silent.swap(true, Ordering::Relaxed) {
+            return None;
+        }
         let mut states = self.loads.lock();
         let index = states
             .binary_search_by(|state| state.id.as_str().cmp(&self.id))
--- /dev/null
+++ b/src/gateway/server_stream.rs
@@ -0,0 +1,125 @@
+//! The events that one server sends for a request.
+
+use super::attempt::ServerResponse;
+use super::events::EventSplitter;
+use super::events::Events;
+use super::loads::InFlightGuard;
+use super::pool::Lease;
+use crate::decide::RunResult;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The response stream of one server.
+pub(super) struct ServerStream {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    body: Incoming,
+    lease: Lease,
+    guard: Arc<InFlightGuard>,
+    splitter: EventSplitter,
+    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
+    is_unframed: bool,
+    has_events: bool,
+}
+
+/// The next item of a server's stream.
+#[derive(Debug)]
+pub(super) enum StreamItem {
+    Events(Events),
+    /// The stream is complete.
+    End,
+    /// The stream broke off, for this cause.
+    Broken(String),
+    /// No event is complete within the given time. The stream may still go on.
+    Silent,
+    /// The deadline of the request has passed.
+    DeadlineExceeded,
+}
+
+impl ServerStream {
+    pub(super) fn new(response: ServerResponse) -> Self {
+        let headers = &response.head.headers;
+        let is_unframed =
+            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
+        Self {
+            status: response.head.status,
+            is_unframed,
+            has_events: false,
+            body: response.body,
+            headers: response.head.headers,
+            lease: response.lease,
+            guard: response.guard,
+            splitter: EventSplitter::default(),
+        }
+    }
+
+    /// Returns the next whole events. Part of an event is never passed on, since it could not be taken back if the
+    /// stream is resumed at another server. A call after [`StreamItem::Silent`] goes on where the last one stopped.
+    pub(super) async fn next(
+        &mut self,
+        silence_limit: Option<Duration>,
+        deadline: Instant,
+    ) -> StreamItem {
+        let until = silence_limit.map_or(deadline, |limit| (Instant::now() + limit).min(deadline));
+        loop {
+            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
+                Err(_) if until == deadline => return StreamItem::DeadlineExceeded,
+                Err(_) => return StreamItem::Silent,
+                Ok(frame) => frame,
+            };
+            match frame {
+                None if self.splitter.has_partial_event() => {
+                    return StreamItem::Broken("event cut off".to_owned());
+                }
+                // A server that crashes before its first event ends such a stream like a complete one.
+                None if self.is_unframed && !self.has_events => {
+                    return StreamItem::Broken("ended before the first event".to_owned());
+                }
+                None => return StreamItem::End,
+                Some(Err(err)) => return StreamItem::Broken(err.to_string()),
+                Some(Ok(frame)) => {
+                    self.guard.record_activity();
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
+                    match self.splitter.push(&bytes) {
+                        Ok(Some(events)) => {
+                            self.has_events = true;
+                            return StreamItem::Events(events);
+                        }
+                        Ok(None) => {}
+                        Err(_) => return StreamItem::Broken("event without end".to_owned()),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns what counts the request as in flight at the server.
+    pub(super) fn guard(&self) -> &Arc<InFlightGuard> {
+        &self.guard
+    }
+
+    /// Returns the name of the server.
+    pub(super) fn server_id(&self) -> &str {
+        self.lease.server_id()
+    }
+
+    /// Records `result` for the server and closes the stream's connection.
+    pub(super) fn abandon(self, result: RunResult) {
+        self.guard.record_result(result);
+        self.lease.close();
+    }
+
+    /// Returns the connection of a complete stream, and the headers of its response, for further requests.
+    pub(super) fn into_connection(self) -> (Lease, HeaderMap) {
+        (self.lease, self.headers)
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,13 +1,16 @@
-//! Passes the events of a stream to the caller as they arrive, and resumes a broken stream at another server if the
-//! route allows it.
+//! Passes the events of a stream to the caller as they arrive, and goes on at another server where a stream breaks off or
+//! stays silent, if the route allows it.
 
-use super::attempt::ServerResponse;
-use super::events::EventSplitter;
+use super::delivery::Delivery;
+use super::delivery::next_events;
+use super::dialect::RateLimitNotice;
 use super::events::Events;
 use super::exchange::Exchange;
 use super::headers::remove_hop_by_hop;
-use super::loads::InFlightGuard;
-use super::pool::Lease;
+use super::race::PendingSend;
+use super::race::Race;
+use super::server_stream::ServerStream;
+use super::server_stream::StreamItem;
 use crate::decide::RunResult;
 use crate::net::Body;
 use crate::net::BodyError;
@@ -15,215 +18,190 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
-use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The response stream of one server.
-struct ServerStream {
-    body: Incoming,
-    headers: HeaderMap,
-    lease: Lease,
-    guard: InFlightGuard,
-    splitter: EventSplitter,
-    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
-    is_unframed: bool,
-    has_events: bool,
-}
-
-/// The next item of a server's stream.
-enum StreamItem {
-    Events(Events),
-    /// The stream is complete.
-    End,
-    /// The stream broke off, for this cause.
-    Broken(String),
-    /// The deadline of the request has passed.
-    DeadlineExceeded,
-}
-
 /// The stream to the caller, which may come from several servers in turn.
 struct CallerStream {
     exchange: Exchange,
     /// Stream of the current server; `None` once it has ended or broken off.
-    server_stream: Option<ServerStream>,
+    server_stream: Option<Box<ServerStream>>,
     /// Id of the last event passed to the caller, after which a broken stream is resumed; `None` if no event had an id.
     last_id: Option<u64>,
-    /// The events that arrived before the response was built; they are the first item of its body.
-    first_events: Option<Bytes>,
+    /// Events that have arrived and are passed on next.
+    next_events: Option<Events>,
     /// Status of the response, for the request's report.
     status: StatusCode,
 }
 
-/// An exchange whose stream broke off before the first event, and the cause.
-pub(super) type FailedStart = Box<(Exchange, String)>;
-
-/// Waits for the first events and builds the response with them. Until then nothing has been sent to the caller, so the
-/// request can still be sent to another server.
-pub(super) async fn start(
+/// Builds the response to the caller from a server's stream, of which the first events have arrived or, if `events` is
+/// `None`, the end.
+pub(super) fn pass_on(
     mut exchange: Exchange,
-    server_response: Box<ServerResponse>,
-) -> Result<Response<Body>, FailedStart> {
-    let (mut server_stream, status) = ServerStream::new(*server_response);
-    let stall_limit = exchange.stall_limit();
-    let item = server_stream.next(stall_limit, exchange.deadline).await;
-    let (first_events, last_id) = match item {
-        StreamItem::Events(events) => (Some(events.bytes), events.last_id),
-        StreamItem::End => (None, None),
-        StreamItem::Broken(cause) => {
-            server_stream.abandon(RunResult::Broken);
-            return Err(Box::new((exchange, cause)));
-        }
-        StreamItem::DeadlineExceeded => {
-            server_stream.abandon(RunResult::Silent);
-            return Err(Box::new((exchange, "no event in time".to_owned())));
-        }
-    };
+    server_stream: Box<ServerStream>,
+    events: Option<Events>,
+) -> Response<Body> {
     exchange.report.record_first_byte();
-    exchange.report.record_event(last_id);
-    if first_events.is_some() {
-        exchange.record_progress();
-    }
-    if first_events.is_some() {
+    if events.is_some() {
         exchange.record_stream_start();
     }
     let mut response = Response::new(());
-    *response.status_mut() = status;
+    *response.status_mut() = server_stream.status;
     *response.headers_mut() = server_stream.headers.clone();
     remove_hop_by_hop(response.headers_mut());
     // A resumed stream may differ in length from what the first server announced.
     response.headers_mut().remove(CONTENT_LENGTH);
-    let is_complete = first_events.is_none();
     let mut caller_stream = CallerStream {
         exchange,
+        status: server_stream.status,
         server_stream: Some(server_stream),
-        last_id,
-        first_events,
-        status,
+        last_id: None,
+        next_events: None,
     };
-    if is_complete {
-        caller_stream.finish();
-    }
+    caller_stream.accept(events);
     let body = stream::unfold(caller_stream, |mut caller_stream| async move {
         let frame = caller_stream.next().await?;
         Some((frame.map(Frame::data), caller_stream))
     });
     let (head, ()) = response.into_parts();
-    Ok(Response::from_parts(
-        head,
-        StreamBody::new(body).boxed_unsync(),
-    ))
+    Response::from_parts(head, StreamBody::new(body).boxed_unsync())
 }
 
 impl CallerStream {
     /// Returns the next events for the caller, `None` after the last ones, or an error that breaks off the response. A
     /// broken stream is resumed at another server if possible.
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
-        if let Some(bytes) = self.first_events.take() {
-            return Some(Ok(bytes));
-        }
         loop {
-            let stall_limit = self.exchange.stall_limit();
+            if let Some(events) = self.next_events.take() {
+                return Some(Ok(events.bytes));
+            }
+            // Without the id of an event, another server would begin anew.
+            let stall_limit = self.last_id.and(self.exchange.stall_limit());
             let deadline = self.exchange.deadline;
-            let item = self
-                .server_stream
-                .as_mut()?
-                .next(stall_limit, deadline)
-                .await;
-            match item {
-                StreamItem::Events(events) if self.is_in_order(&events) => {
-                    self.last_id = events.last_id.or(self.last_id);
-                    self.exchange.report.record_event(events.last_id);
-                    self.exchange.record_progress();
-                    return Some(Ok(events.bytes));
-                }
-                StreamItem::Events(_) => {
-                    self.abandon(RunResult::Broken);
-                    return Some(Err(self.fail("events out of order")));
+            let server_stream = self.server_stream.as_mut()?;
+            let cause = match server_stream.next(stall_limit, deadline).await {
+                StreamItem::Events(events) if events.follows(self.last_id) => {
+                    self.accept(Some(events));
+                    continue;
                 }
                 StreamItem::End => {
-                    self.finish();
-                    return None;
+                    self.accept(None);
+                    continue;
                 }
                 StreamItem::DeadlineExceeded => {
                     self.abandon(RunResult::Silent);
                     return Some(Err(self.fail("time is over")));
                 }
-                StreamItem::Broken(cause) => {
-                    self.abandon(RunResult::Broken);
-                    if self.exchange.has_crashed_server().await {
-                        return Some(Err(self.fail(&format!("server crashed: {cause}"))));
-                    }
-                    if let Err(cause) = self.resume(&cause).await {
+                StreamItem::Silent => {
+                    let race = self.race_with_silent(stall_limit.unwrap_or_default());
+                    if let Err(cause) = self.go_on(race).await {
                         return Some(Err(self.fail(&cause)));
                     }
+                    continue;
                 }
+                StreamItem::Events(_) => "events out of order".to_owned(),
+                StreamItem::Broken(cause) => cause,
+            };
+            self.abandon(RunResult::Broken);
+            if let Err(end) = self.resume(&cause).await {
+                return Some(Err(self.fail(&end)));
             }
         }
     }
 
-    /// Returns whether the event ids continue without a gap or a duplicate, both of which are most likely after the
-    /// stream was resumed at another server.
-    fn is_in_order(&self, events: &Events) -> bool {
-        match (self.last_id, events.first_id) {
-            (Some(last), Some(first)) => first == last + 1,
-            _ => true,
+    /// Goes on at another server after the present one broke off for `cause`; returns how the response ends if that is
+    /// not possible.
+    async fn resume(&mut self, cause: &str) -> Result<(), String> {
+        if let Some(sent) = self.exchange.crash_guard.sent()
+            && self.exchange.has_crashed_server(sent).await
+        {
+            return Err(format!("server crashed: {cause}"));
+        }
+        if self.last_id.is_none() || !self.exchange.take_retry() {
+            return Err(format!("stream broken: {cause}"));
         }
+        let resumed = self.go_on(Race::default()).await;
+        resumed.map_err(|end| format!("stream broken: {cause}; {end}"))
     }
 
-    /// Resumes the stream at another server after the last event that the caller has. Returns the cause of the failure
-    /// if that is not possible; `cause` says why the stream broke off.
-    async fn resume(&mut self, cause: &str) -> Result<(), String> {
-        let Some(last_id) = self.last_id else {
-            return Err(format!("stream broken: {cause}"));
-        };
-        if !self.exchange.take_retry() {
-            return Err(format!("stream broken: {cause}"));
+    /// Returns a race with the present server, which has been silent for `time`, as its only entry.
+    fn race_with_silent(&mut self, time: Duration) -> Race {
+        let mut race = Race::default();
+        let sent = self.exchange.crash_guard.sent().cloned();
+        if let (Some(server_stream), Some(sent)) = (self.server_stream.take(), sent) {
+            let now = Instant::now();
+            let silent_since = now.checked_sub(time).unwrap_or(now);
+            let guard = Arc::clone(server_stream.guard());
+            let gateway = Arc::clone(&self.exchange.gateway);
+            let (last_id, deadline) = (self.last_id, self.exchange.deadline);
+            race.push(PendingSend {
+                sent,
+                guard,
+                started_at: silent_since,
+                head_at: Arc::new(OnceLock::from(silent_since)),
+                silent_at: None,
+                end: Box::pin(async move {
+                    let no_news = RateLimitNotice::Unlimited;
+                    next_events(&gateway, server_stream, last_id, deadline, no_news).await
+                }),
+            });
         }
-        match self.exchange.next_response(Some(last_id)).await {
-            Ok(response) if response.head.status.is_success() => {
-                self.server_stream = Some(ServerStream::new(*response).0);
-                self.exchange.report.record_resume();
+        race
+    }
+
+    /// Waits for the next events from the servers in `race` or another one. Returns the cause if none sends any.
+    async fn go_on(&mut self, race: Race) -> Result<(), String> {
+        let sent = self.exchange.crash_guard.sent();
+        let server = sent.map(|sent| sent.server.id.clone());
+        let delivery = self.exchange.next_delivery(self.last_id, race).await;
+        match delivery {
+            Ok(Delivery::Stream(server_stream, events)) => {
+                if server.as_deref() != Some(server_stream.server_id()) {
+                    self.exchange.report.record_resume();
+                }
+                self.server_stream = Some(server_stream);
+                self.accept(events);
                 Ok(())
             }
-            Ok(response) => {
-                let status = response.head.status;
-                response.lease.close();
-                Err(format!(
-                    "stream broken: {cause}; resuming failed with status {status}"
-                ))
-            }
-            Err(refusal) => Err(format!("stream broken: {cause}; {}", refusal.cause)),
+            Ok(Delivery::Whole(response)) => Err(format!("status {}", response.head.status)),
+            Err(refusal) if refusal.detail.is_empty() => Err(refusal.cause.to_owned()),
+            Err(refusal) => Err(format!("{}: {}", refusal.cause, refusal.detail)),
         }
     }
 
+    /// Takes events as the next ones for the caller, or the end of the stream if there are none.
+    fn accept(&mut self, events: Option<Events>) {
+        let Some(events) = events else {
+            self.finish();
+            return;
+        };
+        self.last_id = events.last_id.or(self.last_id);
+        self.exchange.report.record_event(events.last_id);
+        self.exchange.record_progress();
+        self.next_events = Some(events);
+    }
+
     /// Records `result` for the current server, and closes the stream's connection and all idle ones to that server.
     fn abandon(&mut self, result: RunResult) {
         if let Some(server_stream) = self.server_stream.take() {
-            self.exchange
-                .gateway
-                .pool
-                .close_idle(server_stream.lease.server_id());
-            server_stream.abandon(result);
+            self.exchange.gateway.abandon(*server_stream, result);
         }
     }
 
     /// Records that the stream is complete, and returns its connection to the pool.
     fn finish(&mut self) {
         if let Some(server_stream) = self.server_stream.take() {
-            server_stream.guard.record_result(RunResult::Good);
+            server_stream.guard().record_result(RunResult::Good);
             self.exchange.record_sound();
             self.exchange.record_response_time();
-            self.exchange
-                .gateway
-                .pool
-                .put_idle(server_stream.lease, &server_stream.headers);
+            let (lease, headers) = server_stream.into_connection();
+            self.exchange.gateway.pool.put_idle(lease, &headers);
         }
         self.exchange.report.record_end(self.status, "answered", "");
     }
@@ -236,67 +214,3 @@
         cause.to_owned().into()
     }
 }
-
-impl ServerStream {
-    fn new(response: ServerResponse) -> (Self, StatusCode) {
-        let headers = &response.head.headers;
-        let is_unframed =
-            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
-        let server_stream = Self {
-            is_unframed,
-            has_events: false,
-            body: response.body,
-            headers: response.head.headers,
-            lease: response.lease,
-            guard: response.guard,
-            splitter: EventSplitter::default(),
-        };
-        (server_stream, response.head.status)
-    }
-
-    /// Returns the next whole events. Part of an event is never passed on, since it could not be taken back if the
-    /// stream is resumed at another server. If none is complete within `stall_limit`, the stream counts as broken.
-    async fn next(&mut self, stall_limit: Option<Duration>, deadline: Instant) -> StreamItem {
-        let until = stall_limit.map_or(deadline, |stall_limit| {
-            (Instant::now() + stall_limit).min(deadline)
-        });
-        loop {
-            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
-                Err(_) if until == deadline => return StreamItem::DeadlineExceeded,
-                Err(_) => return StreamItem::Broken("stalled".to_owned()),
-                Ok(frame) => frame,
-            };
-            match frame {
-                None if self.splitter.has_partial_event() => {
-                    return StreamItem::Broken("event cut off".to_owned());
-                }
-                // A server that crashes before its first event ends such a stream like a complete one.
-                None if self.is_unframed && !self.has_events => {
-                    return StreamItem::Broken("ended before the first event".to_owned());
-                }
-                None => return StreamItem::End,
-                Some(Err(err)) => return StreamItem::Broken(err.to_string()),
-                Some(Ok(frame)) => {
-                    self.guard.record_activity();
-                    let Ok(bytes) = frame.into_data() else {
-                        continue;
-                    };
-                    match self.splitter.push(&bytes) {
-                        Ok(Some(events)) => {
-                            self.has_events = true;
-                            return StreamItem::Events(events);
-                        }
-                        Ok(None) => {}
-                        Err(_) => return StreamItem::Broken("event without end".to_owned()),
-                    }
-                }
-            }
-        }
-    }
-
-    /// Records `result` for the server and closes the stream's connection.
-    fn abandon(self, result: RunResult) {
-        self.guard.record_result(result);
-        self.lease.close();
-    }
-}
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -82,21 +82,23 @@
         BootInstant::now().before(self.route.timeout)
     }
 
-    /// Records that the caller gets the first event of the stream, from the server that the request was last sent to.
+    /// Records that the caller gets the first event of the stream, from the server whose answer is passed on.
     pub(super) fn record_stream_start(&mut self) {
         if self.stream_version != StreamVersion::Any {
             return;
         }
-        let version = self.report.software_versions.last();
+        let sent = self.crash_guard.sent();
+        let version = sent.and_then(|sent| sent.server.entry.software_version.as_ref());
         let Some(version) = version.filter(|version| !version.is_empty()) else {
             self.stream_version = StreamVersion::Unknown;
             return;
         };
+        let version = version.clone();
         if let Some(streams) = self.gateway.streams.get() {
             let lifetime = self.metadata.time_left.unwrap_or(self.route.timeout);
-            streams.record(self.salt, version, lifetime);
+            streams.record(self.salt, &version, lifetime);
         }
-        self.stream_version = StreamVersion::Only(version.clone());
+        self.stream_version = StreamVersion::Only(version);
     }
 
     /// Returns whether `server` may be sent the request as far as its software version is concerned.
