--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -25,8 +25,9 @@
 /// Timeout for opening a connection: over ten times the longest round trip of the reference workload, including
 /// the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which sent bytes may stay unacknowledged before the connection counts as dead: several retransmissions.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which sent bytes may stay unacknowledged before the connection counts as dead. It exceeds the time that callers
+/// wait for the next event of a stream, since a sound host may be silent for a second or two.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the announced idle timeout at which a connection is closed here, so that no request is sent while the
 /// server closes it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
