--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -42,6 +42,7 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use tokio::time::Instant;
 
 /// Maximum size of a request body until a configuration sets the limit.
@@ -93,6 +94,8 @@
     pub(super) admission: Admission,
     /// When the node was asked to stop.
     pub(super) stopping_since: OnceLock<BootInstant>,
+    /// Whether the time for which the node serves after that is over, so that requests in flight are dropped.
+    pub(super) has_stopped: Arc<AtomicBool>,
 }
 
 #[async_trait]
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -50,6 +50,7 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use tokio::task::JoinHandle;
@@ -274,13 +275,15 @@
         tokio::time::sleep(BALANCER_REACTION_TIME.min(drain_time)).await;
         let remaining = drain_time.saturating_sub(BALANCER_REACTION_TIME);
         self.callers.drain(remaining).await;
-        self.callers.close(Duration::from_millis(200)).await;
+        let open_connections = self.callers.stop(Duration::from_millis(200)).await;
         self.follower.close();
         self.peers.close().await;
         self.ledger_sync.close();
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
+        self.gateway.has_stopped.store(true, Ordering::Relaxed);
+        open_connections.close().await;
         info!(self.logs.log(), "stopped");
     }
 }
@@ -327,6 +330,7 @@
         plain: PlainPlacement::default(),
         admission: Admission::default(),
         stopping_since: OnceLock::new(),
+        has_stopped: Arc::default(),
     }
 }
 
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -9,6 +9,8 @@
 use hyper::StatusCode;
 use slog::info;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use tokio::time::Instant;
 
 /// The data for a request's log line and metrics, which are written when this is dropped.
@@ -47,6 +49,8 @@
     status: u16,
     outcome: &'static str,
     cause: String,
+    /// Whether the gateway has stopped and drops its requests.
+    has_gateway_stopped: Arc<AtomicBool>,
 }
 
 impl RequestReport {
@@ -78,10 +82,12 @@
             status: 0,
             outcome: "left",
             cause: "caller left".to_owned(),
+            has_gateway_stopped: Arc::clone(&gateway.has_stopped),
         }
     }
 
-    /// Records how the request ended. If this is not called, the report says that the caller disconnected.
+    /// Records how the request ended. If this is not called, the report says that the caller disconnected or, if it is
+    /// dropped after the gateway has stopped, that the answer was cut off.
     pub(super) fn record_end(&mut self, status: StatusCode, outcome: &'static str, cause: &str) {
         self.status = status.as_u16();
         self.outcome = outcome;
@@ -116,6 +122,10 @@
 
 impl Drop for RequestReport {
     fn drop(&mut self) {
+        if self.outcome == "left" && self.has_gateway_stopped.load(Ordering::Relaxed) {
+            self.outcome = "cut off";
+            self.cause = "gateway stopped".to_owned();
+        }
         let metric_cause = if self.outcome == "answered" {
             ""
         } else {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub use client::SendError;
 pub use server::Handler;
 pub use server::Listener;
+pub use server::OpenConnections;
 pub use server::Protocol;
 
 /// Flow-control window of a stream of an HTTP/2 connection, which limits the memory that a slow reader takes up.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
 /// Delay after a failed accept, so that the loop does not spin while file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -59,9 +60,13 @@
     is_draining: Arc<AtomicBool>,
     open_connections: Arc<AtomicUsize>,
     stop: oneshot::Sender<Duration>,
-    task: JoinHandle<()>,
+    task: JoinHandle<OpenConnections>,
 }
 
+/// The connections that were still open when their listener stopped. They are served until this is dropped.
+#[derive(Default)]
+pub struct OpenConnections(JoinSet<()>);
+
 impl Listener {
     /// Binds `address` and starts to serve requests with `handler`.
     ///
@@ -114,13 +119,26 @@
         }
     }
 
-    /// Stops accepting connections and waits at most `timeout` for requests in flight to end. After that, open
-    /// connections are not waited for.
-    pub async fn close(self, timeout: Duration) {
-        if self.stop.send(timeout).is_ok() {
-            // The task ends by itself after the timeout at the latest; a panic in it has already been reported.
-            let _ = self.task.await;
+    /// Stops accepting connections and waits at most `timeout` for requests in flight to end. Returns the connections
+    /// that are open after that.
+    pub async fn stop(self, timeout: Duration) -> OpenConnections {
+        if self.stop.send(timeout).is_err() {
+            return OpenConnections::default();
         }
+        // The task ends by itself after the timeout at the latest; a panic in it has already been reported.
+        self.task.await.unwrap_or_default()
+    }
+
+    /// Stops like [`Listener::stop`]. Connections that are open after that are served until the runtime ends.
+    pub async fn close(self, timeout: Duration) {
+        self.stop(timeout).await.0.detach_all();
+    }
+}
+
+impl OpenConnections {
+    /// Closes the connections and drops the requests on them.
+    pub async fn close(mut self) {
+        self.0.shutdown().await;
     }
 }
 
@@ -149,27 +167,40 @@
 }
 
 /// Accepts connections until a stop is requested, and then shuts down with the timeout that was sent with the request.
+/// Returns the connections that are still open after it.
 async fn accept(
     listener: TcpListener,
     state: ListenerState,
     mut stop_requested: oneshot::Receiver<Duration>,
-) {
+) -> OpenConnections {
     let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
     let timeout = loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => serve(stream, peer, &state, &graceful),
+                Ok((stream, peer)) => {
+                    connections.spawn(serve(stream, peer, &state, &graceful));
+                }
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             },
+            // Only removes the finished task from the set.
+            Some(_) = connections.join_next() => {}
             timeout = &mut stop_requested => break timeout.unwrap_or_default(),
         }
     };
     drop(listener);
-    // Connections that are still open after the timeout end with their tasks, which are not awaited.
+    // Whether connections are still open shows in the set.
     let _ = tokio::time::timeout(timeout, graceful.shutdown()).await;
+    OpenConnections(connections)
 }
 
-fn serve(stream: TcpStream, peer: SocketAddr, state: &ListenerState, graceful: &GracefulShutdown) {
+/// Returns the task that serves the connection.
+fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    state: &ListenerState,
+    graceful: &GracefulShutdown,
+) -> impl Future<Output = ()> + Send + 'static {
     // Nagle's algorithm would delay the small frames of a stream. If the option can't be set, the connection is still
     // usable.
     let _ = stream.set_nodelay(true);
@@ -205,10 +236,10 @@
     }
     let watcher = graceful.watcher();
     let guard = ConnectionGuard::new(&state.open_connections);
-    tokio::spawn(async move {
+    async move {
         let _guard = guard;
         let conn = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
         // A connection error comes from the client and needs no handling: its requests already have their outcomes.
         let _ = watcher.watch(conn.into_owned()).await;
-    });
+    }
 }
