--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -343,12 +343,12 @@
     let request_id = http::header(&headers, "currantbend-request-id").to_owned();
     let behavior = *lock(&shared.behavior);
     let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
-    shared.wait_while_silent().await;
     if !expected.is_empty() && expected != shared.id {
         return Ok(not_run_response(&shared, StatusCode::MISDIRECTED_REQUEST));
     }
     if let Behavior::Rejects | Behavior::RejectsFor(_) = behavior {
         shared.rejected.fetch_add(1, Relaxed);
+        shared.wait_while_silent().await;
         let mut res = not_run_response(&shared, StatusCode::SERVICE_UNAVAILABLE);
         if let Behavior::RejectsFor(seconds) = behavior {
             http::set_header(&mut res, "retry-after", &seconds.to_string());
@@ -363,6 +363,7 @@
         body,
     });
     let running = RunningGuard::new(&shared);
+    shared.wait_while_silent().await;
     if behavior == Behavior::Hangs {
         std::future::pending::<()>().await;
     }
