--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -29,6 +29,8 @@
 
 /// Pause after each event of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(15);
+/// Start time of servers that are started only once, as their entries name it.
+const BORN: u64 = 1_700_000_000_000;
 /// Number of events of a stream.
 pub const EVENTS: u64 = 12;
 
@@ -80,6 +82,41 @@
     pub is_repeated: bool,
 }
 
+/// When a request crashes the server that runs it.
+#[derive(Clone, Copy, Debug)]
+pub enum CrashPoint {
+    /// This long after the server began to run it.
+    After(Duration),
+    /// After this number of events of its stream.
+    AfterEvents(u64),
+}
+
+/// A request that crashes the servers that run it, by what stays the same each time it is sent.
+#[derive(Clone, Debug)]
+pub struct CrashingRequest {
+    /// Path and query.
+    pub target: String,
+    /// The caller's team.
+    pub team: String,
+    /// The request body.
+    pub body: Bytes,
+    /// When it crashes the server.
+    pub point: CrashPoint,
+}
+
+/// How a server is started.
+#[derive(Clone, Copy, Debug)]
+pub struct Start<'a> {
+    /// Instance ID.
+    pub id: &'a str,
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// Unix time in milliseconds that its entry names as that of its start.
+    pub born: u64,
+    /// Time that it takes to run a request that is no stream.
+    pub work_time: Duration,
+}
+
 /// A request that the server ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -98,6 +135,7 @@
 #[derive(Debug)]
 struct Shared {
     id: String,
+    born: u64,
     work_time: Duration,
     software_version: Mutex<String>,
     behavior: Mutex<Behavior>,
@@ -114,6 +152,7 @@
     silent_until: Mutex<Option<Instant>>,
     /// Parts of prompts that crash the server as it begins to answer a request with one of them.
     crashing_parts: Mutex<Vec<String>>,
+    crashing_requests: Mutex<Vec<CrashingRequest>>,
     crash_handle: OnceLock<CrashHandle>,
     crashed_at: OnceLock<Instant>,
 }
@@ -151,6 +190,20 @@
         }
     }
 
+    /// Returns when a request crashes the server, or `None` if it doesn't.
+    fn crash_point(&self, headers: &HeaderMap, target: &str, body: &Bytes) -> Option<CrashPoint> {
+        if self.has_crashing_part(headers) {
+            return Some(CrashPoint::AfterEvents(0));
+        }
+        let team = http::header(headers, "currantbend-tenant");
+        let requests = lock(&self.crashing_requests);
+        let mut requests = requests.iter();
+        let found = requests.find(|crashing| {
+            crashing.target == target && crashing.team == team && crashing.body == body
+        });
+        found.map(|crashing| crashing.point)
+    }
+
     /// Returns whether a part of the prompt, the last one excepted, crashes the server.
     fn has_crashing_part(&self, headers: &HeaderMap) -> bool {
         let parts = http::header(headers, "currantbend-prompt-prefix");
@@ -191,9 +244,25 @@
     ///
     /// Returns an error if no address can be bound.
     pub async fn start(id: &str, work_time: Duration) -> io::Result<Self> {
-        let shared = Arc::new(Shared {
-            id: id.to_owned(),
+        Self::start_with(Start {
+            id,
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            born: BORN,
             work_time,
+        })
+        .await
+    }
+
+    /// Starts a server as `start` says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn start_with(start: Start<'_>) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            id: start.id.to_owned(),
+            born: start.born,
+            work_time: start.work_time,
             software_version: Mutex::new("v1".to_owned()),
             behavior: Mutex::default(),
             runs: Mutex::default(),
@@ -205,6 +274,7 @@
             pause: Mutex::default(),
             silent_until: Mutex::default(),
             crashing_parts: Mutex::default(),
+            crashing_requests: Mutex::default(),
             crash_handle: OnceLock::new(),
             crashed_at: OnceLock::new(),
         });
@@ -213,8 +283,7 @@
             let shared = Arc::clone(&handler_shared);
             Box::pin(async move { handle(shared, req).await })
         });
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start(any, handler).await?;
+        let server = Server::start(start.address, handler).await?;
         shared.crash_handle.get_or_init(|| server.crash_handle());
         Ok(Self { server, shared })
     }
@@ -269,6 +338,11 @@
         *lock(&self.shared.crashing_parts) = parts.iter().map(|part| (*part).to_owned()).collect();
     }
 
+    /// Sets the requests that crash it.
+    pub fn set_crashing_requests(&self, requests: &[CrashingRequest]) {
+        *lock(&self.shared.crashing_requests) = requests.to_vec();
+    }
+
     /// Crashes it: it stops listening and aborts all connections.
     pub fn crash(&self) {
         self.shared.crash();
@@ -299,7 +373,7 @@
         let version = lock(&self.shared.software_version).clone();
         let entry = serde_json::json!({
             "service": service, "address": self.address(), "zone": data_centre, "version": version,
-            "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": 1_700_000_000_000u64,
+            "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": self.shared.born,
         });
         entry.to_string().into_bytes()
     }
@@ -355,6 +429,7 @@
         }
         return Ok(res);
     }
+    let crash_point = shared.crash_point(&headers, &target, &body);
     lock(&shared.runs).push(Run {
         at: Instant::now(),
         request_id: request_id.clone(),
@@ -364,13 +439,24 @@
     });
     let running = RunningGuard::new(&shared);
     shared.wait_while_silent().await;
+    if let Some(CrashPoint::After(time)) = crash_point {
+        tokio::time::sleep(time).await;
+        shared.crash();
+        // The response must not begin before the connection ends.
+        std::future::pending::<()>().await;
+    }
     if behavior == Behavior::Hangs {
         std::future::pending::<()>().await;
     }
     let is_stream = headers.contains_key("currantbend-token-counts");
     let mut res = if is_stream {
         shared.pause_at(PausePoint::Head).await;
-        let body = events(running, behavior, &headers);
+        let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
+        let crash_after = match crash_point {
+            Some(CrashPoint::AfterEvents(count)) => Some(count),
+            _ => None,
+        };
+        let body = events(running, behavior, after, crash_after);
         build_response(&shared, StatusCode::OK, body)
     } else {
         tokio::time::sleep(shared.work_time).await;
@@ -424,27 +510,30 @@
     body
 }
 
-/// Streams the events that follow the one that the request has last; each names the software version of the server.
+/// Streams the events that follow event number `after`; each names the software version of the server, which crashes after
+/// `crash_after` of them.
 ///
-/// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event. The first event comes
-/// after the server's delay, or the server crashes then.
-fn events(running: RunningGuard, behavior: Behavior, headers: &HeaderMap) -> ResponseBody {
-    let after: u64 = http::header(headers, "last-event-id").parse().unwrap_or(0);
-    let is_crashing = running.0.has_crashing_part(headers);
+/// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event.
+fn events(
+    running: RunningGuard,
+    behavior: Behavior,
+    after: u64,
+    crash_after: Option<u64>,
+) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
         let shared = &running.0;
         let version = lock(&shared.software_version).clone();
         let delay = *lock(&shared.first_event_delay);
         tokio::time::sleep(delay).await;
-        if is_crashing {
-            shared.crash();
-            // The body must not end before the connection does.
-            tx.closed().await;
-            return;
-        }
         for number in after + 1..=EVENTS {
             let sent = number - after - 1;
+            if crash_after == Some(sent) {
+                shared.crash();
+                // The body must not end before the connection does.
+                tx.closed().await;
+                return;
+            }
             match behavior {
                 Behavior::Breaks(max_events) if sent >= max_events => {
                     // A reader that disconnected needs no abort.
