--- a/src/decide/crash_blame.rs
+++ b/src/decide/crash_blame.rs
@@ -370,15 +370,19 @@
     suspects.any(|suspect| suspect.parts.iter().any(|part| parts.contains(part)))
 }
 
-/// Returns each part with the number of crashes that it may be to blame for; one counts only if the part was sent after
-/// the crash before it.
+/// Returns each part with the number of crashes that it may be to blame for, each of which counts once, and only if the part
+/// was sent after the crash before it.
 fn count_by_part(crashes: &[&Crash]) -> Vec<(PartId, usize)> {
     let mut sends: Vec<(PartId, BootInstant, BootInstant)> = Vec::new();
     for crash in crashes {
-        for suspect in &crash.suspects {
-            let parts = suspect.parts.iter();
-            sends.extend(parts.map(|part| (*part, crash.at, suspect.sent_at)));
-        }
+        let parts = crash.suspects.iter().flat_map(|suspect| &suspect.parts);
+        let mut parts: Vec<PartId> = parts.copied().collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let last_sends = parts
+            .into_iter()
+            .filter_map(|part| Some((part, crash.at, crash.last_sent_with(part)?)));
+        sends.extend(last_sends);
     }
     sends.sort_unstable();
     let mut counts = Vec::new();
--- a/src/decide/tests/crash_blame.rs
+++ b/src/decide/tests/crash_blame.rs
@@ -160,6 +160,20 @@
     assert!(held(&blame).is_empty());
 }
 
+#[test]
+fn a_request_sent_after_the_crash_of_its_server_makes_no_second_crash_of_it() {
+    let mut blame = blame(&[crash(100, &[&[COMMON, BAD]])]);
+    // Another gateway has an idle connection to the server, on which its request breaks off.
+    let mut other = crash(160, &[&[COMMON, BAD]]);
+    other.server = "i-100".to_owned();
+    other.suspects[0].sent_at = at(151);
+
+    blame.record_crash(other);
+    blame.update_holds(at(160));
+
+    assert!(held(&blame).is_empty());
+}
+
 #[test]
 fn a_held_part_gets_three_trials_at_growing_intervals() {
     let mut blame = blame(&[crash(0, &[&[BAD]]), crash(900, &[&[BAD]])]);
