--- a/bench/src/http.rs
+++ b/bench/src/http.rs
@@ -64,6 +64,7 @@
 pub struct Server {
     address: SocketAddr,
     closing: watch::Sender<bool>,
+    refusing: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -77,10 +78,12 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (closing, rx) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, handler, rx));
+        let (refusing, refusing_rx) = watch::channel(false);
+        let task = tokio::spawn(accept(listener, handler, rx, refusing_rx));
         Ok(Server {
             address,
             closing,
+            refusing,
             task,
         })
     }
@@ -95,6 +98,11 @@
         CrashHandle(self.task.abort_handle())
     }
 
+    /// Sets whether new connections are refused; open ones are not affected.
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.refusing.send_replace(is_refusing);
+    }
+
     /// Stops listening and waits until the requests in flight are finished.
     pub async fn close_gracefully(self) {
         self.closing.send_replace(true);
@@ -120,23 +128,44 @@
     }
 }
 
-async fn accept(listener: TcpListener, handler: Handler, mut closing: watch::Receiver<bool>) {
+async fn accept(
+    listener: TcpListener,
+    handler: Handler,
+    mut closing: watch::Receiver<bool>,
+    mut refusing: watch::Receiver<bool>,
+) {
+    let address = listener.local_addr();
+    let mut listener = Some(listener);
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
+            accepted = accept_on(listener.as_ref()) => {
                 // An accept error concerns a single connection or is temporary.
                 let Ok((stream, _)) = accepted else { continue };
                 connections.spawn(serve(stream, handler.clone(), closing.clone()));
             }
             _ = connections.join_next(), if !connections.is_empty() => {}
             _ = closing.changed() => break,
+            Ok(()) = refusing.changed() => {
+                listener = None;
+                if !*refusing.borrow_and_update() && let Ok(address) = address {
+                    listener = TcpListener::bind(address).await.ok();
+                }
+            }
         }
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+/// Accepts a connection; waits forever while there is no listener.
+async fn accept_on(listener: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn serve(stream: TcpStream, handler: Handler, mut closing: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |req| handler(req));
--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -81,6 +81,8 @@
     running: AtomicU32,
     rejected: AtomicU32,
     is_leaving: AtomicBool,
+    /// Whether its link is cut: new connections are refused, and open ones break with the next bytes.
+    is_cut: AtomicBool,
     /// Limit on requests that it names in its responses, as text.
     rate_limit: Mutex<Option<String>>,
     /// Time from a request for a stream to its first event.
@@ -148,6 +150,7 @@
             running: AtomicU32::new(0),
             rejected: AtomicU32::new(0),
             is_leaving: AtomicBool::new(false),
+            is_cut: AtomicBool::new(false),
             rate_limit: Mutex::default(),
             first_event_delay: Mutex::default(),
             crashing_parts: Mutex::default(),
@@ -210,6 +213,18 @@
         self.shared.crash();
     }
 
+    /// Cuts its link: new connections are refused, and open ones break with the next bytes. It runs on.
+    pub fn cut(&self) {
+        self.shared.is_cut.store(true, Relaxed);
+        self.server.set_refusing(true);
+    }
+
+    /// Mends its link.
+    pub fn reconnect(&self) {
+        self.shared.is_cut.store(false, Relaxed);
+        self.server.set_refusing(false);
+    }
+
     /// Returns when it crashed, or `None` if it hasn't.
     pub fn crashed_at(&self) -> Option<Instant> {
         self.shared.crashed_at.get().copied()
@@ -279,6 +294,9 @@
     let request_id = http::header(&headers, "currantbend-request-id").to_owned();
     let behavior = *lock(&shared.behavior);
     let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
+    if shared.is_cut.load(Relaxed) {
+        return Err(Abort);
+    }
     if !expected.is_empty() && expected != shared.id {
         return Ok(not_run_response(&shared, StatusCode::MISDIRECTED_REQUEST));
     }
@@ -355,6 +373,7 @@
 ) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
+        let shared = Arc::clone(&running.0);
         let _running = running;
         let (delay, crash) = start;
         tokio::time::sleep(delay).await;
@@ -366,6 +385,10 @@
         }
         for number in after + 1..=EVENTS {
             let sent = number - after - 1;
+            if shared.is_cut.load(Relaxed) {
+                let _ = tx.send(Err(Abort)).await;
+                return;
+            }
             match behavior {
                 Behavior::Breaks(max_events) if sent >= max_events => {
                     // A reader that disconnected needs no abort.
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -155,6 +155,13 @@
         expired
     }
 
+    /// Returns start time and sequence number of the newest report of server `id`, whether or not it is listed now.
+    pub fn report_of(&self, id: &str) -> Option<(u64, u64)> {
+        let index = self.rows.binary_search_by(|row| row.id.as_str().cmp(id));
+        let entry = self.rows[index.ok()?].entry.as_ref()?;
+        Some((entry.start_time_ms, entry.sequence))
+    }
+
     /// Returns the servers on the list and those in their grace period, draining ones included, sorted by name.
     pub fn listed(&self) -> Vec<BackendServer> {
         let server = |row: &Row| {
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -329,6 +329,12 @@
         found.is_ok_and(|index| state.servers[index].entry.start_time_ms == start_time_ms)
     }
 
+    /// Returns start time and sequence number of the newest report of server `id` that this node has read, whether or not
+    /// it is listed now.
+    pub fn report_of(&self, id: &str) -> Option<(u64, u64)> {
+        self.lock().roster.report_of(id)
+    }
+
     /// Returns the time since the last successful read of the server list began, or `None` if there was none. The read
     /// may be this node's own or that of a peer whose list was applied.
     pub fn list_age(&self, now: BootInstant) -> Option<Duration> {
--- a/src/decide/crash_blame.rs
+++ b/src/decide/crash_blame.rs
@@ -7,9 +7,12 @@
 //! A request is suspect if its server crashed before it had begun to answer. A part is blamed for a crash only if it was
 //! sent again after the crash before, so that servers that crash at the same time count once, and any answer that begins
 //! later clears its parts. Of the parts that were in the same crashes, the blame goes to the one that explains most of
-//! them, and within a request to the last one, which fewer requests share. `docs/CRASHING-PARTS.md` follows a crash
-//! through the fleet.
+//! them, and within a request to the last one, which fewer requests share. A crash that turns out to be none is retracted
+//! with the holds that rest on it (`crash_evidence.rs`). `docs/CRASHING-PARTS.md` follows a crash through the fleet.
 
+use super::crash_evidence::CrashEvidence;
+use super::crash_evidence::Incarnation;
+use super::crash_evidence::Sighting;
 use crate::clock::BootInstant;
 use std::time::Duration;
 
@@ -35,6 +38,12 @@
 /// Time for which an answer is remembered, since reports of crashes before it may still arrive.
 const SOUND_MEMORY: Duration = Duration::from_secs(30);
 
+/// Time after a crash for which its retraction is remembered: other gateways report the crash for that long.
+const RETRACTED_MEMORY: Duration = Duration::from_secs(600);
+
+/// Maximum time that a report is under way to another gateway, by which its times seem later.
+pub(super) const MAX_DELAY: Duration = Duration::from_millis(250);
+
 /// Identifies a part of a prompt.
 pub type PartId = u64;
 
@@ -104,6 +113,10 @@
     sound: Vec<(PartId, BootInstant)>,
     /// Sorted by part.
     holds: Vec<Hold>,
+    /// What shows that servers did not crash, or not under these requests.
+    evidence: CrashEvidence,
+    /// Parts of suspects that were retracted, with the time of the crash.
+    retracted: Vec<(PartId, BootInstant)>,
 }
 
 impl Hold {
@@ -111,6 +124,18 @@
         self.since.max(self.last_trial_at.unwrap_or_default())
     }
 
+    /// Returns the hold of a part of which only the number of trials is known, and no crash: its next trial is due at
+    /// `now`, so that an answer may let it through.
+    pub fn without_proof(part: PartId, trials: u32, now: BootInstant) -> Self {
+        let delay = TRIAL_DELAYS.get(trials as usize).unwrap_or(&MAX_AGE);
+        Self {
+            part,
+            since: now.before(*delay),
+            trials,
+            last_trial_at: None,
+        }
+    }
+
     /// Returns when the next trial is due or, after the last one, when the part is let through again.
     fn due_at(&self) -> BootInstant {
         let delay = usize::try_from(self.trials)
@@ -129,6 +154,14 @@
         self.server == other.server && self.start_time_ms == other.start_time_ms
     }
 
+    /// Returns the incarnation that crashed.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            server: self.server.clone(),
+            start_time_ms: self.start_time_ms,
+        }
+    }
+
     /// Returns the time at which the last of its requests with `part` was sent, or `None` if none has it.
     fn last_sent_with(&self, part: PartId) -> Option<BootInstant> {
         let with_part = self
@@ -152,6 +185,8 @@
 impl CrashBlame {
     /// Records a crash, or more suspects of a known one. Call [`CrashBlame::update_holds`] afterwards.
     pub fn record_crash(&mut self, mut crash: Crash) -> CrashNews {
+        let removed = remove_disproved(&self.evidence, &mut crash);
+        self.retract(&removed);
         let known = self.crashes.iter().position(|known| known.is_of(&crash));
         if let Some(index) = known {
             let known = &self.crashes[index];
@@ -190,6 +225,80 @@
         }
     }
 
+    /// Records what was seen of a server, and retracts the suspects that can't have crashed it. Returns whether it is news
+    /// that other gateways must know too. Call [`CrashBlame::update_holds`] afterwards.
+    pub fn record_sighting(&mut self, sighting: Sighting) -> bool {
+        let incarnation = sighting.incarnation.clone();
+        if !self.evidence.record(sighting) {
+            return false;
+        }
+        let mut removed = Vec::new();
+        for crash in &mut self.crashes {
+            if crash.incarnation() == incarnation {
+                removed.extend(remove_disproved(&self.evidence, crash));
+            }
+        }
+        self.crashes.retain(|crash| !crash.suspects.is_empty());
+        self.retract(&removed);
+        true
+    }
+
+    /// Returns what is known of servers that seem to have crashed.
+    pub fn evidence(&self) -> &CrashEvidence {
+        &self.evidence
+    }
+
+    /// Remembers that these parts were suspect by mistake, so that holds which rest on it end.
+    fn retract(&mut self, removed: &[(PartId, BootInstant)]) {
+        for &(part, at) in removed {
+            match self.retracted.binary_search_by_key(&part, |known| known.0) {
+                Ok(index) => self.retracted[index].1 = self.retracted[index].1.max(at),
+                Err(index) => self.retracted.insert(index, (part, at)),
+            }
+        }
+        if self.retracted.len() > MAX_SOUND {
+            self.retracted.clear();
+        }
+    }
+
+    /// Returns whether a crash that `part` was suspect of has been retracted, so that holds of it need crashes that are known
+    /// here.
+    fn is_retracted(&self, part: PartId) -> bool {
+        let found = self.retracted.binary_search_by_key(&part, |known| known.0);
+        found.is_ok()
+    }
+
+    /// Returns whether `incarnation` had crashed or could not be reached any more when a request was sent to it at `sent_at`.
+    pub fn was_gone(&self, incarnation: &Incarnation, sent_at: BootInstant) -> bool {
+        let mut crashes = self.crashes.iter();
+        self.evidence.was_lost(incarnation, sent_at)
+            || crashes.any(|crash| crash.at < sent_at && crash.incarnation() == *incarnation)
+    }
+
+    /// Returns whether a sighting of `incarnation` alive from `since` to `at` tells the gateways something: it shows that a
+    /// known crash was none, or that a lost server is back.
+    pub fn needs_life(
+        &self,
+        incarnation: &Incarnation,
+        since: BootInstant,
+        at: BootInstant,
+    ) -> bool {
+        let at = at.before(MAX_DELAY);
+        self.evidence.was_lost(incarnation, at)
+            || self.crashes.iter().any(|crash| {
+                since <= crash.at && crash.at < at && crash.incarnation() == *incarnation
+            })
+    }
+
+    /// Returns the incarnations that crashed under a request with `part`, as far as known.
+    pub fn crashed_under(&self, part: PartId) -> Vec<Incarnation> {
+        let with_part = self
+            .crashes
+            .iter()
+            .filter(|crash| crash.last_sent_with(part).is_some());
+        with_part.map(Crash::incarnation).collect()
+    }
+
     /// Records that a server began to answer a request with `part` at `at` and lived on. Returns whether the part was
     /// suspect or held, so that other gateways must know it too.
     ///
@@ -242,6 +351,10 @@
         if sound.is_ok_and(|at| at > hold.last_change()) {
             return false;
         }
+        // Another gateway may not have learned yet that the crashes were retracted.
+        if self.is_unproven(&hold, &self.blamed_parts()) {
+            return false;
+        }
         match self.search(hold.part) {
             Ok(index) => {
                 let known = &mut self.holds[index];
@@ -265,7 +378,13 @@
         self.sound.retain(|known| now.since(known.1) < SOUND_MEMORY);
         self.holds
             .retain(|hold| now.since(hold.last_change()) < MAX_AGE);
+        self.retracted
+            .retain(|known| now.since(known.1) < RETRACTED_MEMORY);
+        self.evidence.expire(now);
         let blamed = self.blamed_parts();
+        let mut holds = std::mem::take(&mut self.holds);
+        holds.retain(|hold| !self.is_unproven(hold, &blamed));
+        self.holds = holds;
         let crashes = &self.crashes;
         // A part that has had a trial, or that is held from before a restart, is let through by an answer only.
         let is_explained = |hold: &Hold| {
@@ -305,6 +424,13 @@
         new
     }
 
+    /// Returns whether crashes that the part was held for were retracted, and the others are too few.
+    fn is_unproven(&self, hold: &Hold, blamed: &[PartId]) -> bool {
+        let is_proven = blamed.contains(&hold.part)
+            || (hold.trials > 0 && !self.crashed_under(hold.part).is_empty());
+        !is_proven && self.is_retracted(hold.part)
+    }
+
     /// Returns the held parts, sorted.
     pub fn holds(&self) -> &[Hold] {
         &self.holds
@@ -365,6 +491,22 @@
     }
 }
 
+/// Removes the suspects that can't have crashed the server of `crash`; returns their parts, each with the time at which the
+/// server was taken for crashed.
+fn remove_disproved(evidence: &CrashEvidence, crash: &mut Crash) -> Vec<(PartId, BootInstant)> {
+    let incarnation = crash.incarnation();
+    let at = crash.at;
+    let is_alive = evidence.disproves_crash(&incarnation, at);
+    let is_disproved = |suspect: &mut Suspect| {
+        is_alive || evidence.was_lost(&incarnation, suspect.sent_at.before(MAX_DELAY))
+    };
+    let removed = crash.suspects.extract_if(.., is_disproved);
+    removed
+        .flat_map(|suspect| suspect.parts)
+        .map(|part| (part, at))
+        .collect()
+}
+
 fn has_part(crash: &Crash, parts: &[PartId]) -> bool {
     let mut suspects = crash.suspects.iter();
     suspects.any(|suspect| suspect.parts.iter().any(|part| parts.contains(part)))
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod caller_retry;
 mod crash_blame;
+mod crash_evidence;
 mod drain;
 mod hash;
 mod health;
@@ -28,6 +29,10 @@
 pub use crash_blame::PartId;
 pub use crash_blame::PartVerdict;
 pub use crash_blame::Suspect;
+pub use crash_evidence::Incarnation;
+pub use crash_evidence::Sight;
+pub use crash_evidence::Sighting;
+pub use crash_evidence::is_common_loss;
 pub use drain::DrainPolicy;
 pub(crate) use hash::hash;
 pub use health::Health;
--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard.rs
@@ -17,6 +17,10 @@
 /// first event that leaves just before the crash.
 const SOUND_TIME: Duration = Duration::from_millis(50);
 
+/// Time over which bytes must arrive to show that a server was alive at its beginning: after a pause of this process, those
+/// that a crashed server had sent are read all at once.
+const LIFE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What is known of a request's present server as to its crash.
 #[derive(Clone, Debug)]
 struct Sent {
@@ -25,6 +29,8 @@
     /// When the first event or the whole answer arrived.
     began_at: Option<BootInstant>,
     is_reported: bool,
+    /// When something arrived from it, at intervals of [`LIFE_INTERVAL`] at least.
+    seen_at: Option<BootInstant>,
 }
 
 /// The part of an exchange that has to do with crashes of servers.
@@ -58,6 +64,7 @@
             at: BootInstant::now(),
             began_at: None,
             is_reported: false,
+            seen_at: None,
         });
     }
 }
@@ -103,6 +110,12 @@
         let now = BootInstant::now();
         if let Some(sent) = &mut self.crash_guard.sent {
             let began_at = *sent.began_at.get_or_insert(now);
+            let seen_at = *sent.seen_at.get_or_insert(now);
+            if now.since(seen_at) >= LIFE_INTERVAL {
+                sent.seen_at = Some(now);
+                let quarantine = &self.gateway.quarantine;
+                quarantine.record_alive(&sent.server, sent.at, seen_at);
+            }
             if now.since(began_at) >= SOUND_TIME {
                 self.record_sound();
             }
@@ -144,6 +157,9 @@
             sent_at: sent.at,
         };
         let quarantine = &self.gateway.quarantine;
-        quarantine.report_break(&sent.server, suspect).await
+        let (listed, _) = self.gateway.catalog.servers();
+        quarantine
+            .report_break(&sent.server, suspect, &listed)
+            .await
     }
 }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -41,6 +41,7 @@
 use crate::quarantine::HoldLedger;
 use crate::quarantine::LedgerSync;
 use crate::quarantine::Quarantine;
+use crate::quarantine::RenewalWatch;
 use crate::quarantine::TrialClaims;
 use slog::info;
 use std::fmt;
@@ -118,6 +119,7 @@
     follower: Follower,
     peers: Peers,
     ledger_sync: LedgerSync,
+    renewal_watch: RenewalWatch,
     pruner: JoinHandle<()>,
     gateway: Arc<Gateway>,
     logs: Logs,
@@ -222,6 +224,7 @@
             Arc::clone(&is_relay),
             &logs,
         );
+        let renewal_watch = RenewalWatch::start(&gateway.quarantine, &catalog, &is_relay);
         let peers = Peers::start(
             peer_settings(host),
             &catalog,
@@ -249,6 +252,7 @@
             follower,
             peers,
             ledger_sync,
+            renewal_watch,
             pruner,
             gateway,
             logs,
@@ -278,6 +282,7 @@
         self.follower.close();
         self.peers.close().await;
         self.ledger_sync.close();
+        self.renewal_watch.close();
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
--- a/src/peers/crash_cursor.rs
+++ b/src/peers/crash_cursor.rs
@@ -1,10 +1,11 @@
 //! Which records about crashes have been sent and received on one connection to another gateway.
 
+use super::message::SyncRequest;
 use super::message::SyncResponse;
 use crate::clock::BootInstant;
-use crate::quarantine::CrashRecord;
 use crate::quarantine::Quarantine;
 use crate::quarantine::RecordSource;
+use crate::quarantine::Records;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -30,21 +31,26 @@
         }
     }
 
-    /// Returns the records that have not been sent on this connection yet.
-    pub(super) fn records_to_send(
+    /// Adds the records to a request that have not been sent on this connection yet.
+    pub(super) fn add_records(
         &mut self,
         quarantine: &Quarantine,
+        request: &mut SyncRequest,
         now: BootInstant,
-    ) -> Vec<CrashRecord> {
+    ) {
         self.changes.mark_unchanged();
         let (records, next) = quarantine.records_from(self.next_sent, &SENT_SOURCES, now);
         self.next_sent = next;
-        records
+        request.crash_records = records.crashes;
+        request.sightings = records.sightings;
     }
 
     /// Takes the records out of a response and applies them.
     pub(super) fn apply(&mut self, quarantine: &Quarantine, response: &mut SyncResponse) {
-        let records = std::mem::take(&mut response.crash_records);
+        let records = Records {
+            crashes: std::mem::take(&mut response.crash_records),
+            sightings: std::mem::take(&mut response.sightings),
+        };
         quarantine.apply(records, RecordSource::Relay, BootInstant::now());
         quarantine.set_loaded();
         self.next_received = response.next_crash_record;
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -7,6 +7,7 @@
 use crate::catalog::VersionHistory;
 use crate::clock::BootInstant;
 use crate::quarantine::CrashRecord;
+use crate::quarantine::SightingRecord;
 use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
@@ -133,6 +134,9 @@
     /// What the requesting node or those that it serves as relay have learned about crashes of servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crash_records: Vec<CrashRecord>,
+    /// What they saw of servers that seem to have crashed, and of those that were lost with them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) sightings: Vec<SightingRecord>,
     /// Number of the responding node's first record about crashes that the requesting node has not received on this
     /// connection; `None` if it wants none.
     #[serde(default)]
@@ -243,6 +247,9 @@
     /// Records about crashes of servers from the requested number on.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crash_records: Vec<CrashRecord>,
+    /// What was seen of servers, among the same records.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) sightings: Vec<SightingRecord>,
     /// Number of the record that follows them.
     #[serde(default)]
     pub(super) next_crash_record: u64,
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -272,6 +272,7 @@
             // The caller sets this to the records that the receiver does not have yet.
             streams: Vec::new(),
             crash_records: Vec::new(),
+            sightings: Vec::new(),
             next_crash_record: None,
             wants_version_history: self.wants_version_history(),
         }
@@ -618,7 +619,7 @@
         let sources = [RecordSource::Own];
         (request.streams, next_record) =
             shared.streams.records_from(next_record, &sources, sent_at);
-        request.crash_records = crash_cursor.records_to_send(&shared.quarantine, sent_at);
+        crash_cursor.add_records(&shared.quarantine, &mut request, sent_at);
         request.next_crash_record = Some(crash_cursor.next_received);
         let mut response: SyncResponse = link.request(&request).await?;
         if shared.is_unusable_source(&response) {
@@ -671,7 +672,7 @@
             (request.streams, next_record) =
                 shared.streams.records_from(next_record, &sources, now);
         }
-        request.crash_records = crash_cursor.records_to_send(&shared.quarantine, now);
+        crash_cursor.add_records(&shared.quarantine, &mut request, now);
         let response: SyncResponse = link.request(&request).await?;
         shared.mark_reachable(node);
         shared.apply_version_history(response.version_history);
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -12,7 +12,7 @@
 use super::streams::StreamLookupResponse;
 use crate::clock::BootInstant;
 use crate::quarantine;
-use crate::quarantine::CrashRecord;
+use crate::quarantine::Records;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use slog::debug;
@@ -106,9 +106,13 @@
         RecordSource::OtherCentre
     };
     shared.streams.record_received(request.streams, source, now);
-    let (crash_records, next_crash_record) = exchange_crash_records(
+    let received = Records {
+        crashes: request.crash_records,
+        sightings: request.sightings,
+    };
+    let (records, next_crash_record) = exchange_crash_records(
         shared,
-        (request.crash_records, request.next_crash_record),
+        (received, request.next_crash_record),
         is_member,
         now,
     );
@@ -152,7 +156,8 @@
         }),
         nodes_stamp,
         nodes: wants_nodes.then_some(nodes),
-        crash_records,
+        crash_records: records.crashes,
+        sightings: records.sightings,
         next_crash_record,
         centres: shared.load_table.all_centres(&shared.own.data_centre, now),
         version_history: version_history.flatten(),
@@ -163,10 +168,10 @@
 /// to continue from.
 fn exchange_crash_records(
     shared: &Shared,
-    (records, next): (Vec<CrashRecord>, Option<u64>),
+    (records, next): (Records, Option<u64>),
     is_member: bool,
     now: BootInstant,
-) -> (Vec<CrashRecord>, u64) {
+) -> (Records, u64) {
     let source = if is_member {
         quarantine::RecordSource::Member
     } else {
@@ -175,6 +180,6 @@
     shared.quarantine.apply(records, source, now);
     match next {
         Some(next) => shared.quarantine.records_from(next, &ALL_RECORDS, now),
-        None => (Vec::new(), 0),
+        None => (Records::default(), 0),
     }
 }
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -5,6 +5,7 @@
 use crate::catalog::SourceError;
 use crate::clock::BootInstant;
 use crate::decide::Hold;
+use crate::decide::Incarnation;
 use crate::decide::PartId;
 use crate::logs::Logs;
 use async_trait::async_trait;
@@ -23,13 +24,21 @@
 /// Pause after a failed call, and interval at which a gateway that has become the relay finds out that it writes now.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Number of crashes that a hold needs if others of its crashes turned out to be none.
+const MIN_PROOFS: usize = 2;
+/// Maximum number of crashes that are kept with a held part.
+const MAX_PROOFS: usize = 4;
+
 /// A held part in the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LedgerEntry {
     /// The part.
     pub part: PartId,
     /// Number of trials that were claimed.
     pub trials: u32,
+    /// Servers that crashed under it, the last ones if there are many: if they are seen to run on, the part is not to
+    /// blame. Empty in an entry of an earlier version.
+    pub crashed: Vec<Incarnation>,
 }
 
 /// All held parts in the store.
@@ -42,7 +51,7 @@
 }
 
 /// A change of the held parts in the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LedgerChange {
     /// Adds or replaces an entry.
     Put(LedgerEntry),
@@ -119,7 +128,7 @@
             (known, false)
         } else {
             let trials = hold.trials + 1;
-            let change = LedgerChange::Put(LedgerEntry { part, trials });
+            let change = LedgerChange::Put(entry(&self.quarantine, part, trials));
             if !self.ledger.write(change, ledger.end, CLAIM_TIMEOUT).await? {
                 return Ok(false);
             }
@@ -172,7 +181,7 @@
     loop {
         let held = held_entries(&quarantine);
         let may_write = is_relay.load(Ordering::Relaxed);
-        if !has_read || (may_write && held != written) {
+        if !has_read || (may_write && !is_same(&held, &written)) {
             match sync(&quarantine, &*ledger, &written, may_write).await {
                 Ok(entries) => {
                     written = entries;
@@ -195,16 +204,51 @@
     }
 }
 
+fn entry(quarantine: &Quarantine, part: PartId, trials: u32) -> LedgerEntry {
+    let mut crashed = quarantine.crashed_under(part);
+    crashed.drain(..crashed.len().saturating_sub(MAX_PROOFS));
+    LedgerEntry {
+        part,
+        trials,
+        crashed,
+    }
+}
+
 fn held_entries(quarantine: &Quarantine) -> Vec<LedgerEntry> {
     let holds = quarantine.holds().into_iter();
     holds
-        .map(|hold| LedgerEntry {
-            part: hold.part,
-            trials: hold.trials,
-        })
+        .map(|hold| entry(quarantine, hold.part, hold.trials))
         .collect()
 }
 
+/// Returns whether both have the same parts with the same trials.
+fn is_same(a: &[LedgerEntry], b: &[LedgerEntry]) -> bool {
+    let key = |entry: &LedgerEntry| (entry.part, entry.trials);
+    a.iter().map(key).eq(b.iter().map(key))
+}
+
+/// Adopts an entry of the store that is not known here. Returns whether enough of its crashes are not disproved.
+fn adopt(quarantine: &Quarantine, entry: &LedgerEntry, now: BootInstant) -> bool {
+    let LedgerEntry { part, trials, .. } = *entry;
+    if entry.crashed.is_empty() {
+        quarantine.record_hold(Hold::without_proof(part, trials, now));
+        return true;
+    }
+    let crashed = quarantine.still_crashed(&entry.crashed);
+    if crashed.len() < entry.crashed.len() && crashed.len() < MIN_PROOFS {
+        return false;
+    }
+    // The time of the trials is unknown, so the next one waits its full time from now.
+    let hold = Hold {
+        part,
+        since: now,
+        trials,
+        last_trial_at: None,
+    };
+    quarantine.restore_hold(hold, &crashed);
+    true
+}
+
 /// Adopts what the ledger holds beyond this gateway and, if `may_write`, writes what it lacks. `written` are the entries of the ledger
 /// after the last call; one of them that is not held any more is removed. Returns the entries of the ledger now.
 async fn sync(
@@ -220,16 +264,10 @@
         let held = held_entries(quarantine);
         let held = held.iter().find(|known| known.part == entry.part);
         let was_known = written.iter().any(|known| known.part == entry.part);
-        if held.is_none() && was_known {
+        let is_over = held.is_none() && was_known;
+        let is_new = held.is_none_or(|held| held.trials < entry.trials);
+        if is_over || (is_new && !adopt(quarantine, entry, now)) {
             changes.push(LedgerChange::Remove(entry.part));
-        } else if held.is_none_or(|held| held.trials < entry.trials) {
-            // The time of the trials is unknown, so the next one waits its full time from now.
-            quarantine.record_hold(Hold {
-                part: entry.part,
-                since: now,
-                trials: entry.trials,
-                last_trial_at: None,
-            });
         }
     }
     if !may_write {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,12 +1,14 @@
 //! Holds back requests whose prompts have a part that crashes servers.
 //!
 //! A gateway that sees a server crash tells the others which requests the server had not begun to answer, and every
-//! gateway draws the same conclusions from these reports ([`crate::decide::CrashBlame`]). The held parts are also kept in
+//! gateway draws the same conclusions from these reports ([`crate::decide::CrashBlame`]). A crash that turns out to be
+//! none, since the server is seen to run on, is retracted everywhere. The held parts are also kept in
 //! the store, so that they outlive a restart of all gateways. See `docs/CRASHING-PARTS.md`.
 
 mod ledger;
 mod probe;
 mod record;
+mod renewal;
 mod rows;
 mod state;
 #[cfg(test)]
@@ -19,7 +21,10 @@
 pub use ledger::LedgerSync;
 pub use ledger::TrialClaims;
 pub use record::CrashRecord;
+pub use record::Records;
+pub use record::SightingRecord;
 pub use record::SuspectRecord;
+pub use renewal::RenewalWatch;
 pub use rows::RecordSource;
 pub use state::HeldPart;
 pub use state::Quarantine;
--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -4,7 +4,10 @@
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::Crash;
+use crate::decide::Incarnation;
 use crate::decide::Suspect;
+use crate::decide::is_common_loss;
+use futures_util::future::join_all;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,30 +16,113 @@
 /// Timeout for the connection to a server that may have crashed. A server that can't be reached in this time may as well
 /// be cut off, so it doesn't count as crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum number of other servers that are tried in the data centre of a crashed one, and in all others together.
+const MAX_COMPARED: usize = 12;
+
+/// Result of an attempt to connect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Probe {
+    Accepted,
+    /// Nothing listens at the address any more, or the link to it is cut.
+    Refused,
+    Silent,
+}
 
 impl Quarantine {
     /// Records `suspect`, which broke off before `server` had begun to answer it, if the server has crashed. Returns
-    /// whether it has.
-    pub async fn report_break(&self, server: &BackendServer, suspect: Suspect) -> bool {
+    /// whether it has. `listed` are the servers that the gateway may use: if many others are lost at the same time, none
+    /// has crashed under a request.
+    pub async fn report_break(
+        &self,
+        server: &BackendServer,
+        suspect: Suspect,
+        listed: &[BackendServer],
+    ) -> bool {
         let at = BootInstant::now();
-        let has_crashed = is_refused(server.entry.address).await;
-        if has_crashed {
-            self.record_crash(Crash {
-                server: server.id.clone(),
-                start_time_ms: server.entry.start_time_ms,
-                at,
-                suspects: vec![suspect],
-            });
+        if connect(server.entry.address).await != Probe::Refused {
+            return false;
+        }
+        let incarnation = Incarnation::of(server);
+        // Connections to other servers break at the same moment; the first of their reports finds out for all.
+        let _turn = self.probing.lock().await;
+        if self.was_gone(&incarnation, suspect.sent_at)
+            || self.has_common_loss(&server.entry.data_centre, at)
+        {
+            return false;
+        }
+        if self.has_lost_others(server, &suspect, listed).await {
+            self.record_common_loss(server);
+            return false;
         }
-        has_crashed
+        self.record_crash(Crash {
+            server: server.id.clone(),
+            start_time_ms: server.entry.start_time_ms,
+            at,
+            suspects: vec![suspect],
+        });
+        true
     }
+
+    /// Tries other servers at the same time and records the ones that can't be reached either. Returns whether these are
+    /// so many, in the data centre of `server` or in all, that their common cause is no request.
+    async fn has_lost_others(
+        &self,
+        server: &BackendServer,
+        suspect: &Suspect,
+        listed: &[BackendServer],
+    ) -> bool {
+        let others = listed.iter().filter(|other| other.id != server.id);
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            others.partition(|other| other.entry.data_centre == server.entry.data_centre);
+        far.retain(|other| other.entry.service == server.entry.service);
+        for others in [&mut near, &mut far] {
+            others.retain(|other| !self.is_known_crash(&Incarnation::of(other)));
+        }
+        let near = sample(&near, suspect.request);
+        let far = sample(&far, suspect.request);
+        let connecting = near.iter().chain(&far);
+        let probes = join_all(connecting.map(|other| connect(other.entry.address))).await;
+        let at = BootInstant::now();
+        for (other, probe) in near.iter().chain(&far).zip(&probes) {
+            if *probe != Probe::Accepted {
+                self.record_lost(Incarnation::of(other), at);
+            }
+        }
+        let count_lost = |probes: &[Probe]| {
+            let lost = probes.iter().filter(|probe| **probe != Probe::Accepted);
+            lost.count()
+        };
+        let near_probes = &probes[..near.len()];
+        is_common_loss(count_lost(near_probes), near_probes.len())
+            || is_common_loss(count_lost(&probes), probes.len())
+    }
+}
+
+impl Incarnation {
+    /// Returns the incarnation that is on the server list.
+    pub fn of(server: &BackendServer) -> Self {
+        Self {
+            server: server.id.clone(),
+            start_time_ms: server.entry.start_time_ms,
+        }
+    }
+}
+
+/// Returns up to [`MAX_COMPARED`] of `servers`, spread over them; gateways take different ones.
+fn sample<'a>(servers: &[&'a BackendServer], salt: u64) -> Vec<&'a BackendServer> {
+    let count = servers.len().min(MAX_COMPARED);
+    let start = usize::try_from(salt % servers.len().max(1) as u64).unwrap_or(0);
+    (0..count)
+        .map(|number| servers[(start + number * servers.len() / count) % servers.len()])
+        .collect()
 }
 
-/// Returns whether nothing listens at `address` any more. A server that only reset a connection still listens.
-async fn is_refused(address: SocketAddr) -> bool {
+/// Tries to connect to `address`. A server that only reset a connection still listens.
+async fn connect(address: SocketAddr) -> Probe {
     let connecting = TcpStream::connect(address);
     match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-        Ok(Err(err)) => err.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Ok(_)) => Probe::Accepted,
+        Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::Silent,
     }
 }
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -3,7 +3,10 @@
 use crate::clock::BootInstant;
 use crate::decide::Crash;
 use crate::decide::Hold;
+use crate::decide::Incarnation;
 use crate::decide::PartId;
+use crate::decide::Sight;
+use crate::decide::Sighting;
 use crate::decide::Suspect;
 use serde::Deserialize;
 use serde::Serialize;
@@ -64,13 +67,37 @@
     pub sent_before_ms: u64,
 }
 
-/// The content of a [`CrashRecord`] with times of this gateway's clock.
+/// What a gateway saw of a server that seems to have crashed or was lost together with one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SightingRecord {
+    /// Name of the server.
+    pub server: String,
+    /// Unix time at which its incarnation started, in milliseconds.
+    pub start_time_ms: u64,
+    /// Time since it was seen.
+    pub age_ms: u64,
+    /// For a server that was alive, the time for which it is known to have been so; `None` for one that was lost.
+    pub alive_for_ms: Option<u64>,
+}
+
+/// Records for another gateway. Sightings are apart from the others, since gateways of earlier versions don't know them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Records {
+    /// Crashes, answers and held parts.
+    pub crashes: Vec<CrashRecord>,
+    /// What was seen of servers.
+    pub sightings: Vec<SightingRecord>,
+}
+
+/// The content of a [`CrashRecord`] or [`SightingRecord`] with times of this gateway's clock.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum CrashEvent {
     Crash(Crash),
     Sound(PartId, BootInstant),
     Release(PartId, BootInstant),
     Hold(Hold),
+    Seen(Sighting),
 }
 
 fn millis(time: Duration) -> u64 {
@@ -84,13 +111,29 @@
             Self::Crash(crash) => crash.at,
             Self::Sound(_, at) | Self::Release(_, at) => *at,
             Self::Hold(hold) => hold.since,
+            Self::Seen(sighting) => sighting.at,
         }
     }
 
-    /// Converts it for a message that is sent at `now`.
-    pub(super) fn to_record(&self, now: BootInstant) -> CrashRecord {
+    /// Adds it to `records` of a message that is sent at `now`.
+    pub(super) fn add_to(&self, records: &mut Records, now: BootInstant) {
         let age_ms = millis(now.since(self.at()));
-        match self {
+        let record = match self {
+            Self::Seen(sighting) => {
+                let alive_for_ms = match sighting.sight {
+                    // The start of the clock lies at another time on each host.
+                    Sight::Alive { since } if since == BootInstant::default() => Some(u64::MAX),
+                    Sight::Alive { since } => Some(millis(sighting.at.since(since))),
+                    Sight::Lost => None,
+                };
+                records.sightings.push(SightingRecord {
+                    server: sighting.incarnation.server.clone(),
+                    start_time_ms: sighting.incarnation.start_time_ms,
+                    age_ms,
+                    alive_for_ms,
+                });
+                return;
+            }
             Self::Crash(crash) => CrashRecord::Crash {
                 server: crash.server.clone(),
                 start_time_ms: crash.start_time_ms,
@@ -119,7 +162,26 @@
                 trials: hold.trials,
                 trial_age_ms: hold.last_trial_at.map(|at| millis(now.since(at))),
             },
-        }
+        };
+        records.crashes.push(record);
+    }
+
+    /// Converts a sighting that was received at `now`.
+    pub(super) fn from_sighting(record: SightingRecord, now: BootInstant) -> Self {
+        let at = now.before(Duration::from_millis(record.age_ms));
+        let sight = record
+            .alive_for_ms
+            .map_or(Sight::Lost, |time| Sight::Alive {
+                since: at.before(Duration::from_millis(time)),
+            });
+        Self::Seen(Sighting {
+            incarnation: Incarnation {
+                server: record.server,
+                start_time_ms: record.start_time_ms,
+            },
+            at,
+            sight,
+        })
     }
 
     /// Converts a record that was received at `now`.
--- a/src/quarantine/rows.rs
+++ b/src/quarantine/rows.rs
@@ -1,7 +1,7 @@
 //! The records of one gateway in order of arrival, of which each other gateway is sent those that it has not got yet.
 
 use super::record::CrashEvent;
-use super::record::CrashRecord;
+use super::record::Records;
 use crate::clock::BootInstant;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -54,7 +54,7 @@
         sources: &[RecordSource],
         now: BootInstant,
         is_held: &dyn Fn(u64) -> bool,
-    ) -> (Vec<CrashRecord>, u64) {
+    ) -> (Records, u64) {
         let first = first.clamp(
             self.first_number,
             self.first_number + self.rows.len() as u64,
@@ -62,14 +62,16 @@
         let skipped = usize::try_from(first - self.first_number).unwrap_or(usize::MAX);
         let is_current = |event: &CrashEvent| match event {
             CrashEvent::Hold(hold) => is_held(hold.part),
-            CrashEvent::Crash(_) | CrashEvent::Sound(..) | CrashEvent::Release(..) => {
-                now.since(event.at()) < MAX_ROW_AGE
-            }
+            CrashEvent::Crash(_)
+            | CrashEvent::Sound(..)
+            | CrashEvent::Release(..)
+            | CrashEvent::Seen(_) => now.since(event.at()) < MAX_ROW_AGE,
         };
         let rows = self.rows.iter().skip(skipped).take(MAX_ROWS_SENT);
         let next = first + rows.len() as u64;
         let current = rows.filter(|row| sources.contains(&row.source) && is_current(&row.event));
-        let records = current.map(|row| row.event.to_record(now)).collect();
+        let mut records = Records::default();
+        current.for_each(|row| row.event.add_to(&mut records, now));
         (records, next)
     }
 }
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -1,5 +1,7 @@
 //! Records of crashes between gateways, and the held parts in the store.
 
+mod evidence;
+
 use super::ledger::HoldLedger;
 use super::ledger::Ledger;
 use super::ledger::LedgerChange;
@@ -7,6 +9,7 @@
 use super::ledger::LedgerSync;
 use super::ledger::TrialClaims;
 use super::record::CrashEvent;
+use super::record::Records;
 use super::rows::RecordSource;
 use super::state::Quarantine;
 use crate::catalog::Position;
@@ -14,6 +17,7 @@
 use crate::clock::BootInstant;
 use crate::decide::Crash;
 use crate::decide::Hold;
+use crate::decide::Incarnation;
 use crate::decide::PartVerdict;
 use crate::decide::Suspect;
 use crate::logs::Logs;
@@ -99,6 +103,13 @@
     quarantine
 }
 
+fn incarnation(server: &str) -> Incarnation {
+    Incarnation {
+        server: server.to_owned(),
+        start_time_ms: 1,
+    }
+}
+
 fn is_held(quarantine: &Quarantine) -> bool {
     matches!(quarantine.verdict(&[BAD]), PartVerdict::Held(..))
 }
@@ -131,8 +142,13 @@
     ];
 
     for event in events {
-        let received = CrashEvent::from_record(event.to_record(now), now);
-        assert_eq!(received, event);
+        let mut records = Records::default();
+        event.add_to(&mut records, now);
+        let crashes = records.crashes.into_iter();
+        let received: Vec<CrashEvent> = crashes
+            .map(|record| CrashEvent::from_record(record, now))
+            .collect();
+        assert_eq!(received, [event]);
     }
 }
 
@@ -203,7 +219,8 @@
         ledger.entries(),
         [LedgerEntry {
             part: BAD,
-            trials: 1
+            trials: 1,
+            crashed: vec![incarnation("i-7000"), incarnation("i-6000")],
         }]
     );
 }
--- /dev/null
+++ b/src/quarantine/tests/evidence.rs
@@ -0,0 +1,331 @@
+//! Servers that refuse connections, alone or with others, and what gateways and the store make of it.
+
+use super::ALL;
+use super::BAD;
+use super::MemoryLedger;
+use super::holding;
+use super::incarnation;
+use super::is_held;
+use super::quarantine;
+use super::send;
+use crate::catalog::BackendServer;
+use crate::catalog::ServerEntry;
+use crate::clock::BootInstant;
+use crate::decide::Incarnation;
+use crate::decide::PartVerdict;
+use crate::decide::Sight;
+use crate::decide::Sighting;
+use crate::decide::Suspect;
+use crate::logs::Logs;
+use crate::quarantine::HoldLedger;
+use crate::quarantine::LedgerEntry;
+use crate::quarantine::LedgerSync;
+use crate::quarantine::Quarantine;
+use crate::quarantine::RecordSource;
+use crate::quarantine::Records;
+use crate::quarantine::record::CrashEvent;
+use crate::quarantine::renewal::Renewals;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns an entry of the server list.
+fn listed(id: &str, data_centre: &str, address: SocketAddr) -> BackendServer {
+    BackendServer {
+        id: id.to_owned(),
+        entry: ServerEntry {
+            service: "llm".to_owned(),
+            address,
+            data_centre: data_centre.to_owned(),
+            software_version: None,
+            slots: 8,
+            is_draining: false,
+            cold_left: Duration::ZERO,
+            sequence: 1,
+            start_time_ms: 1,
+        },
+    }
+}
+
+/// Servers of which some are cut off: nothing listens at their addresses.
+struct Servers {
+    listed: Vec<BackendServer>,
+    listeners: Vec<Option<TcpListener>>,
+}
+
+impl Servers {
+    /// Starts a server in each of `data_centres`.
+    async fn start(data_centres: &[&str]) -> Self {
+        let mut servers = Self {
+            listed: Vec::new(),
+            listeners: Vec::new(),
+        };
+        for (number, data_centre) in data_centres.iter().enumerate() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let server = listed(&format!("i-{number}"), data_centre, address);
+            servers.listed.push(server);
+            servers.listeners.push(Some(listener));
+        }
+        servers
+    }
+
+    fn cut(&mut self, number: usize) {
+        self.listeners[number] = None;
+    }
+
+    /// Reports that a request with [`BAD`] broke off at a server, `age_ms` after it was sent.
+    async fn report_break(&self, gateway: &Quarantine, number: usize, age_ms: u64) -> bool {
+        let suspect = Suspect {
+            request: number as u64,
+            parts: vec![BAD],
+            sent_at: BootInstant::now().before(ms(age_ms)),
+        };
+        let server = &self.listed[number];
+        gateway.report_break(server, suspect, &self.listed).await
+    }
+}
+
+#[tokio::test]
+async fn servers_that_crash_one_after_another_are_reported() {
+    let mut servers = Servers::start(&["a", "b", "b"]).await;
+    let gateway = quarantine();
+    let mut reported = Vec::new();
+
+    for number in 0..3 {
+        servers.cut(number);
+        reported.push(servers.report_break(&gateway, number, 40).await);
+        tokio::time::sleep(ms(60)).await;
+    }
+
+    assert_eq!(reported, [true, true, true]);
+    assert!(is_held(&gateway));
+}
+
+#[tokio::test]
+async fn a_data_centre_of_which_all_servers_refuse_is_cut_off() {
+    let mut servers = Servers::start(&["a", "a", "a", "a", "a", "b", "b", "b", "b", "b"]).await;
+    let gateway = quarantine();
+    for number in 0..5 {
+        servers.cut(number);
+    }
+
+    let mut reported = Vec::new();
+    for number in 0..5 {
+        reported.push(servers.report_break(&gateway, number, 1).await);
+    }
+
+    assert_eq!(reported, [false; 5]);
+    assert!(gateway.crashed().is_empty());
+}
+
+#[tokio::test]
+async fn a_gateway_that_all_servers_refuse_is_cut_off_itself() {
+    let mut servers = Servers::start(&["a", "a", "b", "b", "c", "c"]).await;
+    let gateway = quarantine();
+    (0..6).for_each(|number| servers.cut(number));
+
+    let is_reported = servers.report_break(&gateway, 0, 20).await;
+
+    assert!(!is_reported);
+}
+
+#[tokio::test]
+async fn of_a_few_servers_that_are_cut_off_together_only_the_first_is_reported() {
+    let mut servers = Servers::start(&["a", "a", "a", "a", "b", "b", "b", "b"]).await;
+    let gateways = [quarantine(), quarantine()];
+    servers.cut(0);
+    servers.cut(5);
+
+    let first = servers.report_break(&gateways[0], 0, 20).await;
+    send(&gateways[0], &gateways[1], &ALL, RecordSource::Relay);
+    tokio::time::sleep(ms(5)).await;
+    // Idle connections from before the cut break as requests are sent.
+    let second = servers.report_break(&gateways[0], 5, 1).await;
+    let third = servers.report_break(&gateways[1], 5, 1).await;
+    let fourth = servers.report_break(&gateways[1], 0, 1).await;
+
+    assert_eq!([first, second, third, fourth], [true, false, false, false]);
+    assert!(!is_held(&gateways[0]));
+}
+
+#[tokio::test]
+async fn a_server_that_refuses_one_gateway_is_vouched_for_by_another() {
+    let mut servers = Servers::start(&["a", "a", "b", "b"]).await;
+    let (cut_off, other) = (quarantine(), quarantine());
+    let stream_began = BootInstant::now();
+    for number in 0..2 {
+        tokio::time::sleep(ms(10)).await;
+        servers.cut(number);
+        assert!(servers.report_break(&cut_off, number, 5).await);
+    }
+    send(&cut_off, &other, &ALL, RecordSource::Member);
+    let held_before = is_held(&other);
+
+    tokio::time::sleep(ms(300)).await;
+    other.record_alive(&servers.listed[0], stream_began, BootInstant::now());
+    send(&other, &cut_off, &ALL, RecordSource::Relay);
+
+    assert!(held_before);
+    assert!(!is_held(&other));
+    assert!(!is_held(&cut_off));
+}
+
+#[test]
+fn a_retraction_reaches_all_gateways() {
+    let (first, relay, member) = (holding(100), quarantine(), quarantine());
+    send(&first, &relay, &ALL, RecordSource::Member);
+    send(&relay, &member, &ALL, RecordSource::Relay);
+    assert!(is_held(&member));
+
+    first.record_renewal(incarnation("i-100"), BootInstant::now());
+    send(&first, &relay, &ALL, RecordSource::Member);
+    send(&relay, &member, &ALL, RecordSource::Relay);
+
+    for gateway in [first, relay, member] {
+        assert!(!is_held(&gateway));
+        assert!(gateway.held_parts().is_empty());
+    }
+}
+
+#[test]
+fn sightings_keep_their_times_on_another_clock() {
+    let now = BootInstant::from_boot(Duration::from_secs(500));
+    let other_now = BootInstant::from_boot(Duration::from_secs(9_000));
+    let sights = [
+        (Sight::Lost, Sight::Lost),
+        (
+            Sight::Alive {
+                since: now.before(ms(90)),
+            },
+            Sight::Alive {
+                since: other_now.before(ms(90)),
+            },
+        ),
+        (
+            Sight::Alive {
+                since: BootInstant::default(),
+            },
+            Sight::Alive {
+                since: BootInstant::default(),
+            },
+        ),
+    ];
+
+    for (sent, expected) in sights {
+        let sighting = |sight, now: BootInstant| {
+            CrashEvent::Seen(Sighting {
+                incarnation: incarnation("i-1"),
+                at: now.before(ms(20)),
+                sight,
+            })
+        };
+        let mut records = Records::default();
+        sighting(sent, now).add_to(&mut records, now);
+        let record = records.sightings.remove(0);
+        assert!(records.crashes.is_empty());
+        let received = CrashEvent::from_sighting(record, other_now);
+        assert_eq!(received, sighting(expected, other_now));
+    }
+}
+
+/// Returns a ledger that holds [`BAD`] for the crashes of these servers.
+async fn ledger(crashed: &[&str]) -> Arc<MemoryLedger> {
+    let ledger = Arc::new(MemoryLedger::default());
+    let entry = LedgerEntry {
+        part: BAD,
+        trials: 0,
+        crashed: crashed.iter().map(|server| incarnation(server)).collect(),
+    };
+    ledger.ledger.lock().unwrap().entries.push(entry);
+    ledger
+}
+
+fn start_sync(quarantine: &Arc<Quarantine>, ledger: &Arc<MemoryLedger>) -> LedgerSync {
+    let ledger: Arc<dyn HoldLedger> = Arc::<MemoryLedger>::clone(ledger);
+    let is_relay = Arc::new(AtomicBool::new(true));
+    LedgerSync::start(quarantine, ledger, is_relay, &Logs::silent())
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_whose_servers_run_on_ends_after_a_restart() {
+    let ledger = ledger(&["i-1", "i-2"]).await;
+    let gateway = quarantine();
+    let sync = start_sync(&gateway, &ledger);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let held_at_start = is_held(&gateway);
+
+    gateway.record_renewal(incarnation("i-2"), BootInstant::now());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    assert!(held_at_start);
+    assert!(!is_held(&gateway));
+    assert!(ledger.entries().is_empty());
+    sync.close();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_whose_servers_were_seen_again_is_not_adopted() {
+    let ledger = ledger(&["i-1", "i-2"]).await;
+    let gateway = quarantine();
+    gateway.record_renewal(incarnation("i-1"), BootInstant::now());
+
+    let sync = start_sync(&gateway, &ledger);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    assert!(!is_held(&gateway));
+    assert!(ledger.entries().is_empty());
+    sync.close();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_without_crashes_is_due_for_a_trial_at_once() {
+    let ledger = ledger(&[]).await;
+    let gateway = quarantine();
+
+    let sync = start_sync(&gateway, &ledger);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    assert_eq!(gateway.verdict(&[BAD]), PartVerdict::TrialDue(BAD));
+    sync.close();
+}
+
+/// Checks reports of a server, each with its start time and number and the time of the read, after a crash at 1,000 ms of
+/// the incarnation that started at 1; returns when it is known to have run on.
+fn check_reports(reports: &[(u64, Option<(u64, u64)>)]) -> Vec<BootInstant> {
+    let mut renewals = Renewals::default();
+    let crashed: [(Incarnation, BootInstant); 1] =
+        [(incarnation("i-1"), BootInstant::from_boot(ms(1_000)))];
+    let mut found = Vec::new();
+    for (read_ms, report) in reports {
+        let read_at = BootInstant::from_boot(ms(*read_ms));
+        let renewed = renewals.check(&crashed, &|_| *report, read_at);
+        found.extend(renewed.into_iter().map(|(_, at)| at));
+    }
+    found
+}
+
+#[test]
+fn a_report_after_the_crash_shows_that_the_server_runs_on() {
+    let at = |millis| BootInstant::from_boot(ms(millis));
+
+    // The second one may have been written just before the crash.
+    let reports = [(900, Some((1, 7))), (1_100, Some((1, 8)))];
+    assert!(check_reports(&reports).is_empty());
+
+    let reports = [(1_400, Some((1, 8))), (2_000, None), (2_600, Some((1, 9)))];
+    assert_eq!(check_reports(&reports), [at(1_400)]);
+
+    let reports = [
+        (1_400, Some((1, 8))),
+        (2_600, Some((5, 1))),
+        (3_000, Some((5, 9))),
+    ];
+    assert!(check_reports(&reports).is_empty());
+}
