--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -197,9 +197,8 @@
     pub(super) fn is_leaving(&self, server: &BackendServer, now: BootInstant) -> bool {
         let (listed, _) = self.catalog.listed();
         let index = listed.binary_search_by(|known| known.id.cmp(&server.id));
-        let is_draining = index.map_or(server.entry.is_draining, |index| {
-            listed[index].entry.is_draining
-        });
+        // Some servers leave the list without having drained before, and end after that.
+        let is_draining = index.map_or(true, |index| listed[index].entry.is_draining);
         is_draining || self.loads.is_closed(server, now)
     }
 
