--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod caller_retry;
 mod crash_blame;
+mod crash_evidence;
 mod drain;
 mod failover;
 mod hash;
@@ -29,6 +30,10 @@
 pub use crash_blame::PartId;
 pub use crash_blame::PartVerdict;
 pub use crash_blame::Suspect;
+pub use crash_evidence::Incarnation;
+pub use crash_evidence::Sight;
+pub use crash_evidence::Sighting;
+pub use crash_evidence::is_common_loss;
 pub use drain::DrainPolicy;
 pub use failover::FailoverStep;
 pub use failover::FailoverView;
--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard.rs
@@ -17,6 +17,10 @@
 /// first event that leaves just before the crash.
 const SOUND_TIME: Duration = Duration::from_millis(50);
 
+/// Time over which bytes must arrive to show that a server was alive at its beginning: after a pause of this process, those
+/// that a crashed server had sent are read all at once.
+const LIFE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// One send of a request.
 #[derive(Clone, Debug)]
 pub(super) struct Sent {
@@ -28,6 +32,8 @@
     began_at: Option<BootInstant>,
     /// Whether the answer has been reported as a sign that its parts are sound.
     is_reported: bool,
+    /// When something arrived from it, at intervals of [`LIFE_INTERVAL`] at least.
+    seen_at: Option<BootInstant>,
 }
 
 impl Sent {
@@ -39,6 +45,7 @@
             at: BootInstant::now(),
             began_at: None,
             is_reported: false,
+            seen_at: None,
         }
     }
 }
@@ -120,6 +127,12 @@
         let now = BootInstant::now();
         if let Some(sent) = &mut self.crash_guard.sent {
             let began_at = *sent.began_at.get_or_insert(now);
+            let seen_at = *sent.seen_at.get_or_insert(now);
+            if now.since(seen_at) >= LIFE_INTERVAL {
+                sent.seen_at = Some(now);
+                let quarantine = &self.gateway.quarantine;
+                quarantine.record_alive(&sent.server, sent.at, seen_at);
+            }
             if now.since(began_at) >= SOUND_TIME {
                 self.record_sound();
             }
@@ -159,6 +172,9 @@
             sent_at: sent.at,
         };
         let quarantine = &self.gateway.quarantine;
-        quarantine.report_break(&sent.server, suspect).await
+        let (listed, _) = self.gateway.catalog.servers();
+        quarantine
+            .report_break(&sent.server, suspect, &listed)
+            .await
     }
 }
