--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -35,7 +35,7 @@
 pub struct FailoverView {
     /// Whether the request may run more than once.
     pub is_retryable: bool,
-    /// Whether sends are left of the route's attempts.
+    /// Whether sends are left of the route's attempts, or a server that was released may get the request again.
     pub has_sends_left: bool,
     /// Whether the number of sends that reached no server is below its bound.
     pub may_miss_again: bool,
@@ -45,6 +45,8 @@
     pub has_untried_server: bool,
     /// Whether one of these is known to respond.
     pub has_responsive_server: bool,
+    /// Whether a server crashed under the request, so that no other one may get it.
+    pub may_crash_servers: bool,
     /// Whether another send of the request may still be answered.
     pub is_other_pending: bool,
 }
@@ -73,18 +75,20 @@
         RetryNeed::Full
     };
     let take_from_budget = || take_from_budget(need);
-    let may_run_again = view.is_retryable && view.has_sends_left && view.has_time_left;
-    let may_send = match state {
-        SendState::NotReached => view.may_miss_again,
-        // A misdirected request arrived at a server, so the retry budget bounds it; one that was not sent did not.
-        SendState::Misdirected => view.may_miss_again && take_from_budget(),
-        // The request did not run, so it may be sent again on any route.
-        SendState::NotRun => view.has_sends_left && take_from_budget(),
-        SendState::Silent | SendState::Failed | SendState::Broken => {
-            may_run_again && view.has_untried_server && take_from_budget()
-        }
-        SendState::Crashed | SendState::Late => false,
-    };
+    let may_run_again =
+        view.is_retryable && view.has_sends_left && view.has_time_left && view.has_untried_server;
+    let may_send = !view.may_crash_servers
+        && match state {
+            SendState::NotReached => view.may_miss_again,
+            // A misdirected request arrived at a server, so the retry budget bounds it; one that was not sent did not.
+            SendState::Misdirected => view.may_miss_again && take_from_budget(),
+            // The request did not run, so it may be sent again on any route.
+            SendState::NotRun => view.has_sends_left && take_from_budget(),
+            SendState::Silent | SendState::Failed | SendState::Broken => {
+                may_run_again && take_from_budget()
+            }
+            SendState::Crashed | SendState::Late => false,
+        };
     if may_send {
         FailoverStep::Send
     } else if view.is_other_pending || state == SendState::Silent {
--- a/src/decide/tests/failover.rs
+++ b/src/decide/tests/failover.rs
@@ -25,6 +25,7 @@
         has_time_left: true,
         has_untried_server: true,
         has_responsive_server: true,
+        may_crash_servers: false,
         is_other_pending: false,
     }
 }
@@ -140,3 +141,15 @@
         (FailoverStep::Send, None)
     );
 }
+
+#[test]
+fn a_request_that_crashed_a_server_is_sent_to_no_other_whatever_follows() {
+    let view = FailoverView {
+        may_crash_servers: true,
+        is_other_pending: true,
+        ..view()
+    };
+    for state in ENDED.into_iter().chain([SendState::Silent]) {
+        assert_eq!(step(state, &view), (FailoverStep::Wait, None), "{state:?}");
+    }
+}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -136,9 +136,13 @@
         }
     }
 
-    /// Returns whether the request has been sent to `server` before.
+    /// Returns whether the request may not be sent to `server` because it had it before or, once the route's attempts are
+    /// used up, did not have it.
     fn is_tried(&self, server: &BackendServer) -> bool {
-        self.report.servers.contains(&server.id)
+        if self.released.contains(&server.id) {
+            return false;
+        }
+        self.sends >= self.route.max_attempts || self.report.servers.contains(&server.id)
     }
 
     /// Returns whether the service has a server of the stream's software version that accepts requests and has not been
--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard.rs
@@ -28,6 +28,8 @@
     /// Load of the server as known before the send, in multiples of its slots.
     pub(super) load_per_slot: f64,
     pub(super) at: BootInstant,
+    /// Whether the server got the request for the first time.
+    pub(super) is_first: bool,
     /// When the first event or the whole answer arrived.
     began_at: Option<BootInstant>,
     /// Whether the answer has been reported as a sign that its parts are sound.
@@ -38,11 +40,12 @@
 
 impl Sent {
     /// Returns a send to `target` that starts now.
-    pub(super) fn new(target: &Target) -> Self {
+    pub(super) fn new(target: &Target, is_first: bool) -> Self {
         Self {
             server: target.server.clone(),
             load_per_slot: target.load_per_slot,
             at: BootInstant::now(),
+            is_first,
             began_at: None,
             is_reported: false,
             seen_at: None,
@@ -59,6 +62,7 @@
     sent: Option<Sent>,
     /// Whether the request was let through to find out whether a held part still crashes servers.
     is_trial: bool,
+    has_crashed_server: bool,
 }
 
 impl CrashGuard {
@@ -75,6 +79,16 @@
         self.is_trial
     }
 
+    /// Returns whether a server crashed under the request, so that no further one gets it.
+    pub(super) fn has_crashed_server(&self) -> bool {
+        self.has_crashed_server
+    }
+
+    /// Records that a server crashed under the request.
+    pub(super) fn record_crash(&mut self) {
+        self.has_crashed_server = true;
+    }
+
     /// Returns the send whose answer is passed on, if there is one.
     pub(super) fn sent(&self) -> Option<&Sent> {
         self.sent.as_ref()
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -9,6 +9,7 @@
 use super::events::Events;
 use super::handler::Gateway;
 use super::loads::InFlightGuard;
+use super::progress::Progress;
 use super::server_stream::ServerStream;
 use super::server_stream::StreamItem;
 use crate::catalog::BackendServer;
@@ -19,7 +20,6 @@
 use hyper::http::response;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use tokio::time::Instant;
 
 /// What a server has sent that can be passed on to the caller.
@@ -70,8 +70,7 @@
     /// Whether a successful response is a stream of events.
     pub(super) is_stream: bool,
     pub(super) guard: Arc<InFlightGuard>,
-    /// Set when the head of the response arrives.
-    pub(super) head_at: Arc<OnceLock<Instant>>,
+    pub(super) progress: Arc<Progress>,
 }
 
 impl ServerSend {
@@ -105,10 +104,10 @@
             SendOutcome::Unknown(cause) => return SendEnd::Broken(cause),
             SendOutcome::TimedOut => return SendEnd::Late,
         };
-        self.head_at.get_or_init(Instant::now);
+        self.progress.record_bytes();
         let rate_limit = response.rate_limit;
         if self.is_stream && response.head.status.is_success() {
-            let stream = ServerStream::new(response);
+            let stream = ServerStream::new(response, &self.progress);
             let stream = Box::new(stream);
             next_events(
                 gateway,
@@ -142,7 +141,10 @@
             ..
         } = response;
         let gateway = &self.gateway;
-        let collecting = gateway.response_memory.collect(body);
+        let collecting = gateway.response_memory.collect(body, || {
+            self.progress.record_bytes();
+            guard.record_activity();
+        });
         let body = match tokio::time::timeout_at(self.deadline, collecting).await {
             Ok(Ok(body)) => body,
             Ok(Err(err)) => {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -33,7 +33,7 @@
     /// Returns whether the ids go on after event `last_id`, without a gap or a duplicate. Events without ids do.
     pub(super) fn follows(&self, last_id: Option<u64>) -> bool {
         match (last_id, self.first_id) {
-            (Some(last), Some(first)) => first == last + 1,
+            (Some(last), Some(first)) => last.checked_add(1) == Some(first),
             _ => true,
         }
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,9 +49,11 @@
     pub(super) deadline: Instant,
     /// Rank of the team, or of the route if the team has none; 0 is the most urgent.
     pub(super) rank: u8,
-    /// Sends that count against the route's maximum number of attempts; those that did not reach the chosen server
-    /// don't.
+    /// Servers that the request was sent to, which count against the route's maximum number of attempts; those that it
+    /// did not reach don't.
     pub(super) sends: u32,
+    /// Servers whose sends were closed because another was answered. The request may be sent to them again.
+    pub(super) released: Vec<String>,
     /// Sends that did not reach the chosen server.
     pub(super) undelivered_sends: u32,
     /// Whether a server may have started to run the request.
@@ -159,6 +161,7 @@
             stream_version: StreamVersion::Any,
             rank,
             sends: 0,
+            released: Vec::new(),
             undelivered_sends: 0,
             may_have_run: false,
             crash_guard: CrashGuard::new(&metadata.parts),
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -8,6 +8,7 @@
 use super::delivery::ServerSend;
 use super::exchange::Exchange;
 use super::exchange::MIN_TIME_LEFT;
+use super::progress::Progress;
 use super::race::PendingSend;
 use super::race::Race;
 use super::race::RaceEvent;
@@ -22,7 +23,6 @@
 use crate::decide::failover_step;
 use hyper::StatusCode;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -36,6 +36,8 @@
 const SILENCE_FACTOR: u32 = 3;
 /// Lower bound of both limits.
 const MIN_SILENCE_LIMIT: Duration = Duration::from_millis(600);
+/// Maximum number of sends of a request to the same server, which gets it again only if it was released before.
+const MAX_SENDS_TO_SERVER: usize = 2;
 /// Maximum number of connections to a server of a service that is not in the configuration any more.
 const DEFAULT_MAX_CONNECTIONS: u32 = 64;
 
@@ -91,7 +93,10 @@
                     SendState::Silent
                 }
                 RaceEvent::Ended(sent, end) => match self.judge(sent, end, resume_after).await {
-                    Ok(delivery) => return Ok(delivery),
+                    Ok(delivery) => {
+                        self.release(race.close());
+                        return Ok(delivery);
+                    }
                     Err((state, result)) => {
                         outcome = newest(outcome, result);
                         state
@@ -149,14 +154,14 @@
             }
             SendEnd::NotSent(cause) => {
                 self.count_send("not sent");
-                self.sends -= 1;
+                self.sends -= u32::from(sent.is_first);
                 self.undelivered_sends += 1;
                 let refusal = self.no_server_refusal("servers unreachable");
                 refused(SendState::NotReached, refusal.with_detail(cause))
             }
             SendEnd::Misdirected => {
                 self.count_send("misdirected");
-                self.sends -= 1;
+                self.sends -= u32::from(sent.is_first);
                 self.undelivered_sends += 1;
                 let refusal = self.no_server_refusal("servers replaced");
                 refused(SendState::Misdirected, refusal)
@@ -170,6 +175,7 @@
                 self.may_have_run = true;
                 self.count_send("unknown");
                 if self.has_crashed_server(&sent).await {
+                    self.crash_guard.record_crash();
                     let refusal = Refusal::new(StatusCode::BAD_GATEWAY, "server crashed");
                     return refused(SendState::Crashed, refusal.with_detail(cause));
                 }
@@ -206,11 +212,27 @@
         Refusal::new(status, cause).with_detail(detail)
     }
 
+    /// Returns whether another server may get the request, or one that was released may get it again.
+    fn has_sends_left(&self) -> bool {
+        self.sends < self.route.max_attempts || !self.released.is_empty()
+    }
+
+    /// Lets the request be sent again to `servers`, whose sends were closed because another was answered.
+    fn release(&mut self, servers: Vec<String>) {
+        for id in servers {
+            let sends = self.report.servers.iter().filter(|sent| **sent == id);
+            if sends.count() < MAX_SENDS_TO_SERVER {
+                self.released.push(id);
+            }
+        }
+    }
+
     fn failover_view(&self, is_other_pending: bool) -> FailoverView {
         let (has_untried_server, has_responsive_server) = self.untried_servers();
         FailoverView {
             is_retryable: self.route.retry_mode.is_retryable(),
-            has_sends_left: self.sends < self.route.max_attempts,
+            has_sends_left: self.has_sends_left(),
+            may_crash_servers: self.crash_guard.has_crashed_server(),
             may_miss_again: self.undelivered_sends < MAX_UNDELIVERED_SENDS,
             has_time_left: self.time_left() > MIN_TIME_LEFT,
             has_untried_server,
@@ -244,7 +266,7 @@
         let limit = |target: Duration| (target * SILENCE_FACTOR).max(MIN_SILENCE_LIMIT);
         // The trial of a held part may crash its server, so it goes to one only.
         let may_retry = self.route.retry_mode.is_retryable()
-            && self.sends < self.route.max_attempts
+            && self.has_sends_left()
             && !self.crash_guard.is_trial();
         let is_stream = self.route.retry_mode.is_stream();
         let head = limit(self.route.latency_target);
@@ -274,10 +296,17 @@
         self.report
             .software_versions
             .push(software_version.unwrap_or_default());
-        self.sends += 1;
+        // A server that was released has been counted.
+        let released = self.released.iter().position(|id| *id == server.id);
+        match released {
+            Some(index) => {
+                self.released.swap_remove(index);
+            }
+            None => self.sends += 1,
+        }
         self.gateway.rates.record_send(server);
         let guard = Arc::new(self.gateway.loads.start_request(server));
-        let head_at = Arc::new(OnceLock::new());
+        let progress = Arc::new(Progress::default());
         let send = ServerSend {
             gateway: Arc::clone(&self.gateway),
             outbound: Arc::clone(&self.outbound),
@@ -293,13 +322,13 @@
                 .map_or(DEFAULT_MAX_CONNECTIONS, |service| service.max_connections),
             is_stream: self.route.retry_mode.is_stream(),
             guard: Arc::clone(&guard),
-            head_at: Arc::clone(&head_at),
+            progress: Arc::clone(&progress),
         };
         Ok(PendingSend {
-            sent: Sent::new(&target),
+            sent: Sent::new(&target, released.is_none()),
             guard,
             started_at: Instant::now(),
-            head_at,
+            progress,
             silent_at: None,
             end: Box::pin(send.run()),
         })
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod node;
 mod pages;
 mod pool;
+mod progress;
 mod race;
 mod refusal;
 mod report;
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -4,12 +4,12 @@
 use super::delivery::SendEnd;
 use super::loads::InFlightGuard;
 use super::pool::Pool;
+use super::progress::Progress;
 use crate::decide::RunResult;
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,8 +19,7 @@
     pub(super) sent: Sent,
     pub(super) guard: Arc<InFlightGuard>,
     pub(super) started_at: Instant,
-    /// When the head of the response arrived.
-    pub(super) head_at: Arc<OnceLock<Instant>>,
+    pub(super) progress: Arc<Progress>,
     /// When the server was last found to be silent.
     pub(super) silent_at: Option<Instant>,
     pub(super) end: Pin<Box<dyn Future<Output = SendEnd> + Send>>,
@@ -43,20 +42,27 @@
     Silent { is_first: bool },
 }
 
-/// The sends of one request that have not ended.
+/// Time for which two servers may run a stream side by side after the second one has begun with it.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// Interval at which sends that run side by side are looked at.
+const OVERLAP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The sends of one request that have not ended, in the order in which they started.
 #[derive(Default)]
 pub(super) struct Race {
     pending: Vec<PendingSend>,
+    /// Names of servers whose sends were closed since another server runs the request.
+    released: Vec<String>,
 }
 
 impl PendingSend {
     /// Returns when the send counts as silent, or as silent for another time.
     fn silent_from(&self, limits: SilenceLimits) -> Instant {
-        if let Some(at) = self.silent_at {
-            return at + limits.body;
-        }
-        let head_at = self.head_at.get();
-        head_at.map_or(self.started_at + limits.head, |at| *at + limits.body)
+        let last_byte_at = self.progress.last_byte_at();
+        let from = last_byte_at.map_or(self.started_at + limits.head, |at| at + limits.body);
+        let again_from = self.silent_at.map(|at| at + limits.body);
+        again_from.map_or(from, |again_from| from.max(again_from))
     }
 }
 
@@ -69,19 +75,30 @@
         self.pending.is_empty()
     }
 
+    /// Closes the sends that have not ended, since another was answered. Returns the names of their servers, which did nothing
+    /// wrong.
+    pub(super) fn close(self) -> Vec<String> {
+        let pending = self.pending.into_iter();
+        let mut released = self.released;
+        released.extend(pending.map(|send| send.sent.server.id));
+        released
+    }
+
     /// Waits for the next event. Without `limits`, silence is none.
     pub(super) async fn next(&mut self, limits: Option<SilenceLimits>, pool: &Pool) -> RaceEvent {
         loop {
-            let starts = |limits| {
+            let silent_from = limits.and_then(|limits| {
                 let pending = self.pending.iter();
-                pending.map(move |send| send.silent_from(limits)).min()
-            };
-            let Some(until) = limits.and_then(starts) else {
+                pending.map(|send| send.silent_from(limits)).min()
+            });
+            let overlaps_from = self.overlaps_from();
+            let Some(until) = silent_from.into_iter().chain(overlaps_from).min() else {
                 return self.next_end().await;
             };
             if let Ok(ended) = tokio::time::timeout_at(until, self.next_end()).await {
                 return ended;
             }
+            self.end_overlap();
             if let Some(limits) = limits
                 && let Some(is_first) = self.mark_silent(limits, pool)
             {
@@ -90,6 +107,33 @@
         }
     }
 
+    /// Returns the position of the newest send whose server has begun with the stream, if others started before it, and when
+    /// these must have ended.
+    fn overlap(&self) -> Option<(usize, Instant)> {
+        let newest = self.pending.iter().enumerate().skip(1).rev();
+        let mut begun = newest.filter_map(|(index, send)| {
+            let began_at = send.progress.event_began_at()?;
+            Some((index, began_at + MAX_OVERLAP))
+        });
+        begun.next()
+    }
+
+    /// Returns when the sends are to be looked at again because two servers may run the stream side by side.
+    fn overlaps_from(&self) -> Option<Instant> {
+        let is_alone = self.pending.len() < 2;
+        (!is_alone).then(|| Instant::now() + OVERLAP_CHECK_INTERVAL)
+    }
+
+    /// Closes the sends that started before one whose server has run the stream for too long beside them.
+    fn end_overlap(&mut self) {
+        if let Some((index, until)) = self.overlap()
+            && until <= Instant::now()
+        {
+            let ended = self.pending.drain(..index);
+            self.released.extend(ended.map(|send| send.sent.server.id));
+        }
+    }
+
     /// Marks the sends that are silent now. Returns whether one of them was not before, or `None` if there are none.
     fn mark_silent(&mut self, limits: SilenceLimits, pool: &Pool) -> Option<bool> {
         let now = Instant::now();
@@ -115,7 +159,7 @@
             for index in 0..self.pending.len() {
                 if let Poll::Ready(end) = self.pending[index].end.as_mut().poll(cx) {
                     let send = self.pending.remove(index);
-                    if matches!(end, SendEnd::Delivered(..)) {
+                    if matches!(end, SendEnd::Delivered(..) | SendEnd::NotRun(_)) {
                         send.guard.record_recovery();
                     }
                     return Poll::Ready(RaceEvent::Ended(Box::new(send.sent), end));
--- a/src/gateway/response_memory.rs
+++ b/src/gateway/response_memory.rs
@@ -32,12 +32,16 @@
 }
 
 impl ResponseMemory {
-    /// Reads a body to its end.
+    /// Reads a body to its end; `on_bytes` is called whenever a part of it has come.
     ///
     /// # Errors
     ///
     /// Returns an error if the body ends with one, exceeds [`MAX_RESPONSE_BYTES`], or there is no memory for it.
-    pub(super) async fn collect<B>(&self, mut body: B) -> Result<Bytes, CollectError>
+    pub(super) async fn collect<B>(
+        &self,
+        mut body: B,
+        mut on_bytes: impl FnMut(),
+    ) -> Result<Bytes, CollectError>
     where
         B: Body<Data = Bytes> + Unpin,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -50,6 +54,7 @@
             let Ok(bytes) = frame.into_data() else {
                 continue;
             };
+            on_bytes();
             let size = buf.len() + bytes.len();
             if size > MAX_RESPONSE_BYTES {
                 return Err(CollectError::TooLarge);
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -5,6 +5,7 @@
 use super::events::Events;
 use super::loads::InFlightGuard;
 use super::pool::Lease;
+use super::progress::Progress;
 use crate::decide::RunResult;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -23,6 +24,7 @@
     body: Incoming,
     lease: Lease,
     guard: Arc<InFlightGuard>,
+    progress: Arc<Progress>,
     splitter: EventSplitter,
     /// Whether the response has neither a length nor chunks, so that it ends with its connection.
     is_unframed: bool,
@@ -37,14 +39,14 @@
     End,
     /// The stream broke off, for this cause.
     Broken(String),
-    /// No event is complete within the given time. The stream may still go on.
+    /// Nothing has come for the given time. The stream may still go on.
     Silent,
     /// The deadline of the request has passed.
     DeadlineExceeded,
 }
 
 impl ServerStream {
-    pub(super) fn new(response: ServerResponse) -> Self {
+    pub(super) fn new(response: ServerResponse, progress: &Arc<Progress>) -> Self {
         let headers = &response.head.headers;
         let is_unframed =
             !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
@@ -56,19 +58,22 @@
             headers: response.head.headers,
             lease: response.lease,
             guard: response.guard,
+            progress: Arc::clone(progress),
             splitter: EventSplitter::default(),
         }
     }
 
     /// Returns the next whole events. Part of an event is never passed on, since it could not be taken back if the
-    /// stream is resumed at another server. A call after [`StreamItem::Silent`] goes on where the last one stopped.
+    /// stream is resumed at another server. The stream is silent if nothing comes for `silence_limit`; a call after
+    /// [`StreamItem::Silent`] goes on where the last one stopped.
     pub(super) async fn next(
         &mut self,
         silence_limit: Option<Duration>,
         deadline: Instant,
     ) -> StreamItem {
-        let until = silence_limit.map_or(deadline, |limit| (Instant::now() + limit).min(deadline));
         loop {
+            let until =
+                silence_limit.map_or(deadline, |limit| (Instant::now() + limit).min(deadline));
             let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
                 Err(_) if until == deadline => return StreamItem::DeadlineExceeded,
                 Err(_) => return StreamItem::Silent,
@@ -89,6 +94,7 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    self.progress.record_event_bytes();
                     match self.splitter.push(&bytes) {
                         Ok(Some(events)) => {
                             self.has_events = true;
@@ -102,6 +108,11 @@
         }
     }
 
+    /// Sets what learns from now on when something comes.
+    pub(super) fn set_progress(&mut self, progress: &Arc<Progress>) {
+        self.progress = Arc::clone(progress);
+    }
+
     /// Returns what counts the request as in flight at the server.
     pub(super) fn guard(&self) -> &Arc<InFlightGuard> {
         &self.guard
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,6 +7,7 @@
 use super::events::Events;
 use super::exchange::Exchange;
 use super::headers::remove_hop_by_hop;
+use super::progress::Progress;
 use super::race::PendingSend;
 use super::race::Race;
 use super::server_stream::ServerStream;
@@ -23,7 +24,6 @@
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -134,9 +134,11 @@
     fn race_with_silent(&mut self, time: Duration) -> Race {
         let mut race = Race::default();
         let sent = self.exchange.crash_guard.sent().cloned();
-        if let (Some(server_stream), Some(sent)) = (self.server_stream.take(), sent) {
+        if let (Some(mut server_stream), Some(sent)) = (self.server_stream.take(), sent) {
             let now = Instant::now();
             let silent_since = now.checked_sub(time).unwrap_or(now);
+            let progress = Arc::new(Progress::since(silent_since));
+            server_stream.set_progress(&progress);
             let guard = Arc::clone(server_stream.guard());
             let gateway = Arc::clone(&self.exchange.gateway);
             let (last_id, deadline) = (self.last_id, self.exchange.deadline);
@@ -144,7 +146,7 @@
                 sent,
                 guard,
                 started_at: silent_since,
-                head_at: Arc::new(OnceLock::from(silent_since)),
+                progress,
                 silent_at: None,
                 end: Box::pin(async move {
                     let no_news = RateLimitNotice::Unlimited;
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -120,7 +120,7 @@
         StreamBody::new(Box::pin(frames.chain(stream::pending())))
     };
 
-    let reading = (0..12).map(|_| memory.collect(body()));
+    let reading = (0..12).map(|_| memory.collect(body(), || {}));
     let reading = futures_util::future::join_all(
         reading.map(|reading| tokio::time::timeout(Duration::from_millis(200), reading)),
     );
@@ -130,7 +130,7 @@
         .iter()
         .filter(|result| matches!(result, Ok(Err(CollectError::TooLarge))));
     assert_eq!(refused.count(), 12 - MAX_TOTAL_BYTES / (7 * 1024 * 1024));
-    let small = memory.collect(full_body("whole")).await;
+    let small = memory.collect(full_body("whole"), || {}).await;
     assert_eq!(small.unwrap(), "whole");
 }
 
@@ -139,7 +139,7 @@
     let memory = ResponseMemory::default();
     let body = full_body(vec![0; MAX_RESPONSE_BYTES + 1]);
 
-    let result = memory.collect(body).await;
+    let result = memory.collect(body, || {}).await;
 
     assert!(matches!(result, Err(CollectError::TooLarge)));
 }
