--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -89,6 +89,8 @@
     After(Duration),
     /// After this number of events of its stream.
     AfterEvents(u64),
+    /// Within the body of its response, which is no stream.
+    WithinBody,
 }
 
 /// A request that crashes the servers that run it, by what stays the same each time it is sent.
@@ -155,6 +157,8 @@
     crashing_requests: Mutex<Vec<CrashingRequest>>,
     crash_handle: OnceLock<CrashHandle>,
     crashed_at: OnceLock<Instant>,
+    /// Body of the request that crashed the server.
+    crashed_by: OnceLock<Bytes>,
 }
 
 impl Shared {
@@ -190,6 +194,11 @@
         }
     }
 
+    fn crash_by(&self, body: &Bytes) {
+        self.crashed_by.get_or_init(|| body.clone());
+        self.crash();
+    }
+
     /// Returns when a request crashes the server, or `None` if it doesn't.
     fn crash_point(&self, headers: &HeaderMap, target: &str, body: &Bytes) -> Option<CrashPoint> {
         if self.has_crashing_part(headers) {
@@ -277,6 +286,7 @@
             crashing_requests: Mutex::default(),
             crash_handle: OnceLock::new(),
             crashed_at: OnceLock::new(),
+            crashed_by: OnceLock::new(),
         });
         let handler_shared = Arc::clone(&shared);
         let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
@@ -353,6 +363,11 @@
         self.shared.crashed_at.get().copied()
     }
 
+    /// Returns the body of the request that crashed it, or `None` if none did.
+    pub fn crashed_by(&self) -> Option<Bytes> {
+        self.shared.crashed_by.get().cloned()
+    }
+
     /// Returns the number of requests that it rejected.
     pub fn rejected(&self) -> u32 {
         self.shared.rejected.load(Relaxed)
@@ -435,13 +450,13 @@
         request_id: request_id.clone(),
         headers: headers.clone(),
         target,
-        body,
+        body: body.clone(),
     });
     let running = RunningGuard::new(&shared);
     shared.wait_while_silent().await;
     if let Some(CrashPoint::After(time)) = crash_point {
         tokio::time::sleep(time).await;
-        shared.crash();
+        shared.crash_by(&body);
         // The response must not begin before the connection ends.
         std::future::pending::<()>().await;
     }
@@ -452,11 +467,11 @@
     let mut res = if is_stream {
         shared.pause_at(PausePoint::Head).await;
         let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
-        let crash_after = match crash_point {
-            Some(CrashPoint::AfterEvents(count)) => Some(count),
+        let crash = match crash_point {
+            Some(CrashPoint::AfterEvents(count)) => Some((count, body)),
             _ => None,
         };
-        let body = events(running, behavior, after, crash_after);
+        let body = events(running, behavior, after, crash);
         build_response(&shared, StatusCode::OK, body)
     } else {
         tokio::time::sleep(shared.work_time).await;
@@ -471,7 +486,8 @@
             _ => {
                 let text = format!("run by {}", shared.id);
                 let length = text.len().to_string();
-                let body = plain_body(running, Bytes::from(text));
+                let crash = matches!(crash_point, Some(CrashPoint::WithinBody)).then_some(body);
+                let body = plain_body(running, Bytes::from(text), crash);
                 let mut res = build_response(&shared, StatusCode::OK, body);
                 http::set_header(&mut res, "content-length", &length);
                 res
@@ -494,13 +510,21 @@
     Ok(res)
 }
 
-/// Sends the body of a response that is no stream in two chunks.
-fn plain_body(running: RunningGuard, mut text: Bytes) -> ResponseBody {
+/// Sends the body of a response that is no stream in two chunks, or crashes between them under the request with the body
+/// in `crash`.
+fn plain_body(running: RunningGuard, mut text: Bytes, crash: Option<Bytes>) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
         let rest = text.split_off(text.len() / 2);
         // A reader that disconnected needs neither of them.
         let _ = tx.send(Ok(text)).await;
+        if let Some(request_body) = crash {
+            // By then the first chunk has left.
+            tokio::time::sleep(EVENT_GAP).await;
+            running.0.crash_by(&request_body);
+            tx.closed().await;
+            return;
+        }
         tokio::select! {
             () = running.0.pause_at(PausePoint::WithinBody) => {}
             () = tx.closed() => return,
@@ -511,14 +535,14 @@
 }
 
 /// Streams the events that follow event number `after`; each names the software version of the server, which crashes after
-/// `crash_after` of them.
+/// the number of them in `crash` under the request with that body.
 ///
 /// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event.
 fn events(
     running: RunningGuard,
     behavior: Behavior,
     after: u64,
-    crash_after: Option<u64>,
+    crash: Option<(u64, Bytes)>,
 ) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
@@ -528,8 +552,10 @@
         tokio::time::sleep(delay).await;
         for number in after + 1..=EVENTS {
             let sent = number - after - 1;
-            if crash_after == Some(sent) {
-                shared.crash();
+            if let Some((count, request_body)) = &crash
+                && *count == sent
+            {
+                shared.crash_by(request_body);
                 // The body must not end before the connection does.
                 tx.closed().await;
                 return;
