--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -52,6 +52,17 @@
     pub entry: ServerEntry,
 }
 
+/// The newest report of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportStatus {
+    /// Unix time of the server's start in milliseconds.
+    pub start_time_ms: u64,
+    /// Sequence number of the report.
+    pub sequence: u64,
+    /// Whether it is on the list now.
+    pub is_listed: bool,
+}
+
 /// Status of a server on the list.
 #[derive(Clone, Debug)]
 enum ServerStatus {
@@ -155,11 +166,16 @@
         expired
     }
 
-    /// Returns start time and sequence number of the newest report of server `id`, whether or not it is listed now.
-    pub fn report_of(&self, id: &str) -> Option<(u64, u64)> {
+    /// Returns what is known of the newest report of server `id`.
+    pub fn report_of(&self, id: &str) -> Option<ReportStatus> {
         let index = self.rows.binary_search_by(|row| row.id.as_str().cmp(id));
-        let entry = self.rows[index.ok()?].entry.as_ref()?;
-        Some((entry.start_time_ms, entry.sequence))
+        let row = &self.rows[index.ok()?];
+        let entry = row.entry.as_ref()?;
+        Some(ReportStatus {
+            start_time_ms: entry.start_time_ms,
+            sequence: entry.sequence,
+            is_listed: matches!(row.status, ServerStatus::Listed),
+        })
     }
 
     /// Returns the servers on the list and those in their grace period, draining ones included, sorted by name.
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -3,6 +3,7 @@
 use super::config::Configuration;
 use super::follow::Position;
 use super::roster::BackendServer;
+use super::roster::ReportStatus;
 use super::roster::Roster;
 use super::roster::ServerRecord;
 use super::version_history::SeenVersion;
@@ -329,9 +330,8 @@
         found.is_ok_and(|index| state.servers[index].entry.start_time_ms == start_time_ms)
     }
 
-    /// Returns start time and sequence number of the newest report of server `id` that this node has read, whether or not
-    /// it is listed now.
-    pub fn report_of(&self, id: &str) -> Option<(u64, u64)> {
+    /// Returns what is known of the newest report of server `id`.
+    pub fn report_of(&self, id: &str) -> Option<ReportStatus> {
         self.lock().roster.report_of(id)
     }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -224,7 +224,8 @@
             Arc::clone(&is_relay),
             &logs,
         );
-        let renewal_watch = RenewalWatch::start(&gateway.quarantine, &catalog, &is_relay);
+        let renewal_watch =
+            RenewalWatch::start(&gateway.quarantine, &catalog, &is_relay, bounds.heartbeat);
         let peers = Peers::start(
             peer_settings(host),
             &catalog,
--- a/src/quarantine/renewal.rs
+++ b/src/quarantine/renewal.rs
@@ -1,7 +1,9 @@
-//! Finds servers that renew their entry on the server list after they were taken for crashed.
+//! Finds servers that renew their entry on the server list after they were taken for crashed, or keep it for longer than a
+//! crashed one could.
 
 use super::state::Quarantine;
 use crate::catalog::Catalog;
+use crate::catalog::ReportStatus;
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
 use std::sync::Arc;
@@ -16,6 +18,10 @@
 /// before the crash.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
+/// Number of intervals without a report after which an entry has certainly been removed: the platform removes it after
+/// three.
+const EXPIRY_INTERVALS: u32 = 4;
+
 /// Sequence number of a server's report after it was taken for crashed.
 #[derive(Clone, Debug)]
 struct Baseline {
@@ -25,21 +31,36 @@
 }
 
 /// What the list said of servers that were taken for crashed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Renewals {
     baselines: Vec<Baseline>,
+    /// Interval at which servers report.
+    heartbeat: Duration,
+    /// When the list was last read.
+    read_at: BootInstant,
 }
 
 impl Renewals {
+    pub(super) fn new(heartbeat: Duration) -> Self {
+        Self {
+            baselines: Vec::new(),
+            heartbeat,
+            read_at: BootInstant::default(),
+        }
+    }
+
     /// Compares the newest reports with the ones before. `crashed` are the servers taken for crashed, and when;
-    /// `report_of` returns start time and sequence number of a server's newest report, `read_at` is when the list was
-    /// read. Returns the incarnations that have reported again, and when each was still running.
+    /// `report_of` returns a server's newest report, `read_at` is when the list was read. Returns the incarnations that
+    /// have reported again, and when each was still running.
     pub(super) fn check(
         &mut self,
         crashed: &[(Incarnation, BootInstant)],
-        report_of: &dyn Fn(&str) -> Option<(u64, u64)>,
+        report_of: &dyn Fn(&str) -> Option<ReportStatus>,
         read_at: BootInstant,
     ) -> Vec<(Incarnation, BootInstant)> {
+        // While the list can't be read, entries may not expire either.
+        let has_gap = read_at.since(self.read_at) > self.heartbeat * 2;
+        self.read_at = read_at;
         self.baselines.retain(|baseline| {
             let mut known = crashed.iter().map(|(incarnation, _)| incarnation);
             known.any(|incarnation| *incarnation == baseline.incarnation)
@@ -47,26 +68,28 @@
         let mut renewed = Vec::new();
         for (incarnation, crashed_at) in crashed {
             let report = report_of(&incarnation.server);
-            let Some((start_time_ms, sequence)) = report else {
-                continue;
-            };
-            if start_time_ms != incarnation.start_time_ms {
-                continue;
-            }
-            let known = self
-                .baselines
-                .iter()
-                .find(|baseline| baseline.incarnation == *incarnation);
-            match known {
-                Some(baseline) if baseline.sequence < sequence => {
-                    renewed.push((incarnation.clone(), baseline.at));
+            let report = report.filter(|report| report.start_time_ms == incarnation.start_time_ms);
+            let mut known = self.baselines.iter_mut();
+            let known = known.find(|baseline| baseline.incarnation == *incarnation);
+            match (known, report) {
+                (Some(baseline), Some(report)) => {
+                    let is_kept = report.is_listed
+                        && !has_gap
+                        && read_at.since(baseline.at) > self.heartbeat * EXPIRY_INTERVALS;
+                    if baseline.sequence < report.sequence || is_kept {
+                        renewed.push((incarnation.clone(), baseline.at));
+                    } else if has_gap {
+                        baseline.at = read_at;
+                    }
+                }
+                (None, Some(report)) if read_at > crashed_at.plus(SETTLE_TIME) => {
+                    self.baselines.push(Baseline {
+                        incarnation: incarnation.clone(),
+                        sequence: report.sequence,
+                        at: read_at,
+                    });
                 }
-                None if read_at > crashed_at.plus(SETTLE_TIME) => self.baselines.push(Baseline {
-                    incarnation: incarnation.clone(),
-                    sequence,
-                    at: read_at,
-                }),
-                Some(_) | None => {}
+                (Some(_) | None, _) => {}
             }
         }
         renewed
@@ -84,11 +107,12 @@
         quarantine: &Arc<Quarantine>,
         catalog: &Arc<Catalog>,
         is_relay: &Arc<AtomicBool>,
+        heartbeat: Duration,
     ) -> Self {
         let quarantine = Arc::clone(quarantine);
         let catalog = Arc::clone(catalog);
         let is_relay = Arc::clone(is_relay);
-        let task = tokio::spawn(watch(quarantine, catalog, is_relay));
+        let task = tokio::spawn(watch(quarantine, catalog, is_relay, heartbeat));
         Self { task }
     }
 
@@ -98,13 +122,18 @@
     }
 }
 
-async fn watch(quarantine: Arc<Quarantine>, catalog: Arc<Catalog>, is_relay: Arc<AtomicBool>) {
-    let mut renewals = Renewals::default();
+async fn watch(
+    quarantine: Arc<Quarantine>,
+    catalog: Arc<Catalog>,
+    is_relay: Arc<AtomicBool>,
+    heartbeat: Duration,
+) {
+    let mut renewals = Renewals::new(heartbeat);
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let crashed = quarantine.crashed();
         if !is_relay.load(Ordering::Relaxed) || crashed.is_empty() {
-            renewals = Renewals::default();
+            renewals = Renewals::new(heartbeat);
             continue;
         }
         let now = BootInstant::now();
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -9,6 +9,7 @@
 use super::quarantine;
 use super::send;
 use crate::catalog::BackendServer;
+use crate::catalog::ReportStatus;
 use crate::catalog::ServerEntry;
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
@@ -296,16 +297,27 @@
     sync.close();
 }
 
-/// Checks reports of a server, each with its start time and number and the time of the read, after a crash at 1,000 ms of
-/// the incarnation that started at 1; returns when it is known to have run on.
-fn check_reports(reports: &[(u64, Option<(u64, u64)>)]) -> Vec<BootInstant> {
-    let mut renewals = Renewals::default();
+/// Start time and sequence number of a report, and whether the server is listed.
+type Report = (u64, u64, bool);
+
+/// Checks reports of a server, each with the time of the read, its start time and number and whether it is listed, after a
+/// crash at 1,000 ms of the incarnation that started at 1; returns when it is known to have run on. Servers report each
+/// second.
+fn check_reports(reports: &[(u64, Option<Report>)]) -> Vec<BootInstant> {
+    let mut renewals = Renewals::new(ms(1_000));
     let crashed: [(Incarnation, BootInstant); 1] =
         [(incarnation("i-1"), BootInstant::from_boot(ms(1_000)))];
+    let report_of = |report: Option<Report>| {
+        report.map(|(start_time_ms, sequence, is_listed)| ReportStatus {
+            start_time_ms,
+            sequence,
+            is_listed,
+        })
+    };
     let mut found = Vec::new();
     for (read_ms, report) in reports {
         let read_at = BootInstant::from_boot(ms(*read_ms));
-        let renewed = renewals.check(&crashed, &|_| *report, read_at);
+        let renewed = renewals.check(&crashed, &|_| report_of(*report), read_at);
         found.extend(renewed.into_iter().map(|(_, at)| at));
     }
     found
@@ -314,18 +326,34 @@
 #[test]
 fn a_report_after_the_crash_shows_that_the_server_runs_on() {
     let at = |millis| BootInstant::from_boot(ms(millis));
+    let report = |sequence| Some((1, sequence, true));
 
     // The second one may have been written just before the crash.
-    let reports = [(900, Some((1, 7))), (1_100, Some((1, 8)))];
+    let reports = [(900, report(7)), (1_100, report(8))];
     assert!(check_reports(&reports).is_empty());
 
-    let reports = [(1_400, Some((1, 8))), (2_000, None), (2_600, Some((1, 9)))];
+    let reports = [(1_400, report(8)), (2_000, None), (2_600, report(9))];
     assert_eq!(check_reports(&reports), [at(1_400)]);
 
-    let reports = [
-        (1_400, Some((1, 8))),
-        (2_600, Some((5, 1))),
-        (3_000, Some((5, 9))),
-    ];
+    let restarted = Some((5, 9, true));
+    let reports = [(1_400, report(8)), (2_600, restarted), (3_000, restarted)];
     assert!(check_reports(&reports).is_empty());
 }
+
+#[test]
+fn an_entry_that_is_kept_for_longer_than_a_crash_allows_shows_that_the_server_runs_on() {
+    let at = |millis| BootInstant::from_boot(ms(millis));
+    let reads = |until_ms: u64, gap_at_ms: u64, is_listed: bool| {
+        let times = (1_400..=until_ms).step_by(500);
+        let readable =
+            times.filter(move |read_ms| !(gap_at_ms..gap_at_ms + 2_500).contains(read_ms));
+        let reports = readable.map(|read_ms| (read_ms, Some((1, 8, is_listed))));
+        reports.collect::<Vec<_>>()
+    };
+
+    assert!(check_reports(&reads(5_400, 90_000, true)).is_empty());
+    assert_eq!(check_reports(&reads(5_900, 90_000, true)), [at(1_400)]);
+    assert!(check_reports(&reads(9_900, 90_000, false)).is_empty());
+    // Entries may not have expired while the list could not be read.
+    assert!(check_reports(&reads(8_400, 2_000, true)).is_empty());
+}
