--- a/src/decide/crash_blame.rs
+++ b/src/decide/crash_blame.rs
@@ -10,8 +10,12 @@
 //! them, and within a request to the last one, which fewer requests share. A crash that turns out to be none is retracted
 //! with the holds that rest on it (`crash_evidence.rs`). `docs/CRASHING-PARTS.md` follows a crash through the fleet.
 
+use super::crash_burst::Burst;
+use super::crash_burst::are_of_one_burst;
+use super::crash_burst::find_bursts;
 use super::crash_evidence::CrashEvidence;
 use super::crash_evidence::Incarnation;
+use super::crash_evidence::MAX_DELAY;
 use super::crash_evidence::Sighting;
 use crate::clock::BootInstant;
 use std::time::Duration;
@@ -38,12 +42,6 @@
 /// Time for which an answer is remembered, since reports of crashes before it may still arrive.
 const SOUND_MEMORY: Duration = Duration::from_secs(30);
 
-/// Time after a crash for which its retraction is remembered: other gateways report the crash for that long.
-const RETRACTED_MEMORY: Duration = Duration::from_secs(600);
-
-/// Maximum time that a report is under way to another gateway, by which its times seem later.
-pub(super) const MAX_DELAY: Duration = Duration::from_millis(250);
-
 /// Identifies a part of a prompt.
 pub type PartId = u64;
 
@@ -115,8 +113,6 @@
     holds: Vec<Hold>,
     /// What shows that servers did not crash, or not under these requests.
     evidence: CrashEvidence,
-    /// Parts of suspects that were retracted, with the time of the crash.
-    retracted: Vec<(PartId, BootInstant)>,
 }
 
 impl Hold {
@@ -185,8 +181,7 @@
 impl CrashBlame {
     /// Records a crash, or more suspects of a known one. Call [`CrashBlame::update_holds`] afterwards.
     pub fn record_crash(&mut self, mut crash: Crash) -> CrashNews {
-        let removed = remove_disproved(&self.evidence, &mut crash);
-        self.retract(&removed);
+        self.evidence.remove_disproved(&mut crash);
         let known = self.crashes.iter().position(|known| known.is_of(&crash));
         if let Some(index) = known {
             let known = &self.crashes[index];
@@ -232,14 +227,11 @@
         if !self.evidence.record(sighting) {
             return false;
         }
-        let mut removed = Vec::new();
-        for crash in &mut self.crashes {
-            if crash.incarnation() == incarnation {
-                removed.extend(remove_disproved(&self.evidence, crash));
-            }
-        }
+        let crashes = self.crashes.iter_mut();
+        crashes
+            .filter(|crash| crash.incarnation() == incarnation)
+            .for_each(|crash| self.evidence.remove_disproved(crash));
         self.crashes.retain(|crash| !crash.suspects.is_empty());
-        self.retract(&removed);
         true
     }
 
@@ -248,26 +240,6 @@
         &self.evidence
     }
 
-    /// Remembers that these parts were suspect by mistake, so that holds which rest on it end.
-    fn retract(&mut self, removed: &[(PartId, BootInstant)]) {
-        for &(part, at) in removed {
-            match self.retracted.binary_search_by_key(&part, |known| known.0) {
-                Ok(index) => self.retracted[index].1 = self.retracted[index].1.max(at),
-                Err(index) => self.retracted.insert(index, (part, at)),
-            }
-        }
-        if self.retracted.len() > MAX_SOUND {
-            self.retracted.clear();
-        }
-    }
-
-    /// Returns whether a crash that `part` was suspect of has been retracted, so that holds of it need crashes that are known
-    /// here.
-    fn is_retracted(&self, part: PartId) -> bool {
-        let found = self.retracted.binary_search_by_key(&part, |known| known.0);
-        found.is_ok()
-    }
-
     /// Returns whether `incarnation` had crashed or could not be reached any more when a request was sent to it at `sent_at`.
     pub fn was_gone(&self, incarnation: &Incarnation, sent_at: BootInstant) -> bool {
         let mut crashes = self.crashes.iter();
@@ -378,8 +350,6 @@
         self.sound.retain(|known| now.since(known.1) < SOUND_MEMORY);
         self.holds
             .retain(|hold| now.since(hold.last_change()) < MAX_AGE);
-        self.retracted
-            .retain(|known| now.since(known.1) < RETRACTED_MEMORY);
         self.evidence.expire(now);
         let blamed = self.blamed_parts();
         let mut holds = std::mem::take(&mut self.holds);
@@ -424,11 +394,24 @@
         new
     }
 
-    /// Returns whether crashes that the part was held for were retracted, and the others are too few.
+    /// Returns whether crashes that the part was held for were retracted or turned out to have a common cause, and the others
+    /// are too few.
     fn is_unproven(&self, hold: &Hold, blamed: &[PartId]) -> bool {
-        let is_proven = blamed.contains(&hold.part)
-            || (hold.trials > 0 && !self.crashed_under(hold.part).is_empty());
-        !is_proven && self.is_retracted(hold.part)
+        let mut with_part = self
+            .crashes
+            .iter()
+            .filter(|crash| crash.last_sent_with(hold.part).is_some())
+            .peekable();
+        let is_proven =
+            blamed.contains(&hold.part) || (hold.trials > 0 && with_part.peek().is_some());
+        let bursts = self.bursts();
+        let mut in_burst = with_part.map(|crash| are_of_one_burst(&bursts, crash.at, crash.at));
+        !is_proven && (self.evidence.is_retracted(hold.part) || in_burst.any(|is_in| is_in))
+    }
+
+    fn bursts(&self) -> Vec<Burst> {
+        let times: Vec<BootInstant> = self.crashes.iter().map(|crash| crash.at).collect();
+        find_bursts(&times)
     }
 
     /// Returns the held parts, sorted.
@@ -471,10 +454,11 @@
 
     /// Returns the parts that together explain the crashes that need an explanation, the ones that explain most first.
     fn blamed_parts(&self) -> Vec<PartId> {
+        let bursts = self.bursts();
         let mut unexplained: Vec<&Crash> = self.crashes.iter().collect();
         let mut blamed = Vec::new();
         loop {
-            let counts = count_by_part(&unexplained);
+            let counts = count_by_part(&unexplained, &bursts);
             let max = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
             if max < MIN_CRASHES {
                 return blamed;
@@ -491,30 +475,14 @@
     }
 }
 
-/// Removes the suspects that can't have crashed the server of `crash`; returns their parts, each with the time at which the
-/// server was taken for crashed.
-fn remove_disproved(evidence: &CrashEvidence, crash: &mut Crash) -> Vec<(PartId, BootInstant)> {
-    let incarnation = crash.incarnation();
-    let at = crash.at;
-    let is_alive = evidence.disproves_crash(&incarnation, at);
-    let is_disproved = |suspect: &mut Suspect| {
-        is_alive || evidence.was_lost(&incarnation, suspect.sent_at.before(MAX_DELAY))
-    };
-    let removed = crash.suspects.extract_if(.., is_disproved);
-    removed
-        .flat_map(|suspect| suspect.parts)
-        .map(|part| (part, at))
-        .collect()
-}
-
 fn has_part(crash: &Crash, parts: &[PartId]) -> bool {
     let mut suspects = crash.suspects.iter();
     suspects.any(|suspect| suspect.parts.iter().any(|part| parts.contains(part)))
 }
 
-/// Returns each part with the number of crashes that it may be to blame for, each of which counts once, and only if the part
-/// was sent after the crash before it.
-fn count_by_part(crashes: &[&Crash]) -> Vec<(PartId, usize)> {
+/// Returns each part with the number of crashes that it may be to blame for. The crash of a server counts once, as does a
+/// burst of crashes, and only if the part was sent after the crash before it.
+fn count_by_part(crashes: &[&Crash], bursts: &[Burst]) -> Vec<(PartId, usize)> {
     let mut sends: Vec<(PartId, BootInstant, BootInstant)> = Vec::new();
     for crash in crashes {
         let parts = crash.suspects.iter().flat_map(|suspect| &suspect.parts);
@@ -532,7 +500,8 @@
         let mut count = 0;
         let mut last: Option<BootInstant> = None;
         for &(_, crashed_at, sent_at) in with_part {
-            if last.is_none_or(|last| sent_at > last) {
+            let is_separate = |last| sent_at > last && !are_of_one_burst(bursts, last, crashed_at);
+            if last.is_none_or(is_separate) {
                 count += 1;
                 last = Some(crashed_at);
             }
--- a/src/decide/crash_evidence.rs
+++ b/src/decide/crash_evidence.rs
@@ -8,6 +8,9 @@
 //! could not be reached any more did not crash it. Where a gateway loses most servers of a data centre, or of all, at the
 //! same moment, the common cause is no request.
 
+use super::crash_blame::Crash;
+use super::crash_blame::PartId;
+use super::crash_blame::Suspect;
 use crate::clock::BootInstant;
 use std::time::Duration;
 
@@ -17,6 +20,12 @@
 const LOSS_MEMORY: Duration = Duration::from_secs(10);
 /// Time for which it is remembered that a server was alive, since reports of its crash may arrive late.
 const LIFE_MEMORY: Duration = Duration::from_secs(600);
+/// Time after a crash for which its retraction is remembered: other gateways report the crash for that long.
+const RETRACTED_MEMORY: Duration = Duration::from_secs(600);
+/// Maximum number of parts whose retraction is remembered; the oldest are forgotten first.
+const MAX_RETRACTED: usize = 4_096;
+/// Maximum time that a report is under way to another gateway, by which its times seem later.
+pub(super) const MAX_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of sightings; the oldest are forgotten first.
 const MAX_SIGHTINGS: usize = 1_024;
 
@@ -57,6 +66,8 @@
 pub struct CrashEvidence {
     /// Sorted by incarnation.
     sightings: Vec<Sighting>,
+    /// Parts that were suspect by mistake, and when their servers seemed to crash; sorted by part.
+    retracted: Vec<(PartId, BootInstant)>,
 }
 
 impl Sighting {
@@ -116,6 +127,40 @@
     /// Forgets what no report can refer to any more.
     pub fn expire(&mut self, now: BootInstant) {
         self.sightings.retain(|known| !known.is_expired(now));
+        self.retracted
+            .retain(|known| now.since(known.1) < RETRACTED_MEMORY);
+    }
+
+    /// Removes the suspects that can't have crashed the server of `crash`, and remembers that their parts were suspect by
+    /// mistake.
+    pub fn remove_disproved(&mut self, crash: &mut Crash) {
+        let incarnation = crash.incarnation();
+        let is_alive = self.disproves_crash(&incarnation, crash.at);
+        let is_disproved = |suspect: &mut Suspect| {
+            is_alive || self.was_lost(&incarnation, suspect.sent_at.before(MAX_DELAY))
+        };
+        let removed: Vec<Suspect> = crash.suspects.extract_if(.., is_disproved).collect();
+        for part in removed.into_iter().flat_map(|suspect| suspect.parts) {
+            self.retract(part, crash.at);
+        }
+    }
+
+    fn retract(&mut self, part: PartId, at: BootInstant) {
+        match self.retracted.binary_search_by_key(&part, |known| known.0) {
+            Ok(index) => self.retracted[index].1 = self.retracted[index].1.max(at),
+            Err(index) => self.retracted.insert(index, (part, at)),
+        }
+        if self.retracted.len() > MAX_RETRACTED {
+            let oldest = (0..self.retracted.len()).min_by_key(|&index| self.retracted[index].1);
+            self.retracted.remove(oldest.unwrap_or(0));
+        }
+    }
+
+    /// Returns whether a crash that `part` was suspect of has been retracted, so that holds of it need crashes that are known
+    /// here.
+    pub fn is_retracted(&self, part: PartId) -> bool {
+        let found = self.retracted.binary_search_by_key(&part, |known| known.0);
+        found.is_ok()
     }
 
     /// Returns whether `incarnation` is known not to have crashed at `at`.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod caller_retry;
 mod crash_blame;
+mod crash_burst;
 mod crash_evidence;
 mod drain;
 mod health;
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 mod record;
 mod renewal;
 mod rows;
+mod sight;
 mod state;
 #[cfg(test)]
 mod tests;
