--- a/src/decide/crash_blame.rs
+++ b/src/decide/crash_blame.rs
@@ -1,18 +1,22 @@
-//! Decides which prompt parts crash servers, so that requests with them are held back ("queries of death").
+//! Decides which prompt parts and which whole requests crash servers, so that they are held back ("queries of death").
 //!
 //! Load pattern: requests that share one part of their prompts crash each server that begins to answer them, at any
-//! gateway. Sound requests run beside them and share their other parts, and servers crash for other reasons too: a data
-//! centre loses power, a release goes wrong.
+//! gateway; or one request, which its caller sends again and again, crashes each server that runs it. Sound requests run
+//! beside them and share their other parts, and servers crash for other reasons too: a data centre loses power, a release
+//! goes wrong.
 //!
-//! A request is suspect if its server crashed before it had begun to answer. A part is blamed for a crash only if it was
-//! sent again after the crash before, so that servers that crash at the same time count once, and any answer that begins
-//! later clears its parts. Of the parts that were in the same crashes, the blame goes to the one that explains most of
-//! them, and within a request to the last one, which fewer requests share. A crash that turns out to be none is retracted
-//! with the holds that rest on it (`crash_evidence.rs`). `docs/CRASHING-PARTS.md` follows a crash through the fleet.
-
+//! The parts of a request are suspect if its server crashed before it had begun to answer; any answer that begins later
+//! clears them. The whole request is suspect if its server crashed before the answer was whole, and a whole answer clears
+//! it. What explains most crashes is to blame (`crash_cause.rs`). A crash that turns out to be none is retracted with the
+//! holds that rest on it (`crash_evidence.rs`). `docs/CRASHING-PARTS.md` follows a crash through the fleet.
+
+use super::crash::Crash;
+use super::crash::PartId;
+use super::crash::Suspect;
 use super::crash_burst::Burst;
 use super::crash_burst::are_of_one_burst;
 use super::crash_burst::find_bursts;
+use super::crash_cause::blamed_parts;
 use super::crash_evidence::CrashEvidence;
 use super::crash_evidence::Incarnation;
 use super::crash_evidence::MAX_DELAY;
@@ -20,8 +24,6 @@
 use crate::clock::BootInstant;
 use std::time::Duration;
 
-/// Number of crashes after which a part is held back.
-const MIN_CRASHES: usize = 2;
 /// Time after the last crash or trial until the next trial of a held part, for each of its trials in turn. There are no
 /// more, since each may crash a server.
 const TRIAL_DELAYS: [Duration; 3] = [
@@ -33,8 +35,10 @@
 const MAX_AGE: Duration = Duration::from_secs(3_600);
 /// Maximum number of crashes that are remembered; the oldest are forgotten first.
 const MAX_CRASHES: usize = 64;
-/// Maximum number of suspect requests of one crash.
+/// Maximum number of suspect requests of one crash that the server had not begun to answer.
 const MAX_SUSPECTS: usize = 16;
+/// Maximum number of its other suspects: one for each slot of most servers.
+const MAX_WHOLE_SUSPECTS: usize = 64;
 /// Maximum number of held parts; the ones that crashed a server longest ago are let through first.
 const MAX_HOLDS: usize = 256;
 /// Maximum number of parts whose last answer is remembered.
@@ -42,33 +46,6 @@
 /// Time for which an answer is remembered, since reports of crashes before it may still arrive.
 const SOUND_MEMORY: Duration = Duration::from_secs(30);
 
-/// Identifies a part of a prompt.
-pub type PartId = u64;
-
-/// A request whose server crashed before it began to answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Suspect {
-    /// Hash of the request id.
-    pub request: u64,
-    /// Parts of its prompt that other requests may share, in order.
-    pub parts: Vec<PartId>,
-    /// When it was sent to the server.
-    pub sent_at: BootInstant,
-}
-
-/// The crash of one incarnation of a server.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Crash {
-    /// Name of the server.
-    pub server: String,
-    /// Unix time at which the incarnation started, in milliseconds.
-    pub start_time_ms: u64,
-    /// When the server was first seen to have crashed.
-    pub at: BootInstant,
-    /// Requests that it had not begun to answer.
-    pub suspects: Vec<Suspect>,
-}
-
 /// A part whose requests are held back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Hold {
@@ -145,39 +122,6 @@
     }
 }
 
-impl Crash {
-    fn is_of(&self, other: &Self) -> bool {
-        self.server == other.server && self.start_time_ms == other.start_time_ms
-    }
-
-    /// Returns the incarnation that crashed.
-    pub fn incarnation(&self) -> Incarnation {
-        Incarnation {
-            server: self.server.clone(),
-            start_time_ms: self.start_time_ms,
-        }
-    }
-
-    /// Returns the time at which the last of its requests with `part` was sent, or `None` if none has it.
-    fn last_sent_with(&self, part: PartId) -> Option<BootInstant> {
-        let with_part = self
-            .suspects
-            .iter()
-            .filter(|suspect| suspect.parts.contains(&part));
-        with_part.map(|suspect| suspect.sent_at).max()
-    }
-
-    fn clear(&mut self, part: PartId) -> bool {
-        let mut is_cleared = false;
-        for suspect in &mut self.suspects {
-            let before = suspect.parts.len();
-            suspect.parts.retain(|known| *known != part);
-            is_cleared |= suspect.parts.len() < before;
-        }
-        is_cleared
-    }
-}
-
 impl CrashBlame {
     /// Records a crash, or more suspects of a known one. Call [`CrashBlame::update_holds`] afterwards.
     pub fn record_crash(&mut self, mut crash: Crash) -> CrashNews {
@@ -191,10 +135,9 @@
             };
             crash.suspects.retain(is_new);
             crash.at = crash.at.min(known.at);
-            let room = MAX_SUSPECTS.saturating_sub(known.suspects.len());
-            crash.suspects.truncate(room);
         }
-        crash.suspects.truncate(MAX_SUSPECTS);
+        let known_suspects = known.map_or(&[][..], |index| &self.crashes[index].suspects);
+        limit_suspects(&mut crash.suspects, known_suspects);
         if crash.suspects.is_empty() {
             return CrashNews::default();
         }
@@ -303,10 +246,9 @@
             .retain(|hold| hold.part != part || hold.last_change() >= at);
         let mut is_cleared = self.holds.len() < before;
         for crash in self.crashes.iter_mut().filter(|crash| crash.at < at) {
-            if is_mended && has_part(crash, &[part]) {
+            if is_mended && crash.has(part) {
                 is_cleared = true;
-                let suspects = crash.suspects.iter_mut();
-                suspects.for_each(|suspect| suspect.parts.clear());
+                crash.clear_all();
             } else {
                 is_cleared |= crash.clear(part);
             }
@@ -314,6 +256,16 @@
         is_cleared
     }
 
+    /// Returns whether `part` is suspect of a crash or held, so that an answer to a request with it is news.
+    pub fn concerns(&self, part: PartId) -> bool {
+        self.search(part).is_ok() || self.crashes.iter().any(|crash| crash.has(part))
+    }
+
+    /// Returns whether anything is suspect or held.
+    pub fn is_active(&self) -> bool {
+        !(self.crashes.is_empty() && self.holds.is_empty())
+    }
+
     /// Records that another gateway, or this one before its restart, holds a part. Returns whether that is new here.
     pub fn record_hold(&mut self, hold: Hold) -> bool {
         let sound = self
@@ -324,7 +276,7 @@
             return false;
         }
         // Another gateway may not have learned yet that the crashes were retracted.
-        if self.is_unproven(&hold, &self.blamed_parts()) {
+        if self.is_unproven(&hold, &blamed_parts(&self.crashes, &self.bursts())) {
             return false;
         }
         match self.search(hold.part) {
@@ -351,7 +303,7 @@
         self.holds
             .retain(|hold| now.since(hold.last_change()) < MAX_AGE);
         self.evidence.expire(now);
-        let blamed = self.blamed_parts();
+        let blamed = blamed_parts(&self.crashes, &self.bursts());
         let mut holds = std::mem::take(&mut self.holds);
         holds.retain(|hold| !self.is_unproven(hold, &blamed));
         self.holds = holds;
@@ -364,7 +316,7 @@
                 .peekable();
             hold.trials == 0
                 && with_part.peek().is_some()
-                && with_part.all(|crash| has_part(crash, &blamed))
+                && with_part.all(|crash| crash.has_any(&blamed))
         };
         self.holds
             .retain(|hold| blamed.contains(&hold.part) || !is_explained(hold));
@@ -425,7 +377,7 @@
         let known = self.crashes.iter().find(|known| known.is_of(crash))?;
         let is_reported = |suspect: &&Suspect| {
             let mut reported = crash.suspects.iter();
-            !suspect.parts.is_empty() && reported.any(|one| one.request == suspect.request)
+            suspect.ids().next().is_some() && reported.any(|one| one.request == suspect.request)
         };
         let left = known.suspects.iter().filter(is_reported);
         let suspects: Vec<Suspect> = left.cloned().collect();
@@ -468,76 +420,22 @@
     fn search(&self, part: PartId) -> Result<usize, usize> {
         self.holds.binary_search_by_key(&part, |hold| hold.part)
     }
-
-    /// Returns the parts that together explain the crashes that need an explanation, the ones that explain most first.
-    fn blamed_parts(&self) -> Vec<PartId> {
-        let bursts = self.bursts();
-        let mut unexplained: Vec<&Crash> = self.crashes.iter().collect();
-        let mut blamed = Vec::new();
-        loop {
-            let counts = count_by_part(&unexplained, &bursts);
-            let max = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
-            if max < MIN_CRASHES {
-                return blamed;
-            }
-            let top = counts.iter().filter(|(_, count)| *count == max);
-            let top: Vec<PartId> = top.map(|(part, _)| *part).collect();
-            let likely = top
-                .iter()
-                .filter(|part| !is_covered(**part, &top, &unexplained));
-            let likely: Vec<PartId> = likely.copied().collect();
-            unexplained.retain(|crash| !has_part(crash, &likely));
-            blamed.extend(likely);
-        }
-    }
 }
 
-fn has_part(crash: &Crash, parts: &[PartId]) -> bool {
-    let mut suspects = crash.suspects.iter();
-    suspects.any(|suspect| suspect.parts.iter().any(|part| parts.contains(part)))
-}
-
-/// Returns each part with the number of crashes that it may be to blame for. The crash of a server counts once, as does a
-/// burst of crashes, and only if the part was sent after the crash before it.
-fn count_by_part(crashes: &[&Crash], bursts: &[Burst]) -> Vec<(PartId, usize)> {
-    let mut sends: Vec<(PartId, BootInstant, BootInstant)> = Vec::new();
-    for crash in crashes {
-        let parts = crash.suspects.iter().flat_map(|suspect| &suspect.parts);
-        let mut parts: Vec<PartId> = parts.copied().collect();
-        parts.sort_unstable();
-        parts.dedup();
-        let last_sends = parts
-            .into_iter()
-            .filter_map(|part| Some((part, crash.at, crash.last_sent_with(part)?)));
-        sends.extend(last_sends);
-    }
-    sends.sort_unstable();
-    let mut counts = Vec::new();
-    for with_part in sends.chunk_by(|a, b| a.0 == b.0) {
-        let mut count = 0;
-        let mut last: Option<BootInstant> = None;
-        for &(_, crashed_at, sent_at) in with_part {
-            let is_separate = |last| sent_at > last && !are_of_one_burst(bursts, last, crashed_at);
-            if last.is_none_or(is_separate) {
-                count += 1;
-                last = Some(crashed_at);
-            }
-        }
-        counts.push((with_part[0].0, count));
-    }
-    counts
-}
-
-/// Returns whether some other part of `top` comes after `part` in each suspect request that has it.
-fn is_covered(part: PartId, top: &[PartId], crashes: &[&Crash]) -> bool {
-    let suspects = crashes.iter().flat_map(|crash| &crash.suspects);
-    let with_part: Vec<&Suspect> = suspects
-        .filter(|suspect| suspect.parts.contains(&part))
-        .collect();
-    top.iter().any(|other| {
-        with_part.iter().all(|suspect| {
-            let position = |part| suspect.parts.iter().position(|known| known == part);
-            position(other) > position(&part)
-        })
-    })
+/// Removes the suspects beyond the maximum numbers, of which `known` use up a part.
+fn limit_suspects(suspects: &mut Vec<Suspect>, known: &[Suspect]) {
+    let is_unbegun = |suspect: &Suspect| !suspect.parts.is_empty();
+    let unbegun = known.iter().filter(|known| is_unbegun(known)).count();
+    let mut room = MAX_SUSPECTS.saturating_sub(unbegun);
+    let mut whole_room = MAX_WHOLE_SUSPECTS.saturating_sub(known.len() - unbegun);
+    suspects.retain(|suspect| {
+        let room = if is_unbegun(suspect) {
+            &mut room
+        } else {
+            &mut whole_room
+        };
+        let has_room = *room > 0;
+        *room = room.saturating_sub(1);
+        has_room
+    });
 }
--- a/src/decide/crash_evidence.rs
+++ b/src/decide/crash_evidence.rs
@@ -8,9 +8,9 @@
 //! could not be reached any more did not crash it. Where a gateway loses most servers of a data centre, or of all, at the
 //! same moment, the common cause is no request.
 
-use super::crash_blame::Crash;
-use super::crash_blame::PartId;
-use super::crash_blame::Suspect;
+use super::crash::Crash;
+use super::crash::PartId;
+use super::crash::Suspect;
 use crate::clock::BootInstant;
 use std::time::Duration;
 
@@ -140,7 +140,7 @@
             is_alive || self.was_lost(&incarnation, suspect.sent_at.before(MAX_DELAY))
         };
         let removed: Vec<Suspect> = crash.suspects.extract_if(.., is_disproved).collect();
-        for part in removed.into_iter().flat_map(|suspect| suspect.parts) {
+        for part in removed.iter().flat_map(Suspect::ids) {
             self.retract(part, crash.at);
         }
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,8 +6,10 @@
 
 mod admission;
 mod caller_retry;
+mod crash;
 mod crash_blame;
 mod crash_burst;
+mod crash_cause;
 mod crash_evidence;
 mod drain;
 mod failover;
@@ -24,13 +26,13 @@
 pub use admission::Admission;
 pub use caller_retry::CallerRetryDetector;
 pub use caller_retry::RetryAfter;
-pub use crash_blame::Crash;
+pub use crash::Crash;
+pub use crash::PartId;
+pub use crash::Suspect;
 pub use crash_blame::CrashBlame;
 pub use crash_blame::CrashNews;
 pub use crash_blame::Hold;
-pub use crash_blame::PartId;
 pub use crash_blame::PartVerdict;
-pub use crash_blame::Suspect;
 pub use crash_evidence::Incarnation;
 pub use crash_evidence::Sight;
 pub use crash_evidence::Sighting;
--- a/src/decide/tests/crash_blame.rs
+++ b/src/decide/tests/crash_blame.rs
@@ -23,6 +23,7 @@
     let suspects = requests.iter().zip(0u64..).map(|(parts, number)| Suspect {
         request: ms * 100 + number,
         parts: parts.to_vec(),
+        whole: None,
         sent_at: at(ms).before(Duration::from_millis(50)),
     });
     Crash {
--- a/src/decide/tests/crash_burst.rs
+++ b/src/decide/tests/crash_burst.rs
@@ -22,6 +22,7 @@
         suspects: vec![Suspect {
             request: ms,
             parts: vec![PART],
+            whole: None,
             sent_at: at(ms - 4),
         }],
     }
--- a/src/decide/tests/crash_evidence.rs
+++ b/src/decide/tests/crash_evidence.rs
@@ -36,6 +36,7 @@
         suspects: vec![Suspect {
             request: ms,
             parts: parts.to_vec(),
+            whole: None,
             sent_at: at(ms).before(Duration::from_millis(age_ms)),
         }],
     }
--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard.rs
@@ -1,8 +1,10 @@
-//! Holds back a request whose prompt has a part that crashes servers, and reports what the request shows about its parts.
+//! Holds back a request that crashes servers, or whose prompt has a part that does, and reports what the request shows about
+//! both.
 
 use super::choice::Target;
 use super::exchange::Exchange;
 use super::refusal::Refusal;
+use super::request_identity::whole_request_id;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::PartId;
@@ -11,6 +13,8 @@
 use crate::decide::RetryAfter;
 use crate::decide::Suspect;
 use hyper::StatusCode;
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Time for which a server must live on after it has begun to answer, so that the request counts as sound: it covers a
@@ -21,6 +25,9 @@
 /// that a crashed server had sent are read all at once.
 const LIFE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which a request that may go on at another server waits until it is known whether its server has crashed.
+const MAX_REPORT_WAIT: Duration = Duration::from_millis(50);
+
 /// One send of a request.
 #[derive(Clone, Debug)]
 pub(super) struct Sent {
@@ -58,6 +65,8 @@
 pub(super) struct CrashGuard {
     /// Parts of the prompt that other requests may share; the last part is the request's own.
     shared_parts: Vec<PartId>,
+    /// Identifies the whole request; computed when something is suspect, since it takes a digest of the body.
+    whole: OnceLock<PartId>,
     /// The send whose answer is passed on.
     sent: Option<Sent>,
     /// Whether the request was let through to find out whether a held part still crashes servers.
@@ -101,16 +110,18 @@
 }
 
 impl Exchange {
-    /// Refuses the request if one of its parts is held, unless this is the held part's trial.
-    pub(super) async fn check_parts(&mut self) -> Result<(), Refusal> {
-        if self.crash_guard.shared_parts.is_empty() {
-            return Ok(());
-        }
+    /// Refuses the request if it or one of its parts is held, unless this is the trial of what is held.
+    pub(super) async fn check_held(&mut self) -> Result<(), Refusal> {
         let quarantine = &self.gateway.quarantine;
         if !quarantine.is_loaded() {
             return Err(self.no_server_refusal("held parts not known yet"));
         }
-        match quarantine.verdict(&self.crash_guard.shared_parts) {
+        if !quarantine.is_active() {
+            return Ok(());
+        }
+        let mut ids = self.crash_guard.shared_parts.clone();
+        ids.push(self.whole_id());
+        match quarantine.verdict(&ids) {
             PartVerdict::Free => Ok(()),
             PartVerdict::Held(part, time) => Err(self.held_refusal(part, time)),
             PartVerdict::TrialDue(part) => {
@@ -126,8 +137,22 @@
         }
     }
 
+    /// Returns what identifies the whole request, also when its caller sends it again.
+    fn whole_id(&self) -> PartId {
+        let team = self.team.as_deref();
+        *self
+            .crash_guard
+            .whole
+            .get_or_init(|| whole_request_id(&self.outbound, team, &self.metadata.parts))
+    }
+
     fn held_refusal(&self, part: PartId, time: Duration) -> Refusal {
-        let cause = "prompt part held";
+        let is_whole = self.crash_guard.whole.get() == Some(&part);
+        let cause = if is_whole {
+            "request held"
+        } else {
+            "prompt part held"
+        };
         let refusal = if self.may_have_run {
             Refusal::new(StatusCode::BAD_GATEWAY, cause)
         } else {
@@ -166,29 +191,55 @@
         }
     }
 
-    /// Returns whether the server of `sent` broke off because it crashed as it began to answer this request or before;
-    /// the other gateways then learn of it. Such a request is not sent to another server: it may be the one that crashed
-    /// it.
-    pub(super) async fn has_crashed_server(&self, sent: &Sent) -> bool {
-        if self.crash_guard.shared_parts.is_empty() {
-            return false;
+    /// Records that the caller gets an answer that came whole.
+    pub(super) fn record_whole_answer(&self) {
+        let quarantine = &self.gateway.quarantine;
+        if quarantine.is_active() {
+            quarantine.record_whole_answer(self.whole_id(), BootInstant::now());
         }
+    }
+
+    /// Reports that the server of `sent` broke off. If it has crashed, the other gateways learn of it.
+    ///
+    /// Returns whether the request must not be sent to another server, since a part of its prompt may have crashed this one:
+    /// the server had not begun to answer. Otherwise it may go on elsewhere, unless it is held by now.
+    pub(super) async fn report_break(&mut self, sent: &Sent) -> bool {
         let now = BootInstant::now();
+        self.report.whole = Some(self.whole_id());
+        if self.gateway.is_leaving(&sent.server, now) {
+            return false;
+        }
         let has_begun = sent
             .began_at
             .is_some_and(|began_at| now.since(began_at) >= SOUND_TIME);
-        if has_begun || self.gateway.is_leaving(&sent.server, now) {
-            return false;
-        }
+        let parts = if has_begun {
+            Vec::new()
+        } else {
+            self.crash_guard.shared_parts.clone()
+        };
+        let may_go_on = parts.is_empty();
         let suspect = Suspect {
             request: self.salt,
-            parts: self.crash_guard.shared_parts.clone(),
+            parts,
+            whole: Some(self.whole_id()),
             sent_at: sent.at,
         };
-        let quarantine = &self.gateway.quarantine;
-        let (listed, _) = self.gateway.catalog.servers();
-        quarantine
-            .report_break(&sent.server, suspect, &listed)
-            .await
+        let gateway = Arc::clone(&self.gateway);
+        let server = sent.server.clone();
+        // The report goes on if its request doesn't wait for it.
+        let report = tokio::spawn(async move {
+            let (listed, _) = gateway.catalog.servers();
+            gateway
+                .quarantine
+                .report_break(&server, suspect, &listed)
+                .await
+        });
+        if may_go_on {
+            // What the report finds out counts when the next server is chosen.
+            let _ = tokio::time::timeout(MAX_REPORT_WAIT, report).await;
+            return false;
+        }
+        // A panic in it has already been reported.
+        report.await.unwrap_or_default()
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -188,6 +188,7 @@
     fn pass_on(mut self, response: WholeResponse) -> Response<Body> {
         let WholeResponse { mut head, body } = response;
         self.record_response_time();
+        self.record_whole_answer();
         if head.status.is_success() {
             self.record_progress();
             self.record_sound();
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -174,7 +174,7 @@
             SendEnd::Broken(cause) => {
                 self.may_have_run = true;
                 self.count_send("unknown");
-                if self.has_crashed_server(&sent).await {
+                if self.report_break(&sent).await {
                     self.crash_guard.record_crash();
                     let refusal = Refusal::new(StatusCode::BAD_GATEWAY, "server crashed");
                     return refused(SendState::Crashed, refusal.with_detail(cause));
@@ -288,7 +288,7 @@
 
     /// Chooses a server and sends the request to it; `resume_after` is the same as for [`Exchange::next_delivery`].
     async fn start_send(&mut self, resume_after: Option<u64>) -> Result<PendingSend, Refusal> {
-        self.check_parts().await?;
+        self.check_held().await?;
         let target = self.choose_server()?;
         let Target { server, .. } = &target;
         self.report.servers.push(server.id.clone());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod race;
 mod refusal;
 mod report;
+mod request_identity;
 mod response_memory;
 mod server_rates;
 mod server_stream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -38,6 +38,7 @@
 use crate::peers::OwnLoads;
 use crate::peers::PeerSettings;
 use crate::peers::Peers;
+use crate::quarantine::BreakWatch;
 use crate::quarantine::HoldLedger;
 use crate::quarantine::LedgerSync;
 use crate::quarantine::Quarantine;
@@ -121,6 +122,7 @@
     peers: Peers,
     ledger_sync: LedgerSync,
     renewal_watch: RenewalWatch,
+    break_watch: BreakWatch,
     pruner: JoinHandle<()>,
     gateway: Arc<Gateway>,
     logs: Logs,
@@ -225,6 +227,7 @@
             Arc::clone(&is_relay),
             &logs,
         );
+        let break_watch = BreakWatch::start(&gateway.quarantine, &catalog);
         let renewal_watch =
             RenewalWatch::start(&gateway.quarantine, &catalog, &is_relay, bounds.heartbeat);
         let peers = Peers::start(
@@ -255,6 +258,7 @@
             peers,
             ledger_sync,
             renewal_watch,
+            break_watch,
             pruner,
             gateway,
             logs,
@@ -285,6 +289,7 @@
         self.peers.close().await;
         self.ledger_sync.close();
         self.renewal_watch.close();
+        self.break_watch.close();
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -45,6 +45,9 @@
         if catalog.servers().0.is_empty() {
             return Some("no servers yet");
         }
+        if !self.gateway.quarantine.is_loaded() {
+            return Some("held parts not known yet");
+        }
         if !catalog.are_keys_verified(BootInstant::now()) {
             return Some("configuration unproven");
         }
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -3,6 +3,7 @@
 use super::dialect::RateLimitNotice;
 use super::handler::Gateway;
 use super::metrics::GatewayMetrics;
+use crate::decide::PartId;
 use crate::decide::PromptPart;
 use crate::logs::Logs;
 use crate::logs::RequestOutcome;
@@ -25,6 +26,8 @@
     pub(super) software_versions: Vec<String>,
     /// Parts of the prompt, in order; only the line of a request that failed names them.
     pub(super) parts: Vec<PromptPart>,
+    /// What identifies the whole request; set where it broke off, so that its repeats can be found.
+    pub(super) whole: Option<PartId>,
     /// Whether the request resumes the stream of an earlier attempt.
     pub(super) resumes_stream: bool,
     /// Id of the attempt whose stream the request resumes; empty if it resumes none or doesn't name it.
@@ -65,6 +68,7 @@
             servers: Vec::new(),
             software_versions: Vec::new(),
             parts: Vec::new(),
+            whole: None,
             resumes_stream: false,
             first_attempt: String::new(),
             is_caller_retry: false,
@@ -143,12 +147,13 @@
         } else {
             format_parts(&self.parts)
         };
+        let whole = self.whole.map(|id| format!("{id:x}"));
         let Some(log) = self.logs.request_logger(outcome) else {
             return;
         };
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
             "service" => &self.service, "servers" => self.servers.join(","),
-            "versions" => self.software_versions.join(","), "parts" => parts, "resumes" => self.resumes_stream,
+            "versions" => self.software_versions.join(","), "parts" => parts, "whole" => whole, "resumes" => self.resumes_stream,
             "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -118,8 +118,9 @@
     /// Goes on at another server after the present one broke off for `cause`; returns how the response ends if that is
     /// not possible.
     async fn resume(&mut self, cause: &str) -> Result<(), String> {
-        if let Some(sent) = self.exchange.crash_guard.sent()
-            && self.exchange.has_crashed_server(sent).await
+        let sent = self.exchange.crash_guard.sent().cloned();
+        if let Some(sent) = sent
+            && self.exchange.report_break(&sent).await
         {
             return Err(format!("server crashed: {cause}"));
         }
@@ -201,6 +202,7 @@
         if let Some(server_stream) = self.server_stream.take() {
             server_stream.guard().record_result(RunResult::Good);
             self.exchange.record_sound();
+            self.exchange.record_whole_answer();
             self.exchange.record_response_time();
             let (lease, headers) = server_stream.into_connection();
             self.exchange.gateway.pool.put_idle(lease, &headers);
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,10 +1,12 @@
 //! Tests of the parts of the data path that need no connection.
 
+use super::attempt::OutboundRequest;
 use super::dialect::RateLimitNotice;
 use super::events::EventSplitter;
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
 use super::headers::remove_hop_by_hop;
+use super::request_identity::whole_request_id;
 use super::response_memory::MAX_RESPONSE_BYTES;
 use super::response_memory::MAX_TOTAL_BYTES;
 use super::response_memory::ResponseMemory;
@@ -12,6 +14,7 @@
 use super::settings::GatewaySettings;
 use crate::catalog::BackendServer;
 use crate::catalog::ServerEntry;
+use crate::decide::PromptPart;
 use crate::net::CollectError;
 use crate::net::full_body;
 use crate::peers::LoadEntry;
@@ -21,6 +24,7 @@
 use futures_util::stream;
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
+use hyper::Method;
 use hyper::body::Frame;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
@@ -232,3 +236,42 @@
     assert!(rates.may_send(&server("a", 2), 0.99, 7));
     assert!(!rates.has_limit(&server("a", 2)));
 }
+
+fn outbound(target: &str, request_id: &str, body: &'static [u8]) -> OutboundRequest {
+    OutboundRequest {
+        method: Method::POST,
+        target: target.to_owned(),
+        headers: headers(&[]),
+        body: Bytes::from_static(body),
+        request_id: request_id.to_owned(),
+    }
+}
+
+#[test]
+fn a_request_that_is_sent_again_keeps_its_identity_and_others_differ() {
+    let part = PromptPart { id: 7, tokens: 80 };
+    let first = whole_request_id(&outbound("/a/b", "r-1", b"body"), Some("t"), &[part]);
+
+    let again = whole_request_id(&outbound("/a/b", "r-2", b"body"), Some("t"), &[part]);
+    let others = [
+        whole_request_id(&outbound("/a/c", "r-1", b"body"), Some("t"), &[part]),
+        whole_request_id(&outbound("/a/b?c", "r-1", b"body"), Some("t"), &[part]),
+        whole_request_id(&outbound("/a/b", "r-1", b"bod"), Some("t"), &[part]),
+        whole_request_id(&outbound("/a/b", "r-1", b"body"), Some("u"), &[part]),
+        whole_request_id(&outbound("/a/b", "r-1", b"body"), None, &[part]),
+        whole_request_id(&outbound("/a/b", "r-1", b"body"), Some("t"), &[]),
+        whole_request_id(&outbound("/a/bt", "r-1", b"body"), Some(""), &[part]),
+    ];
+
+    assert_eq!(first, again);
+    for (number, other) in others.iter().enumerate() {
+        assert_ne!(first, *other, "{number}");
+    }
+}
+
+#[test]
+fn the_identity_of_a_request_is_the_same_in_all_releases() {
+    let id = whole_request_id(&outbound("/a/b", "r-1", b"body"), Some("t"), &[]);
+
+    assert_eq!(format!("{id:016x}"), "f52168144bed6cf3");
+}
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -5,6 +5,7 @@
 //! none, since the server is seen to run on, is retracted everywhere. The held parts are also kept in
 //! the store, so that they outlive a restart of all gateways. See `docs/CRASHING-PARTS.md`.
 
+mod breaks;
 mod ledger;
 mod probe;
 mod record;
@@ -15,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use breaks::BreakWatch;
 pub use ledger::HoldLedger;
 pub use ledger::Ledger;
 pub use ledger::LedgerChange;
--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -29,8 +29,8 @@
 }
 
 impl Quarantine {
-    /// Records `suspect`, which broke off before `server` had begun to answer it, if the server has crashed. Returns
-    /// whether it has. `listed` are the servers that the gateway may use: if many others are lost at the same time, none
+    /// Records `suspect`, which `server` has not answered whole, if the server has crashed. Returns whether it has, as far as
+    /// can be told now: one that accepts connections may have crashed and be back, which the server list tells later. `listed` are the servers that the gateway may use: if many others are lost at the same time, none
     /// has crashed under a request.
     pub async fn report_break(
         &self,
@@ -39,10 +39,28 @@
         listed: &[BackendServer],
     ) -> bool {
         let at = BootInstant::now();
-        if connect(server.entry.address).await != Probe::Refused {
-            return false;
-        }
         let incarnation = Incarnation::of(server);
+        let crash = |suspect| Crash {
+            server: server.id.clone(),
+            start_time_ms: server.entry.start_time_ms,
+            at,
+            suspects: vec![suspect],
+        };
+        if self.is_known_crash(&incarnation) {
+            let was_gone = self.was_gone(&incarnation, suspect.sent_at);
+            if !was_gone {
+                self.record_crash(crash(suspect));
+            }
+            return !was_gone;
+        }
+        match connect(server.entry.address).await {
+            Probe::Refused => {}
+            Probe::Accepted => {
+                self.record_break(server, suspect, at);
+                return false;
+            }
+            Probe::Silent => return false,
+        }
         // Connections to other servers break at the same moment; the first of their reports finds out for all.
         let _turn = self.probing.lock().await;
         if self.was_gone(&incarnation, suspect.sent_at)
@@ -54,12 +72,7 @@
             self.record_common_loss(server);
             return false;
         }
-        self.record_crash(Crash {
-            server: server.id.clone(),
-            start_time_ms: server.entry.start_time_ms,
-            at,
-            suspects: vec![suspect],
-        });
+        self.record_crash(crash(suspect));
         true
     }
 
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -25,7 +25,7 @@
         start_time_ms: u64,
         /// Time since the crash.
         age_ms: u64,
-        /// Requests that it had not begun to answer.
+        /// Requests that it had not answered whole.
         suspects: Vec<SuspectRecord>,
     },
     /// A part that was suspect or held does not crash servers.
@@ -61,8 +61,11 @@
 pub struct SuspectRecord {
     /// Hash of the request id.
     pub request: u64,
-    /// Parts of its prompt that other requests may share, in order.
+    /// Parts of its prompt that other requests may share, in order; none if the server had begun to answer.
     pub parts: Vec<PartId>,
+    /// The whole request; gateways of earlier versions don't tell it.
+    #[serde(default)]
+    pub whole: Option<PartId>,
     /// Time from the sending of the request until the crash.
     pub sent_before_ms: u64,
 }
@@ -144,6 +147,7 @@
                     .map(|suspect| SuspectRecord {
                         request: suspect.request,
                         parts: suspect.parts.clone(),
+                        whole: suspect.whole,
                         sent_before_ms: millis(crash.at.since(suspect.sent_at)),
                     })
                     .collect(),
@@ -202,6 +206,7 @@
                     .map(|suspect| Suspect {
                         request: suspect.request,
                         parts: suspect.parts,
+                        whole: suspect.whole,
                         sent_at: at(age_ms).before(Duration::from_millis(suspect.sent_before_ms)),
                     })
                     .collect(),
--- a/src/quarantine/sight.rs
+++ b/src/quarantine/sight.rs
@@ -123,6 +123,7 @@
                 suspects: vec![Suspect {
                     request: hold.part.wrapping_add(number),
                     parts: vec![hold.part],
+                    whole: None,
                     sent_at: at.before(Duration::from_micros(1)),
                 }],
             });
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -1,15 +1,18 @@
 //! What one gateway knows of crashes and held parts.
 
+use super::breaks::Breaks;
 use super::record::CrashEvent;
 use super::record::Records;
 use super::rows::RecordSource;
 use super::rows::Rows;
+use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::Crash;
 use crate::decide::CrashBlame;
 use crate::decide::Hold;
 use crate::decide::PartId;
 use crate::decide::PartVerdict;
+use crate::decide::Suspect;
 use crate::logs::Logs;
 use slog::info;
 use slog::warn;
@@ -40,6 +43,7 @@
 #[derive(Debug, Default)]
 pub(super) struct State {
     pub(super) blame: CrashBlame,
+    breaks: Breaks,
     rows: Rows,
     is_loaded: bool,
     /// Data centres of which this gateway lost most servers at once, and when.
@@ -99,6 +103,34 @@
         }
     }
 
+    /// Records that `suspect` broke off at `at` at a server that accepts connections.
+    pub(super) fn record_break(&self, server: &BackendServer, suspect: Suspect, at: BootInstant) {
+        self.lock().breaks.record(server, suspect, at);
+    }
+
+    /// Returns whether the cause of some breaks is not known yet.
+    pub(super) fn has_breaks(&self) -> bool {
+        !self.lock().breaks.is_empty()
+    }
+
+    /// Returns the breaks that the server list explains by crashes; they are not returned again.
+    pub(super) fn take_broken_crashes(&self, listed: &[BackendServer]) -> Vec<Crash> {
+        self.lock().breaks.take_crashes(listed, BootInstant::now())
+    }
+
+    /// Records that a server answered `whole` at `at` from its beginning to its end. What nobody suspects is forgotten at
+    /// once.
+    pub fn record_whole_answer(&self, whole: PartId, at: BootInstant) {
+        if self.lock().blame.concerns(whole) {
+            self.record(CrashEvent::Sound(whole, at), RecordSource::Own);
+        }
+    }
+
+    /// Returns whether anything is suspect or held, so that requests must be compared with it.
+    pub fn is_active(&self) -> bool {
+        self.lock().blame.is_active()
+    }
+
     /// Lets a held part through at all gateways, for an operator. Returns whether it was held.
     pub fn release(&self, part: PartId) -> bool {
         let is_held = self
@@ -122,11 +154,7 @@
         let holds = state.blame.holds().iter();
         let count = |part| {
             let crashes = state.blame.crashes().iter();
-            let with_part = crashes.filter(|crash| {
-                let mut suspects = crash.suspects.iter();
-                suspects.any(|suspect| suspect.parts.contains(&part))
-            });
-            with_part.count()
+            crashes.filter(|crash| crash.has(part)).count()
         };
         holds
             .map(|hold| HeldPart {
@@ -268,16 +296,13 @@
     }
 }
 
-/// Returns the parts of the suspect requests of a crash: those of a request separated by commas, requests by semicolons.
+/// Returns what is suspect of a crash: for each request the parts of its prompt and the request itself, separated by commas, and
+/// semicolons between requests.
 fn suspect_parts(crash: &Crash) -> String {
-    let format = |parts: &[PartId]| {
-        let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    let format = |suspect: &Suspect| {
+        let ids: Vec<String> = suspect.ids().map(|id| format!("{id:x}")).collect();
         ids.join(",")
     };
-    let requests: Vec<String> = crash
-        .suspects
-        .iter()
-        .map(|suspect| format(&suspect.parts))
-        .collect();
+    let requests: Vec<String> = crash.suspects.iter().map(format).collect();
     requests.join(";")
 }
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -90,6 +90,7 @@
         suspects: vec![Suspect {
             request: age_ms,
             parts: vec![BAD],
+            whole: None,
             sent_at: at.before(Duration::from_millis(20)),
         }],
     }
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -87,6 +87,7 @@
         let suspect = Suspect {
             request: number as u64,
             parts: vec![BAD],
+            whole: None,
             sent_at: BootInstant::now().before(ms(age_ms)),
         };
         let server = &self.listed[number];
