--- a/src/decide/crash_blame.rs
+++ b/src/decide/crash_blame.rs
@@ -419,6 +419,23 @@
         &self.holds
     }
 
+    /// Returns what is left of the suspects of `crash` after answers and retractions; `None` if nothing is, or if the crash
+    /// is forgotten.
+    pub fn current(&self, crash: &Crash) -> Option<Crash> {
+        let known = self.crashes.iter().find(|known| known.is_of(crash))?;
+        let is_reported = |suspect: &&Suspect| {
+            let mut reported = crash.suspects.iter();
+            !suspect.parts.is_empty() && reported.any(|one| one.request == suspect.request)
+        };
+        let left = known.suspects.iter().filter(is_reported);
+        let suspects: Vec<Suspect> = left.cloned().collect();
+        let crash = Crash {
+            suspects,
+            ..crash.clone()
+        };
+        (!crash.suspects.is_empty()).then_some(crash)
+    }
+
     /// Returns the known crashes in order of time.
     pub fn crashes(&self) -> &[Crash] {
         &self.crashes
--- a/src/quarantine/rows.rs
+++ b/src/quarantine/rows.rs
@@ -3,6 +3,7 @@
 use super::record::CrashEvent;
 use super::record::Records;
 use crate::clock::BootInstant;
+use crate::decide::CrashBlame;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -46,32 +47,42 @@
         }
     }
 
-    /// Returns the records numbered from `first` on that come from one of `sources` and for which `is_current` holds,
-    /// and the number to continue from.
+    /// Returns the records numbered from `first` on that come from one of `sources`, and the number to continue from. Of
+    /// what is no longer so, `blame` tells what is left: a gateway that starts may not hear of the answers since.
     pub(super) fn records_from(
         &self,
         first: u64,
         sources: &[RecordSource],
         now: BootInstant,
-        is_held: &dyn Fn(u64) -> bool,
+        blame: &CrashBlame,
     ) -> (Records, u64) {
         let first = first.clamp(
             self.first_number,
             self.first_number + self.rows.len() as u64,
         );
         let skipped = usize::try_from(first - self.first_number).unwrap_or(usize::MAX);
-        let is_current = |event: &CrashEvent| match event {
-            CrashEvent::Hold(hold) => is_held(hold.part),
-            CrashEvent::Crash(_)
-            | CrashEvent::Sound(..)
-            | CrashEvent::Release(..)
-            | CrashEvent::Seen(_) => now.since(event.at()) < MAX_ROW_AGE,
+        let is_recent = |event: &CrashEvent| now.since(event.at()) < MAX_ROW_AGE;
+        let current = |event: &CrashEvent| match event {
+            CrashEvent::Hold(hold) => {
+                let mut holds = blame.holds().iter();
+                let is_held = holds.any(|known| known.part == hold.part);
+                is_held.then(|| event.clone())
+            }
+            CrashEvent::Crash(crash) if is_recent(event) => {
+                blame.current(crash).map(CrashEvent::Crash)
+            }
+            CrashEvent::Crash(_) => None,
+            CrashEvent::Sound(..) | CrashEvent::Release(..) | CrashEvent::Seen(_) => {
+                is_recent(event).then(|| event.clone())
+            }
         };
         let rows = self.rows.iter().skip(skipped).take(MAX_ROWS_SENT);
         let next = first + rows.len() as u64;
-        let current = rows.filter(|row| sources.contains(&row.source) && is_current(&row.event));
+        let events = rows
+            .filter(|row| sources.contains(&row.source))
+            .filter_map(|row| current(&row.event));
         let mut records = Records::default();
-        current.for_each(|row| row.event.add_to(&mut records, now));
+        events.for_each(|event| event.add_to(&mut records, now));
         (records, next)
     }
 }
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -180,8 +180,7 @@
         now: BootInstant,
     ) -> (Records, u64) {
         let state = self.lock();
-        let is_held = |part| state.blame.holds().iter().any(|hold| hold.part == part);
-        state.rows.records_from(first, sources, now, &is_held)
+        state.rows.records_from(first, sources, now, &state.blame)
     }
 
     /// Returns a receiver that is notified of each change.
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -3,6 +3,7 @@
 use super::ALL;
 use super::BAD;
 use super::MemoryLedger;
+use super::crash;
 use super::holding;
 use super::incarnation;
 use super::is_held;
@@ -178,6 +179,26 @@
     assert!(!is_held(&cut_off));
 }
 
+#[test]
+fn a_gateway_that_starts_later_learns_of_no_crash_that_an_answer_explained() {
+    let (first, second, late) = (quarantine(), quarantine(), quarantine());
+    first.record_crash(crash(1_000));
+    send(&first, &second, &ALL, RecordSource::Member);
+    second.record_sound(&[BAD], BootInstant::now().before(ms(500)));
+    send(&second, &first, &ALL, RecordSource::Relay);
+
+    // The gateway that saw the answer has ended, and others tell what they saw themselves.
+    send(
+        &first,
+        &late,
+        &[RecordSource::Own, RecordSource::Member],
+        RecordSource::Relay,
+    );
+    late.record_crash(crash(100));
+
+    assert!(!is_held(&late));
+}
+
 #[test]
 fn a_retraction_reaches_all_gateways() {
     let (first, relay, member) = (holding(100), quarantine(), quarantine());
