--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -29,6 +29,7 @@
 pub use follow::ServerRead;
 pub use follow::SourceError;
 pub use roster::BackendServer;
+pub use roster::PeerServer;
 pub use roster::Roster;
 pub use roster::ServerEntry;
 pub use roster::ServerRecord;
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -52,6 +52,15 @@
     pub entry: ServerEntry,
 }
 
+/// A backend server on a peer's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerServer {
+    /// The server with the newest report that the peer has.
+    pub server: BackendServer,
+    /// End of the server's grace period at the peer, if it is in one.
+    pub grace_until: Option<BootInstant>,
+}
+
 /// Status of a server on the list.
 #[derive(Clone, Debug)]
 enum ServerStatus {
@@ -100,6 +109,29 @@
         }
     }
 
+    /// Takes over a server from a peer's list that was read later than this one; returns whether anything changed that
+    /// matters for the choice of servers.
+    ///
+    /// The server's grace period is the peer's too: whether it reports again or leaves is known there first.
+    pub fn apply_peer_server(&mut self, peer: PeerServer) -> bool {
+        let PeerServer {
+            server: BackendServer { id, entry },
+            grace_until,
+        } = peer;
+        let status = match grace_until {
+            Some(until) => ServerStatus::InGracePeriod { until },
+            None => ServerStatus::Listed,
+        };
+        match self.rows.binary_search_by(|row| row.id.cmp(&id)) {
+            Ok(index) => self.rows[index].take_over(entry, status),
+            Err(index) => {
+                let entry = Some(entry);
+                self.rows.insert(index, Row { id, entry, status });
+                true
+            }
+        }
+    }
+
     /// Adds a row at `index` for a server that has none, and returns whether the server is now listed.
     fn insert(&mut self, index: usize, id: &str, record: ServerRecord) -> bool {
         let (entry, status) = match record {
@@ -118,7 +150,7 @@
     }
 
     /// Removes every server missing from `names`, the sorted names of the complete list: at `grace_until` if it is set,
-    /// otherwise at once. Returns the names of the servers that are no longer listed.
+    /// otherwise at once. Returns the names of the servers that changed.
     pub fn keep_only(&mut self, names: &[String], grace_until: Option<BootInstant>) -> Vec<String> {
         let mut removed = Vec::new();
         for row in &mut self.rows {
@@ -155,6 +187,12 @@
         expired
     }
 
+    /// Returns the servers in their grace period, sorted by name, with the ends of these periods.
+    pub fn grace_ends(&self) -> Vec<(String, BootInstant)> {
+        let end = |row: &Row| Some((row.id.clone(), row.grace_until()?));
+        self.rows.iter().filter_map(end).collect()
+    }
+
     /// Returns the servers on the list and those in their grace period, draining ones included, sorted by name.
     pub fn listed(&self) -> Vec<BackendServer> {
         let server = |row: &Row| {
@@ -169,9 +207,10 @@
 }
 
 impl Row {
-    /// Applies a record and returns whether anything changed that matters for the choice of servers.
+    /// Applies a record and returns whether anything changed that matters for the choice of servers, here or at a peer
+    /// that holds a copy of the list.
     fn update(&mut self, record: ServerRecord, grace_until: Option<BootInstant>) -> bool {
-        let before = self.listed().cloned();
+        let before = self.clone();
         match record {
             ServerRecord::Report(entry) => self.apply_report(entry),
             ServerRecord::Removed => self.remove(grace_until),
@@ -182,9 +221,38 @@
                 }
             }
         }
-        match (&before, self.listed()) {
-            (Some(before), Some(after)) => before.differs(after),
-            (before, after) => before.is_some() != after.is_some(),
+        self.differs(&before)
+    }
+
+    /// Takes over a peer's report and status, unless the report is a delayed copy; returns whether anything changed, as
+    /// [`Self::update`] does.
+    fn take_over(&mut self, entry: ServerEntry, status: ServerStatus) -> bool {
+        let is_removed = matches!(self.status, ServerStatus::Removed);
+        if self.is_delayed(&entry, is_removed) {
+            return false;
+        }
+        let entry = Some(entry);
+        let id = self.id.clone();
+        let before = std::mem::replace(self, Row { id, entry, status });
+        self.differs(&before)
+    }
+
+    /// Returns whether the rows differ in whether the server is listed or in its grace period, or in more of its report
+    /// than the sequence number.
+    fn differs(&self, other: &Self) -> bool {
+        let differs = match (self.listed(), other.listed()) {
+            (Some(own), Some(other)) => own.differs(other),
+            (own, other) => own.is_some() != other.is_some(),
+        };
+        // A peer that has read the removal itself needs to know that the server has reported again.
+        differs || self.grace_until().is_some() != other.grace_until().is_some()
+    }
+
+    /// Returns the end of the server's grace period if it is in one.
+    fn grace_until(&self) -> Option<BootInstant> {
+        match self.status {
+            ServerStatus::InGracePeriod { until } => Some(until),
+            _ => None,
         }
     }
 
@@ -200,20 +268,22 @@
     /// Applies a report, unless it is a delayed copy: older than the newest known one, or the same one although the
     /// server was removed in the meantime.
     fn apply_report(&mut self, entry: ServerEntry) {
-        let order = |entry: &ServerEntry| (entry.start_time_ms, entry.sequence);
-        if let Some(known) = &self.entry {
-            let is_removed = matches!(
-                self.status,
-                ServerStatus::Removed | ServerStatus::InGracePeriod { .. }
-            );
-            let is_delayed =
-                order(&entry) < order(known) || (is_removed && order(&entry) == order(known));
-            if is_delayed {
-                return;
-            }
+        let is_removed = matches!(
+            self.status,
+            ServerStatus::Removed | ServerStatus::InGracePeriod { .. }
+        );
+        if !self.is_delayed(&entry, is_removed) {
+            self.status = ServerStatus::Listed;
+            self.entry = Some(entry);
         }
-        self.status = ServerStatus::Listed;
-        self.entry = Some(entry);
+    }
+
+    /// Returns whether `entry` is older than the newest known report or, if `is_removed`, the same one.
+    fn is_delayed(&self, entry: &ServerEntry, is_removed: bool) -> bool {
+        let order = |entry: &ServerEntry| (entry.start_time_ms, entry.sequence);
+        self.entry.as_ref().is_some_and(|known| {
+            order(entry) < order(known) || (is_removed && order(entry) == order(known))
+        })
     }
 
     /// Removes the server, at once or at the end of the grace period.
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -3,6 +3,7 @@
 use super::config::Configuration;
 use super::follow::Position;
 use super::roster::BackendServer;
+use super::roster::PeerServer;
 use super::roster::Roster;
 use super::roster::ServerRecord;
 use super::version_history::SeenVersion;
@@ -73,6 +74,8 @@
     version_history: VersionHistory,
     /// Start of the last successful read of the server list, by this node or by a peer.
     list_read_at: Option<BootInstant>,
+    /// Number of this node's own successful reads of the server list.
+    own_list_reads: u64,
     /// Whether this node's reads of the configuration are failing.
     is_config_failing: bool,
     /// Whether this node's reads of the server list are failing.
@@ -183,23 +186,22 @@
         age.is_some_and(|age| age < state.bounds.max_denial_age)
     }
 
-    /// Records a successful read of the list that began at `began`; must be called before its records are applied.
+    /// Records this node's own successful read of the list that began at `began`; must be called before its records are
+    /// applied.
     ///
     /// After a long gap, entries of servers that still run may have expired, so removals take effect only after the
     /// grace period. Unless `has_all_changes`, which says that the read returned every change since the last one, servers
     /// may also have come and gone unseen.
     pub fn record_list_read(&self, began: BootInstant, has_all_changes: bool) {
         let mut state = self.lock();
-        let bounds = state.bounds;
-        let gap = state.list_read_at.map(|last| began.since(last));
-        let has_gap = gap.is_some_and(|gap| gap > bounds.max_list_gap);
-        if has_gap {
-            state.grace_until = Some(BootInstant::now().plus(bounds.list_grace));
-        }
-        if gap.is_none() || (has_gap && !has_all_changes) {
-            state.version_history.restart(began);
-        }
-        state.list_read_at = Some(began);
+        state.own_list_reads += 1;
+        state.record_list_read(began, has_all_changes);
+    }
+
+    /// Returns the number of this node's own successful reads of the server list. While it is the same, the servers are
+    /// those of the last list that a peer sent.
+    pub fn own_list_reads(&self) -> u64 {
+        self.lock().own_list_reads
     }
 
     /// Starts the grace period because the source was restored from a copy, so entries of servers that still run may be
@@ -240,31 +242,41 @@
 
     /// Applies the server list that a peer held as of `read_at`: a complete list, or `None` if it is unchanged.
     ///
-    /// A list older than the last read recorded here is ignored. Returns the names of the servers that changed.
+    /// Returns the names of the servers that changed, or `None` if the list is older than the last read recorded here
+    /// and was ignored.
     pub fn apply_peer_servers(
         &self,
-        servers: Option<Vec<BackendServer>>,
+        servers: Option<Vec<PeerServer>>,
         read_at: BootInstant,
-    ) -> Vec<String> {
-        if self.lock().list_read_at.is_some_and(|last| last > read_at) {
-            return Vec::new();
+    ) -> Option<Vec<String>> {
+        let mut state = self.lock();
+        if state.list_read_at.is_some_and(|last| last > read_at) {
+            return None;
         }
-        self.record_list_read(read_at, false);
+        state.record_list_read(read_at, false);
         let now = BootInstant::now();
-        let Some(servers) = servers else {
-            return self.expire_servers(now);
-        };
-        let mut names: Vec<String> = servers.iter().map(|server| server.id.clone()).collect();
-        names.sort();
-        let records = servers
-            .into_iter()
-            .map(|server| (server.id, ServerRecord::Report(server.entry)));
-        let mut changed = self.apply_servers(records.collect(), now);
-        // The peer's list still contains servers in their grace period, so a server missing from it is removed at once.
-        let mut state = self.lock();
-        let removed = state.roster.keep_only(&names, None);
-        changed.extend(state.refresh_lists(now, removed));
-        changed
+        let mut changed = Vec::new();
+        if let Some(servers) = servers {
+            let mut names = Vec::new();
+            for peer in servers {
+                let id = peer.server.id.clone();
+                state.version_history.record_report(&peer.server.entry, now);
+                if state.roster.apply_peer_server(peer) {
+                    changed.push(id.clone());
+                }
+                names.push(id);
+            }
+            names.sort();
+            // The peer's list still contains servers in their grace period, so a server missing from it is removed at
+            // once.
+            changed.extend(state.roster.keep_only(&names, None));
+        }
+        Some(state.refresh_lists(now, changed))
+    }
+
+    /// Returns the servers in their grace period, sorted by name, with the ends of these periods.
+    pub fn grace_ends(&self) -> Vec<(String, BootInstant)> {
+        self.lock().roster.grace_ends()
     }
 
     /// Removes the servers whose grace period is over; returns their names.
@@ -355,6 +367,7 @@
             servers_version: 0,
             version_history: VersionHistory::default(),
             list_read_at: None,
+            own_list_reads: 0,
             is_config_failing: false,
             is_list_failing: false,
             grace_until: None,
@@ -365,6 +378,20 @@
         self.config_verified_at.map(|at| now.since(at))
     }
 
+    /// Records a successful read of the list, by this node or a peer, as [`Catalog::record_list_read`] describes.
+    fn record_list_read(&mut self, began: BootInstant, has_all_changes: bool) {
+        let bounds = self.bounds;
+        let gap = self.list_read_at.map(|last| began.since(last));
+        let has_gap = gap.is_some_and(|gap| gap > bounds.max_list_gap);
+        if has_gap {
+            self.grace_until = Some(BootInstant::now().plus(bounds.list_grace));
+        }
+        if gap.is_none() || (has_gap && !has_all_changes) {
+            self.version_history.restart(began);
+        }
+        self.list_read_at = Some(began);
+    }
+
     /// Removes servers whose grace period is over and, if any server changed, rebuilds the lists and raises their
     /// version; returns the names of all changed servers.
     fn refresh_lists(&mut self, now: BootInstant, mut changed: Vec<String>) -> Vec<String> {
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -6,6 +6,7 @@
 use super::ConfigChange;
 use super::Configuration;
 use super::Limits;
+use super::PeerServer;
 use super::RetryMode;
 use super::Route;
 use super::SeenVersion;
@@ -209,18 +210,39 @@
     assert_eq!(usable(&catalog), ["a"]);
 }
 
+#[test]
+fn a_server_that_enters_or_leaves_its_grace_period_changes_the_version_of_the_list() {
+    let (catalog, now) = after_list_gap(MAX_LIST_GAP * 2);
+    let version = || catalog.listed().1;
+    let listed = version();
+
+    catalog.apply_servers(vec![removed("a")], now);
+    let in_grace = version();
+    catalog.apply_servers(vec![report("a", 2, false, 1)], now.plus(GRACE / 2));
+    let listed_again = version();
+    catalog.apply_servers(vec![report("a", 3, false, 1)], now.plus(GRACE / 2));
+
+    assert!(listed < in_grace);
+    assert!(in_grace < listed_again);
+    assert_eq!(version(), listed_again);
+}
+
 #[test]
 fn servers_missing_from_a_peers_list_are_removed_at_once_even_after_a_gap() {
     let (catalog, now) = after_list_gap(MAX_LIST_GAP * 2);
-    let peer_servers = vec![BackendServer {
+    let server = BackendServer {
         id: "b".to_owned(),
         entry: entry(2, false, 1),
+    };
+    let peer_servers = vec![PeerServer {
+        server,
+        grace_until: None,
     }];
 
     let changed =
         catalog.apply_peer_servers(Some(peer_servers), now.plus(Duration::from_millis(1)));
 
-    assert_eq!(changed, ["a"]);
+    assert_eq!(changed, Some(vec!["a".to_owned()]));
     assert_eq!(usable(&catalog), ["b"]);
 }
 
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -199,6 +199,9 @@
 pub(super) struct SyncedServer {
     pub(super) id: String,
     pub(super) entry: ServerEntry,
+    /// Time until the end of the server's grace period at the responding node, if it is in one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) grace_left_ms: Option<u64>,
 }
 
 /// Response to a [`SyncRequest`].
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod node;
 mod serve;
+mod server_list;
 mod streams;
 #[cfg(test)]
 mod tests;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -19,10 +19,11 @@
 use super::message::pack;
 use super::message::unpack;
 use super::serve;
+use super::server_list::ReceivedList;
+use super::server_list::SyncedList;
 use super::streams::RecordSource;
 use super::streams::StreamDirectory;
 use super::streams::StreamTable;
-use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Configuration;
 use crate::catalog::Position;
@@ -267,7 +268,7 @@
                 .catalog
                 .configuration()
                 .map(|configuration| configuration.version()),
-            servers_stamp: received.servers,
+            servers_stamp: received.servers.stamp(&self.catalog),
             nodes_stamp: received.nodes,
             // The caller sets this to the records that the receiver does not have yet.
             streams: Vec::new(),
@@ -309,13 +310,14 @@
     /// never taken for newer than it is.
     fn apply_response(
         &self,
-        response: SyncResponse,
+        mut response: SyncResponse,
         sent_at: BootInstant,
         own: &[LoadEntry],
         received: &mut ReceivedStamps,
     ) {
         if let Some(configuration) = response
             .config
+            .take()
             .and_then(|bytes| self.unpacked_configuration(&bytes))
         {
             let version = configuration.version();
@@ -340,32 +342,12 @@
                 self.catalog.record_config_position(position);
             }
         }
-        if let Some(age_ms) = response.servers_age_ms {
-            let read_at = sent_at.before(Duration::from_millis(age_ms));
-            let servers = response.servers.map(|servers| {
-                let servers = servers.into_iter().map(|server| BackendServer {
-                    id: server.id,
-                    entry: server.entry,
-                });
-                servers.collect()
-            });
-            // With the known stamp the list is unchanged, and only its age is updated. A new stamp without its list is
-            // ignored.
-            let is_new_list = received.servers != Some(response.servers_stamp);
-            if servers.is_some() || !is_new_list {
-                let changed = self.catalog.apply_peer_servers(servers, read_at);
-                if !changed.is_empty() {
-                    info!(self.logs.log(), "servers told"; "changed" => changed.join(","),
-                        "age_ms" => age_ms);
-                }
-                received.servers = Some(response.servers_stamp);
-                // Recorded so that this node reads on from where the peer's list ends when it reads the source itself,
-                // as the relay or because the data received from peers is stale.
-                if let Some(offset) = response.servers_position {
-                    let era = response.servers_era;
-                    let position = Position { era, offset };
-                    self.catalog.record_servers_position(position);
-                }
+        if let Some(list) = SyncedList::take_from(&mut response) {
+            let age_ms = response.servers_age_ms;
+            let changed = received.servers.apply(&self.catalog, list, sent_at);
+            if !changed.is_empty() {
+                info!(self.logs.log(), "servers told"; "changed" => changed.join(","),
+                    "age_ms" => age_ms);
             }
         }
         self.apply_version_history(response.version_history);
@@ -392,7 +374,7 @@
 /// Stamps of the lists last received on a connection, sent back so that unchanged lists are left out of responses.
 #[derive(Debug, Default)]
 struct ReceivedStamps {
-    servers: Option<Stamp>,
+    servers: ReceivedList,
     nodes: Option<Stamp>,
 }
 
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -2,11 +2,11 @@
 
 use super::message::SyncRequest;
 use super::message::SyncResponse;
-use super::message::SyncedServer;
 use super::message::SyncedVersionHistory;
 use super::message::decode;
 use super::message::encode;
 use super::node::Shared;
+use super::server_list::synced_servers;
 use super::streams::RecordSource;
 use super::streams::StreamLookup;
 use super::streams::StreamLookupResponse;
@@ -143,13 +143,7 @@
         servers_position: servers_position.map(|position| position.offset),
         servers_era: servers_position.unwrap_or_default().era,
         servers_stamp,
-        servers: wants_servers.then(|| {
-            let synced = servers.iter().map(|server| SyncedServer {
-                id: server.id.clone(),
-                entry: server.entry.clone(),
-            });
-            synced.collect()
-        }),
+        servers: wants_servers.then(|| synced_servers(&shared.catalog, &servers, now)),
         nodes_stamp,
         nodes: wants_nodes.then_some(nodes),
         crash_records,
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -1,16 +1,26 @@
-//! Tests of load sums and of the encoding of messages between gateways.
+//! Tests of load sums, of the server list that gateways take from each other, and of the encoding of messages between them.
 
 use super::load_table::LoadTable;
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
 use super::message::LoadEntry;
 use super::message::ServerRequests;
+use super::message::Stamp;
 use super::message::pack;
 use super::message::unpack;
+use super::server_list::ReceivedList;
+use super::server_list::SyncedList;
+use super::server_list::synced_servers;
 use super::streams::RecordSource;
 use super::streams::StreamRecords;
 use super::streams::StreamTable;
+use crate::catalog::Catalog;
+use crate::catalog::CatalogBounds;
+use crate::catalog::Position;
+use crate::catalog::ServerEntry;
+use crate::catalog::ServerRecord;
 use crate::clock::BootInstant;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 fn load(server: &str, in_flight: u32) -> LoadEntry {
@@ -171,3 +181,166 @@
     let (sent, _) = table.records_from(0, &[RecordSource::Own], later);
     assert_eq!(sent, [stream_records("v1", &[(2, 20_000), (3, 10_000)])]);
 }
+
+const GRACE: Duration = Duration::from_secs(2);
+
+/// A gateway's catalog, with what it has received on its connection to another gateway.
+struct Member {
+    catalog: Catalog,
+    received: ReceivedList,
+}
+
+impl Member {
+    /// Returns a member whose list of servers a and b was last read at `read_at`.
+    fn new(read_at: BootInstant) -> Self {
+        let catalog = Catalog::new(CatalogBounds {
+            max_key_verification_age: None,
+            max_denial_age: Duration::from_secs(2),
+            list_grace: GRACE,
+            max_list_gap: Duration::from_millis(2_400),
+        });
+        catalog.record_list_read(read_at, false);
+        catalog.apply_servers(vec![report("a", 1), report("b", 1)], read_at);
+        let received = ReceivedList::default();
+        Self { catalog, received }
+    }
+
+    /// Reads `records` from the store, with the end of the list at `offset`.
+    fn read(&self, offset: u64, records: Vec<(String, ServerRecord)>, now: BootInstant) {
+        self.catalog.record_list_read(now, true);
+        self.catalog.apply_servers(records, now);
+        let position = Position { era: 0, offset };
+        self.catalog.record_servers_position(position);
+    }
+
+    /// Syncs from `peer` at `now`, as the messages between gateways do.
+    fn sync(&mut self, peer: &Catalog, now: BootInstant) {
+        let (servers, version) = peer.listed();
+        let start_time_ms = 1;
+        let stamp = Stamp {
+            start_time_ms,
+            version,
+        };
+        let is_known = self.received.stamp(&self.catalog) == Some(stamp);
+        let list = SyncedList {
+            age: peer.list_age(now).unwrap(),
+            position: peer.servers_position(),
+            stamp,
+            servers: (!is_known).then(|| synced_servers(peer, &servers, now)),
+        };
+        self.received.apply(&self.catalog, list, now);
+    }
+
+    fn usable(&self) -> Vec<String> {
+        let (servers, _) = self.catalog.servers();
+        servers.iter().map(|server| server.id.clone()).collect()
+    }
+}
+
+fn report(id: &str, sequence: u64) -> (String, ServerRecord) {
+    let entry = ServerEntry {
+        service: "app".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        data_centre: "north".to_owned(),
+        software_version: Some("v1".to_owned()),
+        slots: 6,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+        sequence,
+        start_time_ms: 1,
+    };
+    (id.to_owned(), ServerRecord::Report(entry))
+}
+
+fn removed(id: &str) -> (String, ServerRecord) {
+    (id.to_owned(), ServerRecord::Removed)
+}
+
+/// Returns a relay and a member that synced from it until an outage of the store began `outage` before now.
+fn during_outage(outage: Duration) -> (Member, Member, BootInstant) {
+    let now = BootInstant::now();
+    let began = now.before(outage);
+    let relay = Member::new(began);
+    let mut member = Member::new(began);
+    member.sync(&relay.catalog, began);
+    (relay, member, now)
+}
+
+const OUTAGE: Duration = Duration::from_secs(5);
+
+#[test]
+fn a_server_that_reports_again_only_to_the_relay_stays_in_use_at_a_member_that_read_its_removal() {
+    let (relay, mut member, now) = during_outage(OUTAGE);
+    let after = |millis| now.plus(Duration::from_millis(millis));
+    member.read(10, vec![removed("a")], now);
+    relay.read(10, vec![removed("a")], after(100));
+    member.sync(&relay.catalog, after(200));
+
+    relay.read(11, vec![report("a", 2)], after(900));
+    member.sync(&relay.catalog, after(1_000));
+    member.catalog.expire_servers(after(9_000));
+
+    assert_eq!(member.usable(), ["a", "b"]);
+}
+
+#[test]
+fn a_member_that_read_a_removal_itself_takes_over_the_list_of_a_relay_that_did_not_see_it() {
+    let (relay, mut member, now) = during_outage(OUTAGE);
+    let after = |millis| now.plus(Duration::from_millis(millis));
+    member.read(10, vec![removed("a")], now);
+
+    // The relay reads only the newest records, and its list is the one that the member had before.
+    relay.read(11, vec![report("a", 2), report("b", 2)], after(900));
+    member.sync(&relay.catalog, after(1_000));
+    member.catalog.expire_servers(after(9_000));
+
+    assert_eq!(member.usable(), ["a", "b"]);
+}
+
+#[test]
+fn a_list_older_than_a_members_own_read_counts_as_not_received() {
+    let (relay, mut member, now) = during_outage(OUTAGE);
+    let after = |millis| now.plus(Duration::from_millis(millis));
+    member.read(10, vec![removed("a")], now);
+    let position = Position { era: 0, offset: 12 };
+    relay.catalog.record_servers_position(position);
+
+    member.sync(&relay.catalog, after(200));
+
+    assert_eq!(member.received.stamp(&member.catalog), None);
+    assert_eq!(member.catalog.servers_position().unwrap().offset, 10);
+}
+
+#[test]
+fn a_server_that_reports_again_stays_in_use_at_the_member_of_a_member() {
+    let (relay, mut member, now) = during_outage(OUTAGE);
+    let after = |millis| now.plus(Duration::from_millis(millis));
+    let mut last = Member::new(now.before(OUTAGE));
+    last.read(10, vec![removed("a")], now);
+    relay.read(10, vec![removed("a")], after(100));
+    member.sync(&relay.catalog, after(200));
+    last.sync(&member.catalog, after(300));
+
+    relay.read(11, vec![report("a", 2)], after(900));
+    member.sync(&relay.catalog, after(1_000));
+    last.sync(&member.catalog, after(1_100));
+    last.catalog.expire_servers(after(9_000));
+
+    assert_eq!(last.usable(), ["a", "b"]);
+}
+
+#[test]
+fn a_server_in_its_grace_period_leaves_at_its_end_also_at_a_member_that_loses_its_relay() {
+    let (relay, mut member, now) = during_outage(OUTAGE);
+    let after = |millis| now.plus(Duration::from_millis(millis));
+    relay.read(10, vec![removed("a")], now);
+    member.sync(&relay.catalog, after(100));
+    let in_grace = member.usable();
+
+    // The member reads on from the relay's position, behind the removal.
+    member.read(10, Vec::new(), after(1_000));
+    member.catalog.expire_servers(after(9_000));
+
+    assert_eq!(in_grace, ["a", "b"]);
+    assert_eq!(member.usable(), ["b"]);
+}
