--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -348,3 +348,42 @@
     assert_eq!(catalog.only_version("app", earlier(30)), None);
     assert_eq!(catalog.only_version("app", earlier(90)), None);
 }
+
+fn peer_server(id: &str, entry: ServerEntry) -> PeerServer {
+    PeerServer {
+        server: BackendServer {
+            id: id.to_owned(),
+            entry,
+        },
+        grace_until: None,
+    }
+}
+
+#[test]
+fn a_peers_list_ends_the_grace_period_of_the_servers_it_contains() {
+    let (catalog, now) = after_list_gap(Duration::from_secs(5));
+    catalog.apply_whole_list(&["a".to_owned()], now);
+    let on_peers_list = ["a", "b"].map(|id| peer_server(id, entry(1, false, 1)));
+
+    catalog.apply_peer_servers(
+        Some(on_peers_list.to_vec()),
+        now.plus(Duration::from_millis(100)),
+    );
+    catalog.expire_servers(now.plus(GRACE * 2));
+
+    assert_eq!(usable(&catalog), ["a", "b"]);
+}
+
+#[test]
+fn a_server_that_left_the_list_returns_with_a_later_list_of_a_peer() {
+    let (catalog, now) = after_list_gap(Duration::from_secs(5));
+    catalog.apply_whole_list(&["a".to_owned()], now);
+    catalog.expire_servers(now.plus(GRACE * 2));
+
+    assert_eq!(usable(&catalog), ["a"]);
+    let on_peers_list = ["a", "b"].map(|id| peer_server(id, entry(2, false, 1)));
+
+    catalog.apply_peer_servers(Some(on_peers_list.to_vec()), now.plus(GRACE * 3));
+
+    assert_eq!(usable(&catalog), ["a", "b"]);
+}
