--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -5,6 +5,7 @@
 mod crash_blame;
 mod crash_burst;
 mod crash_evidence;
+mod crashing_requests;
 mod drain;
 mod failover;
 mod health;
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -1,5 +1,6 @@
 //! Records of crashes between gateways, and the held parts in the store.
 
+mod breaks;
 mod evidence;
 
 use super::ledger::HoldLedger;
