--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,6 +1,6 @@
-//! Holds back requests whose prompts have a part that crashes servers.
+//! Holds back requests that crash servers: those with a part in their prompts that does, and whole requests that come again.
 //!
-//! A gateway that sees a server crash tells the others which requests the server had not begun to answer, and every
+//! A gateway that sees a server crash tells the others which requests the server had not answered whole, and every
 //! gateway draws the same conclusions from these reports ([`crate::decide::CrashBlame`]). A crash that turns out to be
 //! none, since the server is seen to run on, is retracted everywhere. The held parts are also kept in
 //! the store, so that they outlive a restart of all gateways. See `docs/CRASHING-PARTS.md`.
