--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -30,8 +30,10 @@
 
 impl Quarantine {
     /// Records `suspect`, which `server` has not answered whole, if the server has crashed. Returns whether it has, as far as
-    /// can be told now: one that accepts connections may have crashed and be back, which the server list tells later. `listed` are the servers that the gateway may use: if many others are lost at the same time, none
-    /// has crashed under a request.
+    /// can be told now: one that accepts connections may have crashed and be back, which the server list tells later.
+    ///
+    /// `listed` are the servers that the gateway may use: if many others are lost at the same time, none has crashed under a
+    /// request.
     pub async fn report_break(
         &self,
         server: &BackendServer,
@@ -40,39 +42,35 @@
     ) -> bool {
         let at = BootInstant::now();
         let incarnation = Incarnation::of(server);
-        let crash = |suspect| Crash {
-            server: server.id.clone(),
-            start_time_ms: server.entry.start_time_ms,
-            at,
-            suspects: vec![suspect],
-        };
-        if self.is_known_crash(&incarnation) {
-            let was_gone = self.was_gone(&incarnation, suspect.sent_at);
-            if !was_gone {
-                self.record_crash(crash(suspect));
-            }
-            return !was_gone;
-        }
-        match connect(server.entry.address).await {
-            Probe::Refused => {}
-            Probe::Accepted => {
-                self.record_break(server, suspect, at);
-                return false;
+        if !self.is_known_crash(&incarnation) {
+            match connect(server.entry.address).await {
+                Probe::Refused => {}
+                Probe::Accepted => {
+                    self.record_break(server, suspect, at);
+                    return false;
+                }
+                Probe::Silent => return false,
             }
-            Probe::Silent => return false,
         }
-        // Connections to other servers break at the same moment; the first of their reports finds out for all.
+        // Other connections break at the same moment; the first of their reports finds out for all.
         let _turn = self.probing.lock().await;
         if self.was_gone(&incarnation, suspect.sent_at)
             || self.has_common_loss(&server.entry.data_centre, at)
         {
             return false;
         }
-        if self.has_lost_others(server, &suspect, listed).await {
+        if !self.is_known_crash(&incarnation)
+            && self.has_lost_others(server, &suspect, listed).await
+        {
             self.record_common_loss(server);
             return false;
         }
-        self.record_crash(crash(suspect));
+        self.record_crash(Crash {
+            server: server.id.clone(),
+            start_time_ms: server.entry.start_time_ms,
+            at,
+            suspects: vec![suspect],
+        });
         true
     }
 
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -111,6 +111,35 @@
     assert!(is_held(&gateway));
 }
 
+#[tokio::test]
+async fn requests_that_break_off_at_one_crash_try_the_other_servers_once() {
+    let mut servers = Servers::start(&["a", "a", "b"]).await;
+    let gateway = quarantine();
+    servers.cut(0);
+
+    let reports = (0..20).map(|request| {
+        let suspect = Suspect {
+            request,
+            parts: Vec::new(),
+            whole: Some(request),
+            sent_at: BootInstant::now().before(ms(40)),
+        };
+        gateway.report_break(&servers.listed[0], suspect, &servers.listed)
+    });
+    let reported = futures_util::future::join_all(reports).await;
+
+    let listener = servers.listeners[1].as_ref().unwrap();
+    let mut connections = 0;
+    while tokio::time::timeout(ms(50), listener.accept())
+        .await
+        .is_ok()
+    {
+        connections += 1;
+    }
+    assert_eq!(reported, [true; 20]);
+    assert_eq!(connections, 1);
+}
+
 #[tokio::test]
 async fn a_data_centre_of_which_all_servers_refuse_is_cut_off() {
     let mut servers = Servers::start(&["a", "a", "a", "a", "a", "b", "b", "b", "b", "b"]).await;
