--- a/src/quarantine/breaks.rs
+++ b/src/quarantine/breaks.rs
@@ -32,15 +32,18 @@
 }
 
 impl Break {
-    /// Returns whether another incarnation now has the server's name or its address. `listed` is sorted by name.
+    /// Returns whether another incarnation now has the server's name, or a later one its address, where an earlier one may still
+    /// be listed. `listed` is sorted by name.
     fn is_explained(&self, listed: &[BackendServer]) -> bool {
         let entry = &self.server.entry;
         let same_name = listed.binary_search_by(|other| other.id.cmp(&self.server.id));
         let has_restarted =
             same_name.is_ok_and(|index| listed[index].entry.start_time_ms != entry.start_time_ms);
-        let is_replaced = listed
-            .iter()
-            .any(|other| other.id != self.server.id && other.entry.address == entry.address);
+        let is_replaced = listed.iter().any(|other| {
+            other.id != self.server.id
+                && other.entry.address == entry.address
+                && other.entry.start_time_ms > entry.start_time_ms
+        });
         has_restarted || is_replaced
     }
 }
--- a/src/quarantine/tests/breaks.rs
+++ b/src/quarantine/tests/breaks.rs
@@ -67,3 +67,15 @@
     assert!(late.is_empty());
     assert!(breaks.is_empty());
 }
+
+#[test]
+fn a_break_at_a_server_whose_predecessor_is_still_listed_is_no_crash() {
+    let now = BootInstant::now();
+    let mut breaks = Breaks::default();
+    breaks.record(&server("new", 2, 80), suspect(), now);
+    let listed = [server("new", 2, 80), server("old", 1, 80)];
+
+    let crashes = breaks.take_crashes(&listed, now.plus(Duration::from_millis(100)));
+
+    assert!(crashes.is_empty());
+}
