--- a/src/decide/crash_blame.rs
+++ b/src/decide/crash_blame.rs
@@ -263,7 +263,8 @@
 
     /// Returns whether anything is suspect or held.
     pub fn is_active(&self) -> bool {
-        !(self.crashes.is_empty() && self.holds.is_empty())
+        let mut suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
+        !self.holds.is_empty() || suspects.any(|suspect| suspect.ids().next().is_some())
     }
 
     /// Records that another gateway, or this one before its restart, holds a part. Returns whether that is new here.
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -140,6 +140,17 @@
     assert_eq!(connections, 1);
 }
 
+#[test]
+fn an_answered_suspect_leaves_nothing_to_compare_requests_with() {
+    let gateway = quarantine();
+    gateway.record_crash(crash(10));
+    assert!(gateway.is_active());
+
+    gateway.record_sound(&[BAD], BootInstant::now());
+
+    assert!(!gateway.is_active());
+}
+
 #[tokio::test]
 async fn a_data_centre_of_which_all_servers_refuse_is_cut_off() {
     let mut servers = Servers::start(&["a", "a", "a", "a", "a", "b", "b", "b", "b", "b"]).await;
