--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -54,6 +54,7 @@
 pub use placement::PromptPart;
 pub use placement::ServerView;
 pub use placement::smoothed_load_per_slot;
+pub use relay::relay_candidates;
 pub use relay::relay_order;
 pub use relay::sync_sources;
 pub use retry_budget::RetryBudget;
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -25,6 +25,18 @@
     relays
 }
 
+/// Number of nodes of a data centre that other nodes there may take for its relay. Views of who is the relay differ for
+/// seconds after failures, mostly among the first nodes in the relay order.
+const MAX_RELAY_CANDIDATES: usize = 4;
+
+/// Returns the nodes of `own`'s data centre that some node there may take for its relay, in the relay order and without
+/// `own`, whatever `own` knows of them.
+pub fn relay_candidates<'a>(nodes: &'a [NodeEntry], own: &NodeEntry) -> Vec<&'a NodeEntry> {
+    let near = relay_order(nodes, &own.data_centre).into_iter();
+    let others = near.filter(|node| node.name != own.name);
+    others.take(MAX_RELAY_CANDIDATES).collect()
+}
+
 /// Returns the nodes that `own` sends its sync requests to, in order. These are the nodes of its data centre that
 /// come before it in the relay order. If `is_disconnected`, that is if its own reads of the store fail, these are all
 /// other nodes, those of its own data centre first.
--- a/src/decide/tests/relay.rs
+++ b/src/decide/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Many nodes, of which one per data centre reads the store.
 
+use crate::decide::relay_candidates;
 use crate::decide::relay_order;
 use crate::decide::sync_sources;
 use crate::peers::NodeEntry;
@@ -63,3 +64,19 @@
     assert_eq!(asked(0, true), ["b", "c", "d", "narrow"]);
     assert_eq!(asked(1, true), ["a", "c", "d", "narrow"]);
 }
+
+#[test]
+fn the_first_nodes_of_the_own_data_centre_may_be_taken_for_its_relay() {
+    let nodes: Vec<NodeEntry> = (0..9)
+        .map(|number| node(&format!("n{number}"), "x", number, 200))
+        .chain([node("far", "y", 0, 200)])
+        .collect();
+
+    let names = |own: usize| -> Vec<&str> {
+        let candidates = relay_candidates(&nodes, &nodes[own]).into_iter();
+        candidates.map(|node| node.name.as_str()).collect()
+    };
+
+    assert_eq!(names(0), ["n1", "n2", "n3", "n4"]);
+    assert_eq!(names(8), ["n0", "n1", "n2", "n3"]);
+}
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -2,13 +2,16 @@
 //!
 //! A gateway records each stream that it begins and sends its records to the relay of its data centre with the next sync
 //! request. The relay sends those of its data centre to the relay of one other data centre. A gateway at which a caller
-//! resumes a stream asks all relays. A record that is lost costs a refusal, never a wrong version.
+//! resumes a stream asks all relays, and those of its data centre that others there may take for the relay: gateways
+//! disagree about it for seconds, above all while some don't reach the store. A record that is lost costs a refusal, never
+//! a wrong version.
 
 use super::directory::NodeEntry;
 use super::link::Link;
 use super::node::SYNC_INTERVAL;
 use super::node::Shared;
 use crate::clock::BootInstant;
+use crate::decide::relay_candidates;
 use async_trait::async_trait;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -40,8 +43,8 @@
     /// `lifetime`.
     fn record(&self, stream: StreamKey, software_version: &str, lifetime: Duration);
 
-    /// Returns the software version at which `stream` began, from this gateway's records or those of the relays; `None`
-    /// if none of them answers that it knows the stream.
+    /// Returns the software version at which `stream` began, from this gateway's records, those of the relays or those of
+    /// gateways that others may take for relays; `None` if none of them answers that it knows the stream.
     async fn find(&self, stream: StreamKey) -> Option<String>;
 
     /// Waits until the records that other gateways had at the time of the call have reached their relay.
@@ -219,10 +222,10 @@
         if known.is_some() {
             return known;
         }
-        let relays = self.other_relays();
-        let mut lookups: FuturesUnordered<_> = relays
+        let nodes = self.stream_holders();
+        let mut lookups: FuturesUnordered<_> = nodes
             .iter()
-            .map(|relay| tokio::time::timeout(LOOKUP_TIMEOUT, look_up(relay, stream)))
+            .map(|node| tokio::time::timeout(LOOKUP_TIMEOUT, look_up(node, stream)))
             .collect();
         while let Some(answer) = lookups.next().await {
             if let Ok(Ok(StreamLookupResponse {
@@ -240,8 +243,23 @@
     }
 }
 
-/// Asks a relay for the software version at which `stream` began.
-async fn look_up(relay: &NodeEntry, stream: StreamKey) -> Result<StreamLookupResponse, String> {
-    let mut link = Link::open(relay).await?;
+impl Shared {
+    /// Returns the nodes that may keep records of streams that began at other nodes. A node that can't serve as a source
+    /// since it doesn't reach the store may have them too.
+    fn stream_holders(&self) -> Vec<NodeEntry> {
+        let (nodes, _) = self.nodes();
+        let mut holders = self.other_relays();
+        for candidate in relay_candidates(&nodes, &self.own) {
+            if !holders.iter().any(|known| known.name == candidate.name) {
+                holders.push(candidate.clone());
+            }
+        }
+        holders
+    }
+}
+
+/// Asks a node for the software version at which `stream` began.
+async fn look_up(node: &NodeEntry, stream: StreamKey) -> Result<StreamLookupResponse, String> {
+    let mut link = Link::open(node).await?;
     link.request(&StreamLookup { stream }).await
 }
