--- a/src/decide/crash_cause.rs
+++ b/src/decide/crash_cause.rs
@@ -19,6 +19,17 @@
     crashes: usize,
 }
 
+/// A suspect request that has something in question.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct SuspectSend {
+    id: PartId,
+    crashed_at: BootInstant,
+    /// Position of the crash.
+    crash: usize,
+    sent_at: BootInstant,
+    is_whole: bool,
+}
+
 /// Returns what together explains the crashes that need an explanation, first what explains most.
 ///
 /// Of what explains equally many, a whole request is to blame before a part of its prompt, and a later part before an earlier
@@ -60,45 +71,46 @@
 /// a common cause, and at each of them requests share the part. Copies of one request are rarely at several servers, so
 /// that all of their crashes count for a whole request.
 fn candidates(crashes: &[&Crash], bursts: &[Burst]) -> Vec<Candidate> {
-    let mut sends: Vec<(PartId, BootInstant, BootInstant, bool)> = Vec::new();
-    for crash in crashes {
-        let suspects = crash.suspects.iter();
-        let mut ids: Vec<(PartId, bool)> = suspects
-            .flat_map(|suspect| {
-                let parts = suspect.parts.iter().map(|part| (*part, false));
-                parts.chain(suspect.whole.map(|whole| (whole, true)))
-            })
-            .collect();
-        ids.sort_unstable();
-        ids.dedup();
-        for (id, is_whole) in ids {
-            let last_sent = crash.last_sent_with(id);
-            sends.extend(last_sent.map(|sent_at| (id, crash.at, sent_at, is_whole)));
+    let mut sends: Vec<SuspectSend> = Vec::new();
+    for (number, crash) in crashes.iter().enumerate() {
+        for suspect in &crash.suspects {
+            let parts = suspect.parts.iter().map(|part| (*part, false));
+            let ids = parts.chain(suspect.whole.map(|whole| (whole, true)));
+            sends.extend(ids.map(|(id, is_whole)| SuspectSend {
+                id,
+                crashed_at: crash.at,
+                crash: number,
+                sent_at: suspect.sent_at,
+                is_whole,
+            }));
         }
     }
     sends.sort_unstable();
-    let by_id = sends.chunk_by(|a, b| a.0 == b.0);
-    by_id
-        .map(|sends| {
-            let (id, .., is_whole) = sends[0];
-            let mut crashes = 0;
-            let mut last: Option<BootInstant> = None;
-            for &(_, crashed_at, sent_at, _) in sends {
-                let is_separate = |last| {
-                    (is_whole || sent_at > last) && !are_of_one_burst(bursts, last, crashed_at)
-                };
-                if last.is_none_or(is_separate) {
-                    crashes += 1;
-                    last = Some(crashed_at);
-                }
-            }
-            Candidate {
-                id,
-                is_whole,
-                crashes,
-            }
-        })
-        .collect()
+    let by_id = sends.chunk_by(|a, b| a.id == b.id);
+    by_id.map(|sends| candidate(sends, bursts)).collect()
+}
+
+/// Returns what caused crashes if `sends`, all that have it in order of the crashes, show it.
+fn candidate(sends: &[SuspectSend], bursts: &[Burst]) -> Candidate {
+    let is_whole = sends.iter().any(|send| send.is_whole);
+    let mut crashes = 0;
+    let mut last: Option<BootInstant> = None;
+    for of_crash in sends.chunk_by(|a, b| a.crash == b.crash) {
+        let SuspectSend { crashed_at, .. } = of_crash[0];
+        let last_sent_at = of_crash.iter().map(|send| send.sent_at).max();
+        let is_separate = |last| {
+            (is_whole || last_sent_at > Some(last)) && !are_of_one_burst(bursts, last, crashed_at)
+        };
+        if last.is_none_or(is_separate) {
+            crashes += 1;
+            last = Some(crashed_at);
+        }
+    }
+    Candidate {
+        id: sends[0].id,
+        is_whole,
+        crashes,
+    }
 }
 
 /// Returns whether some other part of `top` comes after `part` in each suspect request that has it.
