--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -3,9 +3,10 @@
 //! Load pattern: servers fall silent for a second and go on, one alone or all at once, while others have ended for good.
 //! Silence does not tell which. A send that is silent is therefore never given up: another server is asked beside it, if
 //! the request may run twice, and the caller gets the answer that comes first. Servers that are all silent leave a part
-//! of the retry budget for requests that fail without a retry. What
-//! proves that a send has ended, such as a broken connection, is followed by another send or, if no send is left that
-//! may still be answered, by the end of the request. `docs/LOAD.md` has the limits that apply.
+//! of the retry budget for requests that fail without a retry.
+//!
+//! What proves that a send has ended, such as a broken connection, is followed by another send or, if no send is left
+//! that may still be answered, by the end of the request. `docs/LOAD.md` has the limits that apply.
 
 use super::retry_budget::RetryNeed;
 
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -199,7 +199,7 @@
 }
 
 #[tokio::test]
-async fn a_server_that_refuses_one_gateway_is_vouched_for_by_another() {
+async fn a_server_that_refuses_one_gateway_is_seen_alive_by_another() {
     let mut servers = Servers::start(&["a", "a", "b", "b"]).await;
     let (cut_off, other) = (quarantine(), quarantine());
     let stream_began = BootInstant::now();
