--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -141,7 +141,7 @@
     if let Some(lease) = pool.take_idle(params.server) {
         return Ok(lease);
     }
-    match Pool::connect(params.server, params.max_connections).await {
+    match pool.connect(params.server, params.max_connections).await {
         Ok(lease) => Ok(lease),
         Err(ConnectError::Timeout) => Err("connecting timed out".to_owned()),
         Err(ConnectError::Failed(cause)) => Err(cause),
--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -2,6 +2,7 @@
 //!
 //! The HTTP library limits the size of one head, but reads any number of interim heads before it.
 
+use crate::net::Connection;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -12,7 +13,6 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
 /// Size of the buffer into which a connection is read, and so of the largest head.
 pub(super) const BUFFER_BYTES: usize = 64 * 1024;
@@ -55,12 +55,12 @@
 
 /// A connection whose reads fail once a [`HeadLimit`] is exceeded.
 pub(super) struct HeadLimitedStream {
-    stream: TcpStream,
+    stream: Box<dyn Connection>,
     limit: HeadLimit,
 }
 
 impl HeadLimitedStream {
-    pub(super) fn new(stream: TcpStream, limit: &HeadLimit) -> Self {
+    pub(super) fn new(stream: Box<dyn Connection>, limit: &HeadLimit) -> Self {
         Self {
             stream,
             limit: limit.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,4 +45,5 @@
 pub use node::GatewayNode;
 pub use node::Sources;
 pub use node::StartError;
+pub use pool::server_connector;
 pub use settings::GatewaySettings;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -29,6 +29,7 @@
 use crate::decide::PlainPlacement;
 use crate::decide::RetryPolicy;
 use crate::logs::Logs;
+use crate::net::Connector;
 use crate::net::Handler;
 use crate::net::Listener;
 use crate::net::Protocol;
@@ -85,6 +86,8 @@
     pub source_metrics: SourceMetrics,
     /// Header names and formats of callers and backend servers.
     pub dialect: Arc<dyn Dialect>,
+    /// Opens connections to backend servers.
+    pub connector: Arc<dyn Connector>,
 }
 
 /// The reason why a gateway could not start.
@@ -319,14 +322,14 @@
     logs: &Logs,
 ) -> Gateway {
     let bounds = &settings.bounds;
-    let quarantine = Arc::new(Quarantine::new(logs.clone()));
+    let quarantine = Arc::new(Quarantine::new(logs.clone(), &sources.connector));
     Gateway {
         data_centre: settings.host.data_centre.clone(),
         catalog: Arc::clone(catalog),
         dialect: Arc::clone(&sources.dialect),
         logs: logs.clone(),
         metrics: Arc::new(GatewayMetrics::new(&sources.source_metrics)),
-        pool: Pool::default(),
+        pool: Pool::new(&sources.connector),
         loads: ServerLoads::default(),
         rates: ServerRates::default(),
         response_memory: ResponseMemory::default(),
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -8,18 +8,18 @@
 use super::headers::keep_alive_timeout;
 use crate::catalog::BackendServer;
 use crate::net::Body;
+use crate::net::Connector;
+use crate::net::TcpConnector;
 use hyper::HeaderMap;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// Timeout for opening a connection: over ten times the longest round trip of the reference workload, including
@@ -73,8 +73,9 @@
 type ServerIdle = (String, VecDeque<IdleConnection>);
 
 /// Idle connections by server, the longest idle first.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct Pool {
+    connector: Arc<dyn Connector>,
     by_server: Arc<Mutex<Vec<ServerIdle>>>,
 }
 
@@ -85,7 +86,21 @@
     Failed(String),
 }
 
+/// Returns the connector for connections to backend servers.
+pub fn server_connector() -> Arc<dyn Connector> {
+    Arc::new(TcpConnector {
+        user_timeout: TCP_USER_TIMEOUT,
+    })
+}
+
 impl Pool {
+    pub(super) fn new(connector: &Arc<dyn Connector>) -> Self {
+        Self {
+            connector: Arc::clone(connector),
+            by_server: Arc::default(),
+        }
+    }
+
     /// Takes the usable connection that has been idle longest. A connection must not be reused if the server sends a
     /// surplus response on it late; on the longest idle connection such a response has had the most time to arrive.
     pub(super) fn take_idle(&self, server: &BackendServer) -> Option<Lease> {
@@ -111,20 +126,17 @@
 
     /// Opens a connection to `server`, which accepts at most `max_connections` from all its clients together.
     pub(super) async fn connect(
+        &self,
         server: &BackendServer,
         max_connections: u32,
     ) -> Result<Lease, ConnectError> {
         let failed = |err: &dyn std::fmt::Display| ConnectError::Failed(err.to_string());
-        let connecting = TcpStream::connect(server.entry.address);
+        let connecting = self.connector.connect(server.entry.address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Err(_) => return Err(ConnectError::Timeout),
             Ok(Err(err)) => return Err(failed(&err)),
             Ok(Ok(stream)) => stream,
         };
-        stream.set_nodelay(true).map_err(|err| failed(&err))?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-            .map_err(|err| failed(&err))?;
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream::new(stream, &head_limit);
         let (sender, connection) = http1::Builder::new()
--- /dev/null
+++ b/src/net/connector.rs
@@ -0,0 +1,43 @@
+//! Opens connections to backend servers, behind a trait, so that tests can cut a gateway off from them.
+
+use async_trait::async_trait;
+use socket2::SockRef;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpStream;
+
+/// An open connection; dropping it closes the connection.
+pub trait Connection: AsyncRead + AsyncWrite + Send + Unpin + 'static {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin + 'static> Connection for T {}
+
+/// Opens connections to other processes.
+#[async_trait]
+pub trait Connector: Send + Sync + 'static {
+    /// Opens a connection to `address`. Waits without limit for a host that does not respond, so the caller sets a timeout.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the host refuses the connection or can't be reached.
+    async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn Connection>>;
+}
+
+/// Opens TCP connections.
+#[derive(Clone, Copy, Debug)]
+pub struct TcpConnector {
+    /// Time for which sent bytes may stay unacknowledged before a connection counts as dead.
+    pub user_timeout: Duration,
+}
+
+#[async_trait]
+impl Connector for TcpConnector {
+    async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn Connection>> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(self.user_timeout))?;
+        Ok(Box::new(stream))
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod connector;
 mod server;
 
 pub use body::Body;
@@ -13,6 +14,9 @@
 pub use client::Client;
 pub use client::ClientOptions;
 pub use client::SendError;
+pub use connector::Connection;
+pub use connector::Connector;
+pub use connector::TcpConnector;
 pub use server::Handler;
 pub use server::Listener;
 pub use server::OpenConnections;
--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -11,7 +11,6 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 /// Timeout for the connection to a server that may have crashed. A server that can't be reached in this time may as well
 /// be cut off, so it doesn't count as crashed.
@@ -43,7 +42,7 @@
         let at = BootInstant::now();
         let incarnation = Incarnation::of(server);
         if !self.is_known_crash(&incarnation) {
-            match connect(server.entry.address).await {
+            match self.probe(server.entry.address).await {
                 Probe::Refused => {}
                 Probe::Accepted => {
                     self.record_break(server, suspect, at);
@@ -92,7 +91,7 @@
         let near = sample(&near, suspect.request);
         let far = sample(&far, suspect.request);
         let connecting = near.iter().chain(&far);
-        let probes = join_all(connecting.map(|other| connect(other.entry.address))).await;
+        let probes = join_all(connecting.map(|other| self.probe(other.entry.address))).await;
         let at = BootInstant::now();
         for (other, probe) in near.iter().chain(&far).zip(&probes) {
             if *probe != Probe::Accepted {
@@ -107,6 +106,16 @@
         is_common_loss(count_lost(near_probes), near_probes.len())
             || is_common_loss(count_lost(&probes), probes.len())
     }
+
+    /// Tries to connect to `address`. A server that only reset a connection still listens.
+    async fn probe(&self, address: SocketAddr) -> Probe {
+        let connecting = self.connector.connect(address);
+        match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+            Ok(Ok(_)) => Probe::Accepted,
+            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+            Ok(Err(_)) | Err(_) => Probe::Silent,
+        }
+    }
 }
 
 impl Incarnation {
@@ -127,13 +136,3 @@
         .map(|number| servers[(start + number * servers.len() / count) % servers.len()])
         .collect()
 }
-
-/// Tries to connect to `address`. A server that only reset a connection still listens.
-async fn connect(address: SocketAddr) -> Probe {
-    let connecting = TcpStream::connect(address);
-    match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => Probe::Accepted,
-        Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(_)) | Err(_) => Probe::Silent,
-    }
-}
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -14,8 +14,10 @@
 use crate::decide::PartVerdict;
 use crate::decide::Suspect;
 use crate::logs::Logs;
+use crate::net::Connector;
 use slog::info;
 use slog::warn;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -59,17 +61,20 @@
     changes: watch::Sender<u64>,
     /// Held while a report of a crash is compared with other servers.
     pub(super) probing: tokio::sync::Mutex<()>,
+    /// Finds out whether servers that broke off accept connections.
+    pub(super) connector: Arc<dyn Connector>,
     pub(super) logs: Logs,
 }
 
 impl Quarantine {
     /// Creates the state of a gateway that starts now and knows nothing.
-    pub fn new(logs: Logs) -> Self {
+    pub fn new(logs: Logs, connector: &Arc<dyn Connector>) -> Self {
         Self {
             state: Mutex::default(),
             started_at: BootInstant::now(),
             changes: watch::Sender::new(0),
             probing: tokio::sync::Mutex::default(),
+            connector: Arc::clone(connector),
             logs,
         }
     }
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -21,6 +21,7 @@
 use crate::decide::Incarnation;
 use crate::decide::PartVerdict;
 use crate::decide::Suspect;
+use crate::gateway::server_connector;
 use crate::logs::Logs;
 use async_trait::async_trait;
 use std::sync::Arc;
@@ -78,7 +79,7 @@
 }
 
 fn quarantine() -> Arc<Quarantine> {
-    Arc::new(Quarantine::new(Logs::silent()))
+    Arc::new(Quarantine::new(Logs::silent(), &server_connector()))
 }
 
 /// Returns a crash `age_ms` ago under one request with [`BAD`], sent 20 ms before.
