--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -9,6 +9,7 @@
 pub mod group;
 pub mod hosts;
 pub mod lagged;
+pub mod links;
 pub mod log;
 pub mod orders;
 pub mod replica;
