--- a/bench/src/standin/links.rs
+++ b/bench/src/standin/links.rs
@@ -23,6 +23,9 @@
 
 use crate::truth::lock;
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes that a hung connection takes before writes wait, like a socket's send buffer.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
 /// Hung connections that were dropped here and stay open toward the server, which can't learn that; the oldest are closed.
