--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -149,6 +149,7 @@
         let timeout = metadata
             .time_left
             .map_or(route.timeout, |announced| announced.min(route.timeout));
+        report.time_limit = Some(timeout);
         Ok(Self {
             gateway: Arc::clone(gateway),
             service: configuration.service(&service_name).cloned(),
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The data for a request's log line and metrics, which are written when this is dropped.
@@ -45,6 +46,8 @@
     /// Requests a second that the server that answered last takes from all gateways; `None` if it names no limit.
     rate_limit: Option<f64>,
     pub(super) started_at: Instant,
+    /// Time from the receipt of the request to its deadline; `None` if it was refused before it had one.
+    pub(super) time_limit: Option<Duration>,
     /// Milliseconds until the response could be passed on: the whole response, or the first events of a stream.
     first_ms: Option<u64>,
     last_event_id: Option<u64>,
@@ -80,6 +83,7 @@
             list_version: 0,
             rate_limit: None,
             started_at: Instant::now(),
+            time_limit: None,
             first_ms: None,
             last_event_id: None,
             resumes: 0,
@@ -159,7 +163,8 @@
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
-            "resumed" => self.resumes, "ms" => self.started_at.elapsed().as_millis() as u64,
+            "resumed" => self.resumes, "limit_ms" => self.time_limit.map(|limit| limit.as_millis() as u64),
+            "ms" => self.started_at.elapsed().as_millis() as u64,
             "status" => self.status, "outcome" => self.outcome, "cause" => &self.cause);
     }
 }
