--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -43,7 +43,6 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use tokio::time::Instant;
 
 /// Maximum size of a request body until a configuration sets the limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -167,7 +166,7 @@
                     .with_detail(err.to_string()));
             }
         };
-        report.started_at = report.started_at.min(Instant::now());
+        report.record_read();
         let target = head
             .uri
             .path_and_query()
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -42,6 +43,7 @@
 pub(super) struct GatewayMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    requests_read: IntCounter,
     latency: HistogramVec,
     sends: IntCounterVec,
     retries: IntCounterVec,
@@ -65,6 +67,11 @@
                 "Callers' requests by route, outcome and cause.",
                 &["route", "outcome", "cause"],
             ),
+            requests_read: IntCounter::new(
+                "currantbend_gateway_requests_read_total",
+                "Callers' requests that were read with their whole body.",
+            )
+            .expect("the name is valid"),
             latency: HistogramVec::new(
                 HistogramOpts::new(
                     "currantbend_gateway_answer_seconds",
@@ -123,8 +130,9 @@
                 "Backend servers that name a limit on requests.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 15] = [
+        let collectors: [Box<dyn Collector>; 16] = [
             Box::new(metrics.requests.clone()),
+            Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.retries.clone()),
@@ -153,6 +161,10 @@
         self.in_flight.inc();
     }
 
+    pub(super) fn record_read(&self) {
+        self.requests_read.inc();
+    }
+
     pub(super) fn record_end(&self, route: &str, outcome: &str, cause: &str) {
         self.in_flight.dec();
         self.requests
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -52,6 +52,8 @@
     status: u16,
     outcome: &'static str,
     cause: String,
+    /// Whether the request has been read with its whole body.
+    is_read: bool,
     /// Whether the gateway has stopped and drops its requests.
     has_gateway_stopped: Arc<AtomicBool>,
 }
@@ -86,12 +88,20 @@
             status: 0,
             outcome: "left",
             cause: "caller left".to_owned(),
+            is_read: false,
             has_gateway_stopped: Arc::clone(&gateway.has_stopped),
         }
     }
 
+    /// Records that the request has been read with its whole body, so that its caller is owed an answer or a refusal.
+    pub(super) fn record_read(&mut self) {
+        self.started_at = self.started_at.min(Instant::now());
+        self.is_read = true;
+        self.metrics.record_read();
+    }
+
     /// Records how the request ended. If this is not called, the report says that the caller disconnected or, if it is
-    /// dropped after the gateway has stopped, that the answer was cut off.
+    /// dropped by a panic or after the gateway has stopped, that the answer was cut off.
     pub(super) fn record_end(&mut self, status: StatusCode, outcome: &'static str, cause: &str) {
         self.status = status.as_u16();
         self.outcome = outcome;
@@ -126,7 +136,10 @@
 
 impl Drop for RequestReport {
     fn drop(&mut self) {
-        if self.outcome == "left" && self.has_gateway_stopped.load(Ordering::Relaxed) {
+        if self.outcome == "left" && std::thread::panicking() {
+            self.outcome = "cut off";
+            self.cause = "panic".to_owned();
+        } else if self.outcome == "left" && self.has_gateway_stopped.load(Ordering::Relaxed) {
             self.outcome = "cut off";
             self.cause = "gateway stopped".to_owned();
         }
@@ -159,7 +172,7 @@
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
-            "resumed" => self.resumes, "ms" => self.started_at.elapsed().as_millis() as u64,
+            "resumed" => self.resumes, "read" => self.is_read, "ms" => self.started_at.elapsed().as_millis() as u64,
             "status" => self.status, "outcome" => self.outcome, "cause" => &self.cause);
     }
 }
