--- a/src/bin/cbtimeline.rs
+++ b/src/bin/cbtimeline.rs
@@ -2,6 +2,7 @@
 
 use currantbend::timeline::Selection;
 use currantbend::timeline::follow;
+use currantbend::timeline::log_line;
 use currantbend::timeline::merge;
 use currantbend::timeline::render::Html;
 use currantbend::timeline::render::Json;
@@ -103,7 +104,7 @@
 fn follow_request(id: &str, args: Arguments) -> Result<(), RunError> {
     let mut log_lines = Vec::new();
     for text in read_files(args)? {
-        follow::read(&text, &mut log_lines);
+        log_line::read(&text, &mut log_lines);
     }
     let lines = follow::follow(&log_lines, id);
     if lines.is_empty() {
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 pub mod follow;
 mod kind;
+pub mod log_line;
 pub mod merge;
 mod metrics;
 pub mod render;
--- a/src/timeline/tests.rs
+++ b/src/timeline/tests.rs
@@ -1,6 +1,7 @@
 use super::Settings;
 use super::clock::Clock;
 use super::follow;
+use super::log_line;
 use super::merge;
 use super::render::Html;
 use super::render::Json;
@@ -145,7 +146,7 @@
 
 fn follow_request(id: &str) -> Vec<String> {
     let mut log_lines = Vec::new();
-    follow::read(GATEWAY_LOG, &mut log_lines);
+    log_line::read(GATEWAY_LOG, &mut log_lines);
     let lines = follow::follow(&log_lines, id);
     lines.iter().map(ToString::to_string).collect()
 }
