--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -33,11 +33,13 @@
 use crate::quarantine::Quarantine;
 use crate::quarantine::TrialClaims;
 use async_trait::async_trait;
+use futures_util::FutureExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
@@ -100,7 +102,15 @@
 #[async_trait]
 impl Handler for CallerHandler {
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
-        Arc::clone(&self.0).respond(req).await
+        let gateway = &self.0;
+        let metadata = gateway.dialect.read_request(req.headers());
+        let request_id = metadata.request_id.clone().unwrap_or_default();
+        let responding = Arc::clone(gateway).respond(req, metadata, &request_id);
+        // What a panic leaves behind is dropped; the state that requests share is consistent after each of its locks.
+        match AssertUnwindSafe(responding).catch_unwind().await {
+            Ok(response) => response,
+            Err(_) => gateway.internal_error(&request_id),
+        }
     }
 }
 
@@ -109,11 +119,14 @@
 
 impl Gateway {
     /// Processes one request and returns its response. A refused request is reported here, any other by its exchange.
-    async fn respond(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
-        let metadata = self.dialect.read_request(req.headers());
-        let request_id = metadata.request_id.clone().unwrap_or_default();
-        let mut report = RequestReport::new(&self, &request_id);
-        let result = match self.receive(req, metadata, &request_id, &mut report).await {
+    async fn respond(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+        metadata: RequestMetadata,
+        request_id: &str,
+    ) -> Response<Body> {
+        let mut report = RequestReport::new(&self, request_id);
+        let result = match self.receive(req, metadata, request_id, &mut report).await {
             Ok((outbound, metadata)) => Exchange::prepare(&self, outbound, metadata, report),
             Err(refusal) => Err(Box::new((refusal, report))),
         };
@@ -135,7 +148,17 @@
             format!("{}: {}", refusal.cause, refusal.detail)
         };
         report.record_end(refusal.status, outcome, &cause);
-        refusal.to_response(|headers| self.dialect.set_own_response_headers(headers, &request_id))
+        self.refuse(&refusal, request_id)
+    }
+
+    /// Returns the response to a request whose task panicked: it may have run.
+    fn internal_error(&self, request_id: &str) -> Response<Body> {
+        let refusal = Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, "internal error");
+        self.refuse(&refusal, request_id)
+    }
+
+    fn refuse(&self, refusal: &Refusal, request_id: &str) -> Response<Body> {
+        refusal.to_response(|headers| self.dialect.set_own_response_headers(headers, request_id))
     }
 
     /// Reads a request with its whole body, so that the caller's connection can be reused even if the request is
