--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -9,10 +9,14 @@
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::peers::StreamKey;
+use tokio::time::Instant;
 
 /// Number of times that a request waits for another gateway's knowledge of its stream, one sync interval each: a record
 /// reaches the relay within one, and a gateway that has just started needs another to connect to its peers.
 const MAX_WAITS: u32 = 2;
+/// Part of the request's time that may pass until its stream's version is known, so that time is left to run it, or for its
+/// caller to return.
+const LOOKUP_DIVISOR: u32 = 2;
 
 /// The software version that the servers of a request must have.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -40,6 +44,22 @@
         // An attempt that isn't named is on no record, so only a single version can tell.
         let is_known_unknown = stream.is_none() && self.has_several_versions();
         let waits = if is_known_unknown { 0 } else { MAX_WAITS };
+        let until = Instant::now() + self.time_left() / LOOKUP_DIVISOR;
+        let searching = self.search_version(stream, waits);
+        // A version that isn't found in time is as good as unknown.
+        let version = tokio::time::timeout_at(until, searching).await;
+        match version {
+            Ok(Some(version)) => {
+                self.stream_version = StreamVersion::Only(version);
+                Ok(())
+            }
+            Ok(None) | Err(_) => Err(self.no_server_refusal("stream of unknown version")),
+        }
+    }
+
+    /// Returns the version at which `stream` began; asks again after each of up to `waits` waits for other gateways'
+    /// records.
+    async fn search_version(&self, stream: Option<StreamKey>, waits: u32) -> Option<String> {
         let mut version = self.find_version(stream).await;
         for _ in 0..waits {
             if version.is_none()
@@ -49,13 +69,7 @@
                 version = self.find_version(stream).await;
             }
         }
-        match version {
-            Some(version) => {
-                self.stream_version = StreamVersion::Only(version);
-                Ok(())
-            }
-            None => Err(self.no_server_refusal("stream of unknown version")),
-        }
+        version
     }
 
     /// Returns the version at which `stream` began, from the records of gateways or because no other version has served
