--- a/src/bin/cbtimeline.rs
+++ b/src/bin/cbtimeline.rs
@@ -3,16 +3,19 @@
 use currantbend::timeline::Selection;
 use currantbend::timeline::follow;
 use currantbend::timeline::log_line;
+use currantbend::timeline::log_line::LogLine;
 use currantbend::timeline::merge;
 use currantbend::timeline::render::Html;
 use currantbend::timeline::render::Json;
 use currantbend::timeline::render::Render;
 use currantbend::timeline::render::Text;
+use currantbend::timeline::unanswered::Unanswered;
 use pico_args::Arguments;
 use std::fmt;
 use std::io::BufWriter;
 use std::io::Write;
 use std::process::ExitCode;
+use std::time::Duration;
 use uhlc::NTP64;
 
 const HELP: &str = "\
@@ -21,9 +24,12 @@
 USAGE:
   cbtimeline [OPTIONS] FILE...
   cbtimeline --follow ID FILE...
+  cbtimeline --unanswered [--config-apply-ms N] FILE...
 
 OPTIONS:
   --follow ID     one request through the logs of gateways, with the changes on its nodes from ten seconds before it
+  --unanswered    requests that gateways did not answer, by cause, beside changes of the configuration and at other times
+  --config-apply-ms N  time in which a change takes force everywhere, 2000 if not given
   --request ID    all events of one request
   --chat ID       all events of the requests of a chat
   --team NAME     all events of the requests of a team
@@ -39,6 +45,9 @@
 Options that select events can be combined.
 ";
 
+/// Default of `--config-apply-ms`, the same as of a gateway's setting.
+const DEFAULT_CONFIG_APPLY: Duration = Duration::from_millis(2_000);
+
 /// Reason why the program ends with an error.
 enum RunError {
     Usage(String),
@@ -74,6 +83,9 @@
     if let Some(id) = optional_text(&mut args, "--follow")? {
         return follow_request(&id, args);
     }
+    if args.contains("--unanswered") {
+        return count_unanswered(args);
+    }
     let format = output_format(&mut args);
     let selection = parse_selection(&mut args)?;
     let mut lines = Vec::new();
@@ -101,11 +113,28 @@
     Ok(texts)
 }
 
-fn follow_request(id: &str, args: Arguments) -> Result<(), RunError> {
+/// Reads the lines of gateways in the files named by the remaining arguments.
+fn read_log_lines(args: Arguments) -> Result<Vec<LogLine>, RunError> {
     let mut log_lines = Vec::new();
     for text in read_files(args)? {
         log_line::read(&text, &mut log_lines);
     }
+    Ok(log_lines)
+}
+
+fn count_unanswered(mut args: Arguments) -> Result<(), RunError> {
+    let config_apply = args
+        .opt_value_from_str("--config-apply-ms")
+        .map_err(|err| RunError::Usage(err.to_string()))?
+        .map_or(DEFAULT_CONFIG_APPLY, Duration::from_millis);
+    let unanswered = Unanswered::count(&read_log_lines(args)?, config_apply);
+    let mut out = BufWriter::new(std::io::stdout().lock());
+    write!(out, "{unanswered}").map_err(RunError::Output)?;
+    out.flush().map_err(RunError::Output)
+}
+
+fn follow_request(id: &str, args: Arguments) -> Result<(), RunError> {
+    let log_lines = read_log_lines(args)?;
     let lines = follow::follow(&log_lines, id);
     if lines.is_empty() {
         return Err(RunError::NotFound(id.to_owned()));
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -15,6 +15,7 @@
 mod settings;
 #[cfg(test)]
 mod tests;
+pub mod unanswered;
 
 pub use event::Event;
 pub use kind::EventKind;
--- a/src/timeline/tests.rs
+++ b/src/timeline/tests.rs
@@ -1,3 +1,5 @@
+mod unanswered;
+
 use super::Settings;
 use super::clock::Clock;
 use super::follow;
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -161,8 +161,13 @@
 
 #[test]
 fn invalid_arguments_are_rejected() {
-    for args in [["--chatt", "c1"], ["--from", "yesterday"]] {
-        let output = cbtimeline(&args, &[]);
+    let usages: [&[&str]; 3] = [
+        &["--chatt", "c1"],
+        &["--from", "yesterday"],
+        &["--unanswered", "--config-apply-ms", "soon"],
+    ];
+    for args in usages {
+        let output = cbtimeline(args, &[]);
 
         assert_eq!(output.status.code(), Some(USAGE_STATUS), "{args:?}");
     }
