--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,7 @@
     list_age_ms: IntGauge,
     servers: IntGauge,
     in_flight: IntGauge,
+    longest_pause_ms: IntGauge,
     held_parts: IntGauge,
     limited_servers: IntGauge,
 }
@@ -121,6 +122,10 @@
                 "currantbend_gateway_requests_in_flight",
                 "Callers' requests that have no whole answer yet.",
             ),
+            longest_pause_ms: gauge(
+                "currantbend_gateway_longest_pause_ms",
+                "Longest time since the start for which the event loop stood still.",
+            ),
             held_parts: gauge(
                 "currantbend_gateway_held_parts",
                 "Prompt parts whose requests are held back.",
@@ -130,7 +135,7 @@
                 "Backend servers that name a limit on requests.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -144,6 +149,7 @@
             Box::new(metrics.list_age_ms.clone()),
             Box::new(metrics.servers.clone()),
             Box::new(metrics.in_flight.clone()),
+            Box::new(metrics.longest_pause_ms.clone()),
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.limited_servers.clone()),
             Box::new(ProcessCollector::for_self()),
@@ -212,6 +218,13 @@
         self.servers.set(servers as i64);
     }
 
+    /// Records a time for which the event loop stood still.
+    pub(super) fn record_pause(&self, pause: Duration) {
+        let pause_ms = i64::try_from(pause.as_millis()).unwrap_or(i64::MAX);
+        self.longest_pause_ms
+            .set(self.longest_pause_ms.get().max(pause_ms));
+    }
+
     /// Renders everything in Prometheus text format.
     pub(super) fn record_held_parts(&self, count: usize) {
         self.held_parts
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod head_limit;
 mod headers;
 mod loads;
+mod loop_watch;
 mod metrics;
 mod node;
 mod pages;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -6,6 +6,7 @@
 use super::handler::Gateway;
 use super::handler::RuntimeSettings;
 use super::loads::ServerLoads;
+use super::loop_watch::LoopWatch;
 use super::metrics::GatewayMetrics;
 use super::metrics::SourceMetrics;
 use super::pages::Pages;
@@ -126,6 +127,7 @@
     ledger_sync: LedgerSync,
     renewal_watch: RenewalWatch,
     break_watch: BreakWatch,
+    loop_watch: LoopWatch,
     pruner: JoinHandle<()>,
     gateway: Arc<Gateway>,
     logs: Logs,
@@ -250,6 +252,7 @@
         // Can't fail: they are set nowhere else.
         let _ = gateway.node_count.set(peers.counter());
         let _ = gateway.streams.set(peers.streams());
+        let loop_watch = LoopWatch::start(&gateway.metrics, &logs);
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
         info!(logs.log(), "started"; "version" => env!("CARGO_PKG_VERSION"),
             "data_centre" => &host.data_centre, "callers" => %host.caller_address);
@@ -262,6 +265,7 @@
             ledger_sync,
             renewal_watch,
             break_watch,
+            loop_watch,
             pruner,
             gateway,
             logs,
@@ -293,6 +297,7 @@
         self.ledger_sync.close();
         self.renewal_watch.close();
         self.break_watch.close();
+        self.loop_watch.close();
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
