--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -27,6 +27,7 @@
 use crate::logs::Logs;
 use crate::net::Body;
 use crate::net::CollectError;
+use crate::net::DEFAULT_HEAD_TIMEOUT;
 use crate::net::Handler;
 use crate::net::collect;
 use crate::peers::StreamDirectory;
@@ -43,10 +44,14 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 /// Maximum size of a request body until a configuration sets the limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum time for which a caller's connection may be idle, whatever the configuration says.
+const MAX_HEAD_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Number of nodes assumed to share a limit of the fleet before [`Gateway::node_count`] is set: the next planned size of
 /// the fleet.
 const ASSUMED_NODES: u32 = 100;
@@ -99,6 +104,17 @@
 
 #[async_trait]
 impl Handler for CallerHandler {
+    fn head_timeout(&self) -> Duration {
+        let configuration = self.0.catalog.configuration();
+        let limits = configuration.map(|configuration| configuration.limits());
+        // A value that can't be read is zero.
+        let limits = limits.filter(|limits| !limits.idle_timeout.is_zero());
+        limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| {
+            let timeout = limits.idle_timeout.saturating_add(limits.header_timeout);
+            timeout.min(MAX_HEAD_TIMEOUT)
+        })
+    }
+
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         Arc::clone(&self.0).respond(req).await
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub use connector::Connection;
 pub use connector::Connector;
 pub use connector::TcpConnector;
+pub use server::DEFAULT_HEAD_TIMEOUT;
 pub use server::Handler;
 pub use server::Listener;
 pub use server::OpenConnections;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -38,9 +38,18 @@
 /// connection.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Default of [`Handler::head_timeout`].
+pub const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Handles the requests of a listener.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
+    /// Returns the time from the opening of a connection, or from a response on it, until the head of its next request must
+    /// have arrived; the connection is closed then. The value at the opening of an HTTP/1.1 connection holds for it.
+    fn head_timeout(&self) -> Duration {
+        DEFAULT_HEAD_TIMEOUT
+    }
+
     /// Returns the response to `req`; `peer` is the remote address of the connection.
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body>;
 }
@@ -221,7 +230,10 @@
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(state.handler.head_timeout());
     if protocol == Protocol::Http1 {
         builder = builder.http1_only();
     } else {
