--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -42,6 +43,7 @@
 pub(super) struct GatewayMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    requests_read: IntCounter,
     latency: HistogramVec,
     sends: IntCounterVec,
     retries: IntCounterVec,
@@ -52,6 +54,7 @@
     list_age_ms: IntGauge,
     servers: IntGauge,
     in_flight: IntGauge,
+    longest_pause_ms: IntGauge,
     held_parts: IntGauge,
     limited_servers: IntGauge,
 }
@@ -65,6 +68,11 @@
                 "Callers' requests by route, outcome and cause.",
                 &["route", "outcome", "cause"],
             ),
+            requests_read: IntCounter::new(
+                "currantbend_gateway_requests_read_total",
+                "Callers' requests that were read with their whole body.",
+            )
+            .expect("the name is valid"),
             latency: HistogramVec::new(
                 HistogramOpts::new(
                     "currantbend_gateway_answer_seconds",
@@ -114,6 +122,10 @@
                 "currantbend_gateway_requests_in_flight",
                 "Callers' requests that have no whole answer yet.",
             ),
+            longest_pause_ms: gauge(
+                "currantbend_gateway_longest_pause_ms",
+                "Longest time since the start for which the event loop stood still.",
+            ),
             held_parts: gauge(
                 "currantbend_gateway_held_parts",
                 "Prompt parts whose requests are held back.",
@@ -123,8 +135,9 @@
                 "Backend servers that name a limit on requests.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 15] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(metrics.requests.clone()),
+            Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.retries.clone()),
@@ -136,6 +149,7 @@
             Box::new(metrics.list_age_ms.clone()),
             Box::new(metrics.servers.clone()),
             Box::new(metrics.in_flight.clone()),
+            Box::new(metrics.longest_pause_ms.clone()),
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.limited_servers.clone()),
             Box::new(ProcessCollector::for_self()),
@@ -153,6 +167,10 @@
         self.in_flight.inc();
     }
 
+    pub(super) fn record_read(&self) {
+        self.requests_read.inc();
+    }
+
     pub(super) fn record_end(&self, route: &str, outcome: &str, cause: &str) {
         self.in_flight.dec();
         self.requests
@@ -200,6 +218,13 @@
         self.servers.set(servers as i64);
     }
 
+    /// Records a time for which the event loop stood still.
+    pub(super) fn record_pause(&self, pause: Duration) {
+        let pause_ms = i64::try_from(pause.as_millis()).unwrap_or(i64::MAX);
+        self.longest_pause_ms
+            .set(self.longest_pause_ms.get().max(pause_ms));
+    }
+
     /// Renders everything in Prometheus text format.
     pub(super) fn record_held_parts(&self, count: usize) {
         self.held_parts
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The data for a request's log line and metrics, which are written when this is dropped.
@@ -45,6 +46,8 @@
     /// Requests a second that the server that answered last takes from all gateways; `None` if it names no limit.
     rate_limit: Option<f64>,
     pub(super) started_at: Instant,
+    /// Time from the receipt of the request to its deadline; `None` if it was refused before it had one.
+    pub(super) time_limit: Option<Duration>,
     /// Milliseconds until the response could be passed on: the whole response, or the first events of a stream.
     first_ms: Option<u64>,
     last_event_id: Option<u64>,
@@ -52,6 +55,8 @@
     status: u16,
     outcome: &'static str,
     cause: String,
+    /// Whether the request has been read with its whole body.
+    is_read: bool,
     /// Whether the gateway has stopped and drops its requests.
     has_gateway_stopped: Arc<AtomicBool>,
 }
@@ -80,18 +85,27 @@
             list_version: 0,
             rate_limit: None,
             started_at: Instant::now(),
+            time_limit: None,
             first_ms: None,
             last_event_id: None,
             resumes: 0,
             status: 0,
             outcome: "left",
             cause: "caller left".to_owned(),
+            is_read: false,
             has_gateway_stopped: Arc::clone(&gateway.has_stopped),
         }
     }
 
+    /// Records that the request has been read with its whole body, so that its caller is owed an answer or a refusal.
+    pub(super) fn record_read(&mut self) {
+        self.started_at = self.started_at.min(Instant::now());
+        self.is_read = true;
+        self.metrics.record_read();
+    }
+
     /// Records how the request ended. If this is not called, the report says that the caller disconnected or, if it is
-    /// dropped after the gateway has stopped, that the answer was cut off.
+    /// dropped by a panic or after the gateway has stopped, that the answer was cut off.
     pub(super) fn record_end(&mut self, status: StatusCode, outcome: &'static str, cause: &str) {
         self.status = status.as_u16();
         self.outcome = outcome;
@@ -126,7 +140,10 @@
 
 impl Drop for RequestReport {
     fn drop(&mut self) {
-        if self.outcome == "left" && self.has_gateway_stopped.load(Ordering::Relaxed) {
+        if self.outcome == "left" && std::thread::panicking() {
+            self.outcome = "cut off";
+            self.cause = "panic".to_owned();
+        } else if self.outcome == "left" && self.has_gateway_stopped.load(Ordering::Relaxed) {
             self.outcome = "cut off";
             self.cause = "gateway stopped".to_owned();
         }
@@ -159,7 +176,9 @@
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
             "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
-            "resumed" => self.resumes, "ms" => self.started_at.elapsed().as_millis() as u64,
+            "resumed" => self.resumes, "read" => self.is_read,
+            "limit_ms" => self.time_limit.map(|limit| limit.as_millis() as u64),
+            "ms" => self.started_at.elapsed().as_millis() as u64,
             "status" => self.status, "outcome" => self.outcome, "cause" => &self.cause);
     }
 }
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 pub mod follow;
 mod kind;
+pub mod log_line;
 pub mod merge;
 mod metrics;
 pub mod render;
@@ -14,6 +15,7 @@
 mod settings;
 #[cfg(test)]
 mod tests;
+pub mod unanswered;
 
 pub use event::Event;
 pub use kind::EventKind;
