--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -93,6 +93,14 @@
         is_allowed
     }
 
+    /// Gives back a retry that was taken at `taken_at` and for which there was no server.
+    pub fn release(&mut self, taken_at: BootInstant) {
+        let mut newest_first = self.buckets.iter_mut().rev();
+        if let Some(bucket) = newest_first.find(|bucket| bucket.start <= taken_at) {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// Returns the bucket that counts at `now`, and removes old ones. A bucket is kept for one bucket length longer
     /// than the window, since it may count requests and retries that came so much later than its start.
     fn current_bucket(&mut self, now: BootInstant) -> &mut Bucket {
--- a/src/decide/tests/retry_budget.rs
+++ b/src/decide/tests/retry_budget.rs
@@ -75,3 +75,20 @@
     assert!(spare > 0);
     assert!(needed.count() >= spare);
 }
+
+#[test]
+fn a_retry_that_is_given_back_can_be_taken_once_more_in_its_window() {
+    let mut budget = budget();
+    let take_all = |budget: &mut RetryBudget, now| {
+        let taken = (0..100).filter(|_| budget.try_acquire(now, 1, RetryNeed::Full));
+        taken.count()
+    };
+    let count = take_all(&mut budget, at(0));
+
+    budget.release(at(0));
+    let again = take_all(&mut budget, at(5_000));
+    let in_next_window = take_all(&mut budget, at(11_000));
+
+    assert_eq!(again, 1);
+    assert_eq!(in_next_window, count - 1);
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -56,6 +56,8 @@
     pub(super) released: Vec<String>,
     /// Sends that did not reach the chosen server.
     pub(super) undelivered_sends: u32,
+    /// When the retry was taken from the budget for which a server is being chosen.
+    pub(super) unused_retry: Option<BootInstant>,
     /// Whether a server may have started to run the request.
     pub(super) may_have_run: bool,
     pub(super) crash_guard: CrashGuard,
@@ -164,6 +166,7 @@
             sends: 0,
             released: Vec::new(),
             undelivered_sends: 0,
+            unused_retry: None,
             may_have_run: false,
             crash_guard: CrashGuard::new(&metadata.parts),
             metadata,
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -77,7 +77,10 @@
             if needs_send {
                 match self.start_send(resume_after).await {
                     Ok(send) => race.push(send),
-                    Err(refusal) => outcome = newest(outcome, Outcome::Refused(refusal)),
+                    Err(refusal) => {
+                        self.return_unused_retry();
+                        outcome = newest(outcome, Outcome::Refused(refusal));
+                    }
                 }
             }
             if race.is_empty() {
@@ -114,7 +117,7 @@
 
     /// Returns whether a request whose server broke off may be sent to another one; if so, the retry is taken from the
     /// budget.
-    pub(super) fn take_retry(&self) -> bool {
+    pub(super) fn take_retry(&mut self) -> bool {
         let view = self.failover_view(false);
         let step = failover_step(SendState::Broken, &view, |need| self.take_from_budget(need));
         step == FailoverStep::Send
@@ -242,7 +245,7 @@
     }
 
     /// Takes one retry from the service's retry budget; returns whether the budget granted it.
-    fn take_from_budget(&self, need: RetryNeed) -> bool {
+    fn take_from_budget(&mut self, need: RetryNeed) -> bool {
         let nodes = self.gateway.node_count();
         let now = BootInstant::now();
         let is_granted = self
@@ -253,9 +256,18 @@
         self.gateway
             .metrics
             .record_retry(&self.service_name, is_granted);
+        self.unused_retry = is_granted.then_some(now);
         is_granted
     }
 
+    /// Gives a retry back to the budget for which there was no server.
+    fn return_unused_retry(&mut self) {
+        if let Some(taken_at) = self.unused_retry.take() {
+            self.gateway
+                .with_retry_budget(&self.service_name, |budget| budget.release(taken_at));
+        }
+    }
+
     /// Counts in the metrics a send that is silent or whose response is not passed on, by its result.
     fn count_send(&self, result: &str) {
         self.gateway.metrics.record_send(&self.service_name, result);
@@ -290,6 +302,7 @@
     async fn start_send(&mut self, resume_after: Option<u64>) -> Result<PendingSend, Refusal> {
         self.check_held().await?;
         let target = self.choose_server()?;
+        self.unused_retry = None;
         let Target { server, .. } = &target;
         self.report.servers.push(server.id.clone());
         let software_version = server.entry.software_version.clone();
