--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -46,15 +46,16 @@
         let waits = if is_known_unknown { 0 } else { MAX_WAITS };
         let until = Instant::now() + self.time_left() / LOOKUP_DIVISOR;
         let searching = self.search_version(stream, waits);
-        // A version that isn't found in time is as good as unknown.
-        let version = tokio::time::timeout_at(until, searching).await;
-        match version {
-            Ok(Some(version)) => {
-                self.stream_version = StreamVersion::Only(version);
-                Ok(())
-            }
-            Ok(None) | Err(_) => Err(self.no_server_refusal("stream of unknown version")),
-        }
+        let version = match tokio::time::timeout_at(until, searching).await {
+            Ok(version) => version,
+            // What this gateway knows by itself needs no time.
+            Err(_) => self.only_version(),
+        };
+        let Some(version) = version else {
+            return Err(self.no_server_refusal("stream of unknown version"));
+        };
+        self.stream_version = StreamVersion::Only(version);
+        Ok(())
     }
 
     /// Returns the version at which `stream` began; asks again after each of up to `waits` waits for other gateways'
@@ -81,6 +82,12 @@
                 return version;
             }
         }
+        self.only_version()
+    }
+
+    /// Returns the version of all servers that may have begun the stream; `None` if there were several or if that is not
+    /// known.
+    fn only_version(&self) -> Option<String> {
         let catalog = &self.gateway.catalog;
         catalog.only_version(&self.service_name, self.first_break())
     }
