--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -62,8 +62,8 @@
     consecutive_unresponsive: u32,
     suspensions: u32,
     suspended_until: Option<BootInstant>,
-    /// Whether the last suspension is for silence.
-    is_silent: bool,
+    /// Whether the last suspension is since the server did not respond or could not be reached.
+    is_unresponsive: bool,
 }
 
 impl Health {
@@ -77,11 +77,11 @@
         self.failure_rate
     }
 
-    /// Records that a server that was silent goes on, which ends its suspension. Its failure rate stays, since a server
-    /// that falls silent again and again is no better than one that fails.
+    /// Records that a server that was silent goes on, or that another path to it was found, which ends its suspension. Its
+    /// failure rate stays, since a server that falls silent again and again is no better than one that fails.
     pub fn end_silence(&mut self) {
-        if self.is_silent {
-            self.is_silent = false;
+        if self.is_unresponsive {
+            self.is_unresponsive = false;
             self.suspended_until = None;
             self.consecutive_unresponsive = 0;
         }
@@ -120,7 +120,7 @@
         let suspension = policy.base_suspension * 2u32.saturating_pow(self.suspensions.min(8));
         let suspension = suspension.min(policy.max_suspension);
         self.suspensions += 1;
-        self.is_silent = result == RunResult::Silent;
+        self.is_unresponsive = is_unresponsive;
         self.suspended_until = Some(now.plus(suspension));
         Some(suspension)
     }
--- /dev/null
+++ b/src/decide/server_path.rs
@@ -0,0 +1,156 @@
+//! Decides how a gateway connects to a backend server: directly, or through another gateway as helper.
+//!
+//! Load pattern: a gateway loses its paths to some or all servers for seconds, while other gateways reach them. Its
+//! connections hang, are reset, or live on while new ones are refused. A server that has gone looks the same to it, but then
+//! no other gateway reaches the server either. Nothing is concluded from failures alone: a path counts as blocked when a
+//! helper reached the server that this gateway could not connect to. `docs/REACHING-SERVERS.md` has the whole protocol.
+
+use super::hash::hash;
+use crate::clock::BootInstant;
+use crate::peers::NodeEntry;
+use std::time::Duration;
+
+/// Time for which a server that no gateway asked could reach gets no requests.
+const LOST_TIME: Duration = Duration::from_millis(500);
+/// Interval at which a blocked path is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of helpers that are asked for one connection.
+const MAX_HELPERS: usize = 3;
+
+/// What a gateway knows of its path to one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerPath {
+    /// When a direct connection last failed, if none has been established since.
+    failed_at: Option<BootInstant>,
+    /// When the first of these failures was.
+    failing_since: Option<BootInstant>,
+    /// When a helper last reached the server, if no direct connection has been established since.
+    tunnelled_at: Option<BootInstant>,
+    /// When neither this gateway nor any helper that it asked reached the server, if none has since.
+    lost_at: Option<BootInstant>,
+    /// When a direct connection was last tried.
+    tried_at: Option<BootInstant>,
+}
+
+/// How a server is reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathState {
+    /// Directly, as far as is known.
+    Open,
+    /// Through helpers only.
+    Blocked,
+    /// Not at all.
+    Lost,
+}
+
+impl ServerPath {
+    /// Returns how the server is reached at `now`.
+    pub fn state(&self, now: BootInstant) -> PathState {
+        let is_lost = self.lost_at.is_some_and(|at| now.since(at) < LOST_TIME);
+        if is_lost {
+            PathState::Lost
+        } else if self.failed_at.is_some() && self.tunnelled_at.is_some() {
+            PathState::Blocked
+        } else {
+            PathState::Open
+        }
+    }
+
+    /// Records that a direct connection is tried.
+    pub fn record_try(&mut self, now: BootInstant) {
+        self.tried_at = Some(now);
+    }
+
+    /// Records that a direct connection was established.
+    pub fn record_connected(&mut self) {
+        *self = Self {
+            tried_at: self.tried_at,
+            ..Self::default()
+        };
+    }
+
+    /// Records that a direct connection could not be established.
+    pub fn record_failed(&mut self, now: BootInstant) {
+        self.failed_at = Some(now);
+        self.failing_since = self.failing_since.or(Some(now));
+    }
+
+    /// Records that a helper reached the server.
+    pub fn record_tunnelled(&mut self, now: BootInstant) {
+        self.tunnelled_at = Some(now);
+        self.lost_at = None;
+    }
+
+    /// Records that neither this gateway nor any helper that it asked reached the server.
+    pub fn record_lost(&mut self, now: BootInstant) {
+        self.tunnelled_at = None;
+        self.lost_at = Some(now);
+    }
+
+    /// Returns whether a direct connection failed a moment ago and none has been established since.
+    pub fn has_just_failed(&self, now: BootInstant) -> bool {
+        let is_blocked = self.state(now) == PathState::Blocked;
+        is_blocked || self.failed_at.is_some_and(|at| now.since(at) < LOST_TIME)
+    }
+
+    /// Returns since when direct connections have failed although helpers reach the server; `None` if the path is not
+    /// blocked.
+    pub fn blocked_since(&self, now: BootInstant) -> Option<BootInstant> {
+        let since = self.failing_since;
+        since.filter(|_| self.state(now) == PathState::Blocked)
+    }
+
+    /// Returns whether the path is blocked and is to be tried again.
+    pub fn is_retry_due(&self, now: BootInstant) -> bool {
+        self.state(now) == PathState::Blocked && self.has_not_been_tried_lately(now)
+    }
+
+    /// Returns whether the last try of a direct connection was some time ago.
+    pub fn has_not_been_tried_lately(&self, now: BootInstant) -> bool {
+        self.tried_at
+            .is_none_or(|at| now.since(at) >= RETRY_INTERVAL)
+    }
+}
+
+/// What is known of a gateway that may be a helper.
+#[derive(Clone, Copy, Debug)]
+pub struct HelperView<'a> {
+    /// The gateway's entry in the node list.
+    pub node: &'a NodeEntry,
+    /// Number of this gateway's tunnels through it.
+    pub tunnels: u32,
+    /// Whether it could not be reached, refused a tunnel to the server, or reaches no server itself, a moment ago.
+    pub has_refused: bool,
+}
+
+/// Returns the helpers to ask for a connection to the server called `server`, in order: near ones before far ones, then by
+/// the number of tunnels. The order of equals differs from gateway to gateway and server to server, so that no helper is
+/// asked by all.
+pub fn helper_order<'a>(
+    own: &NodeEntry,
+    server: &str,
+    helpers: &[HelperView<'a>],
+) -> Vec<&'a NodeEntry> {
+    let mut usable: Vec<&HelperView<'_>> = helpers
+        .iter()
+        .filter(|helper| !helper.has_refused && helper.node.name != own.name)
+        .collect();
+    usable.sort_by_key(|helper| {
+        let is_far = helper.node.data_centre != own.data_centre;
+        let name = helper.node.name.as_bytes();
+        let random = hash(&[own.name.as_bytes(), name, server.as_bytes()]);
+        (is_far, helper.tunnels, random)
+    });
+    let usable = usable.into_iter().map(|helper| helper.node);
+    usable.take(MAX_HELPERS).collect()
+}
+
+/// Maximum number of tunnels that a gateway carries for others.
+const MAX_CARRIED: u32 = 256;
+
+/// Returns whether a gateway carries another tunnel for a requester for which it carries `own` already, and `others` for
+/// other requesters. While others ask too, no requester gets more than half of the room.
+pub fn may_carry(own: u32, others: u32) -> bool {
+    let is_alone = others == 0;
+    own + others < MAX_CARRIED && (is_alone || own < MAX_CARRIED / 2)
+}
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -13,3 +13,4 @@
 mod relay;
 mod retry_budget;
 mod server_limit;
+mod server_path;
--- /dev/null
+++ b/src/decide/tests/server_path.rs
@@ -0,0 +1,162 @@
+//! Paths to servers that are lost and found, and the gateways that are asked for help.
+
+use crate::clock::BootInstant;
+use crate::decide::HelperView;
+use crate::decide::PathState;
+use crate::decide::ServerPath;
+use crate::decide::helper_order;
+use crate::decide::may_carry;
+use crate::peers::NodeEntry;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn at(ms: u64) -> BootInstant {
+    BootInstant::from_boot(Duration::from_millis(ms))
+}
+
+fn node(name: &str, data_centre: &str) -> NodeEntry {
+    NodeEntry {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7340)),
+        start_time_ms: 1,
+        link_mbps: 1_000,
+    }
+}
+
+fn view(node: &NodeEntry, tunnels: u32, has_refused: bool) -> HelperView<'_> {
+    HelperView {
+        node,
+        tunnels,
+        has_refused,
+    }
+}
+
+fn names(own: &NodeEntry, server: &str, views: &[HelperView<'_>]) -> Vec<String> {
+    let order = helper_order(own, server, views);
+    order.into_iter().map(|node| node.name.clone()).collect()
+}
+
+/// Returns a path that failed at 0 ms and was blocked at 60 ms.
+fn blocked_path() -> ServerPath {
+    let mut path = ServerPath::default();
+    path.record_try(at(0));
+    path.record_failed(at(0));
+    path.record_tunnelled(at(60));
+    path
+}
+
+#[test]
+fn a_path_is_blocked_only_once_a_helper_reached_the_server() {
+    let mut path = ServerPath::default();
+    path.record_failed(at(0));
+
+    let before = path.state(at(10));
+    path.record_tunnelled(at(20));
+
+    assert_eq!(before, PathState::Open);
+    assert_eq!(path.state(at(20)), PathState::Blocked);
+    assert_eq!(path.blocked_since(at(20)), Some(at(0)));
+}
+
+#[test]
+fn a_helper_that_was_faster_blocks_no_path() {
+    let mut path = ServerPath::default();
+
+    path.record_tunnelled(at(60));
+    path.record_connected();
+
+    assert_eq!(path.state(at(70)), PathState::Open);
+    assert!(!path.has_just_failed(at(70)));
+}
+
+#[test]
+fn a_server_that_nobody_reaches_is_left_alone_for_a_while() {
+    let mut path = ServerPath::default();
+    path.record_failed(at(0));
+
+    path.record_lost(at(100));
+
+    assert_eq!(path.state(at(300)), PathState::Lost);
+    assert_eq!(path.state(at(700)), PathState::Open);
+    assert_eq!(path.blocked_since(at(700)), None);
+}
+
+#[test]
+fn a_blocked_path_is_tried_again_each_second_and_is_open_at_once() {
+    let mut path = blocked_path();
+
+    let is_due_early = path.is_retry_due(at(900));
+    let is_due = path.is_retry_due(at(1_000));
+    path.record_try(at(1_000));
+    let is_due_again = path.is_retry_due(at(1_100));
+    path.record_connected();
+
+    assert!(!is_due_early);
+    assert!(is_due);
+    assert!(!is_due_again);
+    assert_eq!(path.state(at(1_200)), PathState::Open);
+}
+
+#[test]
+fn a_server_that_helpers_lose_too_is_not_blocked_but_lost() {
+    let mut path = blocked_path();
+
+    path.record_lost(at(500));
+
+    assert_eq!(path.state(at(600)), PathState::Lost);
+    assert_eq!(path.blocked_since(at(2_000)), None);
+}
+
+#[test]
+fn near_helpers_with_few_tunnels_are_asked_first() {
+    let (own, near, busy, far) = (
+        node("a", "x"),
+        node("b", "x"),
+        node("c", "x"),
+        node("d", "y"),
+    );
+    let views = [
+        view(&own, 0, false),
+        view(&far, 0, false),
+        view(&busy, 9, false),
+        view(&near, 1, false),
+    ];
+
+    let order = names(&own, "i-1", &views);
+
+    assert_eq!(order, ["b", "c", "d"]);
+}
+
+#[test]
+fn helpers_that_refused_are_not_asked() {
+    let (own, near, far) = (node("a", "x"), node("b", "x"), node("c", "y"));
+    let views = [view(&near, 0, true), view(&far, 0, false)];
+
+    let order = names(&own, "i-1", &views);
+
+    assert_eq!(order, ["c"]);
+}
+
+#[test]
+fn gateways_that_are_cut_off_together_ask_different_helpers() {
+    let helpers: Vec<NodeEntry> = (0..10).map(|n| node(&format!("h-{n}"), "y")).collect();
+    let views: Vec<HelperView<'_>> = helpers.iter().map(|node| view(node, 0, false)).collect();
+
+    let mut first: Vec<String> = (0..20)
+        .map(|n| names(&node(&format!("a-{n}"), "x"), "i-1", &views)[0].clone())
+        .collect();
+    first.sort();
+    first.dedup();
+
+    assert!(first.len() >= 5, "{first:?}");
+}
+
+#[test]
+fn no_requester_gets_all_the_room_of_a_helper_that_others_ask_too() {
+    assert!(may_carry(200, 0));
+    assert!(!may_carry(256, 0));
+    assert!(may_carry(127, 1));
+    assert!(!may_carry(128, 1));
+    assert!(!may_carry(10, 246));
+}
