--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -7,7 +7,11 @@
 use futures_util::StreamExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -18,6 +22,18 @@
 /// configuration takes half of this time on a slow link.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// An open WebSocket connection to another gateway.
 pub(super) struct Link {
     socket: WebSocketStream<TcpStream>,
@@ -26,8 +42,16 @@
 impl Link {
     /// Opens a connection to `node`.
     pub(super) async fn open(node: &NodeEntry) -> Result<Self, String> {
+        Self::open_from(None, node).await
+    }
+
+    /// Opens a connection to `node` from the address `source` of this host, if one is given.
+    pub(super) async fn open_from(
+        source: Option<IpAddr>,
+        node: &NodeEntry,
+    ) -> Result<Self, String> {
         let opening = async {
-            let stream = TcpStream::connect(node.address).await;
+            let stream = connect(source, node.address).await;
             let stream = stream.map_err(|err| err.to_string())?;
             stream.set_nodelay(true).map_err(|err| err.to_string())?;
             let url = format!("ws://{}/peers", node.address);
@@ -39,6 +63,11 @@
         opened.unwrap_or_else(|_| Err("connecting timed out".to_owned()))
     }
 
+    /// Returns the connection, for other messages than requests and responses.
+    pub(super) fn into_socket(self) -> WebSocketStream<TcpStream> {
+        self.socket
+    }
+
     /// Sends one request and waits for its response.
     pub(super) async fn request<Q: Serialize, R: DeserializeOwned>(
         &mut self,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -16,6 +16,9 @@
 mod streams;
 #[cfg(test)]
 mod tests;
+mod tunnel;
+mod tunnel_stream;
+mod tunnel_table;
 
 pub use directory::NodeDirectory;
 pub use directory::NodeEntry;
@@ -28,3 +31,5 @@
 pub use node::Peers;
 pub use streams::StreamDirectory;
 pub use streams::StreamKey;
+pub use tunnel::DirectPaths;
+pub use tunnel::Tunnels;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -24,6 +24,8 @@
 use super::streams::RecordSource;
 use super::streams::StreamDirectory;
 use super::streams::StreamTable;
+use super::tunnel::DirectPaths;
+use super::tunnel_table::TunnelTable;
 use crate::catalog::Catalog;
 use crate::catalog::Configuration;
 use crate::catalog::Position;
@@ -40,6 +42,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -93,6 +96,9 @@
     pub(super) catalog: Arc<Catalog>,
     pub(super) load_table: LoadTable,
     pub(super) streams: StreamTable,
+    pub(super) tunnel_table: TunnelTable,
+    /// Connects to backend servers for other gateways; unset until the gateway has started.
+    pub(super) direct_paths: OnceLock<Arc<dyn DirectPaths>>,
     pub(super) quarantine: Arc<Quarantine>,
     pub(super) logs: Logs,
     nodes: Mutex<Nodes>,
@@ -201,7 +207,7 @@
 
     /// Returns whether `node` was marked unreachable less than [`UNREACHABLE_PAUSE`] ago, so that it must not be
     /// contacted.
-    fn is_unreachable(&self, node: &NodeEntry) -> bool {
+    pub(super) fn is_unreachable(&self, node: &NodeEntry) -> bool {
         let now = BootInstant::now();
         let unreachable = lock(&self.unreachable);
         unreachable
@@ -381,7 +387,7 @@
 
 /// Synchronization of this gateway with the others.
 pub struct Peers {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     directory: Arc<dyn NodeDirectory>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -414,6 +420,8 @@
             catalog: Arc::clone(catalog),
             load_table: LoadTable::default(),
             streams: StreamTable::default(),
+            tunnel_table: TunnelTable::default(),
+            direct_paths: OnceLock::new(),
             quarantine: Arc::clone(quarantine),
             logs: logs.clone(),
             nodes: Mutex::default(),
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -10,12 +10,15 @@
 use super::streams::RecordSource;
 use super::streams::StreamLookup;
 use super::streams::StreamLookupResponse;
+use super::tunnel;
+use super::tunnel::TunnelRequest;
 use crate::clock::BootInstant;
 use crate::quarantine;
 use crate::quarantine::Records;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use slog::debug;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -39,8 +42,8 @@
 pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(Arc::clone(&shared), stream));
+            Ok((stream, peer)) => {
+                tokio::spawn(serve(Arc::clone(&shared), stream, peer));
             }
             Err(err) => {
                 slog::warn!(shared.logs.log(), "accept failed"; "purpose" => "peers", "cause" => %err);
@@ -50,13 +53,17 @@
     }
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream) {
-    if let Err(cause) = answer_requests(&shared, stream).await {
+async fn serve(shared: Arc<Shared>, stream: TcpStream, peer: SocketAddr) {
+    if let Err(cause) = answer_requests(&shared, stream, peer).await {
         debug!(shared.logs.log(), "peer connection ended"; "cause" => cause);
     }
 }
 
-async fn answer_requests(shared: &Shared, stream: TcpStream) -> Result<(), String> {
+async fn answer_requests(
+    shared: &Shared,
+    stream: TcpStream,
+    peer: SocketAddr,
+) -> Result<(), String> {
     stream.set_nodelay(true).map_err(|err| err.to_string())?;
     let accepting = tokio_tungstenite::accept_async(stream);
     let accepted = tokio::time::timeout(IDLE_TIMEOUT, accepting).await;
@@ -74,6 +81,9 @@
         let response = match decode::<SyncRequest>(&bytes) {
             Ok(request) => encode(&respond(shared, request))?,
             Err(cause) => {
+                if let Ok(request) = decode::<TunnelRequest>(&bytes) {
+                    return tunnel::serve(shared, socket, peer.ip(), request).await;
+                }
                 let lookup: StreamLookup = decode(&bytes).map_err(|_| cause)?;
                 let software_version = shared.streams.find(lookup.stream, BootInstant::now());
                 encode(&StreamLookupResponse { software_version })?
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of load sums, of the server list that gateways take from each other, and of the encoding of messages between them.
 
+mod tunnels;
+
 use super::load_table::LoadTable;
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
--- /dev/null
+++ b/src/peers/tunnel.rs
@@ -0,0 +1,350 @@
+//! Connections from one gateway to a backend server through another one, its helper: opening them, and carrying them for
+//! others. `docs/REACHING-SERVERS.md` has the protocol.
+
+use super::directory::NodeEntry;
+use super::link::Link;
+use super::message::encode;
+use super::node::Peers;
+use super::node::Shared;
+use super::tunnel_stream::TunnelStream;
+use super::tunnel_table::CarriedTunnel;
+use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
+use crate::decide::HelperView;
+use crate::decide::helper_order;
+use crate::net::Connection;
+use async_trait::async_trait;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::info;
+use std::fmt;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::ReadHalf;
+use tokio::io::WriteHalf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+/// Timeout for opening a tunnel. A helper that reaches the server opens one in a few round trips, but one that many ask at once
+/// may take longer; the next helper is asked long before.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Size of the buffer for bytes from the server.
+const BUFFER_BYTES: usize = 16 * 1024;
+/// Interval at which a stopping gateway checks for tunnels that it carries.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Opens tunnels to backend servers.
+#[async_trait]
+pub trait Tunnels: Send + Sync {
+    /// Returns the gateways to ask for a tunnel to `server`, in this order.
+    fn helpers(&self, server: &BackendServer) -> Vec<NodeEntry>;
+
+    /// Opens a tunnel to `server` through `helper`, for the request called `request`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why `helper` could not be reached or opened none. No byte has reached the server then.
+    async fn open(
+        &self,
+        helper: &NodeEntry,
+        server: &BackendServer,
+        request: &str,
+    ) -> Result<Box<dyn Connection>, String>;
+
+    /// Returns the number of tunnels of this gateway through others, and of those that it carries for others.
+    fn counts(&self) -> (u32, u32);
+}
+
+/// Connects a helper to backend servers.
+#[async_trait]
+pub trait DirectPaths: Send + Sync {
+    /// Opens a direct connection to `server`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the server can't be reached from here; at once if that is known.
+    async fn connect_directly(&self, server: &BackendServer)
+    -> Result<Box<dyn Connection>, String>;
+
+    /// Returns whether none of `servers` can be reached from here.
+    fn is_cut_off(&self, servers: &[BackendServer]) -> bool;
+}
+
+/// Asks for a tunnel. The bytes of the connection follow in messages of their own once it is granted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct TunnelRequest {
+    /// Name of the backend server.
+    tunnel_to: String,
+    start_time_ms: u64,
+    /// Id of the request, for the logs.
+    request: String,
+}
+
+/// Says whether a tunnel is open.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct TunnelResponse {
+    refusal: Option<TunnelRefusal>,
+}
+
+/// Why a helper opens no tunnel.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+enum TunnelRefusal {
+    /// The requester is on no list of gateways.
+    Stranger,
+    /// The helper doesn't know the server, or not this incarnation of it.
+    UnknownServer,
+    /// The helper doesn't reach the server.
+    Unreachable,
+    /// The helper reaches no server of the service.
+    CutOff,
+    /// The helper carries as many tunnels as it may.
+    Busy,
+    /// The helper is stopping.
+    Stopping,
+}
+
+impl TunnelRefusal {
+    /// Returns whether the helper would refuse a tunnel to any other server too.
+    fn is_for_all_servers(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::UnknownServer)
+    }
+}
+
+impl fmt::Display for TunnelRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Stranger => "not on the helper's node list",
+            Self::UnknownServer => "server unknown to the helper",
+            Self::Unreachable => "server unreachable for the helper",
+            Self::CutOff => "helper reaches no server",
+            Self::Busy => "helper busy",
+            Self::Stopping => "helper stopping",
+        })
+    }
+}
+
+#[async_trait]
+impl Tunnels for Shared {
+    fn helpers(&self, server: &BackendServer) -> Vec<NodeEntry> {
+        let now = BootInstant::now();
+        let (nodes, _) = self.nodes();
+        let views: Vec<HelperView<'_>> = nodes
+            .iter()
+            .map(|node| HelperView {
+                node,
+                tunnels: self.tunnel_table.open_through(&node.name),
+                has_refused: self.is_unreachable(node)
+                    || self.tunnel_table.has_refused(&node.name, &server.id, now),
+            })
+            .collect();
+        let helpers = helper_order(&self.own, &server.id, &views);
+        helpers.into_iter().cloned().collect()
+    }
+
+    fn counts(&self) -> (u32, u32) {
+        (self.tunnel_table.open(), self.tunnel_table.carried())
+    }
+
+    async fn open(
+        &self,
+        helper: &NodeEntry,
+        server: &BackendServer,
+        request: &str,
+    ) -> Result<Box<dyn Connection>, String> {
+        let open = self.tunnel_table.count_open(&helper.name);
+        let opening = self.ask_for_tunnel(helper, server, request);
+        let answer = match tokio::time::timeout(OPEN_TIMEOUT, opening).await {
+            Ok(answer) => answer,
+            Err(_) => Err((None, "helper did not answer in time".to_owned())),
+        };
+        match answer {
+            Ok(socket) => Ok(Box::new(TunnelStream::new(socket, open))),
+            Err((refusal, cause)) => {
+                let is_for_all = refusal.is_none_or(TunnelRefusal::is_for_all_servers);
+                let server = (!is_for_all).then_some(server.id.as_str());
+                let now = BootInstant::now();
+                self.tunnel_table.record_refusal(&helper.name, server, now);
+                Err(cause)
+            }
+        }
+    }
+}
+
+impl Peers {
+    /// Returns what opens tunnels through other gateways.
+    pub fn tunnels(&self) -> Arc<dyn Tunnels> {
+        Arc::clone(&self.shared) as Arc<dyn Tunnels>
+    }
+
+    /// Carries tunnels for other gateways from now on, whose connections `paths` opens.
+    pub fn carry_tunnels(&self, paths: Arc<dyn DirectPaths>) {
+        // Can't fail: it is set nowhere else.
+        let _ = self.shared.direct_paths.set(paths);
+    }
+
+    /// Refuses new tunnels from now on; those that are open go on.
+    pub fn start_draining(&self) {
+        self.shared.tunnel_table.start_draining();
+    }
+
+    /// Waits until no tunnel is carried for other gateways, at most for `timeout`.
+    pub async fn drain(&self, timeout: Duration) {
+        let end = Instant::now() + timeout;
+        while self.shared.tunnel_table.carried() > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl Shared {
+    async fn ask_for_tunnel(
+        &self,
+        helper: &NodeEntry,
+        server: &BackendServer,
+        request: &str,
+    ) -> Result<WebSocketStream<TcpStream>, (Option<TunnelRefusal>, String)> {
+        let lost = |cause| (None, cause);
+        let source = Some(self.own.address.ip());
+        let link = Link::open_from(source, helper).await;
+        let mut link = link.map_err(lost)?;
+        let question = TunnelRequest {
+            tunnel_to: server.id.clone(),
+            start_time_ms: server.entry.start_time_ms,
+            request: request.to_owned(),
+        };
+        let answer: TunnelResponse = link.request(&question).await.map_err(lost)?;
+        match answer.refusal {
+            None => Ok(link.into_socket()),
+            Some(refusal) => Err((Some(refusal), refusal.to_string())),
+        }
+    }
+
+    /// Opens a connection to the server that `request` names.
+    async fn open_for_other(
+        &self,
+        requester: IpAddr,
+        request: &TunnelRequest,
+    ) -> Result<(Box<dyn Connection>, CarriedTunnel), TunnelRefusal> {
+        let (nodes, _) = self.nodes();
+        if !nodes.iter().any(|node| node.address.ip() == requester) {
+            return Err(TunnelRefusal::Stranger);
+        }
+        let carried = self.tunnel_table.carry_for(requester);
+        let carried = carried.ok_or(TunnelRefusal::Busy)?;
+        if self.tunnel_table.is_stopping() {
+            return Err(TunnelRefusal::Stopping);
+        }
+        let (servers, _) = self.catalog.servers();
+        let found = servers.binary_search_by(|server| server.id.cmp(&request.tunnel_to));
+        let server = found.ok().map(|index| &servers[index]);
+        let server = server.filter(|server| server.entry.start_time_ms == request.start_time_ms);
+        let server = server.ok_or(TunnelRefusal::UnknownServer)?;
+        let paths = self.direct_paths.get().ok_or(TunnelRefusal::Unreachable)?;
+        match paths.connect_directly(server).await {
+            Ok(connection) => Ok((connection, carried)),
+            Err(_) => {
+                let (servers, _) = self.catalog.servers_of(&server.entry.service);
+                Err(if paths.is_cut_off(&servers) {
+                    TunnelRefusal::CutOff
+                } else {
+                    TunnelRefusal::Unreachable
+                })
+            }
+        }
+    }
+}
+
+/// Answers a request for a tunnel and carries the tunnel, if one is opened, until either end closes it.
+///
+/// # Errors
+///
+/// Returns the reason if the requester can't be answered.
+pub(super) async fn serve(
+    shared: &Shared,
+    mut socket: WebSocketStream<TcpStream>,
+    requester: IpAddr,
+    request: TunnelRequest,
+) -> Result<(), String> {
+    let opened = shared.open_for_other(requester, &request).await;
+    let refusal = opened.as_ref().err().copied();
+    let response = encode(&TunnelResponse { refusal })?;
+    let sent = socket.send(Message::binary(response)).await;
+    sent.map_err(|err| err.to_string())?;
+    let (connection, carried) = match opened {
+        Ok(opened) => opened,
+        Err(refusal) => {
+            info!(shared.logs.log(), "tunnel refused"; "request" => request.request,
+                "server" => request.tunnel_to, "requester" => %requester, "cause" => %refusal);
+            return Ok(());
+        }
+    };
+    let began = BootInstant::now();
+    let end = pass_on(socket, connection).await;
+    info!(shared.logs.log(), "tunnel ended"; "request" => request.request, "server" => request.tunnel_to,
+        "requester" => %requester, "ms" => BootInstant::now().since(began).as_millis() as u64,
+        "cause" => end);
+    carried.close();
+    Ok(())
+}
+
+/// Passes bytes in both directions until one side ends; returns which one and how.
+async fn pass_on(socket: WebSocketStream<TcpStream>, connection: Box<dyn Connection>) -> String {
+    let (mut to_requester, mut from_requester) = socket.split();
+    let (mut from_server, mut to_server) = tokio::io::split(connection);
+    tokio::select! {
+        end = pass_to_server(&mut from_requester, &mut to_server) => end,
+        end = pass_to_requester(&mut from_server, &mut to_requester) => end,
+    }
+}
+
+async fn pass_to_server(
+    from_requester: &mut SplitStream<WebSocketStream<TcpStream>>,
+    to_server: &mut WriteHalf<Box<dyn Connection>>,
+) -> String {
+    loop {
+        match from_requester.next().await {
+            Some(Ok(Message::Binary(bytes))) => {
+                if let Err(err) = to_server.write_all(&bytes).await {
+                    return format!("server: {err}");
+                }
+            }
+            // The requester closes a tunnel once its request has ended, without a close message.
+            Some(Ok(Message::Close(_)) | Err(_)) | None => return "closed by requester".to_owned(),
+            Some(Ok(_)) => {}
+        }
+    }
+}
+
+async fn pass_to_requester(
+    from_server: &mut ReadHalf<Box<dyn Connection>>,
+    to_requester: &mut SplitSink<WebSocketStream<TcpStream>, Message>,
+) -> String {
+    let mut buf = vec![0; BUFFER_BYTES];
+    loop {
+        let message = match from_server.read(&mut buf).await {
+            // Only an orderly end is passed on as one.
+            Ok(0) => Message::Close(None),
+            Ok(count) => Message::binary(buf[..count].to_vec()),
+            Err(err) => return format!("server: {err}"),
+        };
+        let is_end = matches!(message, Message::Close(_));
+        if let Err(err) = to_requester.send(message).await {
+            return format!("requester: {err}");
+        }
+        if is_end {
+            return "closed by server".to_owned();
+        }
+    }
+}
