--- a/src/clock.rs
+++ b/src/clock.rs
@@ -32,6 +32,13 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Returns the same instant on the clock of [`Instant`], which stops while the machine is suspended; an instant before
+    /// the start of that clock becomes the present one.
+    pub fn to_std(self) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(Self::now().since(self)).unwrap_or(now)
+    }
+
     /// Returns the instant that is `time` earlier, or the start of the clock if that would be before it.
     pub fn before(self, time: Duration) -> Self {
         Self(self.0.saturating_sub(time))
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,8 +7,10 @@
 use super::pool::ConnectError;
 use super::pool::Lease;
 use super::pool::Pool;
+use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
 use crate::decide::RunResult;
 use crate::net::full_body;
 use bytes::Bytes;
@@ -21,6 +23,7 @@
 use hyper::http::response;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use tokio::time::Instant;
 
 /// A caller's request as it is sent to servers.
@@ -78,6 +81,10 @@
     pub(super) max_connections: u32,
     /// Learns of the limit that the server names.
     pub(super) rates: &'a ServerRates,
+    /// Connects to the server.
+    pub(super) paths: &'a Arc<ServerPaths>,
+    /// Set to the name of the gateway that carries the request, if one does.
+    pub(super) helper: &'a OnceLock<String>,
 }
 
 /// Maximum number of connections tried in one send; another is tried if an idle one was closed before any byte was
@@ -95,7 +102,8 @@
 ) -> SendOutcome {
     let mut last_error = String::from("no connection");
     for _ in 0..MAX_CONNECTION_TRIES {
-        let mut lease = match acquire_connection(params, pool).await {
+        let request_id = outbound.request_id.as_str();
+        let mut lease = match acquire_connection(params, request_id, pool, guard).await {
             Ok(lease) => lease,
             Err(cause) => {
                 guard.record_result(RunResult::Unreachable);
@@ -137,12 +145,32 @@
 }
 
 /// Returns an idle connection, or opens a new one if there is none.
-async fn acquire_connection(params: &SendParams<'_>, pool: &Pool) -> Result<Lease, String> {
-    if let Some(lease) = pool.take_idle(params.server) {
+async fn acquire_connection(
+    params: &SendParams<'_>,
+    request_id: &str,
+    pool: &Pool,
+    guard: &InFlightGuard,
+) -> Result<Lease, String> {
+    let server = params.server;
+    let blocked_since = params.paths.blocked_since();
+    // Connections may hang since the first path was blocked, unless the server has been heard since.
+    let doubtful_since = blocked_since.filter(|since| !guard.was_heard_since(*since));
+    let not_before = doubtful_since.map(BootInstant::to_std);
+    if let Some(lease) = pool.take_idle(server, not_before) {
         return Ok(lease);
     }
-    match pool.connect(params.server, params.max_connections).await {
-        Ok(lease) => Ok(lease),
+    let connected = match params.paths.connect(server, request_id).await {
+        Ok(connection) => Pool::lease(connection, server, params.max_connections).await,
+        Err(err) => Err(err),
+    };
+    match connected {
+        Ok(lease) => {
+            if let Some(helper) = lease.helper() {
+                guard.set_carried();
+                params.helper.get_or_init(|| helper.to_owned());
+            }
+            Ok(lease)
+        }
         Err(ConnectError::Timeout) => Err("connecting timed out".to_owned()),
         Err(ConnectError::Failed(cause)) => Err(cause),
     }
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -20,6 +20,7 @@
 use hyper::http::response;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use tokio::time::Instant;
 
 /// What a server has sent that can be passed on to the caller.
@@ -71,6 +72,8 @@
     pub(super) is_stream: bool,
     pub(super) guard: Arc<InFlightGuard>,
     pub(super) progress: Arc<Progress>,
+    /// Set to the name of the gateway that carries the request, if one does.
+    pub(super) helper: Arc<OnceLock<String>>,
 }
 
 impl ServerSend {
@@ -87,6 +90,8 @@
             copy_from: self.copy_from,
             deadline: self.deadline,
             rates: &gateway.rates,
+            paths: &gateway.paths,
+            helper: &self.helper,
             max_connections: self.max_connections,
         };
         let sending = attempt::send(
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -23,6 +23,7 @@
 use crate::decide::failover_step;
 use hyper::StatusCode;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -307,6 +308,8 @@
         self.gateway.rates.record_send(server);
         let guard = Arc::new(self.gateway.loads.start_request(server));
         let progress = Arc::new(Progress::default());
+        let helper = Arc::new(OnceLock::new());
+        self.report.helpers.push(Arc::clone(&helper));
         let send = ServerSend {
             gateway: Arc::clone(&self.gateway),
             outbound: Arc::clone(&self.outbound),
@@ -323,6 +326,7 @@
             is_stream: self.route.retry_mode.is_stream(),
             guard: Arc::clone(&guard),
             progress: Arc::clone(&progress),
+            helper,
         };
         Ok(PendingSend {
             sent: Sent::new(&target, released.is_none()),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -12,6 +12,7 @@
 use super::refusal::Refusal;
 use super::report::RequestReport;
 use super::response_memory::ResponseMemory;
+use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
@@ -76,6 +77,8 @@
     pub(super) logs: Logs,
     pub(super) metrics: Arc<GatewayMetrics>,
     pub(super) pool: Pool,
+    /// Connects to servers.
+    pub(super) paths: Arc<ServerPaths>,
     pub(super) loads: ServerLoads,
     /// Memory for responses that are read whole.
     pub(super) response_memory: ResponseMemory,
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -58,6 +58,8 @@
     /// When the last byte arrived from the server, or when the first request was sent if none has arrived since; `None`
     /// while no request is in flight.
     inactive_since: Option<BootInstant>,
+    /// When the last byte arrived on a direct connection.
+    heard_at: Option<BootInstant>,
     /// When the server joined; `None` if it was in the first server list that this node read.
     joined_at: Option<BootInstant>,
     /// Whether the incarnation has said that it leaves.
@@ -84,6 +86,8 @@
     start_time_ms: u64,
     /// Whether the server has been recorded as silent for this request.
     is_silent: AtomicBool,
+    /// Whether another gateway carries the request.
+    is_carried: AtomicBool,
 }
 
 /// Load and health of a server.
@@ -141,6 +145,28 @@
             id: server.id.clone(),
             start_time_ms: server.entry.start_time_ms,
             is_silent: AtomicBool::new(false),
+            is_carried: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the names of the servers with requests in flight from which no byte has arrived for `time`.
+    pub(super) fn inactive_for(&self, time: Duration, now: BootInstant) -> Vec<String> {
+        let states = self.lock();
+        let inactive = states.iter().filter(|state| {
+            let since = state.inactive_since;
+            since.is_some_and(|since| now.since(since) > time)
+        });
+        inactive.map(|state| state.id.clone()).collect()
+    }
+
+    /// Records that another path to `server` was found, so that it gets requests again if it got none because it did not
+    /// respond.
+    pub(super) fn record_other_path(&self, server: &BackendServer) {
+        let mut states = self.lock();
+        let state = current_state(&mut states, server);
+        state.health.end_silence();
+        if state.inactive_since.is_some() {
+            state.inactive_since = Some(BootInstant::now());
         }
     }
 
@@ -268,7 +294,26 @@
 impl InFlightGuard {
     /// Records that bytes arrived from the server.
     pub(super) fn record_activity(&self) {
-        self.update(|state| state.inactive_since = Some(BootInstant::now()));
+        let now = BootInstant::now();
+        let is_direct = !self.is_carried.load(Ordering::Relaxed);
+        self.update(|state| {
+            state.inactive_since = Some(now);
+            if is_direct {
+                state.heard_at = Some(now);
+            }
+        });
+    }
+
+    /// Records that another gateway carries the request, so that what arrives tells nothing of the direct path.
+    pub(super) fn set_carried(&self) {
+        self.is_carried.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether something has arrived from the server on a direct connection since `at`.
+    pub(super) fn was_heard_since(&self, at: BootInstant) -> bool {
+        let mut heard_at = None;
+        self.update(|state| heard_at = state.heard_at);
+        heard_at.is_some_and(|heard_at| heard_at >= at)
     }
 
     /// Records that the server said that it leaves; it gets no further requests, whatever the server list says.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,9 @@
     longest_pause_ms: IntGauge,
     held_parts: IntGauge,
     limited_servers: IntGauge,
+    blocked_servers: IntGauge,
+    tunnels: IntGauge,
+    carried_tunnels: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -130,12 +133,24 @@
                 "currantbend_gateway_held_parts",
                 "Prompt parts whose requests are held back.",
             ),
+            blocked_servers: gauge(
+                "currantbend_gateway_blocked_servers",
+                "Backend servers that only other gateways reach.",
+            ),
+            tunnels: gauge(
+                "currantbend_gateway_tunnels",
+                "Connections to backend servers through other gateways.",
+            ),
+            carried_tunnels: gauge(
+                "currantbend_gateway_carried_tunnels",
+                "Connections to backend servers that are carried for other gateways.",
+            ),
             limited_servers: gauge(
                 "currantbend_gateway_limited_servers",
                 "Backend servers that name a limit on requests.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 17] = [
+        let collectors: [Box<dyn Collector>; 20] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -152,6 +167,9 @@
             Box::new(metrics.longest_pause_ms.clone()),
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.limited_servers.clone()),
+            Box::new(metrics.blocked_servers.clone()),
+            Box::new(metrics.tunnels.clone()),
+            Box::new(metrics.carried_tunnels.clone()),
             Box::new(ProcessCollector::for_self()),
         ];
         for collector in collectors {
@@ -231,6 +249,14 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of servers that only other gateways reach, and of tunnels through others and for others.
+    pub(super) fn record_paths(&self, blocked: usize, (open, carried): (u32, u32)) {
+        self.blocked_servers
+            .set(i64::try_from(blocked).unwrap_or(i64::MAX));
+        self.tunnels.set(open.into());
+        self.carried_tunnels.set(carried.into());
+    }
+
     pub(super) fn record_limited_servers(&self, count: usize) {
         self.limited_servers
             .set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! The direct data path: the node that a caller reaches sends the request to the backend server itself.
 //!
 //! [`crate::decide`] admits requests and chooses servers; [`crate::catalog`] holds the configuration and the server
-//! list. `docs/PLATFORM.md` explains why requests do not pass through a second node.
+//! list. `docs/PLATFORM.md` explains why requests do not pass through a second node, `docs/REACHING-SERVERS.md` when their
+//! connections do.
 
 mod admission_stats;
 mod attempt;
@@ -20,6 +21,7 @@
 mod metrics;
 mod node;
 mod pages;
+mod path_probe;
 mod pool;
 mod progress;
 mod race;
@@ -27,6 +29,7 @@
 mod report;
 mod request_identity;
 mod response_memory;
+mod server_paths;
 mod server_rates;
 mod server_stream;
 mod settings;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -10,8 +10,10 @@
 use super::metrics::GatewayMetrics;
 use super::metrics::SourceMetrics;
 use super::pages::Pages;
+use super::path_probe::PathProbe;
 use super::pool::Pool;
 use super::response_memory::ResponseMemory;
+use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use super::settings::GatewayBounds;
 use super::settings::GatewayHost;
@@ -34,6 +36,7 @@
 use crate::net::Handler;
 use crate::net::Listener;
 use crate::net::Protocol;
+use crate::peers::DirectPaths;
 use crate::peers::NodeDirectory;
 use crate::peers::NodeEntry;
 use crate::peers::OtherLoads;
@@ -58,6 +61,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// Interval at which expired idle connections and the state of removed servers, routes and services are removed.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
@@ -128,6 +132,7 @@
     renewal_watch: RenewalWatch,
     break_watch: BreakWatch,
     loop_watch: LoopWatch,
+    path_probe: PathProbe,
     pruner: JoinHandle<()>,
     gateway: Arc<Gateway>,
     logs: Logs,
@@ -253,6 +258,9 @@
         let _ = gateway.node_count.set(peers.counter());
         let _ = gateway.streams.set(peers.streams());
         let loop_watch = LoopWatch::start(&gateway.metrics, &logs);
+        gateway.paths.set_tunnels(peers.tunnels());
+        peers.carry_tunnels(Arc::clone(&gateway.paths) as Arc<dyn DirectPaths>);
+        let path_probe = PathProbe::start(&gateway);
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
         info!(logs.log(), "started"; "version" => env!("CARGO_PKG_VERSION"),
             "data_centre" => &host.data_centre, "callers" => %host.caller_address);
@@ -266,6 +274,7 @@
             renewal_watch,
             break_watch,
             loop_watch,
+            path_probe,
             pruner,
             gateway,
             logs,
@@ -287,10 +296,13 @@
         info!(self.logs.log(), "stopping"; "serves_ms" => drain_time.as_millis() as u64);
         // Can't fail: it is set nowhere else, and a node is closed only once.
         let _ = self.gateway.stopping_since.set(BootInstant::now());
+        let end = Instant::now() + drain_time;
         self.callers.start_draining();
+        self.peers.start_draining();
         tokio::time::sleep(BALANCER_REACTION_TIME.min(drain_time)).await;
-        let remaining = drain_time.saturating_sub(BALANCER_REACTION_TIME);
-        self.callers.drain(remaining).await;
+        let remaining = || end.saturating_duration_since(Instant::now());
+        self.callers.drain(remaining()).await;
+        self.peers.drain(remaining()).await;
         let open_connections = self.callers.stop(Duration::from_millis(200)).await;
         self.follower.close();
         self.peers.close().await;
@@ -298,6 +310,7 @@
         self.renewal_watch.close();
         self.break_watch.close();
         self.loop_watch.close();
+        self.path_probe.close();
         self.pruner.abort();
         self.ready.close(Duration::ZERO).await;
         self.metrics.close(Duration::ZERO).await;
@@ -334,7 +347,8 @@
         dialect: Arc::clone(&sources.dialect),
         logs: logs.clone(),
         metrics: Arc::new(GatewayMetrics::new(&sources.source_metrics)),
-        pool: Pool::new(&sources.connector),
+        pool: Pool::default(),
+        paths: Arc::new(ServerPaths::new(&sources.connector, logs)),
         loads: ServerLoads::default(),
         rates: ServerRates::default(),
         response_memory: ResponseMemory::default(),
@@ -377,6 +391,7 @@
                 .is_ok()
         };
         gateway.pool.prune(&is_known);
+        gateway.paths.prune(&is_known);
         gateway.loads.prune(&is_known);
         gateway.rates.prune(&is_known);
         if let Some(configuration) = gateway.catalog.configuration() {
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -70,6 +70,8 @@
         );
         metrics.record_held_parts(self.gateway.quarantine.held_parts().len());
         metrics.record_limited_servers(self.gateway.rates.limited_count());
+        let paths = &self.gateway.paths;
+        metrics.record_paths(paths.blocked_count(), paths.tunnel_counts());
         metrics.render()
     }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -6,6 +6,7 @@
 use super::head_limit::HeadLimitedStream;
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
+use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
 use crate::net::Body;
 use crate::net::Connector;
@@ -22,9 +23,6 @@
 use std::time::Instant;
 use tokio::task::AbortHandle;
 
-/// Timeout for opening a connection: over ten times the longest round trip of the reference workload, including
-/// the handshake.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which sent bytes may stay unacknowledged before the connection counts as dead. It exceeds the time that callers
 /// wait for the next event of a stream, since a sound host may be silent for a second or two.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
@@ -59,6 +57,8 @@
     /// Maximum number of idle connections to this server in the pool.
     max_idle: usize,
     is_reused: bool,
+    /// Name of the gateway that carries the connection, if it is a tunnel.
+    helper: Option<String>,
 }
 
 struct IdleConnection {
@@ -73,9 +73,8 @@
 type ServerIdle = (String, VecDeque<IdleConnection>);
 
 /// Idle connections by server, the longest idle first.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub(super) struct Pool {
-    connector: Arc<dyn Connector>,
     by_server: Arc<Mutex<Vec<ServerIdle>>>,
 }
 
@@ -94,16 +93,15 @@
 }
 
 impl Pool {
-    pub(super) fn new(connector: &Arc<dyn Connector>) -> Self {
-        Self {
-            connector: Arc::clone(connector),
-            by_server: Arc::default(),
-        }
-    }
-
     /// Takes the usable connection that has been idle longest. A connection must not be reused if the server sends a
     /// surplus response on it late; on the longest idle connection such a response has had the most time to arrive.
-    pub(super) fn take_idle(&self, server: &BackendServer) -> Option<Lease> {
+    ///
+    /// Those idle since before `not_before` are closed, since they may hang.
+    pub(super) fn take_idle(
+        &self,
+        server: &BackendServer,
+        not_before: Option<Instant>,
+    ) -> Option<Lease> {
         let mut by_server = self
             .by_server
             .lock()
@@ -113,7 +111,8 @@
             .ok()?;
         let idle = &mut by_server[index].1;
         while let Some(entry) = idle.pop_front() {
-            let is_fresh = entry.since.elapsed() < entry.timeout;
+            let is_fresh = entry.since.elapsed() < entry.timeout
+                && not_before.is_none_or(|not_before| entry.since >= not_before);
             let is_same = entry.lease.server_start_time_ms == server.entry.start_time_ms;
             if is_fresh && is_same && entry.lease.sender.is_ready() {
                 let mut lease = entry.lease;
@@ -124,21 +123,17 @@
         None
     }
 
-    /// Opens a connection to `server`, which accepts at most `max_connections` from all its clients together.
-    pub(super) async fn connect(
-        &self,
+    /// Prepares a connection to `server` for requests. The server accepts at most `max_connections` from all its clients
+    /// together.
+    pub(super) async fn lease(
+        connection: ServerConnection,
         server: &BackendServer,
         max_connections: u32,
     ) -> Result<Lease, ConnectError> {
         let failed = |err: &dyn std::fmt::Display| ConnectError::Failed(err.to_string());
-        let connecting = self.connector.connect(server.entry.address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Err(_) => return Err(ConnectError::Timeout),
-            Ok(Err(err)) => return Err(failed(&err)),
-            Ok(Ok(stream)) => stream,
-        };
+        let ServerConnection { io, helper } = connection;
         let head_limit = HeadLimit::default();
-        let stream = HeadLimitedStream::new(stream, &head_limit);
+        let stream = HeadLimitedStream::new(io, &head_limit);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -154,14 +149,17 @@
             server_start_time_ms: server.entry.start_time_ms,
             max_idle: (max_connections / IDLE_DIVISOR).max(2) as usize,
             is_reused: false,
+            helper,
         })
     }
 
     /// Keeps a connection whose response has been read whole until shortly before the idle timeout that the server
     /// announced in `headers`, or for [`DEFAULT_IDLE_TIMEOUT`] if it announced none. If the pool already holds the
-    /// maximum of idle connections to the server, the longest idle one is closed.
+    /// maximum of idle connections to the server, the longest idle one is closed. A tunnel carries one request, so it is
+    /// closed.
     pub(super) fn put_idle(&self, lease: Lease, headers: &HeaderMap) {
-        if has_connection_close(headers) || lease.sender.is_closed() {
+        let is_tunnel = lease.helper.is_some();
+        if is_tunnel || has_connection_close(headers) || lease.sender.is_closed() {
             return;
         }
         let announced =
@@ -234,6 +232,11 @@
         &self.server_id
     }
 
+    /// Returns the name of the gateway that carries the connection, if it is a tunnel.
+    pub(super) fn helper(&self) -> Option<&str> {
+        self.helper.as_deref()
+    }
+
     /// Returns whether the connection has carried a request before.
     pub(super) fn is_reused(&self) -> bool {
         self.is_reused
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -10,6 +10,7 @@
 use hyper::StatusCode;
 use slog::info;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +24,8 @@
     pub(super) route: String,
     pub(super) service: String,
     pub(super) servers: Vec<String>,
+    /// Name of the gateway that carries the request, for each of `servers` in the same order; unset where none does.
+    pub(super) helpers: Vec<Arc<OnceLock<String>>>,
     /// Software versions of `servers`, in the same order; empty text where the version is unknown.
     pub(super) software_versions: Vec<String>,
     /// Parts of the prompt, in order; only the line of a request that failed names them.
@@ -71,6 +74,7 @@
             route: String::new(),
             service: String::new(),
             servers: Vec::new(),
+            helpers: Vec::new(),
             software_versions: Vec::new(),
             parts: Vec::new(),
             whole: None,
@@ -164,13 +168,17 @@
         } else {
             format_parts(&self.parts)
         };
+        let helpers = self.helpers.iter();
+        let helpers: Vec<&str> = helpers
+            .map(|helper| helper.get().map_or("", String::as_str))
+            .collect();
         let whole = self.whole.map(|id| format!("{id:x}"));
         let Some(log) = self.logs.request_logger(outcome) else {
             return;
         };
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
             "service" => &self.service, "servers" => self.servers.join(","),
-            "versions" => self.software_versions.join(","), "parts" => parts, "whole" => whole, "resumes" => self.resumes_stream,
+            "helpers" => helpers.join(","), "versions" => self.software_versions.join(","), "parts" => parts, "whole" => whole, "resumes" => self.resumes_stream,
             "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
--- /dev/null
+++ b/src/gateway/server_paths.rs
@@ -0,0 +1,320 @@
+//! Connects to backend servers, directly or through other gateways ([`crate::decide::ServerPath`]), and remembers which way
+//! worked.
+
+use super::pool::ConnectError;
+use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
+use crate::decide::PathState;
+use crate::decide::ServerPath;
+use crate::logs::Logs;
+use crate::net::Connection;
+use crate::net::Connector;
+use crate::peers::DirectPaths;
+use crate::peers::NodeEntry;
+use crate::peers::Tunnels;
+use async_trait::async_trait;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use slog::info;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Timeout for opening a direct connection: over ten times the longest round trip of the reference workload, including
+/// the handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which the next way is tried beside those that have not led to the server yet: over twice the longest round
+/// trip of the reference workload, including the handshake.
+const NEXT_WAY_DELAY: Duration = Duration::from_millis(50);
+
+/// A connection to a server and the name of its helper, if it is a tunnel.
+pub(super) struct ServerConnection {
+    pub(super) io: Box<dyn Connection>,
+    pub(super) helper: Option<String>,
+}
+
+#[derive(Debug)]
+struct Row {
+    server: String,
+    start_time_ms: u64,
+    path: ServerPath,
+}
+
+/// The paths to all servers.
+pub(super) struct ServerPaths {
+    connector: Arc<dyn Connector>,
+    /// Opens tunnels; unset until the peers have started.
+    tunnels: OnceLock<Arc<dyn Tunnels>>,
+    /// Sorted by server name.
+    rows: Mutex<Vec<Row>>,
+    logs: Logs,
+}
+
+type Opening<'a> = BoxFuture<'a, (bool, Result<ServerConnection, ConnectError>)>;
+
+impl ServerPaths {
+    pub(super) fn new(connector: &Arc<dyn Connector>, logs: &Logs) -> Self {
+        Self {
+            connector: Arc::clone(connector),
+            tunnels: OnceLock::new(),
+            rows: Mutex::default(),
+            logs: logs.clone(),
+        }
+    }
+
+    /// Sets what opens tunnels; until then servers are only connected to directly.
+    pub(super) fn set_tunnels(&self, tunnels: Arc<dyn Tunnels>) {
+        // Can't fail: it is set nowhere else.
+        let _ = self.tunnels.set(tunnels);
+    }
+
+    /// Connects to `server` for the request called `request`, by the way that leads there first.
+    pub(super) async fn connect(
+        self: &Arc<Self>,
+        server: &BackendServer,
+        request: &str,
+    ) -> Result<ServerConnection, ConnectError> {
+        let state = self.state(server);
+        if state == PathState::Lost {
+            return Err(ConnectError::Failed("not reached a moment ago".to_owned()));
+        }
+        let tunnels = self.tunnels.get();
+        let helpers = tunnels.map(|tunnels| tunnels.helpers(server));
+        let helpers = helpers.unwrap_or_default();
+        let direct =
+            || -> Opening<'_> { Box::pin(async { (true, self.open_directly(server).await) }) };
+        let mut ways: VecDeque<Opening<'_>> = VecDeque::new();
+        if state == PathState::Open || helpers.is_empty() {
+            ways.push_back(direct());
+        }
+        for helper in &helpers {
+            ways.push_back(Box::pin(async {
+                (false, self.open_tunnel(helper, server, request).await)
+            }));
+        }
+        let result = first_of(ways).await;
+        let result = match result {
+            // The path may be free again, and the helpers may have lost theirs.
+            Err(_) if state == PathState::Blocked && !helpers.is_empty() => direct().await.1,
+            result => result,
+        };
+        if result.is_err() {
+            self.update(server, |path| path.record_lost(BootInstant::now()));
+        }
+        result
+    }
+
+    /// Connects to `server` directly. The try goes on if the caller doesn't wait for it, since its result is of use for the
+    /// next request.
+    async fn open_directly(
+        self: &Arc<Self>,
+        server: &BackendServer,
+    ) -> Result<ServerConnection, ConnectError> {
+        let (paths, server) = (Arc::clone(self), server.clone());
+        let opening = tokio::spawn(async move {
+            paths.update(&server, |path| path.record_try(BootInstant::now()));
+            let connecting = paths.connector.connect(server.entry.address);
+            let result = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+                Ok(Ok(io)) => Ok(ServerConnection { io, helper: None }),
+                Ok(Err(err)) => Err(ConnectError::Failed(err.to_string())),
+                Err(_) => Err(ConnectError::Timeout),
+            };
+            paths.record_direct(&server, result.is_ok());
+            result
+        });
+        opening
+            .await
+            .unwrap_or_else(|err| Err(ConnectError::Failed(err.to_string())))
+    }
+
+    async fn open_tunnel(
+        &self,
+        helper: &NodeEntry,
+        server: &BackendServer,
+        request: &str,
+    ) -> Result<ServerConnection, ConnectError> {
+        let Some(tunnels) = self.tunnels.get() else {
+            return Err(ConnectError::Failed("no other gateway".to_owned()));
+        };
+        let opened = tunnels.open(helper, server, request).await;
+        let io = opened.map_err(ConnectError::Failed)?;
+        self.record_tunnelled(server, &helper.name);
+        let helper = Some(helper.name.clone());
+        Ok(ServerConnection { io, helper })
+    }
+
+    /// Tries the direct path to `server` and, if it is not open, helpers; keeps no connection.
+    pub(super) async fn probe(self: &Arc<Self>, server: &BackendServer) {
+        // The result is recorded with the path.
+        let _ = self.connect(server, "").await;
+    }
+
+    /// Tries the direct path to `server`; keeps no connection.
+    pub(super) async fn probe_directly(self: &Arc<Self>, server: &BackendServer) {
+        // The result is recorded with the path.
+        let _ = self.open_directly(server).await;
+    }
+
+    /// Returns how `server` is reached.
+    pub(super) fn state(&self, server: &BackendServer) -> PathState {
+        let path = self.path(server);
+        path.state(BootInstant::now())
+    }
+
+    /// Returns what is known of the path to `server`.
+    pub(super) fn path(&self, server: &BackendServer) -> ServerPath {
+        let rows = self.lock();
+        let index = rows.binary_search_by(|row| row.server.as_str().cmp(&server.id));
+        let row = index.ok().map(|index| &rows[index]);
+        let row = row.filter(|row| row.start_time_ms == server.entry.start_time_ms);
+        row.map_or_else(ServerPath::default, |row| row.path)
+    }
+
+    /// Returns when the first of the paths that are blocked now failed, so that other connections may hang since then.
+    pub(super) fn blocked_since(&self) -> Option<BootInstant> {
+        let now = BootInstant::now();
+        let rows = self.lock();
+        let blocked = rows.iter().filter_map(|row| row.path.blocked_since(now));
+        blocked.min()
+    }
+
+    /// Returns the number of servers that only other gateways reach.
+    pub(super) fn blocked_count(&self) -> usize {
+        let now = BootInstant::now();
+        let rows = self.lock();
+        let blocked = rows
+            .iter()
+            .filter(|row| row.path.state(now) == PathState::Blocked);
+        blocked.count()
+    }
+
+    /// Returns the number of tunnels through other gateways, and of those that are carried for others.
+    pub(super) fn tunnel_counts(&self) -> (u32, u32) {
+        let tunnels = self.tunnels.get();
+        tunnels.map_or((0, 0), |tunnels| tunnels.counts())
+    }
+
+    /// Removes the paths to servers that are not known any more.
+    pub(super) fn prune(&self, is_known: &dyn Fn(&str) -> bool) {
+        self.lock().retain(|row| is_known(&row.server));
+    }
+
+    fn record_direct(&self, server: &BackendServer, is_connected: bool) {
+        let now = BootInstant::now();
+        let was_blocked = self.state(server) == PathState::Blocked;
+        self.update(server, |path| {
+            if is_connected {
+                path.record_connected();
+            } else {
+                path.record_failed(now);
+            }
+        });
+        let is_blocked = self.state(server) == PathState::Blocked;
+        self.log_change(server, (was_blocked, is_blocked));
+    }
+
+    fn record_tunnelled(&self, server: &BackendServer, helper: &str) {
+        let was_blocked = self.state(server) == PathState::Blocked;
+        self.update(server, |path| path.record_tunnelled(BootInstant::now()));
+        let is_blocked = self.state(server) == PathState::Blocked;
+        if is_blocked && !was_blocked {
+            info!(self.logs.log(), "path to server blocked"; "server" => &server.id, "helper" => helper);
+        }
+    }
+
+    fn log_change(&self, server: &BackendServer, (was_blocked, is_blocked): (bool, bool)) {
+        if was_blocked && !is_blocked {
+            info!(self.logs.log(), "path to server open again"; "server" => &server.id);
+        } else if is_blocked && !was_blocked {
+            info!(self.logs.log(), "path to server blocked"; "server" => &server.id);
+        }
+    }
+
+    /// Calls `change` with the path to `server`, which is added if there is none.
+    fn update(&self, server: &BackendServer, change: impl FnOnce(&mut ServerPath)) {
+        let mut rows = self.lock();
+        let index = match rows.binary_search_by(|row| row.server.as_str().cmp(&server.id)) {
+            Ok(index) => index,
+            Err(index) => {
+                let row = Row {
+                    server: server.id.clone(),
+                    start_time_ms: server.entry.start_time_ms,
+                    path: ServerPath::default(),
+                };
+                rows.insert(index, row);
+                index
+            }
+        };
+        let row = &mut rows[index];
+        if row.start_time_ms != server.entry.start_time_ms {
+            row.start_time_ms = server.entry.start_time_ms;
+            row.path = ServerPath::default();
+        }
+        change(&mut row.path);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Row>> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl DirectPaths for ServerPaths {
+    async fn connect_directly(
+        &self,
+        server: &BackendServer,
+    ) -> Result<Box<dyn Connection>, String> {
+        if self.path(server).has_just_failed(BootInstant::now()) {
+            return Err("not reached a moment ago".to_owned());
+        }
+        let connecting = self.connector.connect(server.entry.address);
+        let connected = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(connected) => connected.map_err(|err| err.to_string()),
+            Err(_) => Err("connecting timed out".to_owned()),
+        };
+        self.record_direct(server, connected.is_ok());
+        connected
+    }
+
+    fn is_cut_off(&self, servers: &[BackendServer]) -> bool {
+        let now = BootInstant::now();
+        let failed = servers
+            .iter()
+            .filter(|server| self.path(server).has_just_failed(now));
+        !servers.is_empty() && failed.count() == servers.len()
+    }
+}
+
+/// Returns the first result that is a connection, or else the last error. Each way is begun when the one before has failed or
+/// has led nowhere for [`NEXT_WAY_DELAY`].
+async fn first_of(mut ways: VecDeque<Opening<'_>>) -> Result<ServerConnection, ConnectError> {
+    let mut openings = FuturesUnordered::new();
+    let mut outcome = None;
+    openings.extend(ways.pop_front());
+    while !openings.is_empty() {
+        let has_next = !ways.is_empty();
+        tokio::select! {
+            biased;
+            opened = openings.next() => match opened {
+                Some((_, Ok(connection))) => return Ok(connection),
+                // The error of the direct connection says more than that of a helper.
+                Some((is_direct, Err(err))) => {
+                    if is_direct || outcome.is_none() {
+                        outcome = Some(err);
+                    }
+                    openings.extend(ways.pop_front());
+                }
+                None => {}
+            },
+            () = tokio::time::sleep(NEXT_WAY_DELAY), if has_next => {
+                openings.extend(ways.pop_front());
+            }
+        }
+    }
+    Err(outcome.unwrap_or_else(|| ConnectError::Failed("no way to the server".to_owned())))
+}
