--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -6,6 +6,7 @@
 use super::pool::Pool;
 use super::progress::Progress;
 use crate::decide::RunResult;
+use futures_util::FutureExt;
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -98,6 +99,11 @@
             if let Ok(ended) = tokio::time::timeout_at(until, self.next_end()).await {
                 return ended;
             }
+            // After a standstill of the process the time is over before what has come meanwhile is read.
+            tokio::task::yield_now().await;
+            if let Some(ended) = self.next_end().now_or_never() {
+                return ended;
+            }
             self.end_overlap();
             if let Some(limits) = limits
                 && let Some(is_first) = self.mark_silent(limits, pool)
