--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -6,7 +6,7 @@
 use super::pool::Pool;
 use super::progress::Progress;
 use crate::decide::RunResult;
-use futures_util::FutureExt;
+use crate::net::timeout_at;
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -96,12 +96,7 @@
             let Some(until) = silent_from.into_iter().chain(overlaps_from).min() else {
                 return self.next_end().await;
             };
-            if let Ok(ended) = tokio::time::timeout_at(until, self.next_end()).await {
-                return ended;
-            }
-            // After a standstill of the process the time is over before what has come meanwhile is read.
-            tokio::task::yield_now().await;
-            if let Some(ended) = self.next_end().now_or_never() {
+            if let Ok(ended) = timeout_at(until, self.next_end()).await {
                 return ended;
             }
             self.end_overlap();
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -9,6 +9,7 @@
 use crate::logs::Logs;
 use crate::net::Connection;
 use crate::net::Connector;
+use crate::net::timeout_at;
 use crate::peers::DirectPaths;
 use crate::peers::NodeEntry;
 use crate::peers::Tunnels;
@@ -24,6 +25,7 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Timeout for opening a direct connection: over ten times the longest round trip of the reference workload, including
 /// the handshake.
@@ -119,7 +121,8 @@
         let opening = tokio::spawn(async move {
             paths.update(&server, |path| path.record_try(BootInstant::now()));
             let connecting = paths.connector.connect(server.entry.address);
-            let result = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            let until = Instant::now() + CONNECT_TIMEOUT;
+            let result = match timeout_at(until, connecting).await {
                 Ok(Ok(io)) => Ok(ServerConnection { io, helper: None }),
                 Ok(Err(err)) => Err(ConnectError::Failed(err.to_string())),
                 Err(_) => Err(ConnectError::Timeout),
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -7,6 +7,7 @@
 use super::pool::Lease;
 use super::progress::Progress;
 use crate::decide::RunResult;
+use crate::net::timeout_at;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::StatusCode;
@@ -74,7 +75,7 @@
         loop {
             let until =
                 silence_limit.map_or(deadline, |limit| (Instant::now() + limit).min(deadline));
-            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
+            let frame = match timeout_at(until, self.body.frame()).await {
                 Err(_) if until == deadline => return StreamItem::DeadlineExceeded,
                 Err(_) => return StreamItem::Silent,
                 Ok(frame) => frame,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connector;
 mod server;
+mod timeout;
 
 pub use body::Body;
 pub use body::BodyError;
@@ -22,6 +23,7 @@
 pub use server::Listener;
 pub use server::OpenConnections;
 pub use server::Protocol;
+pub use timeout::timeout_at;
 
 /// Flow-control window of a stream of an HTTP/2 connection, which limits the memory that a slow reader takes up.
 const HTTP2_STREAM_WINDOW_BYTES: u32 = 64 * 1024;
