--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -48,6 +48,7 @@
 use crate::quarantine::LedgerSync;
 use crate::quarantine::Quarantine;
 use crate::quarantine::RenewalWatch;
+use crate::quarantine::ServerReach;
 use crate::quarantine::TrialClaims;
 use slog::info;
 use std::fmt;
@@ -259,6 +260,8 @@
         let _ = gateway.streams.set(peers.streams());
         let loop_watch = LoopWatch::start(&gateway.metrics, &logs);
         gateway.paths.set_tunnels(peers.tunnels());
+        let reach = Arc::clone(&gateway.paths);
+        gateway.quarantine.set_reach(reach as Arc<dyn ServerReach>);
         peers.carry_tunnels(Arc::clone(&gateway.paths) as Arc<dyn DirectPaths>);
         let path_probe = PathProbe::start(&gateway);
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -13,6 +13,7 @@
 use crate::peers::DirectPaths;
 use crate::peers::NodeEntry;
 use crate::peers::Tunnels;
+use crate::quarantine::ServerReach;
 use async_trait::async_trait;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
@@ -266,6 +267,21 @@
     }
 }
 
+#[async_trait]
+impl ServerReach for ServerPaths {
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
+        self.record_direct(server, false);
+        let Some(tunnels) = self.tunnels.get() else {
+            return false;
+        };
+        let helpers = tunnels.helpers(server);
+        let ways = helpers.iter().map(|helper| -> Opening<'_> {
+            Box::pin(async { (false, self.open_tunnel(helper, server, "").await) })
+        });
+        first_of(ways.collect()).await.is_ok()
+    }
+}
+
 #[async_trait]
 impl DirectPaths for ServerPaths {
     async fn connect_directly(
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -23,6 +23,7 @@
 pub use ledger::LedgerEntry;
 pub use ledger::LedgerSync;
 pub use ledger::TrialClaims;
+pub use probe::ServerReach;
 pub use record::CrashRecord;
 pub use record::Records;
 pub use record::SightingRecord;
--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -7,9 +7,11 @@
 use crate::decide::Incarnation;
 use crate::decide::Suspect;
 use crate::decide::is_common_loss;
+use async_trait::async_trait;
 use futures_util::future::join_all;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Timeout for the connection to a server that may have crashed. A server that can't be reached in this time may as well
@@ -18,6 +20,13 @@
 /// Maximum number of other servers that are tried in the data centre of a crashed one, and in all others together.
 const MAX_COMPARED: usize = 12;
 
+/// Tells whether a server that refuses this gateway's connections runs on.
+#[async_trait]
+pub trait ServerReach: Send + Sync {
+    /// Returns whether another gateway reaches `server`.
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool;
+}
+
 /// Result of an attempt to connect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Probe {
@@ -58,6 +67,10 @@
         {
             return false;
         }
+        if !self.is_known_crash(&incarnation) && self.is_reached_by_others(server).await {
+            self.record_break(server, suspect, at);
+            return false;
+        }
         if !self.is_known_crash(&incarnation)
             && self.has_lost_others(server, &suspect, listed).await
         {
@@ -73,6 +86,22 @@
         true
     }
 
+    /// Sets what asks other gateways for servers.
+    pub fn set_reach(&self, reach: Arc<dyn ServerReach>) {
+        // Can't fail: it is set nowhere else.
+        let _ = self.reach.set(reach);
+    }
+
+    /// Returns whether another gateway reaches `server`, so that it is this gateway's path that is lost.
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
+        let Some(reach) = self.reach.get() else {
+            return false;
+        };
+        let asking = reach.is_reached_by_others(server);
+        let asked = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
+        asked.unwrap_or(false)
+    }
+
     /// Tries other servers at the same time and records the ones that can't be reached either. Returns whether these are
     /// so many, in the data centre of `server` or in all, that their common cause is no request.
     async fn has_lost_others(
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -1,6 +1,7 @@
 //! What one gateway knows of crashes and held parts.
 
 use super::breaks::Breaks;
+use super::probe::ServerReach;
 use super::record::CrashEvent;
 use super::record::Records;
 use super::rows::RecordSource;
@@ -20,6 +21,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -63,6 +65,8 @@
     pub(super) probing: tokio::sync::Mutex<()>,
     /// Finds out whether servers that broke off accept connections.
     pub(super) connector: Arc<dyn Connector>,
+    /// Asks other gateways for servers; unset until the peers have started.
+    pub(super) reach: OnceLock<Arc<dyn ServerReach>>,
     pub(super) logs: Logs,
 }
 
@@ -75,6 +79,7 @@
             changes: watch::Sender::new(0),
             probing: tokio::sync::Mutex::default(),
             connector: Arc::clone(connector),
+            reach: OnceLock::new(),
             logs,
         }
     }
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -25,8 +25,10 @@
 use crate::quarantine::Quarantine;
 use crate::quarantine::RecordSource;
 use crate::quarantine::Records;
+use crate::quarantine::ServerReach;
 use crate::quarantine::record::CrashEvent;
 use crate::quarantine::renewal::Renewals;
+use async_trait::async_trait;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -95,6 +97,34 @@
     }
 }
 
+/// Other gateways that all reach the servers.
+struct ReachedByOthers;
+
+#[async_trait]
+impl ServerReach for ReachedByOthers {
+    async fn is_reached_by_others(&self, _server: &BackendServer) -> bool {
+        true
+    }
+}
+
+// A gateway that had lost its path to one server took the server for crashed and held the request back everywhere.
+#[tokio::test]
+async fn a_server_that_only_other_gateways_reach_shows_no_crash() {
+    let mut servers = Servers::start(&["a", "b", "b"]).await;
+    let gateway = quarantine();
+    gateway.set_reach(Arc::new(ReachedByOthers));
+    let mut reported = Vec::new();
+
+    for number in 0..3 {
+        servers.cut(number);
+        reported.push(servers.report_break(&gateway, number, 40).await);
+        tokio::time::sleep(ms(60)).await;
+    }
+
+    assert_eq!(reported, [false, false, false]);
+    assert!(!is_held(&gateway));
+}
+
 #[tokio::test]
 async fn servers_that_crash_one_after_another_are_reported() {
     let mut servers = Servers::start(&["a", "b", "b"]).await;
