--- a/src/decide/server_path.rs
+++ b/src/decide/server_path.rs
@@ -14,8 +14,9 @@
 const LOST_TIME: Duration = Duration::from_millis(500);
 /// Interval at which a blocked path is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of helpers that are asked for one connection.
-const MAX_HELPERS: usize = 3;
+/// Maximum number of helpers that are asked for one connection. Those that reach no server say so at once, and several may be
+/// cut off together.
+const MAX_HELPERS: usize = 8;
 
 /// What a gateway knows of its path to one server.
 #[derive(Clone, Copy, Debug, Default)]
