--- a/src/peers/tests/tunnels.rs
+++ b/src/peers/tests/tunnels.rs
@@ -1,13 +1,17 @@
 //! Counts of tunnels, refusals that are remembered, and a tunnel whose helper breaks off.
 
+use crate::catalog::BackendServer;
+use crate::catalog::ServerEntry;
 use crate::clock::BootInstant;
 use crate::peers::tunnel_stream::TunnelStream;
 use crate::peers::tunnel_table::CarriedTunnel;
+use crate::peers::tunnel_table::RefusalScope;
 use crate::peers::tunnel_table::TunnelTable;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -31,6 +35,23 @@
     (stream, helper.unwrap())
 }
 
+fn server(id: &str, service: &str) -> BackendServer {
+    BackendServer {
+        id: id.to_owned(),
+        entry: ServerEntry {
+            service: service.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            data_centre: "x".to_owned(),
+            software_version: None,
+            slots: 8,
+            is_draining: false,
+            cold_left: Duration::ZERO,
+            sequence: 1,
+            start_time_ms: 1,
+        },
+    }
+}
+
 fn host(last: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 0, 0, last))
 }
@@ -100,12 +121,24 @@
     let table = TunnelTable::default();
     let now = BootInstant::now();
 
-    table.record_refusal("h-1", Some("i-1"), now);
-    table.record_refusal("h-2", None, now);
+    table.record_refusal("h-1", &server("i-1", "llm"), RefusalScope::Server, now);
+    table.record_refusal("h-2", &server("i-1", "llm"), RefusalScope::AllServers, now);
 
-    assert!(table.has_refused("h-1", "i-1", now));
-    assert!(!table.has_refused("h-1", "i-2", now));
-    assert!(table.has_refused("h-2", "i-2", now));
+    assert!(table.has_refused("h-1", &server("i-1", "llm"), now));
+    assert!(!table.has_refused("h-1", &server("i-2", "llm"), now));
+    assert!(table.has_refused("h-2", &server("i-9", "app"), now));
     let later = now.plus(Duration::from_secs(1));
-    assert!(!table.has_refused("h-1", "i-1", later));
+    assert!(!table.has_refused("h-1", &server("i-1", "llm"), later));
+}
+
+// A gateway that reached all engines was not asked for one because it reached no plain server.
+#[test]
+fn a_helper_that_reaches_no_server_of_one_service_is_asked_for_another() {
+    let table = TunnelTable::default();
+    let now = BootInstant::now();
+
+    table.record_refusal("h-1", &server("i-1", "app"), RefusalScope::Service, now);
+
+    assert!(table.has_refused("h-1", &server("i-2", "app"), now));
+    assert!(!table.has_refused("h-1", &server("i-3", "llm"), now));
 }
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -8,6 +8,7 @@
 use super::node::Shared;
 use super::tunnel_stream::TunnelStream;
 use super::tunnel_table::CarriedTunnel;
+use super::tunnel_table::RefusalScope;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::HelperView;
@@ -116,9 +117,13 @@
 }
 
 impl TunnelRefusal {
-    /// Returns whether the helper would refuse a tunnel to any other server too.
-    fn is_for_all_servers(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::UnknownServer)
+    /// Returns which servers the helper would refuse a tunnel to.
+    fn scope(self) -> RefusalScope {
+        match self {
+            Self::Stranger | Self::Busy | Self::Stopping => RefusalScope::AllServers,
+            Self::CutOff => RefusalScope::Service,
+            Self::Unreachable | Self::UnknownServer => RefusalScope::Server,
+        }
     }
 }
 
@@ -128,7 +133,7 @@
             Self::Stranger => "not on the helper's node list",
             Self::UnknownServer => "server unknown to the helper",
             Self::Unreachable => "server unreachable for the helper",
-            Self::CutOff => "helper reaches no server",
+            Self::CutOff => "helper reaches no server of the service",
             Self::Busy => "helper busy",
             Self::Stopping => "helper stopping",
         })
@@ -146,7 +151,7 @@
                 node,
                 tunnels: self.tunnel_table.open_through(&node.name),
                 has_refused: self.is_unreachable(node)
-                    || self.tunnel_table.has_refused(&node.name, &server.id, now),
+                    || self.tunnel_table.has_refused(&node.name, server, now),
             })
             .collect();
         let helpers = helper_order(&self.own, &server.id, &views);
@@ -172,10 +177,10 @@
         match answer {
             Ok(socket) => Ok(Box::new(TunnelStream::new(socket, open))),
             Err((refusal, cause)) => {
-                let is_for_all = refusal.is_none_or(TunnelRefusal::is_for_all_servers);
-                let server = (!is_for_all).then_some(server.id.as_str());
+                let scope = refusal.map_or(RefusalScope::AllServers, TunnelRefusal::scope);
                 let now = BootInstant::now();
-                self.tunnel_table.record_refusal(&helper.name, server, now);
+                self.tunnel_table
+                    .record_refusal(&helper.name, server, scope, now);
                 Err(cause)
             }
         }
--- a/src/peers/tunnel_table.rs
+++ b/src/peers/tunnel_table.rs
@@ -1,6 +1,7 @@
 //! Counts the tunnels of a gateway, those through others and those that it carries for others, and remembers which helpers
 //! refused one.
 
+use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::may_carry;
 use std::net::IpAddr;
@@ -15,14 +16,36 @@
 /// Time for which a helper that refused isn't asked again.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// What a refusal holds for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RefusalScope {
+    AllServers,
+    /// All servers of the service.
+    Service,
+    Server,
+}
+
 #[derive(Debug)]
 struct Refusal {
     helper: String,
-    /// The server, or `None` if it holds for all.
-    server: Option<String>,
+    scope: RefusalScope,
+    /// Service and name of the server that was asked for.
+    server: (String, String),
     at: BootInstant,
 }
 
+impl Refusal {
+    fn covers(&self, helper: &str, server: &BackendServer) -> bool {
+        let (service, name) = &self.server;
+        self.helper == helper
+            && match self.scope {
+                RefusalScope::AllServers => true,
+                RefusalScope::Service => *service == server.entry.service,
+                RefusalScope::Server => *name == server.id,
+            }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Tunnels of this gateway by helper, sorted by its name.
@@ -85,30 +108,38 @@
         state.open.iter().map(|(_, count)| count).sum()
     }
 
-    /// Records that `helper` opened no tunnel to `server`, or to any if that is `None`.
-    pub(super) fn record_refusal(&self, helper: &str, server: Option<&str>, now: BootInstant) {
+    /// Records that `helper` opened no tunnel to `server`, which holds for the servers in `scope`.
+    pub(super) fn record_refusal(
+        &self,
+        helper: &str,
+        server: &BackendServer,
+        scope: RefusalScope,
+        now: BootInstant,
+    ) {
         let mut state = lock(&self.state);
         state
             .refusals
             .retain(|refusal| now.since(refusal.at) < REFUSAL_TIME);
         state.refusals.push(Refusal {
             helper: helper.to_owned(),
-            server: server.map(str::to_owned),
+            scope,
+            server: (server.entry.service.clone(), server.id.clone()),
             at: now,
         });
     }
 
-    /// Returns whether `helper` refused a tunnel to `server`, or to any, a moment ago.
-    pub(super) fn has_refused(&self, helper: &str, server: &str, now: BootInstant) -> bool {
+    /// Returns whether `helper` refused a tunnel a moment ago in a way that holds for `server`.
+    pub(super) fn has_refused(
+        &self,
+        helper: &str,
+        server: &BackendServer,
+        now: BootInstant,
+    ) -> bool {
         let state = lock(&self.state);
-        state.refusals.iter().any(|refusal| {
-            now.since(refusal.at) < REFUSAL_TIME
-                && refusal.helper == helper
-                && refusal
-                    .server
-                    .as_deref()
-                    .is_none_or(|known| known == server)
-        })
+        state
+            .refusals
+            .iter()
+            .any(|refusal| now.since(refusal.at) < REFUSAL_TIME && refusal.covers(helper, server))
     }
 
     /// Counts a tunnel that this gateway carries for `requester`; `None` if it carries too many.
