--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -243,7 +243,6 @@
             .set(self.longest_pause_ms.get().max(pause_ms));
     }
 
-    /// Renders everything in Prometheus text format.
     pub(super) fn record_held_parts(&self, count: usize) {
         self.held_parts
             .set(i64::try_from(count).unwrap_or(i64::MAX));
@@ -262,6 +261,7 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Renders everything in Prometheus text format.
     pub(super) fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
         // Encoding into memory fails only if a collector breaks an invariant; the page is then incomplete.
