--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -117,6 +117,8 @@
 const TIMEOUTS_UNTIL_UNREACHABLE: u32 = 3;
 /// Interval at which a node that is not the relay checks whether the data received from peers is stale.
 const PEER_DATA_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while the node has just started and has no data.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The two tasks that keep the catalog current.
 pub struct Follower {
@@ -125,12 +127,14 @@
 }
 
 impl Follower {
-    /// Starts reading both sources.
+    /// Starts reading both sources. A node that has no data yet and is not the relay waits for a peer's, for
+    /// `max_start_wait` at most.
     pub fn start(
         catalog: &Arc<Catalog>,
         logs: &Logs,
         schedule: Schedule,
         is_relay: &Arc<AtomicBool>,
+        max_start_wait: Duration,
         sources: (Box<dyn ConfigSource>, Box<dyn ServerList>),
     ) -> Self {
         let schedule = Arc::new(Mutex::new(schedule));
@@ -139,6 +143,7 @@
             logs: logs.clone(),
             schedule: Arc::clone(&schedule),
             is_relay: Arc::clone(is_relay),
+            waits_until: BootInstant::now().plus(max_start_wait),
         };
         let config = follow(context.clone(), Box::new(FollowedConfig(sources.0)));
         let list = follow(context, Box::new(FollowedList(sources.1)));
@@ -169,6 +174,8 @@
     schedule: Arc<Mutex<Schedule>>,
     /// Whether this node is the relay of its data centre, which always reads the sources itself.
     is_relay: Arc<AtomicBool>,
+    /// Time until which a node that has no data waits for a peer's.
+    waits_until: BootInstant,
 }
 
 impl FollowContext {
@@ -177,16 +184,19 @@
         followed.pace(&schedule)
     }
 
-    /// Waits while the data received from peers is recent enough; returns at once if this node is the relay.
+    /// Waits while the data received from peers is recent enough, or may arrive soon after the start; returns at once if
+    /// this node is the relay.
     async fn wait_while_peer_data_is_recent(&self, followed: &dyn Followed) {
         // Randomized so that nodes that lost their relay don't all read the source at the same time.
         let factor = rand::random_range(0.9..1.0);
-        while !self.is_relay.load(Ordering::Relaxed)
-            && followed
-                .age(&self.catalog)
-                .is_some_and(|age| age < self.pace(followed).max_peer_data_age.mul_f64(factor))
-        {
-            tokio::time::sleep(PEER_DATA_CHECK_INTERVAL).await;
+        while !self.is_relay.load(Ordering::Relaxed) {
+            let max_age = self.pace(followed).max_peer_data_age.mul_f64(factor);
+            let pause = match followed.age(&self.catalog) {
+                Some(age) if age < max_age => PEER_DATA_CHECK_INTERVAL,
+                None if BootInstant::now() < self.waits_until => START_CHECK_INTERVAL,
+                _ => return,
+            };
+            tokio::time::sleep(pause).await;
         }
     }
 }
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -9,6 +9,7 @@
 use super::hash::hash;
 use crate::peers::NodeEntry;
 use std::cmp::Reverse;
+use std::time::Duration;
 
 /// Returns the sort key of the relay order, smallest first: the faster link, then the earlier start.
 fn preference(node: &NodeEntry) -> (Reverse<u64>, u64) {
@@ -37,18 +38,101 @@
     others.take(MAX_RELAY_CANDIDATES).collect()
 }
 
-/// Returns the nodes that `own` sends its sync requests to, in order. These are the nodes of its data centre that
-/// come before it in the relay order. If `is_disconnected`, that is if its own reads of the store fail, these are all
-/// other nodes, those of its own data centre first.
+/// Time for which a node asks one that does not know its role yet: several round trips of nodes that all start.
+const MAX_UNDECIDED_TIME: Duration = Duration::from_millis(250);
+
+/// What the node that a node syncs from, its source, does in its data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SourceRole<'a> {
+    /// It is the relay.
+    Relay,
+    /// It is served by another node.
+    Member {
+        /// Name of that node.
+        of: &'a str,
+    },
+    /// It has just started.
+    Undecided {
+        /// Name of the node that it asks, if it asks one.
+        asks: Option<&'a str>,
+    },
+}
+
+/// What a node does after a response of its source.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SourceStep {
+    /// It goes on asking its source.
+    Stay,
+    /// It acts as the relay.
+    BecomeRelay,
+    /// It syncs from this node instead.
+    SwitchTo(NodeEntry),
+}
+
+/// Decides what `own` does after a response of `source`.
+///
+/// Load pattern: all nodes of a data centre start in the same moment, and know each other by entries from before. Each
+/// takes another one for the oldest, which it is no more; two of them ask each other, and the rest ask one of the two.
+///
+/// Two nodes that ask each other learn each other's new entries, and the first of them becomes the relay. If more ask each
+/// other in a circle, or the last one of a row asks nobody, then those become relays after [`MAX_UNDECIDED_TIME`] that come
+/// before the node that they ask; a relay that finds one before it syncs from that one at once.
+///
+/// `nodes` are those that count as reachable, and `waited` is the time for which `source` has been asked.
+pub fn source_step(
+    nodes: &[NodeEntry],
+    own: &NodeEntry,
+    source: &NodeEntry,
+    role: &SourceRole<'_>,
+    waited: Duration,
+) -> SourceStep {
+    let order = relay_order(nodes, &own.data_centre);
+    let rank = |name: &str| order.iter().position(|node| node.name == name);
+    let is_before_source = rank(&own.name) < rank(&source.name);
+    match *role {
+        SourceRole::Member { of } | SourceRole::Undecided { asks: Some(of) } if of == own.name => {
+            if is_before_source {
+                SourceStep::BecomeRelay
+            } else {
+                SourceStep::Stay
+            }
+        }
+        SourceRole::Member { of } => match rank(of) {
+            Some(index) => SourceStep::SwitchTo(order[index].clone()),
+            None => SourceStep::Stay,
+        },
+        SourceRole::Undecided { .. } if is_before_source && waited > MAX_UNDECIDED_TIME => {
+            SourceStep::BecomeRelay
+        }
+        SourceRole::Undecided { .. } | SourceRole::Relay => SourceStep::Stay,
+    }
+}
+
+/// Which nodes a node may sync from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SourceScope {
+    /// Those of its data centre that come before it in the relay order.
+    Preceding,
+    /// All others of its data centre. A node that has just started asks them, since one of them may be the relay although
+    /// it comes later; the role moves when the new node has its data and is known.
+    DataCentre,
+    /// All others, for a node whose own reads of the store fail.
+    All,
+}
+
+/// Returns the nodes that `own` sends its sync requests to, in order: those of its data centre in the relay order, then
+/// the others.
 pub fn sync_sources<'a>(
     nodes: &'a [NodeEntry],
     own: &NodeEntry,
-    is_disconnected: bool,
+    scope: SourceScope,
 ) -> Vec<&'a NodeEntry> {
     let near = relay_order(nodes, &own.data_centre);
     let is_other = |node: &&NodeEntry| node.name != own.name;
-    if !is_disconnected {
-        return near.into_iter().take_while(is_other).collect();
+    match scope {
+        SourceScope::Preceding => return near.into_iter().take_while(is_other).collect(),
+        SourceScope::DataCentre => return near.into_iter().filter(is_other).collect(),
+        SourceScope::All => {}
     }
     let mut far: Vec<&NodeEntry> = nodes
         .iter()
--- a/src/decide/tests/relay.rs
+++ b/src/decide/tests/relay.rs
@@ -1,10 +1,15 @@
 //! Many nodes, of which one per data centre reads the store.
 
+use crate::decide::SourceRole;
+use crate::decide::SourceScope;
+use crate::decide::SourceStep;
 use crate::decide::relay_candidates;
 use crate::decide::relay_order;
+use crate::decide::source_step;
 use crate::decide::sync_sources;
 use crate::peers::NodeEntry;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 fn node(name: &str, data_centre: &str, start_time_ms: u64, link_mbps: u64) -> NodeEntry {
     NodeEntry {
@@ -54,15 +59,94 @@
         node("d", "y", 0, 200),
         node("narrow", "y", 0, 10),
     ];
-    let asked = |own: usize, is_disconnected: bool| -> Vec<&str> {
-        let sources = sync_sources(&nodes, &nodes[own], is_disconnected);
+    let asked = |own: usize, scope: SourceScope| -> Vec<&str> {
+        let sources = sync_sources(&nodes, &nodes[own], scope);
         sources.into_iter().map(|node| node.name.as_str()).collect()
     };
 
-    assert!(asked(0, false).is_empty());
-    assert_eq!(asked(1, false), ["a"]);
-    assert_eq!(asked(0, true), ["b", "c", "d", "narrow"]);
-    assert_eq!(asked(1, true), ["a", "c", "d", "narrow"]);
+    assert!(asked(0, SourceScope::Preceding).is_empty());
+    assert_eq!(asked(1, SourceScope::Preceding), ["a"]);
+    assert_eq!(asked(0, SourceScope::All), ["b", "c", "d", "narrow"]);
+    assert_eq!(asked(1, SourceScope::All), ["a", "c", "d", "narrow"]);
+}
+
+// A node that would be the relay read everything from the store at its start, beside the relay that was there.
+#[test]
+fn a_node_that_has_just_started_asks_those_after_it_too() {
+    let nodes = [
+        node("wide", "x", 9, 200),
+        node("a", "x", 1, 10),
+        node("b", "x", 2, 10),
+        node("c", "y", 0, 10),
+    ];
+
+    let sources = sync_sources(&nodes, &nodes[0], SourceScope::DataCentre);
+
+    let names: Vec<&str> = sources.iter().map(|node| node.name.as_str()).collect();
+    assert_eq!(names, ["a", "b"]);
+}
+
+const AT_ONCE: Duration = Duration::ZERO;
+const LATER: Duration = Duration::from_millis(300);
+
+// After all nodes were killed, two of them asked each other and both waited.
+#[test]
+fn of_two_nodes_that_ask_each_other_the_first_becomes_the_relay() {
+    let nodes = [node("a", "x", 20, 200), node("b", "x", 21, 200)];
+    let step = |own: usize, source: usize| {
+        let role = SourceRole::Undecided {
+            asks: Some(&nodes[own].name),
+        };
+        source_step(&nodes, &nodes[own], &nodes[source], &role, AT_ONCE)
+    };
+
+    assert_eq!(step(0, 1), SourceStep::BecomeRelay);
+    assert_eq!(step(1, 0), SourceStep::Stay);
+}
+
+#[test]
+fn nodes_that_ask_each_other_in_a_circle_find_a_relay_after_a_while() {
+    let nodes = [
+        node("a", "x", 20, 200),
+        node("b", "x", 21, 200),
+        node("c", "x", 22, 200),
+    ];
+    // a asks c, c asks b, and b asks a.
+    let step = |own: usize, source: usize, asks: usize, waited: Duration| {
+        let role = SourceRole::Undecided {
+            asks: Some(&nodes[asks].name),
+        };
+        source_step(&nodes, &nodes[own], &nodes[source], &role, waited)
+    };
+
+    assert_eq!(step(0, 2, 1, AT_ONCE), SourceStep::Stay);
+    assert_eq!(step(0, 2, 1, LATER), SourceStep::BecomeRelay);
+    assert_eq!(step(2, 1, 0, LATER), SourceStep::Stay);
+    assert_eq!(step(1, 0, 2, LATER), SourceStep::Stay);
+}
+
+#[test]
+fn a_node_whose_source_has_a_source_goes_there_if_it_is_reachable() {
+    let nodes = [
+        node("a", "x", 20, 200),
+        node("b", "x", 21, 200),
+        node("c", "x", 22, 200),
+    ];
+    let role = SourceRole::Member { of: "a" };
+    let step =
+        |reachable: &[NodeEntry]| source_step(reachable, &nodes[2], &nodes[1], &role, AT_ONCE);
+
+    assert_eq!(step(&nodes), SourceStep::SwitchTo(nodes[0].clone()));
+    assert_eq!(step(&nodes[1..]), SourceStep::Stay);
+}
+
+#[test]
+fn a_node_stays_with_the_relay() {
+    let nodes = [node("a", "x", 20, 200), node("b", "x", 21, 200)];
+
+    let step = source_step(&nodes, &nodes[0], &nodes[1], &SourceRole::Relay, LATER);
+
+    assert_eq!(step, SourceStep::Stay);
 }
 
 #[test]
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -78,6 +78,13 @@
 /// specifies.
 const LIST_RECOVERY_GRACE: Duration = Duration::from_secs(2);
 
+/// Maximum time for which a gateway of a fleet that starts for the first time waits before it looks for others, so that the
+/// last ones find the first ones.
+const MAX_START_DELAY: Duration = Duration::from_secs(1);
+/// Time within which a gateway that starts has found a peer that serves it or has become the relay: it asks the directory
+/// once, and three peers that may not answer.
+const MAX_PEER_WAIT: Duration = Duration::from_millis(1_500);
+
 /// The interfaces through which a gateway gets its configuration, servers and peers, and reads headers.
 pub struct Sources {
     /// Source of the configuration.
@@ -139,7 +146,7 @@
     logs: Logs,
 }
 
-fn peer_settings(host: &GatewayHost) -> PeerSettings {
+fn peer_settings(host: &GatewayHost, start_delay: Duration) -> PeerSettings {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let start_time_ms = since_epoch.unwrap_or_default().as_millis();
     PeerSettings {
@@ -151,6 +158,7 @@
             link_mbps: host.link_mbps,
         },
         data_centres: host.data_centres.clone(),
+        start_delay,
     }
 }
 
@@ -224,12 +232,18 @@
         let metrics = listen("metrics", host.metrics_address, &pages).await?;
         let handler: Arc<dyn Handler> = Arc::new(CallerHandler(Arc::clone(&gateway)));
         let callers = listen("callers", host.caller_address, &handler).await?;
-        let is_relay = Arc::new(AtomicBool::new(true));
+        let is_relay = Arc::new(AtomicBool::new(false));
+        let start_delay = if host.is_first_start {
+            MAX_START_DELAY.mul_f64(rand::random_range(0.0..1.0))
+        } else {
+            Duration::ZERO
+        };
         let follower = Follower::start(
             &catalog,
             &logs,
             schedule(bounds),
             &is_relay,
+            start_delay + MAX_PEER_WAIT,
             (sources.config, sources.servers),
         );
         let ledger_sync = LedgerSync::start(
@@ -242,7 +256,7 @@
         let renewal_watch =
             RenewalWatch::start(&gateway.quarantine, &catalog, &is_relay, bounds.heartbeat);
         let peers = Peers::start(
-            peer_settings(host),
+            peer_settings(host, start_delay),
             &catalog,
             &logs,
             sources.directory,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -38,6 +38,8 @@
     pub metrics_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that no gateway knows another.
+    pub is_first_start: bool,
 }
 
 /// Time limits that callers and operators rely on, from which schedules are derived, and the retry budget.
@@ -127,6 +129,7 @@
             ready_address: section.required("ready_address", unset, ADDRESS),
             metrics_address: section.required("metrics_address", unset, ADDRESS),
             store_address: section.required("store_address", unset, ADDRESS),
+            is_first_start: section.value_or("first_start", false, "true or false"),
         }
     }
 }
--- a/src/peers/crash_cursor.rs
+++ b/src/peers/crash_cursor.rs
@@ -52,7 +52,9 @@
             sightings: std::mem::take(&mut response.sightings),
         };
         quarantine.apply(records, RecordSource::Relay, BootInstant::now());
-        quarantine.set_loaded();
+        if response.knows_holds != Some(false) {
+            quarantine.set_told();
+        }
         self.next_received = response.next_crash_record;
     }
 
--- a/src/peers/directory.rs
+++ b/src/peers/directory.rs
@@ -24,14 +24,34 @@
     pub link_mbps: u64,
 }
 
+/// A change of the directory.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DirectoryChange {
+    /// Adds an entry, or replaces the former one of that name.
+    Put(NodeEntry),
+    /// Removes the entry of the gateway of this name.
+    Remove(String),
+}
+
+impl DirectoryChange {
+    /// Returns the name of the gateway.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Put(entry) => &entry.name,
+            Self::Remove(name) => name,
+        }
+    }
+}
+
 /// A directory of running gateways, kept in the store.
 #[async_trait]
 pub trait NodeDirectory: Send + Sync + 'static {
-    /// Registers `own`, replacing the former entry of that name. Fails if the store has not answered within `timeout`.
-    async fn announce(&self, own: &NodeEntry, timeout: Duration) -> Result<(), SourceError>;
-
-    /// Removes the entry of the gateway called `name`.
-    async fn withdraw(&self, name: &str, timeout: Duration) -> Result<(), SourceError>;
+    /// Makes all of `changes` or none, in one call. Fails if the store has not answered within `timeout`.
+    async fn write(
+        &self,
+        changes: &[DirectoryChange],
+        timeout: Duration,
+    ) -> Result<(), SourceError>;
 
     /// Reads the entries of all gateways.
     async fn read(&self, timeout: Duration) -> Result<Vec<NodeEntry>, SourceError>;
--- a/src/peers/load_table.rs
+++ b/src/peers/load_table.rs
@@ -1,6 +1,5 @@
 //! Loads of other nodes and data centres, as last received.
 
-use super::message::CentreLoads;
 use super::message::LoadEntry;
 use crate::clock::BootInstant;
 use std::sync::Mutex;
@@ -56,35 +55,13 @@
     /// Returns the sum of this data centre's loads, including this node's own.
     pub fn own_centre(&self, now: BootInstant) -> Vec<LoadEntry> {
         let state = self.lock();
-        let fresh = state
-            .members
-            .iter()
-            .filter(|row| now.since(row.received_at) < MAX_LOAD_AGE);
-        let fresh = fresh.map(|row| (row.received_at, row.loads.as_slice()));
-        let own = (state.own.0, state.own.1.as_slice());
-        let all: Vec<Vec<LoadEntry>> = fresh
-            .chain([own])
-            .map(|(at, loads)| aged(loads, now.since(at)))
-            .collect();
-        sum_loads(all.iter().map(Vec::as_slice))
+        sum_aged(state.own_rows(now))
     }
 
-    /// Returns the loads of every data centre; `own` is the name of this node's data centre.
-    pub(super) fn all_centres(&self, own: &str, now: BootInstant) -> Vec<CentreLoads> {
-        let mut centres = vec![CentreLoads {
-            data_centre: own.to_owned(),
-            loads: self.own_centre(now),
-        }];
+    /// Returns the sum of the loads of all data centres.
+    pub fn all(&self, now: BootInstant) -> Vec<LoadEntry> {
         let state = self.lock();
-        let fresh = state
-            .centres
-            .iter()
-            .filter(|row| now.since(row.received_at) < MAX_LOAD_AGE);
-        centres.extend(fresh.map(|row| CentreLoads {
-            data_centre: row.name.clone(),
-            loads: aged(&row.loads, now.since(row.received_at)),
-        }));
-        centres
+        sum_aged(state.own_rows(now).chain(fresh(&state.centres, now)))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -92,6 +69,23 @@
     }
 }
 
+impl State {
+    /// Returns the loads of the nodes of this data centre, each with its age.
+    fn own_rows(&self, now: BootInstant) -> impl Iterator<Item = (Duration, &[LoadEntry])> {
+        let (recorded_at, own) = &self.own;
+        fresh(&self.members, now).chain([(now.since(*recorded_at), own.as_slice())])
+    }
+}
+
+/// Returns the rows that are not stale, each with its age.
+fn fresh(rows: &[Row], now: BootInstant) -> impl Iterator<Item = (Duration, &[LoadEntry])> {
+    let rows = rows
+        .iter()
+        .map(move |row| (now.since(row.received_at), row));
+    rows.filter(|(age, _)| *age < MAX_LOAD_AGE)
+        .map(|(age, row)| (age, row.loads.as_slice()))
+}
+
 /// Replaces or inserts the row of `name` and removes the rows of other senders that are stale.
 fn upsert(rows: &mut Vec<Row>, name: &str, loads: Vec<LoadEntry>, now: BootInstant) {
     rows.retain(|row| now.since(row.received_at) < MAX_LOAD_AGE || row.name == name);
@@ -115,16 +109,28 @@
 
 /// Sums loads by backend server; the result is sorted by server name.
 pub(super) fn sum_loads<'a>(all: impl Iterator<Item = &'a [LoadEntry]>) -> Vec<LoadEntry> {
-    let mut entries: Vec<LoadEntry> = all.flatten().cloned().collect();
-    entries.sort_by(|a, b| a.server.cmp(&b.server));
-    entries.dedup_by(|later, first| {
-        let is_same = later.server == first.server;
-        if is_same {
-            first.add(later);
+    sum_aged(all.map(|loads| (Duration::ZERO, loads)))
+}
+
+/// Sums loads of the given ages by backend server; the result is sorted by server name. A relay does this for each request
+/// of each node that it serves, so no entry is copied but the first of each server.
+fn sum_aged<'a>(all: impl Iterator<Item = (Duration, &'a [LoadEntry])>) -> Vec<LoadEntry> {
+    let mut entries: Vec<(&LoadEntry, Duration)> = all
+        .flat_map(|(age, loads)| loads.iter().map(move |entry| (entry, age)))
+        .collect();
+    entries.sort_by(|(a, _), (b, _)| a.server.cmp(&b.server));
+    let mut sum: Vec<LoadEntry> = Vec::new();
+    for (entry, age) in entries {
+        match sum.last_mut() {
+            Some(last) if last.server == entry.server => last.add(entry, age),
+            _ => {
+                let mut first = entry.clone();
+                first.age_by(age);
+                sum.push(first);
+            }
         }
-        is_same
-    });
-    entries
+    }
+    sum
 }
 
 /// Returns `sum` minus the node's own loads; `own` must be sorted by server name.
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use super::directory::NodeEntry;
 use super::streams::StreamRecords;
+use crate::catalog::BackendServer;
 use crate::catalog::SeenVersion;
 use crate::catalog::ServerEntry;
 use crate::catalog::VersionHistory;
@@ -19,6 +20,10 @@
 use std::io::Write;
 use std::time::Duration;
 
+/// Version of what gateways say to each other, raised with each ability that the build before lacks. Builds that don't
+/// tell theirs have version 0. `docs/PROTOCOLS.md` lists the versions.
+pub(super) const PROTOCOL: u32 = 1;
+
 /// Maximum size of a decompressed message; bounds the memory that a corrupt one can use.
 const MAX_UNPACKED_BYTES: u64 = 32 * 1024 * 1024;
 
@@ -50,6 +55,15 @@
 }
 
 impl ServerRequests {
+    /// Returns these requests with `time` added to the age of the limit.
+    fn aged(self, time: Duration) -> Self {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            limit_age_ms: self.limit_age_ms.saturating_add(millis),
+            ..self
+        }
+    }
+
     /// Adds the requests of other gateways, and takes over the limit if theirs is newer.
     fn add(&mut self, other: &Self) {
         self.chosen += other.chosen;
@@ -69,18 +83,15 @@
 impl LoadEntry {
     /// Adds `time` to the age of the limit; called for the time that the entry waited or was under way.
     pub(super) fn age_by(&mut self, time: Duration) {
-        if let Some(requests) = &mut self.requests {
-            let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-            requests.limit_age_ms = requests.limit_age_ms.saturating_add(millis);
-        }
+        self.requests = self.requests.map(|requests| requests.aged(time));
     }
 
-    /// Adds the load of other gateways on the same server.
-    pub(super) fn add(&mut self, other: &Self) {
+    /// Adds the load of other gateways on the same server, as it is `age` after it was received.
+    pub(super) fn add(&mut self, other: &Self, age: Duration) {
         self.in_flight += other.in_flight;
-        match (&mut self.requests, &other.requests) {
-            (Some(requests), Some(other)) => requests.add(other),
-            (None, Some(other)) => self.requests = Some(*other),
+        match (&mut self.requests, other.requests) {
+            (Some(requests), Some(other)) => requests.add(&other.aged(age)),
+            (None, Some(other)) => self.requests = Some(other.aged(age)),
             (_, None) => {}
         }
     }
@@ -142,6 +153,72 @@
     /// connection; `None` if it wants none.
     #[serde(default)]
     pub(super) next_crash_record: Option<u64>,
+    /// [`PROTOCOL`] of the requesting node.
+    #[serde(default)]
+    pub(super) protocol: u32,
+    /// Entry of the requesting node while the node list that it has received lacks it. The relay registers it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) entry: Option<NodeEntry>,
+    /// Whether the requesting node leaves now, so that the relay removes its entry.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(super) is_leaving: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// What a node does in its data centre.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) enum Role {
+    /// It reads the store and sums the loads for all nodes there.
+    Relay,
+    /// It syncs from the node of this name.
+    Member(String),
+    /// It has just started, and asks the node of this name first, if any.
+    Undecided(Option<String>),
+}
+
+/// Loads as sent to a node that holds a server list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct ListedLoads {
+    /// Requests in flight at each server of the list, in its order.
+    in_flight: Vec<u32>,
+    /// Loads that need more than a number: those of servers with limits, or on no list. Sorted by server name.
+    others: Vec<LoadEntry>,
+}
+
+impl ListedLoads {
+    /// Converts `loads`, sorted by server name, for a node that holds the list `servers`.
+    pub(super) fn new(loads: Vec<LoadEntry>, servers: &[BackendServer]) -> Self {
+        let mut in_flight = vec![0; servers.len()];
+        let mut others = Vec::new();
+        for load in loads {
+            let index = servers.binary_search_by(|server| server.id.cmp(&load.server));
+            match index {
+                Ok(index) if load.requests.is_none() => in_flight[index] = load.in_flight,
+                _ => others.push(load),
+            }
+        }
+        Self { in_flight, others }
+    }
+
+    /// Returns the loads, sorted by server name; `servers` are the names on the list.
+    pub(super) fn into_entries(self, servers: &[String]) -> Vec<LoadEntry> {
+        let listed = servers.iter().zip(self.in_flight);
+        let listed = listed
+            .filter(|(_, in_flight)| *in_flight > 0)
+            .map(|(server, in_flight)| LoadEntry {
+                server: server.clone(),
+                in_flight,
+                requests: None,
+            });
+        let mut entries: Vec<LoadEntry> = listed.chain(self.others).collect();
+        entries.sort_by(|a, b| a.server.cmp(&b.server));
+        entries
+    }
 }
 
 /// The software versions on the server list and those that left it, as sent between gateways.
@@ -244,10 +321,17 @@
     pub(super) servers: Option<Vec<SyncedServer>>,
     /// Stamp of the responding node's list of gateways.
     pub(super) nodes_stamp: Stamp,
-    /// List of gateways, if its stamp differs from the requester's.
+    /// List of gateways, if its stamp differs from the requester's and the requester has protocol 0.
     pub(super) nodes: Option<Vec<NodeEntry>>,
-    /// Loads of every data centre.
+    /// The same list encoded by [`pack`], for a requester of protocol 1. It is packed once and shared by all responses.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) packed_nodes: Option<Bytes>,
+    /// Loads of the responding node's data centre, or the sum of those of all data centres for a node that it serves; empty
+    /// with `listed_loads`.
     pub(super) centres: Vec<CentreLoads>,
+    /// Sum of the loads of all data centres by the list of `servers_stamp`, for a node of protocol 1 that it serves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) listed_loads: Option<ListedLoads>,
     /// Records about crashes of servers from the requested number on.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crash_records: Vec<CrashRecord>,
@@ -260,6 +344,15 @@
     /// Earlier software versions on the server list, if the requester asks for them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) version_history: Option<SyncedVersionHistory>,
+    /// [`PROTOCOL`] of the responding node.
+    #[serde(default)]
+    pub(super) protocol: u32,
+    /// What the responding node does in its data centre; `None` in protocol 0.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) role: Option<Role>,
+    /// Whether the responding node knows the held parts of prompts; `None` in protocol 0.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) knows_holds: Option<bool>,
 }
 
 /// Encodes a message as CBOR.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -7,19 +7,26 @@
 
 mod crash_cursor;
 mod directory;
+mod directory_sync;
+mod exchange;
 mod link;
 mod load_table;
 mod message;
 mod node;
+mod node_list;
+mod pack_cache;
+mod registrations;
 mod serve;
 mod server_list;
 mod streams;
+mod sync;
 #[cfg(test)]
 mod tests;
 mod tunnel;
 mod tunnel_stream;
 mod tunnel_table;
 
+pub use directory::DirectoryChange;
 pub use directory::NodeDirectory;
 pub use directory::NodeEntry;
 pub use load_table::LoadTable;
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -1,5 +1,10 @@
 //! Accepts connections from other gateways and answers their sync requests, in one task per connection.
 
+use super::directory::NodeEntry;
+use super::message::CentreLoads;
+use super::message::ListedLoads;
+use super::message::LoadEntry;
+use super::message::PROTOCOL;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
 use super::message::SyncedVersionHistory;
@@ -110,6 +115,9 @@
             .load_table
             .record_centre(&request.data_centre, request.loads, now);
     }
+    if let Some(entry) = request.entry {
+        shared.apply_entry(&request.node, entry, request.is_leaving);
+    }
     let source = if is_member {
         RecordSource::Member
     } else {
@@ -138,12 +146,23 @@
     let servers_stamp = shared.stamp(list_version);
     let config_position = shared.catalog.config_position();
     let servers_position = shared.catalog.servers_position();
-    let (nodes, nodes_version) = shared.nodes();
-    let nodes_stamp = shared.stamp(nodes_version);
+    let nodes_stamp = shared.stamp(shared.nodes.version());
     // The relay of another data centre reads the store itself, so it gets only the loads.
     let wants_servers = is_member && request.servers_stamp != Some(servers_stamp);
     let wants_nodes = is_member && request.nodes_stamp != Some(nodes_stamp);
     let wants_config = is_member && config_version > request.config_version;
+    let is_latest = request.protocol > 0;
+    let (centres, listed_loads) = if !is_member {
+        (
+            vec![shared.centre_loads(shared.load_table.own_centre(now))],
+            None,
+        )
+    } else if is_latest {
+        let loads = ListedLoads::new(shared.load_table.all(now), &servers);
+        (Vec::new(), Some(loads))
+    } else {
+        (vec![shared.centre_loads(shared.load_table.all(now))], None)
+    };
     SyncResponse {
         is_disconnected: shared.catalog.is_disconnected(),
         config_age_ms: shared.catalog.config_age(now).map(millis),
@@ -159,12 +178,41 @@
         servers_stamp,
         servers: wants_servers.then(|| synced_servers(&shared.catalog, &servers, now)),
         nodes_stamp,
-        nodes: wants_nodes.then_some(nodes),
+        nodes: (wants_nodes && !is_latest).then(|| shared.nodes.nodes().0),
+        packed_nodes: (wants_nodes && is_latest)
+            .then(|| shared.nodes.packed())
+            .flatten(),
         crash_records: records.crashes,
         sightings: records.sightings,
         next_crash_record,
-        centres: shared.load_table.all_centres(&shared.own.data_centre, now),
+        centres,
+        listed_loads,
         version_history: version_history.flatten(),
+        protocol: PROTOCOL,
+        role: Some(shared.role()),
+        knows_holds: Some(shared.quarantine.is_told()),
+    }
+}
+
+impl Shared {
+    /// Returns `loads` as those of this data centre.
+    fn centre_loads(&self, loads: Vec<LoadEntry>) -> CentreLoads {
+        CentreLoads {
+            data_centre: self.own.data_centre.clone(),
+            loads,
+        }
+    }
+
+    /// Applies what a node of this data centre says of its start or end.
+    fn apply_entry(&self, requester: &str, entry: NodeEntry, is_leaving: bool) {
+        if entry.name != requester || entry.data_centre != self.own.data_centre {
+            return;
+        }
+        if is_leaving {
+            self.nodes.remove(&entry);
+        } else {
+            self.nodes.add(entry);
+        }
     }
 }
 
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -8,8 +8,8 @@
 
 use super::directory::NodeEntry;
 use super::link::Link;
-use super::node::SYNC_INTERVAL;
 use super::node::Shared;
+use super::sync::SYNC_INTERVAL;
 use crate::clock::BootInstant;
 use crate::decide::relay_candidates;
 use async_trait::async_trait;
@@ -247,8 +247,8 @@
     /// Returns the nodes that may keep records of streams that began at other nodes. A node that can't serve as a source
     /// since it doesn't reach the store may have them too.
     fn stream_holders(&self) -> Vec<NodeEntry> {
-        let (nodes, _) = self.nodes();
-        let mut holders = self.other_relays();
+        let (nodes, _) = self.nodes.nodes();
+        let mut holders = self.nodes.other_relays();
         for candidate in relay_candidates(&nodes, &self.own) {
             if !holders.iter().any(|known| known.name == candidate.name) {
                 holders.push(candidate.clone());
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -56,7 +56,7 @@
     let later = now.plus(Duration::from_secs(2));
 
     assert!(load_table.own_centre(later).is_empty());
-    assert_eq!(load_table.all_centres("north", later).len(), 1);
+    assert!(load_table.all(later).is_empty());
 }
 
 /// Returns the requests for a server that named `limit` `age_ms` ago.
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -144,13 +144,13 @@
 impl Tunnels for Shared {
     fn helpers(&self, server: &BackendServer) -> Vec<NodeEntry> {
         let now = BootInstant::now();
-        let (nodes, _) = self.nodes();
+        let (nodes, _) = self.nodes.nodes();
         let views: Vec<HelperView<'_>> = nodes
             .iter()
             .map(|node| HelperView {
                 node,
                 tunnels: self.tunnel_table.open_through(&node.name),
-                has_refused: self.is_unreachable(node)
+                has_refused: self.nodes.is_unreachable(node)
                     || self.tunnel_table.has_refused(&node.name, server, now),
             })
             .collect();
@@ -242,7 +242,7 @@
         requester: IpAddr,
         request: &TunnelRequest,
     ) -> Result<(Box<dyn Connection>, CarriedTunnel), TunnelRefusal> {
-        let (nodes, _) = self.nodes();
+        let (nodes, _) = self.nodes.nodes();
         if !nodes.iter().any(|node| node.address.ip() == requester) {
             return Err(TunnelRefusal::Stranger);
         }
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -16,6 +16,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// Timeout for a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -24,6 +25,11 @@
 /// Pause after a failed call, and interval at which a gateway that has become the relay finds out that it writes now.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Time after the start within which another gateway may tell of the held parts.
+const MAX_TOLD_WAIT: Duration = Duration::from_millis(1_500);
+/// Interval at which a gateway that has just started finds out that it is the relay or was told of the held parts.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Number of crashes that a hold needs if others of its crashes turned out to be none.
 const MIN_PROOFS: usize = 2;
 /// Maximum number of crashes that are kept with a held part.
@@ -167,7 +173,8 @@
     }
 }
 
-/// Loads the ledger, then writes this gateway's changes to it while it is the relay.
+/// Writes this gateway's changes to the ledger while it is the relay, after reading it. A gateway that is no relay reads the
+/// ledger once if no other gateway tells it of the held parts.
 async fn run(
     quarantine: Arc<Quarantine>,
     ledger: Arc<dyn HoldLedger>,
@@ -178,14 +185,27 @@
     let mut written = Vec::new();
     let mut has_read = false;
     let mut is_failing = false;
+    let told_until = Instant::now() + MAX_TOLD_WAIT;
     loop {
         let held = held_entries(&quarantine);
         let may_write = is_relay.load(Ordering::Relaxed);
+        if !has_read && !may_write {
+            // Another gateway has told of the held parts, or may do so soon.
+            let pause = if quarantine.is_told() {
+                Some(RETRY_INTERVAL)
+            } else {
+                (Instant::now() < told_until).then_some(START_CHECK_INTERVAL)
+            };
+            if let Some(pause) = pause {
+                tokio::time::sleep(pause).await;
+                continue;
+            }
+        }
         if !has_read || (may_write && !is_same(&held, &written)) {
             match sync(&quarantine, &*ledger, &written, may_write).await {
                 Ok(entries) => {
                     written = entries;
-                    quarantine.set_loaded();
+                    quarantine.set_told();
                     has_read = true;
                     is_failing = false;
                     continue;
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -49,7 +49,8 @@
     pub(super) blame: CrashBlame,
     breaks: Breaks,
     rows: Rows,
-    is_loaded: bool,
+    /// Whether the store or another gateway has told of the held parts.
+    is_told: bool,
     /// Data centres of which this gateway lost most servers at once, and when.
     pub(super) common_losses: Vec<(String, BootInstant)>,
     last_claim_at: Option<BootInstant>,
@@ -92,11 +93,16 @@
     /// Returns whether the held parts are known, or nobody could be asked for them for two
     /// seconds (`MAX_LOAD_TIME`).
     pub fn is_loaded(&self) -> bool {
-        self.lock().is_loaded || BootInstant::now().since(self.started_at) > MAX_LOAD_TIME
+        self.is_told() || BootInstant::now().since(self.started_at) > MAX_LOAD_TIME
     }
 
-    pub(crate) fn set_loaded(&self) {
-        self.lock().is_loaded = true;
+    /// Returns whether the store or another gateway has told of the held parts.
+    pub(crate) fn is_told(&self) -> bool {
+        self.lock().is_told
+    }
+
+    pub(crate) fn set_told(&self) {
+        self.lock().is_told = true;
     }
 
     /// Records a crash that this gateway has seen.
