--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -149,6 +149,8 @@
     is_cut: AtomicBool,
     /// Limit on requests that it names in its responses, as text.
     rate_limit: Mutex<Option<String>>,
+    /// Multiple of the usual time that it takes to run a request, or to an event of a stream.
+    slowness: AtomicU32,
     /// Time from a request for a stream to its first event.
     first_event_delay: Mutex<Duration>,
     pause: Mutex<Option<Pause>>,
@@ -171,6 +173,11 @@
         }
     }
 
+    /// Waits for the time that something takes which usually takes `time`.
+    async fn work_for(&self, time: Duration) {
+        tokio::time::sleep(time * self.slowness.load(Relaxed)).await;
+    }
+
     /// Waits out the pause that is set for `point`, and the time for which the whole server is silent.
     async fn pause_at(&self, point: PausePoint) {
         let due = {
@@ -282,6 +289,7 @@
             is_leaving: AtomicBool::new(false),
             is_cut: AtomicBool::new(false),
             rate_limit: Mutex::default(),
+            slowness: AtomicU32::new(1),
             first_event_delay: Mutex::default(),
             pause: Mutex::default(),
             silent_until: Mutex::default(),
@@ -321,6 +329,11 @@
         version.clone_into(&mut lock(&self.shared.software_version));
     }
 
+    /// Makes the server take this multiple of the usual time for requests and for each event of a stream.
+    pub fn set_slowness(&self, slowness: u32) {
+        self.shared.slowness.store(slowness, Relaxed);
+    }
+
     /// Makes it say in its responses that it leaves, while its entry stays as it is.
     pub fn set_leaving(&self) {
         self.shared.is_leaving.store(true, Relaxed);
@@ -492,7 +505,7 @@
         let body = events(running, behavior, after, crash);
         build_response(&shared, StatusCode::OK, body)
     } else {
-        tokio::time::sleep(shared.work_time).await;
+        shared.work_for(shared.work_time).await;
         shared.pause_at(PausePoint::Head).await;
         match behavior {
             Behavior::Breaks(_) => return Err(Abort),
@@ -613,7 +626,7 @@
                     return;
                 }
             }
-            tokio::time::sleep(EVENT_GAP).await;
+            shared.work_for(EVENT_GAP).await;
         }
     });
     body
