--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -92,8 +92,10 @@
 /// Read intervals of one source.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReadPace {
-    /// Time between two reads.
+    /// Time between two reads of the node that reads for all data centres.
     pub interval: Duration,
+    /// Age of the data received from that node beyond which the relay of a data centre reads the source itself.
+    pub max_relay_data_age: Duration,
     /// Age of the data received from peers beyond which a node that is not the relay reads the source itself.
     pub max_peer_data_age: Duration,
 }
@@ -117,9 +119,40 @@
 const TIMEOUTS_UNTIL_UNREACHABLE: u32 = 3;
 /// Interval at which a node that is not the relay checks whether the data received from peers is stale.
 const PEER_DATA_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same for the relay, whose members read the source themselves soon after.
+const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The same while the node has just started and has no data.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// What a node reads for others.
+#[derive(Clone, Debug, Default)]
+pub struct Duties {
+    is_relay: Arc<AtomicBool>,
+    is_reader: Arc<AtomicBool>,
+}
+
+impl Duties {
+    /// Returns whether the node is the relay of its data centre.
+    pub fn is_relay(&self) -> bool {
+        self.is_relay.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the node is the one relay that reads the store for all data centres.
+    pub fn is_reader(&self) -> bool {
+        self.is_relay() && self.is_reader.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the node is the relay of its data centre.
+    pub fn set_relay(&self, is_relay: bool) {
+        self.is_relay.store(is_relay, Ordering::Relaxed);
+    }
+
+    /// Sets whether the node, if it is a relay, reads the store for all data centres.
+    pub fn set_reader(&self, is_reader: bool) {
+        self.is_reader.store(is_reader, Ordering::Relaxed);
+    }
+}
+
 /// The two tasks that keep the catalog current.
 pub struct Follower {
     schedule: Arc<Mutex<Schedule>>,
@@ -133,7 +166,7 @@
         catalog: &Arc<Catalog>,
         logs: &Logs,
         schedule: Schedule,
-        is_relay: &Arc<AtomicBool>,
+        duties: &Duties,
         max_start_wait: Duration,
         sources: (Box<dyn ConfigSource>, Box<dyn ServerList>),
     ) -> Self {
@@ -142,7 +175,7 @@
             catalog: Arc::clone(catalog),
             logs: logs.clone(),
             schedule: Arc::clone(&schedule),
-            is_relay: Arc::clone(is_relay),
+            duties: duties.clone(),
             waits_until: BootInstant::now().plus(max_start_wait),
         };
         let config = follow(context.clone(), Box::new(FollowedConfig(sources.0)));
@@ -172,8 +205,7 @@
     catalog: Arc<Catalog>,
     logs: Logs,
     schedule: Arc<Mutex<Schedule>>,
-    /// Whether this node is the relay of its data centre, which always reads the sources itself.
-    is_relay: Arc<AtomicBool>,
+    duties: Duties,
     /// Time until which a node that has no data waits for a peer's.
     waits_until: BootInstant,
 }
@@ -185,15 +217,22 @@
     }
 
     /// Waits while the data received from peers is recent enough, or may arrive soon after the start; returns at once if
-    /// this node is the relay.
+    /// this node reads for all data centres.
     async fn wait_while_peer_data_is_recent(&self, followed: &dyn Followed) {
         // Randomized so that nodes that lost their relay don't all read the source at the same time.
         let factor = rand::random_range(0.9..1.0);
-        while !self.is_relay.load(Ordering::Relaxed) {
-            let max_age = self.pace(followed).max_peer_data_age.mul_f64(factor);
+        while !self.duties.is_reader() {
+            let is_relay = self.duties.is_relay();
+            let pace = self.pace(followed);
+            let (max_age, interval) = if is_relay {
+                (pace.max_relay_data_age, RELAY_CHECK_INTERVAL)
+            } else {
+                let max_age = pace.max_peer_data_age.mul_f64(factor);
+                (max_age, PEER_DATA_CHECK_INTERVAL)
+            };
             let pause = match followed.age(&self.catalog) {
-                Some(age) if age < max_age => PEER_DATA_CHECK_INTERVAL,
-                None if BootInstant::now() < self.waits_until => START_CHECK_INTERVAL,
+                Some(age) if age < max_age => interval,
+                None if !is_relay && BootInstant::now() < self.waits_until => START_CHECK_INTERVAL,
                 _ => return,
             };
             tokio::time::sleep(pause).await;
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -21,6 +21,7 @@
 pub use config::Team;
 pub use follow::ConfigRead;
 pub use follow::ConfigSource;
+pub use follow::Duties;
 pub use follow::Follower;
 pub use follow::Position;
 pub use follow::ReadPace;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -51,6 +51,8 @@
     pub is_warming_up: bool,
     /// Whether it gets no new requests, by the server list or since it said so; it still has the prompt parts cached that it was the home of.
     pub is_draining: bool,
+    /// Time that it takes as a multiple of what the others of its service take; 1 if it is not slow.
+    pub slowness: f64,
 }
 
 impl ServerView<'_> {
@@ -68,6 +70,16 @@
     fn smoothed_load_per_slot(&self) -> f64 {
         self.smoothed_load / f64::from(self.slots.max(1))
     }
+
+    /// Returns the number of requests that a server that is not slow would run in the time that this one takes for its
+    /// load.
+    fn load_by_pace(&self) -> f64 {
+        f64::from(self.load) * self.slowness
+    }
+
+    fn is_slow(&self) -> bool {
+        self.slowness > 1.0
+    }
 }
 
 /// Returns the smoothed load of all available servers together, as a multiple of their slots; `None` if there are no
@@ -75,8 +87,9 @@
 pub fn smoothed_load_per_slot(servers: &[ServerView<'_>]) -> Option<f64> {
     let available = || servers.iter().filter(|server| server.is_available());
     let load: f64 = available().map(|server| server.smoothed_load).sum();
-    let slots: u32 = available().map(|server| server.slots).sum();
-    (slots > 0).then(|| load / f64::from(slots))
+    let slots_by_pace = |server: &ServerView<'_>| f64::from(server.slots) / server.slowness;
+    let slots: f64 = available().map(slots_by_pace).sum();
+    (slots > 0.0).then(|| load / slots)
 }
 
 /// The server chosen for a request.
@@ -113,7 +126,8 @@
     }
 }
 
-/// Places plain calls by weighted random choice; the weight of a server is its free capacity per slot.
+/// Places plain calls by weighted random choice; the weight of a server is its free capacity per slot, divided by the
+/// square of its slowness: a slow server runs fewer calls in the same time, and each of them is late.
 ///
 /// Load pattern: many nodes place short calls by load information that is several calls old. If all chose the least
 /// loaded server, or a near one as long as it looked free, they would overload it at the same time, and it would
@@ -176,7 +190,8 @@
         let eligible = eligible(servers);
         let load_per_slot = |index: usize| servers[index].smoothed_load_per_slot();
         let free_capacity_per_slot = |index: usize| {
-            (CAPACITY_PER_SLOT - load_per_slot(index)).max(MIN_FREE_CAPACITY_PER_SLOT)
+            let free = (CAPACITY_PER_SLOT - load_per_slot(index)).max(MIN_FREE_CAPACITY_PER_SLOT);
+            free / servers[index].slowness.powi(2)
         };
         // Returns a random number from 0 to 1 derived from the request; different values of `number` give independent
         // results.
@@ -187,7 +202,7 @@
         let near: Vec<usize> = eligible
             .iter()
             .copied()
-            .filter(|&index| servers[index].is_near)
+            .filter(|&index| servers[index].is_near && !servers[index].is_slow())
             .collect();
         let near_load_per_slot =
             near.iter().map(|&index| load_per_slot(index)).sum::<f64>() / near.len().max(1) as f64;
@@ -324,7 +339,8 @@
         let bound = mean * self.bound_factor + self.bound_extra;
         let has_room = |index: &usize| {
             let server = &servers[*index];
-            f64::from(server.load) < bound && server.load < server.slots
+            let load = server.load_by_pace();
+            load < bound && load < f64::from(server.slots)
         };
         let homes = self.ranked_homes(Self::key(request), &eligible, servers);
         let preferred = homes
@@ -332,10 +348,13 @@
             .take(self.home_count)
             .copied()
             .find(|index| has_room(index));
-        let load_of = |index: &usize| servers[*index].load;
+        let by_load = |a: &usize, b: &usize| {
+            let load = |index: &usize| servers[*index].load_by_pace();
+            load(a).total_cmp(&load(b))
+        };
         let index = preferred
-            .or_else(|| homes.iter().copied().filter(has_room).min_by_key(load_of))
-            .or_else(|| homes.iter().copied().min_by_key(load_of))?;
+            .or_else(|| homes.iter().copied().filter(has_room).min_by(by_load))
+            .or_else(|| homes.iter().copied().min_by(by_load))?;
         let passed_over = homes.iter().position(|home| *home == index).unwrap_or(0);
         let draining_home = self.draining_home(Self::key(request), &homes, servers);
         Some(Choice {
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -26,6 +26,15 @@
     relays
 }
 
+/// Returns the node that reads the store for all data centres: the first in the relay order of `nodes`, which are those
+/// that count as reachable. It is the relay of its data centre; the other relays get what it reads with the loads.
+///
+/// Load pattern: the calls to the store are charged, and with many data centres those of their relays are most of them.
+pub fn store_reader(nodes: &[NodeEntry]) -> Option<&NodeEntry> {
+    let key = |node: &&NodeEntry| (preference(node), node.name.clone());
+    nodes.iter().min_by_key(key)
+}
+
 /// Number of nodes of a data centre that other nodes there may take for its relay. Views of who is the relay differ for
 /// seconds after failures, mostly among the first nodes in the relay order.
 const MAX_RELAY_CANDIDATES: usize = 4;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod failover;
 mod health;
+mod pace;
 mod placement;
 mod relay;
 mod retry_budget;
--- a/src/decide/tests/placement.rs
+++ b/src/decide/tests/placement.rs
@@ -24,6 +24,7 @@
             is_tried: false,
             is_warming_up: false,
             is_draining: false,
+            slowness: 1.0,
         })
         .collect()
 }
@@ -136,6 +137,7 @@
         is_tried: false,
         is_warming_up: false,
         is_draining: false,
+        slowness: 1.0,
     }
 }
 
@@ -326,3 +328,42 @@
 
     assert_eq!((choice.index, choice.copy_from), (home, None));
 }
+
+// A slow engine kept the homes of its parts until it had as many requests as the others.
+#[test]
+fn a_slow_engine_gets_requests_in_proportion_to_its_pace() {
+    let mut views = engines(&[8; 9]);
+    let parts = prompt(77, 1);
+    let request = PlacementRequest {
+        parts: &parts,
+        salt: 1,
+    };
+    let home = placement().choose(&request, &views).unwrap().index;
+
+    views[home].slowness = 4.0;
+    let loaded = placement().choose(&request, &views).unwrap();
+    views[home].load = 2;
+    let with_room = placement().choose(&request, &views).unwrap();
+
+    assert_ne!(loaded.index, home);
+    assert_eq!(loaded.copy_from, Some(home));
+    assert_eq!(with_room.index, home);
+}
+
+// The only server of a data centre kept its calls while it was slow, since its load was low.
+#[test]
+fn calls_leave_a_near_server_that_is_slow() {
+    let mut near = plain("near", true, 1.0);
+    near.slowness = 6.0;
+    let views = [near, plain("far-1", false, 1.0), plain("far-2", false, 1.0)];
+
+    let chosen = (0..3_000).filter(|&salt| {
+        let request = PlacementRequest { parts: &[], salt };
+        let choice = PlainPlacement::default().choose(&request, &views);
+        choice.unwrap().index == 0
+    });
+
+    // A third of the calls, divided by the square of its slowness.
+    let count = chosen.count();
+    assert!((10..=100).contains(&count), "{count} of 3000");
+}
--- a/src/decide/tests/relay.rs
+++ b/src/decide/tests/relay.rs
@@ -6,6 +6,7 @@
 use crate::decide::relay_candidates;
 use crate::decide::relay_order;
 use crate::decide::source_step;
+use crate::decide::store_reader;
 use crate::decide::sync_sources;
 use crate::peers::NodeEntry;
 use std::net::SocketAddr;
@@ -86,6 +87,21 @@
     assert_eq!(names, ["a", "b"]);
 }
 
+#[test]
+fn one_node_of_all_data_centres_reads_the_store_and_another_one_when_it_is_gone() {
+    let nodes = [
+        node("a", "x", 3, 200),
+        node("b", "y", 2, 200),
+        node("narrow", "z", 1, 10),
+    ];
+
+    let reader = |nodes: &[NodeEntry]| store_reader(nodes).map(|node| node.name.clone());
+
+    assert_eq!(reader(&nodes).as_deref(), Some("b"));
+    assert_eq!(reader(&nodes[..1]).as_deref(), Some("a"));
+    assert_eq!(reader(&[]), None);
+}
+
 const AT_ONCE: Duration = Duration::ZERO;
 const LATER: Duration = Duration::from_millis(300);
 
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -218,6 +218,7 @@
                 is_tried: self.is_tried(server),
                 is_warming_up: status.is_warming_up,
                 is_draining: server.entry.is_draining || status.is_closed,
+                slowness: status.slowness,
             })
             .collect()
     }
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -94,6 +94,7 @@
             helper: &self.helper,
             max_connections: self.max_connections,
         };
+        let sent_at = Instant::now();
         let sending = attempt::send(
             &self.outbound,
             &params,
@@ -123,7 +124,7 @@
             )
             .await
         } else {
-            self.read_whole(response, rate_limit).await
+            self.read_whole(response, rate_limit, sent_at).await
         }
     }
 
@@ -137,7 +138,12 @@
     }
 
     /// Reads the whole of a response that is not a stream, so that the request can be retried if it breaks off.
-    async fn read_whole(&self, response: ServerResponse, rate_limit: RateLimitNotice) -> SendEnd {
+    async fn read_whole(
+        &self,
+        response: ServerResponse,
+        rate_limit: RateLimitNotice,
+        sent_at: Instant,
+    ) -> SendEnd {
         let ServerResponse {
             head,
             body,
@@ -163,11 +169,12 @@
                 return SendEnd::Late;
             }
         };
-        guard.record_result(if head.status.is_server_error() {
-            RunResult::Failed
+        if head.status.is_server_error() {
+            guard.record_result(RunResult::Failed);
         } else {
-            RunResult::Good
-        });
+            guard.record_result(RunResult::Good);
+            guard.record_pace(sent_at.elapsed());
+        }
         gateway.pool.put_idle(lease, &head.headers);
         let response = Box::new(WholeResponse { head, body });
         SendEnd::Delivered(Delivery::Whole(response), rate_limit)
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -5,7 +5,9 @@
 use crate::clock::BootInstant;
 use crate::decide::Health;
 use crate::decide::HealthPolicy;
+use crate::decide::PaceWindow;
 use crate::decide::RunResult;
+use crate::peers::FleetLoads;
 use crate::peers::LoadEntry;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -55,6 +57,11 @@
     remote: Option<(u32, BootInstant)>,
     /// Moving mean of the load.
     smoothed_load: f64,
+    /// Answers to this node.
+    pace: PaceWindow,
+    /// Time that the server takes as a multiple of what the others of its service take, and when that was received; `None`
+    /// if it is not slow.
+    slowness: Option<(f64, BootInstant)>,
     /// When the last byte arrived from the server, or when the first request was sent if none has arrived since; `None`
     /// while no request is in flight.
     inactive_since: Option<BootInstant>,
@@ -91,7 +98,7 @@
 }
 
 /// Load and health of a server.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct ServerStatus {
     /// Requests in flight, those of other nodes included as far as they are known.
     pub(super) load: u32,
@@ -103,6 +110,21 @@
     pub(super) is_warming_up: bool,
     /// Whether the server has told this node that it wants no requests.
     pub(super) is_closed: bool,
+    /// Time that the server takes as a multiple of what the others of its service take; 1 if it is not slow.
+    pub(super) slowness: f64,
+}
+
+impl Default for ServerStatus {
+    fn default() -> Self {
+        Self {
+            load: 0,
+            smoothed_load: 0.0,
+            is_suspended: false,
+            is_warming_up: false,
+            is_closed: false,
+            slowness: 1.0,
+        }
+    }
 }
 
 impl ServerLoads {
@@ -170,26 +192,34 @@
         }
     }
 
-    /// Returns the number of this node's requests in flight by server, sorted by server name.
+    /// Returns the number of this node's requests in flight and its answers by server, sorted by server name.
     pub(super) fn own_in_flight(&self) -> Vec<LoadEntry> {
-        self.lock()
-            .iter()
-            .filter(|state| state.own_in_flight > 0)
-            .map(|state| LoadEntry {
-                server: state.id.clone(),
-                in_flight: state.own_in_flight,
-                requests: None,
-            })
+        let now = BootInstant::now();
+        let mut states = self.lock();
+        let loads = states.iter_mut().map(|state| LoadEntry {
+            server: state.id.clone(),
+            in_flight: state.own_in_flight,
+            requests: None,
+            pace: state.pace.sum(now),
+        });
+        loads
+            .filter(|load| load.in_flight > 0 || load.pace.is_some())
             .collect()
     }
 
-    /// Records the requests in flight of all other nodes together, sorted by server name; a server that is missing has
-    /// none.
-    pub(super) fn record_remote(&self, remote: &[LoadEntry]) {
+    /// Records the requests in flight of all other nodes together, and which servers are slow; a server that is missing has
+    /// no requests and is not slow.
+    pub(super) fn record_remote(&self, fleet: &FleetLoads) {
         let now = BootInstant::now();
         for state in self.lock().iter_mut() {
-            let found = remote.binary_search_by(|entry| entry.server.cmp(&state.id));
-            state.remote = Some((found.map_or(0, |index| remote[index].in_flight), now));
+            let found = fleet
+                .others
+                .binary_search_by(|entry| entry.server.cmp(&state.id));
+            state.remote = Some((found.map_or(0, |index| fleet.others[index].in_flight), now));
+            let slow = fleet
+                .slow
+                .binary_search_by(|(server, _)| server.cmp(&state.id));
+            state.slowness = slow.ok().map(|index| (fleet.slow[index].1, now));
             state.smoothed_load +=
                 (f64::from(state.load(now)) - state.smoothed_load) * LOAD_SMOOTHING_FACTOR;
         }
@@ -257,6 +287,10 @@
                 .joined_at
                 .is_some_and(|joined| now.since(joined) < WARM_UP_TIME),
             is_closed: self.is_closed(now),
+            slowness: self
+                .slowness
+                .filter(|(_, received_at)| now.since(*received_at) < MAX_REMOTE_AGE)
+                .map_or(1.0, |(slowness, _)| slowness),
         }
     }
 
@@ -304,6 +338,12 @@
         });
     }
 
+    /// Records that the server took `took` for a whole answer, or for the next event of a stream.
+    pub(super) fn record_pace(&self, took: Duration) {
+        let now = BootInstant::now();
+        self.update(|state| state.pace.record(took, now));
+    }
+
     /// Records that another gateway carries the request, so that what arrives tells nothing of the direct path.
     pub(super) fn set_carried(&self) {
         self.is_carried.store(true, Ordering::Relaxed);
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -21,6 +21,7 @@
 use crate::catalog::Catalog;
 use crate::catalog::CatalogBounds;
 use crate::catalog::ConfigSource;
+use crate::catalog::Duties;
 use crate::catalog::Follower;
 use crate::catalog::ReadPace;
 use crate::catalog::Schedule;
@@ -57,7 +58,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -173,11 +173,11 @@
             own.rates.add_to_loads(&mut loads);
             loads
         }),
-        Arc::new(move |remote| {
+        Arc::new(move |fleet| {
             let (servers, _) = shared.catalog.servers();
             shared.loads.track(&servers);
-            shared.loads.record_remote(&remote);
-            shared.rates.record_remote(&remote, &servers);
+            shared.loads.record_remote(&fleet);
+            shared.rates.record_remote(&fleet.others, &servers);
         }),
     )
 }
@@ -198,10 +198,12 @@
 /// Derives the read schedule from the bounds, leaving room for one failed read within each bound.
 fn schedule(bounds: &GatewayBounds) -> Schedule {
     let pace = |bound: Duration| ReadPace {
-        // Data received from the relay is at most one read interval and one sync request old, which is less than
-        // `max_peer_data_age`, the age at which a node reads the source itself. `max_peer_data_age`, plus the interval
+        // Data is at most one read interval and one sync request old at a relay, which is less than
+        // `max_relay_data_age`, and a further sync request old at the nodes that the relay serves, which is less than
+        // `max_peer_data_age` also if the relay has to read the source itself. `max_peer_data_age`, plus the interval
         // at which a node checks it, plus a read that fails once and is retried, is less than the bound.
-        interval: bound * 7 / 20,
+        interval: bound / 5,
+        max_relay_data_age: bound * 2 / 5,
         max_peer_data_age: bound * 5 / 8,
     };
     Schedule {
@@ -232,7 +234,7 @@
         let metrics = listen("metrics", host.metrics_address, &pages).await?;
         let handler: Arc<dyn Handler> = Arc::new(CallerHandler(Arc::clone(&gateway)));
         let callers = listen("callers", host.caller_address, &handler).await?;
-        let is_relay = Arc::new(AtomicBool::new(false));
+        let duties = Duties::default();
         let start_delay = if host.is_first_start {
             MAX_START_DELAY.mul_f64(rand::random_range(0.0..1.0))
         } else {
@@ -242,25 +244,25 @@
             &catalog,
             &logs,
             schedule(bounds),
-            &is_relay,
+            &duties,
             start_delay + MAX_PEER_WAIT,
             (sources.config, sources.servers),
         );
         let ledger_sync = LedgerSync::start(
             &gateway.quarantine,
             sources.held_parts,
-            Arc::clone(&is_relay),
+            duties.clone(),
             &logs,
         );
         let break_watch = BreakWatch::start(&gateway.quarantine, &catalog);
         let renewal_watch =
-            RenewalWatch::start(&gateway.quarantine, &catalog, &is_relay, bounds.heartbeat);
+            RenewalWatch::start(&gateway.quarantine, &catalog, &duties, bounds.heartbeat);
         let peers = Peers::start(
             peer_settings(host, start_delay),
             &catalog,
             &logs,
             sources.directory,
-            is_relay,
+            duties,
             load_callbacks(&gateway),
             &gateway.quarantine,
         );
--- a/src/gateway/server_rates.rs
+++ b/src/gateway/server_rates.rs
@@ -132,6 +132,7 @@
                         server: state.id.clone(),
                         in_flight: 0,
                         requests: Some(requests),
+                        pace: None,
                     },
                 ),
             }
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -72,6 +72,8 @@
         silence_limit: Option<Duration>,
         deadline: Instant,
     ) -> StreamItem {
+        // Counted from the call, since the caller may take its time to read what came before.
+        let waits_since = Instant::now();
         loop {
             let until =
                 silence_limit.map_or(deadline, |limit| (Instant::now() + limit).min(deadline));
@@ -98,6 +100,9 @@
                     self.progress.record_event_bytes();
                     match self.splitter.push(&bytes) {
                         Ok(Some(events)) => {
+                            if self.has_events {
+                                self.guard.record_pace(waits_since.elapsed());
+                            }
                             self.has_events = true;
                             return StreamItem::Events(events);
                         }
--- a/src/peers/directory_sync.rs
+++ b/src/peers/directory_sync.rs
@@ -6,7 +6,6 @@
 use slog::info;
 use slog::warn;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -57,7 +56,7 @@
     /// Reads the list if this node is the relay or has none yet; returns the maximum time until the next call.
     async fn read_if_needed(&mut self) -> Duration {
         let shared = self.shared;
-        if self.has_list && !shared.is_relay.load(Ordering::Relaxed) {
+        if self.has_list && !shared.duties.is_relay() {
             return MAX_DIRECTORY_PAUSE;
         }
         let result = self.directory.read(DIRECTORY_TIMEOUT).await;
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -12,12 +12,11 @@
 use super::sync::SYNC_INTERVAL;
 use crate::clock::BootInstant;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// While this node is the relay, exchanges load sums with the relay of `data_centre`.
 pub(super) async fn run(shared: Arc<Shared>, data_centre: String) {
     loop {
-        if shared.is_relay.load(Ordering::Relaxed)
+        if shared.duties.is_relay()
             && let Some(node) = shared.nodes.first_relay(&data_centre)
             && let Err(cause) = exchange_loads(&shared, &node, &data_centre).await
         {
@@ -27,7 +26,7 @@
     }
 }
 
-/// Exchanges load sums with `node` until this node is no longer the relay or, after [`RELAY_RECHECK_INTERVAL`],
+/// Exchanges load sums with `node`, and takes over what it has read from the store if it reads for all data centres, until this node is no longer the relay or, after [`RELAY_RECHECK_INTERVAL`],
 /// `data_centre` has another first reachable relay.
 async fn exchange_loads(
     shared: &Shared,
@@ -35,23 +34,26 @@
     data_centre: &str,
 ) -> Result<(), String> {
     let mut link = Link::open(node).await?;
-    // Stays empty, since the relay of another data centre returns only loads, and no lists.
-    let received = ReceivedStamps::default();
+    let mut received = ReceivedStamps::default();
     let sources = [RecordSource::Own, RecordSource::Member];
     let mut next_record = 0;
     let mut crash_cursor = CrashCursor::new(&shared.quarantine);
     let began = BootInstant::now();
-    while shared.is_relay.load(Ordering::Relaxed) {
+    while shared.duties.is_relay() {
         let now = BootInstant::now();
         let loads = shared.load_table.own_centre(now);
         let mut request = shared.sync_request(loads, &received);
+        request.wants_catalog = shared.nodes.store_reader().as_deref() == Some(&node.name);
         if shared.backup_centre.as_deref() == Some(data_centre) {
             (request.streams, next_record) =
                 shared.streams.records_from(next_record, &sources, now);
         }
         crash_cursor.add_records(&shared.quarantine, &mut request, now);
-        let response: SyncResponse = link.request(&request).await?;
+        let mut response: SyncResponse = link.request(&request).await?;
         shared.nodes.mark_reachable(node);
+        if request.wants_catalog && !shared.is_unusable_source(&response) {
+            shared.apply_catalog(&mut response, now, &mut received);
+        }
         shared.apply_version_history(response.version_history);
         let theirs = response
             .centres
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -38,6 +38,41 @@
     /// Requests for a server that names a limit; `None` for others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub requests: Option<ServerRequests>,
+    /// Answers of the server; `None` if there were none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<ServerPace>,
+}
+
+/// Answers of a server, or events of its streams, in the last two seconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
+pub struct ServerPace {
+    /// Number of answers.
+    pub answers: u32,
+    /// Time that they took together.
+    pub took_ms: u32,
+}
+
+impl ServerPace {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_add(other.answers),
+            took_ms: self.took_ms.saturating_add(other.took_ms),
+        }
+    }
+}
+
+impl From<(u32, u32)> for ServerPace {
+    fn from((answers, took_ms): (u32, u32)) -> Self {
+        Self { answers, took_ms }
+    }
+}
+
+impl From<ServerPace> for (u32, u32) {
+    fn from(pace: ServerPace) -> Self {
+        (pace.answers, pace.took_ms)
+    }
 }
 
 /// Requests for a server that names a limit on them or did so lately, in the last two seconds.
@@ -94,6 +129,10 @@
             (None, Some(other)) => self.requests = Some(other.aged(age)),
             (_, None) => {}
         }
+        self.pace = match (self.pace, other.pace) {
+            (Some(pace), Some(other)) => Some(pace.plus(other)),
+            (pace, other) => pace.or(other),
+        };
     }
 
     /// Subtracts the load that one gateway has put on the same server.
@@ -159,6 +198,9 @@
     /// Entry of the requesting node while the node list that it has received lacks it. The relay registers it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) entry: Option<NodeEntry>,
+    /// Whether the requesting node, a relay, wants what the responding node has read from the store.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(super) wants_catalog: bool,
     /// Whether the requesting node leaves now, so that the relay removes its entry.
     #[serde(default, skip_serializing_if = "is_false")]
     pub(super) is_leaving: bool,
@@ -214,6 +256,7 @@
                 server: server.clone(),
                 in_flight,
                 requests: None,
+                pace: None,
             });
         let mut entries: Vec<LoadEntry> = listed.chain(self.others).collect();
         entries.sort_by(|a, b| a.server.cmp(&b.server));
@@ -332,6 +375,10 @@
     /// Sum of the loads of all data centres by the list of `servers_stamp`, for a node of protocol 1 that it serves.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) listed_loads: Option<ListedLoads>,
+    /// Servers that work slower than the others of their service, with their time as a multiple of the others' in
+    /// thousandths, by the answers to all gateways. Sorted by name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) slow_servers: Vec<(String, u32)>,
     /// Records about crashes of servers from the requested number on.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crash_records: Vec<CrashRecord>,
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -34,9 +34,12 @@
 use super::tunnel_table::TunnelTable;
 use crate::catalog::Catalog;
 use crate::catalog::Configuration;
+use crate::catalog::Duties;
 use crate::catalog::Position;
 use crate::catalog::VERSION_MEMORY;
 use crate::clock::BootInstant;
+use crate::decide::PaceTable;
+use crate::decide::SlowServer;
 use crate::logs::Logs;
 use crate::quarantine::Quarantine;
 use bytes::Bytes;
@@ -49,8 +52,6 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -76,8 +77,18 @@
 
 /// Callback that returns this node's own loads, sorted by backend server name.
 pub type OwnLoads = Arc<dyn Fn() -> Vec<LoadEntry> + Send + Sync>;
-/// Callback that receives the summed loads of all other nodes, sorted by backend server name.
-pub type OtherLoads = Arc<dyn Fn(Vec<LoadEntry>) + Send + Sync>;
+/// Callback that receives what is known of the loads of backend servers.
+pub type OtherLoads = Arc<dyn Fn(FleetLoads) + Send + Sync>;
+
+/// Loads of backend servers beside those of this node.
+#[derive(Clone, Debug, Default)]
+pub struct FleetLoads {
+    /// Summed loads of all other nodes, sorted by server name.
+    pub others: Vec<LoadEntry>,
+    /// Servers that work slower than the others of their service, with the time that they take as a multiple of the others'
+    /// time, sorted by name.
+    pub slow: Vec<(String, f64)>,
+}
 
 /// State shared by the tasks of [`Peers`].
 pub(super) struct Shared {
@@ -95,10 +106,12 @@
     pub(super) has_asked_directory: watch::Sender<bool>,
     role: Mutex<Role>,
     packed_configuration: PackCache,
+    /// Decides while this node is the relay which servers are slow.
+    paces: Mutex<PaceTable>,
     /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
     pub(super) backup_centre: Option<String>,
-    /// Whether this node is the relay, for tasks outside of this module.
-    pub(super) is_relay: Arc<AtomicBool>,
+    /// What this node reads for others, for tasks outside of this module.
+    pub(super) duties: Duties,
     pub(super) own_loads: OwnLoads,
     pub(super) other_loads: OtherLoads,
 }
@@ -119,6 +132,53 @@
             .get(version, configuration, &self.logs)
     }
 
+    /// Decides anew which servers are slow, from the loads of all nodes, sorted by server name.
+    pub(super) fn update_paces(&self, all: &[LoadEntry], now: BootInstant) {
+        let (servers, _) = self.catalog.listed();
+        let pace_of = |id: &str| {
+            let index = all.binary_search_by(|load| load.server.as_str().cmp(id));
+            index.ok().and_then(|index| all[index].pace)
+        };
+        let mut services: Vec<&str> = servers
+            .iter()
+            .map(|server| server.entry.service.as_str())
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        let mut paces = lock(&self.paces);
+        let before = paces.slow().to_vec();
+        for service in services {
+            let servers = servers
+                .iter()
+                .filter(|server| server.entry.service == service);
+            let service: Vec<_> = servers
+                .map(|server| (server.id.as_str(), pace_of(&server.id)))
+                .collect();
+            paces.update(&service, now);
+        }
+        paces.expire(now);
+        let after = paces.slow().to_vec();
+        drop(paces);
+        self.log_slow_servers(&before, &after);
+    }
+
+    fn log_slow_servers(&self, before: &[SlowServer], after: &[SlowServer]) {
+        let is_in = |list: &[SlowServer], id: &str| list.iter().any(|slow| slow.id == id);
+        for slow in after.iter().filter(|slow| !is_in(before, &slow.id)) {
+            info!(self.logs.log(), "server slow"; "server" => &slow.id, "slowness" => slow.slowness);
+        }
+        for slow in before.iter().filter(|slow| !is_in(after, &slow.id)) {
+            info!(self.logs.log(), "server not slow any more"; "server" => &slow.id);
+        }
+    }
+
+    /// Returns the servers that are slow as this node, the relay, has decided, sorted by name.
+    pub(super) fn slow_servers(&self) -> Vec<(String, f64)> {
+        let paces = lock(&self.paces);
+        let slow = paces.slow().iter();
+        slow.map(|slow| (slow.id.clone(), slow.slowness)).collect()
+    }
+
     /// Returns what this node does in its data centre.
     pub(super) fn role(&self) -> Role {
         lock(&self.role).clone()
@@ -130,7 +190,7 @@
         if *known == role {
             return;
         }
-        self.is_relay.store(role == Role::Relay, Ordering::Relaxed);
+        self.duties.set_relay(role == Role::Relay);
         match &role {
             Role::Relay => info!(self.logs.log(), "relay role changed"; "part" => "relay"),
             Role::Member(source) => {
@@ -187,6 +247,8 @@
             protocol: PROTOCOL,
             // The caller sets this while the receiver's list lacks this node.
             entry: None,
+            // The caller, a relay, sets this if the receiver reads the store for all data centres.
+            wants_catalog: false,
             is_leaving: false,
         }
     }
@@ -227,6 +289,42 @@
         sent_at: BootInstant,
         own: &[LoadEntry],
         received: &mut ReceivedStamps,
+    ) {
+        self.apply_catalog(&mut response, sent_at, received);
+        self.apply_version_history(response.version_history);
+        let nodes = response.packed_nodes.as_deref();
+        let nodes = nodes.and_then(|bytes| self.unpacked("node list", bytes));
+        if let Some(nodes) = nodes.or(response.nodes) {
+            self.nodes.apply(nodes);
+            received.nodes = Some(response.nodes_stamp);
+        }
+        let all = match response.listed_loads {
+            Some(loads) => match received.listed(response.servers_stamp) {
+                Some(servers) => loads.into_entries(servers),
+                None => return,
+            },
+            None => {
+                let centres = response.centres.iter();
+                sum_loads(centres.map(|centre| centre.loads.as_slice()))
+            }
+        };
+        // The peer computed the ages after the request was sent, so they are never taken for less than they are.
+        let all = aged(&all, BootInstant::now().since(sent_at));
+        let slow = response.slow_servers.into_iter();
+        (self.other_loads)(FleetLoads {
+            others: subtract_own(all, own),
+            slow: slow
+                .map(|(server, milli)| (server, f64::from(milli) / 1_000.0))
+                .collect(),
+        });
+    }
+
+    /// Applies what the response to a request sent at `sent_at` has of the store: the configuration and the server list.
+    pub(super) fn apply_catalog(
+        &self,
+        response: &mut SyncResponse,
+        sent_at: BootInstant,
+        received: &mut ReceivedStamps,
     ) {
         let configuration = response.config.take();
         let configuration: Option<Configuration> =
@@ -254,8 +352,8 @@
                 self.catalog.record_config_position(position);
             }
         }
-        received.record_listed(&response);
-        if let Some(list) = SyncedList::take_from(&mut response) {
+        received.record_listed(response);
+        if let Some(list) = SyncedList::take_from(response) {
             let age_ms = response.servers_age_ms;
             let changed = received.servers.apply(&self.catalog, list, sent_at);
             if !changed.is_empty() {
@@ -263,26 +361,6 @@
                     "age_ms" => age_ms);
             }
         }
-        self.apply_version_history(response.version_history);
-        let nodes = response.packed_nodes.as_deref();
-        let nodes = nodes.and_then(|bytes| self.unpacked("node list", bytes));
-        if let Some(nodes) = nodes.or(response.nodes) {
-            self.nodes.apply(nodes);
-            received.nodes = Some(response.nodes_stamp);
-        }
-        let all = match response.listed_loads {
-            Some(loads) => match received.listed(response.servers_stamp) {
-                Some(servers) => loads.into_entries(servers),
-                None => return,
-            },
-            None => {
-                let centres = response.centres.iter();
-                sum_loads(centres.map(|centre| centre.loads.as_slice()))
-            }
-        };
-        // The peer computed the ages after the request was sent, so they are never taken for less than they are.
-        let all = aged(&all, BootInstant::now().since(sent_at));
-        (self.other_loads)(subtract_own(all, own));
     }
 }
 
@@ -328,7 +406,7 @@
     ///
     /// The registration runs in the background and is retried until it succeeds.
     ///
-    /// `is_relay` is kept `true` while this node is the relay, which reads the store for its data centre. `loads` are
+    /// `duties` are kept up to date with what this node reads for others. `loads` are
     /// the callback that returns this node's own loads and the one that receives the sum of all other nodes' loads.
     /// What is learned about crashes of servers is exchanged between the quarantines of the nodes.
     ///
@@ -340,7 +418,7 @@
         catalog: &Arc<Catalog>,
         logs: &Logs,
         directory: Arc<dyn NodeDirectory>,
-        is_relay: Arc<AtomicBool>,
+        duties: Duties,
         loads: (OwnLoads, OtherLoads),
         quarantine: &Arc<Quarantine>,
     ) -> io::Result<Self> {
@@ -359,8 +437,9 @@
             has_asked_directory: watch::Sender::new(false),
             role: Mutex::new(Role::Undecided(None)),
             packed_configuration: PackCache::default(),
+            paces: Mutex::default(),
             backup_centre,
-            is_relay,
+            duties,
             own_loads: loads.0,
             other_loads: loads.1,
         });
--- a/src/peers/node_list.rs
+++ b/src/peers/node_list.rs
@@ -6,6 +6,7 @@
 use super::registrations::Registrations;
 use crate::clock::BootInstant;
 use crate::decide::relay_order;
+use crate::decide::store_reader;
 use crate::logs::Logs;
 use bytes::Bytes;
 use slog::info;
@@ -234,6 +235,13 @@
         first.is_some_and(|first| first.name != relay.name)
     }
 
+    /// Returns the name of the node that reads the store for all data centres, as far as they are reachable.
+    pub(super) fn store_reader(&self) -> Option<String> {
+        let (mut nodes, _) = self.nodes();
+        nodes.retain(|node| !self.is_unreachable(node));
+        store_reader(&nodes).map(|node| node.name.clone())
+    }
+
     /// Returns the first reachable relay of each data centre, this node excluded.
     pub(super) fn other_relays(&self) -> Vec<NodeEntry> {
         let (nodes, _) = self.nodes();
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -147,10 +147,11 @@
     let config_position = shared.catalog.config_position();
     let servers_position = shared.catalog.servers_position();
     let nodes_stamp = shared.stamp(shared.nodes.version());
-    // The relay of another data centre reads the store itself, so it gets only the loads.
-    let wants_servers = is_member && request.servers_stamp != Some(servers_stamp);
+    // The relay of another data centre gets only the loads if it reads the store itself.
+    let wants_catalog = is_member || request.wants_catalog;
+    let wants_servers = wants_catalog && request.servers_stamp != Some(servers_stamp);
     let wants_nodes = is_member && request.nodes_stamp != Some(nodes_stamp);
-    let wants_config = is_member && config_version > request.config_version;
+    let wants_config = wants_catalog && config_version > request.config_version;
     let is_latest = request.protocol > 0;
     let (centres, listed_loads) = if !is_member {
         (
@@ -187,6 +188,11 @@
         next_crash_record,
         centres,
         listed_loads,
+        slow_servers: shared
+            .slow_servers()
+            .into_iter()
+            .map(|(server, slowness)| (server, (slowness * 1_000.0) as u32))
+            .collect(),
         version_history: version_history.flatten(),
         protocol: PROTOCOL,
         role: Some(shared.role()),
--- a/src/peers/sync.rs
+++ b/src/peers/sync.rs
@@ -6,6 +6,7 @@
 use super::load_table::subtract_own;
 use super::message::Role;
 use super::message::SyncResponse;
+use super::node::FleetLoads;
 use super::node::ReceivedStamps;
 use super::node::Shared;
 use super::streams::RecordSource;
@@ -110,13 +111,20 @@
 /// Takes the role of the relay and sums the loads received from the nodes of this data centre and from other relays.
 fn act_as_relay(shared: &Shared) {
     shared.set_role(Role::Relay);
+    let is_reader = shared.nodes.store_reader().as_ref() == Some(&shared.own.name);
+    shared.duties.set_reader(is_reader);
     if !shared.nodes.has_own() {
         shared.nodes.register_own();
     }
     let own = (shared.own_loads)();
     let now = BootInstant::now();
     shared.load_table.record_own(own.clone(), now);
-    (shared.other_loads)(subtract_own(shared.load_table.all(now), &own));
+    let all = shared.load_table.all(now);
+    shared.update_paces(&all, now);
+    (shared.other_loads)(FleetLoads {
+        others: subtract_own(all, &own),
+        slow: shared.slow_servers(),
+    });
 }
 
 /// Sends sync requests to `node` for at least [`RELAY_RECHECK_INTERVAL`], and then until another node is the first
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -30,6 +30,7 @@
         server: server.to_owned(),
         in_flight,
         requests: None,
+        pace: None,
     }
 }
 
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -1,6 +1,7 @@
 //! The held parts in the store, which outlive a restart of all gateways, and the claims of trials.
 
 use super::state::Quarantine;
+use crate::catalog::Duties;
 use crate::catalog::Position;
 use crate::catalog::SourceError;
 use crate::clock::BootInstant;
@@ -12,8 +13,6 @@
 use slog::info;
 use slog::warn;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -159,11 +158,11 @@
     pub fn start(
         quarantine: &Arc<Quarantine>,
         ledger: Arc<dyn HoldLedger>,
-        is_relay: Arc<AtomicBool>,
+        duties: Duties,
         logs: &Logs,
     ) -> Self {
         let quarantine = Arc::clone(quarantine);
-        let task = tokio::spawn(run(quarantine, ledger, is_relay, logs.clone()));
+        let task = tokio::spawn(run(quarantine, ledger, duties, logs.clone()));
         Self { task }
     }
 
@@ -175,12 +174,7 @@
 
 /// Writes this gateway's changes to the ledger while it is the relay, after reading it. A gateway that is no relay reads the
 /// ledger once if no other gateway tells it of the held parts.
-async fn run(
-    quarantine: Arc<Quarantine>,
-    ledger: Arc<dyn HoldLedger>,
-    is_relay: Arc<AtomicBool>,
-    logs: Logs,
-) {
+async fn run(quarantine: Arc<Quarantine>, ledger: Arc<dyn HoldLedger>, duties: Duties, logs: Logs) {
     let mut changes = quarantine.changes();
     let mut written = Vec::new();
     let mut has_read = false;
@@ -188,7 +182,7 @@
     let told_until = Instant::now() + MAX_TOLD_WAIT;
     loop {
         let held = held_entries(&quarantine);
-        let may_write = is_relay.load(Ordering::Relaxed);
+        let may_write = duties.is_relay();
         if !has_read && !may_write {
             // Another gateway has told of the held parts, or may do so soon.
             let pause = if quarantine.is_told() {
--- a/src/quarantine/renewal.rs
+++ b/src/quarantine/renewal.rs
@@ -3,12 +3,11 @@
 
 use super::state::Quarantine;
 use crate::catalog::Catalog;
+use crate::catalog::Duties;
 use crate::catalog::ReportStatus;
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
@@ -106,13 +105,13 @@
     pub fn start(
         quarantine: &Arc<Quarantine>,
         catalog: &Arc<Catalog>,
-        is_relay: &Arc<AtomicBool>,
+        duties: &Duties,
         heartbeat: Duration,
     ) -> Self {
         let quarantine = Arc::clone(quarantine);
         let catalog = Arc::clone(catalog);
-        let is_relay = Arc::clone(is_relay);
-        let task = tokio::spawn(watch(quarantine, catalog, is_relay, heartbeat));
+        let duties = duties.clone();
+        let task = tokio::spawn(watch(quarantine, catalog, duties, heartbeat));
         Self { task }
     }
 
@@ -125,14 +124,14 @@
 async fn watch(
     quarantine: Arc<Quarantine>,
     catalog: Arc<Catalog>,
-    is_relay: Arc<AtomicBool>,
+    duties: Duties,
     heartbeat: Duration,
 ) {
     let mut renewals = Renewals::new(heartbeat);
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let crashed = quarantine.crashed();
-        if !is_relay.load(Ordering::Relaxed) || crashed.is_empty() {
+        if !duties.is_relay() || crashed.is_empty() {
             renewals = Renewals::new(heartbeat);
             continue;
         }
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -13,6 +13,7 @@
 use super::record::Records;
 use super::rows::RecordSource;
 use super::state::Quarantine;
+use crate::catalog::Duties;
 use crate::catalog::Position;
 use crate::catalog::SourceError;
 use crate::clock::BootInstant;
@@ -242,18 +243,20 @@
     assert!(!is_claimed);
 }
 
+/// Returns the duties of a gateway that is the relay or not.
+fn duties(is_relay: bool) -> Duties {
+    let duties = Duties::default();
+    duties.set_relay(is_relay);
+    duties
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_restarted_gateway_holds_what_the_relay_has_written() {
     let ledger = Arc::new(MemoryLedger::default());
     let logs = Logs::silent();
     let start = |quarantine: &Arc<Quarantine>, is_relay| {
         let ledger: Arc<dyn HoldLedger> = Arc::<MemoryLedger>::clone(&ledger);
-        LedgerSync::start(
-            quarantine,
-            ledger,
-            Arc::new(AtomicBool::new(is_relay)),
-            &logs,
-        )
+        LedgerSync::start(quarantine, ledger, duties(is_relay), &logs)
     };
     let relay = holding(100);
     let member = holding(100);
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -4,6 +4,7 @@
 use super::BAD;
 use super::MemoryLedger;
 use super::crash;
+use super::duties;
 use super::holding;
 use super::incarnation;
 use super::is_held;
@@ -31,7 +32,6 @@
 use async_trait::async_trait;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -342,8 +342,7 @@
 
 fn start_sync(quarantine: &Arc<Quarantine>, ledger: &Arc<MemoryLedger>) -> LedgerSync {
     let ledger: Arc<dyn HoldLedger> = Arc::<MemoryLedger>::clone(ledger);
-    let is_relay = Arc::new(AtomicBool::new(true));
-    LedgerSync::start(quarantine, ledger, is_relay, &Logs::silent())
+    LedgerSync::start(quarantine, ledger, duties(true), &Logs::silent())
 }
 
 #[tokio::test(start_paused = true)]
