--- a/lab/src/pattern.rs
+++ b/lab/src/pattern.rs
@@ -51,6 +51,8 @@
     /// It drains, and a new server with another name and an empty cache replaces it; the requests that it runs are
     /// completed.
     Replace(usize),
+    /// Calls that it starts from now on take this multiple of their usual time; engines stay as they are.
+    Slow(usize, f64),
 }
 
 /// A load pattern: the requests, the servers and their changes.
@@ -91,6 +93,8 @@
     is_release: bool,
     /// Share of callers that retry several times, almost immediately, when they are rejected.
     impatient_share: f64,
+    /// Multiple of the usual time that calls at the first server take during the disturbance.
+    slowness: f64,
 }
 
 const EVEN: Shape = Shape {
@@ -102,10 +106,11 @@
     crash_share: 0.0,
     is_release: false,
     impatient_share: 0.0,
+    slowness: 1.0,
 };
 
 /// The load patterns of the reference workload, for a fleet that is small for its load.
-const SHAPES: [Shape; 8] = [
+const SHAPES: [Shape; 9] = [
     EVEN,
     Shape {
         name: "burst",
@@ -144,6 +149,11 @@
         is_release: true,
         ..EVEN
     },
+    Shape {
+        name: "slow-server",
+        slowness: 6.0,
+        ..EVEN
+    },
 ];
 
 /// Returns the names of all patterns.
@@ -392,6 +402,11 @@
     let mut changes: Vec<(Millis, Change)> = (0..crash_count)
         .map(|server| (DISTURBANCE_MS.0, Change::Crash(server, RESTART_MS)))
         .collect();
+    if shape.slowness > 1.0 {
+        let (start, end) = DISTURBANCE_MS;
+        changes.push((start, Change::Slow(0, shape.slowness)));
+        changes.push((end, Change::Slow(0, 1.0)));
+    }
     if shape.is_release {
         changes.extend((0..server_count).map(|server| {
             let at = DISTURBANCE_MS.0 + REPLACEMENT_INTERVAL_MS * server as f64;
--- a/lab/src/plain.rs
+++ b/lab/src/plain.rs
@@ -33,6 +33,8 @@
     /// Index and end time of each running call.
     runs: Vec<(usize, Millis)>,
     waiting: VecDeque<Job>,
+    /// Multiple of the usual time that calls take which start now.
+    slowness: f64,
 }
 
 impl PlainServer {
@@ -40,6 +42,7 @@
     pub fn new(spec: PlainSpec) -> Self {
         Self {
             spec,
+            slowness: 1.0,
             ..Self::default()
         }
     }
@@ -51,7 +54,8 @@
             };
             // A call whose deadline passed in the queue is dropped.
             if job.deadline > now {
-                self.runs.push((job.index, now + job.service_time));
+                let time = job.service_time * self.slowness;
+                self.runs.push((job.index, now + time));
             }
         }
     }
@@ -95,6 +99,10 @@
         running.chain(waiting).collect()
     }
 
+    fn set_slowness(&mut self, slowness: f64) {
+        self.slowness = slowness;
+    }
+
     fn cached_tokens(&self, _: &Job) -> u32 {
         0
     }
--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -36,6 +36,8 @@
     pub queue_discipline: QueueDiscipline,
     /// Range of the retry-after delays that rejected callers receive.
     pub retry_after: RetryAfter,
+    /// Whether the nodes tell each other how long servers take, and place calls by it.
+    pub uses_paces: bool,
 }
 
 /// Chooses the server with the least known load.
@@ -86,6 +88,7 @@
         admission: None,
         queue_discipline,
         retry_after: RetryAfter::OTHER_NODE,
+        uses_paces: true,
     };
     let engine_placement = || Box::new(EnginePlacement::default());
     vec![
@@ -155,7 +158,7 @@
 /// Returns the policies for calls at plain servers; the last one is the gateway's current policy.
 ///
 /// `drawn` chooses servers at random, weighted by their free capacity. `admission` adds admission control, with `soon`
-/// and `equal` as for chats.
+/// and `equal` as for chats. `without paces` treats a slow server like any other.
 pub fn for_calls() -> Vec<Policy> {
     let policy = |name, placement, admission, retry_after| Policy {
         name,
@@ -163,6 +166,7 @@
         admission,
         queue_discipline: QueueDiscipline::ServerByArrival,
         retry_after,
+        uses_paces: true,
     };
     let plain_placement = || Box::new(PlainPlacement::default());
     let other_node = RetryAfter::OTHER_NODE;
@@ -181,6 +185,15 @@
             Some(admission_without_preference()),
             RetryAfter::SERVICE_FULL,
         ),
+        Policy {
+            uses_paces: false,
+            ..policy(
+                "without paces",
+                plain_placement(),
+                Some(Admission::default()),
+                RetryAfter::SERVICE_FULL,
+            )
+        },
         policy(
             CURRENT,
             plain_placement(),
--- a/lab/src/server.rs
+++ b/lab/src/server.rs
@@ -59,6 +59,9 @@
     /// Drops all requests and cached prompt parts, and returns the indices of the dropped jobs.
     fn crash(&mut self) -> Vec<usize>;
 
+    /// Sets the multiple of the usual time that calls take which start from now on; engines have none.
+    fn set_slowness(&mut self, _slowness: f64) {}
+
     /// Returns the number of leading tokens of the job's shared prompt parts that are cached.
     fn cached_tokens(&self, job: &Job) -> u32;
 
--- a/lab/src/simulation.rs
+++ b/lab/src/simulation.rs
@@ -18,8 +18,11 @@
 use crate::server::QueuedJob;
 use crate::server::Server;
 use crate::server::WorkStats;
+use currantbend::clock::BootInstant;
 use currantbend::decide::AdmissionRequest;
 use currantbend::decide::CallerRetryDetector;
+use currantbend::decide::PaceTable;
+use currantbend::decide::PaceWindow;
 use currantbend::decide::PlacementRequest;
 use currantbend::decide::ServerView;
 use currantbend::decide::ServiceStats;
@@ -77,6 +80,8 @@
     exchanged_in_flight: Vec<u32>,
     /// Moving mean of the load at the exchanges.
     smoothed_load: f64,
+    /// Its answers to all nodes.
+    pace: PaceWindow,
 }
 
 fn duration(time: Millis) -> Duration {
@@ -103,6 +108,8 @@
     retry_detectors: Vec<CallerRetryDetector>,
     /// Each node's statistics of the service.
     service_stats: Vec<ServiceStats>,
+    /// What the nodes know of slow servers since the last exchange.
+    paces: PaceTable,
     /// Time at which each request was last sent, and the load per slot that the node knew of the server then.
     sent: Vec<(Millis, f64)>,
     /// Node and server of each request that is in flight.
@@ -124,6 +131,7 @@
         waiting: vec![Vec::new(); pattern.node_count],
         retry_detectors: vec![CallerRetryDetector::default(); pattern.node_count],
         service_stats: vec![ServiceStats::default(); pattern.node_count],
+        paces: PaceTable::default(),
         sent: vec![(0.0, 0.0); pattern.jobs.len()],
         locations: vec![None; pattern.jobs.len()],
         last_event: vec![0.0; pattern.jobs.len()],
@@ -216,6 +224,7 @@
             in_flight: vec![0; self.pattern.node_count],
             exchanged_in_flight: vec![0; self.pattern.node_count],
             smoothed_load: 0.0,
+            pace: PaceWindow::default(),
         });
     }
 
@@ -232,6 +241,7 @@
                     server.smoothed_load +=
                         (f64::from(load) - server.smoothed_load) * SMOOTHING_FACTOR;
                 }
+                self.update_paces();
                 for node in 0..self.pattern.node_count {
                     self.place_waiting(node);
                 }
@@ -247,6 +257,9 @@
                 self.events
                     .schedule(self.now + restart_delay, Event::Restart(server));
             }
+            Event::Change(Change::Slow(server, slowness)) => {
+                self.servers[server].model.set_slowness(slowness);
+            }
             Event::Change(Change::Replace(server)) => {
                 self.servers[server].is_draining = true;
                 self.add_server(Some(self.now));
@@ -286,6 +299,11 @@
             }
             Progress::End(index, at) => {
                 self.result.job_results[index].end = Some(at);
+                if let Some((_, server)) = self.locations[index] {
+                    let took = duration(at - self.sent[index].0);
+                    let now = self.instant();
+                    self.servers[server].pace.record(took, now);
+                }
                 if let Some(node) = self.remove_in_flight(index) {
                     let (sent_at, load_per_slot) = self.sent[index];
                     self.service_stats[node]
@@ -296,6 +314,25 @@
         }
     }
 
+    /// Returns the present time on the clock of the decisions.
+    fn instant(&self) -> BootInstant {
+        BootInstant::from_boot(duration(self.now))
+    }
+
+    /// Decides from the answers to all nodes which servers are slow, if the policy does.
+    fn update_paces(&mut self) {
+        if !self.policy.uses_paces {
+            return;
+        }
+        let now = self.instant();
+        let listed = self.servers.iter_mut().filter(|server| server.is_listed);
+        let service: Vec<_> = listed
+            .map(|server| (server.id.as_str(), server.pace.sum(now)))
+            .collect();
+        self.paces.update(&service, now);
+        self.paces.expire(now);
+    }
+
     /// Tries again to place the requests that wait at `node`, the most urgent ones first.
     fn place_waiting(&mut self, node: usize) {
         let mut waiting = std::mem::take(&mut self.waiting[node]);
@@ -456,6 +493,12 @@
                 .joined_at
                 .is_some_and(|joined_at| self.now - joined_at < WARM_UP_MS),
             is_draining: server.is_draining,
+            slowness: self
+                .paces
+                .slow()
+                .iter()
+                .find(|slow| slow.id == server.id)
+                .map_or(1.0, |slow| slow.slowness),
         }
     }
 }
--- a/lab/tests/decisions.rs
+++ b/lab/tests/decisions.rs
@@ -110,6 +110,18 @@
     }
 }
 
+#[test]
+fn calls_that_avoid_a_slow_server_are_late_less_often() {
+    let (before, now) = (
+        calls("slow-server", "without paces"),
+        calls("slow-server", CURRENT),
+    );
+
+    assert!(now.all.late < before.all.late * 0.5, "{}", now.all.late);
+    assert!(now.all.credit > before.all.credit, "{}", now.all.credit);
+    assert!(now.all.refused == 0.0, "{}", now.all.refused);
+}
+
 #[test]
 fn no_call_is_rejected_while_the_service_has_capacity() {
     for pattern in ["even", "hot-part", "release", "crash"] {
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -115,6 +115,12 @@
 /// store is reachable again.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// Maximum pause after a failed read of a node that is not the relay. Its relay goes on asking the source, and tells it what
+/// it reads.
+const MAX_MEMBER_RETRY_PAUSE: Duration = Duration::from_secs(3);
+/// Failed reads in a row from which that holds: the first ones may have been before the node found its relay.
+const MEMBER_FAILURES: u32 = 2;
+
 /// Number of timeouts in a row after which a source counts as unreachable.
 const TIMEOUTS_UNTIL_UNREACHABLE: u32 = 3;
 /// Interval at which a node that is not the relay checks whether the data received from peers is stale.
@@ -220,7 +226,7 @@
     /// this node reads for all data centres.
     async fn wait_while_peer_data_is_recent(&self, followed: &dyn Followed) {
         // Randomized so that nodes that lost their relay don't all read the source at the same time.
-        let factor = rand::random_range(0.9..1.0);
+        let factor = rand::random_range(0.95..1.0);
         while !self.duties.is_reader() {
             let is_relay = self.duties.is_relay();
             let pace = self.pace(followed);
@@ -296,17 +302,20 @@
     }
 
     /// Records a failed read and returns the pause before the next one.
-    fn record_failure(&mut self, err: &SourceError, logs: &Logs) -> Duration {
+    fn record_failure(&mut self, err: &SourceError, is_relay: bool, logs: &Logs) -> Duration {
         if self.failing_since.is_none() {
             self.failing_since = Some(BootInstant::now());
             warn!(logs.log(), "dependency lost"; "dependency" => self.name, "cause" => %err);
         }
         self.failures += 1;
         let pause = MIN_RETRY_PAUSE * 2u32.saturating_pow(self.failures.min(8) - 1);
+        let pause = if is_relay || self.failures < MEMBER_FAILURES {
+            pause.min(MAX_RETRY_PAUSE)
+        } else {
+            MAX_MEMBER_RETRY_PAUSE
+        };
         // Randomized so that nodes that lost the store at the same time don't retry at the same time.
-        pause
-            .min(MAX_RETRY_PAUSE)
-            .mul_f64(rand::random_range(0.7..1.0))
+        pause.mul_f64(rand::random_range(0.7..1.0))
     }
 }
 
@@ -327,7 +336,8 @@
             }
             Err(err) => {
                 followed.apply_elapsed_time(catalog, logs);
-                let pause = status.record_failure(&err, logs);
+                let is_relay = context.duties.is_relay();
+                let pause = status.record_failure(&err, is_relay, logs);
                 followed.set_failing(catalog, status.is_unreachable(&err));
                 pause
             }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -202,8 +202,8 @@
         // `max_relay_data_age`, and a further sync request old at the nodes that the relay serves, which is less than
         // `max_peer_data_age` also if the relay has to read the source itself. `max_peer_data_age`, plus the interval
         // at which a node checks it, plus a read that fails once and is retried, is less than the bound.
-        interval: bound / 5,
-        max_relay_data_age: bound * 2 / 5,
+        interval: bound * 13 / 40,
+        max_relay_data_age: bound / 2,
         max_peer_data_age: bound * 5 / 8,
     };
     Schedule {
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -51,7 +51,7 @@
         crash_cursor.add_records(&shared.quarantine, &mut request, now);
         let mut response: SyncResponse = link.request(&request).await?;
         shared.nodes.mark_reachable(node);
-        if request.wants_catalog && !shared.is_unusable_source(&response) {
+        if request.wants_catalog && !response.is_disconnected && !shared.is_behind(&response) {
             shared.apply_catalog(&mut response, now, &mut received);
         }
         shared.apply_version_history(response.version_history);
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -267,15 +267,12 @@
         }
     }
 
-    /// Returns whether the responding node cannot serve as a source: its reads of the store are failing or, if this
-    /// node has verified the configuration, the other one never did or did so more than [`MAX_VERIFICATION_LAG`]
-    /// earlier.
-    pub(super) fn is_unusable_source(&self, response: &SyncResponse) -> bool {
+    /// Returns whether the responding node cannot serve as a source since it has not verified the configuration, which this
+    /// node has, or did so more than [`MAX_VERIFICATION_LAG`] earlier.
+    pub(super) fn is_behind(&self, response: &SyncResponse) -> bool {
         let own_age = self.catalog.config_age(BootInstant::now());
         let peer_age = response.config_age_ms.map(Duration::from_millis);
-        let is_behind = own_age
-            .is_some_and(|own| peer_age.is_none_or(|peer| peer > own + MAX_VERIFICATION_LAG));
-        response.is_disconnected || is_behind
+        own_age.is_some_and(|own| peer_age.is_none_or(|peer| peer > own + MAX_VERIFICATION_LAG))
     }
 
     /// Applies the response to a request sent at `sent_at`, including the loads of all nodes other than this one.
--- a/src/peers/node_list.rs
+++ b/src/peers/node_list.rs
@@ -32,13 +32,22 @@
     registered_at: Option<BootInstant>,
 }
 
+/// A node that can't serve as a source.
+#[derive(Debug)]
+struct Unreachable {
+    name: String,
+    /// When this was found.
+    since: BootInstant,
+    /// Whether the node answers, and can't serve only because the store refuses it.
+    answers: bool,
+}
+
 /// The node list of one node.
 pub(super) struct NodeList {
     own: NodeEntry,
     state: Mutex<State>,
-    /// Nodes that failed to answer the last request or can't serve as a source, each with the time at which this was
-    /// found.
-    unreachable: Mutex<Vec<(String, BootInstant)>>,
+    /// Nodes that failed to answer the last request or can't serve as a source.
+    unreachable: Mutex<Vec<Unreachable>>,
     packed: PackCache,
     registrations: Registrations,
     logs: Logs,
@@ -190,11 +199,23 @@
     /// Records that `node` has just failed to answer or can't serve as a source; logs only the first time since it was
     /// last reachable.
     pub(super) fn mark_unreachable(&self, node: &NodeEntry, cause: &str) {
-        let now = BootInstant::now();
+        self.mark(node, false, cause);
+    }
+
+    /// Records that `node` answers, but can't serve as a source since the store refuses it.
+    pub(super) fn mark_disconnected(&self, node: &NodeEntry) {
+        self.mark(node, true, "peer cannot reach the store");
+    }
+
+    fn mark(&self, node: &NodeEntry, answers: bool, cause: &str) {
         let mut unreachable = self.lock_unreachable();
-        let is_known = unreachable.iter().any(|(name, _)| *name == node.name);
-        unreachable.retain(|(name, _)| *name != node.name);
-        unreachable.push((node.name.clone(), now));
+        let is_known = unreachable.iter().any(|known| known.name == node.name);
+        unreachable.retain(|known| known.name != node.name);
+        unreachable.push(Unreachable {
+            name: node.name.clone(),
+            since: BootInstant::now(),
+            answers,
+        });
         if !is_known {
             info!(self.logs.log(), "dependency lost"; "dependency" => "peer", "peer" => &node.name,
                 "cause" => cause);
@@ -204,7 +225,7 @@
     pub(super) fn mark_reachable(&self, node: &NodeEntry) {
         let mut unreachable = self.lock_unreachable();
         let before = unreachable.len();
-        unreachable.retain(|(name, _)| *name != node.name);
+        unreachable.retain(|known| known.name != node.name);
         if unreachable.len() < before {
             info!(self.logs.log(), "dependency regained"; "dependency" => "peer", "peer" => &node.name);
         }
@@ -213,11 +234,20 @@
     /// Returns whether `node` was marked unreachable less than [`UNREACHABLE_PAUSE`] ago, so that it must not be
     /// contacted.
     pub(super) fn is_unreachable(&self, node: &NodeEntry) -> bool {
+        self.is_marked(node, |_| true)
+    }
+
+    /// Returns whether `node` failed to answer less than [`UNREACHABLE_PAUSE`] ago.
+    pub(super) fn is_silent(&self, node: &NodeEntry) -> bool {
+        self.is_marked(node, |known| !known.answers)
+    }
+
+    fn is_marked(&self, node: &NodeEntry, concerns: impl Fn(&Unreachable) -> bool) -> bool {
         let now = BootInstant::now();
         let unreachable = self.lock_unreachable();
-        unreachable
-            .iter()
-            .any(|(name, at)| *name == node.name && now.since(*at) < UNREACHABLE_PAUSE)
+        unreachable.iter().any(|known| {
+            known.name == node.name && now.since(known.since) < UNREACHABLE_PAUSE && concerns(known)
+        })
     }
 
     /// Returns the first node in the relay order of `data_centre` that does not count as unreachable. It can be this
@@ -259,7 +289,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_unreachable(&self) -> MutexGuard<'_, Vec<(String, BootInstant)>> {
+    fn lock_unreachable(&self) -> MutexGuard<'_, Vec<Unreachable>> {
         self.unreachable
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/src/peers/registrations.rs
+++ b/src/peers/registrations.rs
@@ -15,7 +15,7 @@
 /// Time in which one more call may write to the directory. A node that restarts leaves and starts within this time.
 const WRITE_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of calls that may follow each other at once after a quiet time.
-const BURST: u32 = 4;
+const BURST: u32 = 2;
 
 #[derive(Debug, Default)]
 struct State {
--- a/src/peers/sync.rs
+++ b/src/peers/sync.rs
@@ -31,6 +31,8 @@
 /// Maximum number of nodes tried in a row before this node reads the store itself. If all of them are disconnected from
 /// the store, the store is down, and trying more nodes does not help.
 const MAX_NODES_TRIED: usize = 3;
+/// Time for which a node that the store refuses stays with a relay that it refuses too, before it asks other nodes again.
+const MAX_DISCONNECTED_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of times in a row that a node goes to the source of its source.
 const MAX_SWITCHES: u32 = 2;
 
@@ -42,6 +44,8 @@
     SwitchTo(NodeEntry),
     /// This node is to be the relay, or to go on as such.
     BecomeRelay,
+    /// The node can't serve, since the store refuses it.
+    Disconnected,
 }
 
 /// Syncs from the first source that answers and can serve, and acts as relay while there is none.
@@ -54,9 +58,9 @@
         let has_synced = sync_with_any(&shared, scope).await;
         // A node disconnected from the store syncs from any other node for one period of RELAY_RECHECK_INTERVAL. Then,
         // for one turn, it asks only the nodes that rank before it in its data centre and acts as relay if none
-        // answers, so that it tries the store again. Otherwise it would never learn that the store is reachable again.
-        let was_served_by_any = has_synced && scope == SourceScope::All;
-        scope = if shared.catalog.is_disconnected() && !was_served_by_any {
+        // answers, so that it tries the store again. Otherwise it would never learn that the store is reachable again. It
+        // takes such a turn too when it has found no node that serves it.
+        scope = if shared.catalog.is_disconnected() && scope != SourceScope::All {
             SourceScope::All
         } else {
             SourceScope::Preceding
@@ -76,13 +80,19 @@
     let (nodes, _) = shared.nodes.nodes();
     let asks_all_nodes = scope == SourceScope::All;
     let sources = sync_sources(&nodes, &shared.own, scope);
-    let sources = sources
-        .into_iter()
-        .filter(|node| !shared.nodes.is_unreachable(node));
+    let may_wait = scope == SourceScope::Preceding && shared.catalog.is_disconnected();
+    let sources = sources.into_iter().filter(|node| {
+        if may_wait {
+            !shared.nodes.is_silent(node)
+        } else {
+            !shared.nodes.is_unreachable(node)
+        }
+    });
     for node in sources.take(MAX_NODES_TRIED) {
         match sync_with(shared, node, asks_all_nodes, MAX_SWITCHES).await {
             Ok(SyncEnd::Over) => return true,
             Ok(SyncEnd::BecomeRelay) => return false,
+            Ok(SyncEnd::Disconnected) => shared.nodes.mark_disconnected(node),
             Ok(SyncEnd::SwitchTo(next)) => return sync_with_next(shared, next).await,
             Err(cause) => shared.nodes.mark_unreachable(node, &cause),
         }
@@ -100,6 +110,10 @@
             Ok(SyncEnd::Over) => return true,
             Ok(SyncEnd::BecomeRelay) => return false,
             Ok(SyncEnd::SwitchTo(node)) => next = node,
+            Ok(SyncEnd::Disconnected) => {
+                shared.nodes.mark_disconnected(&next);
+                return true;
+            }
             Err(cause) => {
                 shared.nodes.mark_unreachable(&next, &cause);
                 return true;
@@ -136,7 +150,7 @@
 ///
 /// # Errors
 ///
-/// Returns the reason if a request fails or `node` cannot serve as a source.
+/// Returns the reason if a request fails.
 async fn sync_with(
     shared: &Shared,
     node: &NodeEntry,
@@ -161,8 +175,13 @@
         crash_cursor.add_records(&shared.quarantine, &mut request, sent_at);
         request.next_crash_record = Some(crash_cursor.next_received);
         let mut response: SyncResponse = link.request(&request).await?;
-        if shared.is_unusable_source(&response) {
-            return Err("peer cannot reach the store".to_owned());
+        // If the store refuses this node too, it waits for a while at a relay that goes on asking the store.
+        let may_wait = !asks_all_nodes
+            && response.protocol > 0
+            && shared.catalog.is_disconnected()
+            && sent_at.since(began) < MAX_DISCONNECTED_WAIT;
+        if shared.is_behind(&response) || (response.is_disconnected && !may_wait) {
+            return Ok(SyncEnd::Disconnected);
         }
         shared.nodes.mark_reachable(node);
         crash_cursor.apply(&shared.quarantine, &mut response);
