--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -48,6 +48,7 @@
 pub use health::Health;
 pub use health::HealthPolicy;
 pub use health::RunResult;
+pub use pace::PaceKind;
 pub use pace::PaceTable;
 pub use pace::PaceWindow;
 pub use pace::SlowServer;
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -17,10 +17,33 @@
 const MIN_ANSWERS: u32 = 5;
 /// The same for a slow server, which gets few requests.
 const MIN_ANSWERS_OF_SLOW: u32 = 2;
-/// Multiple of the reference from which a server counts as slow. Servers that are sound differ by less, also in load.
-const SLOW_FROM: f64 = 2.0;
-/// Multiple of the reference below which a slow server counts as recovered.
-const RECOVERED_BELOW: f64 = 1.5;
+/// What is timed at the servers of a service, which says how much those differ that are sound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PaceKind {
+    /// Whole answers.
+    Answers,
+    /// Events of streams. While an engine reads a long prompt, the events of all its streams wait.
+    Events,
+}
+
+impl PaceKind {
+    /// Returns the multiple of the reference from which a server counts as slow.
+    fn slow_from(self) -> f64 {
+        match self {
+            Self::Answers => 2.0,
+            Self::Events => 4.0,
+        }
+    }
+
+    /// Returns the multiple of the reference below which a slow server counts as recovered.
+    fn recovered_below(self) -> f64 {
+        match self {
+            Self::Answers => 1.5,
+            Self::Events => 3.0,
+        }
+    }
+}
+
 /// Maximum slowness, so that a slow server still gets some requests.
 const MAX_SLOWNESS: f64 = 8.0;
 /// Time after which a server of which nothing is known any more does not count as slow.
@@ -92,11 +115,16 @@
         &self.slow
     }
 
-    /// Decides anew for the servers of one service, given their names and the answers of the last two seconds.
+    /// Decides anew for the servers of one service, given their names and the answers or events of the last two seconds.
     ///
     /// The reference is the server a quarter of the way from the fastest to the slowest, so that most may be slow; if all
     /// are alike, none is.
-    pub fn update(&mut self, service: &[(&str, Option<ServerPace>)], now: BootInstant) {
+    pub fn update(
+        &mut self,
+        kind: PaceKind,
+        service: &[(&str, Option<ServerPace>)],
+        now: BootInstant,
+    ) {
         let mut means: Vec<f64> = service
             .iter()
             .filter_map(|(_, pace)| pace.filter(|pace| pace.answers >= MIN_ANSWERS))
@@ -110,8 +138,8 @@
         for (id, pace) in service {
             let index = self.slow.binary_search_by(|slow| slow.id.as_str().cmp(id));
             let (min_answers, limit) = match index {
-                Ok(_) => (MIN_ANSWERS_OF_SLOW, RECOVERED_BELOW),
-                Err(_) => (MIN_ANSWERS, SLOW_FROM),
+                Ok(_) => (MIN_ANSWERS_OF_SLOW, kind.recovered_below()),
+                Err(_) => (MIN_ANSWERS, kind.slow_from()),
             };
             let Some(pace) = pace.filter(|pace| pace.answers >= min_answers) else {
                 continue;
--- a/src/peers/directory_sync.rs
+++ b/src/peers/directory_sync.rs
@@ -33,7 +33,13 @@
     let mut next_read = Instant::now() + start_delay;
     loop {
         tokio::select! {
-            () = shared.nodes.registrations().due() => write_changes(&shared, &*directory).await,
+            () = shared.nodes.registrations().due() => {
+                if write_changes(&shared, &*directory).await {
+                    // Nodes that start together find no one in their first reads, but the last of them finds the others
+                    // after it has registered.
+                    next_read = Instant::now();
+                }
+            }
             () = tokio::time::sleep_until(next_read) => {
                 let pause = reader.read_if_needed().await;
                 next_read = Instant::now() + shortened(pause);
@@ -83,15 +89,22 @@
     }
 }
 
-async fn write_changes(shared: &Shared, directory: &dyn NodeDirectory) {
+/// Writes the pending changes; returns whether this node's own entry was written.
+async fn write_changes(shared: &Shared, directory: &dyn NodeDirectory) -> bool {
     let changes = shared.nodes.registrations().pending();
     match directory.write(&changes, DIRECTORY_TIMEOUT).await {
-        Ok(()) => shared.nodes.record_written(&changes),
+        Ok(()) => {
+            shared.nodes.record_written(&changes);
+            changes
+                .iter()
+                .any(|change| change.name() == shared.own.name)
+        }
         Err(err) => {
             warn!(shared.logs.log(), "node list could not be changed"; "changes" => changes.len(), "cause" => %err);
             let pause = shortened(MAX_DIRECTORY_PAUSE);
             let registrations = shared.nodes.registrations();
             registrations.record_failure(pause, BootInstant::now());
+            false
         }
     }
 }
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -38,6 +38,7 @@
 use crate::catalog::Position;
 use crate::catalog::VERSION_MEMORY;
 use crate::clock::BootInstant;
+use crate::decide::PaceKind;
 use crate::decide::PaceTable;
 use crate::decide::SlowServer;
 use crate::logs::Logs;
@@ -135,6 +136,7 @@
     /// Decides anew which servers are slow, from the loads of all nodes, sorted by server name.
     pub(super) fn update_paces(&self, all: &[LoadEntry], now: BootInstant) {
         let (servers, _) = self.catalog.listed();
+        let configuration = self.catalog.configuration();
         let pace_of = |id: &str| {
             let index = all.binary_search_by(|load| load.server.as_str().cmp(id));
             index.ok().and_then(|index| all[index].pace)
@@ -148,13 +150,22 @@
         let mut paces = lock(&self.paces);
         let before = paces.slow().to_vec();
         for service in services {
+            let is_engine = configuration
+                .as_ref()
+                .and_then(|configuration| configuration.service(service))
+                .is_some_and(|service| service.engine.is_some());
+            let kind = if is_engine {
+                PaceKind::Events
+            } else {
+                PaceKind::Answers
+            };
             let servers = servers
                 .iter()
                 .filter(|server| server.entry.service == service);
             let service: Vec<_> = servers
                 .map(|server| (server.id.as_str(), pace_of(&server.id)))
                 .collect();
-            paces.update(&service, now);
+            paces.update(kind, &service, now);
         }
         paces.expire(now);
         let after = paces.slow().to_vec();
