--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -135,6 +135,7 @@
 pub struct Duties {
     is_relay: Arc<AtomicBool>,
     is_reader: Arc<AtomicBool>,
+    is_asked_first: Arc<AtomicBool>,
 }
 
 impl Duties {
@@ -148,6 +149,17 @@
         self.is_relay() && self.is_reader.load(Ordering::Relaxed)
     }
 
+    /// Returns whether a node that has just started reads the store without waiting for what others know: as the relay, or
+    /// since others ask it first.
+    pub fn reads_at_start(&self) -> bool {
+        self.is_relay() || self.is_asked_first.load(Ordering::Relaxed)
+    }
+
+    /// Records that nodes which start with this one ask it first.
+    pub fn set_asked_first(&self) {
+        self.is_asked_first.store(true, Ordering::Relaxed);
+    }
+
     /// Sets whether the node is the relay of its data centre.
     pub fn set_relay(&self, is_relay: bool) {
         self.is_relay.store(is_relay, Ordering::Relaxed);
@@ -238,7 +250,9 @@
             };
             let pause = match followed.age(&self.catalog) {
                 Some(age) if age < max_age => interval,
-                None if !is_relay && BootInstant::now() < self.waits_until => START_CHECK_INTERVAL,
+                None if !self.duties.reads_at_start() && BootInstant::now() < self.waits_until => {
+                    START_CHECK_INTERVAL
+                }
                 _ => return,
             };
             tokio::time::sleep(pause).await;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -63,6 +63,7 @@
 pub use relay::SourceRole;
 pub use relay::SourceScope;
 pub use relay::SourceStep;
+pub use relay::is_asked_first;
 pub use relay::relay_candidates;
 pub use relay::relay_order;
 pub use relay::source_step;
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -117,6 +117,20 @@
     }
 }
 
+/// Number of nodes of a data centre that those which start ask first.
+const MAX_ASKED_FIRST: usize = 3;
+
+/// Returns whether the node called `name` is one of those of `data_centre` that nodes ask first when all start in the same
+/// moment. `listed` are the entries of the directory, from before the start.
+///
+/// Load pattern: all nodes are killed and start again under load. Callers are refused until their node has a configuration,
+/// so those that are asked read it at once, without waiting until they know which of them is the relay.
+pub fn is_asked_first(listed: &[NodeEntry], data_centre: &str, name: &str) -> bool {
+    let order = relay_order(listed, data_centre).into_iter();
+    let mut first = order.take(MAX_ASKED_FIRST);
+    first.any(|node| node.name == name)
+}
+
 /// Which nodes a node may sync from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SourceScope {
--- a/src/decide/tests/relay.rs
+++ b/src/decide/tests/relay.rs
@@ -3,6 +3,7 @@
 use crate::decide::SourceRole;
 use crate::decide::SourceScope;
 use crate::decide::SourceStep;
+use crate::decide::is_asked_first;
 use crate::decide::relay_candidates;
 use crate::decide::relay_order;
 use crate::decide::source_step;
@@ -102,6 +103,23 @@
     assert_eq!(reader(&[]), None);
 }
 
+// Callers were refused for half a second after a kill of all, until each data centre had agreed on its relay.
+#[test]
+fn the_nodes_that_all_ask_first_are_the_first_ones_of_their_former_entries() {
+    let listed: Vec<NodeEntry> = (0..6)
+        .map(|number| node(&format!("n{number}"), "x", number, 200))
+        .chain([node("far", "y", 0, 200)])
+        .collect();
+
+    let asked = listed
+        .iter()
+        .filter(|node| is_asked_first(&listed, "x", &node.name));
+
+    let names: Vec<&str> = asked.map(|node| node.name.as_str()).collect();
+    assert_eq!(names, ["n0", "n1", "n2"]);
+    assert!(!is_asked_first(&[], "x", "n0"));
+}
+
 const AT_ONCE: Duration = Duration::ZERO;
 const LATER: Duration = Duration::from_millis(300);
 
--- a/src/peers/directory_sync.rs
+++ b/src/peers/directory_sync.rs
@@ -3,6 +3,7 @@
 use super::directory::NodeDirectory;
 use super::node::Shared;
 use crate::clock::BootInstant;
+use crate::decide::is_asked_first;
 use slog::info;
 use slog::warn;
 use std::sync::Arc;
@@ -68,6 +69,10 @@
         let result = self.directory.read(DIRECTORY_TIMEOUT).await;
         let pause = match result {
             Ok(list) => {
+                let own = &shared.own;
+                if !self.has_list && is_asked_first(&list, &own.data_centre, &own.name) {
+                    shared.duties.set_asked_first();
+                }
                 shared.nodes.apply(list);
                 self.has_list = true;
                 if self.is_unreachable {
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -183,7 +183,7 @@
     loop {
         let held = held_entries(&quarantine);
         let may_write = duties.is_relay();
-        if !has_read && !may_write {
+        if !has_read && !duties.reads_at_start() {
             // Another gateway has told of the held parts, or may do so soon.
             let pause = if quarantine.is_told() {
                 Some(RETRY_INTERVAL)
