--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -20,7 +20,7 @@
 /// What is timed at the servers of a service, which says how much those differ that are sound.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PaceKind {
-    /// Whole answers.
+    /// Whole answers. Those of a server with a queue as long as its slots take twice as long.
     Answers,
     /// Events of streams. While an engine reads a long prompt, the events of all its streams wait.
     Events,
@@ -30,7 +30,7 @@
     /// Returns the multiple of the reference from which a server counts as slow.
     fn slow_from(self) -> f64 {
         match self {
-            Self::Answers => 2.0,
+            Self::Answers => 3.0,
             Self::Events => 4.0,
         }
     }
@@ -38,7 +38,7 @@
     /// Returns the multiple of the reference below which a slow server counts as recovered.
     fn recovered_below(self) -> f64 {
         match self {
-            Self::Answers => 1.5,
+            Self::Answers => 2.0,
             Self::Events => 3.0,
         }
     }
