--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -362,6 +362,10 @@
     pub(super) servers_stamp: Stamp,
     /// Complete list of backend servers, draining ones included, if its stamp differs from the requester's.
     pub(super) servers: Option<Vec<SyncedServer>>,
+    /// The same list encoded by [`pack`], for a requester of protocol 1 while no server is in its grace period. It is packed
+    /// once and shared by all responses.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) packed_servers: Option<Bytes>,
     /// Stamp of the responding node's list of gateways.
     pub(super) nodes_stamp: Stamp,
     /// List of gateways, if its stamp differs from the requester's and the requester has protocol 0.
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -107,6 +107,8 @@
     pub(super) has_asked_directory: watch::Sender<bool>,
     role: Mutex<Role>,
     packed_configuration: PackCache,
+    /// The server list, by its version.
+    pub(super) packed_servers: PackCache,
     /// Decides while this node is the relay which servers are slow.
     paces: Mutex<PaceTable>,
     /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
@@ -130,7 +132,7 @@
     pub(super) fn packed_configuration(&self, configuration: &Configuration) -> Option<Bytes> {
         let version = configuration.version();
         self.packed_configuration
-            .get(version, configuration, &self.logs)
+            .get(version, || configuration, &self.logs)
     }
 
     /// Decides anew which servers are slow, from the loads of all nodes, sorted by server name.
@@ -360,6 +362,9 @@
                 self.catalog.record_config_position(position);
             }
         }
+        if let Some(bytes) = response.packed_servers.take() {
+            response.servers = self.unpacked("server list", &bytes);
+        }
         received.record_listed(response);
         if let Some(list) = SyncedList::take_from(response) {
             let age_ms = response.servers_age_ms;
@@ -445,6 +450,7 @@
             has_asked_directory: watch::Sender::new(false),
             role: Mutex::new(Role::Undecided(None)),
             packed_configuration: PackCache::default(),
+            packed_servers: PackCache::default(),
             paces: Mutex::default(),
             backup_centre,
             duties,
--- a/src/peers/node_list.rs
+++ b/src/peers/node_list.rs
@@ -86,7 +86,8 @@
     /// Returns the list packed for other nodes; `None` if it can't be encoded.
     pub(super) fn packed(&self) -> Option<Bytes> {
         let state = self.lock();
-        self.packed.get(state.version, &state.list, &self.logs)
+        let list = || state.list.clone();
+        self.packed.get(state.version, list, &self.logs)
     }
 
     /// Returns the number of known nodes, this one included.
--- a/src/peers/pack_cache.rs
+++ b/src/peers/pack_cache.rs
@@ -13,11 +13,11 @@
 pub(super) struct PackCache(Mutex<Option<(u64, Bytes)>>);
 
 impl PackCache {
-    /// Returns `message`, whose version is `version`, packed; `None` if it can't be encoded.
+    /// Returns the message of the given version packed, which is built if it isn't kept; `None` if it can't be encoded.
     pub(super) fn get<T: Serialize>(
         &self,
         version: u64,
-        message: &T,
+        message: impl FnOnce() -> T,
         logs: &Logs,
     ) -> Option<Bytes> {
         let mut packed = self.0.lock().unwrap_or_else(PoisonError::into_inner);
@@ -26,7 +26,7 @@
         {
             return Some(bytes.clone());
         }
-        let bytes = pack(message).inspect_err(|cause| {
+        let bytes = pack(&message()).inspect_err(|cause| {
             warn!(logs.log(), "message could not be encoded for peers"; "cause" => cause);
         });
         let bytes = Bytes::from(bytes.ok()?);
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -153,6 +153,14 @@
     let wants_nodes = is_member && request.nodes_stamp != Some(nodes_stamp);
     let wants_config = wants_catalog && config_version > request.config_version;
     let is_latest = request.protocol > 0;
+    // The time left of grace periods differs from response to response.
+    let may_pack = wants_servers && is_latest && shared.catalog.grace_ends().is_empty();
+    let packed_servers = may_pack
+        .then(|| {
+            let list = || synced_servers(&shared.catalog, &servers, now);
+            shared.packed_servers.get(list_version, list, &shared.logs)
+        })
+        .flatten();
     let (centres, listed_loads) = if !is_member {
         (
             vec![shared.centre_loads(shared.load_table.own_centre(now))],
@@ -177,7 +185,9 @@
         servers_position: servers_position.map(|position| position.offset),
         servers_era: servers_position.unwrap_or_default().era,
         servers_stamp,
-        servers: wants_servers.then(|| synced_servers(&shared.catalog, &servers, now)),
+        servers: (wants_servers && packed_servers.is_none())
+            .then(|| synced_servers(&shared.catalog, &servers, now)),
+        packed_servers,
         nodes_stamp,
         nodes: (wants_nodes && !is_latest).then(|| shared.nodes.nodes().0),
         packed_nodes: (wants_nodes && is_latest)
