--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -84,7 +84,7 @@
 /// takes another one for the oldest, which it is no more; two of them ask each other, and the rest ask one of the two.
 ///
 /// Two nodes that ask each other learn each other's new entries, and the first of them becomes the relay. If more ask each
-/// other in a circle, or the last one of a row asks nobody, then those become relays after [`MAX_UNDECIDED_TIME`] that come
+/// other in a circle, or the last one of a row asks nobody, then those become relays after a quarter of a second that come
 /// before the node that they ask; a relay that finds one before it syncs from that one at once.
 ///
 /// `nodes` are those that count as reachable, and `waited` is the time for which `source` has been asked.
