--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -26,8 +26,8 @@
     }
 }
 
-/// Exchanges load sums with `node`, and takes over what it has read from the store if it reads for all data centres, until this node is no longer the relay or, after [`RELAY_RECHECK_INTERVAL`],
-/// `data_centre` has another first reachable relay.
+/// Exchanges load sums with `node`, and takes over what it has read from the store if it reads for all data centres. Ends when
+/// this node is no longer the relay or, after [`RELAY_RECHECK_INTERVAL`], `data_centre` has another first reachable relay.
 async fn exchange_loads(
     shared: &Shared,
     node: &NodeEntry,
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -185,8 +185,12 @@
         }
     }
 
-    /// Returns the servers that are slow as this node, the relay, has decided, sorted by name.
+    /// Returns the servers that are slow as this node has decided, sorted by name; none if it is not the relay, since what it
+    /// decided as such grows old.
     pub(super) fn slow_servers(&self) -> Vec<(String, f64)> {
+        if !self.duties.is_relay() {
+            return Vec::new();
+        }
         let paces = lock(&self.paces);
         let slow = paces.slow().iter();
         slow.map(|slow| (slow.id.clone(), slow.slowness)).collect()
