--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -1,7 +1,7 @@
 //! Decides which gateway reads the store for its data centre and adds up the loads of its servers.
 //!
 //! Load pattern: without relays, all nodes query the store at the same time, above all after they all started
-//! together. Instead, one relay in each data centre reads for all nodes there. It sends the whole configuration to
+//! together. Instead, one relay in each data centre serves all nodes there, and the first of them reads for all. A relay sends the whole configuration to
 //! each of them at every change, so a host with a fast link is preferred. Among equals the node that has run longest
 //! is the relay, so that a restart does not move the role. A node that the store refuses while it serves others asks
 //! those others, in any data centre.
@@ -29,7 +29,8 @@
 /// Returns the node that reads the store for all data centres: the first in the relay order of `nodes`, which are those
 /// that count as reachable. It is the relay of its data centre; the other relays get what it reads with the loads.
 ///
-/// Load pattern: the calls to the store are charged, and with many data centres those of their relays are most of them.
+/// Load pattern: the store takes a limited number of calls from all nodes, and in calm hours the reads of the relays are
+/// most of them; they would grow with the data centres.
 pub fn store_reader(nodes: &[NodeEntry]) -> Option<&NodeEntry> {
     let key = |node: &&NodeEntry| (preference(node), node.name.clone());
     nodes.iter().min_by_key(key)
