--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -1,8 +1,8 @@
 //! Decides which gateway reads the store for its data centre and adds up the loads of its servers.
 //!
 //! Load pattern: without relays, all nodes query the store at the same time, above all after they all started
-//! together. Instead, one relay in each data centre serves all nodes there, and the first of them reads for all. A relay sends the whole configuration to
-//! each of them at every change, so a host with a fast link is preferred. Among equals the node that has run longest
+//! together. Instead, one relay in each data centre serves all nodes there, and the first of the relays reads for all. A
+//! relay sends the whole configuration to each of its nodes at every change, so a host with a fast link is preferred. Among equals the node that has run longest
 //! is the relay, so that a restart does not move the role. A node that the store refuses while it serves others asks
 //! those others, in any data centre.
 
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Synchronization between gateways: backend server loads, and the catalog state that one relay reads for all nodes.
 //!
 //! In each data centre one node is the relay: the one with the fastest link and, among equals, the one that has run
-//! longest. The relay reads the store, sums the loads of its data centre and exchanges the sums with the relays of the
+//! longest. The first of the relays reads the store for all, and each relay sums the loads of its data centre and exchanges the sums with the relays of the
 //! other data centres. Every other node sends a sync request to its relay a few times a second. A node that can reach
 //! no node ranked before it acts as relay itself. See `docs/PLATFORM.md`.
 
