--- a/lab/src/simulation.rs
+++ b/lab/src/simulation.rs
@@ -495,6 +495,8 @@
                 .joined_at
                 .is_some_and(|joined_at| self.now - joined_at < WARM_UP_MS),
             is_draining: server.is_draining,
+            is_cold: false,
+            is_withheld: false,
             slowness: self
                 .paces
                 .slow()
--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -80,6 +80,16 @@
     pub cache_tokens: u64,
 }
 
+/// What a server of a service bears while it is cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ColdLimits {
+    /// Time for which a server is cold after its start.
+    pub time: Duration,
+    /// Requests that a cold server bears in a thousand seconds, from all gateways together.
+    pub millirequests_per_s: u64,
+}
+
 /// A service that backend servers provide.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -90,6 +100,9 @@
     pub max_connections: u32,
     /// Capacity of the engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// What servers bear while they are cold; `None` if that is not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdLimits>,
 }
 
 /// A team and the keys of its callers.
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -3,6 +3,7 @@
 //! The schedule is derived from the operator's bounds.
 
 use super::config::Configuration;
+use super::evacuation::EvacuationRead;
 use super::roster::ServerRecord;
 use super::state::Catalog;
 use crate::clock::BootInstant;
@@ -64,12 +65,21 @@
     Unusable(String),
 }
 
-/// Source of the configuration.
+/// What one read of the operators' source returned.
+#[derive(Debug)]
+pub struct OperatorRead {
+    /// The configuration.
+    pub config: ConfigRead,
+    /// Evacuations of data centres, which the same source holds.
+    pub evacuations: EvacuationRead,
+}
+
+/// Source of the configuration and of the evacuations of data centres.
 #[async_trait]
 pub trait ConfigSource: Send + Sync + 'static {
-    /// Reads the newest configuration after position `from`, or the newest of all if `from` is `None`; returns it with
-    /// the new position.
-    async fn read(&self, from: Option<Position>) -> Result<(ConfigRead, Position), SourceError>;
+    /// Reads the newest configuration after position `from`, or the newest of all if `from` is `None`, and the evacuations;
+    /// returns them with the new position.
+    async fn read(&self, from: Option<Position>) -> Result<(OperatorRead, Position), SourceError>;
 }
 
 /// Result of one read of the server list.
@@ -379,8 +389,9 @@
     async fn read(&self, catalog: &Catalog, logs: &Logs) -> Result<(), SourceError> {
         let began = BootInstant::now();
         let (read, position) = self.0.read(catalog.config_position()).await?;
+        apply_evacuations(catalog, logs, read.evacuations, position);
         // Reading on after a record that verifies nothing would find no change and verify the configuration in force.
-        if apply_config_read(catalog, logs, began, read) {
+        if apply_config_read(catalog, logs, began, read.config) {
             catalog.record_config_position(position);
         }
         Ok(())
@@ -433,6 +444,22 @@
     }
 }
 
+/// Applies what was read of evacuations up to `position`, and logs each that starts or ends.
+pub(crate) fn apply_evacuations(
+    catalog: &Catalog,
+    logs: &Logs,
+    read: EvacuationRead,
+    position: Position,
+) {
+    let change = catalog.apply_evacuations(read, position, BootInstant::now());
+    for data_centre in &change.started {
+        info!(logs.log(), "data centre evacuated"; "data_centre" => data_centre, "offset" => position.offset);
+    }
+    for data_centre in &change.ended {
+        info!(logs.log(), "evacuation ended"; "data_centre" => data_centre, "offset" => position.offset);
+    }
+}
+
 /// Applies a read of the configuration that began at `began`; returns whether it verified the configuration in force.
 fn apply_config_read(catalog: &Catalog, logs: &Logs, began: BootInstant, read: ConfigRead) -> bool {
     match read {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -4,6 +4,7 @@
 //! may be used without being verified as current. See `docs/PLATFORM.md`.
 
 mod config;
+mod evacuation;
 mod follow;
 mod roster;
 mod state;
@@ -11,6 +12,7 @@
 mod tests;
 mod version_history;
 
+pub use config::ColdLimits;
 pub use config::Configuration;
 pub use config::EngineLimits;
 pub use config::Limits;
@@ -19,16 +21,22 @@
 pub use config::Service;
 pub use config::Share;
 pub use config::Team;
+pub use evacuation::EvacuatedCentre;
+pub use evacuation::EvacuationChange;
+pub use evacuation::EvacuationRead;
+pub use evacuation::Evacuations;
 pub use follow::ConfigRead;
 pub use follow::ConfigSource;
 pub use follow::Duties;
 pub use follow::Follower;
+pub use follow::OperatorRead;
 pub use follow::Position;
 pub use follow::ReadPace;
 pub use follow::Schedule;
 pub use follow::ServerList;
 pub use follow::ServerRead;
 pub use follow::SourceError;
+pub(crate) use follow::apply_evacuations;
 pub use roster::BackendServer;
 pub use roster::PeerServer;
 pub use roster::ReportStatus;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -1,6 +1,9 @@
 //! The newest known configuration and server list, and the times at which they were last verified as current.
 
 use super::config::Configuration;
+use super::evacuation::EvacuationChange;
+use super::evacuation::EvacuationRead;
+use super::evacuation::Evacuations;
 use super::follow::Position;
 use super::roster::BackendServer;
 use super::roster::PeerServer;
@@ -62,6 +65,7 @@
     config_position: Option<Position>,
     /// Position up to which the server list has been read, by this node or by a peer.
     servers_position: Option<Position>,
+    evacuations: Arc<Evacuations>,
     roster: Roster,
     /// Servers that may get new work, sorted by name.
     servers: Arc<Vec<BackendServer>>,
@@ -132,6 +136,25 @@
         state.config_position = state.config_position.max(Some(position));
     }
 
+    /// Applies what the configuration source, read up to `position`, says of evacuations of data centres.
+    pub fn apply_evacuations(
+        &self,
+        read: EvacuationRead,
+        position: Position,
+        now: BootInstant,
+    ) -> EvacuationChange {
+        let mut state = self.lock();
+        let mut evacuations = Evacuations::clone(&state.evacuations);
+        let change = evacuations.apply(read, position, now);
+        state.evacuations = Arc::new(evacuations);
+        change
+    }
+
+    /// Returns the known evacuations of data centres.
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        Arc::clone(&self.lock().evacuations)
+    }
+
     /// Sets whether this node's reads of the configuration are failing.
     pub fn set_config_failing(&self, is_failing: bool) {
         self.lock().is_config_failing = is_failing;
@@ -366,6 +389,7 @@
             config_verified_at: None,
             config_position: None,
             servers_position: None,
+            evacuations: Arc::default(),
             roster: Roster::default(),
             servers: Arc::default(),
             listed: Arc::default(),
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -5,8 +5,11 @@
 use super::CatalogBounds;
 use super::ConfigChange;
 use super::Configuration;
+use super::EvacuationRead;
+use super::Evacuations;
 use super::Limits;
 use super::PeerServer;
+use super::Position;
 use super::RetryMode;
 use super::Route;
 use super::SeenVersion;
@@ -387,3 +390,66 @@
 
     assert_eq!(usable(&catalog), ["a", "b"]);
 }
+
+fn position(offset: u64) -> Position {
+    Position { era: 0, offset }
+}
+
+fn evacuated(evacuations: &Evacuations) -> Vec<&str> {
+    let centres = evacuations.evacuated().iter();
+    centres.map(|centre| centre.data_centre.as_str()).collect()
+}
+
+fn whole(names: &[&str]) -> EvacuationRead {
+    EvacuationRead::Whole(names.iter().map(|name| (*name).to_owned()).collect())
+}
+
+#[test]
+fn evacuations_start_and_end_with_their_records() {
+    let mut evacuations = Evacuations::default();
+    let now = BootInstant::now();
+    let changes = |changes: &[(&str, bool)]| {
+        let changes = changes.iter().map(|(name, is)| ((*name).to_owned(), *is));
+        EvacuationRead::Changes(changes.collect())
+    };
+    evacuations.apply(changes(&[("b", true), ("a", true)]), position(1), now);
+    let first = evacuated(&evacuations).join(",");
+
+    let change = evacuations.apply(changes(&[("a", false), ("c", true)]), position(2), now);
+
+    assert_eq!(first, "a,b");
+    assert_eq!(evacuated(&evacuations), ["b", "c"]);
+    assert_eq!(
+        (change.started, change.ended),
+        (vec!["c".to_owned()], vec!["a".to_owned()])
+    );
+    assert_eq!(evacuations.returned_at("a"), Some(now));
+    assert_eq!(evacuations.returned_at("b"), None);
+}
+
+#[test]
+fn an_older_set_of_evacuations_changes_nothing() {
+    let mut evacuations = Evacuations::default();
+    let now = BootInstant::now();
+    evacuations.apply(whole(&["a"]), position(5), now);
+
+    // A peer that has read less, then one that has read the newest records after the older ones were dropped.
+    evacuations.apply(whole(&[]), position(4), now);
+    let after_older = evacuated(&evacuations).len();
+    evacuations.apply(whole(&["a", "b"]), position(9), now);
+
+    assert_eq!(after_older, 1);
+    assert_eq!(evacuated(&evacuations), ["a", "b"]);
+}
+
+#[test]
+fn a_store_restored_from_a_copy_tells_evacuations_anew() {
+    let mut evacuations = Evacuations::default();
+    let now = BootInstant::now();
+    evacuations.apply(whole(&["a"]), position(50), now);
+
+    evacuations.apply(whole(&[]), Position { era: 1, offset: 3 }, now);
+
+    assert!(evacuated(&evacuations).is_empty());
+    assert_eq!(evacuations.returned_at("a"), Some(now));
+}
--- a/src/decide/caller_retry.rs
+++ b/src/decide/caller_retry.rs
@@ -38,6 +38,14 @@
         spread: Duration::from_millis(4_000),
     };
 
+    /// Returns the delays for callers for whom there is room within `time`, spread over it.
+    pub fn within(time: Duration) -> Self {
+        Self {
+            min_delay: Self::OTHER_NODE.min_delay,
+            spread: time,
+        }
+    }
+
     /// Returns the delay after which a caller may retry. `salt` differs between callers. The delay is at most a third
     /// of `time_left`, since callers would not wait longer.
     pub fn delay(&self, salt: u64, time_left: Duration) -> Duration {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod caller_retry;
+mod cold;
 mod crash;
 mod crash_blame;
 mod crash_burst;
@@ -28,6 +29,14 @@
 pub use admission::Admission;
 pub use caller_retry::CallerRetryDetector;
 pub use caller_retry::RetryAfter;
+pub use cold::ColdPolicy;
+pub use cold::LIST_SETTLING_TIME;
+pub use cold::RecentNodes;
+pub use cold::SendBucket;
+pub use cold::TOKEN_TIME;
+pub use cold::Warmth;
+pub use cold::is_sender;
+pub use cold::sender_share;
 pub use crash::Crash;
 pub use crash::PartId;
 pub use crash::Suspect;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -51,14 +51,18 @@
     pub is_warming_up: bool,
     /// Whether it gets no new requests, by the server list or since it said so; it still has the prompt parts cached that it was the home of.
     pub is_draining: bool,
+    /// Whether it has started so recently that it bears few requests; it counts in no decision on the load of its service.
+    pub is_cold: bool,
+    /// Whether this gateway may send it no request now, since it is cold and has had this gateway's share.
+    pub is_withheld: bool,
     /// Time that it takes as a multiple of what the others of its service take; 1 if it is not slow.
     pub slowness: f64,
 }
 
 impl ServerView<'_> {
-    /// Returns whether it gets a share of new requests: it is neither suspended nor draining.
+    /// Returns whether it gets a share of new requests: it is neither suspended nor draining nor withheld.
     pub fn is_available(&self) -> bool {
-        !self.is_suspended && !self.is_draining
+        !self.is_suspended && !self.is_draining && !self.is_withheld
     }
 
     /// Returns its load as a multiple of its slots.
@@ -85,7 +89,11 @@
 /// Returns the smoothed load of all available servers together, as a multiple of their slots; `None` if there are no
 /// slots. Used to decide whether a request is admitted.
 pub fn smoothed_load_per_slot(servers: &[ServerView<'_>]) -> Option<f64> {
-    let available = || servers.iter().filter(|server| server.is_available());
+    let available = || {
+        servers
+            .iter()
+            .filter(|server| server.is_available() && !server.is_cold)
+    };
     let load: f64 = available().map(|server| server.smoothed_load).sum();
     let slots_by_pace = |server: &ServerView<'_>| f64::from(server.slots) / server.slowness;
     let slots: f64 = available().map(slots_by_pace).sum();
@@ -120,7 +128,7 @@
     };
     let available = indices_where(&|server| !server.is_tried && server.is_available());
     if available.is_empty() {
-        indices_where(&|server| !server.is_tried && !server.is_draining)
+        indices_where(&|server| !server.is_tried && !server.is_draining && !server.is_withheld)
     } else {
         available
     }
@@ -321,8 +329,11 @@
     }
     let chosen = *homes.get(passed_over)?;
     let mut others = homes.iter().copied().filter(|&index| index != chosen);
-    if passed_over > 0 || servers[chosen].is_warming_up {
-        others.find(|&index| !servers[index].is_warming_up && !servers[index].is_suspended)
+    if passed_over > 0 || servers[chosen].is_warming_up || servers[chosen].is_cold {
+        others.find(|&index| {
+            let server = &servers[index];
+            !server.is_warming_up && !server.is_suspended && !server.is_cold
+        })
     } else {
         None
     }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller_retry;
+mod cold;
 mod crash_blame;
 mod crash_burst;
 mod crash_evidence;
--- a/src/decide/tests/placement.rs
+++ b/src/decide/tests/placement.rs
@@ -24,6 +24,8 @@
             is_tried: false,
             is_warming_up: false,
             is_draining: false,
+            is_cold: false,
+            is_withheld: false,
             slowness: 1.0,
         })
         .collect()
@@ -137,6 +139,8 @@
         is_tried: false,
         is_warming_up: false,
         is_draining: false,
+        is_cold: false,
+        is_withheld: false,
         slowness: 1.0,
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,10 +7,13 @@
 use super::pool::ConnectError;
 use super::pool::Lease;
 use super::pool::Pool;
+use super::send_gate::SendGate;
+use super::send_gate::SendPermit;
 use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
+use crate::decide::ColdPolicy;
 use crate::decide::RunResult;
 use crate::net::full_body;
 use bytes::Bytes;
@@ -79,6 +82,11 @@
     pub(super) deadline: Instant,
     /// Maximum number of connections that the server accepts from all its clients together.
     pub(super) max_connections: u32,
+    /// Decides whether the request may be written once there is a connection.
+    pub(super) gate: &'a SendGate,
+    /// What the server bears while it is cold; `None` if that is not limited.
+    pub(super) cold_policy: Option<&'a ColdPolicy>,
+    pub(super) permit: SendPermit,
     /// Learns of the limit that the server names.
     pub(super) rates: &'a ServerRates,
     /// Connects to the server.
@@ -111,6 +119,13 @@
             }
         };
         let is_reused = lease.is_reused();
+        if !params
+            .gate
+            .may_write(params.server, params.cold_policy, params.permit)
+        {
+            pool.put_idle(lease, &HeaderMap::new());
+            return SendOutcome::NotSent("server may not get it now".to_owned());
+        }
         lease.head_limit().await_head();
         let pending_response = lease
             .sender()
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -5,6 +5,7 @@
 use super::exchange::Exchange;
 use super::exchange::MIN_TIME_LEFT;
 use super::refusal::Refusal;
+use super::send_gate::SendPermit;
 use crate::catalog::BackendServer;
 use crate::catalog::Route;
 use crate::clock::BootInstant;
@@ -12,6 +13,7 @@
 use crate::decide::Choice;
 use crate::decide::Placement;
 use crate::decide::PlacementRequest;
+use crate::decide::RetryAfter;
 use crate::decide::ServerView;
 use crate::decide::hash;
 use crate::decide::smoothed_load_per_slot;
@@ -19,6 +21,7 @@
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Number of servers at their limits that are chosen before all of those whose limits are used up are left out, which
 /// bounds the time for a choice among many.
@@ -31,6 +34,16 @@
     pub(super) load_per_slot: f64,
     /// Server from which the shared parts of the prompt may be copied.
     pub(super) copy_from: Option<SocketAddr>,
+    pub(super) permit: SendPermit,
+}
+
+/// The servers of a request's service as placement sees them.
+struct Candidates<'a> {
+    views: Vec<ServerView<'a>>,
+    /// Longest time for which a server is still cold; `None` if none is.
+    cold_left: Option<Duration>,
+    /// Whether servers are left out since their data centre is evacuated.
+    has_evacuated: bool,
 }
 
 impl Exchange {
@@ -49,7 +62,9 @@
         }
         let (servers, list_version) = self.gateway.catalog.servers_of(&self.service_name);
         self.report.list_version = list_version;
-        let server_views = self.server_views(&servers);
+        let candidates = self.candidates(&servers);
+        let (cold_left, has_evacuated) = (candidates.cold_left, candidates.has_evacuated);
+        let server_views = candidates.views;
         let is_admitted = self.sends > 0 || self.is_admitted(&servers, &server_views);
         let is_engine = self
             .service
@@ -79,35 +94,42 @@
         };
         let (choice, over_limit) = self.choose_within_limits(&servers, &mut server_views, &choose);
         self.report.over_limit = over_limit;
-        let Some(choice) = choice else {
-            return Err(if over_limit > 0 {
-                self.overload_refusal("servers at their limits")
-            } else {
-                self.no_server_refusal("no server")
+        let Some((choice, permit)) = choice else {
+            return Err(match cold_left {
+                _ if over_limit > 0 => self.overload_refusal("servers at their limits"),
+                Some(cold_left) => {
+                    self.unserved_refusal("servers cold", RetryAfter::within(cold_left))
+                }
+                None if has_evacuated => self.overload_refusal("data centre evacuated"),
+                None => self.no_server_refusal("no server"),
             });
         };
-        // A server with a limit has room within it, however full the others are.
-        if !is_admitted && !self.gateway.rates.has_limit(servers[choice.index]) {
+        let chosen = &server_views[choice.index];
+        // A server with a limit has room within it, however full the others are, and so has a cold one.
+        let has_own_bound = chosen.is_cold || self.gateway.rates.has_limit(servers[choice.index]);
+        if !is_admitted && !has_own_bound {
             return Err(self.overload_refusal("service full"));
         }
-        let chosen = &server_views[choice.index];
         self.report.load = chosen.load;
         self.report.passed_over = choice.passed_over;
         Ok(Target {
             server: servers[choice.index].clone(),
             load_per_slot: chosen.load_per_slot(),
             copy_from: choice.copy_from.map(|index| servers[index].entry.address),
+            permit,
         })
     }
 
-    /// Chooses a server by `choose` that may get the request within the limit that it names, if it names one. Returns
-    /// also how many servers were passed over because of their limits.
+    /// Chooses a server by `choose` that may get the request within the limit that it names, if it names one, and while it is
+    /// cold. Returns also how many servers were passed over because of their limits.
     fn choose_within_limits(
         &self,
         servers: &[&BackendServer],
         server_views: &mut [ServerView<'_>],
         choose: &dyn Fn(&[ServerView<'_>]) -> Option<Choice>,
-    ) -> (Option<Choice>, u32) {
+    ) -> (Option<(Choice, SendPermit)>, u32) {
+        let gate = &self.gateway.gate;
+        let cold_policy = gate.policy(self.service.as_ref());
         let nodes = self.gateway.node_count();
         let mut over_limit = 0;
         loop {
@@ -122,8 +144,16 @@
             }
             let random = hash(&[&self.salt.to_le_bytes(), server.id.as_bytes()]);
             let fraction = f64::from((random >> 32) as u32) / f64::from(u32::MAX);
+            let cold_policy = cold_policy.as_ref().filter(|_| view.is_cold);
+            let now = BootInstant::now();
+            if cold_policy.is_some_and(|policy| !gate.take_token(server, policy, now)) {
+                // Another request took the token in the meantime.
+                server_views[choice.index].is_withheld = true;
+                continue;
+            }
+            let permit = cold_policy.map_or(SendPermit::Warm, |_| SendPermit::Token(now));
             if self.gateway.rates.may_send(server, fraction, nodes) {
-                return (Some(choice), over_limit);
+                return (Some((choice, permit)), over_limit);
             }
             over_limit += 1;
             server_views[choice.index].is_draining = true;
@@ -153,15 +183,17 @@
         let nodes = self.gateway.node_count();
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
         let statuses = self.gateway.loads.statuses(&servers, now);
-        let untried = servers.iter().zip(statuses).filter(|(server, status)| {
-            !server.entry.is_draining
-                && !status.is_closed
+        let candidates = self.candidates(&servers);
+        let statuses = statuses.into_iter().zip(candidates.views);
+        let untried = servers.iter().zip(statuses).filter(|(server, (_, view))| {
+            !view.is_draining
+                && !view.is_withheld
                 && !self.is_tried(server)
                 && self.has_stream_version(server)
                 && !self.gateway.rates.is_exhausted(server, nodes)
         });
         let (mut has_untried, mut has_responsive) = (false, false);
-        for (_, status) in untried {
+        for (_, (status, _)) in untried {
             has_untried = true;
             has_responsive |= !status.is_suspended;
         }
@@ -203,12 +235,25 @@
             .accepts(&service_load, &admission_request)
     }
 
-    fn server_views<'a>(&self, servers: &'a [BackendServer]) -> Vec<ServerView<'a>> {
-        let statuses = self.gateway.loads.statuses(servers, BootInstant::now());
-        servers
-            .iter()
-            .zip(statuses)
-            .map(|(server, status)| ServerView {
+    fn candidates<'a>(&self, servers: &'a [BackendServer]) -> Candidates<'a> {
+        let now = BootInstant::now();
+        let gate = &self.gateway.gate;
+        let policy = gate.policy(self.service.as_ref());
+        let evacuations = self.gateway.catalog.evacuations();
+        let statuses = self.gateway.loads.statuses(servers, now);
+        let mut candidates = Candidates {
+            views: Vec::with_capacity(servers.len()),
+            cold_left: None,
+            has_evacuated: false,
+        };
+        for (server, status) in servers.iter().zip(statuses) {
+            let is_evacuated = evacuations.is_evacuated(&server.entry.data_centre);
+            candidates.has_evacuated |= is_evacuated;
+            let cold_left = policy.as_ref().and_then(|policy| {
+                gate.cold_left(server, &status.warmth, policy, &evacuations, now)
+            });
+            candidates.cold_left = candidates.cold_left.max(cold_left);
+            candidates.views.push(ServerView {
                 id: &server.id,
                 is_near: server.entry.data_centre == self.gateway.data_centre,
                 slots: server.entry.slots,
@@ -217,17 +262,30 @@
                 is_suspended: status.is_suspended,
                 is_tried: self.is_tried(server),
                 is_warming_up: status.is_warming_up,
-                is_draining: server.entry.is_draining || status.is_closed,
+                is_draining: server.entry.is_draining || status.is_closed || is_evacuated,
+                is_cold: cold_left.is_some(),
+                is_withheld: false,
                 slowness: status.slowness,
-            })
-            .collect()
+            });
+        }
+        if let Some(policy) = policy.filter(|_| candidates.cold_left.is_some()) {
+            let views = &mut candidates.views;
+            let has_warm = views
+                .iter()
+                .any(|view| !view.is_cold && !view.is_tried && view.is_available());
+            let yields = !has_warm && self.rank > 0;
+            for (view, server) in views.iter_mut().zip(servers) {
+                view.is_withheld = view.is_cold && !gate.has_token(server, &policy, yields, now);
+            }
+        }
+        candidates
     }
 }
 
 /// Chooses the usable server with the fewest requests in flight.
 fn least_loaded(server_views: &[ServerView<'_>]) -> Option<Choice> {
     let views = server_views.iter().enumerate();
-    let usable = views.filter(|(_, view)| !view.is_draining && !view.is_suspended);
+    let usable = views.filter(|(_, view)| view.is_available());
     let index = usable.min_by_key(|(_, view)| view.load)?.0;
     Some(Choice {
         index,
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -10,10 +10,12 @@
 use super::handler::Gateway;
 use super::loads::InFlightGuard;
 use super::progress::Progress;
+use super::send_gate::SendPermit;
 use super::server_stream::ServerStream;
 use super::server_stream::StreamItem;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
+use crate::decide::ColdPolicy;
 use crate::decide::RunResult;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -68,6 +70,9 @@
     pub(super) deadline: Instant,
     /// Maximum number of connections that the server accepts from all its clients together.
     pub(super) max_connections: u32,
+    /// What the server bears while it is cold; `None` if that is not limited.
+    pub(super) cold_policy: Option<ColdPolicy>,
+    pub(super) permit: SendPermit,
     /// Whether a successful response is a stream of events.
     pub(super) is_stream: bool,
     pub(super) guard: Arc<InFlightGuard>,
@@ -93,6 +98,9 @@
             paths: &gateway.paths,
             helper: &self.helper,
             max_connections: self.max_connections,
+            gate: &gateway.gate,
+            cold_policy: self.cold_policy.as_ref(),
+            permit: self.permit,
         };
         let sent_at = Instant::now();
         let sending = attempt::send(
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -236,7 +236,7 @@
 
     /// Returns a refusal with status 502 if the request may have run, else with 503, which promises the caller that it
     /// did not run.
-    fn unserved_refusal(&self, cause: &'static str, retry_after: RetryAfter) -> Refusal {
+    pub(super) fn unserved_refusal(&self, cause: &'static str, retry_after: RetryAfter) -> Refusal {
         if self.may_have_run {
             return Refusal::new(StatusCode::BAD_GATEWAY, cause);
         }
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -336,6 +336,8 @@
                 .service
                 .as_ref()
                 .map_or(DEFAULT_MAX_CONNECTIONS, |service| service.max_connections),
+            cold_policy: self.gateway.gate.policy(self.service.as_ref()),
+            permit: target.permit,
             is_stream: self.route.retry_mode.is_stream(),
             guard: Arc::clone(&guard),
             progress: Arc::clone(&progress),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -12,6 +12,7 @@
 use super::refusal::Refusal;
 use super::report::RequestReport;
 use super::response_memory::ResponseMemory;
+use super::send_gate::SendGate;
 use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use crate::catalog::BackendServer;
@@ -84,6 +85,8 @@
     pub(super) response_memory: ResponseMemory,
     /// Limits that servers name on their requests.
     pub(super) rates: ServerRates,
+    /// Keeps requests from servers that may not get them.
+    pub(super) gate: SendGate,
     /// By service name, sorted.
     pub(super) retry_budgets: Mutex<Vec<(String, RetryBudget)>>,
     pub(super) runtime_settings: Mutex<RuntimeSettings>,
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -7,6 +7,7 @@
 use crate::decide::HealthPolicy;
 use crate::decide::PaceWindow;
 use crate::decide::RunResult;
+use crate::decide::Warmth;
 use crate::peers::FleetLoads;
 use crate::peers::LoadEntry;
 use std::sync::Arc;
@@ -74,6 +75,7 @@
     /// End of the time for which the server wants no requests from this node.
     closed_until: Option<BootInstant>,
     health: Health,
+    warmth: Warmth,
 }
 
 /// Load and health of the known servers.
@@ -112,6 +114,8 @@
     pub(super) is_closed: bool,
     /// Time that the server takes as a multiple of what the others of its service take; 1 if it is not slow.
     pub(super) slowness: f64,
+    /// What is known of whether it is cold.
+    pub(super) warmth: Warmth,
 }
 
 impl Default for ServerStatus {
@@ -123,6 +127,7 @@
             is_warming_up: false,
             is_closed: false,
             slowness: 1.0,
+            warmth: Warmth::default(),
         }
     }
 }
@@ -229,8 +234,13 @@
     pub(super) fn track(&self, servers: &[BackendServer]) {
         let mut states = self.lock();
         let is_first = states.is_empty();
+        let now = BootInstant::now();
         for server in servers {
             let state = current_state(&mut states, server);
+            let entry = &server.entry;
+            state
+                .warmth
+                .record_report(entry.sequence, entry.cold_left, now);
             if is_first {
                 // Servers of the first list were there before this node, so they don't count as recently joined.
                 state.joined_at = None;
@@ -291,6 +301,7 @@
                 .slowness
                 .filter(|(_, received_at)| now.since(*received_at) < MAX_REMOTE_AGE)
                 .map_or(1.0, |(slowness, _)| slowness),
+            warmth: self.warmth,
         }
     }
 
@@ -332,6 +343,7 @@
         let is_direct = !self.is_carried.load(Ordering::Relaxed);
         self.update(|state| {
             state.inactive_since = Some(now);
+            state.warmth.record_answer(now);
             if is_direct {
                 state.heard_at = Some(now);
             }
@@ -400,6 +412,9 @@
         if states[index].start_time_ms != self.start_time_ms {
             return None;
         }
+        if matches!(result, RunResult::Broken | RunResult::Unreachable) {
+            states[index].warmth.record_failure(BootInstant::now());
+        }
         let service = &states[index].service;
         let others = states
             .iter()
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -60,6 +60,10 @@
     blocked_servers: IntGauge,
     tunnels: IntGauge,
     carried_tunnels: IntGauge,
+    cold_servers: IntGauge,
+    cold_sends: IntGauge,
+    stopped_sends: IntGauge,
+    evacuated_centres: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -149,8 +153,24 @@
                 "currantbend_gateway_limited_servers",
                 "Backend servers that name a limit on requests.",
             ),
+            cold_servers: gauge(
+                "currantbend_gateway_cold_servers",
+                "Backend servers that are or may be cold.",
+            ),
+            cold_sends: gauge(
+                "currantbend_gateway_cold_sends",
+                "Requests sent to cold backend servers since the start.",
+            ),
+            stopped_sends: gauge(
+                "currantbend_gateway_stopped_sends",
+                "Sends since the start that were stopped before they were written, as their server had become cold or was evacuated.",
+            ),
+            evacuated_centres: gauge(
+                "currantbend_gateway_evacuated_centres",
+                "Data centres whose backend servers get no new requests at an operator's request.",
+            ),
         };
-        let collectors: [Box<dyn Collector>; 20] = [
+        let collectors: [Box<dyn Collector>; 24] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -170,6 +190,10 @@
             Box::new(metrics.blocked_servers.clone()),
             Box::new(metrics.tunnels.clone()),
             Box::new(metrics.carried_tunnels.clone()),
+            Box::new(metrics.cold_servers.clone()),
+            Box::new(metrics.cold_sends.clone()),
+            Box::new(metrics.stopped_sends.clone()),
+            Box::new(metrics.evacuated_centres.clone()),
             Box::new(ProcessCollector::for_self()),
         ];
         for collector in collectors {
@@ -261,6 +285,16 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Records the numbers of cold servers, of requests sent to such servers and of sends that were stopped, and of evacuated data
+    /// centres.
+    pub(super) fn record_gate(&self, cold: usize, (sent, stopped): (u64, u64), evacuated: usize) {
+        let count = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        self.cold_servers.set(count(cold as u64));
+        self.cold_sends.set(count(sent));
+        self.stopped_sends.set(count(stopped));
+        self.evacuated_centres.set(count(evacuated as u64));
+    }
+
     /// Renders everything in Prometheus text format.
     pub(super) fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod report;
 mod request_identity;
 mod response_memory;
+mod send_gate;
 mod server_paths;
 mod server_rates;
 mod server_stream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -13,10 +13,11 @@
 use super::path_probe::PathProbe;
 use super::pool::Pool;
 use super::response_memory::ResponseMemory;
+use super::send_gate::ColdAllowance;
+use super::send_gate::SendGate;
 use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use super::settings::GatewayBounds;
-use super::settings::GatewayHost;
 use super::settings::GatewaySettings;
 use crate::catalog::Catalog;
 use crate::catalog::CatalogBounds;
@@ -146,7 +147,8 @@
     logs: Logs,
 }
 
-fn peer_settings(host: &GatewayHost, start_delay: Duration) -> PeerSettings {
+fn peer_settings(settings: &GatewaySettings, start_delay: Duration) -> PeerSettings {
+    let host = &settings.host;
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let start_time_ms = since_epoch.unwrap_or_default().as_millis();
     PeerSettings {
@@ -159,6 +161,7 @@
         },
         data_centres: host.data_centres.clone(),
         start_delay,
+        needs_evacuations: settings.bounds.evacuation.is_some(),
     }
 }
 
@@ -178,6 +181,7 @@
             shared.loads.track(&servers);
             shared.loads.record_remote(&fleet);
             shared.rates.record_remote(&fleet.others, &servers);
+            shared.gate.update(BootInstant::now());
         }),
     )
 }
@@ -206,8 +210,12 @@
         max_relay_data_age: bound / 2,
         max_peer_data_age: bound * 5 / 8,
     };
+    // Evacuations are read with the configuration.
+    let config_bound = bounds.evacuation.map_or(bounds.config_apply, |evacuation| {
+        evacuation.min(bounds.config_apply)
+    });
     Schedule {
-        config: pace(bounds.config_apply),
+        config: pace(config_bound),
         list: pace(bounds.drain),
     }
 }
@@ -258,7 +266,7 @@
         let renewal_watch =
             RenewalWatch::start(&gateway.quarantine, &catalog, &duties, bounds.heartbeat);
         let peers = Peers::start(
-            peer_settings(host, start_delay),
+            peer_settings(settings, start_delay),
             &catalog,
             &logs,
             sources.directory,
@@ -274,6 +282,7 @@
         // Can't fail: they are set nowhere else.
         let _ = gateway.node_count.set(peers.counter());
         let _ = gateway.streams.set(peers.streams());
+        gateway.gate.set_node_names(peers.names());
         let loop_watch = LoopWatch::start(&gateway.metrics, &logs);
         gateway.paths.set_tunnels(peers.tunnels());
         let reach = Arc::clone(&gateway.paths);
@@ -305,6 +314,7 @@
     pub fn set_bounds(&self, bounds: &GatewayBounds) {
         self.gateway.catalog.set_bounds(catalog_bounds(bounds));
         self.gateway.set_runtime_settings(runtime_settings(bounds));
+        self.gateway.gate.set_allowance(cold_allowance(bounds));
         self.follower.set_schedule(schedule(bounds));
     }
 
@@ -352,6 +362,13 @@
     }
 }
 
+fn cold_allowance(bounds: &GatewayBounds) -> ColdAllowance {
+    ColdAllowance {
+        excess_milli: bounds.cold_excess_milli,
+        slack_milli: bounds.cold_slack_milli,
+    }
+}
+
 fn gateway(
     settings: &GatewaySettings,
     catalog: &Arc<Catalog>,
@@ -360,6 +377,14 @@
 ) -> Gateway {
     let bounds = &settings.bounds;
     let quarantine = Arc::new(Quarantine::new(logs.clone(), &sources.connector));
+    let loads = ServerLoads::default();
+    let gate = SendGate::new(
+        &settings.host.name,
+        catalog,
+        &loads,
+        logs,
+        cold_allowance(bounds),
+    );
     Gateway {
         data_centre: settings.host.data_centre.clone(),
         catalog: Arc::clone(catalog),
@@ -368,7 +393,8 @@
         metrics: Arc::new(GatewayMetrics::new(&sources.source_metrics)),
         pool: Pool::default(),
         paths: Arc::new(ServerPaths::new(&sources.connector, logs)),
-        loads: ServerLoads::default(),
+        loads,
+        gate,
         rates: ServerRates::default(),
         response_memory: ResponseMemory::default(),
         retry_budgets: Mutex::default(),
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -14,10 +14,50 @@
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Path of the list of held parts; a part's own path is below it.
 const HELD_PARTS_PATH: &str = "/held-parts";
 
+/// Path of the list of cold servers and evacuated data centres.
+const WITHHELD_PATH: &str = "/withheld";
+
+/// What gets fewer requests than others, or none, as listed on the page.
+#[derive(Serialize)]
+struct WithheldPage {
+    cold_servers: Vec<WithheldRow>,
+    evacuated_data_centres: Vec<WithheldRow>,
+    /// Age of what this gateway knows of evacuations; `None` if it knows nothing.
+    age_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct WithheldRow {
+    name: String,
+    /// Time for which this gateway has known it.
+    known_ms: u64,
+}
+
+impl WithheldRow {
+    fn new(name: &str, known: Duration) -> Self {
+        Self {
+            name: name.to_owned(),
+            known_ms: millis(known),
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Renders `page` as one line of JSON.
+fn json_line(page: &impl Serialize) -> Vec<u8> {
+    let mut text = serde_json::to_vec(page).expect("the page has string keys only");
+    text.push(b'\n');
+    text
+}
+
 /// A held part as listed on the page.
 #[derive(Serialize)]
 struct HeldPartRow {
@@ -70,6 +110,9 @@
         );
         metrics.record_held_parts(self.gateway.quarantine.held_parts().len());
         metrics.record_limited_servers(self.gateway.rates.limited_count());
+        let gate = &self.gateway.gate;
+        let evacuated = catalog.evacuations().evacuated().len();
+        metrics.record_gate(gate.cold_count(), gate.send_counts(), evacuated);
         let paths = &self.gateway.paths;
         metrics.record_paths(paths.blocked_count(), paths.tunnel_counts());
         metrics.render()
@@ -81,14 +124,30 @@
         let rows: Vec<HeldPartRow> = held
             .map(|held| HeldPartRow {
                 part: format!("{:x}", held.part),
-                age_ms: u64::try_from(held.age.as_millis()).unwrap_or(u64::MAX),
+                age_ms: millis(held.age),
                 trials: held.trials,
                 crashes: held.crashes,
             })
             .collect();
-        let mut page = serde_json::to_vec(&rows).expect("the rows have string keys only");
-        page.push(b'\n');
-        page
+        json_line(&rows)
+    }
+
+    /// Returns the cold servers and the evacuated data centres as JSON.
+    fn withheld(&self) -> Vec<u8> {
+        let now = BootInstant::now();
+        let catalog = &self.gateway.catalog;
+        let evacuations = catalog.evacuations();
+        let cold = self.gateway.gate.cold_servers(now).into_iter();
+        let evacuated = evacuations.evacuated().iter();
+        json_line(&WithheldPage {
+            cold_servers: cold
+                .map(|(name, known)| WithheldRow::new(&name, known))
+                .collect(),
+            evacuated_data_centres: evacuated
+                .map(|centre| WithheldRow::new(&centre.data_centre, now.since(centre.since)))
+                .collect(),
+            age_ms: catalog.config_age(now).map(millis),
+        })
     }
 
     /// Lets the held part with this hexadecimal id through at all gateways.
@@ -116,6 +175,8 @@
             (StatusCode::OK, self.metrics())
         } else if path == HELD_PARTS_PATH {
             (StatusCode::OK, self.held_parts())
+        } else if path == WITHHELD_PATH {
+            (StatusCode::OK, self.withheld())
         } else if req.method() == Method::DELETE
             && let Some(part) = path
                 .strip_prefix(HELD_PARTS_PATH)
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -63,6 +63,13 @@
     pub retry_ratio_milli: u64,
     /// Additional retries allowed in a window, for the whole fleet.
     pub retry_slack: u64,
+    /// Factor by which requests to a cold server may exceed what its service says that it bears, in thousandths.
+    pub cold_excess_milli: u64,
+    /// Requests by which they may exceed that besides, in any second, in thousandths.
+    pub cold_slack_milli: u64,
+    /// Time within which the servers of an evacuated data centre stop getting requests; `None` where data centres are not
+    /// evacuated.
+    pub evacuation: Option<Duration>,
 }
 
 /// All settings in a gateway's settings file.
@@ -140,6 +147,9 @@
         let window_s = section.float("retry_window_s", 10.0, 0.1..=3_600.0);
         let ratio = section.float("retry_ratio", 0.2, 0.0..=1.0);
         let slack = section.float("retry_slack", 0.0, 0.0..=1_000_000.0);
+        let cold_excess = section.float("cold_excess", 1.0, 0.0..=1_000.0);
+        let cold_slack = section.float("cold_slack", 0.0, 0.0..=1_000_000.0);
+        let evacuation_ms = section.number("evacuation_ms", 0, 0..=600_000);
         Self {
             config_apply: section.millis("config_apply_ms", 2_000, 200..=60_000),
             drain: section.millis("drain_ms", 2_000, 200..=60_000),
@@ -150,6 +160,9 @@
             retry_window: Duration::from_secs_f64(window_s),
             retry_ratio_milli: (ratio * 1_000.0) as u64,
             retry_slack: slack as u64,
+            cold_excess_milli: (cold_excess * 1_000.0) as u64,
+            cold_slack_milli: (cold_slack * 1_000.0) as u64,
+            evacuation: (evacuation_ms > 0).then(|| Duration::from_millis(evacuation_ms)),
         }
     }
 }
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -3,6 +3,7 @@
 use super::directory::NodeEntry;
 use super::streams::StreamRecords;
 use crate::catalog::BackendServer;
+use crate::catalog::Evacuations;
 use crate::catalog::SeenVersion;
 use crate::catalog::ServerEntry;
 use crate::catalog::VersionHistory;
@@ -22,7 +23,9 @@
 
 /// Version of what gateways say to each other, raised with each ability that the build before lacks. Builds that don't
 /// tell theirs have version 0. `docs/PROTOCOLS.md` lists the versions.
-pub(super) const PROTOCOL: u32 = 1;
+pub(super) const PROTOCOL: u32 = 2;
+/// First version whose responses tell which data centres are evacuated.
+pub(super) const EVACUATIONS_PROTOCOL: u32 = 2;
 
 /// Maximum size of a decompressed message; bounds the memory that a corrupt one can use.
 const MAX_UNPACKED_BYTES: u64 = 32 * 1024 * 1024;
@@ -350,6 +353,9 @@
     pub(super) config_era: u64,
     /// Configuration encoded by [`pack`], if newer than the requester's. It is packed once and shared by all responses.
     pub(super) config: Option<Bytes>,
+    /// Evacuations of data centres; `None` if the responding node has never known of one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) evacuations: Option<SyncedEvacuations>,
     /// Time since the start of the read from which the responding node's server list comes. That read may have been
     /// another node's.
     pub(super) servers_age_ms: Option<u64>,
@@ -406,6 +412,31 @@
     pub(super) knows_holds: Option<bool>,
 }
 
+/// The evacuated data centres, as sent between gateways.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct SyncedEvacuations {
+    /// Offset of the configuration source up to which they are known.
+    pub(super) offset: u64,
+    /// Era of that offset.
+    pub(super) era: u64,
+    /// Sorted by name.
+    pub(super) data_centres: Vec<String>,
+}
+
+impl SyncedEvacuations {
+    /// Converts `evacuations` for a message; returns `None` if there has been none.
+    pub(super) fn new(evacuations: &Evacuations) -> Option<Self> {
+        let position = evacuations.position().filter(|_| evacuations.has_any())?;
+        let centres = evacuations.evacuated().iter();
+        Some(Self {
+            offset: position.offset,
+            era: position.era,
+            data_centres: centres.map(|centre| centre.data_centre.clone()).collect(),
+        })
+    }
+}
+
 /// Encodes a message as CBOR.
 pub(super) fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, String> {
     let mut buf = Vec::new();
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -34,6 +34,7 @@
 pub use message::ServerPace;
 pub use message::ServerRequests;
 pub use node::FleetLoads;
+pub use node::NodeNames;
 pub use node::OtherLoads;
 pub use node::OwnLoads;
 pub use node::PeerSettings;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -14,6 +14,7 @@
 use super::load_table::aged;
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
+use super::message::EVACUATIONS_PROTOCOL;
 use super::message::LoadEntry;
 use super::message::PROTOCOL;
 use super::message::Role;
@@ -35,8 +36,10 @@
 use crate::catalog::Catalog;
 use crate::catalog::Configuration;
 use crate::catalog::Duties;
+use crate::catalog::EvacuationRead;
 use crate::catalog::Position;
 use crate::catalog::VERSION_MEMORY;
+use crate::catalog::apply_evacuations;
 use crate::clock::BootInstant;
 use crate::decide::PaceKind;
 use crate::decide::PaceTable;
@@ -74,6 +77,8 @@
     pub data_centres: Vec<String>,
     /// Time before this gateway looks for others in the directory.
     pub start_delay: Duration,
+    /// Whether this gateway must learn of evacuations of data centres, of which peers of former protocols say nothing.
+    pub needs_evacuations: bool,
 }
 
 /// Callback that returns this node's own loads, sorted by backend server name.
@@ -81,6 +86,26 @@
 /// Callback that receives what is known of the loads of backend servers.
 pub type OtherLoads = Arc<dyn Fn(FleetLoads) + Send + Sync>;
 
+/// The gateways that a gateway knows.
+pub trait NodeNames: Send + Sync {
+    /// Returns the version of the list, which is raised at every change.
+    fn version(&self) -> u64;
+
+    /// Returns the names on the list, this gateway's own included, sorted.
+    fn names(&self) -> Vec<String>;
+}
+
+impl NodeNames for Shared {
+    fn version(&self) -> u64 {
+        self.nodes.version()
+    }
+
+    fn names(&self) -> Vec<String> {
+        let (nodes, _) = self.nodes.nodes();
+        nodes.into_iter().map(|node| node.name).collect()
+    }
+}
+
 /// Loads of backend servers beside those of this node.
 #[derive(Clone, Debug, Default)]
 pub struct FleetLoads {
@@ -113,6 +138,8 @@
     paces: Mutex<PaceTable>,
     /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
     pub(super) backup_centre: Option<String>,
+    /// Whether a peer that says nothing of evacuations does not prove the configuration to be current.
+    pub(super) needs_evacuations: bool,
     /// What this node reads for others, for tasks outside of this module.
     pub(super) duties: Duties,
     pub(super) own_loads: OwnLoads,
@@ -333,6 +360,20 @@
         });
     }
 
+    /// Applies what the response says of evacuations: without a word of them there is none as of the peer's position.
+    fn apply_evacuations(&self, response: &mut SyncResponse) {
+        let position = |era, offset| Position { era, offset };
+        let (centres, position) = match response.evacuations.take() {
+            Some(known) => (known.data_centres, position(known.era, known.offset)),
+            None => match response.config_position {
+                Some(offset) => (Vec::new(), position(response.config_era, offset)),
+                None => return,
+            },
+        };
+        let read = EvacuationRead::Whole(centres);
+        apply_evacuations(&self.catalog, &self.logs, read, position);
+    }
+
     /// Applies what the response to a request sent at `sent_at` has of the store: the configuration and the server list.
     pub(super) fn apply_catalog(
         &self,
@@ -355,7 +396,12 @@
             .map(|configuration| configuration.version());
         // The peer verified its own version as current, so its verification and its position do not hold for an older
         // version here.
+        let tells_evacuations = response.protocol >= EVACUATIONS_PROTOCOL;
+        if tells_evacuations {
+            self.apply_evacuations(response);
+        }
         if known >= response.config_version
+            && (tells_evacuations || !self.needs_evacuations)
             && let Some(age_ms) = response.config_age_ms
         {
             self.catalog
@@ -457,6 +503,7 @@
             packed_servers: PackCache::default(),
             paces: Mutex::default(),
             backup_centre,
+            needs_evacuations: settings.needs_evacuations,
             duties,
             own_loads: loads.0,
             other_loads: loads.1,
@@ -496,6 +543,11 @@
         Arc::new(move || u32::try_from(shared.nodes.count()).unwrap_or(u32::MAX))
     }
 
+    /// Returns the names of the known gateways.
+    pub fn names(&self) -> Arc<dyn NodeNames> {
+        Arc::clone(&self.shared) as Arc<dyn NodeNames>
+    }
+
     /// Stops all tasks that [`Peers::start`] spawned, then has this gateway removed from the directory: by its relay or, if
     /// it has none that does so, by a call of its own, together with what it has yet to write for others.
     pub async fn close(self) {
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -7,6 +7,7 @@
 use super::message::PROTOCOL;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
+use super::message::SyncedEvacuations;
 use super::message::SyncedVersionHistory;
 use super::message::decode;
 use super::message::encode;
@@ -181,6 +182,7 @@
         config: configuration
             .filter(|_| wants_config)
             .and_then(|configuration| shared.packed_configuration(&configuration)),
+        evacuations: SyncedEvacuations::new(&shared.catalog.evacuations()),
         servers_age_ms: shared.catalog.list_age(now).map(millis),
         servers_position: servers_position.map(|position| position.offset),
         servers_era: servers_position.unwrap_or_default().era,
