--- a/lab/src/simulation.rs
+++ b/lab/src/simulation.rs
@@ -388,6 +388,8 @@
             is_caller_retry: is_retry,
             latency_target: duration(kind.latency_target),
             is_stream: !job.parts.is_empty(),
+            team: None,
+            heavy_teams: &[],
         };
         let load_per_slot = smoothed_load_per_slot(&self.views(node)).unwrap_or(0.0);
         let retry_share = self.retry_detectors[node].retry_share(kind.name);
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -4,11 +4,12 @@
 //! Load pattern: a service receives more requests than it can run. If all are accepted until its queues are full,
 //! every request waits through a full queue and is late. With short queues the service runs as many requests, and
 //! they are in time. The acceptable queue length follows from the time for which a request holds a slot, which is
-//! measured, and from the latency targets of the service's routes. The least urgent requests are rejected first, but
-//! never all of them.
+//! measured, and from the latency targets of the service's routes. Requests of teams beyond a fair share are rejected first
+//! ([`super::team_share`]), and within a team the least urgent, but never all of them.
 
 use super::service_load::AdmissionRequest;
 use super::service_load::ServiceLoad;
+use super::team_share::rejected_share_of_team;
 
 /// Admission control by the expected wait at a service.
 #[derive(Clone, Copy, Debug)]
@@ -43,8 +44,10 @@
 
 impl Admission {
     /// Returns whether a service under this load accepts the request.
-    pub fn accepts(&self, load: &ServiceLoad, request: &AdmissionRequest) -> bool {
-        let share = self.rejected_share_of_rank(self.rejected_share(load), load, request.rank);
+    pub fn accepts(&self, load: &ServiceLoad, request: &AdmissionRequest<'_>) -> bool {
+        let rejected = self.rejected_share(load);
+        let rejected = rejected_share_of_team(rejected, request.team, request.heavy_teams);
+        let share = self.rejected_share_of_rank(rejected, load, request.rank);
         let share = if request.is_caller_retry {
             share * (1.0 - self.caller_retry_preference)
         } else {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,6 +23,7 @@
 mod server_limit;
 mod server_path;
 mod service_load;
+mod team_share;
 #[cfg(test)]
 mod tests;
 
@@ -92,3 +93,6 @@
 pub use service_load::RANK_COUNT;
 pub use service_load::ServiceLoad;
 pub use service_load::ServiceStats;
+pub use team_share::HeavyTeam;
+pub use team_share::heavy_teams;
+pub use team_share::rejected_share_of_team;
--- a/src/decide/service_load.rs
+++ b/src/decide/service_load.rs
@@ -1,5 +1,6 @@
 //! Load of a service, estimated by a node from the requests that it sends there.
 
+use super::team_share::HeavyTeam;
 use std::time::Duration;
 
 /// Number of distinct ranks; less urgent ones are counted as the last rank.
@@ -7,7 +8,7 @@
 
 /// The properties of a request that admission control uses.
 #[derive(Clone, Copy, Debug)]
-pub struct AdmissionRequest {
+pub struct AdmissionRequest<'a> {
     /// Pseudo-random number from 0 to 1, derived from the request; decides which requests of a rank are rejected.
     pub random_fraction: f64,
     /// Rank of the request's route or team; 0 is the most urgent.
@@ -18,6 +19,10 @@
     pub latency_target: Duration,
     /// Whether the target applies to the first event of a stream, which follows soon after the request gets a slot.
     pub is_stream: bool,
+    /// Team of the caller.
+    pub team: Option<&'a str>,
+    /// Teams with more than a fair share of the service; none where shares are not asked for.
+    pub heavy_teams: &'a [HeavyTeam],
 }
 
 /// Estimated load of a service.
@@ -56,7 +61,7 @@
 
 impl ServiceStats {
     /// Records an arriving request.
-    pub fn record_request(&mut self, request: &AdmissionRequest) {
+    pub fn record_request(&mut self, request: &AdmissionRequest<'_>) {
         let slot_time = self
             .slot_time_s
             .filter(|_| !request.is_stream)
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -16,3 +16,4 @@
 mod retry_budget;
 mod server_limit;
 mod server_path;
+mod team_share;
--- a/src/decide/tests/admission.rs
+++ b/src/decide/tests/admission.rs
@@ -11,13 +11,15 @@
 const SLOT_TIME: Duration = Duration::from_millis(60);
 const LATENCY_TARGET: Duration = Duration::from_millis(300);
 
-fn request(random_fraction: f64, is_caller_retry: bool) -> AdmissionRequest {
+fn request(random_fraction: f64, is_caller_retry: bool) -> AdmissionRequest<'static> {
     AdmissionRequest {
         random_fraction,
         rank: 0,
         is_caller_retry,
         latency_target: LATENCY_TARGET,
         is_stream: false,
+        team: None,
+        heavy_teams: &[],
     }
 }
 
--- a/src/gateway/admission_stats.rs
+++ b/src/gateway/admission_stats.rs
@@ -58,7 +58,7 @@
         route: &str,
         service: &str,
         load_per_slot: f64,
-        request: &AdmissionRequest,
+        request: &AdmissionRequest<'_>,
     ) -> ServiceLoad {
         let mut state = self.lock();
         let retry_share = state.retry_detector.retry_share(route);
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -108,7 +108,9 @@
         // A server with a limit has room within it, however full the others are, and so has a cold one.
         let has_own_bound = chosen.is_cold || self.gateway.rates.has_limit(servers[choice.index]);
         if !is_admitted && !has_own_bound {
-            return Err(self.overload_refusal("service full"));
+            return Err(self
+                .overload_refusal("service full")
+                .with_detail(self.share_detail()));
         }
         self.report.load = chosen.load;
         self.report.passed_over = choice.passed_over;
@@ -213,6 +215,8 @@
             return true;
         };
         let stats = &self.gateway.admission_stats;
+        let demand = &self.gateway.team_demand;
+        let heavy_teams = demand.heavy(&self.service_name, BootInstant::now());
         let admission_request = AdmissionRequest {
             // The lower half of the salt; `RetryAfter::delay` uses the upper half.
             random_fraction: f64::from(self.salt as u32) / f64::from(u32::MAX),
@@ -220,6 +224,8 @@
             is_caller_retry: self.report.is_caller_retry,
             latency_target: self.route.latency_target,
             is_stream: self.route.retry_mode.is_stream(),
+            team: self.team.as_deref(),
+            heavy_teams: &heavy_teams,
         };
         let service_load = stats.record_request(
             &self.route.name,
@@ -235,6 +241,21 @@
             .accepts(&service_load, &admission_request)
     }
 
+    /// Returns what to log of the share of the caller's team in a full service; nothing if the team is not heavy.
+    fn share_detail(&self) -> String {
+        let demand = &self.gateway.team_demand;
+        let heavy = demand.heavy(&self.service_name, BootInstant::now());
+        let own = heavy
+            .iter()
+            .find(|heavy| Some(heavy.team.as_str()) == self.team.as_deref());
+        own.map_or_else(String::new, |heavy| {
+            format!(
+                "team {} has {:.2} of the requests, fair is {:.2}",
+                heavy.team, heavy.share, heavy.floor
+            )
+        })
+    }
+
     fn candidates<'a>(&self, servers: &'a [BackendServer]) -> Candidates<'a> {
         let now = BootInstant::now();
         let gate = &self.gateway.gate;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -148,6 +148,9 @@
         };
         report.service.clone_from(&service_name);
         gateway.with_retry_budget(&service_name, |budget| budget.record_request(now));
+        gateway
+            .team_demand
+            .record(&service_name, team.as_deref(), now);
         let timeout = metadata
             .time_left
             .map_or(route.timeout, |announced| announced.min(route.timeout));
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -15,6 +15,7 @@
 use super::send_gate::SendGate;
 use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
+use super::team_demand::TeamDemand;
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Limits;
@@ -87,6 +88,8 @@
     pub(super) rates: ServerRates,
     /// Keeps requests from servers that may not get them.
     pub(super) gate: SendGate,
+    /// What teams ask of services.
+    pub(super) team_demand: TeamDemand,
     /// By service name, sorted.
     pub(super) retry_budgets: Mutex<Vec<(String, RetryBudget)>>,
     pub(super) runtime_settings: Mutex<RuntimeSettings>,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the gateway; `docs/METRICS.md` explains which to watch.
 
 use crate::decide::ServiceLoad;
+use crate::peers::ServiceTeams;
 use prometheus::Encoder;
 use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
@@ -64,6 +65,7 @@
     cold_sends: IntGauge,
     stopped_sends: IntGauge,
     evacuated_centres: IntGauge,
+    team_share: GaugeVec,
 }
 
 impl GatewayMetrics {
@@ -165,12 +167,17 @@
                 "currantbend_gateway_stopped_sends",
                 "Sends since the start that were stopped before they were written, as their server had become cold or was evacuated.",
             ),
+            team_share: gauges(
+                "currantbend_gateway_heavy_team_share",
+                "Part of a service's requests that a team with more than a fair share has.",
+                &["service", "team"],
+            ),
             evacuated_centres: gauge(
                 "currantbend_gateway_evacuated_centres",
                 "Data centres whose backend servers get no new requests at an operator's request.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 24] = [
+        let collectors: [Box<dyn Collector>; 25] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -194,6 +201,7 @@
             Box::new(metrics.cold_sends.clone()),
             Box::new(metrics.stopped_sends.clone()),
             Box::new(metrics.evacuated_centres.clone()),
+            Box::new(metrics.team_share.clone()),
             Box::new(ProcessCollector::for_self()),
         ];
         for collector in collectors {
@@ -295,6 +303,18 @@
         self.evacuated_centres.set(count(evacuated as u64));
     }
 
+    /// Records the teams with more than a fair share of a service.
+    pub(super) fn record_heavy_teams(&self, services: &[ServiceTeams]) {
+        self.team_share.reset();
+        for service in services {
+            for heavy in &service.teams {
+                self.team_share
+                    .with_label_values(&[&service.service, &heavy.team])
+                    .set(heavy.share);
+            }
+        }
+    }
+
     /// Renders everything in Prometheus text format.
     pub(super) fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod stream;
 mod stream_version;
+mod team_demand;
 #[cfg(test)]
 mod tests;
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -19,6 +19,7 @@
 use super::server_rates::ServerRates;
 use super::settings::GatewayBounds;
 use super::settings::GatewaySettings;
+use super::team_demand::TeamDemand;
 use crate::catalog::Catalog;
 use crate::catalog::CatalogBounds;
 use crate::catalog::ConfigSource;
@@ -39,10 +40,12 @@
 use crate::net::Listener;
 use crate::net::Protocol;
 use crate::peers::DirectPaths;
+use crate::peers::FleetLoads;
 use crate::peers::NodeDirectory;
 use crate::peers::NodeEntry;
 use crate::peers::OtherLoads;
 use crate::peers::OwnLoads;
+use crate::peers::OwnTeams;
 use crate::peers::PeerSettings;
 use crate::peers::Peers;
 use crate::quarantine::BreakWatch;
@@ -167,8 +170,9 @@
 
 /// Returns the callbacks that exchange loads with other nodes: one returns this node's requests in flight, the other
 /// applies those of the other nodes.
-fn load_callbacks(gateway: &Arc<Gateway>) -> (OwnLoads, OtherLoads) {
+fn load_callbacks(gateway: &Arc<Gateway>) -> (OwnLoads, OwnTeams, OtherLoads) {
     let own = Arc::clone(gateway);
+    let demand = Arc::clone(gateway);
     let shared = Arc::clone(gateway);
     (
         Arc::new(move || {
@@ -176,12 +180,14 @@
             own.rates.add_to_loads(&mut loads);
             loads
         }),
-        Arc::new(move |fleet| {
+        Arc::new(move || demand.team_demand.own_requests()),
+        Arc::new(move |fleet: FleetLoads| {
             let (servers, _) = shared.catalog.servers();
             shared.loads.track(&servers);
             shared.loads.record_remote(&fleet);
             shared.rates.record_remote(&fleet.others, &servers);
             shared.gate.update(BootInstant::now());
+            shared.team_demand.record_heavy(fleet.heavy);
         }),
     )
 }
@@ -395,6 +401,7 @@
         paths: Arc::new(ServerPaths::new(&sources.connector, logs)),
         loads,
         gate,
+        team_demand: TeamDemand::new(settings.host.has_team_shares),
         rates: ServerRates::default(),
         response_memory: ResponseMemory::default(),
         retry_budgets: Mutex::default(),
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -113,6 +113,7 @@
         let gate = &self.gateway.gate;
         let evacuated = catalog.evacuations().evacuated().len();
         metrics.record_gate(gate.cold_count(), gate.send_counts(), evacuated);
+        metrics.record_heavy_teams(&self.gateway.team_demand.all_heavy(now));
         let paths = &self.gateway.paths;
         metrics.record_paths(paths.blocked_count(), paths.tunnel_counts());
         metrics.render()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -38,6 +38,10 @@
     pub metrics_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Whether a full service rejects teams beyond a fair share first.
+    pub has_team_shares: bool,
+    /// Terms of service that the platform names, which its adapter translates; may be empty.
+    pub terms: Vec<String>,
     /// Whether the whole fleet starts for the first time, so that no gateway knows another.
     pub is_first_start: bool,
 }
@@ -136,6 +140,8 @@
             ready_address: section.required("ready_address", unset, ADDRESS),
             metrics_address: section.required("metrics_address", unset, ADDRESS),
             store_address: section.required("store_address", unset, ADDRESS),
+            has_team_shares: section.value_or("team_shares", false, "true or false"),
+            terms: split_names(&section.value_or("terms", String::new(), NAMES)),
             is_first_start: section.value_or("first_start", false, "true or false"),
         }
     }
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -43,6 +43,7 @@
         let now = BootInstant::now();
         let loads = shared.load_table.own_centre(now);
         let mut request = shared.sync_request(loads, &received);
+        request.teams = shared.team_table.own_centre(now);
         request.wants_catalog = shared.nodes.store_reader().as_deref() == Some(&node.name);
         if shared.backup_centre.as_deref() == Some(data_centre) {
             (request.streams, next_record) =
@@ -62,6 +63,10 @@
         if let Some(theirs) = theirs {
             let received_at = BootInstant::now();
             let loads = aged(&theirs.loads, received_at.since(now));
+            let teams = theirs.teams;
+            shared
+                .team_table
+                .record_centre(data_centre, teams, received_at);
             shared
                 .load_table
                 .record_centre(data_centre, loads, received_at);
--- a/src/peers/load_table.rs
+++ b/src/peers/load_table.rs
@@ -9,7 +9,7 @@
 
 /// Maximum age at which received loads are still counted: several sync intervals, so that a few lost requests do not
 /// drop a sender's loads.
-const MAX_LOAD_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_LOAD_AGE: Duration = Duration::from_millis(1_500);
 
 /// The last loads received from one sender.
 #[derive(Debug)]
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -147,6 +147,47 @@
     }
 }
 
+/// Requests of one team for one service in the last two seconds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(from = "(String, String, u32)", into = "(String, String, u32)")]
+pub struct TeamRequests {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the team.
+    pub team: String,
+    /// Number of requests, whether or not they were admitted.
+    pub requests: u32,
+}
+
+impl From<(String, String, u32)> for TeamRequests {
+    fn from((service, team, requests): (String, String, u32)) -> Self {
+        Self {
+            service,
+            team,
+            requests,
+        }
+    }
+}
+
+impl From<TeamRequests> for (String, String, u32) {
+    fn from(row: TeamRequests) -> Self {
+        (row.service, row.team, row.requests)
+    }
+}
+
+/// A team with more than a fair share of a service, as sent between gateways.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(super) struct SyncedHeavyTeam {
+    pub(super) service: String,
+    pub(super) team: String,
+    /// Its part of the service's requests, in thousandths.
+    pub(super) share_milli: u32,
+    /// Part down to which heavy teams are rejected first, in thousandths.
+    pub(super) floor_milli: u32,
+}
+
 /// Total load that all gateways of one data centre put on each backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -155,6 +196,9 @@
     pub(super) data_centre: String,
     /// Sorted by backend server name.
     pub(super) loads: Vec<LoadEntry>,
+    /// Requests of teams in the data centre, for a relay.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) teams: Vec<TeamRequests>,
 }
 
 /// Sync request that a gateway sends to another one a few times a second.
@@ -168,6 +212,9 @@
     /// Loads of the requesting node alone, or of its whole data centre if it is a relay that sends the request
     /// to the relay of another data centre.
     pub(super) loads: Vec<LoadEntry>,
+    /// Requests of teams at the same nodes; empty where shares of teams are not asked for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) teams: Vec<TeamRequests>,
     /// Whether the requesting node cannot read the store; it then gets the full catalog state from a node of any data
     /// centre.
     #[serde(default, rename = "is_cut_off")]
@@ -389,6 +436,9 @@
     /// thousandths, by the answers to all gateways. Sorted by name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) slow_servers: Vec<(String, u32)>,
+    /// Teams with more than a fair share of a service, sorted by service and team.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) heavy_teams: Vec<SyncedHeavyTeam>,
     /// Records about crashes of servers from the requested number on.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crash_records: Vec<CrashRecord>,
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -21,7 +21,9 @@
 use super::message::Stamp;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
+use super::message::SyncedHeavyTeam;
 use super::message::SyncedVersionHistory;
+use super::message::TeamRequests;
 use super::message::unpack;
 use super::node_list::NodeList;
 use super::pack_cache::PackCache;
@@ -31,6 +33,7 @@
 use super::streams::StreamDirectory;
 use super::streams::StreamTable;
 use super::sync;
+use super::team_table::TeamTable;
 use super::tunnel::DirectPaths;
 use super::tunnel_table::TunnelTable;
 use crate::catalog::Catalog;
@@ -41,9 +44,11 @@
 use crate::catalog::VERSION_MEMORY;
 use crate::catalog::apply_evacuations;
 use crate::clock::BootInstant;
+use crate::decide::HeavyTeam;
 use crate::decide::PaceKind;
 use crate::decide::PaceTable;
 use crate::decide::SlowServer;
+use crate::decide::heavy_teams;
 use crate::logs::Logs;
 use crate::quarantine::Quarantine;
 use bytes::Bytes;
@@ -106,6 +111,38 @@
     }
 }
 
+/// Callback that returns the requests of teams that this node has received lately.
+pub type OwnTeams = Arc<dyn Fn() -> Vec<TeamRequests> + Send + Sync>;
+
+/// Teams with more than a fair share of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceTeams {
+    /// Name of the service.
+    pub service: String,
+    /// Sorted by name.
+    pub teams: Vec<HeavyTeam>,
+}
+
+/// Groups heavy teams by service; `rows` are sorted by service and team.
+fn group_heavy_teams(rows: Vec<SyncedHeavyTeam>) -> Vec<ServiceTeams> {
+    let mut services: Vec<ServiceTeams> = Vec::new();
+    for row in rows {
+        let team = HeavyTeam {
+            team: row.team,
+            share: f64::from(row.share_milli) / 1_000.0,
+            floor: f64::from(row.floor_milli) / 1_000.0,
+        };
+        match services.last_mut() {
+            Some(last) if last.service == row.service => last.teams.push(team),
+            _ => services.push(ServiceTeams {
+                service: row.service,
+                teams: vec![team],
+            }),
+        }
+    }
+    services
+}
+
 /// Loads of backend servers beside those of this node.
 #[derive(Clone, Debug, Default)]
 pub struct FleetLoads {
@@ -114,6 +151,8 @@
     /// Servers that work slower than the others of their service, with the time that they take as a multiple of the others'
     /// time, sorted by name.
     pub slow: Vec<(String, f64)>,
+    /// Teams with more than a fair share of a service, sorted by service.
+    pub heavy: Vec<ServiceTeams>,
 }
 
 /// State shared by the tasks of [`Peers`].
@@ -121,6 +160,9 @@
     pub(super) own: NodeEntry,
     pub(super) catalog: Arc<Catalog>,
     pub(super) load_table: LoadTable,
+    pub(super) team_table: TeamTable,
+    /// Heavy teams as this node decided while it was the relay.
+    heavy_teams: Mutex<Vec<ServiceTeams>>,
     pub(super) streams: StreamTable,
     pub(super) tunnel_table: TunnelTable,
     /// Connects to backend servers for other gateways; unset until the gateway has started.
@@ -143,6 +185,7 @@
     /// What this node reads for others, for tasks outside of this module.
     pub(super) duties: Duties,
     pub(super) own_loads: OwnLoads,
+    pub(super) own_teams: OwnTeams,
     pub(super) other_loads: OtherLoads,
 }
 
@@ -223,6 +266,48 @@
         slow.map(|slow| (slow.id.clone(), slow.slowness)).collect()
     }
 
+    /// Decides anew which teams are heavy, from the requests at all nodes.
+    pub(super) fn update_heavy_teams(&self, now: BootInstant) {
+        let own = (self.own_teams)();
+        self.team_table.record_member(&self.own.name, own, now);
+        let all = self.team_table.all(now);
+        let services = all.chunk_by(|a, b| a.service == b.service);
+        let heavy = services.filter_map(|rows| {
+            let requests: Vec<(&str, u32)> = rows
+                .iter()
+                .map(|row| (row.team.as_str(), row.requests))
+                .collect();
+            let teams = heavy_teams(&requests);
+            let service = rows.first()?.service.clone();
+            (!teams.is_empty()).then_some(ServiceTeams { service, teams })
+        });
+        *lock(&self.heavy_teams) = heavy.collect();
+    }
+
+    /// Returns the heavy teams as this node has decided; none if it is not the relay.
+    pub(super) fn heavy_teams(&self) -> Vec<ServiceTeams> {
+        if self.duties.is_relay() {
+            lock(&self.heavy_teams).clone()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Returns the same as sent to other gateways.
+    pub(super) fn synced_heavy_teams(&self) -> Vec<SyncedHeavyTeam> {
+        let milli = |share: f64| (share * 1_000.0) as u32;
+        let services = self.heavy_teams().into_iter();
+        let rows = services.flat_map(|ServiceTeams { service, teams }| {
+            teams.into_iter().map(move |heavy| SyncedHeavyTeam {
+                service: service.clone(),
+                team: heavy.team,
+                share_milli: milli(heavy.share),
+                floor_milli: milli(heavy.floor),
+            })
+        });
+        rows.collect()
+    }
+
     /// Returns what this node does in its data centre.
     pub(super) fn role(&self) -> Role {
         lock(&self.role).clone()
@@ -274,6 +359,8 @@
             node: self.own.name.clone(),
             data_centre: self.own.data_centre.clone(),
             loads,
+            // The caller sets this if it tells what teams ask for.
+            teams: Vec::new(),
             // The caller sets this if it needs the full catalog state from a node of any data centre.
             is_disconnected: false,
             config_version: self
@@ -357,6 +444,7 @@
             slow: slow
                 .map(|(server, milli)| (server, f64::from(milli) / 1_000.0))
                 .collect(),
+            heavy: group_heavy_teams(response.heavy_teams),
         });
     }
 
@@ -482,7 +570,7 @@
         logs: &Logs,
         directory: Arc<dyn NodeDirectory>,
         duties: Duties,
-        loads: (OwnLoads, OtherLoads),
+        loads: (OwnLoads, OwnTeams, OtherLoads),
         quarantine: &Arc<Quarantine>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(settings.own.address).await?;
@@ -492,6 +580,8 @@
             own: settings.own,
             catalog: Arc::clone(catalog),
             load_table: LoadTable::default(),
+            team_table: TeamTable::default(),
+            heavy_teams: Mutex::default(),
             streams: StreamTable::default(),
             tunnel_table: TunnelTable::default(),
             direct_paths: OnceLock::new(),
@@ -506,7 +596,8 @@
             needs_evacuations: settings.needs_evacuations,
             duties,
             own_loads: loads.0,
-            other_loads: loads.1,
+            own_teams: loads.1,
+            other_loads: loads.2,
         });
         let mut tasks = vec![
             tokio::spawn(serve::accept(Arc::clone(&shared), listener)),
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -111,10 +111,16 @@
         shared
             .load_table
             .record_member(&request.node, request.loads, now);
+        shared
+            .team_table
+            .record_member(&request.node, request.teams, now);
     } else {
         shared
             .load_table
             .record_centre(&request.data_centre, request.loads, now);
+        shared
+            .team_table
+            .record_centre(&request.data_centre, request.teams, now);
     }
     if let Some(entry) = request.entry {
         shared.apply_entry(&request.node, entry, request.is_leaving);
@@ -164,7 +170,10 @@
         .flatten();
     let (centres, listed_loads) = if !is_member {
         (
-            vec![shared.centre_loads(shared.load_table.own_centre(now))],
+            vec![CentreLoads {
+                teams: shared.team_table.own_centre(now),
+                ..shared.centre_loads(shared.load_table.own_centre(now))
+            }],
             None,
         )
     } else if is_latest {
@@ -205,6 +214,7 @@
             .into_iter()
             .map(|(server, slowness)| (server, (slowness * 1_000.0) as u32))
             .collect(),
+        heavy_teams: shared.synced_heavy_teams(),
         version_history: version_history.flatten(),
         protocol: PROTOCOL,
         role: Some(shared.role()),
@@ -218,6 +228,7 @@
         CentreLoads {
             data_centre: self.own.data_centre.clone(),
             loads,
+            teams: Vec::new(),
         }
     }
 
--- a/src/peers/sync.rs
+++ b/src/peers/sync.rs
@@ -135,9 +135,11 @@
     shared.load_table.record_own(own.clone(), now);
     let all = shared.load_table.all(now);
     shared.update_paces(&all, now);
+    shared.update_heavy_teams(now);
     (shared.other_loads)(FleetLoads {
         others: subtract_own(all, &own),
         slow: shared.slow_servers(),
+        heavy: shared.heavy_teams(),
     });
 }
 
@@ -167,6 +169,7 @@
         let sent_at = BootInstant::now();
         let own = (shared.own_loads)();
         let mut request = shared.sync_request(own.clone(), &received);
+        request.teams = (shared.own_teams)();
         request.is_disconnected = asks_all_nodes;
         request.entry = (!shared.nodes.has_own()).then(|| shared.own.clone());
         let sources = [RecordSource::Own];
