--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod caller_retry;
+mod capacity;
 mod cold;
 mod crash;
 mod crash_blame;
@@ -30,6 +31,10 @@
 pub use admission::Admission;
 pub use caller_retry::CallerRetryDetector;
 pub use caller_retry::RetryAfter;
+pub use capacity::CapacityTable;
+pub use capacity::LOGGED_STEP;
+pub use capacity::ServerSample;
+pub use capacity::merge_slowness;
 pub use cold::ColdPolicy;
 pub use cold::LIST_SETTLING_TIME;
 pub use cold::RecentNodes;
@@ -62,6 +67,7 @@
 pub use pace::PaceTable;
 pub use pace::PaceWindow;
 pub use pace::SlowServer;
+pub use pace::SpeedWindow;
 pub use placement::Choice;
 pub use placement::EnginePlacement;
 pub use placement::Placement;
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::BootInstant;
 use crate::peers::ServerPace;
+use crate::peers::ServerSpeed;
 use std::time::Duration;
 
 /// Time over which answers are added up.
@@ -91,6 +92,25 @@
     }
 }
 
+/// What a server said of its speed to one gateway in the last two seconds, in hundredths of the usual time of work.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SpeedWindow(PaceWindow);
+
+impl SpeedWindow {
+    /// Records that work takes `percent` of its usual time.
+    pub fn record(&mut self, percent: u32, now: BootInstant) {
+        self.0.record(Duration::from_millis(percent.into()), now);
+    }
+
+    /// Returns what was said in the window; `None` if nothing was.
+    pub fn sum(&mut self, now: BootInstant) -> Option<ServerSpeed> {
+        self.0.sum(now).map(|sum| ServerSpeed {
+            reports: sum.answers,
+            percent: sum.took_ms,
+        })
+    }
+}
+
 /// A server that counts as slow.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlowServer {
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -4,8 +4,10 @@
 //! chosen by load alone, every engine would have to process every part; if by hash alone, the engine of the hot part
 //! would be overloaded. Each part therefore ranks the engines as its homes, independent of load. Only the first few
 //! homes are tried in this order: a request goes to the first of them that has a free slot and whose load is within a
-//! bound relative to the mean. If there is none, it goes to the least loaded engine that meets both conditions, or else
-//! to the least loaded one. Only engines that the request may be sent to are considered.
+//! bound relative to the mean. If there is none, it goes to one of the engines that meet both conditions, or else to one within
+//! the bound, at random in proportion to the room that the bound leaves there. If all gateways chose the least loaded engine, of
+//! which they know up to a second late, they would fill it together. Only engines that the request may be sent to are
+//! considered.
 //!
 //! An engine is a backend server that runs a model; a server is any backend server.
 
@@ -175,6 +177,15 @@
     }
 }
 
+/// First number of the random fractions that decide whether a home is passed over.
+const HOME_DRAWS: u8 = 16;
+
+/// Returns a random number from 0 to 1 derived from the request; different values of `number` give independent results.
+fn random_fraction(request: &PlacementRequest<'_>, number: u8) -> f64 {
+    let random = hash(&[&request.salt.to_le_bytes(), &[number]]);
+    f64::from((random >> 32) as u32) / f64::from(u32::MAX)
+}
+
 /// Chooses one of `indices` with a probability in proportion to its weight; `fraction` is a random number from 0 to
 /// 1.
 fn choose_weighted(
@@ -201,12 +212,7 @@
             let free = (CAPACITY_PER_SLOT - load_per_slot(index)).max(MIN_FREE_CAPACITY_PER_SLOT);
             free / servers[index].slowness.powi(2)
         };
-        // Returns a random number from 0 to 1 derived from the request; different values of `number` give independent
-        // results.
-        let fraction = |number: u8| {
-            let random = hash(&[&request.salt.to_le_bytes(), &[number]]);
-            f64::from((random >> 32) as u32) / f64::from(u32::MAX)
-        };
+        let fraction = |number: u8| random_fraction(request, number);
         let near: Vec<usize> = eligible
             .iter()
             .copied()
@@ -238,7 +244,10 @@
     pub bound_factor: f64,
     /// Number of requests above that multiple that are within the bound, as far as the engine has free slots.
     pub bound_extra: f64,
-    /// Number of homes of a part that are tried in their order, before the least loaded engine is chosen.
+    /// Multiple of the mean load which, together with half of `bound_extra`, is the load from which homes are passed over by some
+    /// requests.
+    pub soft_bound_factor: f64,
+    /// Number of homes of a part that are tried in their order, before any other engine is chosen.
     pub home_count: usize,
 }
 
@@ -249,6 +258,8 @@
             // margin below that limit for the requests that other nodes send between two exchanges of loads.
             bound_factor: 1.6,
             bound_extra: 2.0,
+            // A home at the mean load gets all requests of its parts.
+            soft_bound_factor: 1.1,
             home_count: 2,
         }
     }
@@ -354,17 +365,35 @@
             load < bound && load < f64::from(server.slots)
         };
         let homes = self.ranked_homes(Self::key(request), &eligible, servers);
+        // From `soft_bound` on a part of the requests passes a home over, the larger the nearer its load is to the bound: a home that
+        // all gateways leave, or return to, at the same load as they know it late is loaded far beyond the bound by turns.
+        let soft_bound = mean * self.soft_bound_factor + self.bound_extra / 2.0;
+        let is_preferred = |rank: usize, index: &usize| {
+            let load = servers[*index].load_by_pace();
+            let room = (bound - load) / (bound - soft_bound).max(f64::EPSILON);
+            has_room(index) && random_fraction(request, HOME_DRAWS + rank as u8) < room
+        };
         let preferred = homes
             .iter()
             .take(self.home_count)
             .copied()
-            .find(|index| has_room(index));
+            .enumerate()
+            .find(|(rank, index)| is_preferred(*rank, index))
+            .map(|(_, index)| index);
+        let room = |index: usize| (bound - servers[index].load_by_pace()).max(0.0);
         let by_load = |a: &usize, b: &usize| {
             let load = |index: &usize| servers[*index].load_by_pace();
             load(a).total_cmp(&load(b))
         };
+        // Where all slots are taken, those within the bound share what waits.
+        let with_slots: Vec<usize> = homes.iter().copied().filter(has_room).collect();
+        let within_bound = || homes.iter().copied().filter(|index| room(*index) > 0.0);
         let index = preferred
-            .or_else(|| homes.iter().copied().filter(has_room).min_by(by_load))
+            .or_else(|| choose_weighted(&with_slots, room, random_fraction(request, 0)))
+            .or_else(|| {
+                let within_bound: Vec<usize> = within_bound().collect();
+                choose_weighted(&within_bound, room, random_fraction(request, 0))
+            })
             .or_else(|| homes.iter().copied().min_by(by_load))?;
         let passed_over = homes.iter().position(|home| *home == index).unwrap_or(0);
         let draining_home = self.draining_home(Self::key(request), &homes, servers);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller_retry;
+mod capacity;
 mod cold;
 mod crash_blame;
 mod crash_burst;
--- a/src/decide/tests/placement.rs
+++ b/src/decide/tests/placement.rs
@@ -7,6 +7,7 @@
 use crate::decide::PlainPlacement;
 use crate::decide::PromptPart;
 use crate::decide::ServerView;
+use crate::decide::hash;
 
 const ENGINES: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 
@@ -35,6 +36,7 @@
     EnginePlacement {
         bound_factor: 1.6,
         bound_extra: 2.0,
+        soft_bound_factor: 1.1,
         home_count: 2,
     }
 }
@@ -371,3 +373,110 @@
     let count = chosen.count();
     assert!((10..=100).contains(&count), "{count} of 3000");
 }
+
+/// Engines of which a third has just been replaced, in front of which many gateways place requests by loads that they know late.
+struct StaleFleet {
+    names: Vec<String>,
+    loads: Vec<u32>,
+    /// Requests of each gateway at each engine.
+    own: Vec<Vec<u32>>,
+    /// Loads of all engines as they were at each step.
+    history: Vec<Vec<u32>>,
+    /// Ends of requests as steps, with gateway and engine.
+    ends: Vec<(usize, usize, usize)>,
+}
+
+const STALE_ENGINES: usize = 90;
+const STALE_GATEWAYS: usize = 35;
+/// A step is 10 ms: 10 requests arrive in it, and each takes 80 of them.
+const ARRIVALS: usize = 10;
+const RUN_STEPS: usize = 80;
+const STEPS: usize = 400;
+
+impl StaleFleet {
+    fn new() -> Self {
+        let mut fleet = Self {
+            names: (0..STALE_ENGINES)
+                .map(|number| format!("e-{number:02}"))
+                .collect(),
+            loads: vec![0; STALE_ENGINES],
+            own: vec![vec![0; STALE_ENGINES]; STALE_GATEWAYS],
+            history: Vec::new(),
+            ends: Vec::new(),
+        };
+        for number in 0..800 {
+            let engine = 30 + number % 60;
+            fleet.start(number % STALE_GATEWAYS, engine, number / ARRIVALS);
+        }
+        fleet
+    }
+
+    fn start(&mut self, gateway: usize, engine: usize, end: usize) {
+        self.loads[engine] += 1;
+        self.own[gateway][engine] += 1;
+        self.ends.push((end, gateway, engine));
+    }
+
+    fn end_requests(&mut self, step: usize) {
+        for (_, gateway, engine) in self.ends.extract_if(.., |(end, _, _)| *end <= step) {
+            self.loads[engine] -= 1;
+            self.own[gateway][engine] -= 1;
+        }
+    }
+
+    /// Returns the loads as `gateway` knows them: those of 25 to 100 steps ago, and its own of now.
+    fn views(&self, gateway: usize, step: usize) -> Vec<ServerView<'_>> {
+        let known_at = step.saturating_sub(25 + gateway % 4 * 25);
+        let known = &self.history[known_at];
+        let view = |engine: usize| {
+            let load = known[engine].max(self.own[gateway][engine]);
+            ServerView {
+                id: &self.names[engine],
+                is_near: false,
+                slots: 24,
+                load,
+                smoothed_load: f64::from(load),
+                is_suspended: false,
+                is_tried: false,
+                is_warming_up: false,
+                is_draining: false,
+                is_cold: false,
+                is_withheld: false,
+                slowness: 1.0,
+            }
+        };
+        (0..STALE_ENGINES).map(view).collect()
+    }
+}
+
+/// Guards against engines that all gateways see empty and fill at the same moment, beyond twice the mean load and three.
+#[test]
+fn replaced_engines_are_not_overloaded_by_gateways_that_know_their_loads_late() {
+    let mut fleet = StaleFleet::new();
+    let mut over = 0;
+    for step in 0..STEPS {
+        fleet.end_requests(step);
+        fleet.history.push(fleet.loads.clone());
+        for number in 0..ARRIVALS {
+            let request = step * ARRIVALS + number;
+            let gateway = request * 7 % STALE_GATEWAYS;
+            // Half of all requests are for a tenth of the parts.
+            let key = (request * 31 % if request % 2 == 0 { 30 } else { 300 }) as u64;
+            let parts = prompt(key, 10_000 + request as u64);
+            let choice = EnginePlacement::default().choose(
+                &PlacementRequest {
+                    parts: &parts,
+                    salt: hash(&[&request.to_le_bytes()]),
+                },
+                &fleet.views(gateway, step),
+            );
+            let engine = choice.unwrap().index;
+            let mean = fleet.loads.iter().sum::<u32>() as f64 / STALE_ENGINES as f64;
+            over += u32::from(f64::from(fleet.loads[engine]) > 2.0 * mean + 3.0);
+            fleet.start(gateway, engine, step + RUN_STEPS);
+        }
+    }
+
+    let share = f64::from(over) / (STEPS * ARRIVALS) as f64;
+    assert!(share <= 0.03, "{share} of the requests over the bound");
+}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -27,6 +27,9 @@
 /// bounds the time for a choice among many.
 const MAX_LIMITED_CHOICES: u32 = 8;
 
+/// Maximum slowness by a server's own word, so that a wrong one doesn't leave it without calls.
+const MAX_HINT: f64 = 4.0;
+
 /// The server that a request is sent to.
 pub(super) struct Target {
     pub(super) server: BackendServer,
@@ -66,11 +69,7 @@
         let (cold_left, has_evacuated) = (candidates.cold_left, candidates.has_evacuated);
         let server_views = candidates.views;
         let is_admitted = self.sends > 0 || self.is_admitted(&servers, &server_views);
-        let is_engine = self
-            .service
-            .as_ref()
-            .is_some_and(|service| service.engine.is_some());
-        let placement: &dyn Placement = if is_engine {
+        let placement: &dyn Placement = if self.is_engine() {
             &self.gateway.engines
         } else {
             &self.gateway.plain
@@ -241,6 +240,11 @@
             .accepts(&service_load, &admission_request)
     }
 
+    fn is_engine(&self) -> bool {
+        let service = self.service.as_ref();
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Returns what to log of the share of the caller's team in a full service; nothing if the team is not heavy.
     fn share_detail(&self) -> String {
         let demand = &self.gateway.team_demand;
@@ -260,6 +264,7 @@
         let now = BootInstant::now();
         let gate = &self.gateway.gate;
         let policy = gate.policy(self.service.as_ref());
+        let is_engine = self.is_engine();
         let evacuations = self.gateway.catalog.evacuations();
         let statuses = self.gateway.loads.statuses(servers, now);
         let mut candidates = Candidates {
@@ -286,7 +291,13 @@
                 is_draining: server.entry.is_draining || status.is_closed || is_evacuated,
                 is_cold: cold_left.is_some(),
                 is_withheld: false,
-                slowness: status.slowness,
+                // The hint of a moment is for calls as short as it lasts.
+                slowness: status
+                    .speed_hint
+                    .filter(|_| !is_engine)
+                    .map_or(status.slowness, |hint| {
+                        status.slowness.max(hint.min(MAX_HINT))
+                    }),
             });
         }
         if let Some(policy) = policy.filter(|_| candidates.cold_left.is_some()) {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -52,6 +52,8 @@
     pub waiting: u32,
     /// Maximum number of requests that run at the same time.
     pub slots: u32,
+    /// Time that work takes on its machine at the moment, in hundredths of the usual; `None` if it doesn't say.
+    pub work_time_percent: Option<u32>,
 }
 
 /// What a response says of the number of requests a second that its server takes from all gateways together.
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -7,6 +7,7 @@
 use crate::decide::HealthPolicy;
 use crate::decide::PaceWindow;
 use crate::decide::RunResult;
+use crate::decide::SpeedWindow;
 use crate::decide::Warmth;
 use crate::peers::FleetLoads;
 use crate::peers::LoadEntry;
@@ -30,6 +31,8 @@
 /// A server with requests in flight gets no new ones after this time without a byte from it. In the reference workload,
 /// this is twice the time of the longest prompt and nearly twice that of the longest plain call.
 const MAX_TIME_WITHOUT_ACTIVITY: Duration = Duration::from_millis(800);
+/// Time for which a server's word on its speed is used for the next choice: half of a disturbance of its machine.
+const SPEED_HINT_TIME: Duration = Duration::from_millis(300);
 /// Time for which a server warms up after it joined. Afterwards it is assumed to have cached the prompt parts that it
 /// is the home of, as most parts are requested several times within this time.
 const WARM_UP_TIME: Duration = Duration::from_secs(12);
@@ -60,6 +63,10 @@
     smoothed_load: f64,
     /// Answers to this node.
     pace: PaceWindow,
+    /// What the server said of its speed to this node.
+    speed: SpeedWindow,
+    /// Its last word, as a multiple of the usual time of work, and when it came.
+    last_speed: Option<(f64, BootInstant)>,
     /// Time that the server takes as a multiple of what the others of its service take, and when that was received; `None`
     /// if it is not slow.
     slowness: Option<(f64, BootInstant)>,
@@ -114,6 +121,8 @@
     pub(super) is_closed: bool,
     /// Time that the server takes as a multiple of what the others of its service take; 1 if it is not slow.
     pub(super) slowness: f64,
+    /// What the server has just said of the time that work takes, as a multiple of the usual; `None` if it has said nothing lately.
+    pub(super) speed_hint: Option<f64>,
     /// What is known of whether it is cold.
     pub(super) warmth: Warmth,
 }
@@ -127,6 +136,7 @@
             is_warming_up: false,
             is_closed: false,
             slowness: 1.0,
+            speed_hint: None,
             warmth: Warmth::default(),
         }
     }
@@ -206,9 +216,10 @@
             in_flight: state.own_in_flight,
             requests: None,
             pace: state.pace.sum(now),
+            speed: state.speed.sum(now),
         });
         loads
-            .filter(|load| load.in_flight > 0 || load.pace.is_some())
+            .filter(|load| load.in_flight > 0 || load.pace.is_some() || load.speed.is_some())
             .collect()
     }
 
@@ -301,6 +312,10 @@
                 .slowness
                 .filter(|(_, received_at)| now.since(*received_at) < MAX_REMOTE_AGE)
                 .map_or(1.0, |(slowness, _)| slowness),
+            speed_hint: self
+                .last_speed
+                .filter(|(_, at)| now.since(*at) < SPEED_HINT_TIME)
+                .map(|(speed, _)| speed),
             warmth: self.warmth,
         }
     }
@@ -382,6 +397,11 @@
     /// Records the load that the server reported with a response.
     pub(super) fn record_load(&self, load: ServerLoad) {
         self.update(|state| {
+            if let Some(percent) = load.work_time_percent {
+                let now = BootInstant::now();
+                state.speed.record(percent, now);
+                state.last_speed = Some((f64::from(percent) / 100.0, now));
+            }
             state.report = Some(LoadReport {
                 load: load.running + load.waiting,
                 own_at_report: state.own_in_flight,
--- a/src/gateway/server_rates.rs
+++ b/src/gateway/server_rates.rs
@@ -133,6 +133,7 @@
                         in_flight: 0,
                         requests: Some(requests),
                         pace: None,
+                        speed: None,
                     },
                 ),
             }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -177,6 +177,7 @@
             limit_age_ms,
         }),
         pace: None,
+        speed: None,
     }
 }
 
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -44,6 +44,41 @@
     /// Answers of the server; `None` if there were none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pace: Option<ServerPace>,
+    /// What the server said of its speed; `None` if it said nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<ServerSpeed>,
+}
+
+/// What a server said in the last two seconds of how long work takes on its machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
+pub struct ServerSpeed {
+    /// Number of answers that said something.
+    pub reports: u32,
+    /// Sum of what they said, each in hundredths of the usual time.
+    pub percent: u32,
+}
+
+impl ServerSpeed {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            reports: self.reports.saturating_add(other.reports),
+            percent: self.percent.saturating_add(other.percent),
+        }
+    }
+}
+
+impl From<(u32, u32)> for ServerSpeed {
+    fn from((reports, percent): (u32, u32)) -> Self {
+        Self { reports, percent }
+    }
+}
+
+impl From<ServerSpeed> for (u32, u32) {
+    fn from(speed: ServerSpeed) -> Self {
+        (speed.reports, speed.percent)
+    }
 }
 
 /// Answers of a server, or events of its streams, in the last two seconds.
@@ -136,6 +171,10 @@
             (Some(pace), Some(other)) => Some(pace.plus(other)),
             (pace, other) => pace.or(other),
         };
+        self.speed = match (self.speed, other.speed) {
+            (Some(speed), Some(other)) => Some(speed.plus(other)),
+            (speed, other) => speed.or(other),
+        };
     }
 
     /// Subtracts the load that one gateway has put on the same server.
@@ -307,6 +346,7 @@
                 in_flight,
                 requests: None,
                 pace: None,
+                speed: None,
             });
         let mut entries: Vec<LoadEntry> = listed.chain(self.others).collect();
         entries.sort_by(|a, b| a.server.cmp(&b.server));
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -34,6 +34,7 @@
 pub use message::LoadEntry;
 pub use message::ServerPace;
 pub use message::ServerRequests;
+pub use message::ServerSpeed;
 pub use message::TeamRequests;
 pub use node::FleetLoads;
 pub use node::NodeNames;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -44,11 +44,15 @@
 use crate::catalog::VERSION_MEMORY;
 use crate::catalog::apply_evacuations;
 use crate::clock::BootInstant;
+use crate::decide::CapacityTable;
 use crate::decide::HeavyTeam;
+use crate::decide::LOGGED_STEP;
 use crate::decide::PaceKind;
 use crate::decide::PaceTable;
+use crate::decide::ServerSample;
 use crate::decide::SlowServer;
 use crate::decide::heavy_teams;
+use crate::decide::merge_slowness;
 use crate::logs::Logs;
 use crate::quarantine::Quarantine;
 use bytes::Bytes;
@@ -178,6 +182,8 @@
     pub(super) packed_servers: PackCache,
     /// Decides while this node is the relay which servers are slow.
     paces: Mutex<PaceTable>,
+    /// Learns while this node is the relay what servers take well.
+    capacities: Mutex<CapacityTable>,
     /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
     pub(super) backup_centre: Option<String>,
     /// Whether a peer that says nothing of evacuations does not prove the configuration to be current.
@@ -209,10 +215,11 @@
     pub(super) fn update_paces(&self, all: &[LoadEntry], now: BootInstant) {
         let (servers, _) = self.catalog.listed();
         let configuration = self.catalog.configuration();
-        let pace_of = |id: &str| {
+        let load_of = |id: &str| {
             let index = all.binary_search_by(|load| load.server.as_str().cmp(id));
-            index.ok().and_then(|index| all[index].pace)
+            index.ok().map(|index| &all[index])
         };
+        let pace_of = |id: &str| load_of(id).and_then(|load| load.pace);
         let mut services: Vec<&str> = servers
             .iter()
             .map(|server| server.entry.service.as_str())
@@ -220,6 +227,8 @@
         services.sort_unstable();
         services.dedup();
         let mut paces = lock(&self.paces);
+        let mut capacities = lock(&self.capacities);
+        let uneven_before = capacities.uneven();
         let before = paces.slow().to_vec();
         for service in services {
             let is_engine = configuration
@@ -234,14 +243,24 @@
             let servers = servers
                 .iter()
                 .filter(|server| server.entry.service == service);
+            let samples = servers.clone().map(|server| ServerSample {
+                id: &server.id,
+                start_time_ms: server.entry.start_time_ms,
+                speed: load_of(&server.id).and_then(|load| load.speed),
+                answers: pace_of(&server.id).filter(|_| !is_engine),
+            });
+            capacities.update(&samples.collect::<Vec<_>>(), now);
             let service: Vec<_> = servers
                 .map(|server| (server.id.as_str(), pace_of(&server.id)))
                 .collect();
             paces.update(kind, &service, now);
         }
         paces.expire(now);
+        capacities.expire(now);
+        let uneven = capacities.uneven();
         let after = paces.slow().to_vec();
-        drop(paces);
+        drop((paces, capacities));
+        self.log_capacities(&uneven_before, &uneven);
         self.log_slow_servers(&before, &after);
     }
 
@@ -255,6 +274,24 @@
         }
     }
 
+    /// Logs the servers whose capacity has changed by a step.
+    fn log_capacities(&self, before: &[(String, f64)], after: &[(String, f64)]) {
+        let slowness_in = |list: &[(String, f64)], id: &str| {
+            let index = list.binary_search_by(|(known, _)| known.as_str().cmp(id));
+            index.map_or(1.0, |index| list[index].1)
+        };
+        for (id, slowness) in after {
+            let known = slowness_in(before, id);
+            if (slowness / known - 1.0).abs() >= LOGGED_STEP {
+                info!(self.logs.log(), "server takes less"; "server" => id, "slowness" => slowness, "before" => known);
+            }
+        }
+        let has_recovered = |id: &str| (slowness_in(after, id) - 1.0).abs() < f64::EPSILON;
+        for (id, known) in before.iter().filter(|(id, _)| has_recovered(id)) {
+            info!(self.logs.log(), "server takes its slots again"; "server" => id, "before" => known);
+        }
+    }
+
     /// Returns the servers that are slow as this node has decided, sorted by name; none if it is not the relay, since what it
     /// decided as such grows old.
     pub(super) fn slow_servers(&self) -> Vec<(String, f64)> {
@@ -263,7 +300,8 @@
         }
         let paces = lock(&self.paces);
         let slow = paces.slow().iter();
-        slow.map(|slow| (slow.id.clone(), slow.slowness)).collect()
+        let slow = slow.map(|slow| (slow.id.clone(), slow.slowness)).collect();
+        merge_slowness(slow, lock(&self.capacities).uneven())
     }
 
     /// Decides anew which teams are heavy, from the requests at all nodes.
@@ -592,6 +630,7 @@
             packed_configuration: PackCache::default(),
             packed_servers: PackCache::default(),
             paces: Mutex::default(),
+            capacities: Mutex::default(),
             backup_centre,
             needs_evacuations: settings.needs_evacuations,
             duties,
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -31,6 +31,7 @@
         in_flight,
         requests: None,
         pace: None,
+        speed: None,
     }
 }
 
