--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -4,8 +4,8 @@
 //! chosen by load alone, every engine would have to process every part; if by hash alone, the engine of the hot part
 //! would be overloaded. Each part therefore ranks the engines as its homes, independent of load. Only the first few
 //! homes are tried in this order: a request goes to the first of them that has a free slot and whose load is within a
-//! bound relative to the mean. If there is none, it goes to one of the engines that meet both conditions, or else to one within
-//! the bound, at random in proportion to the room that the bound leaves there. If all gateways chose the least loaded engine, of
+//! bound relative to the mean. If there is none, it goes to the least loaded engine that meets both conditions or, while the
+//! engines fill, to one of these or else to one within the bound, at random in proportion to the room that the bound leaves. If all gateways chose the least loaded engine, of
 //! which they know up to a second late, they would fill it together. Only engines that the request may be sent to are
 //! considered.
 //!
@@ -247,6 +247,8 @@
     /// Multiple of the mean load which, together with half of `bound_extra`, is the load from which homes are passed over by some
     /// requests.
     pub soft_bound_factor: f64,
+    /// Load of all engines as a multiple of their slots from which they count as filling.
+    pub filling_from: f64,
     /// Number of homes of a part that are tried in their order, before any other engine is chosen.
     pub home_count: usize,
 }
@@ -258,8 +260,10 @@
             // margin below that limit for the requests that other nodes send between two exchanges of loads.
             bound_factor: 1.6,
             bound_extra: 2.0,
-            // A home at the mean load gets all requests of its parts.
-            soft_bound_factor: 1.1,
+            // A home at about the mean load gets all requests of its parts.
+            soft_bound_factor: 1.2,
+            // Below that the requests of a second don't fill an engine, and equal choices keep prompt parts at few engines.
+            filling_from: 0.25,
             home_count: 2,
         }
     }
@@ -365,13 +369,17 @@
             load < bound && load < f64::from(server.slots)
         };
         let homes = self.ranked_homes(Self::key(request), &eligible, servers);
-        // From `soft_bound` on a part of the requests passes a home over, the larger the nearer its load is to the bound: a home that
-        // all gateways leave, or return to, at the same load as they know it late is loaded far beyond the bound by turns.
+        let slots: u32 = eligible.iter().map(|&index| servers[index].slots).sum();
+        let is_filling = f64::from(total) >= f64::from(slots) * self.filling_from;
+        // While engines fill, a part of the requests passes a home over from `soft_bound` on, the larger the nearer its load is to the
+        // bound: a home that all gateways leave, or return to, at the same load as they know it late is loaded far beyond the bound
+        // by turns.
         let soft_bound = mean * self.soft_bound_factor + self.bound_extra / 2.0;
         let is_preferred = |rank: usize, index: &usize| {
             let load = servers[*index].load_by_pace();
             let room = (bound - load) / (bound - soft_bound).max(f64::EPSILON);
-            has_room(index) && random_fraction(request, HOME_DRAWS + rank as u8) < room
+            has_room(index)
+                && (!is_filling || random_fraction(request, HOME_DRAWS + rank as u8) < room)
         };
         let preferred = homes
             .iter()
@@ -389,7 +397,13 @@
         let with_slots: Vec<usize> = homes.iter().copied().filter(has_room).collect();
         let within_bound = || homes.iter().copied().filter(|index| room(*index) > 0.0);
         let index = preferred
-            .or_else(|| choose_weighted(&with_slots, room, random_fraction(request, 0)))
+            .or_else(|| {
+                if is_filling {
+                    choose_weighted(&with_slots, room, random_fraction(request, 0))
+                } else {
+                    with_slots.iter().copied().min_by(by_load)
+                }
+            })
             .or_else(|| {
                 let within_bound: Vec<usize> = within_bound().collect();
                 choose_weighted(&within_bound, room, random_fraction(request, 0))
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -10,6 +10,7 @@
 use super::handler::Gateway;
 use super::loads::InFlightGuard;
 use super::progress::Progress;
+use super::response_memory::HeldResponse;
 use super::send_gate::SendPermit;
 use super::server_stream::ServerStream;
 use super::server_stream::StreamItem;
@@ -17,7 +18,6 @@
 use crate::clock::BootInstant;
 use crate::decide::ColdPolicy;
 use crate::decide::RunResult;
-use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::http::response;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
 /// A response that was read to its end.
 pub(super) struct WholeResponse {
     pub(super) head: response::Parts,
-    pub(super) body: Bytes,
+    pub(super) body: HeldResponse,
 }
 
 /// How one send ended.
@@ -121,7 +121,7 @@
         self.progress.record_bytes();
         let rate_limit = response.rate_limit;
         if self.is_stream && response.head.status.is_success() {
-            let stream = ServerStream::new(response, &self.progress);
+            let stream = ServerStream::new(response, &self.progress, self.deadline, &gateway.logs);
             let stream = Box::new(stream);
             next_events(
                 gateway,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use crate::clock::BootInstant;
 use crate::decide::RetryAfter;
 use crate::net::Body;
-use crate::net::full_body;
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::HOST;
@@ -208,7 +208,7 @@
             "answered"
         };
         self.report.record_end(head.status, outcome, "");
-        Response::from_parts(head, full_body(body))
+        Response::from_parts(head, body.map_err(|never| match never {}).boxed_unsync())
     }
 
     /// Records the time from the send whose answer is passed on until now; called when the response is complete.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -8,6 +8,7 @@
 use super::headers::keep_alive_timeout;
 use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
+use crate::logs::Logs;
 use crate::net::Body;
 use crate::net::Connector;
 use crate::net::TcpConnector;
@@ -15,10 +16,13 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use slog::info;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use tokio::task::AbortHandle;
@@ -26,6 +30,9 @@
 /// Time for which sent bytes may stay unacknowledged before the connection counts as dead. It exceeds the time that callers
 /// wait for the next event of a stream, since a sound host may be silent for a second or two.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after the deadline of a stream at which it is closed if nobody reads it. It begins when this process takes note of the
+/// deadline, so that what has arrived during a pause of the process is still passed on.
+const UNREAD_MARGIN: Duration = Duration::from_millis(250);
 /// Time before the announced idle timeout at which a connection is closed here, so that no request is sent while the
 /// server closes it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
@@ -46,6 +53,25 @@
     }
 }
 
+/// Closes a connection at a certain time, unless it is dropped before.
+pub(super) struct ConnectionEnd {
+    timer: AbortHandle,
+    has_come: Arc<AtomicBool>,
+}
+
+impl ConnectionEnd {
+    /// Returns whether the time has come and the connection was closed.
+    pub(super) fn has_come(&self) -> bool {
+        self.has_come.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for ConnectionEnd {
+    fn drop(&mut self) {
+        self.timer.abort();
+    }
+}
+
 /// A connection in use for one request; dropping it closes the connection, which stops the work at the server.
 pub(super) struct Lease {
     sender: SendRequest<Body>,
@@ -217,6 +243,25 @@
 }
 
 impl Lease {
+    /// Has the connection closed soon after `deadline`, whether or not anybody reads from it then.
+    pub(super) fn close_after(&self, deadline: tokio::time::Instant, logs: &Logs) -> ConnectionEnd {
+        let has_come = Arc::new(AtomicBool::new(false));
+        let task = self.task.0.clone();
+        let (has_ended, logs, server) =
+            (Arc::clone(&has_come), logs.clone(), self.server_id.clone());
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep_until(deadline).await;
+            tokio::time::sleep(UNREAD_MARGIN).await;
+            has_ended.store(true, Ordering::Relaxed);
+            info!(logs.log(), "stream closed that its caller did not read"; "server" => server);
+            task.abort();
+        });
+        ConnectionEnd {
+            timer: timer.abort_handle(),
+            has_come,
+        }
+    }
+
     /// Returns the sending half of the connection.
     pub(super) fn sender(&mut self) -> &mut SendRequest<Body> {
         &mut self.sender
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -4,9 +4,11 @@
 use super::events::EventSplitter;
 use super::events::Events;
 use super::loads::InFlightGuard;
+use super::pool::ConnectionEnd;
 use super::pool::Lease;
 use super::progress::Progress;
 use crate::decide::RunResult;
+use crate::logs::Logs;
 use crate::net::timeout_at;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -24,6 +26,8 @@
     pub(super) headers: HeaderMap,
     body: Incoming,
     lease: Lease,
+    /// Ends the stream if nobody reads it at its deadline.
+    end: ConnectionEnd,
     guard: Arc<InFlightGuard>,
     progress: Arc<Progress>,
     splitter: EventSplitter,
@@ -47,7 +51,13 @@
 }
 
 impl ServerStream {
-    pub(super) fn new(response: ServerResponse, progress: &Arc<Progress>) -> Self {
+    /// Returns the stream of `response`, which ends at `deadline` also if nobody reads it.
+    pub(super) fn new(
+        response: ServerResponse,
+        progress: &Arc<Progress>,
+        deadline: Instant,
+        logs: &Logs,
+    ) -> Self {
         let headers = &response.head.headers;
         let is_unframed =
             !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
@@ -57,6 +67,7 @@
             has_events: false,
             body: response.body,
             headers: response.head.headers,
+            end: response.lease.close_after(deadline, logs),
             lease: response.lease,
             guard: response.guard,
             progress: Arc::clone(progress),
@@ -91,6 +102,7 @@
                     return StreamItem::Broken("ended before the first event".to_owned());
                 }
                 None => return StreamItem::End,
+                Some(Err(_)) if self.end.has_come() => return StreamItem::DeadlineExceeded,
                 Some(Err(err)) => return StreamItem::Broken(err.to_string()),
                 Some(Ok(frame)) => {
                     self.guard.record_activity();
