--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -5,6 +5,7 @@
 //! idle. No gateway of a large fleet sees enough of a server, so the gateways add up what they see. Slow servers still get
 //! requests, in proportion to what they take well, and these tell when they recover. See `docs/design/UNEVEN-SERVERS.md`.
 
+use super::pace::PaceKind;
 use crate::clock::BootInstant;
 use crate::peers::ServerPace;
 use crate::peers::ServerSpeed;
@@ -16,10 +17,27 @@
 const MIN_ANSWERS: u32 = 5;
 /// Multiple of the reference up to which answers count as quick: a short queue is no sign of a slow server.
 const ANSWER_TOLERANCE: f64 = 1.5;
-/// Slowness from which a server counts as uneven, and below which it counts as equal again: beyond what disturbances of 600 ms, a
-/// seventh of the time, make of the mean of two seconds.
-const UNEVEN_FROM: f64 = 1.25;
-const EQUAL_BELOW: f64 = 1.12;
+/// What a server said before it has said anything: work takes its usual time. One word may fall into a disturbance.
+const USUAL_PERCENT: f64 = 100.0;
+impl PaceKind {
+    /// Returns the slowness from which a server counts as uneven. Calls may go to any server, but requests of an engine that counts as
+    /// slower find their prompt parts elsewhere, so it has to be slower than disturbances of 600 ms make it.
+    fn uneven_from(self) -> f64 {
+        match self {
+            Self::Answers => 1.25,
+            Self::Events => 1.6,
+        }
+    }
+
+    /// Returns the slowness below which a server counts as equal again.
+    fn equal_below(self) -> f64 {
+        match self {
+            Self::Answers => 1.12,
+            Self::Events => 1.35,
+        }
+    }
+}
+
 /// Maximum slowness, so that each server still gets requests that tell when it recovers.
 const MAX_SLOWNESS: f64 = 6.0;
 /// Weight of a new mean, at four updates a second: with the two seconds that it covers a change is followed within three seconds,
@@ -66,7 +84,7 @@
 
 impl CapacityTable {
     /// Learns from what is known of the servers of one service.
-    pub fn update(&mut self, service: &[ServerSample<'_>], now: BootInstant) {
+    pub fn update(&mut self, kind: PaceKind, service: &[ServerSample<'_>], now: BootInstant) {
         for server in service {
             self.record(server, now);
         }
@@ -86,14 +104,18 @@
         let answers = indices.iter().map(|&index| self.servers[index].answer_ms);
         let answer_reference = reference(answers);
         for index in indices {
-            self.servers[index].judge(speed_reference, answer_reference);
+            self.servers[index].judge(kind, speed_reference, answer_reference);
         }
     }
 
     /// Adds a sample to the means of its server.
     fn record(&mut self, server: &ServerSample<'_>, now: BootInstant) {
         let (speed, answer_ms) = (mean_speed(server.speed), mean_answer_ms(server.answers));
-        if speed.is_none() && answer_ms.is_none() {
+        let index = self
+            .servers
+            .binary_search_by(|known| known.id.as_str().cmp(server.id));
+        // Servers that say nothing of their speed are left alone.
+        if speed.is_none() && (answer_ms.is_none() || index.is_err()) {
             return;
         }
         let found = self
@@ -109,7 +131,7 @@
                 let new = LearntServer {
                     id: server.id.to_owned(),
                     start_time_ms: server.start_time_ms,
-                    speed: None,
+                    speed: Some(USUAL_PERCENT),
                     answer_ms: None,
                     slowness: 1.0,
                     is_uneven: false,
@@ -142,7 +164,7 @@
 
 impl LearntServer {
     /// Decides anew how slow the server is.
-    fn judge(&mut self, speed_reference: f64, answer_reference: Option<f64>) {
+    fn judge(&mut self, kind: PaceKind, speed_reference: f64, answer_reference: Option<f64>) {
         let by_speed = self.speed.map(|speed| speed / speed_reference);
         let by_answers = self
             .answer_ms
@@ -151,9 +173,9 @@
         let slowness = by_speed.unwrap_or(1.0).max(by_answers.unwrap_or(1.0));
         self.slowness = slowness.clamp(1.0, MAX_SLOWNESS);
         let limit = if self.is_uneven {
-            EQUAL_BELOW
+            kind.equal_below()
         } else {
-            UNEVEN_FROM
+            kind.uneven_from()
         };
         self.is_uneven = self.slowness >= limit;
     }
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -249,7 +249,8 @@
                 speed: load_of(&server.id).and_then(|load| load.speed),
                 answers: pace_of(&server.id).filter(|_| !is_engine),
             });
-            capacities.update(&samples.collect::<Vec<_>>(), now);
+            let samples: Vec<ServerSample<'_>> = samples.collect();
+            capacities.update(kind, &samples, now);
             let service: Vec<_> = servers
                 .map(|server| (server.id.as_str(), pace_of(&server.id)))
                 .collect();
