--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -263,7 +263,7 @@
             // A home at about the mean load gets all requests of its parts.
             soft_bound_factor: 1.2,
             // Below that the requests of a second don't fill an engine, and equal choices keep prompt parts at few engines.
-            filling_from: 0.25,
+            filling_from: 0.33,
             home_count: 2,
         }
     }
