--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission_stats;
 mod attempt;
+mod candidates;
 mod choice;
 mod crash_guard;
 mod delivery;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -9,6 +9,8 @@
 use super::directory_sync;
 use super::directory_sync::DIRECTORY_TIMEOUT;
 use super::exchange;
+use super::heavy_teams::ServiceTeams;
+use super::heavy_teams::group_heavy_teams;
 use super::link::Link;
 use super::load_table::LoadTable;
 use super::load_table::aged;
@@ -21,7 +23,6 @@
 use super::message::Stamp;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
-use super::message::SyncedHeavyTeam;
 use super::message::SyncedVersionHistory;
 use super::message::TeamRequests;
 use super::message::unpack;
@@ -45,13 +46,11 @@
 use crate::catalog::apply_evacuations;
 use crate::clock::BootInstant;
 use crate::decide::CapacityTable;
-use crate::decide::HeavyTeam;
 use crate::decide::LOGGED_STEP;
 use crate::decide::PaceKind;
 use crate::decide::PaceTable;
 use crate::decide::ServerSample;
 use crate::decide::SlowServer;
-use crate::decide::heavy_teams;
 use crate::decide::merge_slowness;
 use crate::logs::Logs;
 use crate::quarantine::Quarantine;
@@ -118,35 +117,6 @@
 /// Callback that returns the requests of teams that this node has received lately.
 pub type OwnTeams = Arc<dyn Fn() -> Vec<TeamRequests> + Send + Sync>;
 
-/// Teams with more than a fair share of a service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServiceTeams {
-    /// Name of the service.
-    pub service: String,
-    /// Sorted by name.
-    pub teams: Vec<HeavyTeam>,
-}
-
-/// Groups heavy teams by service; `rows` are sorted by service and team.
-fn group_heavy_teams(rows: Vec<SyncedHeavyTeam>) -> Vec<ServiceTeams> {
-    let mut services: Vec<ServiceTeams> = Vec::new();
-    for row in rows {
-        let team = HeavyTeam {
-            team: row.team,
-            share: f64::from(row.share_milli) / 1_000.0,
-            floor: f64::from(row.floor_milli) / 1_000.0,
-        };
-        match services.last_mut() {
-            Some(last) if last.service == row.service => last.teams.push(team),
-            _ => services.push(ServiceTeams {
-                service: row.service,
-                teams: vec![team],
-            }),
-        }
-    }
-    services
-}
-
 /// Loads of backend servers beside those of this node.
 #[derive(Clone, Debug, Default)]
 pub struct FleetLoads {
@@ -166,7 +136,7 @@
     pub(super) load_table: LoadTable,
     pub(super) team_table: TeamTable,
     /// Heavy teams as this node decided while it was the relay.
-    heavy_teams: Mutex<Vec<ServiceTeams>>,
+    pub(super) heavy_teams: Mutex<Vec<ServiceTeams>>,
     pub(super) streams: StreamTable,
     pub(super) tunnel_table: TunnelTable,
     /// Connects to backend servers for other gateways; unset until the gateway has started.
@@ -305,48 +275,6 @@
         merge_slowness(slow, lock(&self.capacities).uneven())
     }
 
-    /// Decides anew which teams are heavy, from the requests at all nodes.
-    pub(super) fn update_heavy_teams(&self, now: BootInstant) {
-        let own = (self.own_teams)();
-        self.team_table.record_member(&self.own.name, own, now);
-        let all = self.team_table.all(now);
-        let services = all.chunk_by(|a, b| a.service == b.service);
-        let heavy = services.filter_map(|rows| {
-            let requests: Vec<(&str, u32)> = rows
-                .iter()
-                .map(|row| (row.team.as_str(), row.requests))
-                .collect();
-            let teams = heavy_teams(&requests);
-            let service = rows.first()?.service.clone();
-            (!teams.is_empty()).then_some(ServiceTeams { service, teams })
-        });
-        *lock(&self.heavy_teams) = heavy.collect();
-    }
-
-    /// Returns the heavy teams as this node has decided; none if it is not the relay.
-    pub(super) fn heavy_teams(&self) -> Vec<ServiceTeams> {
-        if self.duties.is_relay() {
-            lock(&self.heavy_teams).clone()
-        } else {
-            Vec::new()
-        }
-    }
-
-    /// Returns the same as sent to other gateways.
-    pub(super) fn synced_heavy_teams(&self) -> Vec<SyncedHeavyTeam> {
-        let milli = |share: f64| (share * 1_000.0) as u32;
-        let services = self.heavy_teams().into_iter();
-        let rows = services.flat_map(|ServiceTeams { service, teams }| {
-            teams.into_iter().map(move |heavy| SyncedHeavyTeam {
-                service: service.clone(),
-                team: heavy.team,
-                share_milli: milli(heavy.share),
-                floor_milli: milli(heavy.floor),
-            })
-        });
-        rows.collect()
-    }
-
     /// Returns what this node does in its data centre.
     pub(super) fn role(&self) -> Role {
         lock(&self.role).clone()
@@ -554,7 +482,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
