--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -4,10 +4,10 @@
 //! chosen by load alone, every engine would have to process every part; if by hash alone, the engine of the hot part
 //! would be overloaded. Each part therefore ranks the engines as its homes, independent of load. Only the first few
 //! homes are tried in this order: a request goes to the first of them that has a free slot and whose load is within a
-//! bound relative to the mean. If there is none, it goes to the least loaded engine that meets both conditions or, while the
-//! engines fill, to one of these or else to one within the bound, at random in proportion to the room that the bound leaves. If all gateways chose the least loaded engine, of
-//! which they know up to a second late, they would fill it together. Only engines that the request may be sent to are
-//! considered.
+//! bound relative to the mean. If there is none, it goes to the least loaded engine that meets both conditions. While the engines
+//! fill, it goes to one of these, or else to one within the bound, at random in proportion to the room that the bound leaves: if
+//! all gateways chose the least loaded engine, of which they know up to a second late, they would fill it together. Only
+//! engines that the request may be sent to are considered.
 //!
 //! An engine is a backend server that runs a model; a server is any backend server.
 
--- a/src/decide/tests/placement.rs
+++ b/src/decide/tests/placement.rs
@@ -11,24 +11,28 @@
 
 const ENGINES: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
 
+fn view(id: &str, slots: u32, load: u32) -> ServerView<'_> {
+    ServerView {
+        id,
+        is_near: false,
+        slots,
+        load,
+        smoothed_load: f64::from(load),
+        is_suspended: false,
+        is_tried: false,
+        is_warming_up: false,
+        is_draining: false,
+        is_cold: false,
+        is_withheld: false,
+        slowness: 1.0,
+    }
+}
+
 fn engines(loads: &[u32; 9]) -> Vec<ServerView<'static>> {
     ENGINES
         .iter()
         .zip(loads)
-        .map(|(id, load)| ServerView {
-            id,
-            is_near: false,
-            slots: 64,
-            load: *load,
-            smoothed_load: f64::from(*load),
-            is_suspended: false,
-            is_tried: false,
-            is_warming_up: false,
-            is_draining: false,
-            is_cold: false,
-            is_withheld: false,
-            slowness: 1.0,
-        })
+        .map(|(id, load)| view(id, 64, *load))
         .collect()
 }
 
@@ -429,24 +433,11 @@
     fn views(&self, gateway: usize, step: usize) -> Vec<ServerView<'_>> {
         let known_at = step.saturating_sub(25 + gateway % 4 * 25);
         let known = &self.history[known_at];
-        let view = |engine: usize| {
+        let view_of = |engine: usize| {
             let load = known[engine].max(self.own[gateway][engine]);
-            ServerView {
-                id: &self.names[engine],
-                is_near: false,
-                slots: 24,
-                load,
-                smoothed_load: f64::from(load),
-                is_suspended: false,
-                is_tried: false,
-                is_warming_up: false,
-                is_draining: false,
-                is_cold: false,
-                is_withheld: false,
-                slowness: 1.0,
-            }
+            view(&self.names[engine], 24, load)
         };
-        (0..STALE_ENGINES).map(view).collect()
+        (0..STALE_ENGINES).map(view_of).collect()
     }
 }
 
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -167,23 +167,20 @@
     /// sent this one yet, and whether one of these is known to respond. If there is none, the request is not retried,
     /// and the caller gets the result of the earlier sends.
     pub(super) fn untried_servers(&self) -> (bool, bool) {
-        let now = BootInstant::now();
         let nodes = self.gateway.node_count();
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
-        let statuses = self.gateway.loads.statuses(&servers, now);
-        let candidates = self.candidates(&servers);
-        let statuses = statuses.into_iter().zip(candidates.views);
-        let untried = servers.iter().zip(statuses).filter(|(server, (_, view))| {
+        let views = self.candidates(&servers).views;
+        let untried = servers.iter().zip(views).filter(|(server, view)| {
             !view.is_draining
                 && !view.is_withheld
-                && !self.is_tried(server)
+                && !view.is_tried
                 && self.has_stream_version(server)
                 && !self.gateway.rates.is_exhausted(server, nodes)
         });
         let (mut has_untried, mut has_responsive) = (false, false);
-        for (_, (status, _)) in untried {
+        for (_, view) in untried {
             has_untried = true;
-            has_responsive |= !status.is_suspended;
+            has_responsive |= !view.is_suspended;
         }
         (has_untried, has_responsive)
     }
