--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -19,6 +19,7 @@
 const ANSWER_TOLERANCE: f64 = 1.5;
 /// What a server said before it has said anything: work takes its usual time. One word may fall into a disturbance.
 const USUAL_PERCENT: f64 = 100.0;
+
 impl PaceKind {
     /// Returns the slowness from which a server counts as uneven. Calls may go to any server, but requests of an engine that counts as
     /// slower find their prompt parts elsewhere, so it has to be slower than disturbances of 600 ms make it.
@@ -46,7 +47,7 @@
 /// Time after which a server of which nothing is known any more counts as equal.
 const MEMORY: Duration = Duration::from_secs(6);
 /// Relative change from which a server's capacity is worth a log line.
-pub const LOGGED_STEP: f64 = 0.25;
+const LOGGED_STEP: f64 = 0.25;
 
 /// What all gateways together know of one server.
 #[derive(Clone, Copy, Debug)]
@@ -72,9 +73,23 @@
     /// Time that its work takes, as a multiple of the reference.
     slowness: f64,
     is_uneven: bool,
+    /// Slowness of the last step that was told.
+    told: f64,
+    /// When the server last said something of its speed.
     confirmed_at: BootInstant,
 }
 
+/// A change of what a server takes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CapacityStep {
+    /// Name of the server.
+    pub id: String,
+    /// Slowness before; 1 for a server that took its slots.
+    pub before: f64,
+    /// Slowness now; 1 for a server that takes its slots again.
+    pub slowness: f64,
+}
+
 /// The learnt speeds of servers.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityTable {
@@ -111,16 +126,13 @@
     /// Adds a sample to the means of its server.
     fn record(&mut self, server: &ServerSample<'_>, now: BootInstant) {
         let (speed, answer_ms) = (mean_speed(server.speed), mean_answer_ms(server.answers));
-        let index = self
+        let found = self
             .servers
             .binary_search_by(|known| known.id.as_str().cmp(server.id));
         // Servers that say nothing of their speed are left alone.
-        if speed.is_none() && (answer_ms.is_none() || index.is_err()) {
+        if speed.is_none() && (answer_ms.is_none() || found.is_err()) {
             return;
         }
-        let found = self
-            .servers
-            .binary_search_by(|known| known.id.as_str().cmp(server.id));
         let index = match found {
             Ok(index) if self.servers[index].start_time_ms == server.start_time_ms => index,
             found => {
@@ -135,6 +147,7 @@
                     answer_ms: None,
                     slowness: 1.0,
                     is_uneven: false,
+                    told: 1.0,
                     confirmed_at: now,
                 };
                 self.servers.insert(index, new);
@@ -144,7 +157,25 @@
         let known = &mut self.servers[index];
         known.speed = smoothed(known.speed, speed);
         known.answer_ms = smoothed(known.answer_ms, answer_ms);
-        known.confirmed_at = now;
+        if speed.is_some() {
+            known.confirmed_at = now;
+        }
+    }
+
+    /// Returns the servers whose slowness has changed by [`LOGGED_STEP`] since they were last returned, or whose slots count in
+    /// full again.
+    pub fn take_steps(&mut self) -> Vec<CapacityStep> {
+        let steps = self.servers.iter_mut().filter_map(|known| {
+            let slowness = if known.is_uneven { known.slowness } else { 1.0 };
+            let is_equal_again = !known.is_uneven && known.told > 1.0;
+            let is_step = (slowness / known.told - 1.0).abs() >= LOGGED_STEP || is_equal_again;
+            is_step.then(|| CapacityStep {
+                id: known.id.clone(),
+                before: std::mem::replace(&mut known.told, slowness),
+                slowness,
+            })
+        });
+        steps.collect()
     }
 
     /// Forgets the servers of which nothing has been known for some time.
--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -23,6 +23,10 @@
 /// of the list is known to all gateways after one read of the directory by the relays, every 6 s, and a few sync requests.
 pub const LIST_SETTLING_TIME: Duration = Duration::from_secs(8);
 
+/// Time without news of the other gateways after which a gateway does not use its shares until there are some: several
+/// exchanges of loads. A process that was paused has no news at first.
+const MAX_NEWS_AGE: Duration = Duration::from_secs(2);
+
 /// What a cold server of a service bears, and for how long it is cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdPolicy {
@@ -62,6 +66,28 @@
     before.take(senders).count() < senders
 }
 
+/// How current a gateway's knowledge of the others is, on which its shares rest.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareTerm {
+    /// When the gateway started.
+    pub started_at: BootInstant,
+    /// When it last exchanged loads with others, or acted as relay; `None` before the first time.
+    pub news_at: Option<BootInstant>,
+    /// Age of its configuration, which the same peers or the store verify; `None` before the first one.
+    pub config_age: Option<Duration>,
+}
+
+impl ShareTerm {
+    /// Returns whether the gateway may use its shares at `now`. One that is cut off may not know of gateways that have joined and,
+    /// after [`LIST_SETTLING_TIME`], use theirs.
+    pub fn holds(&self, now: BootInstant) -> bool {
+        let is_settled = now.since(self.started_at) >= LIST_SETTLING_TIME;
+        let has_news = self.news_at.is_some_and(|at| now.since(at) < MAX_NEWS_AGE);
+        let is_in_touch = self.config_age.is_some_and(|age| age < LIST_SETTLING_TIME);
+        is_settled && has_news && is_in_touch
+    }
+}
+
 /// The names of gateways that were on the node list in the last [`LIST_SETTLING_TIME`].
 ///
 /// Ranked among all of them, a gateway that joined displaces another at once but sends only later, and one that left is replaced
--- a/src/decide/tests/capacity.rs
+++ b/src/decide/tests/capacity.rs
@@ -225,3 +225,44 @@
 
     assert_eq!(merged, list(&[("a", 3.0), ("b", 2.0), ("c", 4.0)]));
 }
+
+/// Guards against a belief that outlives the word that it rests on, while the server goes on answering.
+#[test]
+fn a_server_that_says_nothing_any_more_is_equal_after_a_while() {
+    let names = names(4);
+    let mut table = CapacityTable::default();
+    let speed = |number: usize| said(if number == 0 { 300 } else { 100 });
+    for step in 0..40 {
+        update(&mut table, &names, step * STEP_MS, speed, |_| took(30));
+    }
+    let known = slowness(&table, &names[0]);
+
+    for step in 40..70 {
+        let silent = |number: usize| if number == 0 { None } else { speed(number) };
+        update(&mut table, &names, step * STEP_MS, silent, |_| took(30));
+    }
+
+    assert!(known > 2.5, "{known}");
+    assert!((slowness(&table, &names[0]) - 1.0).abs() < 1e-9);
+}
+
+/// Guards against a change that no log line tells since each update changes little.
+#[test]
+fn a_slow_change_is_told_in_steps() {
+    let names = names(4);
+    let mut table = CapacityTable::default();
+    let mut steps = Vec::new();
+
+    for step in 0..80u32 {
+        let percent = 100 + (step * 5).min(200);
+        let speed = |number: usize| said(if number == 0 { percent } else { 100 });
+        update(&mut table, &names, u64::from(step) * STEP_MS, speed, |_| {
+            None
+        });
+        steps.extend(table.take_steps());
+    }
+
+    assert!((3..=6).contains(&steps.len()), "{steps:?}");
+    let last = steps.last().unwrap();
+    assert!(last.id == names[0] && last.slowness > 2.2, "{last:?}");
+}
--- a/src/decide/tests/cold.rs
+++ b/src/decide/tests/cold.rs
@@ -5,6 +5,7 @@
 use crate::decide::LIST_SETTLING_TIME;
 use crate::decide::RecentNodes;
 use crate::decide::SendBucket;
+use crate::decide::ShareTerm;
 use crate::decide::TOKEN_TIME;
 use crate::decide::Warmth;
 use crate::decide::is_sender;
@@ -39,6 +40,8 @@
 struct Node {
     name: String,
     started_ms: u64,
+    /// When it was cut off from the others; `None` if it is in touch.
+    cut_off_ms: Option<u64>,
     recent: RecentNodes,
     /// Requests a second of the gateway's share; `None` if it is no sender.
     rate: Option<f64>,
@@ -50,6 +53,7 @@
         let mut node = Self {
             name: name.to_owned(),
             started_ms,
+            cut_off_ms: None,
             recent: RecentNodes::default(),
             rate: None,
             bucket: SendBucket::default(),
@@ -75,8 +79,15 @@
         if self.recent.expire(at(now_ms)) {
             self.rank();
         }
-        let is_settled = at(now_ms).since(at(self.started_ms)) >= LIST_SETTLING_TIME;
-        let rate = self.rate.filter(|_| is_settled);
+        let cut_off_for = self
+            .cut_off_ms
+            .map_or(0, |cut_off| now_ms.saturating_sub(cut_off));
+        let term = ShareTerm {
+            started_at: at(self.started_ms),
+            news_at: Some(at(now_ms)),
+            config_age: Some(Duration::from_millis(cut_off_for)),
+        };
+        let rate = self.rate.filter(|_| term.holds(at(now_ms)));
         rate.is_some_and(|rate| self.bucket.take(rate, at(now_ms)))
     }
 }
@@ -158,6 +169,30 @@
     }
 }
 
+#[test]
+fn gateways_that_are_cut_off_stop_before_those_that_join_begin() {
+    for seed in 0..SEEDS {
+        let mut nodes = fleet(60);
+        let all = names(0..120);
+        for node in nodes.iter_mut().filter(|node| !node.name.ends_with('0')) {
+            node.cut_off_ms = Some(8_000);
+        }
+
+        let sent = play(&mut nodes, Duration::from_secs(20), seed, |nodes, now| {
+            if nodes.len() == 60 {
+                let joined = all.iter().filter(|name| !names(0..60).contains(name));
+                nodes.extend(joined.map(|name| Node::new(name, now, &all)));
+                for node in nodes.iter_mut().filter(|node| node.cut_off_ms.is_none()) {
+                    node.record_list(&all, now);
+                }
+            }
+        });
+
+        let most = most_in_a_second(&sent);
+        assert!(most as f64 <= MAX_PER_SECOND, "{most}, seed {seed}");
+    }
+}
+
 #[test]
 fn the_share_of_a_gateway_that_left_is_taken_over_after_its_requests_are_out() {
     for seed in 0..SEEDS {
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -81,7 +81,10 @@
         let (choice, over_limit) = self.choose_within_limits(&servers, &mut server_views, &choose);
         self.report.over_limit = over_limit;
         let Some((choice, permit)) = choice else {
-            return Err(match cold_left {
+            let is_withheld = server_views
+                .iter()
+                .any(|view| view.is_withheld && !view.is_tried);
+            return Err(match cold_left.filter(|_| is_withheld) {
                 _ if over_limit > 0 => self.overload_refusal("servers at their limits"),
                 Some(cold_left) => {
                     self.unserved_refusal("servers cold", RetryAfter::within(cold_left))
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -154,9 +154,15 @@
         let status = |server: &BackendServer| {
             let index = states.binary_search_by(|state| state.id.as_str().cmp(&server.id));
             let state = index.ok().map(|index| &states[index]);
-            state
-                .filter(|state| state.start_time_ms == server.entry.start_time_ms)
-                .map_or_else(ServerStatus::default, |state| state.status(now))
+            let entry = &server.entry;
+            let mut status = state
+                .filter(|state| state.start_time_ms == entry.start_time_ms)
+                .map_or_else(ServerStatus::default, |state| state.status(now));
+            // The list may be newer than the last call of `track`.
+            status
+                .warmth
+                .record_report(entry.sequence, entry.cold_left, now);
+            status
         };
         servers.iter().map(status).collect()
     }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -386,10 +386,10 @@
     let loads = ServerLoads::default();
     let gate = SendGate::new(
         &settings.host.name,
-        catalog,
-        &loads,
+        (catalog, &loads),
         logs,
         cold_allowance(bounds),
+        BootInstant::now(),
     );
     Gateway {
         data_centre: settings.host.data_centre.clone(),
--- a/src/gateway/response_memory.rs
+++ b/src/gateway/response_memory.rs
@@ -42,14 +42,6 @@
     reserved: Option<OwnedSemaphorePermit>,
 }
 
-impl HeldResponse {
-    /// Returns the bytes of the response.
-    #[cfg(test)]
-    pub(super) fn bytes(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Body for HeldResponse {
     type Data = Bytes;
     type Error = Infallible;
--- a/src/gateway/send_gate.rs
+++ b/src/gateway/send_gate.rs
@@ -8,9 +8,9 @@
 use crate::catalog::Service;
 use crate::clock::BootInstant;
 use crate::decide::ColdPolicy;
-use crate::decide::LIST_SETTLING_TIME;
 use crate::decide::RecentNodes;
 use crate::decide::SendBucket;
+use crate::decide::ShareTerm;
 use crate::decide::TOKEN_TIME;
 use crate::decide::Warmth;
 use crate::decide::hash;
@@ -52,6 +52,9 @@
     id: String,
     start_time_ms: u64,
     since: BootInstant,
+    /// Whether it is cold. One that is warm is remembered until its bucket has a token again, so that it has no second one if it
+    /// turns cold.
+    is_cold: bool,
     bucket: SendBucket,
     /// Version of the names of gateways by which `is_sender` was decided.
     names_version: u64,
@@ -65,6 +68,8 @@
     names: Vec<String>,
     /// Raised when `names` change.
     names_version: u64,
+    /// When loads were last exchanged with others.
+    news_at: Option<BootInstant>,
     /// Version of the node list that was last recorded.
     list_version: Option<u64>,
     /// Sorted by server name.
@@ -89,17 +94,17 @@
 impl SendGate {
     pub(super) fn new(
         own_name: &str,
-        catalog: &Arc<Catalog>,
-        loads: &ServerLoads,
+        (catalog, loads): (&Arc<Catalog>, &ServerLoads),
         logs: &Logs,
         allowance: ColdAllowance,
+        started_at: BootInstant,
     ) -> Self {
         Self {
             own_name: own_name.to_owned(),
             catalog: Arc::clone(catalog),
             loads: loads.clone(),
             logs: logs.clone(),
-            started_at: BootInstant::now(),
+            started_at,
             allowance: Mutex::new(allowance),
             node_names: OnceLock::new(),
             state: Mutex::default(),
@@ -203,13 +208,14 @@
 
     /// Returns the number of known cold servers.
     pub(super) fn cold_count(&self) -> usize {
-        lock(&self.state).servers.len()
+        let state = lock(&self.state);
+        state.servers.iter().filter(|known| known.is_cold).count()
     }
 
     /// Returns the names of the cold servers with the time since each was found cold, sorted by name.
     pub(super) fn cold_servers(&self, now: BootInstant) -> Vec<(String, Duration)> {
         let state = lock(&self.state);
-        let servers = state.servers.iter();
+        let servers = state.servers.iter().filter(|known| known.is_cold);
         servers
             .map(|cold| (cold.id.clone(), now.since(cold.since)))
             .collect()
@@ -229,6 +235,7 @@
         let statuses = self.loads.statuses(&servers, now);
         let configuration = self.catalog.configuration();
         let mut state = lock(&self.state);
+        state.news_at = Some(now);
         let mut cold = Vec::new();
         for (server, status) in servers.iter().zip(statuses) {
             let service = configuration
@@ -243,20 +250,21 @@
                 self.share(&mut state, server, &policy, now);
             }
         }
-        state.servers.retain(|known| {
+        state.servers.retain_mut(|known| {
             let is_cold = cold
                 .binary_search(&(known.id.as_str(), known.start_time_ms))
                 .is_ok();
-            if !is_cold {
+            if known.is_cold && !is_cold {
                 info!(self.logs.log(), "server warm"; "server" => &known.id,
                     "cold_ms" => now.since(known.since).as_millis() as u64);
             }
-            is_cold
+            known.is_cold = is_cold;
+            is_cold || !known.bucket.has_token(known.rate, false, now)
         });
     }
 
-    /// Returns this gateway's share of the cold `server`; `None` if it is no sender, or does not know the other gateways for long
-    /// enough to tell.
+    /// Returns this gateway's share of the cold `server`; `None` if it is no sender, or does not know the other gateways well enough
+    /// to tell.
     fn share<'a>(
         &self,
         state: &'a mut State,
@@ -280,6 +288,7 @@
                     id: server.id.clone(),
                     start_time_ms,
                     since: now,
+                    is_cold: false,
                     bucket: SendBucket::default(),
                     names_version: 0,
                     is_sender: false,
@@ -294,17 +303,22 @@
         if cold.names_version != names_version {
             let share = sender_share(policy.max_per_second, names.len());
             let key = hash(&[server.id.as_bytes(), &start_time_ms.to_le_bytes()]);
-            let is_new = cold.names_version == 0;
             cold.names_version = names_version;
             cold.rate = share.rate;
             cold.is_sender = is_sender(&self.own_name, names, &key.to_le_bytes(), share.senders);
-            if is_new {
-                info!(self.logs.log(), "server cold"; "server" => &cold.id, "is_sender" => cold.is_sender,
-                    "rate" => cold.rate);
-            }
         }
-        let is_settled = now.since(self.started_at) >= LIST_SETTLING_TIME;
-        (is_settled && cold.is_sender).then_some(cold)
+        if !cold.is_cold {
+            cold.is_cold = true;
+            cold.since = now;
+            info!(self.logs.log(), "server cold"; "server" => &cold.id, "is_sender" => cold.is_sender,
+                "rate" => cold.rate);
+        }
+        let term = ShareTerm {
+            started_at: self.started_at,
+            news_at: state.news_at,
+            config_age: self.catalog.config_age(now),
+        };
+        (cold.is_sender && term.holds(now)).then_some(cold)
     }
 
     /// Takes over the names on the node list, if it has changed.
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the parts of the data path that need no connection.
 
+mod send_gate;
+
 use super::attempt::OutboundRequest;
 use super::dialect::RateLimitNotice;
 use super::events::EventSplitter;
@@ -22,6 +24,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
+use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -136,7 +139,8 @@
         .filter(|result| matches!(result, Ok(Err(CollectError::TooLarge))));
     assert_eq!(refused.count(), 12 - MAX_TOTAL_BYTES / (7 * 1024 * 1024));
     let small = memory.collect(full_body("whole"), || {}).await;
-    assert_eq!(small.unwrap().bytes(), b"whole");
+    let small = small.unwrap().collect().await.unwrap();
+    assert_eq!(small.to_bytes(), "whole");
 }
 
 #[tokio::test]
--- a/src/peers/load_table.rs
+++ b/src/peers/load_table.rs
@@ -1,6 +1,6 @@
 //! Loads of other nodes and data centres, as last received.
 
-use super::message::LoadEntry;
+use super::load_entry::LoadEntry;
 use crate::clock::BootInstant;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -12,19 +12,19 @@
 use super::heavy_teams::ServiceTeams;
 use super::heavy_teams::group_heavy_teams;
 use super::link::Link;
+use super::load_entry::LoadEntry;
+use super::load_entry::TeamRequests;
 use super::load_table::LoadTable;
 use super::load_table::aged;
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
 use super::message::EVACUATIONS_PROTOCOL;
-use super::message::LoadEntry;
 use super::message::PROTOCOL;
 use super::message::Role;
 use super::message::Stamp;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
 use super::message::SyncedVersionHistory;
-use super::message::TeamRequests;
 use super::message::unpack;
 use super::node_list::NodeList;
 use super::pack_cache::PackCache;
@@ -46,12 +46,7 @@
 use crate::catalog::apply_evacuations;
 use crate::clock::BootInstant;
 use crate::decide::CapacityTable;
-use crate::decide::LOGGED_STEP;
-use crate::decide::PaceKind;
 use crate::decide::PaceTable;
-use crate::decide::ServerSample;
-use crate::decide::SlowServer;
-use crate::decide::merge_slowness;
 use crate::logs::Logs;
 use crate::quarantine::Quarantine;
 use bytes::Bytes;
@@ -151,9 +146,9 @@
     /// The server list, by its version.
     pub(super) packed_servers: PackCache,
     /// Decides while this node is the relay which servers are slow.
-    paces: Mutex<PaceTable>,
+    pub(super) paces: Mutex<PaceTable>,
     /// Learns while this node is the relay what servers take well.
-    capacities: Mutex<CapacityTable>,
+    pub(super) capacities: Mutex<CapacityTable>,
     /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
     pub(super) backup_centre: Option<String>,
     /// Whether a peer that says nothing of evacuations does not prove the configuration to be current.
@@ -181,100 +176,6 @@
             .get(version, || configuration, &self.logs)
     }
 
-    /// Decides anew which servers are slow, from the loads of all nodes, sorted by server name.
-    pub(super) fn update_paces(&self, all: &[LoadEntry], now: BootInstant) {
-        let (servers, _) = self.catalog.listed();
-        let configuration = self.catalog.configuration();
-        let load_of = |id: &str| {
-            let index = all.binary_search_by(|load| load.server.as_str().cmp(id));
-            index.ok().map(|index| &all[index])
-        };
-        let pace_of = |id: &str| load_of(id).and_then(|load| load.pace);
-        let mut services: Vec<&str> = servers
-            .iter()
-            .map(|server| server.entry.service.as_str())
-            .collect();
-        services.sort_unstable();
-        services.dedup();
-        let mut paces = lock(&self.paces);
-        let mut capacities = lock(&self.capacities);
-        let uneven_before = capacities.uneven();
-        let before = paces.slow().to_vec();
-        for service in services {
-            let is_engine = configuration
-                .as_ref()
-                .and_then(|configuration| configuration.service(service))
-                .is_some_and(|service| service.engine.is_some());
-            let kind = if is_engine {
-                PaceKind::Events
-            } else {
-                PaceKind::Answers
-            };
-            let servers = servers
-                .iter()
-                .filter(|server| server.entry.service == service);
-            let samples = servers.clone().map(|server| ServerSample {
-                id: &server.id,
-                start_time_ms: server.entry.start_time_ms,
-                speed: load_of(&server.id).and_then(|load| load.speed),
-                answers: pace_of(&server.id).filter(|_| !is_engine),
-            });
-            let samples: Vec<ServerSample<'_>> = samples.collect();
-            capacities.update(kind, &samples, now);
-            let service: Vec<_> = servers
-                .map(|server| (server.id.as_str(), pace_of(&server.id)))
-                .collect();
-            paces.update(kind, &service, now);
-        }
-        paces.expire(now);
-        capacities.expire(now);
-        let uneven = capacities.uneven();
-        let after = paces.slow().to_vec();
-        drop((paces, capacities));
-        self.log_capacities(&uneven_before, &uneven);
-        self.log_slow_servers(&before, &after);
-    }
-
-    fn log_slow_servers(&self, before: &[SlowServer], after: &[SlowServer]) {
-        let is_in = |list: &[SlowServer], id: &str| list.iter().any(|slow| slow.id == id);
-        for slow in after.iter().filter(|slow| !is_in(before, &slow.id)) {
-            info!(self.logs.log(), "server slow"; "server" => &slow.id, "slowness" => slow.slowness);
-        }
-        for slow in before.iter().filter(|slow| !is_in(after, &slow.id)) {
-            info!(self.logs.log(), "server not slow any more"; "server" => &slow.id);
-        }
-    }
-
-    /// Logs the servers whose capacity has changed by a step.
-    fn log_capacities(&self, before: &[(String, f64)], after: &[(String, f64)]) {
-        let slowness_in = |list: &[(String, f64)], id: &str| {
-            let index = list.binary_search_by(|(known, _)| known.as_str().cmp(id));
-            index.map_or(1.0, |index| list[index].1)
-        };
-        for (id, slowness) in after {
-            let known = slowness_in(before, id);
-            if (slowness / known - 1.0).abs() >= LOGGED_STEP {
-                info!(self.logs.log(), "server takes less"; "server" => id, "slowness" => slowness, "before" => known);
-            }
-        }
-        let has_recovered = |id: &str| (slowness_in(after, id) - 1.0).abs() < f64::EPSILON;
-        for (id, known) in before.iter().filter(|(id, _)| has_recovered(id)) {
-            info!(self.logs.log(), "server takes its slots again"; "server" => id, "before" => known);
-        }
-    }
-
-    /// Returns the servers that are slow as this node has decided, sorted by name; none if it is not the relay, since what it
-    /// decided as such grows old.
-    pub(super) fn slow_servers(&self) -> Vec<(String, f64)> {
-        if !self.duties.is_relay() {
-            return Vec::new();
-        }
-        let paces = lock(&self.paces);
-        let slow = paces.slow().iter();
-        let slow = slow.map(|slow| (slow.id.clone(), slow.slowness)).collect();
-        merge_slowness(slow, lock(&self.capacities).uneven())
-    }
-
     /// Returns what this node does in its data centre.
     pub(super) fn role(&self) -> Role {
         lock(&self.role).clone()
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -1,9 +1,9 @@
 //! Accepts connections from other gateways and answers their sync requests, in one task per connection.
 
 use super::directory::NodeEntry;
+use super::load_entry::LoadEntry;
 use super::message::CentreLoads;
 use super::message::ListedLoads;
-use super::message::LoadEntry;
 use super::message::PROTOCOL;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
--- a/src/peers/team_table.rs
+++ b/src/peers/team_table.rs
@@ -1,7 +1,7 @@
 //! Requests of teams for services, as last received from other nodes and data centres.
 
+use super::load_entry::TeamRequests;
 use super::load_table::MAX_LOAD_AGE;
-use super::message::TeamRequests;
 use crate::clock::BootInstant;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -2,11 +2,11 @@
 
 mod tunnels;
 
+use super::load_entry::LoadEntry;
+use super::load_entry::ServerRequests;
 use super::load_table::LoadTable;
 use super::load_table::subtract_own;
 use super::load_table::sum_loads;
-use super::message::LoadEntry;
-use super::message::ServerRequests;
 use super::message::Stamp;
 use super::message::pack;
 use super::message::unpack;
