--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -162,8 +162,8 @@
         }
     }
 
-    /// Returns the servers whose slowness has changed by [`LOGGED_STEP`] since they were last returned, or whose slots count in
-    /// full again.
+    /// Returns the servers whose slowness has changed by a quarter since they were last returned, or whose slots count in full
+    /// again.
     pub fn take_steps(&mut self) -> Vec<CapacityStep> {
         let steps = self.servers.iter_mut().filter_map(|known| {
             let slowness = if known.is_uneven { known.slowness } else { 1.0 };
