--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -68,6 +68,9 @@
     pub priority: u8,
     /// Whether callers are accepted without a key.
     pub is_public: bool,
+    /// Regions whose servers may get its requests; all if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<String>,
 }
 
 /// Capacity of each model engine of a service.
@@ -115,6 +118,9 @@
     pub keys: Vec<String>,
     /// Priority rank that overrides the route's; 0 is served first.
     pub priority: Option<u8>,
+    /// Regions whose servers may get its requests, beside what the route allows; all if there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<String>,
 }
 
 /// Limits on callers' requests and connections.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -91,6 +91,7 @@
         max_attempts: 1,
         priority: 0,
         is_public: false,
+        allowed_regions: Vec::new(),
     };
     let limits = Limits {
         header_bytes: 1,
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -13,6 +13,7 @@
 mod health;
 mod pace;
 mod placement;
+mod region;
 mod relay;
 mod retry_budget;
 mod server_limit;
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -16,9 +16,21 @@
     pub(super) cold_left: Option<Duration>,
     /// Whether servers are left out since their data centre is evacuated.
     pub(super) has_evacuated: bool,
+    /// Whether servers are left out since the request is bound to other regions.
+    pub(super) has_other_regions: bool,
 }
 
 impl Exchange {
+    /// Returns whether the request may be sent to `server`, by the regions to which its route and its team are bound.
+    pub(super) fn may_be_served_at(&self, server: &BackendServer) -> bool {
+        let bindings = [
+            self.route.allowed_regions.as_slice(),
+            self.team_regions.as_slice(),
+        ];
+        let data_centre = &server.entry.data_centre;
+        self.gateway.regions.may_serve(data_centre, &bindings)
+    }
+
     /// Returns the servers as they are now. Cold ones for which this gateway has no token are withheld.
     pub(super) fn candidates<'a>(&self, servers: &'a [BackendServer]) -> Candidates<'a> {
         let now = BootInstant::now();
@@ -31,10 +43,13 @@
             views: Vec::with_capacity(servers.len()),
             cold_left: None,
             has_evacuated: false,
+            has_other_regions: false,
         };
         for (server, status) in servers.iter().zip(statuses) {
             let is_evacuated = evacuations.is_evacuated(&server.entry.data_centre);
             candidates.has_evacuated |= is_evacuated;
+            let is_allowed = self.may_be_served_at(server);
+            candidates.has_other_regions |= !is_allowed;
             let cold_left = policy.as_ref().and_then(|policy| {
                 gate.cold_left(server, &status.warmth, policy, &evacuations, now)
             });
@@ -48,7 +63,10 @@
                 is_suspended: status.is_suspended,
                 is_tried: self.is_tried(server),
                 is_warming_up: status.is_warming_up,
-                is_draining: server.entry.is_draining || status.is_closed || is_evacuated,
+                is_draining: server.entry.is_draining
+                    || status.is_closed
+                    || is_evacuated
+                    || !is_allowed,
                 is_cold: cold_left.is_some(),
                 is_withheld: false,
                 // The hint of a moment is for calls as short as it lasts.
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -54,6 +54,7 @@
         self.report.list_version = list_version;
         let candidates = self.candidates(&servers);
         let (cold_left, has_evacuated) = (candidates.cold_left, candidates.has_evacuated);
+        let has_other_regions = candidates.has_other_regions;
         let server_views = candidates.views;
         let is_admitted = self.sends > 0 || self.is_admitted(&servers, &server_views);
         let placement: &dyn Placement = if self.is_engine() {
@@ -68,7 +69,7 @@
         let (servers, mut server_views): (Vec<&BackendServer>, Vec<ServerView<'_>>) = servers
             .iter()
             .zip(server_views)
-            .filter(|(server, _)| self.has_stream_version(server))
+            .filter(|(server, _)| self.has_stream_version(server) && self.may_be_served_at(server))
             .unzip();
         let is_trial = self.crash_guard.is_trial();
         let choose = |views: &[ServerView<'_>]| {
@@ -90,6 +91,7 @@
                     self.unserved_refusal("servers cold", RetryAfter::within(cold_left))
                 }
                 None if has_evacuated => self.overload_refusal("data centre evacuated"),
+                None if has_other_regions => self.overload_refusal("no server in allowed regions"),
                 None => self.no_server_refusal("no server"),
             });
         };
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -41,6 +41,8 @@
     pub(super) outbound: Arc<OutboundRequest>,
     pub(super) metadata: RequestMetadata,
     pub(super) team: Option<String>,
+    /// Regions to which the team is bound; none if it may be served everywhere.
+    pub(super) team_regions: Vec<String>,
     /// Hash of the request id, the same on every node; used for choices that must be spread evenly over requests.
     pub(super) salt: u64,
     /// Software version that servers of the stream must have.
@@ -116,6 +118,7 @@
             report.first_attempt = resumed_stream.first_attempt.clone().unwrap_or_default();
         }
         let mut team = None;
+        let mut team_regions = Vec::new();
         let mut rank = route.priority;
         if !route.is_public {
             if !is_verified {
@@ -133,6 +136,7 @@
             };
             rank = found.priority.unwrap_or(rank);
             team = Some(found.name.clone());
+            team_regions.clone_from(&found.allowed_regions);
         }
         if outbound.request_id.is_empty() {
             return refuse_with_status(StatusCode::BAD_REQUEST, "no request id", report);
@@ -163,6 +167,7 @@
             service_name,
             outbound: Arc::new(outbound),
             team,
+            team_regions,
             salt,
             stream_version: StreamVersion::Any,
             rank,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -25,6 +25,7 @@
 use crate::decide::DrainPolicy;
 use crate::decide::EnginePlacement;
 use crate::decide::PlainPlacement;
+use crate::decide::Regions;
 use crate::decide::RetryBudget;
 use crate::decide::RetryPolicy;
 use crate::logs::Logs;
@@ -74,6 +75,8 @@
 pub(super) struct Gateway {
     /// Data centre of this node; servers in it count as near.
     pub(super) data_centre: String,
+    /// Regions of the data centres, to which routes and teams may be bound.
+    pub(super) regions: Regions,
     pub(super) catalog: Arc<Catalog>,
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) logs: Logs,
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -163,6 +163,7 @@
             link_mbps: host.link_mbps,
         },
         data_centres: host.data_centres.clone(),
+        regions: host.regions.clone(),
         start_delay,
         needs_evacuations: settings.bounds.evacuation.is_some(),
     }
@@ -393,6 +394,7 @@
     );
     Gateway {
         data_centre: settings.host.data_centre.clone(),
+        regions: settings.host.regions.clone(),
         catalog: Arc::clone(catalog),
         dialect: Arc::clone(&sources.dialect),
         logs: logs.clone(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway in INI format; `docs/GATEWAY-SETTINGS.md` is the reference.
 
+use crate::decide::Regions;
 use crate::settings::Reader;
 use crate::settings::Section;
 use crate::settings::SettingsError;
@@ -15,6 +16,7 @@
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.7:8080";
 const NAME: &str = "a name";
 const NAMES: &str = "names, separated by commas";
+const REGIONS: &str = "pairs of data centre and region, such as gavle:north, separated by commas";
 
 /// Name, location and addresses of the host that a gateway runs on.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +27,8 @@
     pub data_centre: String,
     /// Names of all data centres of the fleet.
     pub data_centres: Vec<String>,
+    /// Regions of the data centres.
+    pub regions: Regions,
     /// Bandwidth of the host's link in Mbit/s; hosts with fast links are preferred as relays, which read the store for
     /// other nodes.
     pub link_mbps: u64,
@@ -127,6 +131,17 @@
         .collect()
 }
 
+/// Parses pairs of data centre and region; what is no pair names no region.
+fn parse_regions(list: &str) -> Regions {
+    let pairs = split_names(list);
+    let pairs = pairs.iter().filter_map(|pair| pair.split_once(':'));
+    Regions::new(
+        pairs
+            .map(|(centre, region)| (centre.trim().to_owned(), region.trim().to_owned()))
+            .collect(),
+    )
+}
+
 impl GatewayHost {
     fn read(section: &mut Section<'_>) -> Self {
         let unset = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
@@ -134,6 +149,7 @@
             name: section.required("name", String::new(), NAME),
             data_centre: section.required("data_centre", String::new(), NAME),
             data_centres: split_names(&section.value_or("data_centres", String::new(), NAMES)),
+            regions: parse_regions(&section.value_or("regions", String::new(), REGIONS)),
             link_mbps: section.float("link_mbps", 1_000.0, 1.0..=1_000_000.0) as u64,
             peer_address: section.required("peer_address", unset, ADDRESS),
             caller_address: section.required("caller_address", unset, ADDRESS),
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -47,6 +47,7 @@
 use crate::clock::BootInstant;
 use crate::decide::CapacityTable;
 use crate::decide::PaceTable;
+use crate::decide::Regions;
 use crate::logs::Logs;
 use crate::quarantine::Quarantine;
 use bytes::Bytes;
@@ -78,6 +79,8 @@
     pub own: NodeEntry,
     /// Names of all data centres, this gateway's own included.
     pub data_centres: Vec<String>,
+    /// Regions of the data centres.
+    pub regions: Regions,
     /// Time before this gateway looks for others in the directory.
     pub start_delay: Duration,
     /// Whether this gateway must learn of evacuations of data centres, of which peers of former protocols say nothing.
@@ -151,6 +154,8 @@
     pub(super) capacities: Mutex<CapacityTable>,
     /// Data centre whose relay keeps copies of this data centre's records of streams; `None` if there is no other.
     pub(super) backup_centre: Option<String>,
+    /// Regions of the data centres.
+    pub(super) regions: Regions,
     /// Whether a peer that says nothing of evacuations does not prove the configuration to be current.
     pub(super) needs_evacuations: bool,
     /// What this node reads for others, for tasks outside of this module.
@@ -462,6 +467,7 @@
             paces: Mutex::default(),
             capacities: Mutex::default(),
             backup_centre,
+            regions: settings.regions,
             needs_evacuations: settings.needs_evacuations,
             duties,
             own_loads: loads.0,
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -145,8 +145,10 @@
     fn helpers(&self, server: &BackendServer) -> Vec<NodeEntry> {
         let now = BootInstant::now();
         let (nodes, _) = self.nodes.nodes();
+        let centre = &server.entry.data_centre;
         let views: Vec<HelperView<'_>> = nodes
             .iter()
+            .filter(|node| self.regions.may_carry(&node.data_centre, centre))
             .map(|node| HelperView {
                 node,
                 tunnels: self.tunnel_table.open_through(&node.name),
