--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -214,6 +214,15 @@
         self.teams.get(self.keys[at].1)
     }
 
+    /// Returns the team called `name`.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        let at = self
+            .teams
+            .binary_search_by(|team| team.name.as_str().cmp(name))
+            .ok()?;
+        self.teams.get(at)
+    }
+
     /// Returns the service called `name`.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let at = self
--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -5,6 +5,7 @@
 use super::Output;
 use super::check::Check;
 use super::confirm::Confirm;
+use super::explain::Explain;
 use super::history::History;
 use super::intent;
 use super::keygen::Keygen;
@@ -28,12 +29,18 @@
   cbctl show                            print the configuration in force
   cbctl history                         records of the log with their verdicts
   cbctl status                          version, readiness and backend servers of each node
+  cbctl explain --gateway ADDRESS --host HOST --path PATH
+                                        where a gateway would send a request now, and why; nothing is sent
   cbctl keygen FILE                     create an operator's key and print its public part
 
 OPTIONS:
   --log ADDRESS      the platform's log service (plan, intent, confirm, show, history)
   --hosts ADDRESS    the platform's host list (plan, intent)
   --nodes A,B,C      operations addresses of nodes (status, confirm --wait)
+  --gateway ADDRESS  metrics address of a gateway (explain)
+  --team TEAM        team of the caller (explain)
+  --parts A:N,B:M    parts of the prompt, hexadecimal id and tokens (explain)
+  --request ID       id of the request (explain)
   --operator NAME    operator who creates the plan (plan, intent)
   --key FILE         the operator's key (confirm)
   --plan FILE        file that the plan of an intent is written to
@@ -68,6 +75,7 @@
         Some("show") => Box::new(Show::parse(&mut args)?),
         Some("history") => Box::new(History::parse(&mut args)?),
         Some("status") => Box::new(Status::parse(&mut args)?),
+        Some("explain") => Box::new(Explain::parse(&mut args)?),
         Some("keygen") => Box::new(Keygen::parse(&mut args)?),
         Some(name) => return Err(CtlError::Usage(format!("unknown command {name}"))),
         None => return Err(CtlError::Usage("no command".to_owned())),
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -8,6 +8,7 @@
 mod confirm;
 mod effect;
 mod error;
+mod explain;
 mod history;
 mod intent;
 mod keygen;
--- a/src/ctl/tests.rs
+++ b/src/ctl/tests.rs
@@ -1,3 +1,4 @@
+use super::explain::parse_parts;
 use super::plan::difference;
 use super::plan_file::ChangeDraft;
 use crate::border::generated::config::Entry;
@@ -86,3 +87,21 @@
 
     assert_eq!(after.model("a").unwrap().version, "2");
 }
+
+/// Guards against parts that are dropped or taken for others than the operator named.
+#[test]
+fn parts_of_a_prompt_to_explain_are_read_or_refused() {
+    let read = parse_parts("5c1e07a2:800, 91bd3f06:250").unwrap();
+    let expected = [("5c1e07a2", 800), ("91bd3f06", 250)];
+    let refused = ["", "5c1e07a2", "5c1e07a2:many", "5c1e07a2:800,"];
+
+    let found: Vec<(&str, u32)> = read
+        .iter()
+        .map(|part| (part.id.as_str(), part.tokens))
+        .collect();
+
+    assert_eq!(found, expected);
+    for list in refused {
+        assert!(parse_parts(list).is_err(), "{list}");
+    }
+}
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -45,6 +45,11 @@
 impl Admission {
     /// Returns whether a service under this load accepts the request.
     pub fn accepts(&self, load: &ServiceLoad, request: &AdmissionRequest<'_>) -> bool {
+        request.random_fraction >= self.rejection_probability(load, request)
+    }
+
+    /// Returns the probability from 0 to 1 with which a service under this load rejects such a request.
+    pub fn rejection_probability(&self, load: &ServiceLoad, request: &AdmissionRequest<'_>) -> f64 {
         let rejected = self.rejected_share(load);
         let rejected = rejected_share_of_team(rejected, request.team, request.heavy_teams);
         let share = self.rejected_share_of_rank(rejected, load, request.rank);
@@ -54,7 +59,7 @@
             let retry_share = load.caller_retry_share.clamp(0.0, 0.9);
             share * (1.0 + self.caller_retry_preference * retry_share / (1.0 - retry_share))
         };
-        request.random_fraction >= share.min(self.max_rejected_share)
+        share.min(self.max_rejected_share)
     }
 
     /// Returns the share of all requests to reject.
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -270,6 +270,16 @@
 }
 
 impl EnginePlacement {
+    /// Returns the indices of all `servers` in the order in which they are homes of the request's prompt part.
+    pub fn home_order(
+        &self,
+        request: &PlacementRequest<'_>,
+        servers: &[ServerView<'_>],
+    ) -> Vec<usize> {
+        let all: Vec<usize> = (0..servers.len()).collect();
+        self.ranked_homes(Self::key(request), &all, servers)
+    }
+
     /// Returns `candidates` in the order in which they are homes of `key`.
     fn ranked_homes(
         &self,
--- a/src/gateway/admission_stats.rs
+++ b/src/gateway/admission_stats.rs
@@ -67,6 +67,22 @@
         stats.service_load(load_per_slot, retry_share)
     }
 
+    /// Returns the load of the service like [`Self::record_request`], without recording a request.
+    pub(super) fn service_load(
+        &self,
+        route: &str,
+        service: &str,
+        load_per_slot: f64,
+    ) -> ServiceLoad {
+        let state = self.lock();
+        let retry_share = state.retry_detector.retry_share(route);
+        let found = state
+            .services
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        let stats = found.map_or_else(|_| ServiceStats::default(), |index| state.services[index].1);
+        stats.service_load(load_per_slot, retry_share)
+    }
+
     /// Removes routes and services that are no longer in the configuration.
     pub(super) fn prune(&self, is_route: &dyn Fn(&str) -> bool, is_service: &dyn Fn(&str) -> bool) {
         let state = &mut *self.lock();
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -2,8 +2,10 @@
 //!
 //! The algorithms are in [`crate::decide`]; this module passes them the gateway's catalog state and server loads.
 
+use super::candidates::NoServer;
 use super::exchange::Exchange;
 use super::exchange::MIN_TIME_LEFT;
+use super::handler::Gateway;
 use super::refusal::Refusal;
 use super::send_gate::SendPermit;
 use crate::catalog::BackendServer;
@@ -11,6 +13,7 @@
 use crate::clock::BootInstant;
 use crate::decide::AdmissionRequest;
 use crate::decide::Choice;
+use crate::decide::HeavyTeam;
 use crate::decide::Placement;
 use crate::decide::PlacementRequest;
 use crate::decide::RetryAfter;
@@ -53,8 +56,7 @@
         let (servers, list_version) = self.gateway.catalog.servers_of(&self.service_name);
         self.report.list_version = list_version;
         let candidates = self.candidates(&servers);
-        let (cold_left, has_evacuated) = (candidates.cold_left, candidates.has_evacuated);
-        let has_other_regions = candidates.has_other_regions;
+        let exclusions = candidates.exclusions;
         let server_views = candidates.views;
         let is_admitted = self.sends > 0 || self.is_admitted(&servers, &server_views);
         let placement: &dyn Placement = if self.is_engine() {
@@ -82,17 +84,13 @@
         let (choice, over_limit) = self.choose_within_limits(&servers, &mut server_views, &choose);
         self.report.over_limit = over_limit;
         let Some((choice, permit)) = choice else {
-            let is_withheld = server_views
-                .iter()
-                .any(|view| view.is_withheld && !view.is_tried);
-            return Err(match cold_left.filter(|_| is_withheld) {
-                _ if over_limit > 0 => self.overload_refusal("servers at their limits"),
-                Some(cold_left) => {
-                    self.unserved_refusal("servers cold", RetryAfter::within(cold_left))
+            let reason = exclusions.no_server(&server_views, over_limit);
+            return Err(match reason {
+                NoServer::Cold(left) => {
+                    self.unserved_refusal(reason.cause(), RetryAfter::within(left))
                 }
-                None if has_evacuated => self.overload_refusal("data centre evacuated"),
-                None if has_other_regions => self.overload_refusal("no server in allowed regions"),
-                None => self.no_server_refusal("no server"),
+                NoServer::NotFound => self.no_server_refusal(reason.cause()),
+                _ => self.overload_refusal(reason.cause()),
             });
         };
         let chosen = &server_views[choice.index];
@@ -193,27 +191,22 @@
     /// Records the request in the load statistics of its service, and returns whether it is admitted at the present
     /// load. Under overload some requests are rejected, so that the admitted ones are answered in time. If no server is
     /// available, the load is unknown and the request is admitted.
-    ///
-    /// Servers with limits are left out, since they can't take what is too much for the others.
     fn is_admitted(&self, servers: &[BackendServer], server_views: &[ServerView<'_>]) -> bool {
-        let views = servers.iter().zip(server_views);
-        let unlimited = views.filter(|(server, _)| !self.gateway.rates.has_limit(server));
-        let unlimited: Vec<ServerView<'_>> = unlimited.map(|(_, view)| *view).collect();
-        let Some(load_per_slot) = smoothed_load_per_slot(&unlimited) else {
+        let Some(load_per_slot) = self.gateway.load_per_slot(servers, server_views) else {
             return true;
         };
         let stats = &self.gateway.admission_stats;
         let demand = &self.gateway.team_demand;
         let heavy_teams = demand.heavy(&self.service_name, BootInstant::now());
         let admission_request = AdmissionRequest {
-            // The lower half of the salt; `RetryAfter::delay` uses the upper half.
-            random_fraction: f64::from(self.salt as u32) / f64::from(u32::MAX),
-            rank: self.rank,
             is_caller_retry: self.report.is_caller_retry,
-            latency_target: self.route.latency_target,
-            is_stream: self.route.retry_mode.is_stream(),
-            team: self.team.as_deref(),
-            heavy_teams: &heavy_teams,
+            ..first_request(
+                &self.route,
+                self.rank,
+                self.team.as_deref(),
+                &heavy_teams,
+                self.salt,
+            )
         };
         let service_load = stats.record_request(
             &self.route.name,
@@ -250,6 +243,41 @@
     }
 }
 
+impl Gateway {
+    /// Returns the smoothed load of `servers` per slot, by which requests are admitted. Servers with limits are left out, since
+    /// they can't take what is too much for the others.
+    pub(super) fn load_per_slot(
+        &self,
+        servers: &[BackendServer],
+        server_views: &[ServerView<'_>],
+    ) -> Option<f64> {
+        let views = servers.iter().zip(server_views);
+        let unlimited = views.filter(|(server, _)| !self.rates.has_limit(server));
+        let unlimited: Vec<ServerView<'_>> = unlimited.map(|(_, view)| *view).collect();
+        smoothed_load_per_slot(&unlimited)
+    }
+}
+
+/// Returns what admission uses of a request that its caller sends for the first time; `salt` is the hash of its id.
+pub(super) fn first_request<'a>(
+    route: &Route,
+    rank: u8,
+    team: Option<&'a str>,
+    heavy_teams: &'a [HeavyTeam],
+    salt: u64,
+) -> AdmissionRequest<'a> {
+    AdmissionRequest {
+        // The lower half of the salt; `RetryAfter::delay` uses the upper half.
+        random_fraction: f64::from(salt as u32) / f64::from(u32::MAX),
+        rank,
+        is_caller_retry: false,
+        latency_target: route.latency_target,
+        is_stream: route.retry_mode.is_stream(),
+        team,
+        heavy_teams,
+    }
+}
+
 /// Chooses the usable server with the fewest requests in flight.
 fn least_loaded(server_views: &[ServerView<'_>]) -> Option<Choice> {
     let views = server_views.iter().enumerate();
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -247,6 +247,16 @@
         }
     }
 
+    /// Returns the age of what is known of the loads of other nodes; `None` if nothing is.
+    pub(super) fn remote_age(&self, now: BootInstant) -> Option<Duration> {
+        let states = self.lock();
+        let newest = states
+            .iter()
+            .filter_map(|state| state.remote)
+            .map(|(_, at)| at);
+        newest.max().map(|at| now.since(at))
+    }
+
     /// Adds a state for each server that has none, so that the loads of other nodes can be recorded for it.
     pub(super) fn track(&self, servers: &[BackendServer]) {
         let mut states = self.lock();
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -4,6 +4,7 @@
 use crate::clock::BootInstant;
 use crate::net::Body;
 use crate::net::Handler;
+use crate::net::collect;
 use crate::net::full_body;
 use async_trait::async_trait;
 use hyper::Method;
@@ -22,6 +23,11 @@
 /// Path of the list of cold servers and evacuated data centres.
 const WITHHELD_PATH: &str = "/withheld";
 
+/// Path that answers where a request would be sent now.
+pub const EXPLAIN_PATH: &str = "/explain";
+/// Maximum size of a request to explain.
+const MAX_EXPLAIN_BYTES: usize = 64 * 1024;
+
 /// What gets fewer requests than others, or none, as listed on the page.
 #[derive(Serialize)]
 struct WithheldPage {
@@ -163,11 +169,30 @@
     }
 }
 
+impl Pages {
+    /// Answers where the request described by the body would be sent now.
+    async fn explain(&self, body: Incoming) -> (StatusCode, Vec<u8>) {
+        let invalid = |text: String| (StatusCode::BAD_REQUEST, format!("{text}\n").into_bytes());
+        let Ok(body) = collect(body, MAX_EXPLAIN_BYTES).await else {
+            return invalid("the body is too large or incomplete".to_owned());
+        };
+        match serde_json::from_slice(&body) {
+            Ok(request) => match self.gateway.explain(&request) {
+                Ok(explanation) => (StatusCode::OK, json_line(&explanation)),
+                Err(cause) => invalid(cause),
+            },
+            Err(err) => invalid(format!("not a request to explain: {err}")),
+        }
+    }
+}
+
 #[async_trait]
 impl Handler for Pages {
     async fn handle(&self, req: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         let path = req.uri().path();
-        let (status, text) = if path == self.gateway.dialect.ready_path() {
+        let (status, text) = if path == EXPLAIN_PATH && req.method() == Method::POST {
+            self.explain(req.into_body()).await
+        } else if path == self.gateway.dialect.ready_path() {
             match self.not_ready_reason() {
                 None => (StatusCode::OK, b"ready\n".to_vec()),
                 Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason.as_bytes().to_vec()),
