--- a/src/decide/tests/server_limit.rs
+++ b/src/decide/tests/server_limit.rs
@@ -2,7 +2,9 @@
 
 use crate::clock::BootInstant;
 use crate::decide::FleetRequests;
+use crate::decide::OwnRequests;
 use crate::decide::RateWindow;
+use crate::decide::limit_senders;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -61,6 +63,122 @@
     arrivals
 }
 
+/// Time from a request to the answer that names the limit.
+const ANSWER_STEPS: usize = 6;
+/// Steps in which a fleet meets a limit, of which the first ones have few requests.
+const MEETING_STEPS: usize = 160;
+const SEEDS: u64 = 20;
+/// Step from which all gateways choose the server more often.
+const SURGE_STEP: usize = 70;
+
+/// A fleet that meets the limit of one server.
+struct MeetingFleet {
+    gateways: usize,
+    /// Choices a second of each gateway before and after [`SURGE_STEP`].
+    rates: [f64; 2],
+    limit: f64,
+}
+
+impl MeetingFleet {
+    /// Returns when `gateway` learns of the limit, by an answer to its own request or from the first gateway that had one.
+    fn learns_at(told: &[Option<usize>], gateway: usize) -> Option<usize> {
+        let from_others = told.iter().flatten().min()? + DELAY_STEPS;
+        Some(told[gateway].map_or(from_others, |at| at.min(from_others)))
+    }
+
+    /// Returns the number of requests in each step from gateways that the server has told its limit.
+    fn play(&self, seed: u64) -> Vec<u32> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut own = vec![OwnRequests::default(); self.gateways];
+        let mut told: Vec<Option<usize>> = vec![None; self.gateways];
+        let mut history: History = Vec::new();
+        let mut arrivals = Vec::new();
+        let senders = limit_senders(self.limit).min(self.gateways);
+        for step in 0..MEETING_STEPS {
+            let now = BootInstant::from_boot(Duration::from_secs(100) + STEP * step as u32);
+            let rate = self.rates[usize::from(step >= SURGE_STEP)];
+            let known = history.get(step.saturating_sub(DELAY_STEPS)).cloned();
+            let mut arrived = 0;
+            for gateway in 0..self.gateways {
+                let learnt_at = Self::learns_at(&told, gateway).filter(|at| *at <= step);
+                let is_sender = learnt_at.is_none() || gateway < senders;
+                if !is_sender || !rng.random_bool(rate * STEP.as_secs_f64()) {
+                    continue;
+                }
+                own[gateway].chosen.record(now);
+                let others = known.iter().flatten().enumerate();
+                let others = others.filter(|(other, _)| *other != gateway);
+                let others =
+                    others.fold(FleetRequests::default(), |sum, (_, other)| FleetRequests {
+                        chosen: sum.chosen + other.chosen,
+                        sent: sum.sent + other.sent,
+                    });
+                let may_send = learnt_at.is_none_or(|at| {
+                    let known_for = STEP * (step - at) as u32;
+                    own[gateway]
+                        .of_fleet(Some(others), known_for, senders, now)
+                        .may_send(self.limit, rng.random())
+                });
+                if may_send {
+                    own[gateway].sent.record(now);
+                    arrived += u32::from(told[gateway].is_some_and(|at| at <= step));
+                    told[gateway].get_or_insert(step + ANSWER_STEPS);
+                }
+            }
+            let counts = own.iter_mut().enumerate().map(|(gateway, own)| {
+                let is_told = Self::learns_at(&told, gateway).is_some_and(|at| at <= step);
+                if is_told {
+                    own.count(now)
+                } else {
+                    FleetRequests::default()
+                }
+            });
+            history.push(counts.collect());
+            arrivals.push(arrived);
+        }
+        arrivals
+    }
+}
+
+/// Guards against a server that gets its limit from each of many gateways: when it names it first, and when all choose it again in
+/// the same moment after a while without a request, before any knows of another's. It must not be starved either.
+#[test]
+fn a_large_fleet_that_chooses_a_limited_server_at_once_keeps_its_limit() {
+    let fleets = [
+        (75, [0.1, 2.0], 1.0),
+        (75, [0.4, 3.0], 1.0),
+        (60, [1.0, 4.0], 4.7),
+        (90, [0.6, 3.0], 5.0),
+        (7, [3.0, 9.0], 1.0),
+    ];
+    for (gateways, rates, limit) in fleets {
+        let fleet = MeetingFleet {
+            gateways,
+            rates,
+            limit,
+        };
+        let mut used = 0;
+        for seed in 0..SEEDS {
+            let arrivals = fleet.play(seed);
+
+            let windows = arrivals.windows(WINDOW_STEPS);
+            let most: u32 = windows.map(|window| window.iter().sum()).max().unwrap();
+            let allowed = limit * 4.0 * 1.5 + 5.0;
+            assert!(
+                f64::from(most) <= allowed,
+                "{most} of {allowed} requests of {gateways} gateways, seed {seed}"
+            );
+            used += arrivals[SURGE_STEP..].iter().sum::<u32>();
+        }
+        let surges = STEP * (MEETING_STEPS - SURGE_STEP) as u32 * SEEDS as u32;
+        let used = f64::from(used) / surges.as_secs_f64();
+        assert!(
+            used >= 0.6 * limit,
+            "{used} of {limit} a second, {gateways} gateways"
+        );
+    }
+}
+
 fn check_limit(rates: &[f64], limit: f64) {
     for seed in 0..20 {
         let arrivals = play(rates, limit, seed);
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -121,8 +121,13 @@
     ) -> (Option<(Choice, SendPermit)>, u32) {
         let gate = &self.gateway.gate;
         let cold_policy = gate.policy(self.service.as_ref());
-        let nodes = self.gateway.node_count();
+        let rates = &self.gateway.rates;
         let mut over_limit = 0;
+        for index in rates.left_to_others(servers) {
+            over_limit += u32::from(!server_views[index].is_draining);
+            server_views[index].is_draining = true;
+        }
+        let mut tries = 0;
         loop {
             let Some(choice) = choose(server_views) else {
                 return (None, over_limit);
@@ -143,15 +148,16 @@
                 continue;
             }
             let permit = cold_policy.map_or(SendPermit::Warm, |_| SendPermit::Token(now));
-            if self.gateway.rates.may_send(server, fraction, nodes) {
+            if rates.may_send(server, fraction) {
                 return (Some((choice, permit)), over_limit);
             }
             over_limit += 1;
+            tries += 1;
             server_views[choice.index].is_draining = true;
-            if over_limit == MAX_LIMITED_CHOICES {
+            if tries == MAX_LIMITED_CHOICES {
                 // One placement is enough for the others: those whose limits are used up are left out.
                 for (view, server) in server_views.iter_mut().zip(servers) {
-                    view.is_draining |= self.gateway.rates.is_exhausted(server, nodes);
+                    view.is_draining |= rates.is_exhausted(server);
                 }
             }
         }
@@ -170,7 +176,6 @@
     /// sent this one yet, and whether one of these is known to respond. If there is none, the request is not retried,
     /// and the caller gets the result of the earlier sends.
     pub(super) fn untried_servers(&self) -> (bool, bool) {
-        let nodes = self.gateway.node_count();
         let (servers, _) = self.gateway.catalog.servers_of(&self.service_name);
         let views = self.candidates(&servers).views;
         let untried = servers.iter().zip(views).filter(|(server, view)| {
@@ -178,7 +183,7 @@
                 && !view.is_withheld
                 && !view.is_tried
                 && self.has_stream_version(server)
-                && !self.gateway.rates.is_exhausted(server, nodes)
+                && !self.gateway.rates.is_exhausted(server)
         });
         let (mut has_untried, mut has_responsive) = (false, false);
         for (_, view) in untried {
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -188,10 +188,7 @@
             (view.is_suspended, Obstacle::Suspended),
             (view.is_cold && !view.is_withheld, Obstacle::Cold),
             (view.is_withheld, Obstacle::ColdWithoutToken),
-            (
-                self.rates.is_exhausted(server, self.node_count()),
-                Obstacle::LimitReached,
-            ),
+            (self.rates.is_exhausted(server), Obstacle::LimitReached),
             (view.slowness > 1.0, Obstacle::Slow),
             (
                 self.paths.state(server) == PathState::Blocked,
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -188,6 +188,7 @@
             shared.loads.record_remote(&fleet);
             shared.rates.record_remote(&fleet.others, &servers);
             shared.gate.update(BootInstant::now());
+            shared.rates.record_gateways(&shared.gate);
             shared.team_demand.record_heavy(fleet.heavy);
         }),
     )
@@ -404,7 +405,7 @@
         loads,
         gate,
         team_demand: TeamDemand::new(settings.host.has_team_shares),
-        rates: ServerRates::default(),
+        rates: ServerRates::new(&settings.host.name),
         response_memory: ResponseMemory::default(),
         retry_budgets: Mutex::default(),
         runtime_settings: Mutex::new(runtime_settings(bounds)),
--- a/src/gateway/send_gate.rs
+++ b/src/gateway/send_gate.rs
@@ -228,6 +228,12 @@
         (count(&self.cold_sends), count(&self.stopped_sends))
     }
 
+    /// Returns the names of the gateways that were listed lately, sorted, with their version, if that is not `known`.
+    pub(super) fn gateways_since(&self, known: u64) -> Option<(u64, Vec<String>)> {
+        let state = lock(&self.state);
+        (state.names_version != known).then(|| (state.names_version, state.names.clone()))
+    }
+
     /// Takes note of the servers that have become cold or warm; called some times a second.
     pub(super) fn update(&self, now: BootInstant) {
         let evacuations = self.catalog.evacuations();
@@ -236,6 +242,7 @@
         let configuration = self.catalog.configuration();
         let mut state = lock(&self.state);
         state.news_at = Some(now);
+        self.update_names(&mut state, now);
         let mut cold = Vec::new();
         for (server, status) in servers.iter().zip(statuses) {
             let service = configuration
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -240,7 +240,7 @@
     rates.record_notice(&server("a", 1), RateLimitNotice::PerSecond(0.0));
 
     assert!(rates.has_limit(&server("a", 1)));
-    assert!(rates.may_send(&server("a", 2), 0.99, 7));
+    assert!(rates.may_send(&server("a", 2), 0.99));
     assert!(!rates.has_limit(&server("a", 2)));
 }
 
