--- a/src/gateway/explanation.rs
+++ b/src/gateway/explanation.rs
@@ -136,7 +136,7 @@
     Cold,
     /// It is cold, and this gateway may send none now.
     ColdWithoutToken,
-    /// It has got all requests that the limit allows which it names.
+    /// It has got all requests that the limit allows which it names, or other gateways use that limit.
     LimitReached,
     /// It works slower than others, so its load counts as a multiple.
     Slow,
