--- a/src/decide/tests/server_limit.rs
+++ b/src/decide/tests/server_limit.rs
@@ -77,6 +77,8 @@
     /// Choices a second of each gateway before and after [`SURGE_STEP`].
     rates: [f64; 2],
     limit: f64,
+    /// Whether each gateway had a request there when the limit began, so that the answer tells it.
+    is_told_at_once: bool,
 }
 
 impl MeetingFleet {
@@ -90,7 +92,8 @@
     fn play(&self, seed: u64) -> Vec<u32> {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut own = vec![OwnRequests::default(); self.gateways];
-        let mut told: Vec<Option<usize>> = vec![None; self.gateways];
+        let first_told = self.is_told_at_once.then_some(ANSWER_STEPS);
+        let mut told: Vec<Option<usize>> = vec![first_told; self.gateways];
         let mut history: History = Vec::new();
         let mut arrivals = Vec::new();
         let senders = limit_senders(self.limit).min(self.gateways);
@@ -145,17 +148,18 @@
 #[test]
 fn a_large_fleet_that_chooses_a_limited_server_at_once_keeps_its_limit() {
     let fleets = [
-        (75, [0.1, 2.0], 1.0),
-        (75, [0.4, 3.0], 1.0),
-        (60, [1.0, 4.0], 4.7),
-        (90, [0.6, 3.0], 5.0),
-        (7, [3.0, 9.0], 1.0),
+        (75, [0.0, 2.0], 1.0, true),
+        (60, [0.0, 4.0], 4.7, true),
+        (90, [0.0, 3.0], 5.0, true),
+        (75, [0.4, 3.0], 1.0, false),
+        (7, [3.0, 9.0], 1.0, false),
     ];
-    for (gateways, rates, limit) in fleets {
+    for (gateways, rates, limit, is_told_at_once) in fleets {
         let fleet = MeetingFleet {
             gateways,
             rates,
             limit,
+            is_told_at_once,
         };
         let mut used = 0;
         for seed in 0..SEEDS {
