--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,7 +4,6 @@
 use super::dialect::ForwardMetadata;
 use super::dialect::RateLimitNotice;
 use super::loads::InFlightGuard;
-use super::pool::ConnectError;
 use super::pool::Lease;
 use super::pool::Pool;
 use super::send_gate::SendGate;
@@ -186,8 +185,7 @@
             }
             Ok(lease)
         }
-        Err(ConnectError::Timeout) => Err("connecting timed out".to_owned()),
-        Err(ConnectError::Failed(cause)) => Err(cause),
+        Err(err) => Err(err.to_string()),
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -61,6 +61,7 @@
     blocked_servers: IntGauge,
     tunnels: IntGauge,
     carried_tunnels: IntGauge,
+    tunnel_requests: IntCounterVec,
     cold_servers: IntGauge,
     cold_sends: IntGauge,
     stopped_sends: IntGauge,
@@ -151,6 +152,11 @@
                 "currantbend_gateway_carried_tunnels",
                 "Connections to backend servers that are carried for other gateways.",
             ),
+            tunnel_requests: counters(
+                "currantbend_gateway_tunnel_requests_total",
+                "Requests to other gateways for a connection to a backend server, by result.",
+                &["result"],
+            ),
             limited_servers: gauge(
                 "currantbend_gateway_limited_servers",
                 "Backend servers that name a limit on requests.",
@@ -177,7 +183,7 @@
                 "Data centres whose backend servers get no new requests at an operator's request.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 25] = [
+        let collectors: [Box<dyn Collector>; 26] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -197,6 +203,7 @@
             Box::new(metrics.blocked_servers.clone()),
             Box::new(metrics.tunnels.clone()),
             Box::new(metrics.carried_tunnels.clone()),
+            Box::new(metrics.tunnel_requests.clone()),
             Box::new(metrics.cold_servers.clone()),
             Box::new(metrics.cold_sends.clone()),
             Box::new(metrics.stopped_sends.clone()),
@@ -288,6 +295,11 @@
         self.carried_tunnels.set(carried.into());
     }
 
+    /// Records that another gateway was asked for a tunnel; `result` is `opened` or the label of the error.
+    pub(super) fn record_tunnel_request(&self, result: &str) {
+        self.tunnel_requests.with_label_values(&[result]).inc();
+    }
+
     pub(super) fn record_limited_servers(&self, count: usize) {
         self.limited_servers
             .set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -393,15 +393,16 @@
         cold_allowance(bounds),
         BootInstant::now(),
     );
+    let metrics = Arc::new(GatewayMetrics::new(&sources.source_metrics));
     Gateway {
         data_centre: settings.host.data_centre.clone(),
         regions: settings.host.regions.clone(),
         catalog: Arc::clone(catalog),
         dialect: Arc::clone(&sources.dialect),
         logs: logs.clone(),
-        metrics: Arc::new(GatewayMetrics::new(&sources.source_metrics)),
         pool: Pool::default(),
-        paths: Arc::new(ServerPaths::new(&sources.connector, logs)),
+        paths: Arc::new(ServerPaths::new(&sources.connector, &metrics, logs)),
+        metrics,
         loads,
         gate,
         team_demand: TeamDemand::new(settings.host.has_team_shares),
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use slog::info;
 use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -111,6 +112,15 @@
     Failed(String),
 }
 
+impl fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Timeout => "connecting timed out",
+            Self::Failed(cause) => cause,
+        })
+    }
+}
+
 /// Returns the connector for connections to backend servers.
 pub fn server_connector() -> Arc<dyn Connector> {
     Arc::new(TcpConnector {
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -1,6 +1,7 @@
 //! Connects to backend servers, directly or through other gateways ([`crate::decide::ServerPath`]), and remembers which way
 //! worked.
 
+use super::metrics::GatewayMetrics;
 use super::pool::ConnectError;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
@@ -12,6 +13,7 @@
 use crate::net::timeout_at;
 use crate::peers::DirectPaths;
 use crate::peers::NodeEntry;
+use crate::peers::TunnelError;
 use crate::peers::Tunnels;
 use crate::quarantine::ServerReach;
 use async_trait::async_trait;
@@ -55,17 +57,31 @@
     tunnels: OnceLock<Arc<dyn Tunnels>>,
     /// Sorted by server name.
     rows: Mutex<Vec<Row>>,
+    metrics: Arc<GatewayMetrics>,
     logs: Logs,
 }
 
-type Opening<'a> = BoxFuture<'a, (bool, Result<ServerConnection, ConnectError>)>;
+/// A way to a server that led nowhere.
+struct FailedWay {
+    /// The gateway that was asked for a tunnel; `None` for a direct connection.
+    helper: Option<String>,
+    err: ConnectError,
+    took: Duration,
+}
+
+type Opening<'a> = BoxFuture<'a, (Option<String>, Result<ServerConnection, ConnectError>)>;
 
 impl ServerPaths {
-    pub(super) fn new(connector: &Arc<dyn Connector>, logs: &Logs) -> Self {
+    pub(super) fn new(
+        connector: &Arc<dyn Connector>,
+        metrics: &Arc<GatewayMetrics>,
+        logs: &Logs,
+    ) -> Self {
         Self {
             connector: Arc::clone(connector),
             tunnels: OnceLock::new(),
             rows: Mutex::default(),
+            metrics: Arc::clone(metrics),
             logs: logs.clone(),
         }
     }
@@ -90,26 +106,47 @@
         let helpers = tunnels.map(|tunnels| tunnels.helpers(server));
         let helpers = helpers.unwrap_or_default();
         let direct =
-            || -> Opening<'_> { Box::pin(async { (true, self.open_directly(server).await) }) };
+            || -> Opening<'_> { Box::pin(async { (None, self.open_directly(server).await) }) };
         let mut ways: VecDeque<Opening<'_>> = VecDeque::new();
         if state == PathState::Open || helpers.is_empty() {
             ways.push_back(direct());
         }
         for helper in &helpers {
             ways.push_back(Box::pin(async {
-                (false, self.open_tunnel(helper, server, request).await)
+                let opened = self.open_tunnel(helper, server, request).await;
+                (Some(helper.name.clone()), opened)
             }));
         }
-        let result = first_of(ways).await;
-        let result = match result {
-            // The path may be free again, and the helpers may have lost theirs.
-            Err(_) if state == PathState::Blocked && !helpers.is_empty() => direct().await.1,
-            result => result,
+        let mut failed = match first_of(ways).await {
+            Ok(connection) => return Ok(connection),
+            Err(failed) => failed,
         };
-        if result.is_err() {
-            self.update(server, |path| path.record_lost(BootInstant::now()));
+        if state == PathState::Blocked && !helpers.is_empty() {
+            // The path may be free again, and the helpers may have lost theirs.
+            match first_of(VecDeque::from([direct()])).await {
+                Ok(connection) => return Ok(connection),
+                Err(last) => failed.extend(last),
+            }
         }
-        result
+        self.update(server, |path| path.record_lost(BootInstant::now()));
+        self.log_not_reached(server, request, state, &failed);
+        Err(most_telling(failed))
+    }
+
+    /// Logs each way that was tried, in the order in which they failed.
+    fn log_not_reached(
+        &self,
+        server: &BackendServer,
+        request: &str,
+        state: PathState,
+        failed: &[FailedWay],
+    ) {
+        let ways = failed.iter().map(|way| {
+            let name = way.helper.as_deref().unwrap_or("direct");
+            format!("{name}: {} ({} ms)", way.err, way.took.as_millis())
+        });
+        info!(self.logs.log(), "server not reached"; "request" => request, "server" => &server.id,
+            "service" => &server.entry.service, "path" => ?state, "ways" => ways.collect::<Vec<_>>().join(", "));
     }
 
     /// Connects to `server` directly. The try goes on if the caller doesn't wait for it, since its result is of use for the
@@ -146,7 +183,9 @@
             return Err(ConnectError::Failed("no other gateway".to_owned()));
         };
         let opened = tunnels.open(helper, server, request).await;
-        let io = opened.map_err(ConnectError::Failed)?;
+        let result = opened.as_ref().err().map_or("opened", TunnelError::label);
+        self.metrics.record_tunnel_request(result);
+        let io = opened.map_err(|err| ConnectError::Failed(err.to_string()))?;
         self.record_tunnelled(server, &helper.name);
         let helper = Some(helper.name.clone());
         Ok(ServerConnection { io, helper })
@@ -276,7 +315,10 @@
         };
         let helpers = tunnels.helpers(server);
         let ways = helpers.iter().map(|helper| -> Opening<'_> {
-            Box::pin(async { (false, self.open_tunnel(helper, server, "").await) })
+            Box::pin(async {
+                let opened = self.open_tunnel(helper, server, "").await;
+                (Some(helper.name.clone()), opened)
+            })
         });
         first_of(ways.collect()).await.is_ok()
     }
@@ -309,31 +351,46 @@
     }
 }
 
-/// Returns the first result that is a connection, or else the last error. Each way is begun when the one before has failed or
-/// has led nowhere for [`NEXT_WAY_DELAY`].
-async fn first_of(mut ways: VecDeque<Opening<'_>>) -> Result<ServerConnection, ConnectError> {
+/// Returns the first connection, or the ways that failed if none led to the server. Each way is begun when the one before has
+/// failed or has led nowhere for [`NEXT_WAY_DELAY`].
+async fn first_of(mut ways: VecDeque<Opening<'_>>) -> Result<ServerConnection, Vec<FailedWay>> {
     let mut openings = FuturesUnordered::new();
-    let mut outcome = None;
-    openings.extend(ways.pop_front());
+    let mut failed = Vec::new();
+    openings.extend(ways.pop_front().map(timed));
     while !openings.is_empty() {
         let has_next = !ways.is_empty();
         tokio::select! {
             biased;
             opened = openings.next() => match opened {
-                Some((_, Ok(connection))) => return Ok(connection),
-                // The error of the direct connection says more than that of a helper.
-                Some((is_direct, Err(err))) => {
-                    if is_direct || outcome.is_none() {
-                        outcome = Some(err);
-                    }
-                    openings.extend(ways.pop_front());
+                Some(Ok(connection)) => return Ok(connection),
+                Some(Err(way)) => {
+                    failed.push(way);
+                    openings.extend(ways.pop_front().map(timed));
                 }
                 None => {}
             },
             () = tokio::time::sleep(NEXT_WAY_DELAY), if has_next => {
-                openings.extend(ways.pop_front());
+                openings.extend(ways.pop_front().map(timed));
             }
         }
     }
-    Err(outcome.unwrap_or_else(|| ConnectError::Failed("no way to the server".to_owned())))
+    Err(failed)
+}
+
+/// Awaits `opening` and measures it.
+async fn timed(opening: Opening<'_>) -> Result<ServerConnection, FailedWay> {
+    let began = Instant::now();
+    let (helper, opened) = opening.await;
+    let took = began.elapsed();
+    opened.map_err(|err| FailedWay { helper, err, took })
+}
+
+/// Returns the error of the last direct connection, which says more than that of a helper, or else the first one.
+fn most_telling(failed: Vec<FailedWay>) -> ConnectError {
+    let direct = failed.iter().rposition(|way| way.helper.is_none());
+    let way = failed.into_iter().nth(direct.unwrap_or_default());
+    way.map_or_else(
+        || ConnectError::Failed("no way to the server".to_owned()),
+        |way| way.err,
+    )
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -50,4 +50,6 @@
 pub use streams::StreamDirectory;
 pub use streams::StreamKey;
 pub use tunnel::DirectPaths;
+pub use tunnel::TunnelError;
+pub use tunnel::TunnelRefusal;
 pub use tunnel::Tunnels;
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -59,12 +59,40 @@
         helper: &NodeEntry,
         server: &BackendServer,
         request: &str,
-    ) -> Result<Box<dyn Connection>, String>;
+    ) -> Result<Box<dyn Connection>, TunnelError>;
 
     /// Returns the number of tunnels of this gateway through others, and of those that it carries for others.
     fn counts(&self) -> (u32, u32);
 }
 
+/// Why a helper opened no tunnel.
+#[derive(Debug)]
+pub enum TunnelError {
+    /// It answered that it opens none.
+    Refused(TunnelRefusal),
+    /// It could not be reached, or did not answer in time, for this cause.
+    Unreachable(String),
+}
+
+impl TunnelError {
+    /// Returns the result for metrics, one of a few.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Refused(refusal) => refusal.as_str(),
+            Self::Unreachable(_) => "helper unreachable",
+        }
+    }
+}
+
+impl fmt::Display for TunnelError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused(refusal) => refusal.as_str(),
+            Self::Unreachable(cause) => cause,
+        })
+    }
+}
+
 /// Connects a helper to backend servers.
 #[async_trait]
 pub trait DirectPaths: Send + Sync {
@@ -101,7 +129,7 @@
 /// Why a helper opens no tunnel.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-enum TunnelRefusal {
+pub enum TunnelRefusal {
     /// The requester is on no list of gateways.
     Stranger,
     /// The helper doesn't know the server, or not this incarnation of it.
@@ -125,18 +153,22 @@
             Self::Unreachable | Self::UnknownServer => RefusalScope::Server,
         }
     }
-}
 
-impl fmt::Display for TunnelRefusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+    fn as_str(self) -> &'static str {
+        match self {
             Self::Stranger => "not on the helper's node list",
             Self::UnknownServer => "server unknown to the helper",
             Self::Unreachable => "server unreachable for the helper",
             Self::CutOff => "helper reaches no server of the service",
             Self::Busy => "helper busy",
             Self::Stopping => "helper stopping",
-        })
+        }
+    }
+}
+
+impl fmt::Display for TunnelRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
@@ -169,21 +201,26 @@
         helper: &NodeEntry,
         server: &BackendServer,
         request: &str,
-    ) -> Result<Box<dyn Connection>, String> {
+    ) -> Result<Box<dyn Connection>, TunnelError> {
         let open = self.tunnel_table.count_open(&helper.name);
         let opening = self.ask_for_tunnel(helper, server, request);
         let answer = match tokio::time::timeout(OPEN_TIMEOUT, opening).await {
             Ok(answer) => answer,
-            Err(_) => Err((None, "helper did not answer in time".to_owned())),
+            Err(_) => Err(TunnelError::Unreachable(
+                "helper did not answer in time".to_owned(),
+            )),
         };
         match answer {
             Ok(socket) => Ok(Box::new(TunnelStream::new(socket, open))),
-            Err((refusal, cause)) => {
-                let scope = refusal.map_or(RefusalScope::AllServers, TunnelRefusal::scope);
+            Err(err) => {
+                let scope = match &err {
+                    TunnelError::Refused(refusal) => refusal.scope(),
+                    TunnelError::Unreachable(_) => RefusalScope::AllServers,
+                };
                 let now = BootInstant::now();
                 self.tunnel_table
                     .record_refusal(&helper.name, server, scope, now);
-                Err(cause)
+                Err(err)
             }
         }
     }
@@ -221,8 +258,8 @@
         helper: &NodeEntry,
         server: &BackendServer,
         request: &str,
-    ) -> Result<WebSocketStream<TcpStream>, (Option<TunnelRefusal>, String)> {
-        let lost = |cause| (None, cause);
+    ) -> Result<WebSocketStream<TcpStream>, TunnelError> {
+        let lost = TunnelError::Unreachable;
         let source = Some(self.own.address.ip());
         let link = Link::open_from(source, helper).await;
         let mut link = link.map_err(lost)?;
@@ -234,7 +271,7 @@
         let answer: TunnelResponse = link.request(&question).await.map_err(lost)?;
         match answer.refusal {
             None => Ok(link.into_socket()),
-            Some(refusal) => Err((Some(refusal), refusal.to_string())),
+            Some(refusal) => Err(TunnelError::Refused(refusal)),
         }
     }
 
