--- a/src/peers/tests/tunnels.rs
+++ b/src/peers/tests/tunnels.rs
@@ -35,7 +35,7 @@
     (stream, helper.unwrap())
 }
 
-fn server(id: &str, service: &str) -> BackendServer {
+pub(super) fn server(id: &str, service: &str) -> BackendServer {
     BackendServer {
         id: id.to_owned(),
         entry: ServerEntry {
