--- a/src/decide/server_path.rs
+++ b/src/decide/server_path.rs
@@ -5,18 +5,13 @@
 //! no other gateway reaches the server either. Nothing is concluded from failures alone: a path counts as blocked when a
 //! helper reached the server that this gateway could not connect to. `docs/REACHING-SERVERS.md` has the whole protocol.
 
-use super::hash::hash;
 use crate::clock::BootInstant;
-use crate::peers::NodeEntry;
 use std::time::Duration;
 
 /// Time for which a server that no gateway asked could reach gets no requests.
 const LOST_TIME: Duration = Duration::from_millis(500);
 /// Interval at which a blocked path is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of helpers that are asked for one connection. Those that reach no server say so at once, and several may be
-/// cut off together.
-const MAX_HELPERS: usize = 8;
 
 /// What a gateway knows of its path to one server.
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,39 +108,6 @@
     }
 }
 
-/// What is known of a gateway that may be a helper.
-#[derive(Clone, Copy, Debug)]
-pub struct HelperView<'a> {
-    /// The gateway's entry in the node list.
-    pub node: &'a NodeEntry,
-    /// Number of this gateway's tunnels through it.
-    pub tunnels: u32,
-    /// Whether it could not be reached, refused a tunnel to the server, or reaches no server itself, a moment ago.
-    pub has_refused: bool,
-}
-
-/// Returns the helpers to ask for a connection to the server called `server`, in order: near ones before far ones, then by
-/// the number of tunnels. The order of equals differs from gateway to gateway and server to server, so that no helper is
-/// asked by all.
-pub fn helper_order<'a>(
-    own: &NodeEntry,
-    server: &str,
-    helpers: &[HelperView<'a>],
-) -> Vec<&'a NodeEntry> {
-    let mut usable: Vec<&HelperView<'_>> = helpers
-        .iter()
-        .filter(|helper| !helper.has_refused && helper.node.name != own.name)
-        .collect();
-    usable.sort_by_key(|helper| {
-        let is_far = helper.node.data_centre != own.data_centre;
-        let name = helper.node.name.as_bytes();
-        let random = hash(&[own.name.as_bytes(), name, server.as_bytes()]);
-        (is_far, helper.tunnels, random)
-    });
-    let usable = usable.into_iter().map(|helper| helper.node);
-    usable.take(MAX_HELPERS).collect()
-}
-
 /// Maximum number of tunnels that a gateway carries for others.
 const MAX_CARRIED: u32 = 256;
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod failover;
 mod health;
+mod helper_choice;
 mod pace;
 mod placement;
 mod region;
--- a/src/decide/tests/server_path.rs
+++ b/src/decide/tests/server_path.rs
@@ -1,6 +1,7 @@
 //! Paths to servers that are lost and found, and the gateways that are asked for help.
 
 use crate::clock::BootInstant;
+use crate::decide::HelperReach;
 use crate::decide::HelperView;
 use crate::decide::PathState;
 use crate::decide::ServerPath;
@@ -28,6 +29,7 @@
     HelperView {
         node,
         tunnels,
+        reach: HelperReach::Unknown,
         has_refused,
     }
 }
--- a/src/peers/tests/helper_fleet.rs
+++ b/src/peers/tests/helper_fleet.rs
@@ -1,19 +1,19 @@
 //! Requests of many gateways that are cut off from the servers of a service, and the helpers that each of them asks. Nothing is
 //! sent: a helper opens a tunnel if it is not cut off itself.
 
+use super::tunnels::node;
 use super::tunnels::server;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::HelperView;
+use crate::decide::RefusalScope;
 use crate::decide::helper_order;
 use crate::peers::NodeEntry;
 use crate::peers::tunnel_table::OpenTunnel;
-use crate::peers::tunnel_table::RefusalScope;
 use crate::peers::tunnel_table::TunnelTable;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 const DATA_CENTRES: usize = 4;
@@ -45,13 +45,8 @@
 }
 
 fn gateway(data_centre: usize, number: usize) -> NodeEntry {
-    NodeEntry {
-        name: format!("g-{data_centre}-{number:02}"),
-        data_centre: format!("dc-{data_centre}"),
-        address: SocketAddr::from(([127, 0, 0, 1], 7340)),
-        start_time_ms: 1,
-        link_mbps: 1_000,
-    }
+    let name = format!("g-{data_centre}-{number:02}");
+    node(&name, &format!("dc-{data_centre}"))
 }
 
 /// Returns the gateways of a fleet and whether each is cut off.
@@ -83,11 +78,7 @@
     ) -> bool {
         let views: Vec<HelperView<'_>> = fleet
             .iter()
-            .map(|(node, _)| HelperView {
-                node,
-                tunnels: self.table.open_through(&node.name),
-                has_refused: self.table.has_refused(&node.name, server, now),
-            })
+            .map(|(node, _)| self.table.view(node, server, now))
             .collect();
         for helper in helper_order(&self.own, &server.id, &views) {
             let index = fleet.binary_search_by(|(node, _)| node.name.cmp(&helper.name));
@@ -97,6 +88,7 @@
                 self.table.record_refusal(&helper.name, server, scope, now);
                 counts.refusals += 1;
             } else {
+                self.table.record_opened(&helper.name, server, now);
                 let open = self.table.count_open(&helper.name);
                 self.tunnels.push((now.plus(REQUEST_TIME), open));
                 return true;
--- a/src/peers/tests/tunnels.rs
+++ b/src/peers/tests/tunnels.rs
@@ -3,9 +3,10 @@
 use crate::catalog::BackendServer;
 use crate::catalog::ServerEntry;
 use crate::clock::BootInstant;
+use crate::decide::RefusalScope;
+use crate::peers::NodeEntry;
 use crate::peers::tunnel_stream::TunnelStream;
 use crate::peers::tunnel_table::CarriedTunnel;
-use crate::peers::tunnel_table::RefusalScope;
 use crate::peers::tunnel_table::TunnelTable;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -52,6 +53,20 @@
     }
 }
 
+pub(super) fn node(name: &str, data_centre: &str) -> NodeEntry {
+    NodeEntry {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7340)),
+        start_time_ms: 1,
+        link_mbps: 1_000,
+    }
+}
+
+fn has_refused(table: &TunnelTable, helper: &str, to: &BackendServer, now: BootInstant) -> bool {
+    table.view(&node(helper, "x"), to, now).has_refused
+}
+
 fn host(last: u8) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 0, 0, last))
 }
@@ -124,11 +139,11 @@
     table.record_refusal("h-1", &server("i-1", "llm"), RefusalScope::Server, now);
     table.record_refusal("h-2", &server("i-1", "llm"), RefusalScope::AllServers, now);
 
-    assert!(table.has_refused("h-1", &server("i-1", "llm"), now));
-    assert!(!table.has_refused("h-1", &server("i-2", "llm"), now));
-    assert!(table.has_refused("h-2", &server("i-9", "app"), now));
+    assert!(has_refused(&table, "h-1", &server("i-1", "llm"), now));
+    assert!(!has_refused(&table, "h-1", &server("i-2", "llm"), now));
+    assert!(has_refused(&table, "h-2", &server("i-9", "app"), now));
     let later = now.plus(Duration::from_secs(1));
-    assert!(!table.has_refused("h-1", &server("i-1", "llm"), later));
+    assert!(!has_refused(&table, "h-1", &server("i-1", "llm"), later));
 }
 
 // A gateway that reached all engines was not asked for one because it reached no plain server.
@@ -139,6 +154,6 @@
 
     table.record_refusal("h-1", &server("i-1", "app"), RefusalScope::Service, now);
 
-    assert!(table.has_refused("h-1", &server("i-2", "app"), now));
-    assert!(!table.has_refused("h-1", &server("i-3", "llm"), now));
+    assert!(has_refused(&table, "h-1", &server("i-2", "app"), now));
+    assert!(!has_refused(&table, "h-1", &server("i-3", "llm"), now));
 }
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -8,10 +8,10 @@
 use super::node::Shared;
 use super::tunnel_stream::TunnelStream;
 use super::tunnel_table::CarriedTunnel;
-use super::tunnel_table::RefusalScope;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::HelperView;
+use crate::decide::RefusalScope;
 use crate::decide::helper_order;
 use crate::net::Connection;
 use async_trait::async_trait;
@@ -150,7 +150,8 @@
         match self {
             Self::Stranger | Self::Busy | Self::Stopping => RefusalScope::AllServers,
             Self::CutOff => RefusalScope::Service,
-            Self::Unreachable | Self::UnknownServer => RefusalScope::Server,
+            Self::Unreachable => RefusalScope::Server,
+            Self::UnknownServer => RefusalScope::UnlistedServer,
         }
     }
 
@@ -181,11 +182,12 @@
         let views: Vec<HelperView<'_>> = nodes
             .iter()
             .filter(|node| self.regions.may_carry(&node.data_centre, centre))
-            .map(|node| HelperView {
-                node,
-                tunnels: self.tunnel_table.open_through(&node.name),
-                has_refused: self.nodes.is_unreachable(node)
-                    || self.tunnel_table.has_refused(&node.name, server, now),
+            .map(|node| {
+                let view = self.tunnel_table.view(node, server, now);
+                HelperView {
+                    has_refused: view.has_refused || self.nodes.is_unreachable(node),
+                    ..view
+                }
             })
             .collect();
         let helpers = helper_order(&self.own, &server.id, &views);
@@ -211,7 +213,11 @@
             )),
         };
         match answer {
-            Ok(socket) => Ok(Box::new(TunnelStream::new(socket, open))),
+            Ok(socket) => {
+                let now = BootInstant::now();
+                self.tunnel_table.record_opened(&helper.name, server, now);
+                Ok(Box::new(TunnelStream::new(socket, open)))
+            }
             Err(err) => {
                 let scope = match &err {
                     TunnelError::Refused(refusal) => refusal.scope(),
--- a/src/peers/tunnel_table.rs
+++ b/src/peers/tunnel_table.rs
@@ -1,8 +1,12 @@
 //! Counts the tunnels of a gateway, those through others and those that it carries for others, and remembers which helpers
 //! refused one.
 
+use super::directory::NodeEntry;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
+use crate::decide::HelperMemory;
+use crate::decide::HelperView;
+use crate::decide::RefusalScope;
 use crate::decide::may_carry;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -11,40 +15,6 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
-
-/// Time for which a helper that refused isn't asked again.
-const REFUSAL_TIME: Duration = Duration::from_secs(1);
-
-/// What a refusal holds for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum RefusalScope {
-    AllServers,
-    /// All servers of the service.
-    Service,
-    Server,
-}
-
-#[derive(Debug)]
-struct Refusal {
-    helper: String,
-    scope: RefusalScope,
-    /// Service and name of the server that was asked for.
-    server: (String, String),
-    at: BootInstant,
-}
-
-impl Refusal {
-    fn covers(&self, helper: &str, server: &BackendServer) -> bool {
-        let (service, name) = &self.server;
-        self.helper == helper
-            && match self.scope {
-                RefusalScope::AllServers => true,
-                RefusalScope::Service => *service == server.entry.service,
-                RefusalScope::Server => *name == server.id,
-            }
-    }
-}
 
 #[derive(Debug, Default)]
 struct State {
@@ -52,7 +22,8 @@
     open: Vec<(String, u32)>,
     /// Tunnels that this gateway carries, by the requester's host, sorted.
     carried: Vec<(IpAddr, u32)>,
-    refusals: Vec<Refusal>,
+    /// What the gateways did that were asked.
+    helpers: HelperMemory,
 }
 
 /// The tunnels of one gateway.
@@ -117,29 +88,34 @@
         now: BootInstant,
     ) {
         let mut state = lock(&self.state);
-        state
-            .refusals
-            .retain(|refusal| now.since(refusal.at) < REFUSAL_TIME);
-        state.refusals.push(Refusal {
-            helper: helper.to_owned(),
-            scope,
-            server: (server.entry.service.clone(), server.id.clone()),
-            at: now,
-        });
+        let server = (server.entry.service.as_str(), server.id.as_str());
+        state.helpers.record_refusal(helper, server, scope, now);
+    }
+
+    /// Records that `helper` opened a tunnel to `server`.
+    pub(super) fn record_opened(&self, helper: &str, server: &BackendServer, now: BootInstant) {
+        let mut state = lock(&self.state);
+        let service = &server.entry.service;
+        state.helpers.record_opened(helper, service, now);
     }
 
-    /// Returns whether `helper` refused a tunnel a moment ago in a way that holds for `server`.
-    pub(super) fn has_refused(
+    /// Returns what is known of `node` as a helper for a tunnel to `server`.
+    pub(super) fn view<'a>(
         &self,
-        helper: &str,
+        node: &'a NodeEntry,
         server: &BackendServer,
         now: BootInstant,
-    ) -> bool {
+    ) -> HelperView<'a> {
+        let tunnels = self.open_through(&node.name);
+        let service = server.entry.service.as_str();
         let state = lock(&self.state);
-        state
-            .refusals
-            .iter()
-            .any(|refusal| now.since(refusal.at) < REFUSAL_TIME && refusal.covers(helper, server))
+        let helpers = &state.helpers;
+        HelperView {
+            node,
+            tunnels,
+            reach: helpers.reach(&node.name, service, now),
+            has_refused: helpers.has_refused(&node.name, (service, &server.id), now),
+        }
     }
 
     /// Counts a tunnel that this gateway carries for `requester`; `None` if it carries too many.
