--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -330,6 +330,11 @@
         (servers.unwrap_or_default(), state.servers_version)
     }
 
+    /// Returns the services on the list with their servers, draining ones included, sorted by name.
+    pub fn by_service(&self) -> Vec<(String, Arc<Vec<BackendServer>>)> {
+        self.lock().by_service.clone()
+    }
+
     /// Returns the software version that all servers of `service` have had since `since`; `None` if there were several
     /// or if that is not known.
     pub fn only_version(&self, service: &str, since: BootInstant) -> Option<String> {
--- a/src/decide/helper_choice.rs
+++ b/src/decide/helper_choice.rs
@@ -8,6 +8,7 @@
 
 use super::hash::hash;
 use crate::clock::BootInstant;
+use crate::peers::CutOffNodes;
 use crate::peers::NodeEntry;
 use std::time::Duration;
 
@@ -26,11 +27,11 @@
 /// What is known of whether a gateway reaches the servers of a service.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum HelperReach {
-    /// It opened a tunnel to one of them a moment ago.
-    Proven,
+    /// It opened a tunnel to one of them a moment ago, or isn't among the gateways that say that they reach none.
+    Likely,
     /// Nothing.
     Unknown,
-    /// It did not reach one a moment ago.
+    /// It did not reach one a moment ago, or says that it reaches none.
     Doubtful,
 }
 
@@ -115,6 +116,8 @@
 pub struct HelperMemory {
     /// Sorted by helper and service.
     rows: Vec<Row>,
+    /// Gateways that say that they reach no server of a service, sorted by service, and when this was received.
+    cut_off: Option<(Vec<CutOffNodes>, BootInstant)>,
     /// Helpers that opened no tunnel whatever the server, and when, sorted by name.
     closed: Vec<(String, BootInstant)>,
 }
@@ -131,6 +134,11 @@
         row.cut_off_at = None;
     }
 
+    /// Records which gateways say that they reach no server of a service, sorted by service.
+    pub fn record_cut_off(&mut self, services: Vec<CutOffNodes>, now: BootInstant) {
+        self.cut_off = Some((services, now));
+    }
+
     /// Records that `helper` opened no tunnel to `server`, given by its service and name, which holds for the servers in `scope`.
     pub fn record_refusal(
         &mut self,
@@ -184,21 +192,39 @@
             })
     }
 
-    /// Returns whether `helper` reaches the servers of `service`, as far as its answers tell.
+    /// Returns whether `helper` reaches the servers of `service`, as far as is known. What it has just done says more than what it
+    /// told all gateways some exchanges ago.
     pub fn reach(&self, helper: &str, service: &str, now: BootInstant) -> HelperReach {
-        let Ok(index) = self.find(helper, service) else {
-            return HelperReach::Unknown;
-        };
-        let row = &self.rows[index];
-        if is_recent(row.failed_at, EVIDENCE_TIME, now) && row.failed_at > row.opened_at {
-            HelperReach::Doubtful
-        } else if is_recent(row.opened_at, EVIDENCE_TIME, now) {
-            HelperReach::Proven
-        } else {
-            HelperReach::Unknown
+        let row = self
+            .find(helper, service)
+            .ok()
+            .map(|index| &self.rows[index]);
+        let (opened_at, failed_at) = row.map_or((None, None), |row| (row.opened_at, row.failed_at));
+        if is_recent(failed_at, EVIDENCE_TIME, now) && failed_at > opened_at {
+            return HelperReach::Doubtful;
+        }
+        if is_recent(opened_at, REFUSAL_TIME, now) {
+            return HelperReach::Likely;
+        }
+        match self.is_told_cut_off(helper, service, now) {
+            Some(true) => HelperReach::Doubtful,
+            Some(false) => HelperReach::Likely,
+            None if is_recent(opened_at, EVIDENCE_TIME, now) => HelperReach::Likely,
+            None => HelperReach::Unknown,
         }
     }
 
+    /// Returns whether `helper` says that it reaches no server of `service`; `None` if no gateway says so.
+    fn is_told_cut_off(&self, helper: &str, service: &str, now: BootInstant) -> Option<bool> {
+        let (services, told_at) = self.cut_off.as_ref()?;
+        let index = services.binary_search_by(|known| known.service.as_str().cmp(service));
+        let nodes = &services[index.ok()?].nodes;
+        let is_told = nodes
+            .binary_search_by(|node| node.as_str().cmp(helper))
+            .is_ok();
+        is_recent(Some(*told_at), EVIDENCE_TIME, now).then_some(is_told)
+    }
+
     /// Drops what is too old to be used.
     fn forget(&mut self, now: BootInstant) {
         self.closed.retain(|(_, at)| now.since(*at) < REFUSAL_TIME);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 mod server_limit;
 mod server_path;
 mod service_load;
+mod service_reach;
 mod team_share;
 #[cfg(test)]
 mod tests;
@@ -108,6 +109,8 @@
 pub use service_load::RANK_COUNT;
 pub use service_load::ServiceLoad;
 pub use service_load::ServiceStats;
+pub use service_reach::ServerContact;
+pub use service_reach::is_cut_off;
 pub use team_share::HeavyTeam;
 pub use team_share::heavy_teams;
 pub use team_share::rejected_share_of_team;
--- a/src/decide/server_path.rs
+++ b/src/decide/server_path.rs
@@ -5,6 +5,7 @@
 //! no other gateway reaches the server either. Nothing is concluded from failures alone: a path counts as blocked when a
 //! helper reached the server that this gateway could not connect to. `docs/REACHING-SERVERS.md` has the whole protocol.
 
+use super::service_reach::ServerContact;
 use crate::clock::BootInstant;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     lost_at: Option<BootInstant>,
     /// When a direct connection was last tried.
     tried_at: Option<BootInstant>,
+    /// When a direct connection was last established.
+    connected_at: Option<BootInstant>,
 }
 
 /// How a server is reached.
@@ -58,9 +61,10 @@
     }
 
     /// Records that a direct connection was established.
-    pub fn record_connected(&mut self) {
+    pub fn record_connected(&mut self, now: BootInstant) {
         *self = Self {
             tried_at: self.tried_at,
+            connected_at: Some(now),
             ..Self::default()
         };
     }
@@ -89,6 +93,14 @@
         is_blocked || self.failed_at.is_some_and(|at| now.since(at) < LOST_TIME)
     }
 
+    /// Returns what direct connections showed last.
+    pub fn contact(&self) -> ServerContact {
+        ServerContact {
+            failed_at: self.failed_at,
+            heard_at: self.connected_at,
+        }
+    }
+
     /// Returns since when direct connections have failed although helpers reach the server; `None` if the path is not
     /// blocked.
     pub fn blocked_since(&self, now: BootInstant) -> Option<BootInstant> {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -19,4 +19,5 @@
 mod retry_budget;
 mod server_limit;
 mod server_path;
+mod service_reach;
 mod team_share;
--- a/src/decide/tests/helper_choice.rs
+++ b/src/decide/tests/helper_choice.rs
@@ -6,6 +6,7 @@
 use crate::decide::HelperView;
 use crate::decide::RefusalScope;
 use crate::decide::helper_order;
+use crate::peers::CutOffNodes;
 use crate::peers::NodeEntry;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -40,7 +41,7 @@
 
 #[test]
 fn a_helper_without_tunnels_that_reaches_no_server_is_asked_first() {
-    let (own, cut_off, unknown, proven) = (
+    let (own, cut_off, unknown, likely) = (
         node("a", "x"),
         node("b", "x"),
         node("c", "x"),
@@ -49,7 +50,7 @@
     let views = [
         view(&cut_off, 0, HelperReach::Doubtful),
         view(&unknown, 0, HelperReach::Unknown),
-        view(&proven, 9, HelperReach::Proven),
+        view(&likely, 9, HelperReach::Likely),
     ];
 
     let order = names(&own, &views);
@@ -59,9 +60,9 @@
 
 #[test]
 fn one_of_many_near_helpers_carries_all_while_none_is_known_to_be_cut_off() {
-    let (own, proven, unknown) = (node("a", "x"), node("b", "x"), node("c", "x"));
+    let (own, likely, unknown) = (node("a", "x"), node("b", "x"), node("c", "x"));
     let views = [
-        view(&proven, 1, HelperReach::Proven),
+        view(&likely, 1, HelperReach::Likely),
         view(&unknown, 0, HelperReach::Unknown),
     ];
 
@@ -121,7 +122,7 @@
 
     memory.record_opened("h", "llm", at(500));
 
-    assert_eq!(memory.reach("h", "llm", at(600)), HelperReach::Proven);
+    assert_eq!(memory.reach("h", "llm", at(600)), HelperReach::Likely);
     assert!(!memory.has_refused("h", ("llm", "i-2"), at(600)));
     assert_eq!(memory.reach("h", "llm", at(2_500)), HelperReach::Unknown);
 }
@@ -136,3 +137,36 @@
     assert!(memory.has_refused("h", ("llm", "i-1"), at(10)));
     assert_eq!(memory.reach("h", "llm", at(10)), HelperReach::Unknown);
 }
+
+/// Returns what a gateway is told: that the gateways called `nodes` reach no server of `llm`.
+fn told(nodes: &[&str]) -> Vec<CutOffNodes> {
+    vec![CutOffNodes {
+        service: "llm".to_owned(),
+        nodes: nodes.iter().map(|name| (*name).to_owned()).collect(),
+    }]
+}
+
+#[test]
+fn each_gateway_finds_out_for_itself_which_others_reach_no_server() {
+    let mut memory = HelperMemory::default();
+
+    memory.record_cut_off(told(&["b", "d"]), at(0));
+
+    assert_eq!(memory.reach("b", "llm", at(10)), HelperReach::Doubtful);
+    assert_eq!(memory.reach("c", "llm", at(10)), HelperReach::Likely);
+    assert_eq!(memory.reach("b", "app", at(10)), HelperReach::Unknown);
+    assert_eq!(memory.reach("b", "llm", at(2_000)), HelperReach::Unknown);
+}
+
+#[test]
+fn old_news_of_a_gateway_say_more_than_what_it_has_just_done() {
+    let mut memory = HelperMemory::default();
+    memory.record_refusal("c", ("llm", "i-1"), RefusalScope::Server, at(100));
+    memory.record_opened("b", "llm", at(100));
+
+    memory.record_cut_off(told(&["b"]), at(200));
+
+    assert_eq!(memory.reach("b", "llm", at(300)), HelperReach::Likely);
+    assert_eq!(memory.reach("c", "llm", at(300)), HelperReach::Doubtful);
+    assert_eq!(memory.reach("b", "llm", at(1_200)), HelperReach::Doubtful);
+}
--- a/src/decide/tests/server_path.rs
+++ b/src/decide/tests/server_path.rs
@@ -66,7 +66,7 @@
     let mut path = ServerPath::default();
 
     path.record_tunnelled(at(60));
-    path.record_connected();
+    path.record_connected(at(1_100));
 
     assert_eq!(path.state(at(70)), PathState::Open);
     assert!(!path.has_just_failed(at(70)));
@@ -92,7 +92,7 @@
     let is_due = path.is_retry_due(at(1_000));
     path.record_try(at(1_000));
     let is_due_again = path.is_retry_due(at(1_100));
-    path.record_connected();
+    path.record_connected(at(1_100));
 
     assert!(!is_due_early);
     assert!(is_due);
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -192,6 +192,21 @@
         }
     }
 
+    /// Returns when something last arrived from `server` on a direct connection.
+    pub(super) fn heard_at(&self, server: &BackendServer) -> Option<BootInstant> {
+        let states = self.lock();
+        let index = states.binary_search_by(|state| state.id.as_str().cmp(&server.id));
+        let state = index.ok().map(|index| &states[index]);
+        let state = state.filter(|state| state.start_time_ms == server.entry.start_time_ms);
+        state.and_then(|state| state.heard_at)
+    }
+
+    /// Records that something arrived from `server` on a direct connection.
+    pub(super) fn record_heard(&self, server: &BackendServer) {
+        let now = BootInstant::now();
+        current_state(&mut self.lock(), server).heard_at = Some(now);
+    }
+
     /// Returns the names of the servers with requests in flight from which no byte has arrived for `time`.
     pub(super) fn inactive_for(&self, time: Duration, now: BootInstant) -> Vec<String> {
         let states = self.lock();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -401,7 +401,7 @@
         dialect: Arc::clone(&sources.dialect),
         logs: logs.clone(),
         pool: Pool::default(),
-        paths: Arc::new(ServerPaths::new(&sources.connector, &metrics, logs)),
+        paths: Arc::new(ServerPaths::new(&sources.connector, &loads, &metrics, logs)),
         metrics,
         loads,
         gate,
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -1,12 +1,15 @@
 //! Connects to backend servers, directly or through other gateways ([`crate::decide::ServerPath`]), and remembers which way
 //! worked.
 
+use super::loads::ServerLoads;
 use super::metrics::GatewayMetrics;
 use super::pool::ConnectError;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::PathState;
+use crate::decide::ServerContact;
 use crate::decide::ServerPath;
+use crate::decide::is_cut_off;
 use crate::logs::Logs;
 use crate::net::Connection;
 use crate::net::Connector;
@@ -57,6 +60,7 @@
     tunnels: OnceLock<Arc<dyn Tunnels>>,
     /// Sorted by server name.
     rows: Mutex<Vec<Row>>,
+    loads: ServerLoads,
     metrics: Arc<GatewayMetrics>,
     logs: Logs,
 }
@@ -74,6 +78,7 @@
 impl ServerPaths {
     pub(super) fn new(
         connector: &Arc<dyn Connector>,
+        loads: &ServerLoads,
         metrics: &Arc<GatewayMetrics>,
         logs: &Logs,
     ) -> Self {
@@ -81,6 +86,7 @@
             connector: Arc::clone(connector),
             tunnels: OnceLock::new(),
             rows: Mutex::default(),
+            loads: loads.clone(),
             metrics: Arc::clone(metrics),
             logs: logs.clone(),
         }
@@ -252,7 +258,7 @@
         let was_blocked = self.state(server) == PathState::Blocked;
         self.update(server, |path| {
             if is_connected {
-                path.record_connected();
+                path.record_connected(now);
             } else {
                 path.record_failed(now);
             }
@@ -343,11 +349,20 @@
     }
 
     fn is_cut_off(&self, servers: &[BackendServer]) -> bool {
-        let now = BootInstant::now();
-        let failed = servers
-            .iter()
-            .filter(|server| self.path(server).has_just_failed(now));
-        !servers.is_empty() && failed.count() == servers.len()
+        let contact = |server: &BackendServer| {
+            let contact = self.path(server).contact();
+            let heard_at = contact.heard_at.max(self.loads.heard_at(server));
+            ServerContact {
+                heard_at,
+                ..contact
+            }
+        };
+        let contacts: Vec<ServerContact> = servers.iter().map(contact).collect();
+        is_cut_off(&contacts, BootInstant::now())
+    }
+
+    fn record_heard(&self, server: &BackendServer) {
+        self.loads.record_heard(server);
     }
 }
 
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -44,6 +44,7 @@
         let loads = shared.load_table.own_centre(now);
         let mut request = shared.sync_request(loads, &received);
         request.teams = shared.team_table.own_centre(now);
+        request.cut_off = shared.cut_off_table.own_centre(now);
         request.wants_catalog = shared.nodes.store_reader().as_deref() == Some(&node.name);
         if shared.backup_centre.as_deref() == Some(data_centre) {
             (request.streams, next_record) =
@@ -56,6 +57,9 @@
             shared.apply_catalog(&mut response, now, &mut received);
         }
         shared.apply_version_history(response.version_history);
+        shared
+            .cut_off_table
+            .record_centre(data_centre, response.cut_off, now);
         let theirs = response
             .centres
             .into_iter()
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! Messages between gateways, in CBOR over WebSocket.
 
+use super::cut_off::CutOffNodes;
 use super::directory::NodeEntry;
 use super::load_entry::LoadEntry;
 use super::load_entry::TeamRequests;
@@ -25,7 +26,7 @@
 
 /// Version of what gateways say to each other, raised with each ability that the build before lacks. Builds that don't
 /// tell theirs have version 0. `docs/PROTOCOLS.md` lists the versions.
-pub(super) const PROTOCOL: u32 = 2;
+pub(super) const PROTOCOL: u32 = 3;
 /// First version whose responses tell which data centres are evacuated.
 pub(super) const EVACUATIONS_PROTOCOL: u32 = 2;
 
@@ -75,6 +76,10 @@
     /// centre.
     #[serde(default, rename = "is_cut_off")]
     pub(super) is_disconnected: bool,
+    /// Services of which the requesting node or, in a request to the relay of another data centre, nodes of its data centre
+    /// reach no server.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) cut_off: Vec<CutOffNodes>,
     /// Version of the configuration in force at the requesting node.
     pub(super) config_version: Option<u64>,
     /// Stamp of the last server list that the requesting node received on this connection.
@@ -293,6 +298,9 @@
     /// thousandths, by the answers to all gateways. Sorted by name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) slow_servers: Vec<(String, u32)>,
+    /// Nodes that reach no server of a service: those of the responding node's data centre, or of all for a node that it serves.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) cut_off: Vec<CutOffNodes>,
     /// Teams with more than a fair share of a service, sorted by service and team.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) heavy_teams: Vec<SyncedHeavyTeam>,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! no node ranked before it acts as relay itself. See `docs/PLATFORM.md`.
 
 mod crash_cursor;
+mod cut_off;
 mod directory;
 mod directory_sync;
 mod exchange;
@@ -18,6 +19,7 @@
 mod node_list;
 mod pack_cache;
 mod registrations;
+mod report_table;
 mod serve;
 mod server_list;
 mod server_paces;
@@ -30,6 +32,7 @@
 mod tunnel_stream;
 mod tunnel_table;
 
+pub use cut_off::CutOffNodes;
 pub use directory::DirectoryChange;
 pub use directory::NodeDirectory;
 pub use directory::NodeEntry;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -3,6 +3,7 @@
 //! One node of each data centre is its relay: it reads the store for all nodes there, sums their loads, and exchanges
 //! these sums with the relays of the other data centres. The other nodes of the data centre sync from it.
 
+use super::cut_off::CutOffTable;
 use super::directory::DirectoryChange;
 use super::directory::NodeDirectory;
 use super::directory::NodeEntry;
@@ -133,6 +134,7 @@
     pub(super) catalog: Arc<Catalog>,
     pub(super) load_table: LoadTable,
     pub(super) team_table: TeamTable,
+    pub(super) cut_off_table: CutOffTable,
     /// Heavy teams as this node decided while it was the relay.
     pub(super) heavy_teams: Mutex<Vec<ServiceTeams>>,
     pub(super) streams: StreamTable,
@@ -236,6 +238,8 @@
             teams: Vec::new(),
             // The caller sets this if it needs the full catalog state from a node of any data centre.
             is_disconnected: false,
+            // The caller sets this if the receiver passes it on.
+            cut_off: Vec::new(),
             config_version: self
                 .catalog
                 .configuration()
@@ -293,6 +297,8 @@
     ) {
         self.apply_catalog(&mut response, sent_at, received);
         self.apply_version_history(response.version_history);
+        self.tunnel_table
+            .record_cut_off(response.cut_off, BootInstant::now());
         let nodes = response.packed_nodes.as_deref();
         let nodes = nodes.and_then(|bytes| self.unpacked("node list", bytes));
         if let Some(nodes) = nodes.or(response.nodes) {
@@ -454,6 +460,7 @@
             catalog: Arc::clone(catalog),
             load_table: LoadTable::default(),
             team_table: TeamTable::default(),
+            cut_off_table: CutOffTable::default(),
             heavy_teams: Mutex::default(),
             streams: StreamTable::default(),
             tunnel_table: TunnelTable::default(),
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -114,6 +114,9 @@
         shared
             .team_table
             .record_member(&request.node, request.teams, now);
+        shared
+            .cut_off_table
+            .record_member(&request.node, request.cut_off, now);
     } else {
         shared
             .load_table
@@ -121,6 +124,9 @@
         shared
             .team_table
             .record_centre(&request.data_centre, request.teams, now);
+        shared
+            .cut_off_table
+            .record_centre(&request.data_centre, request.cut_off, now);
     }
     if let Some(entry) = request.entry {
         shared.apply_entry(&request.node, entry, request.is_leaving);
@@ -214,6 +220,11 @@
             .into_iter()
             .map(|(server, slowness)| (server, (slowness * 1_000.0) as u32))
             .collect(),
+        cut_off: if is_member {
+            shared.cut_off_table.all(now)
+        } else {
+            shared.cut_off_table.own_centre(now)
+        },
         heavy_teams: shared.synced_heavy_teams(),
         version_history: version_history.flatten(),
         protocol: PROTOCOL,
--- a/src/peers/sync.rs
+++ b/src/peers/sync.rs
@@ -133,6 +133,12 @@
     let own = (shared.own_loads)();
     let now = BootInstant::now();
     shared.load_table.record_own(own.clone(), now);
+    let own_cut_off = shared.own_cut_off();
+    shared
+        .cut_off_table
+        .record_member(&shared.own.name, own_cut_off, now);
+    let cut_off = shared.cut_off_table.all(now);
+    shared.tunnel_table.record_cut_off(cut_off, now);
     let all = shared.load_table.all(now);
     shared.update_paces(&all, now);
     shared.update_heavy_teams(now);
@@ -170,6 +176,7 @@
         let own = (shared.own_loads)();
         let mut request = shared.sync_request(own.clone(), &received);
         request.teams = (shared.own_teams)();
+        request.cut_off = shared.own_cut_off();
         request.is_disconnected = asks_all_nodes;
         request.entry = (!shared.nodes.has_own()).then(|| shared.own.clone());
         let sources = [RecordSource::Own];
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -104,8 +104,20 @@
     async fn connect_directly(&self, server: &BackendServer)
     -> Result<Box<dyn Connection>, String>;
 
-    /// Returns whether none of `servers` can be reached from here.
+    /// Returns whether none of `servers`, all of one service, can be reached from here.
     fn is_cut_off(&self, servers: &[BackendServer]) -> bool;
+
+    /// Records that something arrived from `server` on a connection that [`DirectPaths::connect_directly`] opened.
+    fn record_heard(&self, server: &BackendServer);
+}
+
+/// A tunnel that this gateway carries for another one.
+struct Carrying {
+    /// The connection to the server.
+    connection: Box<dyn Connection>,
+    server: BackendServer,
+    paths: Arc<dyn DirectPaths>,
+    count: CarriedTunnel,
 }
 
 /// Asks for a tunnel. The bytes of the connection follow in messages of their own once it is granted.
@@ -286,7 +298,7 @@
         &self,
         requester: IpAddr,
         request: &TunnelRequest,
-    ) -> Result<(Box<dyn Connection>, CarriedTunnel), TunnelRefusal> {
+    ) -> Result<Carrying, TunnelRefusal> {
         let (nodes, _) = self.nodes.nodes();
         if !nodes.iter().any(|node| node.address.ip() == requester) {
             return Err(TunnelRefusal::Stranger);
@@ -302,17 +314,24 @@
         let server = server.filter(|server| server.entry.start_time_ms == request.start_time_ms);
         let server = server.ok_or(TunnelRefusal::UnknownServer)?;
         let paths = self.direct_paths.get().ok_or(TunnelRefusal::Unreachable)?;
-        match paths.connect_directly(server).await {
-            Ok(connection) => Ok((connection, carried)),
-            Err(_) => {
-                let (servers, _) = self.catalog.servers_of(&server.entry.service);
-                Err(if paths.is_cut_off(&servers) {
-                    TunnelRefusal::CutOff
-                } else {
-                    TunnelRefusal::Unreachable
-                })
-            }
+        let (servers, _) = self.catalog.servers_of(&server.entry.service);
+        if paths.is_cut_off(&servers) {
+            return Err(TunnelRefusal::CutOff);
         }
+        let connection = paths.connect_directly(server).await;
+        let connection = connection.map_err(|_| {
+            if paths.is_cut_off(&servers) {
+                TunnelRefusal::CutOff
+            } else {
+                TunnelRefusal::Unreachable
+            }
+        })?;
+        Ok(Carrying {
+            connection,
+            server: server.clone(),
+            paths: Arc::clone(paths),
+            count: carried,
+        })
     }
 }
 
@@ -332,8 +351,8 @@
     let response = encode(&TunnelResponse { refusal })?;
     let sent = socket.send(Message::binary(response)).await;
     sent.map_err(|err| err.to_string())?;
-    let (connection, carried) = match opened {
-        Ok(opened) => opened,
+    let carrying = match opened {
+        Ok(carrying) => carrying,
         Err(refusal) => {
             info!(shared.logs.log(), "tunnel refused"; "request" => request.request,
                 "server" => request.tunnel_to, "requester" => %requester, "cause" => %refusal);
@@ -341,21 +360,28 @@
         }
     };
     let began = BootInstant::now();
-    let end = pass_on(socket, connection).await;
+    let end = pass_on(socket, carrying.connection, &|| {
+        carrying.paths.record_heard(&carrying.server);
+    })
+    .await;
     info!(shared.logs.log(), "tunnel ended"; "request" => request.request, "server" => request.tunnel_to,
         "requester" => %requester, "ms" => BootInstant::now().since(began).as_millis() as u64,
         "cause" => end);
-    carried.close();
+    carrying.count.close();
     Ok(())
 }
 
-/// Passes bytes in both directions until one side ends; returns which one and how.
-async fn pass_on(socket: WebSocketStream<TcpStream>, connection: Box<dyn Connection>) -> String {
+/// Passes bytes in both directions until one side ends; returns which one and how. Calls `heard` for bytes of the server.
+async fn pass_on(
+    socket: WebSocketStream<TcpStream>,
+    connection: Box<dyn Connection>,
+    heard: &(dyn Fn() + Send + Sync),
+) -> String {
     let (mut to_requester, mut from_requester) = socket.split();
     let (mut from_server, mut to_server) = tokio::io::split(connection);
     tokio::select! {
         end = pass_to_server(&mut from_requester, &mut to_server) => end,
-        end = pass_to_requester(&mut from_server, &mut to_requester) => end,
+        end = pass_to_requester(&mut from_server, &mut to_requester, heard) => end,
     }
 }
 
@@ -380,13 +406,17 @@
 async fn pass_to_requester(
     from_server: &mut ReadHalf<Box<dyn Connection>>,
     to_requester: &mut SplitSink<WebSocketStream<TcpStream>, Message>,
+    heard: &(dyn Fn() + Send + Sync),
 ) -> String {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let message = match from_server.read(&mut buf).await {
             // Only an orderly end is passed on as one.
             Ok(0) => Message::Close(None),
-            Ok(count) => Message::binary(buf[..count].to_vec()),
+            Ok(count) => {
+                heard();
+                Message::binary(buf[..count].to_vec())
+            }
             Err(err) => return format!("server: {err}"),
         };
         let is_end = matches!(message, Message::Close(_));
--- a/src/peers/tunnel_table.rs
+++ b/src/peers/tunnel_table.rs
@@ -1,6 +1,7 @@
 //! Counts the tunnels of a gateway, those through others and those that it carries for others, and remembers which helpers
 //! refused one.
 
+use super::cut_off::CutOffNodes;
 use super::directory::NodeEntry;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
@@ -99,6 +100,11 @@
         state.helpers.record_opened(helper, service, now);
     }
 
+    /// Records which gateways say that they reach no server of a service.
+    pub(super) fn record_cut_off(&self, services: Vec<CutOffNodes>, now: BootInstant) {
+        lock(&self.state).helpers.record_cut_off(services, now);
+    }
+
     /// Returns what is known of `node` as a helper for a tunnel to `server`.
     pub(super) fn view<'a>(
         &self,
