--- a/src/decide/server_path.rs
+++ b/src/decide/server_path.rs
@@ -19,8 +19,10 @@
 pub struct ServerPath {
     /// When a direct connection last failed, if none has been established since.
     failed_at: Option<BootInstant>,
-    /// When the first of these failures was.
+    /// When the first of these failures was, or the first one that timed out after others were refused.
     failing_since: Option<BootInstant>,
+    /// How the last of these failures looked.
+    failure: Option<ConnectFailure>,
     /// When a helper last reached the server, if no direct connection has been established since.
     tunnelled_at: Option<BootInstant>,
     /// When neither this gateway nor any helper that it asked reached the server, if none has since.
@@ -31,6 +33,15 @@
     connected_at: Option<BootInstant>,
 }
 
+/// How a connection could not be established.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectFailure {
+    /// The host refused it, or the operating system knows no way to it. Open connections may go on.
+    Refused,
+    /// Nothing came back. Open connections hang too.
+    TimedOut,
+}
+
 /// How a server is reached.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PathState {
@@ -70,9 +81,14 @@
     }
 
     /// Records that a direct connection could not be established.
-    pub fn record_failed(&mut self, now: BootInstant) {
+    pub fn record_failed(&mut self, failure: ConnectFailure, now: BootInstant) {
+        let is_worse =
+            self.failure == Some(ConnectFailure::Refused) && failure == ConnectFailure::TimedOut;
+        if self.failing_since.is_none() || is_worse {
+            self.failing_since = Some(now);
+        }
         self.failed_at = Some(now);
-        self.failing_since = self.failing_since.or(Some(now));
+        self.failure = Some(failure);
     }
 
     /// Records that a helper reached the server.
@@ -120,6 +136,15 @@
     }
 }
 
+/// Returns when the last of `paths` was lost that are blocked now; connections that were open then may hang or be dead, whichever
+/// server they lead to, unless something has arrived on one of that server's since. `None` if no path is blocked.
+pub fn last_loss<'a>(
+    paths: impl Iterator<Item = &'a ServerPath>,
+    now: BootInstant,
+) -> Option<BootInstant> {
+    paths.filter_map(|path| path.blocked_since(now)).max()
+}
+
 /// Maximum number of tunnels that a gateway carries for others.
 const MAX_CARRIED: u32 = 256;
 
--- a/src/decide/tests/server_path.rs
+++ b/src/decide/tests/server_path.rs
@@ -1,11 +1,13 @@
 //! Paths to servers that are lost and found, and the gateways that are asked for help.
 
 use crate::clock::BootInstant;
+use crate::decide::ConnectFailure;
 use crate::decide::HelperReach;
 use crate::decide::HelperView;
 use crate::decide::PathState;
 use crate::decide::ServerPath;
 use crate::decide::helper_order;
+use crate::decide::last_loss;
 use crate::decide::may_carry;
 use crate::peers::NodeEntry;
 use std::net::SocketAddr;
@@ -43,7 +45,7 @@
 fn blocked_path() -> ServerPath {
     let mut path = ServerPath::default();
     path.record_try(at(0));
-    path.record_failed(at(0));
+    path.record_failed(ConnectFailure::Refused, at(0));
     path.record_tunnelled(at(60));
     path
 }
@@ -51,7 +53,7 @@
 #[test]
 fn a_path_is_blocked_only_once_a_helper_reached_the_server() {
     let mut path = ServerPath::default();
-    path.record_failed(at(0));
+    path.record_failed(ConnectFailure::Refused, at(0));
 
     let before = path.state(at(10));
     path.record_tunnelled(at(20));
@@ -72,10 +74,38 @@
     assert!(!path.has_just_failed(at(70)));
 }
 
+// While new connections were refused, each server's open ones had to hang once in a silent cut that followed.
+#[test]
+fn connections_open_beside_refused_ones_are_used_in_a_silent_cut_that_follows() {
+    let mut path = blocked_path();
+    let before = last_loss([ServerPath::default(), path].iter(), at(4_000));
+
+    path.record_failed(ConnectFailure::TimedOut, at(5_000));
+    path.record_failed(ConnectFailure::TimedOut, at(6_000));
+
+    let lost_at = last_loss([ServerPath::default(), path].iter(), at(6_000));
+    assert_eq!((before, lost_at), (Some(at(0)), Some(at(5_000))));
+}
+
+// A server heard between the first and the last loss of a path was trusted, though its connections were reset then.
+#[test]
+fn connections_to_servers_heard_since_the_first_loss_are_used_after_a_later_one() {
+    let paths = [0, 100].map(|ms| {
+        let mut path = ServerPath::default();
+        path.record_failed(ConnectFailure::Refused, at(ms));
+        path.record_tunnelled(at(ms + 20));
+        path
+    });
+
+    let lost_at = last_loss(paths.iter(), at(200));
+
+    assert_eq!(lost_at, Some(at(100)));
+}
+
 #[test]
 fn a_server_that_nobody_reaches_is_left_alone_for_a_while() {
     let mut path = ServerPath::default();
-    path.record_failed(at(0));
+    path.record_failed(ConnectFailure::Refused, at(0));
 
     path.record_lost(at(100));
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -166,9 +166,9 @@
     guard: &InFlightGuard,
 ) -> Result<Lease, String> {
     let server = params.server;
-    let blocked_since = params.paths.blocked_since();
-    // Connections may hang since the first path was blocked, unless the server has been heard since.
-    let doubtful_since = blocked_since.filter(|since| !guard.was_heard_since(*since));
+    let last_loss = params.paths.last_loss();
+    // Connections may hang since the last path was lost, unless the server has been heard since.
+    let doubtful_since = last_loss.filter(|since| !guard.was_heard_since(*since));
     let not_before = doubtful_since.map(BootInstant::to_std);
     if let Some(lease) = pool.take_idle(server, not_before) {
         return Ok(lease);
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -6,10 +6,12 @@
 use super::pool::ConnectError;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
+use crate::decide::ConnectFailure;
 use crate::decide::PathState;
 use crate::decide::ServerContact;
 use crate::decide::ServerPath;
 use crate::decide::is_cut_off;
+use crate::decide::last_loss;
 use crate::logs::Logs;
 use crate::net::Connection;
 use crate::net::Connector;
@@ -171,7 +173,7 @@
                 Ok(Err(err)) => Err(ConnectError::Failed(err.to_string())),
                 Err(_) => Err(ConnectError::Timeout),
             };
-            paths.record_direct(&server, result.is_ok());
+            paths.record_direct(&server, failure_of(result.as_ref().err()));
             result
         });
         opening
@@ -224,12 +226,10 @@
         row.map_or_else(ServerPath::default, |row| row.path)
     }
 
-    /// Returns when the first of the paths that are blocked now failed, so that other connections may hang since then.
-    pub(super) fn blocked_since(&self) -> Option<BootInstant> {
-        let now = BootInstant::now();
+    /// Returns when the last of the paths that are blocked now was lost, so that other connections may hang since then.
+    pub(super) fn last_loss(&self) -> Option<BootInstant> {
         let rows = self.lock();
-        let blocked = rows.iter().filter_map(|row| row.path.blocked_since(now));
-        blocked.min()
+        last_loss(rows.iter().map(|row| &row.path), BootInstant::now())
     }
 
     /// Returns the number of servers that only other gateways reach.
@@ -253,15 +253,13 @@
         self.lock().retain(|row| is_known(&row.server));
     }
 
-    fn record_direct(&self, server: &BackendServer, is_connected: bool) {
+    /// Records that a direct connection was established or, with a `failure`, was not.
+    fn record_direct(&self, server: &BackendServer, failure: Option<ConnectFailure>) {
         let now = BootInstant::now();
         let was_blocked = self.state(server) == PathState::Blocked;
-        self.update(server, |path| {
-            if is_connected {
-                path.record_connected(now);
-            } else {
-                path.record_failed(now);
-            }
+        self.update(server, |path| match failure {
+            None => path.record_connected(now),
+            Some(failure) => path.record_failed(failure, now),
         });
         let is_blocked = self.state(server) == PathState::Blocked;
         self.log_change(server, (was_blocked, is_blocked));
@@ -315,7 +313,7 @@
 #[async_trait]
 impl ServerReach for ServerPaths {
     async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
-        self.record_direct(server, false);
+        self.record_direct(server, Some(ConnectFailure::Refused));
         let Some(tunnels) = self.tunnels.get() else {
             return false;
         };
@@ -341,11 +339,11 @@
         }
         let connecting = self.connector.connect(server.entry.address);
         let connected = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(connected) => connected.map_err(|err| err.to_string()),
-            Err(_) => Err("connecting timed out".to_owned()),
+            Ok(connected) => connected.map_err(|err| ConnectError::Failed(err.to_string())),
+            Err(_) => Err(ConnectError::Timeout),
         };
-        self.record_direct(server, connected.is_ok());
-        connected
+        self.record_direct(server, failure_of(connected.as_ref().err()));
+        connected.map_err(|err| err.to_string())
     }
 
     fn is_cut_off(&self, servers: &[BackendServer]) -> bool {
@@ -392,6 +390,13 @@
     Err(failed)
 }
 
+fn failure_of(err: Option<&ConnectError>) -> Option<ConnectFailure> {
+    err.map(|err| match err {
+        ConnectError::Timeout => ConnectFailure::TimedOut,
+        ConnectError::Failed(_) => ConnectFailure::Refused,
+    })
+}
+
 /// Awaits `opening` and measures it.
 async fn timed(opening: Opening<'_>) -> Result<ServerConnection, FailedWay> {
     let began = Instant::now();
