--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -447,8 +447,13 @@
     res
 }
 
-fn not_run_response(shared: &Shared, status: StatusCode) -> Response<ResponseBody> {
+fn not_run_response(
+    shared: &Shared,
+    status: StatusCode,
+    request_id: &str,
+) -> Response<ResponseBody> {
     let mut res = build_response(shared, status, http::full("not run"));
+    http::set_header(&mut res, "currantbend-request-id", request_id);
     http::set_header(&mut res, "currantbend-not-run", "1");
     res
 }
@@ -464,12 +469,16 @@
         return Err(Abort);
     }
     if !expected.is_empty() && expected != shared.id {
-        return Ok(not_run_response(&shared, StatusCode::MISDIRECTED_REQUEST));
+        return Ok(not_run_response(
+            &shared,
+            StatusCode::MISDIRECTED_REQUEST,
+            &request_id,
+        ));
     }
     if let Behavior::Rejects | Behavior::RejectsFor(_) = behavior {
         shared.rejected.fetch_add(1, Relaxed);
         shared.wait_while_silent().await;
-        let mut res = not_run_response(&shared, StatusCode::SERVICE_UNAVAILABLE);
+        let mut res = not_run_response(&shared, StatusCode::SERVICE_UNAVAILABLE, &request_id);
         if let Behavior::RejectsFor(seconds) = behavior {
             http::set_header(&mut res, "retry-after", &seconds.to_string());
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -213,7 +213,8 @@
 }
 
 /// Decides by the head of a response whether the server ran the request, and whether the response can be used. It can't
-/// if it has the id of another request, or if it reports success without a signature or without a request id.
+/// if it has the id of another request, or if it reports success without a signature or without a request id. A refusal says
+/// that the request did not run only if it has the request's id: a server may write an earlier one once more.
 fn classify_response(
     response: Response<Incoming>,
     outbound: &OutboundRequest,
@@ -222,9 +223,26 @@
     lease: Lease,
     guard: &Arc<InFlightGuard>,
 ) -> SendOutcome {
-    guard.record_activity();
     let (head, body) = response.into_parts();
     let metadata = dialect.read_response(head.status, &head.headers);
+    let request_id = metadata.request_id.as_deref();
+    let needs_id = metadata.is_not_run || head.status.is_success();
+    let is_of_request = match request_id {
+        Some(id) => id == outbound.request_id,
+        None => !needs_id,
+    };
+    let is_unsigned = head.status.is_success() && !metadata.has_signature;
+    if !is_of_request || is_unsigned {
+        lease.close();
+        guard.record_result(RunResult::Broken);
+        let cause = if is_of_request || request_id.is_none() {
+            "answer without proof"
+        } else {
+            "answer to another request"
+        };
+        return SendOutcome::Unknown(cause.to_owned());
+    }
+    guard.record_activity();
     // Another server may have the address now, and it speaks for itself.
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         params
@@ -248,22 +266,6 @@
         }
         return SendOutcome::NotRun(head.status);
     }
-    let is_mismatched = metadata
-        .request_id
-        .as_ref()
-        .is_some_and(|id| *id != outbound.request_id);
-    let is_unsigned =
-        head.status.is_success() && !(metadata.has_signature && metadata.request_id.is_some());
-    if is_mismatched || is_unsigned {
-        lease.close();
-        guard.record_result(RunResult::Broken);
-        let cause = if is_mismatched {
-            "answer to another request"
-        } else {
-            "answer without proof"
-        };
-        return SendOutcome::Unknown(cause.to_owned());
-    }
     if let Some(load) = metadata.load {
         guard.record_load(load);
     }
