--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -497,8 +497,15 @@
     };
     catalog.record_list_read(began, !is_whole);
     let now = BootInstant::now();
+    let checked = |(id, record): (String, ServerRecord)| {
+        let record = record.checked(&id);
+        (id, record)
+    };
+    let records: Vec<(String, ServerRecord)> = records.into_iter().map(checked).collect();
     for (id, record) in &records {
-        if let ServerRecord::Unusable(reason) = record {
+        if let ServerRecord::Unusable(reason) = record
+            && !catalog.is_known_unusable(id, reason)
+        {
             warn!(logs.log(), "server entry unusable"; "server" => id, "cause" => reason);
         }
     }
--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -32,6 +32,18 @@
     pub start_time_ms: u64,
 }
 
+/// Latest start of a server that is believed, in milliseconds of Unix time: the year 2100.
+const MAX_START_TIME_MS: u64 = 4_102_444_800_000;
+/// Maximum number of slots, so that the sum over all servers of a fleet fits the counts.
+const MAX_SLOTS: u32 = 65_535;
+/// Maximum remaining warm-up time.
+const MAX_COLD_LEFT: Duration = Duration::from_secs(24 * 3_600);
+/// Maximum length of a name, in bytes; the store's keys have no more.
+const MAX_NAME_BYTES: usize = 255;
+/// Number of reports by which a delayed copy may be older than the newest one, some minutes of them. An older report is not late,
+/// but the newest one was not the server's own.
+const MAX_DELAYED_REPORTS: u64 = 64;
+
 /// A record of the server list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ServerRecord {
@@ -43,6 +55,19 @@
     Unusable(String),
 }
 
+impl ServerRecord {
+    /// Returns the record of the server called `id`, or an unusable one if it names a server that can't exist.
+    pub fn checked(self, id: &str) -> Self {
+        match self {
+            Self::Report(entry) => match entry.check(id) {
+                Ok(()) => Self::Report(entry),
+                Err(cause) => Self::Unusable(cause.to_owned()),
+            },
+            other => other,
+        }
+    }
+}
+
 /// A backend server with its name.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BackendServer {
@@ -82,8 +107,8 @@
         until: BootInstant,
     },
     Removed,
-    /// The newest record cannot be used.
-    Unusable,
+    /// The newest record cannot be used, for the given reason.
+    Unusable(String),
 }
 
 /// A server with its newest report.
@@ -147,8 +172,10 @@
     fn insert(&mut self, index: usize, id: &str, record: ServerRecord) -> bool {
         let (entry, status) = match record {
             ServerRecord::Report(entry) => (Some(entry), ServerStatus::Listed),
+            // Remembered so that it is logged once.
+            ServerRecord::Unusable(cause) => (None, ServerStatus::Unusable(cause)),
             // No report of this server is known, so there is nothing to remember.
-            ServerRecord::Removed | ServerRecord::Unusable(_) => return false,
+            ServerRecord::Removed => return false,
         };
         let row = Row {
             id: id.to_owned(),
@@ -210,6 +237,21 @@
         })
     }
 
+    /// Returns why the newest record of server `id` cannot be used; `None` if it can.
+    pub fn unusable_cause(&self, id: &str) -> Option<&str> {
+        let index = self.rows.binary_search_by(|row| row.id.as_str().cmp(id));
+        match &self.rows[index.ok()?].status {
+            ServerStatus::Unusable(cause) => Some(cause),
+            _ => None,
+        }
+    }
+
+    /// Returns the number of servers whose newest record cannot be used.
+    pub fn unusable_count(&self) -> usize {
+        let is_unusable = |row: &&Row| matches!(row.status, ServerStatus::Unusable(_));
+        self.rows.iter().filter(is_unusable).count()
+    }
+
     /// Returns the servers in their grace period, sorted by name, with the ends of these periods.
     pub fn grace_ends(&self) -> Vec<(String, BootInstant)> {
         let end = |row: &Row| Some((row.id.clone(), row.grace_until()?));
@@ -238,9 +280,9 @@
             ServerRecord::Report(entry) => self.apply_report(entry),
             ServerRecord::Removed => self.remove(grace_until),
             // A server in its grace period stays usable until the period ends.
-            ServerRecord::Unusable(_) => {
-                if matches!(self.status, ServerStatus::Listed) {
-                    self.status = ServerStatus::Unusable;
+            ServerRecord::Unusable(cause) => {
+                if !matches!(self.status, ServerStatus::InGracePeriod { .. }) {
+                    self.status = ServerStatus::Unusable(cause);
                 }
             }
         }
@@ -305,13 +347,19 @@
     fn is_delayed(&self, entry: &ServerEntry, is_removed: bool) -> bool {
         let order = |entry: &ServerEntry| (entry.start_time_ms, entry.sequence);
         self.entry.as_ref().is_some_and(|known| {
-            order(entry) < order(known) || (is_removed && order(entry) == order(known))
+            let is_far_behind = entry.start_time_ms == known.start_time_ms
+                && known.sequence.saturating_sub(entry.sequence) > MAX_DELAYED_REPORTS;
+            (order(entry) < order(known) && !is_far_behind)
+                || (is_removed && order(entry) == order(known))
         })
     }
 
     /// Removes the server, at once or at the end of the grace period.
     fn remove(&mut self, grace_until: Option<BootInstant>) {
-        if matches!(self.status, ServerStatus::Listed | ServerStatus::Unusable) {
+        if matches!(
+            self.status,
+            ServerStatus::Listed | ServerStatus::Unusable(_)
+        ) {
             self.status = match grace_until {
                 Some(until) => ServerStatus::InGracePeriod { until },
                 None => ServerStatus::Removed,
@@ -321,6 +369,34 @@
 }
 
 impl ServerEntry {
+    /// Checks that the server called `id` can exist. Another writer may leave an entry that decodes, with values that no server
+    /// has; it must not displace the server's own reports, nor count in sums.
+    pub(super) fn check(&self, id: &str) -> Result<(), &'static str> {
+        let is_name = |name: &str| name.len() <= MAX_NAME_BYTES;
+        let texts = [&self.service, &self.data_centre];
+        let version = self.software_version.as_deref().unwrap_or_default();
+        if id.is_empty() || !is_name(id) || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            Err("name that no request can carry")
+        } else if self.service.is_empty() || !texts.into_iter().all(|text| is_name(text)) {
+            Err("service or data centre without a valid name")
+        } else if !is_name(version) {
+            Err("software version too long")
+        } else if self.address.port() == 0
+            || self.address.ip().is_unspecified()
+            || self.address.ip().is_multicast()
+        {
+            Err("address that is no host's")
+        } else if self.slots > MAX_SLOTS {
+            Err("too many slots")
+        } else if self.cold_left > MAX_COLD_LEFT {
+            Err("warm-up time too long")
+        } else if self.start_time_ms > MAX_START_TIME_MS {
+            Err("start in the far future")
+        } else {
+            Ok(())
+        }
+    }
+
     /// Returns whether the reports differ in more than their sequence number.
     fn differs(&self, other: &Self) -> bool {
         let mut other = other.clone();
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -235,6 +235,16 @@
         state.grace_until = Some(BootInstant::now().plus(state.bounds.list_grace));
     }
 
+    /// Returns whether the record of server `id` is known to be unusable for `cause`.
+    pub fn is_known_unusable(&self, id: &str, cause: &str) -> bool {
+        self.lock().roster.unusable_cause(id) == Some(cause)
+    }
+
+    /// Returns the number of servers whose newest record cannot be used.
+    pub fn unusable_count(&self) -> usize {
+        self.lock().roster.unusable_count()
+    }
+
     /// Applies records of the server list; returns the names of the servers that changed.
     pub fn apply_servers(
         &self,
@@ -284,6 +294,9 @@
             let mut names = Vec::new();
             for peer in servers {
                 let id = peer.server.id.clone();
+                if peer.server.entry.check(&id).is_err() {
+                    continue;
+                }
                 state.version_history.record_report(&peer.server.entry, now);
                 if state.roster.apply_peer_server(peer) {
                     changed.push(id.clone());
--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -180,7 +180,7 @@
 impl Warmth {
     /// Records the server's report with this sequence number, seen at `now`, which names the cold time that is left.
     pub fn record_report(&mut self, sequence: u64, cold_left: Duration, now: BootInstant) {
-        if self.reported.is_none_or(|(known, _)| known < sequence) {
+        if self.reported.is_none_or(|(known, _)| known != sequence) {
             self.reported = Some((sequence, now.plus(cold_left)));
         }
     }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -331,7 +331,7 @@
 /// Minimum number of shared tokens for which their cache is copied instead of processing them again. At the 68 tokens a
 /// ms of the reference workload, setting up a copy takes as long as processing about 270 tokens; the threshold leaves a
 /// margin over this break-even point.
-const MIN_COPY_TOKENS: u32 = 512;
+const MIN_COPY_TOKENS: u64 = 512;
 
 /// Returns the engine that probably has the prompt's shared parts cached: `draining_home`, the former first home, if
 /// there is one. Otherwise, if the request was not placed at the first home, or that home is warming up, the first
@@ -346,7 +346,12 @@
     draining_home: Option<usize>,
 ) -> Option<usize> {
     let (_, shared) = request.parts.split_last()?;
-    if shared.iter().map(|part| part.tokens).sum::<u32>() < MIN_COPY_TOKENS {
+    if shared
+        .iter()
+        .map(|part| u64::from(part.tokens))
+        .sum::<u64>()
+        < MIN_COPY_TOKENS
+    {
         return None;
     }
     if draining_home.is_some() {
@@ -370,8 +375,9 @@
         if eligible.is_empty() {
             return None;
         }
-        let total: u32 = eligible.iter().map(|&index| servers[index].load).sum();
-        let mean = f64::from(total) / eligible.len() as f64;
+        let loads = eligible.iter().map(|&index| f64::from(servers[index].load));
+        let total: f64 = loads.sum();
+        let mean = total / eligible.len() as f64;
         let bound = mean * self.bound_factor + self.bound_extra;
         let has_room = |index: &usize| {
             let server = &servers[*index];
@@ -379,8 +385,10 @@
             load < bound && load < f64::from(server.slots)
         };
         let homes = self.ranked_homes(Self::key(request), &eligible, servers);
-        let slots: u32 = eligible.iter().map(|&index| servers[index].slots).sum();
-        let is_filling = f64::from(total) >= f64::from(slots) * self.filling_from;
+        let slots = eligible
+            .iter()
+            .map(|&index| f64::from(servers[index].slots));
+        let is_filling = total >= slots.sum::<f64>() * self.filling_from;
         // While engines fill, a part of the requests passes a home over from `soft_bound` on, the larger the nearer its load is to the
         // bound: a home that all gateways leave, or return to, at the same load as they know it late is loaded far beyond the bound
         // by turns.
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -370,13 +370,14 @@
             .remote
             .filter(|(_, received_at)| now.since(*received_at) < MAX_REMOTE_AGE);
         if let Some((remote, _)) = remote {
-            return remote + self.own_in_flight;
+            return remote.saturating_add(self.own_in_flight);
         }
         let reported = self
             .report
             .filter(|report| now.since(report.received_at) < MAX_REPORT_AGE)
             .map_or(0, |report| {
-                (report.load + self.own_in_flight).saturating_sub(report.own_at_report)
+                let load = report.load.saturating_add(self.own_in_flight);
+                load.saturating_sub(report.own_at_report)
             });
         reported.max(self.own_in_flight)
     }
@@ -434,7 +435,7 @@
                 state.last_speed = Some((f64::from(percent) / 100.0, now));
             }
             state.report = Some(LoadReport {
-                load: load.running + load.waiting,
+                load: load.running.saturating_add(load.waiting),
                 own_at_report: state.own_in_flight,
                 received_at: BootInstant::now(),
             });
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -56,6 +56,7 @@
     servers: IntGauge,
     in_flight: IntGauge,
     longest_pause_ms: IntGauge,
+    unusable_servers: IntGauge,
     held_parts: IntGauge,
     limited_servers: IntGauge,
     blocked_servers: IntGauge,
@@ -136,6 +137,10 @@
                 "currantbend_gateway_longest_pause_ms",
                 "Longest time since the start for which the event loop stood still.",
             ),
+            unusable_servers: gauge(
+                "currantbend_gateway_unusable_server_entries",
+                "Entries of the server list that can't be used.",
+            ),
             held_parts: gauge(
                 "currantbend_gateway_held_parts",
                 "Prompt parts whose requests are held back.",
@@ -183,7 +188,7 @@
                 "Data centres whose backend servers get no new requests at an operator's request.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 26] = [
+        let collectors: [Box<dyn Collector>; 27] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -198,6 +203,7 @@
             Box::new(metrics.servers.clone()),
             Box::new(metrics.in_flight.clone()),
             Box::new(metrics.longest_pause_ms.clone()),
+            Box::new(metrics.unusable_servers.clone()),
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.limited_servers.clone()),
             Box::new(metrics.blocked_servers.clone()),
@@ -259,13 +265,14 @@
         self.wait_ms.with_label_values(&[service]).set(wait_ms);
     }
 
-    /// Records the catalog state: configuration version, number of servers, and the ages of both (-1 for `None`).
+    /// Records the catalog state: configuration version, numbers of servers and of entries that can't be used, and the ages of
+    /// both (-1 for `None`).
     pub(super) fn record_catalog(
         &self,
         version: u64,
         config_age: Option<Duration>,
         list_age: Option<Duration>,
-        servers: usize,
+        (servers, unusable): (usize, usize),
     ) {
         let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
         self.config_version
@@ -273,6 +280,7 @@
         self.config_age_ms.set(millis(config_age));
         self.list_age_ms.set(millis(list_age));
         self.servers.set(servers as i64);
+        self.unusable_servers.set(unusable as i64);
     }
 
     /// Records a time for which the event loop stood still.
--- a/src/gateway/pages.rs
+++ b/src/gateway/pages.rs
@@ -112,7 +112,7 @@
             version,
             catalog.config_age(now),
             catalog.list_age(now),
-            servers,
+            (servers, catalog.unusable_count()),
         );
         metrics.record_held_parts(self.gateway.quarantine.held_parts().len());
         metrics.record_limited_servers(self.gateway.rates.limited_count());
