--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -394,6 +394,12 @@
         self.lock().list_read_at.map(|read| now.since(read))
     }
 
+    /// Returns whether the server list was read, here or at the peer that sent it, in a call that began at `at` or later. It then
+    /// has all servers at which requests can have begun before.
+    pub fn has_read_list_since(&self, at: BootInstant) -> bool {
+        self.lock().list_read_at.is_some_and(|read| read >= at)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -41,16 +41,12 @@
             return Ok(());
         }
         let stream = resumed_stream.first_attempt.as_deref().map(hash_request_id);
-        // An attempt that isn't named is on no record, so only a single version can tell.
-        let is_known_unknown = stream.is_none() && self.has_several_versions();
-        let waits = if is_known_unknown { 0 } else { MAX_WAITS };
+        let asked_at = BootInstant::now();
         let until = Instant::now() + self.time_left() / LOOKUP_DIVISOR;
-        let searching = self.search_version(stream, waits);
-        let version = match tokio::time::timeout_at(until, searching).await {
-            Ok(version) => version,
-            // What this gateway knows by itself needs no time.
-            Err(_) => self.only_version(),
-        };
+        let searching = self.search_version(stream, asked_at);
+        let version = tokio::time::timeout_at(until, searching).await;
+        // What this gateway knows by itself needs no time.
+        let version = version.unwrap_or_else(|_| self.only_version(asked_at));
         let Some(version) = version else {
             return Err(self.no_server_refusal("stream of unknown version"));
         };
@@ -58,38 +54,49 @@
         Ok(())
     }
 
-    /// Returns the version at which `stream` began; asks again after each of up to `waits` waits for other gateways'
-    /// records.
-    async fn search_version(&self, stream: Option<StreamKey>, waits: u32) -> Option<String> {
-        let mut version = self.find_version(stream).await;
-        for _ in 0..waits {
-            if version.is_none()
-                && let Some(streams) = self.gateway.streams.get()
+    /// Returns the version at which `stream` began, which a request resumes that was read at `asked_at`: from the records of
+    /// gateways, or because no other version has served lately. `stream` is `None` if the caller doesn't name it.
+    ///
+    /// Waits for records on their way to the relays and, where a single version may have served, for a read of the server list
+    /// that began after the request came; so a version that joined a moment ago, of which only other gateways know, is not
+    /// overlooked.
+    async fn search_version(
+        &self,
+        stream: Option<StreamKey>,
+        asked_at: BootInstant,
+    ) -> Option<String> {
+        let streams = self.gateway.streams.get();
+        let mut waits = 0;
+        loop {
+            if let (Some(stream), Some(streams)) = (stream, streams)
+                && waits <= MAX_WAITS
+                && let Some(version) = streams.find(stream).await
             {
-                streams.wait_for_records().await;
-                version = self.find_version(stream).await;
+                return Some(version);
             }
-        }
-        version
-    }
-
-    /// Returns the version at which `stream` began, from the records of gateways or because no other version has served
-    /// lately. `stream` is `None` if the caller doesn't name it.
-    async fn find_version(&self, stream: Option<StreamKey>) -> Option<String> {
-        if let (Some(stream), Some(streams)) = (stream, self.gateway.streams.get()) {
-            let version = streams.find(stream).await;
-            if version.is_some() {
+            let version = self.only_version(asked_at);
+            // An attempt that isn't named is on no record, so only a single version can tell.
+            let may_come = stream.is_some() && waits < MAX_WAITS;
+            if version.is_some() || !(may_come || self.may_have_one_version(asked_at)) {
                 return version;
             }
+            waits += 1;
+            streams?.wait_for_records().await;
         }
-        self.only_version()
     }
 
-    /// Returns the version of all servers that may have begun the stream; `None` if there were several or if that is not
-    /// known.
-    fn only_version(&self) -> Option<String> {
+    /// Returns the version of all servers that may have begun a stream before `asked_at`; `None` if there were several or if
+    /// that is not known.
+    fn only_version(&self, asked_at: BootInstant) -> Option<String> {
         let catalog = &self.gateway.catalog;
-        catalog.only_version(&self.service_name, self.first_break())
+        let version = catalog.only_version(&self.service_name, self.first_break());
+        version.filter(|_| catalog.has_read_list_since(asked_at))
+    }
+
+    /// Returns whether a newer read of the server list may show that a single version has served.
+    fn may_have_one_version(&self, asked_at: BootInstant) -> bool {
+        let is_old = !self.gateway.catalog.has_read_list_since(asked_at);
+        is_old && !self.has_several_versions()
     }
 
     fn has_several_versions(&self) -> bool {
