--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -368,10 +368,14 @@
     }
 
     /// Adds a peer's knowledge of earlier software versions, as in [`VersionHistory::adopt`].
-    pub fn adopt_version_history(&self, known_since: BootInstant, versions: Vec<SeenVersion>) {
+    pub fn adopt_version_history(
+        &self,
+        known: (BootInstant, BootInstant),
+        versions: Vec<SeenVersion>,
+    ) {
         let now = BootInstant::now();
         let mut state = self.lock();
-        state.version_history.adopt(known_since, versions, now);
+        state.version_history.adopt(known, versions, now);
     }
 
     /// Returns whether the incarnation of server `id` that started at `start_time_ms` may still get new work.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -332,6 +332,21 @@
     );
 }
 
+// What came and went between the peer's last read and the first one here was taken for known.
+#[test]
+fn a_restarted_gateway_trusts_a_peer_that_has_not_read_the_list_since() {
+    let catalog = new_catalog();
+    let now = BootInstant::now();
+    let earlier = |seconds| now.before(Duration::from_secs(seconds));
+    catalog.record_list_read(now, false);
+    catalog.apply_servers(vec![report_of_version("a", 1, "v2")], now);
+
+    catalog.adopt_version_history((earlier(60), earlier(5)), Vec::new());
+
+    assert_eq!(catalog.only_version("app", earlier(10)), None);
+    assert_eq!(catalog.only_version("app", now).as_deref(), Some("v2"));
+}
+
 #[test]
 fn a_restarted_gateway_knows_the_software_versions_that_its_peer_knows() {
     let catalog = new_catalog();
@@ -345,7 +360,7 @@
         last_listed_at: earlier(20),
     };
 
-    catalog.adopt_version_history(earlier(60), vec![former]);
+    catalog.adopt_version_history((earlier(60), now), vec![former]);
 
     assert_eq!(
         catalog.only_version("app", earlier(10)).as_deref(),
--- a/src/catalog/version_history.rs
+++ b/src/catalog/version_history.rs
@@ -76,15 +76,23 @@
         self.forget(now);
     }
 
-    /// Adds what a peer knows: it has followed the list since `known_since`, and `versions` are those that it has seen
-    /// there since, each with the time at which it was last listed. Has no effect before the first read of the list.
+    /// Adds what a peer knows: it has followed the list since `known_since` until its read at `read_at`, and `versions` are those
+    /// that it has seen there, each with the time at which it was last listed. Has no effect before the first read of the list, and
+    /// if servers may have come and gone between the peer's read and the first one here.
     pub fn adopt(
         &mut self,
-        known_since: BootInstant,
+        (known_since, read_at): (BootInstant, BootInstant),
         versions: Vec<SeenVersion>,
         now: BootInstant,
     ) {
-        self.known_since = self.known_since.map(|own| own.min(known_since));
+        let has_gap = |own: BootInstant| read_at < own;
+        self.known_since = self.known_since.map(|own| {
+            if has_gap(own) {
+                own
+            } else {
+                own.min(known_since)
+            }
+        });
         self.former.extend(versions);
         self.forget(now);
     }
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -56,7 +56,7 @@
         if request.wants_catalog && !response.is_disconnected && !shared.is_behind(&response) {
             shared.apply_catalog(&mut response, now, &mut received);
         }
-        shared.apply_version_history(response.version_history);
+        shared.apply_version_history(&mut response, now);
         shared
             .cut_off_table
             .record_centre(data_centre, response.cut_off, now);
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -25,7 +25,6 @@
 use super::message::Stamp;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
-use super::message::SyncedVersionHistory;
 use super::message::unpack;
 use super::node_list::NodeList;
 use super::pack_cache::PackCache;
@@ -267,11 +266,16 @@
         known_since.is_none_or(|at| BootInstant::now().since(at) < VERSION_MEMORY)
     }
 
-    /// Adds the software versions that a peer has seen on the server list.
-    pub(super) fn apply_version_history(&self, history: Option<SyncedVersionHistory>) {
-        if let Some(history) = history {
+    /// Adds the software versions that a peer has seen on the server list, according to its response to a request sent at
+    /// `sent_at`.
+    pub(super) fn apply_version_history(&self, response: &mut SyncResponse, sent_at: BootInstant) {
+        if let Some(history) = response.version_history.take()
+            && let Some(age_ms) = response.servers_age_ms
+        {
             let (known_since, versions) = history.into_parts(BootInstant::now());
-            self.catalog.adopt_version_history(known_since, versions);
+            let read_at = sent_at.before(Duration::from_millis(age_ms));
+            self.catalog
+                .adopt_version_history((known_since, read_at), versions);
         }
     }
 
@@ -296,7 +300,7 @@
         received: &mut ReceivedStamps,
     ) {
         self.apply_catalog(&mut response, sent_at, received);
-        self.apply_version_history(response.version_history);
+        self.apply_version_history(&mut response, sent_at);
         self.tunnel_table
             .record_cut_off(response.cut_off, BootInstant::now());
         let nodes = response.packed_nodes.as_deref();
