--- a/src/decide/tests/helper_choice.rs
+++ b/src/decide/tests/helper_choice.rs
@@ -1,6 +1,7 @@
 //! Helpers that are asked while some gateways of the fleet reach no server.
 
-use crate::clock::BootInstant;
+use super::server_path::at;
+use super::server_path::node;
 use crate::decide::HelperMemory;
 use crate::decide::HelperReach;
 use crate::decide::HelperView;
@@ -8,22 +9,6 @@
 use crate::decide::helper_order;
 use crate::peers::CutOffNodes;
 use crate::peers::NodeEntry;
-use std::net::SocketAddr;
-use std::time::Duration;
-
-fn at(ms: u64) -> BootInstant {
-    BootInstant::from_boot(Duration::from_millis(ms))
-}
-
-fn node(name: &str, data_centre: &str) -> NodeEntry {
-    NodeEntry {
-        name: name.to_owned(),
-        data_centre: data_centre.to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7340)),
-        start_time_ms: 1,
-        link_mbps: 1_000,
-    }
-}
 
 fn view(node: &NodeEntry, tunnels: u32, reach: HelperReach) -> HelperView<'_> {
     HelperView {
--- a/src/decide/tests/server_path.rs
+++ b/src/decide/tests/server_path.rs
@@ -13,11 +13,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-fn at(ms: u64) -> BootInstant {
+pub(super) fn at(ms: u64) -> BootInstant {
     BootInstant::from_boot(Duration::from_millis(ms))
 }
 
-fn node(name: &str, data_centre: &str) -> NodeEntry {
+pub(super) fn node(name: &str, data_centre: &str) -> NodeEntry {
     NodeEntry {
         name: name.to_owned(),
         data_centre: data_centre.to_owned(),
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -76,7 +76,8 @@
             }
             let version = self.only_version(asked_at);
             // An attempt that isn't named is on no record, so only a single version can tell.
-            let may_come = stream.is_some() && waits < MAX_WAITS;
+            let is_known_unknown = stream.is_none() && self.has_several_versions();
+            let may_come = waits < MAX_WAITS && !is_known_unknown;
             if version.is_some() || !(may_come || self.may_have_one_version(asked_at)) {
                 return version;
             }
