--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -281,7 +281,10 @@
             ServerRecord::Removed => self.remove(grace_until),
             // A server in its grace period stays usable until the period ends.
             ServerRecord::Unusable(cause) => {
-                if !matches!(self.status, ServerStatus::InGracePeriod { .. }) {
+                if matches!(
+                    self.status,
+                    ServerStatus::Listed | ServerStatus::Unusable(_)
+                ) {
                     self.status = ServerStatus::Unusable(cause);
                 }
             }
--- a/src/catalog/tests/odd_entries.rs
+++ b/src/catalog/tests/odd_entries.rs
@@ -117,6 +117,21 @@
     assert!(catalog.listed().0[0].entry.is_draining);
 }
 
+// The odd entry made the server's removal forgotten.
+#[test]
+fn a_delayed_copy_lists_a_removed_server_again_after_an_odd_entry() {
+    let catalog = new_catalog();
+    apply(&catalog, "a", entry(7, false, 1));
+    let removed = vec![("a".to_owned(), ServerRecord::Removed)];
+    catalog.apply_servers(removed, BootInstant::now());
+    apply(&catalog, "a", entry(8, false, u64::MAX));
+
+    let is_listed = apply(&catalog, "a", entry(7, false, 1));
+
+    assert!(!is_listed);
+    assert!(apply(&catalog, "a", entry(8, false, 1)));
+}
+
 #[test]
 fn an_odd_entry_on_a_peers_list_costs_the_others() {
     let catalog = new_catalog();
