--- a/review/harness/src/crash.rs
+++ b/review/harness/src/crash.rs
@@ -1,4 +1,5 @@
-//! A request crashes each engine that begins to run it, and comes again and again: how often does it still reach engines?
+//! A request, or each of several, crashes each engine that begins to run it, and comes again and again: how often does it
+//! still reach engines?
 //!
 //! The rule: in three retries at most, sent later than `stable-ms` after it has crashed the third engine.
 
@@ -37,9 +38,11 @@
     pub engines: Engines,
     /// Sound requests a second.
     pub per_second: u64,
-    /// Time between two sendings of the crashing request.
+    /// Number of different crashing requests, which are sent in turn.
+    pub requests: u32,
+    /// Time between two sendings.
     pub interval: Duration,
-    /// Number of sendings of the crashing request.
+    /// Number of all sendings.
     pub sendings: u32,
 }
 
@@ -53,6 +56,7 @@
         down: Duration::from_millis(6_750),
     },
     per_second: 24,
+    requests: 1,
     interval: Duration::from_millis(5_000),
     sendings: 10,
 };
@@ -66,9 +70,10 @@
         prefill: Duration::from_millis(700),
         down: Duration::from_millis(4_000),
     },
-    per_second: 700,
-    interval: Duration::from_millis(4_500),
-    sendings: 10,
+    per_second: 600,
+    requests: 3,
+    interval: Duration::from_millis(1_500),
+    sendings: 30,
 };
 
 pub async fn play(
@@ -123,39 +128,47 @@
         }
         let is_due = pace.elapsed() > lead + scenario.interval * sendings;
         if has_trouble && is_due && sendings < scenario.sendings {
+            let which = sendings % scenario.requests;
             sendings += 1;
             let address = callers[sendings as usize % callers.len()];
             let record = record.clone();
             tasks.spawn(async move {
-                let id = format!("c{sendings:08}");
+                let id = format!("{}{sendings:06}", prefix(which));
                 record.add(&format!("{id}, which crashes engines, is sent"));
-                let headers = headers("beef:2041,c0de:360");
-                let outcome = consumer::send(address, &request(&id, &headers, CRASHING_BODY)).await;
+                let headers = headers(&format!("beef{which}:2041,c0de{which}:360"));
+                let body = format!("{CRASHING_BODY} {which}");
+                let request = request(&id, &headers, body.as_bytes());
+                let outcome = consumer::send(address, &request).await;
                 record.add(&format!("{id} ends: {outcome:?}"));
             });
         }
     }
     while tasks.join_next().await.is_some() {}
-    let crashes = seen.crashes();
-    let arrivals = seen.arrivals();
-    let from = crashes.get(2).map(|third| *third + STABLE);
-    let late = arrivals
-        .iter()
-        .filter(|at| from.is_some_and(|from| **at > from));
-    let late = late.count();
     record.say(&format!("sound requests: {}", sound.describe()));
-    record.say(&format!(
-        "the crashing request was sent {sendings} times, reached engines {} times and crashed {}; {late} times later \
-         than {} ms after the third crash, {ALLOWED_RETRIES} are allowed",
-        arrivals.len(),
-        crashes.len(),
-        STABLE.as_millis()
-    ));
-    Ok(if late > ALLOWED_RETRIES {
-        End::Broken
-    } else {
-        End::Held
-    })
+    let mut is_broken = false;
+    for which in 0..scenario.requests {
+        let crashes = seen.crashes(&prefix(which));
+        let arrivals = seen.arrivals(&prefix(which));
+        let from = crashes.get(2).map(|third| *third + STABLE);
+        let late = arrivals
+            .iter()
+            .filter(|at| from.is_some_and(|from| **at > from));
+        let late = late.count();
+        record.say(&format!(
+            "crashing request {which}, of {sendings} sendings in all: reached engines {} times and crashed {}; {late} \
+             times later than {} ms after its third crash, {ALLOWED_RETRIES} are allowed",
+            arrivals.len(),
+            crashes.len(),
+            STABLE.as_millis()
+        ));
+        is_broken |= late > ALLOWED_RETRIES;
+    }
+    Ok(if is_broken { End::Broken } else { End::Held })
+}
+
+/// Returns the beginning of the ids of the sendings of a crashing request.
+fn prefix(which: u32) -> String {
+    format!("c{which}-")
 }
 
 fn headers(parts: &str) -> String {
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -19,8 +19,8 @@
 const EVENTS: u32 = 4;
 const STEP: Duration = Duration::from_millis(20);
 
-/// Body of the request that crashes the engines that run it.
-pub const CRASHING_BODY: &[u8] = b"crash";
+/// Beginning of the body of a request that crashes the engines that run it.
+pub const CRASHING_BODY: &str = "crash";
 
 struct Engine {
     id: String,
@@ -122,7 +122,7 @@
                 .reject(stream, "421 Misdirected Request", request_id)
                 .await;
         }
-        let is_crashing = body == CRASHING_BODY;
+        let is_crashing = body.starts_with(CRASHING_BODY.as_bytes());
         if is_crashing {
             say(&format!("got {request_id}"));
         }
--- a/review/harness/src/engines.rs
+++ b/review/harness/src/engines.rs
@@ -24,23 +24,31 @@
 const QUEUE: u32 = 192;
 const PORT: u16 = 8_120;
 
-/// When the crashing request reached an engine, and when it crashed one.
+/// When crashing requests reached engines, and when they crashed them, with their ids.
 #[derive(Default)]
 pub struct Seen {
-    arrivals: Mutex<Vec<Instant>>,
-    crashes: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<(String, Instant)>>,
+    crashes: Mutex<Vec<(String, Instant)>>,
 }
 
 impl Seen {
-    pub fn arrivals(&self) -> Vec<Instant> {
-        lock(&self.arrivals).clone()
+    /// Returns when the requests whose ids begin with `prefix` reached engines.
+    pub fn arrivals(&self, prefix: &str) -> Vec<Instant> {
+        times(&self.arrivals, prefix)
     }
 
-    pub fn crashes(&self) -> Vec<Instant> {
-        lock(&self.crashes).clone()
+    /// Returns when the requests whose ids begin with `prefix` crashed engines.
+    pub fn crashes(&self, prefix: &str) -> Vec<Instant> {
+        times(&self.crashes, prefix)
     }
 }
 
+fn times(seen: &Mutex<Vec<(String, Instant)>>, prefix: &str) -> Vec<Instant> {
+    let seen = lock(seen);
+    let of_prefix = seen.iter().filter(|(id, _)| id.starts_with(prefix));
+    of_prefix.map(|(_, at)| *at).collect()
+}
+
 /// What engine processes there are.
 #[derive(Clone, Copy, Debug)]
 pub struct Engines {
@@ -132,9 +140,10 @@
 
 fn note(id: &str, line: &str, record: &Record, seen: &Seen) {
     record.add(&format!("{id} {line}"));
-    if line.starts_with("got") {
-        lock(&seen.arrivals).push(Instant::now());
-    } else if line.starts_with("crashes") {
-        lock(&seen.crashes).push(Instant::now());
+    if let Some(request) = line.strip_prefix("got ") {
+        lock(&seen.arrivals).push((request.to_owned(), Instant::now()));
+    } else if let Some(rest) = line.strip_prefix("crashes by ") {
+        let request = rest.split(' ').next().unwrap_or_default();
+        lock(&seen.crashes).push((request.to_owned(), Instant::now()));
     }
 }
