--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -24,6 +24,8 @@
 /// A stream that a caller resumes after it broke off in an earlier attempt.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ResumedStream {
+    /// Id of the last event that the caller has; `None` if it names none, or one that is no number.
+    pub last_event_id: Option<u64>,
     /// Id of the attempt that brought the first event of the stream; `None` if the caller doesn't name it.
     pub first_attempt: Option<String>,
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -23,13 +23,62 @@
     pub(super) first_id: Option<u64>,
     /// Id of the last event that has a numeric id.
     pub(super) last_id: Option<u64>,
+    /// Number of events without a numeric id; blocks of comments are no events.
+    pub(super) unnumbered: u32,
+    /// Number of events whose id is not one higher than the id before it among these.
+    pub(super) gaps: u32,
 }
 
 /// An event exceeds [`MAX_EVENT_BYTES`] without having ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct EventTooLong;
 
+/// What the lines of an event have shown so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventLines {
+    id: Option<u64>,
+    /// Whether there is a line that is no comment.
+    has_field: bool,
+}
+
 impl Events {
+    /// Returns the events in `bytes`, which end with a whole event.
+    fn new(bytes: Bytes) -> Self {
+        let mut events = Self {
+            bytes: Bytes::new(),
+            first_id: None,
+            last_id: None,
+            unnumbered: 0,
+            gaps: 0,
+        };
+        let mut event = EventLines::default();
+        for line in bytes.split(|&byte| byte == b'\n') {
+            match line.strip_suffix(b"\r").unwrap_or(line) {
+                [] => events.add(std::mem::take(&mut event)),
+                [b':', ..] => {}
+                line => {
+                    event.has_field = true;
+                    event.id = event_id(line).or(event.id);
+                }
+            }
+        }
+        events.bytes = bytes;
+        events
+    }
+
+    /// Counts an event that has ended.
+    fn add(&mut self, event: EventLines) {
+        let Some(id) = event.id else {
+            self.unnumbered += u32::from(event.has_field);
+            return;
+        };
+        if let Some(last) = self.last_id {
+            self.gaps += u32::from(last.checked_add(1) != Some(id));
+        }
+        self.first_id = self.first_id.or(Some(id));
+        self.last_id = Some(id);
+    }
+
     /// Returns whether the ids go on after event `last_id`, without a gap or a duplicate. Events without ids do.
     pub(super) fn follows(&self, last_id: Option<u64>) -> bool {
         match (last_id, self.first_id) {
@@ -52,14 +101,7 @@
         };
         let bytes = self.buf.split_to(end).freeze();
         self.scanned = 0;
-        let mut ids = bytes.split(|&byte| byte == b'\n').filter_map(event_id);
-        let first_id = ids.next();
-        let last_id = ids.next_back().or(first_id);
-        Ok(Some(Events {
-            bytes,
-            first_id,
-            last_id,
-        }))
+        Ok(Some(Events::new(bytes)))
     }
 
     /// Returns whether the buffer holds bytes of an incomplete event.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -115,6 +115,7 @@
         report.parts.clone_from(&metadata.parts);
         if let Some(resumed_stream) = &metadata.resumed_stream {
             report.resumes_stream = true;
+            report.stream.after = resumed_stream.last_event_id;
             report.first_attempt = resumed_stream.first_attempt.clone().unwrap_or_default();
         }
         let mut team = None;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod server_stream;
 mod settings;
 mod stream;
+mod stream_record;
 mod stream_version;
 mod team_demand;
 #[cfg(test)]
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -3,6 +3,7 @@
 use super::dialect::RateLimitNotice;
 use super::handler::Gateway;
 use super::metrics::GatewayMetrics;
+use super::stream_record::StreamRecord;
 use crate::decide::PartId;
 use crate::decide::PromptPart;
 use crate::logs::Logs;
@@ -53,7 +54,8 @@
     pub(super) time_limit: Option<Duration>,
     /// Milliseconds until the response could be passed on: the whole response, or the first events of a stream.
     first_ms: Option<u64>,
-    last_event_id: Option<u64>,
+    /// The events that were passed on, if the answer is a stream.
+    pub(super) stream: StreamRecord,
     resumes: u32,
     status: u16,
     outcome: &'static str,
@@ -91,7 +93,7 @@
             started_at: Instant::now(),
             time_limit: None,
             first_ms: None,
-            last_event_id: None,
+            stream: StreamRecord::default(),
             resumes: 0,
             status: 0,
             outcome: "left",
@@ -123,11 +125,6 @@
         self.metrics.record_latency(&self.route, time);
     }
 
-    /// Records the id of the last event that was sent to the caller; `None` if the newest events have no id.
-    pub(super) fn record_event(&mut self, last_id: Option<u64>) {
-        self.last_event_id = last_id.or(self.last_event_id);
-    }
-
     /// Records the limit that a server's answer names.
     pub(super) fn record_rate_limit(&mut self, notice: RateLimitNotice) {
         self.rate_limit = match notice {
@@ -183,8 +180,9 @@
             "load" => self.load, "passed_over" => self.passed_over,
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
-            "list" => self.list_version, "first_ms" => self.first_ms, "last_event" => self.last_event_id,
-            "resumed" => self.resumes, "read" => self.is_read,
+            "list" => self.list_version, "first_ms" => self.first_ms, "after" => self.stream.after, "pieces" => self.stream.pieces(),
+            "unnumbered" => self.stream.unnumbered(), "gaps" => self.stream.gaps(), "ended_by" => self.stream.end(),
+            "last_event" => self.stream.last_id(), "resumed" => self.resumes, "read" => self.is_read,
             "limit_ms" => self.time_limit.map(|limit| limit.as_millis() as u64),
             "ms" => self.started_at.elapsed().as_millis() as u64,
             "status" => self.status, "outcome" => self.outcome, "cause" => &self.cause);
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -7,6 +7,7 @@
 use super::pool::ConnectionEnd;
 use super::pool::Lease;
 use super::progress::Progress;
+use super::stream_record::BodyEnd;
 use crate::decide::RunResult;
 use crate::logs::Logs;
 use crate::net::timeout_at;
@@ -14,8 +15,6 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -31,8 +30,7 @@
     guard: Arc<InFlightGuard>,
     progress: Arc<Progress>,
     splitter: EventSplitter,
-    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
-    is_unframed: bool,
+    body_end: BodyEnd,
     has_events: bool,
 }
 
@@ -59,11 +57,9 @@
         logs: &Logs,
     ) -> Self {
         let headers = &response.head.headers;
-        let is_unframed =
-            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
         Self {
             status: response.head.status,
-            is_unframed,
+            body_end: BodyEnd::of(headers),
             has_events: false,
             body: response.body,
             headers: response.head.headers,
@@ -98,7 +94,7 @@
                     return StreamItem::Broken("event cut off".to_owned());
                 }
                 // A server that crashes before its first event ends such a stream like a complete one.
-                None if self.is_unframed && !self.has_events => {
+                None if self.body_end == BodyEnd::Connection && !self.has_events => {
                     return StreamItem::Broken("ended before the first event".to_owned());
                 }
                 None => return StreamItem::End,
@@ -136,6 +132,11 @@
         &self.guard
     }
 
+    /// Returns what tells that the response is complete.
+    pub(super) fn body_end(&self) -> BodyEnd {
+        self.body_end
+    }
+
     /// Returns the name of the server.
     pub(super) fn server_id(&self) -> &str {
         self.lease.server_id()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -185,7 +185,10 @@
             return;
         };
         self.last_id = events.last_id.or(self.last_id);
-        self.exchange.report.record_event(events.last_id);
+        if let Some(server_stream) = &self.server_stream {
+            let stream = &mut self.exchange.report.stream;
+            stream.record_events(server_stream.server_id(), &events);
+        }
         self.exchange.record_progress();
         self.next_events = Some(events);
     }
@@ -200,6 +203,8 @@
     /// Records that the stream is complete, and returns its connection to the pool.
     fn finish(&mut self) {
         if let Some(server_stream) = self.server_stream.take() {
+            let end = server_stream.body_end();
+            self.exchange.report.stream.record_end(end);
             server_stream.guard().record_result(RunResult::Good);
             self.exchange.record_sound();
             self.exchange.record_whole_answer();
