--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -6,6 +6,7 @@
 use super::attempt::SendParams;
 use super::attempt::ServerResponse;
 use super::dialect::RateLimitNotice;
+use super::end_check::EndCheck;
 use super::events::Events;
 use super::handler::Gateway;
 use super::loads::InFlightGuard;
@@ -121,7 +122,14 @@
         self.progress.record_bytes();
         let rate_limit = response.rate_limit;
         if self.is_stream && response.head.status.is_success() {
-            let stream = ServerStream::new(response, &self.progress, self.deadline, &gateway.logs);
+            let end_check = self.end_check(&response);
+            let stream = ServerStream::new(
+                response,
+                end_check,
+                &self.progress,
+                self.deadline,
+                &gateway.logs,
+            );
             let stream = Box::new(stream);
             next_events(
                 gateway,
@@ -136,6 +144,16 @@
         }
     }
 
+    fn end_check(&self, response: &ServerResponse) -> EndCheck {
+        EndCheck::new(
+            (&response.head.headers, &response.body),
+            &self.gateway.paths,
+            &self.server,
+            &self.outbound.request_id,
+            response.lease.helper().is_some(),
+        )
+    }
+
     /// Returns whether what the server was chosen by still holds. Since then it may have become unusable, or the
     /// configuration too old to accept callers' keys, especially if the host slept in between.
     fn is_current(&self) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod crash_guard;
 mod delivery;
 mod dialect;
+mod end_check;
 mod events;
 mod exchange;
 mod explain;
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -1,6 +1,7 @@
 //! The events that one server sends for a request.
 
 use super::attempt::ServerResponse;
+use super::end_check::EndCheck;
 use super::events::EventSplitter;
 use super::events::Events;
 use super::loads::InFlightGuard;
@@ -30,7 +31,7 @@
     guard: Arc<InFlightGuard>,
     progress: Arc<Progress>,
     splitter: EventSplitter,
-    body_end: BodyEnd,
+    end_check: EndCheck,
     has_events: bool,
 }
 
@@ -52,14 +53,14 @@
     /// Returns the stream of `response`, which ends at `deadline` also if nobody reads it.
     pub(super) fn new(
         response: ServerResponse,
+        end_check: EndCheck,
         progress: &Arc<Progress>,
         deadline: Instant,
         logs: &Logs,
     ) -> Self {
-        let headers = &response.head.headers;
         Self {
             status: response.head.status,
-            body_end: BodyEnd::of(headers),
+            end_check,
             has_events: false,
             body: response.body,
             headers: response.head.headers,
@@ -93,10 +94,13 @@
                 None if self.splitter.has_partial_event() => {
                     return StreamItem::Broken("event cut off".to_owned());
                 }
-                // A server that crashes before its first event ends such a stream like a complete one.
-                None if self.body_end == BodyEnd::Connection && !self.has_events => {
+                // A server that is back in no time accepts connections like one that has finished.
+                None if self.body_end() == BodyEnd::Connection && !self.has_events => {
                     return StreamItem::Broken("ended before the first event".to_owned());
                 }
+                None if !self.end_check.is_complete(deadline).await => {
+                    return StreamItem::Broken("server ended with its stream".to_owned());
+                }
                 None => return StreamItem::End,
                 Some(Err(_)) if self.end.has_come() => return StreamItem::DeadlineExceeded,
                 Some(Err(err)) => return StreamItem::Broken(err.to_string()),
@@ -134,7 +138,7 @@
 
     /// Returns what tells that the response is complete.
     pub(super) fn body_end(&self) -> BodyEnd {
-        self.body_end
+        self.end_check.body_end()
     }
 
     /// Returns the name of the server.
