--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -170,6 +170,7 @@
         rate_limit: RateLimitNotice,
         sent_at: Instant,
     ) -> SendEnd {
+        let end_check = self.end_check(&response);
         let ServerResponse {
             head,
             body,
@@ -195,6 +196,11 @@
                 return SendEnd::Late;
             }
         };
+        if !end_check.is_complete(self.deadline).await {
+            lease.close();
+            guard.record_result(RunResult::Broken);
+            return SendEnd::Broken("server ended with its answer".to_owned());
+        }
         if head.status.is_server_error() {
             guard.record_result(RunResult::Failed);
         } else {
