--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -79,12 +79,16 @@
         self.last_id = Some(id);
     }
 
-    /// Returns whether the ids go on after event `last_id`, without a gap or a duplicate. Events without ids do.
+    /// Returns whether each event follows the one before it, and the first of them event `last_id`, without a gap or a duplicate.
+    /// In a stream of which any event has an id, one without belongs to another answer; a stream without ids has no order to
+    /// check.
     pub(super) fn follows(&self, last_id: Option<u64>) -> bool {
-        match (last_id, self.first_id) {
+        let goes_on = match (last_id, self.first_id) {
             (Some(last), Some(first)) => last.checked_add(1) == Some(first),
             _ => true,
-        }
+        };
+        let is_numbered = last_id.is_some() || self.first_id.is_some();
+        goes_on && self.gaps == 0 && !(is_numbered && self.unnumbered > 0)
     }
 }
 
