--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -64,8 +64,8 @@
     /// Whether the callers' keys must be known to be valid when the request is sent.
     pub(super) needs_verified_keys: bool,
     pub(super) team: Option<String>,
-    /// Id of the last event that the caller has received, if a broken stream is resumed.
-    pub(super) resume_after: Option<u64>,
+    /// Id of the last event that the caller has, from this answer or an earlier attempt; `None` if it has none.
+    pub(super) last_id: Option<u64>,
     /// Server from which the shared parts of the prompt may be copied.
     pub(super) copy_from: Option<SocketAddr>,
     pub(super) deadline: Instant,
@@ -92,7 +92,7 @@
         let params = SendParams {
             server: &self.server,
             team: self.team.as_deref(),
-            resume_after: self.resume_after,
+            resume_after: self.last_id,
             copy_from: self.copy_from,
             deadline: self.deadline,
             rates: &gateway.rates,
@@ -131,14 +131,7 @@
                 &gateway.logs,
             );
             let stream = Box::new(stream);
-            next_events(
-                gateway,
-                stream,
-                self.resume_after,
-                self.deadline,
-                rate_limit,
-            )
-            .await
+            next_events(gateway, stream, self.last_id, self.deadline, rate_limit).await
         } else {
             self.read_whole(response, rate_limit, sent_at).await
         }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -41,7 +41,7 @@
     pub team: Option<&'a str>,
     /// Server from which the shared parts of the prompt may be copied.
     pub copy_from: Option<SocketAddr>,
-    /// Id of the last event that the caller has received, if it differs from the one in the caller's headers.
+    /// Id of the last event that the caller has, if it has one.
     pub resume_after: Option<u64>,
 }
 
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -329,7 +329,7 @@
             server: server.clone(),
             needs_verified_keys: !self.route.is_public,
             team: self.team.clone(),
-            resume_after,
+            last_id: resume_after.or(self.named_event()),
             copy_from: target.copy_from,
             deadline: self.deadline,
             max_connections: self
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,7 +32,7 @@
     exchange: Exchange,
     /// Stream of the current server; `None` once it has ended or broken off.
     server_stream: Option<Box<ServerStream>>,
-    /// Id of the last event passed to the caller, after which a broken stream is resumed; `None` if no event had an id.
+    /// Id of the last event that the caller has, after which a broken stream is resumed; `None` if no event had an id.
     last_id: Option<u64>,
     /// Events that have arrived and are passed on next.
     next_events: Option<Events>,
@@ -58,10 +58,10 @@
     // A resumed stream may differ in length from what the first server announced.
     response.headers_mut().remove(CONTENT_LENGTH);
     let mut caller_stream = CallerStream {
+        last_id: exchange.named_event(),
         exchange,
         status: server_stream.status,
         server_stream: Some(server_stream),
-        last_id: None,
         next_events: None,
     };
     caller_stream.accept(events);
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -7,6 +7,7 @@
 use super::exchange::Exchange;
 use super::refusal::Refusal;
 use crate::catalog::BackendServer;
+use crate::catalog::RetryMode;
 use crate::clock::BootInstant;
 use crate::peers::StreamKey;
 use tokio::time::Instant;
@@ -130,6 +131,13 @@
         self.stream_version = StreamVersion::Only(version);
     }
 
+    /// Returns the id of the event after which the caller resumes a stream, if the route allows it.
+    pub(super) fn named_event(&self) -> Option<u64> {
+        let resumed_stream = self.metadata.resumed_stream.as_ref();
+        let may_resume = self.route.retry_mode == RetryMode::ResumableStream;
+        resumed_stream.filter(|_| may_resume)?.last_event_id
+    }
+
     /// Returns whether `server` may be sent the request as far as its software version is concerned.
     pub(super) fn has_stream_version(&self, server: &BackendServer) -> bool {
         match &self.stream_version {
