--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -15,6 +15,7 @@
 use super::send_gate::SendPermit;
 use super::server_stream::ServerStream;
 use super::server_stream::StreamItem;
+use super::stream::StreamKind;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::ColdPolicy;
@@ -74,6 +75,8 @@
     /// What the server bears while it is cold; `None` if that is not limited.
     pub(super) cold_policy: Option<ColdPolicy>,
     pub(super) permit: SendPermit,
+    /// What the response must be to go on with a stream that has begun; `None` if none has.
+    pub(super) stream_kind: Option<StreamKind>,
     /// Whether a successful response is a stream of events.
     pub(super) is_stream: bool,
     pub(super) guard: Arc<InFlightGuard>,
@@ -122,6 +125,16 @@
         self.progress.record_bytes();
         let rate_limit = response.rate_limit;
         if self.is_stream && response.head.status.is_success() {
+            let kind = StreamKind::of(response.head.status, &response.head.headers);
+            if self
+                .stream_kind
+                .as_ref()
+                .is_some_and(|begun| *begun != kind)
+            {
+                response.lease.close();
+                response.guard.record_result(RunResult::Broken);
+                return SendEnd::Broken("answer that does not go on with the stream".to_owned());
+            }
             let end_check = self.end_check(&response);
             let stream = ServerStream::new(
                 response,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 use super::refusal::Refusal;
 use super::report::RequestReport;
 use super::stream;
+use super::stream::StreamKind;
 use super::stream_version::StreamVersion;
 use crate::catalog::Route;
 use crate::catalog::Service;
@@ -47,6 +48,8 @@
     pub(super) salt: u64,
     /// Software version that servers of the stream must have.
     pub(super) stream_version: StreamVersion,
+    /// What answers must be to go on with the stream that the caller gets; `None` before it has begun.
+    pub(super) stream_kind: Option<StreamKind>,
     /// End of the time that the caller announced or of the route's timeout, whichever is earlier.
     pub(super) deadline: Instant,
     /// Rank of the team, or of the route if the team has none; 0 is the most urgent.
@@ -171,6 +174,7 @@
             team_regions,
             salt,
             stream_version: StreamVersion::Any,
+            stream_kind: None,
             rank,
             sends: 0,
             released: Vec::new(),
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -338,6 +338,7 @@
                 .map_or(DEFAULT_MAX_CONNECTIONS, |service| service.max_connections),
             cold_policy: self.gateway.gate.policy(self.service.as_ref()),
             permit: target.permit,
+            stream_kind: self.stream_kind.clone(),
             is_stream: self.route.retry_mode.is_stream(),
             guard: Arc::clone(&guard),
             progress: Arc::clone(&progress),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,14 +19,38 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// What the answers that carry one stream have in common.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct StreamKind {
+    status: StatusCode,
+    /// Type of the body without parameters, in lower case; empty if the answer names none.
+    media_type: String,
+}
+
+impl StreamKind {
+    /// Returns the kind of an answer with this status and `headers`.
+    pub(super) fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        let media_type = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+        let media_type = media_type.and_then(|value| value.split(|byte| *byte == b';').next());
+        let media_type = String::from_utf8_lossy(media_type.unwrap_or_default());
+        Self {
+            status,
+            media_type: media_type.trim().to_ascii_lowercase(),
+        }
+    }
+}
+
 /// The stream to the caller, which may come from several servers in turn.
 struct CallerStream {
     exchange: Exchange,
@@ -48,6 +72,7 @@
     events: Option<Events>,
 ) -> Response<Body> {
     exchange.report.record_first_byte();
+    exchange.stream_kind = Some(StreamKind::of(server_stream.status, &server_stream.headers));
     if events.is_some() {
         exchange.record_stream_start();
     }
