--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -81,6 +81,10 @@
     list_read_at: Option<BootInstant>,
     /// Number of this node's own successful reads of the server list.
     own_list_reads: u64,
+    /// Number of lists taken over from peers, changed or not.
+    peer_lists: u64,
+    /// Whether the last list was a peer's.
+    is_peer_list: bool,
     /// Whether this node's reads of the configuration are failing.
     is_config_failing: bool,
     /// Whether this node's reads of the server list are failing.
@@ -219,6 +223,7 @@
     pub fn record_list_read(&self, began: BootInstant, has_all_changes: bool) {
         let mut state = self.lock();
         state.own_list_reads += 1;
+        state.is_peer_list = false;
         state.record_list_read(began, has_all_changes);
     }
 
@@ -228,6 +233,14 @@
         self.lock().own_list_reads
     }
 
+    /// Returns which series of this node's own reads the list comes from, or `None` if it is a peer's. Within a series a report
+    /// that has not changed is the server's newest as of the last read. A peer's list has no new stamp when only sequence
+    /// numbers change, so its reports may be older than its read.
+    pub fn own_read_series(&self) -> Option<u64> {
+        let state = self.lock();
+        (!state.is_peer_list).then_some(state.peer_lists)
+    }
+
     /// Starts the grace period because the source was restored from a copy, so entries of servers that still run may be
     /// missing.
     pub fn start_list_grace(&self) {
@@ -288,6 +301,8 @@
             return None;
         }
         state.record_list_read(read_at, false);
+        state.peer_lists += 1;
+        state.is_peer_list = true;
         let now = BootInstant::now();
         let mut changed = Vec::new();
         if let Some(servers) = servers {
@@ -426,6 +441,8 @@
             version_history: VersionHistory::default(),
             list_read_at: None,
             own_list_reads: 0,
+            peer_lists: 0,
+            is_peer_list: false,
             is_config_failing: false,
             is_list_failing: false,
             grace_until: None,
--- a/src/quarantine/renewal.rs
+++ b/src/quarantine/renewal.rs
@@ -101,7 +101,8 @@
 }
 
 impl RenewalWatch {
-    /// Starts to watch, while this gateway is the relay of its data centre and so reads each renewal.
+    /// Starts to watch, while this gateway is the relay of its data centre and reads the list itself. A list that a peer tells
+    /// may hold reports from before a crash under a later time of reading.
     pub fn start(
         quarantine: &Arc<Quarantine>,
         catalog: &Arc<Catalog>,
@@ -128,10 +129,15 @@
     heartbeat: Duration,
 ) {
     let mut renewals = Renewals::new(heartbeat);
+    let mut series = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let crashed = quarantine.crashed();
-        if !duties.is_relay() || crashed.is_empty() {
+        let last_series = std::mem::replace(&mut series, catalog.own_read_series());
+        if series != last_series {
+            renewals = Renewals::new(heartbeat);
+        }
+        if !duties.is_relay() || series.is_none() || crashed.is_empty() {
             renewals = Renewals::new(heartbeat);
             continue;
         }
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -11,8 +11,12 @@
 use super::quarantine;
 use super::send;
 use crate::catalog::BackendServer;
+use crate::catalog::Catalog;
+use crate::catalog::CatalogBounds;
+use crate::catalog::PeerServer;
 use crate::catalog::ReportStatus;
 use crate::catalog::ServerEntry;
+use crate::catalog::ServerRecord;
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
 use crate::decide::PartVerdict;
@@ -28,6 +32,7 @@
 use crate::quarantine::Records;
 use crate::quarantine::ServerReach;
 use crate::quarantine::record::CrashEvent;
+use crate::quarantine::renewal::RenewalWatch;
 use crate::quarantine::renewal::Renewals;
 use async_trait::async_trait;
 use std::net::SocketAddr;
@@ -448,3 +453,60 @@
     // Entries may not have expired while the list could not be read.
     assert!(check_reports(&reads(8_400, 2_000, true)).is_empty());
 }
+
+/// Time in which a watch compares the list with what it was, with room for a busy host.
+const WATCHED: Duration = Duration::from_millis(1_200);
+
+/// Returns the entry of `i-100`, the server of a crash 100 ms ago.
+fn crashed_entry(sequence: u64) -> BackendServer {
+    let mut server = listed("i-100", "north", SocketAddr::from(([127, 0, 0, 1], 80)));
+    server.entry.sequence = sequence;
+    server
+}
+
+/// Takes over a list that a peer has read now.
+async fn tell(catalog: &Catalog, sequence: Option<u64>) {
+    let server = sequence.map(|sequence| PeerServer {
+        server: crashed_entry(sequence),
+        grace_until: None,
+    });
+    catalog.apply_peer_servers(server.map(|server| vec![server]), BootInstant::now());
+    tokio::time::sleep(WATCHED).await;
+}
+
+/// Reads the list.
+async fn read(catalog: &Catalog, sequence: u64) {
+    let server = crashed_entry(sequence);
+    catalog.record_list_read(BootInstant::now(), true);
+    let records = vec![(server.id, ServerRecord::Report(server.entry))];
+    catalog.apply_servers(records, BootInstant::now());
+    tokio::time::sleep(WATCHED).await;
+}
+
+// A list that a peer told with a report from before the crash counted as a renewal after it.
+#[tokio::test]
+async fn a_report_from_before_the_crash_that_a_peer_tells_later_shows_the_server_alive() {
+    let quarantine = quarantine();
+    let catalog = Arc::new(Catalog::new(CatalogBounds {
+        max_key_verification_age: None,
+        max_denial_age: ms(2_000),
+        list_grace: ms(2_000),
+        max_list_gap: ms(10_000),
+    }));
+    let duties = duties(true);
+    let watch = RenewalWatch::start(&quarantine, &catalog, &duties, ms(5_000));
+    quarantine.record_crash(crash(100));
+
+    // The second list is the same but for numbers, and the third brings those of the time before the crash.
+    tell(&catalog, Some(5)).await;
+    tell(&catalog, None).await;
+    tell(&catalog, Some(8)).await;
+    assert!(!quarantine.crashed().is_empty());
+
+    // What this gateway reads itself is as new as the read.
+    read(&catalog, 8).await;
+    assert!(!quarantine.crashed().is_empty());
+    read(&catalog, 9).await;
+    assert!(quarantine.crashed().is_empty());
+    watch.close();
+}
