--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -11,8 +11,13 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time in which the kernel closes the sockets of a process that was killed. It closes the newest first, so the one that listens
+/// still accepts connections for some milliseconds after others have ended.
+const CLOSING_TIME: Duration = Duration::from_millis(50);
+
 /// Finds out whether the end of one answer's body is the end of the answer.
 pub(super) struct EndCheck {
     body_end: BodyEnd,
@@ -56,9 +61,11 @@
         if self.body_end != BodyEnd::Connection {
             return true;
         }
-        let accepts = self
-            .paths
-            .accepts(&self.server, &self.request_id, self.is_tunnel);
+        let accepts = async {
+            tokio::time::sleep(CLOSING_TIME).await;
+            let (server, request_id) = (&self.server, &self.request_id);
+            self.paths.accepts(server, request_id, self.is_tunnel).await
+        };
         timeout_at(deadline, accepts).await.unwrap_or(false)
     }
 }
