--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -23,6 +23,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
+use hyper::header::CONTENT_ENCODING;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
@@ -36,6 +37,8 @@
     status: StatusCode,
     /// Type of the body without parameters, in lower case; empty if the answer names none.
     media_type: String,
+    /// Content coding of the body, if it has one.
+    coding: Option<HeaderValue>,
 }
 
 impl StreamKind {
@@ -47,6 +50,7 @@
         Self {
             status,
             media_type: media_type.trim().to_ascii_lowercase(),
+            coding: headers.get(CONTENT_ENCODING).cloned(),
         }
     }
 }
