--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -66,6 +66,11 @@
         events
     }
 
+    /// Returns whether there is an event, not only comments.
+    pub(super) fn has_event(&self) -> bool {
+        self.first_id.is_some() || self.unnumbered > 0
+    }
+
     /// Counts an event that has ended.
     fn add(&mut self, event: EventLines) {
         let Some(id) = event.id else {
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -115,7 +115,7 @@
                             if self.has_events {
                                 self.guard.record_pace(waits_since.elapsed());
                             }
-                            self.has_events = true;
+                            self.has_events |= events.has_event();
                             return StreamItem::Events(events);
                         }
                         Ok(None) => {}
