--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -205,19 +205,16 @@
         let _ = self.connect(server, "").await;
     }
 
-    /// Returns whether `server` accepts connections by the way that a request came: directly, or through other gateways if
-    /// it came by a tunnel. Keeps no connection.
+    /// Returns whether `server` accepts connections, directly or through other gateways; the direct way is not tried first for a
+    /// request that came by a tunnel. Keeps no connection.
     pub(super) async fn accepts(
         self: &Arc<Self>,
         server: &BackendServer,
         request: &str,
         is_tunnel: bool,
     ) -> bool {
-        if is_tunnel {
-            self.connect(server, request).await.is_ok()
-        } else {
-            self.open_directly(server).await.is_ok()
-        }
+        let is_direct = !is_tunnel && self.open_directly(server).await.is_ok();
+        is_direct || self.connect(server, request).await.is_ok()
     }
 
     /// Tries the direct path to `server`; keeps no connection.
