--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -72,6 +72,10 @@
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the grace period that is reserved for closing the last connections and writing the last log lines.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
+/// Timeout for answers that are being written when the time to serve is over.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval at which a stopping node checks whether it is still in use.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which the load balancer may still send callers here: it probes every second and removes a node after the
 /// second failed probe.
 const BALANCER_REACTION_TIME: Duration = Duration::from_millis(2_500);
@@ -338,9 +342,11 @@
         self.peers.start_draining();
         tokio::time::sleep(BALANCER_REACTION_TIME.min(drain_time)).await;
         let remaining = || end.saturating_duration_since(Instant::now());
-        self.callers.drain(remaining()).await;
-        self.peers.drain(remaining()).await;
-        let open_connections = self.callers.stop(Duration::from_millis(200)).await;
+        while self.is_in_use() && !remaining().is_zero() {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        // Callers may have connected since the last check.
+        let open_connections = self.callers.stop(remaining() + CLOSE_TIMEOUT).await;
         self.follower.close();
         self.peers.close().await;
         self.ledger_sync.close();
@@ -355,6 +361,11 @@
         open_connections.close().await;
         info!(self.logs.log(), "stopped");
     }
+
+    /// Returns whether callers are connected or tunnels are carried for other gateways.
+    fn is_in_use(&self) -> bool {
+        self.callers.has_connections() || self.peers.carries_tunnels()
+    }
 }
 
 fn runtime_settings(bounds: &GatewayBounds) -> RuntimeSettings {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -32,8 +32,6 @@
 
 /// Delay after a failed accept, so that the loop does not spin while file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Interval at which [`Listener::drain`] checks for open connections.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between keep-alive pings on HTTP/2 connections, and timeout after which an unanswered ping closes the
 /// connection.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(2);
@@ -119,13 +117,9 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
-    /// Waits until no connection is open, at most for `timeout`. Connections and requests are still accepted.
-    pub async fn drain(&self, timeout: Duration) {
-        let end = tokio::time::Instant::now() + timeout;
-        while self.open_connections.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < end
-        {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+    /// Returns whether a connection is open.
+    pub fn has_connections(&self) -> bool {
+        self.open_connections.load(Ordering::Relaxed) > 0
     }
 
     /// Stops accepting connections and waits at most `timeout` for requests in flight to end. Returns the connections
--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -31,7 +31,6 @@
 use tokio::io::ReadHalf;
 use tokio::io::WriteHalf;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -40,8 +39,6 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Size of the buffer for bytes from the server.
 const BUFFER_BYTES: usize = 16 * 1024;
-/// Interval at which a stopping gateway checks for tunnels that it carries.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Opens tunnels to backend servers.
 #[async_trait]
@@ -261,12 +258,9 @@
         self.shared.tunnel_table.start_draining();
     }
 
-    /// Waits until no tunnel is carried for other gateways, at most for `timeout`.
-    pub async fn drain(&self, timeout: Duration) {
-        let end = Instant::now() + timeout;
-        while self.shared.tunnel_table.carried() > 0 && Instant::now() < end {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+    /// Returns whether a tunnel is carried for another gateway.
+    pub fn carries_tunnels(&self) -> bool {
+        self.shared.tunnel_table.carried() > 0
     }
 }
 
