--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -6,9 +6,11 @@
 
 use std::time::Duration;
 
-/// Time after the request to stop in which streams are accepted: even the longest streams of the reference workload
-/// that start in it end within the grace period.
-const STREAM_ACCEPTANCE_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which resumable streams are accepted that may outlive the process, since the load balancer may still send
+/// callers here.
+const MAX_STREAM_ACCEPTANCE_TIME: Duration = Duration::from_millis(2_500);
+/// Part of the drain time to which that time is limited, so that most of these streams end.
+const STREAM_ACCEPTANCE_DIVISOR: u32 = 3;
 
 /// The requests that a draining node accepts.
 #[derive(Clone, Copy, Debug)]
@@ -18,13 +20,11 @@
 }
 
 impl DrainPolicy {
-    /// Returns whether a request that arrives `elapsed` after the request to stop is accepted. A request that is not a
-    /// stream takes at most `max_duration`; the value is not used for streams.
-    pub fn accepts(&self, elapsed: Duration, is_stream: bool, max_duration: Duration) -> bool {
-        if is_stream {
-            elapsed < STREAM_ACCEPTANCE_TIME
-        } else {
-            elapsed + max_duration < self.drain_time
-        }
+    /// Returns whether a request is accepted `elapsed` after the request to stop, which takes at most `max_duration` from
+    /// then. `is_resumable` tells whether its caller can go on with the answer at another node.
+    pub fn accepts(&self, elapsed: Duration, is_resumable: bool, max_duration: Duration) -> bool {
+        let stream_time = self.drain_time / STREAM_ACCEPTANCE_DIVISOR;
+        let ends_in_time = elapsed + max_duration < self.drain_time;
+        ends_in_time || (is_resumable && elapsed < stream_time.min(MAX_STREAM_ACCEPTANCE_TIME))
     }
 }
--- a/src/decide/tests/drain.rs
+++ b/src/decide/tests/drain.rs
@@ -15,6 +15,22 @@
 
     let early = policy().accepts(Duration::from_millis(500), true, max_duration);
     let late = policy().accepts(Duration::from_millis(4_009), true, max_duration);
+    let lost_if_cut = policy().accepts(Duration::from_millis(500), false, max_duration);
+
+    assert!(early);
+    assert!(!late);
+    assert!(!lost_if_cut);
+}
+
+#[test]
+fn a_resumable_stream_has_most_of_a_short_grace_period() {
+    let policy = DrainPolicy {
+        drain_time: Duration::from_millis(2_400),
+    };
+    let max_duration = Duration::from_secs(12);
+
+    let early = policy.accepts(Duration::from_millis(700), true, max_duration);
+    let late = policy.accepts(Duration::from_millis(1_200), true, max_duration);
 
     assert!(early);
     assert!(!late);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -145,7 +145,12 @@
         if outbound.request_id.is_empty() {
             return refuse_with_status(StatusCode::BAD_REQUEST, "no request id", report);
         }
-        if !gateway.accepts(&route, now) {
+        let timeout = metadata
+            .time_left
+            .map_or(route.timeout, |announced| announced.min(route.timeout));
+        let deadline = report.started_at + timeout;
+        let left = deadline.saturating_duration_since(Instant::now());
+        if !gateway.accepts(&route, left, now) {
             return refuse_temporarily("node is stopping", report);
         }
         report.is_caller_retry = gateway
@@ -159,14 +164,11 @@
         gateway
             .team_demand
             .record(&service_name, team.as_deref(), now);
-        let timeout = metadata
-            .time_left
-            .map_or(route.timeout, |announced| announced.min(route.timeout));
         report.time_limit = Some(timeout);
         Ok(Self {
             gateway: Arc::clone(gateway),
             service: configuration.service(&service_name).cloned(),
-            deadline: report.started_at + timeout,
+            deadline,
             route,
             service_name,
             outbound: Arc::new(outbound),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -19,6 +19,7 @@
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
 use crate::catalog::Limits;
+use crate::catalog::RetryMode;
 use crate::catalog::Route;
 use crate::clock::BootInstant;
 use crate::decide::Admission;
@@ -235,14 +236,13 @@
         Ok((outbound, metadata))
     }
 
-    /// Returns whether a request of `route` can be served before this node stops; `true` while it is not stopping.
-    pub(super) fn accepts(&self, route: &Route, now: BootInstant) -> bool {
+    /// Returns whether a request of `route` that has `time_left` can be served before this node stops; `true` while it is not
+    /// stopping.
+    pub(super) fn accepts(&self, route: &Route, time_left: Duration, now: BootInstant) -> bool {
         self.stopping_since.get().is_none_or(|since| {
-            self.runtime_settings().drain.accepts(
-                now.since(*since),
-                route.retry_mode.is_stream(),
-                route.timeout,
-            )
+            let is_resumable = route.retry_mode == RetryMode::ResumableStream;
+            let drain = self.runtime_settings().drain;
+            drain.accepts(now.since(*since), is_resumable, time_left)
         })
     }
 
