--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -190,9 +190,14 @@
     }
 
     pub(super) async fn run(mut self) -> Result<Response<Body>, FailedExchange> {
-        let delivery = match self.resolve_stream_version().await {
-            Ok(()) => self.next_delivery(None, Race::default()).await,
-            Err(refusal) => Err(refusal),
+        let gateway = Arc::clone(&self.gateway);
+        let delivery = tokio::select! {
+            biased;
+            delivery = self.first_delivery() => delivery,
+            () = gateway.service_end() => {
+                self.may_have_run |= self.sends > 0;
+                Err(self.no_server_refusal("gateway stopped"))
+            }
         };
         match delivery {
             Ok(Delivery::Stream(server_stream, events)) => {
@@ -203,6 +208,12 @@
         }
     }
 
+    /// Returns the whole response, or the first events of a stream.
+    async fn first_delivery(&mut self) -> Result<Delivery, Refusal> {
+        self.resolve_stream_version().await?;
+        self.next_delivery(None, Race::default()).await
+    }
+
     /// Passes on a whole response.
     fn pass_on(mut self, response: WholeResponse) -> Response<Body> {
         let WholeResponse { mut head, body } = response;
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -52,6 +52,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Maximum size of a request body until a configuration sets the limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -113,7 +114,9 @@
     pub(super) admission: Admission,
     /// When the node was asked to stop.
     pub(super) stopping_since: OnceLock<BootInstant>,
-    /// Whether the time for which the node serves after that is over, so that requests in flight are dropped.
+    /// Whether the time for which the node serves after that is over, so that requests without an answer get a refusal.
+    pub(super) has_ended_service: watch::Sender<bool>,
+    /// Whether the node drops what is still open after that, which is streams that have begun.
     pub(super) has_stopped: Arc<AtomicBool>,
 }
 
@@ -246,6 +249,13 @@
         })
     }
 
+    /// Waits until the time for which the node serves is over.
+    pub(super) async fn service_end(&self) {
+        let mut has_ended = self.has_ended_service.subscribe();
+        // Can't fail: the sender lives as long as `self`.
+        let _ = has_ended.wait_for(|has_ended| *has_ended).await;
+    }
+
     /// Returns whether `server` is expected to end, so that its end is no crash.
     pub(super) fn is_leaving(&self, server: &BackendServer, now: BootInstant) -> bool {
         let (listed, _) = self.catalog.listed();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -65,6 +65,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -346,7 +347,15 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         // Callers may have connected since the last check.
-        let open_connections = self.callers.stop(remaining() + CLOSE_TIMEOUT).await;
+        let stopping = self.callers.stop(remaining() + CLOSE_TIMEOUT);
+        tokio::pin!(stopping);
+        let open_connections = tokio::select! {
+            open_connections = &mut stopping => open_connections,
+            () = tokio::time::sleep(remaining()) => {
+                self.gateway.has_ended_service.send_replace(true);
+                stopping.await
+            }
+        };
         self.follower.close();
         self.peers.close().await;
         self.ledger_sync.close();
@@ -430,6 +439,7 @@
         plain: PlainPlacement::default(),
         admission: Admission::default(),
         stopping_since: OnceLock::new(),
+        has_ended_service: watch::Sender::new(false),
         has_stopped: Arc::default(),
     }
 }
