--- a/src/bin/cbtimeline.rs
+++ b/src/bin/cbtimeline.rs
@@ -9,6 +9,7 @@
 use currantbend::timeline::render::Json;
 use currantbend::timeline::render::Render;
 use currantbend::timeline::render::Text;
+use currantbend::timeline::streams::Streams;
 use currantbend::timeline::unanswered::Unanswered;
 use pico_args::Arguments;
 use std::fmt;
@@ -25,10 +26,12 @@
   cbtimeline [OPTIONS] FILE...
   cbtimeline --follow ID FILE...
   cbtimeline --unanswered [--config-apply-ms N] FILE...
+  cbtimeline --streams FILE...
 
 OPTIONS:
   --follow ID     one request through the logs of gateways, with the changes on its nodes from ten seconds before it
   --unanswered    requests that gateways did not answer, by cause, beside changes of the configuration and at other times
+  --streams       streams out of order over all attempts of their callers, with the first requests of each kind
   --config-apply-ms N  time in which a change takes force everywhere, 2000 if not given
   --request ID    all events of one request
   --chat ID       all events of the requests of a chat
@@ -86,6 +89,9 @@
     if args.contains("--unanswered") {
         return count_unanswered(args);
     }
+    if args.contains("--streams") {
+        return print_report(&Streams::check(&read_log_lines(args)?));
+    }
     let format = output_format(&mut args);
     let selection = parse_selection(&mut args)?;
     let mut lines = Vec::new();
@@ -127,9 +133,12 @@
         .opt_value_from_str("--config-apply-ms")
         .map_err(|err| RunError::Usage(err.to_string()))?
         .map_or(DEFAULT_CONFIG_APPLY, Duration::from_millis);
-    let unanswered = Unanswered::count(&read_log_lines(args)?, config_apply);
+    print_report(&Unanswered::count(&read_log_lines(args)?, config_apply))
+}
+
+fn print_report(report: &impl fmt::Display) -> Result<(), RunError> {
     let mut out = BufWriter::new(std::io::stdout().lock());
-    write!(out, "{unanswered}").map_err(RunError::Output)?;
+    write!(out, "{report}").map_err(RunError::Output)?;
     out.flush().map_err(RunError::Output)
 }
 
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -13,6 +13,7 @@
 pub mod render;
 mod select;
 mod settings;
+pub mod streams;
 #[cfg(test)]
 mod tests;
 pub mod unanswered;
--- a/src/timeline/tests.rs
+++ b/src/timeline/tests.rs
@@ -1,3 +1,4 @@
+mod streams;
 mod unanswered;
 
 use super::Settings;
--- a/src/timeline/unanswered.rs
+++ b/src/timeline/unanswered.rs
@@ -12,7 +12,7 @@
 /// Messages of the lines that name a version of the configuration.
 const CONFIG_MESSAGES: [&str; 2] = ["configuration read", "configuration received from peer"];
 /// Message of the line on request lines that were over the ceiling.
-const LEFT_OUT: &str = "request lines left out";
+pub(super) const LEFT_OUT: &str = "request lines left out";
 /// Outcome of a request that ended without a whole answer or a refusal.
 const CUT_OFF: &str = "cut off";
 /// Time after a change for which it counts, beyond the time in which it takes force.
