--- a/src/gateway/stream_record.rs
+++ b/src/gateway/stream_record.rs
@@ -21,9 +21,9 @@
 impl BodyEnd {
     /// Returns what ends the body of a response with these `headers`.
     pub(super) fn of(headers: &HeaderMap) -> Self {
-        let codings = headers.get_all(TRANSFER_ENCODING).iter();
+        let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
         // The last coding decides; without chunks it is read until the connection ends.
-        if let Some(codings) = codings.last() {
+        if let Some(codings) = codings.next_back() {
             let coding = codings.as_bytes().rsplit(|byte| *byte == b',').next();
             let coding = coding.unwrap_or_default().trim_ascii();
             return if coding.eq_ignore_ascii_case(b"chunked") {
