--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -74,6 +74,9 @@
     pub(super) team: Option<&'a str>,
     /// Id of the last event that the caller has received, if a broken stream is resumed.
     pub(super) resume_after: Option<u64>,
+    /// Whether only the process may answer that the server's entry tells of, since the caller has events of its software
+    /// version.
+    pub(super) needs_same_process: bool,
     /// Server from which the shared parts of the prompt may be copied.
     pub(super) copy_from: Option<SocketAddr>,
     /// Deadline of the request: the end of the time that the caller announced or of the route's timeout, whichever is
@@ -125,6 +128,10 @@
             pool.put_idle(lease, &HeaderMap::new());
             return SendOutcome::NotSent("server may not get it now".to_owned());
         }
+        if params.needs_same_process && params.paths.may_have_restarted(params.server) {
+            pool.put_idle(lease, &HeaderMap::new());
+            return SendOutcome::NotSent("server may have started again".to_owned());
+        }
         lease.head_limit().await_head();
         let pending_response = lease
             .sender()
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -67,6 +67,8 @@
     pub(super) team: Option<String>,
     /// Id of the last event that the caller has, from this answer or an earlier attempt; `None` if it has none.
     pub(super) last_id: Option<u64>,
+    /// Whether only the process may answer that the server's entry tells of.
+    pub(super) needs_same_process: bool,
     /// Server from which the shared parts of the prompt may be copied.
     pub(super) copy_from: Option<SocketAddr>,
     pub(super) deadline: Instant,
@@ -96,6 +98,7 @@
             server: &self.server,
             team: self.team.as_deref(),
             resume_after: self.last_id,
+            needs_same_process: self.needs_same_process,
             copy_from: self.copy_from,
             deadline: self.deadline,
             rates: &gateway.rates,
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -14,6 +14,7 @@
 use super::race::RaceEvent;
 use super::race::SilenceLimits;
 use super::refusal::Refusal;
+use super::stream_version::StreamVersion;
 use crate::catalog::RetryMode;
 use crate::clock::BootInstant;
 use crate::decide::FailoverStep;
@@ -330,6 +331,7 @@
             needs_verified_keys: !self.route.is_public,
             team: self.team.clone(),
             last_id: resume_after.or(self.named_event()),
+            needs_same_process: matches!(self.stream_version, StreamVersion::Only(_)),
             copy_from: target.copy_from,
             deadline: self.deadline,
             max_connections: self
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -301,7 +301,7 @@
         let reach = Arc::clone(&gateway.paths);
         gateway.quarantine.set_reach(reach as Arc<dyn ServerReach>);
         peers.carry_tunnels(Arc::clone(&gateway.paths) as Arc<dyn DirectPaths>);
-        let path_probe = PathProbe::start(&gateway);
+        let path_probe = PathProbe::start(&gateway, bounds.heartbeat);
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
         info!(logs.log(), "started"; "version" => env!("CARGO_PKG_VERSION"),
             "data_centre" => &host.data_centre, "callers" => %host.caller_address);
--- a/src/gateway/path_probe.rs
+++ b/src/gateway/path_probe.rs
@@ -5,6 +5,7 @@
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::PathState;
+use crate::quarantine::Renewals;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -21,9 +22,10 @@
 pub(super) struct PathProbe(JoinHandle<()>);
 
 impl PathProbe {
-    /// Starts to try the paths of `gateway`.
-    pub(super) fn start(gateway: &Arc<Gateway>) -> Self {
-        Self(tokio::spawn(run(Arc::clone(gateway))))
+    /// Starts to try the paths of `gateway`, whose servers report at intervals of `heartbeat`.
+    pub(super) fn start(gateway: &Arc<Gateway>, heartbeat: Duration) -> Self {
+        let renewals = Renewals::new(heartbeat);
+        Self(tokio::spawn(run(Arc::clone(gateway), renewals)))
     }
 
     /// Stops.
@@ -32,12 +34,13 @@
     }
 }
 
-async fn run(gateway: Arc<Gateway>) {
+async fn run(gateway: Arc<Gateway>, mut renewals: Renewals) {
     // Names of the servers whose paths were blocked at the last interval, sorted.
     let mut blocked: Vec<String> = Vec::new();
     loop {
         tokio::time::sleep(INTERVAL).await;
         let now = BootInstant::now();
+        record_renewals(&gateway, &mut renewals, now);
         let (servers, _) = gateway.catalog.servers();
         let inactive = gateway.loads.inactive_for(MAX_INACTIVE_TIME, now);
         let mut probes = 0;
@@ -63,6 +66,18 @@
     }
 }
 
+/// Finds out which of the servers that were lost run on, as their entries tell.
+fn record_renewals(gateway: &Gateway, renewals: &mut Renewals, now: BootInstant) {
+    let Some(age) = gateway.catalog.list_age(now) else {
+        return;
+    };
+    let report_of = |id: &str| gateway.catalog.report_of(id);
+    let doubted = gateway.paths.doubted();
+    for (incarnation, at) in renewals.check(&doubted, &report_of, now.before(age)) {
+        gateway.paths.record_running(&incarnation, at);
+    }
+}
+
 async fn probe(gateway: Arc<Gateway>, server: BackendServer, is_blocked: bool) {
     if is_blocked {
         gateway.paths.probe_directly(&server).await;
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -7,6 +7,7 @@
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::ConnectFailure;
+use crate::decide::Incarnation;
 use crate::decide::PathState;
 use crate::decide::ServerContact;
 use crate::decide::ServerPath;
@@ -53,6 +54,8 @@
     server: String,
     start_time_ms: u64,
     path: ServerPath,
+    /// When the server was last lost, if it has not been seen to run on since. It may have started again.
+    doubted_since: Option<BootInstant>,
 }
 
 /// The paths to all servers.
@@ -136,7 +139,11 @@
                 Err(last) => failed.extend(last),
             }
         }
-        self.update(server, |path| path.record_lost(BootInstant::now()));
+        let now = BootInstant::now();
+        self.update_row(server, |row| {
+            row.path.record_lost(now);
+            row.doubted_since = Some(now);
+        });
         self.log_not_reached(server, request, state, &failed);
         Err(most_telling(failed))
     }
@@ -238,6 +245,43 @@
         row.map_or_else(ServerPath::default, |row| row.path)
     }
 
+    /// Returns whether the process that `server` names may have ended, so that another one, of another software version, may
+    /// have its name and address.
+    pub(super) fn may_have_restarted(&self, server: &BackendServer) -> bool {
+        let rows = self.lock();
+        let index = rows.binary_search_by(|row| row.server.as_str().cmp(&server.id));
+        let row = index.ok().map(|index| &rows[index]);
+        row.is_some_and(|row| {
+            let is_doubted =
+                row.start_time_ms == server.entry.start_time_ms && row.doubted_since.is_some();
+            is_doubted || row.start_time_ms > server.entry.start_time_ms
+        })
+    }
+
+    /// Returns the servers that may have started again, and since when.
+    pub(super) fn doubted(&self) -> Vec<(Incarnation, BootInstant)> {
+        let rows = self.lock();
+        let doubted = rows.iter().filter_map(|row| {
+            let incarnation = Incarnation {
+                server: row.server.clone(),
+                start_time_ms: row.start_time_ms,
+            };
+            Some((incarnation, row.doubted_since?))
+        });
+        doubted.collect()
+    }
+
+    /// Records that a server was still running at `at`.
+    pub(super) fn record_running(&self, incarnation: &Incarnation, at: BootInstant) {
+        let mut rows = self.lock();
+        let index = rows.binary_search_by(|row| row.server.cmp(&incarnation.server));
+        let Ok(index) = index else { return };
+        let row = &mut rows[index];
+        if row.start_time_ms == incarnation.start_time_ms {
+            row.doubted_since = row.doubted_since.filter(|since| *since > at);
+        }
+    }
+
     /// Returns when the last of the paths that are blocked now was lost, so that other connections may hang since then.
     pub(super) fn last_loss(&self) -> Option<BootInstant> {
         let rows = self.lock();
@@ -296,6 +340,10 @@
 
     /// Calls `change` with the path to `server`, which is added if there is none.
     fn update(&self, server: &BackendServer, change: impl FnOnce(&mut ServerPath)) {
+        self.update_row(server, |row| change(&mut row.path));
+    }
+
+    fn update_row(&self, server: &BackendServer, change: impl FnOnce(&mut Row)) {
         let mut rows = self.lock();
         let index = match rows.binary_search_by(|row| row.server.as_str().cmp(&server.id)) {
             Ok(index) => index,
@@ -304,6 +352,7 @@
                     server: server.id.clone(),
                     start_time_ms: server.entry.start_time_ms,
                     path: ServerPath::default(),
+                    doubted_since: None,
                 };
                 rows.insert(index, row);
                 index
@@ -313,8 +362,9 @@
         if row.start_time_ms != server.entry.start_time_ms {
             row.start_time_ms = server.entry.start_time_ms;
             row.path = ServerPath::default();
+            row.doubted_since = None;
         }
-        change(&mut row.path);
+        change(row);
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Row>> {
@@ -326,17 +376,20 @@
 impl ServerReach for ServerPaths {
     async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
         self.record_direct(server, Some(ConnectFailure::Refused));
-        let Some(tunnels) = self.tunnels.get() else {
-            return false;
-        };
-        let helpers = tunnels.helpers(server);
+        let tunnels = self.tunnels.get();
+        let helpers = tunnels.map(|tunnels| tunnels.helpers(server));
+        let helpers = helpers.unwrap_or_default();
         let ways = helpers.iter().map(|helper| -> Opening<'_> {
             Box::pin(async {
                 let opened = self.open_tunnel(helper, server, "").await;
                 (Some(helper.name.clone()), opened)
             })
         });
-        first_of(ways.collect()).await.is_ok()
+        let is_reached = first_of(ways.collect()).await.is_ok();
+        if !is_reached {
+            self.update_row(server, |row| row.doubted_since = Some(BootInstant::now()));
+        }
+        is_reached
     }
 }
 
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -9,6 +9,7 @@
 use crate::catalog::BackendServer;
 use crate::catalog::RetryMode;
 use crate::clock::BootInstant;
+use crate::decide::Incarnation;
 use crate::peers::StreamKey;
 use tokio::time::Instant;
 
@@ -18,6 +19,8 @@
 /// Part of the request's time that may pass until its stream's version is known, so that time is left to run it, or for its
 /// caller to return.
 const LOOKUP_DIVISOR: u32 = 2;
+/// Recorded for a stream whose server may be another than the list says. No server has it.
+const UNKNOWN_VERSION: &str = "";
 
 /// The software version that the servers of a request must have.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -48,7 +51,7 @@
         let version = tokio::time::timeout_at(until, searching).await;
         // What this gateway knows by itself needs no time.
         let version = version.unwrap_or_else(|_| self.only_version(asked_at));
-        let Some(version) = version else {
+        let Some(version) = version.filter(|version| version != UNKNOWN_VERSION) else {
             return Err(self.no_server_refusal("stream of unknown version"));
         };
         self.stream_version = StreamVersion::Only(version);
@@ -117,18 +120,22 @@
         if self.stream_version != StreamVersion::Any {
             return;
         }
-        let sent = self.crash_guard.sent();
-        let version = sent.and_then(|sent| sent.server.entry.software_version.as_ref());
+        let server = self.crash_guard.sent().map(|sent| &sent.server);
+        let version = server.and_then(|server| server.entry.software_version.clone());
         let Some(version) = version.filter(|version| !version.is_empty()) else {
             self.stream_version = StreamVersion::Unknown;
             return;
         };
-        let version = version.clone();
+        let (record, stream_version) = if server.is_some_and(|server| self.is_replaced(server)) {
+            (UNKNOWN_VERSION.to_owned(), StreamVersion::Unknown)
+        } else {
+            (version.clone(), StreamVersion::Only(version))
+        };
         if let Some(streams) = self.gateway.streams.get() {
             let lifetime = self.metadata.time_left.unwrap_or(self.route.timeout);
-            streams.record(self.salt, &version, lifetime);
+            streams.record(self.salt, &record, lifetime);
         }
-        self.stream_version = StreamVersion::Only(version);
+        self.stream_version = stream_version;
     }
 
     /// Returns the id of the event after which the caller resumes a stream, if the route allows it.
@@ -142,8 +149,23 @@
     pub(super) fn has_stream_version(&self, server: &BackendServer) -> bool {
         match &self.stream_version {
             StreamVersion::Any => true,
-            StreamVersion::Only(version) => server.entry.software_version.as_ref() == Some(version),
+            StreamVersion::Only(version) => {
+                server.entry.software_version.as_ref() == Some(version) && !self.is_replaced(server)
+            }
             StreamVersion::Unknown => false,
         }
     }
+
+    /// Returns whether another process may answer for `server` than the one that its entry tells of.
+    fn is_replaced(&self, server: &BackendServer) -> bool {
+        let report = self.gateway.catalog.report_of(&server.id);
+        let is_older =
+            report.is_some_and(|report| report.start_time_ms > server.entry.start_time_ms);
+        is_older
+            || self.gateway.paths.may_have_restarted(server)
+            || self
+                .gateway
+                .quarantine
+                .is_known_crash(&Incarnation::of(server))
+    }
 }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -29,6 +29,7 @@
 pub use record::SightingRecord;
 pub use record::SuspectRecord;
 pub use renewal::RenewalWatch;
+pub use renewal::Renewals;
 pub use rows::RecordSource;
 pub use state::HeldPart;
 pub use state::Quarantine;
--- a/src/quarantine/renewal.rs
+++ b/src/quarantine/renewal.rs
@@ -31,7 +31,7 @@
 
 /// What the list said of servers that were taken for crashed.
 #[derive(Clone, Debug)]
-pub(super) struct Renewals {
+pub struct Renewals {
     baselines: Vec<Baseline>,
     /// Interval at which servers report.
     heartbeat: Duration,
@@ -40,7 +40,8 @@
 }
 
 impl Renewals {
-    pub(super) fn new(heartbeat: Duration) -> Self {
+    /// Returns no comparison yet; servers report at intervals of `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
         Self {
             baselines: Vec::new(),
             heartbeat,
@@ -51,7 +52,7 @@
     /// Compares the newest reports with the ones before. `crashed` are the servers taken for crashed, and when;
     /// `report_of` returns a server's newest report, `read_at` is when the list was read. Returns the incarnations that
     /// have reported again, and when each was still running.
-    pub(super) fn check(
+    pub fn check(
         &mut self,
         crashed: &[(Incarnation, BootInstant)],
         report_of: &dyn Fn(&str) -> Option<ReportStatus>,
@@ -61,8 +62,9 @@
         let has_gap = read_at.since(self.read_at) > self.heartbeat * 2;
         self.read_at = read_at;
         self.baselines.retain(|baseline| {
-            let mut known = crashed.iter().map(|(incarnation, _)| incarnation);
-            known.any(|incarnation| *incarnation == baseline.incarnation)
+            // A report from before the last crash tells nothing of it.
+            let mut known = crashed.iter();
+            known.any(|(incarnation, at)| *incarnation == baseline.incarnation && baseline.at > *at)
         });
         let mut renewed = Vec::new();
         for (incarnation, crashed_at) in crashed {
--- a/src/quarantine/sight.rs
+++ b/src/quarantine/sight.rs
@@ -25,7 +25,7 @@
     }
 
     /// Returns whether `incarnation` is known to have crashed.
-    pub(super) fn is_known_crash(&self, incarnation: &Incarnation) -> bool {
+    pub fn is_known_crash(&self, incarnation: &Incarnation) -> bool {
         let state = self.lock();
         let mut crashes = state.blame.crashes().iter();
         crashes.any(|crash| crash.incarnation() == *incarnation)
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -431,6 +431,20 @@
     let reports = [(1_400, report(8)), (2_000, None), (2_600, report(9))];
     assert_eq!(check_reports(&reports), [at(1_400)]);
 
+    // The last crash counts.
+    let mut renewals = Renewals::new(ms(1_000));
+    let mut check = |crashed_ms, read_ms, sequence| {
+        let crashed = [(incarnation("i-1"), at(crashed_ms))];
+        let report = ReportStatus {
+            start_time_ms: 1,
+            sequence,
+            is_listed: true,
+        };
+        renewals.check(&crashed, &|_| Some(report), at(read_ms))
+    };
+    assert!(check(1_000, 1_400, 8).is_empty());
+    assert!(check(2_000, 2_100, 9).is_empty());
+
     let restarted = Some((5, 9, true));
     let reports = [(1_400, report(8)), (2_600, restarted), (3_000, restarted)];
     assert!(check_reports(&reports).is_empty());
