--- a/src/gateway/path_probe.rs
+++ b/src/gateway/path_probe.rs
@@ -71,6 +71,7 @@
     let Some(age) = gateway.catalog.list_age(now) else {
         return;
     };
+    renewals.follow(gateway.catalog.own_read_series());
     let report_of = |id: &str| gateway.catalog.report_of(id);
     let doubted = gateway.paths.doubted();
     for (incarnation, at) in renewals.check(&doubted, &report_of, now.before(age)) {
--- a/src/quarantine/renewal.rs
+++ b/src/quarantine/renewal.rs
@@ -37,6 +37,8 @@
     heartbeat: Duration,
     /// When the list was last read.
     read_at: BootInstant,
+    /// Which series of own reads the list is from; `None` if it is a peer's.
+    series: Option<u64>,
 }
 
 impl Renewals {
@@ -46,6 +48,16 @@
             baselines: Vec::new(),
             heartbeat,
             read_at: BootInstant::default(),
+            series: Some(0),
+        }
+    }
+
+    /// Sets which series of own reads the list is from now on, as [`Catalog::own_read_series`] tells. Numbers of different series
+    /// are not compared, nor those of a peer's list: they may be from before a crash and its time of reading after it.
+    pub fn follow(&mut self, series: Option<u64>) {
+        if self.series != series {
+            self.baselines.clear();
+            self.series = series;
         }
     }
 
@@ -77,7 +89,8 @@
                     let is_kept = report.is_listed
                         && !has_gap
                         && read_at.since(baseline.at) > self.heartbeat * EXPIRY_INTERVALS;
-                    if baseline.sequence < report.sequence || is_kept {
+                    let has_reported = self.series.is_some() && baseline.sequence < report.sequence;
+                    if has_reported || is_kept {
                         renewed.push((incarnation.clone(), baseline.at));
                     } else if has_gap {
                         baseline.at = read_at;
@@ -103,8 +116,7 @@
 }
 
 impl RenewalWatch {
-    /// Starts to watch, while this gateway is the relay of its data centre and reads the list itself. A list that a peer tells
-    /// may hold reports from before a crash under a later time of reading.
+    /// Starts to watch, while this gateway is the relay of its data centre.
     pub fn start(
         quarantine: &Arc<Quarantine>,
         catalog: &Arc<Catalog>,
@@ -131,18 +143,14 @@
     heartbeat: Duration,
 ) {
     let mut renewals = Renewals::new(heartbeat);
-    let mut series = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let crashed = quarantine.crashed();
-        let last_series = std::mem::replace(&mut series, catalog.own_read_series());
-        if series != last_series {
-            renewals = Renewals::new(heartbeat);
-        }
-        if !duties.is_relay() || series.is_none() || crashed.is_empty() {
+        if !duties.is_relay() || crashed.is_empty() {
             renewals = Renewals::new(heartbeat);
             continue;
         }
+        renewals.follow(catalog.own_read_series());
         let now = BootInstant::now();
         let Some(age) = catalog.list_age(now) else {
             continue;
