--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -141,6 +141,7 @@
             let end_check = self.end_check(&response);
             let stream = ServerStream::new(
                 response,
+                &gateway.response_memory.of_server(&self.server.id),
                 end_check,
                 &self.progress,
                 self.deadline,
@@ -188,7 +189,8 @@
             ..
         } = response;
         let gateway = &self.gateway;
-        let collecting = gateway.response_memory.collect(body, || {
+        let memory = gateway.response_memory.of_server(&self.server.id);
+        let collecting = memory.collect(body, || {
             self.progress.record_bytes();
             guard.record_activity();
         });
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,15 +1,22 @@
 //! Splits a byte stream into whole server-sent events.
 
+use super::response_memory::NoMemory;
+use super::response_memory::Reservation;
+use super::response_memory::ServerMemory;
 use bytes::Bytes;
 use bytes::BytesMut;
+use std::fmt;
+use std::sync::Arc;
 
 /// Maximum size of an event; a longer one means that the body is not an event stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// Buffers bytes and splits off whole events.
-#[derive(Debug, Default)]
+/// Buffers bytes and splits off whole events. Both draw on the memory for what the server has sent.
+#[derive(Debug)]
 pub(super) struct EventSplitter {
     buf: BytesMut,
+    /// The memory that `buf` takes.
+    reservation: Reservation,
     /// Index in `buf` before which no event ends; the search for an end starts there.
     scanned: usize,
 }
@@ -29,9 +36,29 @@
     pub(super) gaps: u32,
 }
 
-/// An event exceeds [`MAX_EVENT_BYTES`] without having ended.
+/// Why bytes were not taken as part of an event stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct EventTooLong;
+pub(super) enum EventError {
+    /// An event exceeds [`MAX_EVENT_BYTES`] without having ended.
+    TooLong,
+    /// There is no memory for them.
+    NoMemory,
+}
+
+impl fmt::Display for EventError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::TooLong => "event without end",
+            Self::NoMemory => "no memory for its events",
+        })
+    }
+}
+
+impl From<NoMemory> for EventError {
+    fn from(_: NoMemory) -> Self {
+        Self::NoMemory
+    }
+}
 
 /// What the lines of an event have shown so far.
 #[derive(Clone, Copy, Debug, Default)]
@@ -98,19 +125,34 @@
 }
 
 impl EventSplitter {
+    /// Returns a splitter for events of the server that draws on `memory`.
+    pub(super) fn new(memory: &Arc<ServerMemory>) -> Self {
+        Self {
+            buf: BytesMut::new(),
+            reservation: Reservation::new(memory),
+            scanned: 0,
+        }
+    }
+
     /// Appends bytes and returns the events that are complete now, or `None` if there are none.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, EventTooLong> {
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, EventError> {
         self.buf.extend_from_slice(bytes);
+        self.reservation.resize(self.buf.capacity())?;
         let Some(end) = self.end_of_last_event() else {
             self.scanned = self.buf.len().saturating_sub(3);
             if self.buf.len() > MAX_EVENT_BYTES {
-                return Err(EventTooLong);
+                return Err(EventError::TooLong);
             }
             return Ok(None);
         };
-        let bytes = self.buf.split_to(end).freeze();
+        // A buffer of its own for the rest, so that neither keeps the memory of the other.
+        let rest = BytesMut::from(&self.buf[end..]);
+        let mut whole = std::mem::replace(&mut self.buf, rest);
+        whole.truncate(end);
+        let reservation = self.reservation.take();
+        self.reservation.resize(self.buf.capacity())?;
         self.scanned = 0;
-        Ok(Some(Events::new(bytes)))
+        Ok(Some(Events::new(reservation.hold(whole))))
     }
 
     /// Returns whether the buffer holds bytes of an incomplete event.
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -8,6 +8,7 @@
 use super::pool::ConnectionEnd;
 use super::pool::Lease;
 use super::progress::Progress;
+use super::response_memory::ServerMemory;
 use super::stream_record::BodyEnd;
 use crate::decide::RunResult;
 use crate::logs::Logs;
@@ -50,9 +51,10 @@
 }
 
 impl ServerStream {
-    /// Returns the stream of `response`, which ends at `deadline` also if nobody reads it.
+    /// Returns the stream of `response`, whose events draw on `memory`, and which ends at `deadline` also if nobody reads it.
     pub(super) fn new(
         response: ServerResponse,
+        memory: &Arc<ServerMemory>,
         end_check: EndCheck,
         progress: &Arc<Progress>,
         deadline: Instant,
@@ -68,7 +70,7 @@
             lease: response.lease,
             guard: response.guard,
             progress: Arc::clone(progress),
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::new(memory),
         }
     }
 
@@ -119,7 +121,7 @@
                             return StreamItem::Events(events);
                         }
                         Ok(None) => {}
-                        Err(_) => return StreamItem::Broken("event without end".to_owned()),
+                        Err(err) => return StreamItem::Broken(err.to_string()),
                     }
                 }
             }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 
 use super::attempt::OutboundRequest;
 use super::dialect::RateLimitNotice;
+use super::events::EventError;
 use super::events::EventSplitter;
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
@@ -28,6 +29,7 @@
 use http_body_util::StreamBody;
 use hyper::HeaderMap;
 use hyper::Method;
+use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
@@ -49,7 +51,7 @@
 #[test]
 fn events_do_not_depend_on_chunk_size() {
     for size in 1..STREAM.len() {
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(&ResponseMemory::default().of_server("a"));
         let mut bytes = Vec::new();
         let mut last = None;
 
@@ -68,7 +70,7 @@
 
 #[test]
 fn a_partial_event_is_buffered() {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::new(&ResponseMemory::default().of_server("a"));
 
     let events = splitter
         .push(b"id: 7\ndata: a\n\nid: 8\nda")
@@ -127,7 +129,8 @@
         StreamBody::new(Box::pin(frames.chain(stream::pending())))
     };
 
-    let reading = (0..12).map(|_| memory.collect(body(), || {}));
+    let servers = (0..12).map(|number| memory.of_server(&format!("s-{number}")));
+    let reading = servers.map(|server| server.collect(body(), || {}));
     let reading = futures_util::future::join_all(
         reading.map(|reading| tokio::time::timeout(Duration::from_millis(200), reading)),
     );
@@ -138,17 +141,35 @@
         .iter()
         .filter(|result| matches!(result, Ok(Err(CollectError::TooLarge))));
     assert_eq!(refused.count(), 12 - MAX_TOTAL_BYTES / (7 * 1024 * 1024));
-    let small = memory.collect(full_body("whole"), || {}).await;
+    let small = memory.of_server("small");
+    let small = small.collect(full_body("whole"), || {}).await;
     let small = small.unwrap().collect().await.unwrap();
     assert_eq!(small.to_bytes(), "whole");
 }
 
+// One server took all memory, and the responses of others broke off.
+#[tokio::test]
+async fn a_server_that_sends_without_end_leaves_memory_for_others() {
+    let memory = ResponseMemory::default();
+    let (faulty, sound) = (memory.of_server("a"), memory.of_server("b"));
+    let part = vec![b'x'; MAX_RESPONSE_BYTES / 10];
+
+    let mut splitters: Vec<_> = (0..200).map(|_| EventSplitter::new(&faulty)).collect();
+    let results: Vec<_> = splitters.iter_mut().map(|all| all.push(&part)).collect();
+    let small = sound.collect(full_body(part.clone()), || {}).await;
+
+    let taken = results.iter().filter(|result| result.is_ok()).count();
+    assert!(results.contains(&Err(EventError::NoMemory)));
+    assert!(taken * part.len() <= MAX_TOTAL_BYTES - part.len());
+    assert_eq!(small.unwrap().size_hint().exact(), Some(part.len() as u64));
+}
+
 #[tokio::test]
 async fn a_response_beyond_the_bound_is_broken() {
     let memory = ResponseMemory::default();
     let body = full_body(vec![0; MAX_RESPONSE_BYTES + 1]);
 
-    let result = memory.collect(body, || {}).await;
+    let result = memory.of_server("a").collect(body, || {}).await;
 
     assert!(matches!(result, Err(CollectError::TooLarge)));
 }
