--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -132,10 +132,9 @@
             pool.put_idle(lease, &HeaderMap::new());
             return SendOutcome::NotSent("server may have started again".to_owned());
         }
-        lease.head_limit().await_head();
-        let pending_response = lease
-            .sender()
-            .try_send_request(build_request(outbound, params, dialect));
+        let mut req = build_request(outbound, params, dialect);
+        lease.head_limit().await_head(&mut req);
+        let pending_response = lease.sender().try_send_request(req);
         match tokio::time::timeout_at(params.deadline, pending_response).await {
             Err(_) => {
                 lease.close();
--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -2,7 +2,9 @@
 //!
 //! The HTTP library limits the size of one head, but reads any number of interim heads before it.
 
+use crate::net::Body;
 use crate::net::Connection;
+use hyper::Request;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -19,6 +21,8 @@
 /// Maximum number of bytes until a head is complete: the largest head after as many bytes of interim heads, or together
 /// with as many bytes of the body.
 const MAX_HEAD_BYTES: usize = 2 * BUFFER_BYTES;
+/// Maximum number of interim heads. Each takes as long to parse as a response, however short it is.
+const MAX_INTERIM_HEADS: usize = 16;
 
 /// Counts the bytes that arrive on a connection while the head of a response is awaited.
 #[derive(Clone, Debug, Default)]
@@ -28,9 +32,15 @@
 }
 
 impl HeadLimit {
-    /// Starts to count, since a request is about to be sent.
-    pub(super) fn await_head(&self) {
+    /// Starts to count, since `req` is about to be sent.
+    pub(super) fn await_head(&self, req: &mut Request<Body>) {
         self.left.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        let (left, interim_heads) = (Arc::clone(&self.left), AtomicUsize::new(0));
+        hyper::ext::on_informational(req, move |_| {
+            if interim_heads.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_HEADS {
+                left.store(0, Ordering::Relaxed);
+            }
+        });
     }
 
     /// Stops counting, since the head is complete.
