--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -117,6 +117,16 @@
     id: String,
     entry: Option<ServerEntry>,
     status: ServerStatus,
+    /// Report of a process that started earlier than the known one, if nothing has come from that since.
+    earlier: Option<EarlierReport>,
+}
+
+/// A report that is a delayed copy, unless the clock of the server's host was set back before the server started again.
+#[derive(Clone, Debug)]
+struct EarlierReport {
+    entry: ServerEntry,
+    /// When the first one was read.
+    since: BootInstant,
 }
 
 /// All servers sorted by name, including recently removed ones.
@@ -138,9 +148,10 @@
         id: &str,
         record: ServerRecord,
         grace_until: Option<BootInstant>,
+        read_at: BootInstant,
     ) -> bool {
         match self.rows.binary_search_by(|row| row.id.as_str().cmp(id)) {
-            Ok(index) => self.rows[index].update(record, grace_until),
+            Ok(index) => self.rows[index].update(record, grace_until, read_at),
             Err(index) => self.insert(index, id, record),
         }
     }
@@ -149,7 +160,7 @@
     /// matters for the choice of servers.
     ///
     /// The server's grace period is the peer's too: whether it reports again or leaves is known there first.
-    pub fn apply_peer_server(&mut self, peer: PeerServer) -> bool {
+    pub fn apply_peer_server(&mut self, peer: PeerServer, read_at: BootInstant) -> bool {
         let PeerServer {
             server: BackendServer { id, entry },
             grace_until,
@@ -159,10 +170,15 @@
             None => ServerStatus::Listed,
         };
         match self.rows.binary_search_by(|row| row.id.cmp(&id)) {
-            Ok(index) => self.rows[index].take_over(entry, status),
+            Ok(index) => self.rows[index].take_over(entry, status, read_at),
             Err(index) => {
-                let entry = Some(entry);
-                self.rows.insert(index, Row { id, entry, status });
+                let row = Row {
+                    id,
+                    entry: Some(entry),
+                    status,
+                    earlier: None,
+                };
+                self.rows.insert(index, row);
                 true
             }
         }
@@ -181,6 +197,7 @@
             id: id.to_owned(),
             entry,
             status,
+            earlier: None,
         };
         let is_listed = row.listed().is_some();
         self.rows.insert(index, row);
@@ -193,13 +210,34 @@
         let mut removed = Vec::new();
         for row in &mut self.rows {
             let is_named = names.binary_search(&row.id).is_ok();
-            if !is_named && row.update(ServerRecord::Removed, grace_until) {
+            let before = row.clone();
+            if !is_named {
+                row.remove(grace_until);
+            }
+            if row.differs(&before) {
                 removed.push(row.id.clone());
             }
         }
         removed
     }
 
+    /// Applies the reports of earlier processes that the list, last read at `read_at`, has had for longer than `max_age`, in
+    /// which a later process would have reported again. Returns the names of their servers.
+    pub fn accept_earlier(&mut self, read_at: BootInstant, max_age: Duration) -> Vec<String> {
+        let mut accepted = Vec::new();
+        for row in &mut self.rows {
+            let is_kept = |earlier: &EarlierReport| read_at.since(earlier.since) > max_age;
+            if row.earlier.as_ref().is_some_and(is_kept)
+                && let Some(earlier) = row.earlier.take()
+            {
+                row.entry = Some(earlier.entry);
+                row.status = ServerStatus::Listed;
+                accepted.push(row.id.clone());
+            }
+        }
+        accepted
+    }
+
     /// Removes the servers whose grace period is over and returns their names. Also limits how many removed servers are
     /// remembered; those with the lowest names are forgotten first.
     pub fn expire(&mut self, now: BootInstant) -> Vec<String> {
@@ -237,6 +275,12 @@
         })
     }
 
+    /// Returns whether another process than the known one has reported as server `id` since the last report of that.
+    pub fn has_earlier(&self, id: &str) -> bool {
+        let index = self.rows.binary_search_by(|row| row.id.as_str().cmp(id));
+        index.is_ok_and(|index| self.rows[index].earlier.is_some())
+    }
+
     /// Returns why the newest record of server `id` cannot be used; `None` if it can.
     pub fn unusable_cause(&self, id: &str) -> Option<&str> {
         let index = self.rows.binary_search_by(|row| row.id.as_str().cmp(id));
@@ -274,10 +318,15 @@
 impl Row {
     /// Applies a record and returns whether anything changed that matters for the choice of servers, here or at a peer
     /// that holds a copy of the list.
-    fn update(&mut self, record: ServerRecord, grace_until: Option<BootInstant>) -> bool {
+    fn update(
+        &mut self,
+        record: ServerRecord,
+        grace_until: Option<BootInstant>,
+        read_at: BootInstant,
+    ) -> bool {
         let before = self.clone();
         match record {
-            ServerRecord::Report(entry) => self.apply_report(entry),
+            ServerRecord::Report(entry) => self.apply_report(entry, read_at),
             ServerRecord::Removed => self.remove(grace_until),
             // A server in its grace period stays usable until the period ends.
             ServerRecord::Unusable(cause) => {
@@ -294,14 +343,24 @@
 
     /// Takes over a peer's report and status, unless the report is a delayed copy; returns whether anything changed, as
     /// [`Self::update`] does.
-    fn take_over(&mut self, entry: ServerEntry, status: ServerStatus) -> bool {
+    fn take_over(
+        &mut self,
+        entry: ServerEntry,
+        status: ServerStatus,
+        read_at: BootInstant,
+    ) -> bool {
         let is_removed = matches!(self.status, ServerStatus::Removed);
         if self.is_delayed(&entry, is_removed) {
+            self.record_earlier(entry, read_at);
             return false;
         }
-        let entry = Some(entry);
-        let id = self.id.clone();
-        let before = std::mem::replace(self, Row { id, entry, status });
+        let row = Row {
+            id: self.id.clone(),
+            entry: Some(entry),
+            status,
+            earlier: None,
+        };
+        let before = std::mem::replace(self, row);
         self.differs(&before)
     }
 
@@ -335,14 +394,29 @@
 
     /// Applies a report, unless it is a delayed copy: older than the newest known one, or the same one although the
     /// server was removed in the meantime.
-    fn apply_report(&mut self, entry: ServerEntry) {
+    fn apply_report(&mut self, entry: ServerEntry, read_at: BootInstant) {
         let is_removed = matches!(
             self.status,
             ServerStatus::Removed | ServerStatus::InGracePeriod { .. }
         );
-        if !self.is_delayed(&entry, is_removed) {
+        if self.is_delayed(&entry, is_removed) {
+            self.record_earlier(entry, read_at);
+        } else {
             self.status = ServerStatus::Listed;
             self.entry = Some(entry);
+            self.earlier = None;
+        }
+    }
+
+    /// Remembers a report that is taken for a delayed copy, if another process wrote it than the known one.
+    fn record_earlier(&mut self, entry: ServerEntry, read_at: BootInstant) {
+        let known = self.entry.as_ref();
+        if known.is_some_and(|known| entry.start_time_ms < known.start_time_ms) {
+            let since = self
+                .earlier
+                .as_ref()
+                .map_or(read_at, |earlier| earlier.since);
+            self.earlier = Some(EarlierReport { entry, since });
         }
     }
 
@@ -359,6 +433,7 @@
 
     /// Removes the server, at once or at the end of the grace period.
     fn remove(&mut self, grace_until: Option<BootInstant>) {
+        self.earlier = None;
         if matches!(
             self.status,
             ServerStatus::Listed | ServerStatus::Unusable(_)
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -266,12 +266,13 @@
     ) -> Vec<String> {
         let mut state = self.lock();
         let grace = state.grace_until.filter(|until| *until > now);
+        let read_at = state.list_read_at.unwrap_or(now);
         let mut changed = Vec::new();
         for (id, record) in records {
             if let ServerRecord::Report(entry) = &record {
                 state.version_history.record_report(entry, now);
             }
-            if state.roster.apply(&id, record, grace) {
+            if state.roster.apply(&id, record, grace, read_at) {
                 changed.push(id);
             }
         }
@@ -313,7 +314,7 @@
                     continue;
                 }
                 state.version_history.record_report(&peer.server.entry, now);
-                if state.roster.apply_peer_server(peer) {
+                if state.roster.apply_peer_server(peer, read_at) {
                     changed.push(id.clone());
                 }
                 names.push(id);
@@ -407,6 +408,15 @@
         self.lock().roster.report_of(id)
     }
 
+    /// Returns whether `server` is not, or may not be, the process that the newest report of its name tells of.
+    pub fn may_be_replaced(&self, server: &BackendServer) -> bool {
+        let state = self.lock();
+        let report = state.roster.report_of(&server.id);
+        let is_other =
+            report.is_some_and(|report| report.start_time_ms != server.entry.start_time_ms);
+        is_other || state.roster.has_earlier(&server.id)
+    }
+
     /// Returns the time since the last successful read of the server list began, or `None` if there was none. The read
     /// may be this node's own or that of a peer whose list was applied.
     pub fn list_age(&self, now: BootInstant) -> Option<Duration> {
@@ -471,6 +481,11 @@
     /// version; returns the names of all changed servers.
     fn refresh_lists(&mut self, now: BootInstant, mut changed: Vec<String>) -> Vec<String> {
         changed.extend(self.roster.expire(now));
+        if let Some(read_at) = self.list_read_at {
+            // The entry of a process that has ended is removed by then.
+            let max_age = self.bounds.max_list_gap * 2;
+            changed.extend(self.roster.accept_earlier(read_at, max_age));
+        }
         if !changed.is_empty() {
             let listed = self.roster.listed();
             self.version_history.record_list(&listed, now);
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -158,10 +158,7 @@
 
     /// Returns whether another process may answer for `server` than the one that its entry tells of.
     fn is_replaced(&self, server: &BackendServer) -> bool {
-        let report = self.gateway.catalog.report_of(&server.id);
-        let is_older =
-            report.is_some_and(|report| report.start_time_ms > server.entry.start_time_ms);
-        is_older
+        self.gateway.catalog.may_be_replaced(server)
             || self.gateway.paths.may_have_restarted(server)
             || self
                 .gateway
