--- a/bench/src/http.rs
+++ b/bench/src/http.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -27,6 +28,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -135,8 +138,9 @@
     mut refusing: watch::Receiver<bool>,
 ) {
     let address = listener.local_addr();
-    let mut listener = Some(listener);
+    // A crash drops these in reverse order, as the end of a process does: first the listening socket.
     let mut connections = JoinSet::new();
+    let mut listener = Some(listener);
     loop {
         tokio::select! {
             accepted = accept_on(listener.as_ref()) => {
@@ -168,16 +172,29 @@
 
 async fn serve(stream: TcpStream, handler: Handler, mut closing: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| handler(req));
-    let connection =
-        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = closing.changed() => connection.as_mut().graceful_shutdown(),
+    let is_unframed = Arc::new(AtomicBool::new(false));
+    let service = service_fn(|req| {
+        let (res, is_unframed) = (handler(req), Arc::clone(&is_unframed));
+        Box::pin(async move {
+            let res = res.await?;
+            is_unframed.store(res.version() == Version::HTTP_10, Relaxed);
+            Ok::<_, Abort>(res)
+        })
+    });
+    let builder = hyper::server::conn::http1::Builder::new();
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    let result = tokio::select! {
+        result = &mut connection => result,
+        _ = closing.changed() => {
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    // An error here concerns only the client, which sees it on its side of the connection. An orderly close would end a
+    // response without length or chunks as if it were complete.
+    if result.is_err() && is_unframed.load(Relaxed) {
+        let _ = connection.into_parts().io.inner().set_zero_linger();
     }
-    // An error here concerns only the client, which sees it on its side of the connection.
-    let _ = connection.await;
 }
 
 /// Creates a body of known content.
--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -7,14 +7,17 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use std::time::Instant;
@@ -33,6 +36,8 @@
 const BORN: u64 = 1_700_000_000_000;
 /// Number of events of a stream.
 pub const EVENTS: u64 = 12;
+/// Number of events in one write of a server that doesn't write each on its own.
+const EVENTS_PER_WRITE: u64 = 3;
 
 /// How the server handles requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -56,6 +61,24 @@
     WrongRequestId,
     /// Responds without the signature.
     OmitsSignature,
+    /// Begins streams anew that it is asked to go on with.
+    StartsAgain,
+    /// Responds with status 500 if it is asked to go on with a stream.
+    FailsToResume,
+    /// Responds with status 200 and a body of another type if it is asked to go on with a stream.
+    ResumesWithOtherType,
+}
+
+/// How a server writes its responses.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Framing {
+    /// With a length or in chunks; each event of a stream in two of them, so that readers can't rely on one holding one event.
+    #[default]
+    HalfEvents,
+    /// With a length or in chunks; [`EVENTS_PER_WRITE`] events in each.
+    JoinedEvents,
+    /// As [`Framing::JoinedEvents`], but without length or chunks, as of HTTP/1.0: a response ends with its connection.
+    Unframed,
 }
 
 /// Point of a response at which a server pauses.
@@ -137,10 +160,11 @@
 #[derive(Debug)]
 struct Shared {
     id: String,
-    born: u64,
+    born: AtomicU64,
     work_time: Duration,
     software_version: Mutex<String>,
     behavior: Mutex<Behavior>,
+    framing: Mutex<Framing>,
     runs: Mutex<Vec<Run>>,
     running: AtomicU32,
     rejected: AtomicU32,
@@ -159,7 +183,8 @@
     /// Parts of prompts that crash the server as it begins to answer a request with one of them.
     crashing_parts: Mutex<Vec<String>>,
     crashing_requests: Mutex<Vec<CrashingRequest>>,
-    crash_handle: OnceLock<CrashHandle>,
+    /// Of the server that runs now; `None` until the first has started.
+    crash_handle: Mutex<Option<CrashHandle>>,
     crashed_at: OnceLock<Instant>,
     /// Body of the request that crashed the server.
     crashed_by: OnceLock<Bytes>,
@@ -168,7 +193,11 @@
 impl Shared {
     fn crash(&self) {
         self.crashed_at.get_or_init(Instant::now);
-        if let Some(handle) = self.crash_handle.get() {
+        self.stop_at_once();
+    }
+
+    fn stop_at_once(&self) {
+        if let Some(handle) = &*lock(&self.crash_handle) {
             handle.crash();
         }
     }
@@ -251,7 +280,8 @@
 /// A running backend server.
 #[derive(Debug)]
 pub struct Replica {
-    server: Server,
+    server: Mutex<Server>,
+    address: SocketAddr,
     shared: Arc<Shared>,
 }
 
@@ -279,10 +309,11 @@
     pub async fn start_with(start: Start<'_>) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             id: start.id.to_owned(),
-            born: start.born,
+            born: AtomicU64::new(start.born),
             work_time: start.work_time,
             software_version: Mutex::new("v1".to_owned()),
             behavior: Mutex::default(),
+            framing: Mutex::default(),
             runs: Mutex::default(),
             running: AtomicU32::new(0),
             rejected: AtomicU32::new(0),
@@ -295,23 +326,40 @@
             silent_until: Mutex::default(),
             crashing_parts: Mutex::default(),
             crashing_requests: Mutex::default(),
-            crash_handle: OnceLock::new(),
+            crash_handle: Mutex::default(),
             crashed_at: OnceLock::new(),
             crashed_by: OnceLock::new(),
         });
-        let handler_shared = Arc::clone(&shared);
-        let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
-            let shared = Arc::clone(&handler_shared);
-            Box::pin(async move { handle(shared, req).await })
-        });
-        let server = Server::start(start.address, handler).await?;
-        shared.crash_handle.get_or_init(|| server.crash_handle());
-        Ok(Self { server, shared })
+        let server = Server::start(start.address, handler(&shared)).await?;
+        *lock(&shared.crash_handle) = Some(server.crash_handle());
+        Ok(Self {
+            address: server.address(),
+            server: Mutex::new(server),
+            shared,
+        })
+    }
+
+    /// Ends it like a process that is killed: it stops listening, then its connections are closed.
+    pub fn kill(&self) {
+        self.shared.stop_at_once();
+    }
+
+    /// Starts it again at its address after [`Replica::kill`], as another incarnation.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn restart(&self) -> io::Result<()> {
+        let server = Server::start(self.address, handler(&self.shared)).await?;
+        *lock(&self.shared.crash_handle) = Some(server.crash_handle());
+        *lock(&self.server) = server;
+        self.shared.born.fetch_add(1, Relaxed);
+        Ok(())
     }
 
     /// Returns the address that it listens on.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
     }
 
     /// Returns its instance ID.
@@ -324,6 +372,11 @@
         *lock(&self.shared.behavior) = behavior;
     }
 
+    /// Sets how it writes responses from now on.
+    pub fn set_framing(&self, framing: Framing) {
+        *lock(&self.shared.framing) = framing;
+    }
+
     /// Sets the version of its software, which its entry and the events of its streams name.
     pub fn set_software_version(&self, version: &str) {
         version.clone_into(&mut lock(&self.shared.software_version));
@@ -377,13 +430,13 @@
     /// Cuts its link: new connections are refused, and open ones break with the next bytes. It runs on.
     pub fn cut(&self) {
         self.shared.is_cut.store(true, Relaxed);
-        self.server.set_refusing(true);
+        lock(&self.server).set_refusing(true);
     }
 
     /// Mends its link.
     pub fn reconnect(&self) {
         self.shared.is_cut.store(false, Relaxed);
-        self.server.set_refusing(false);
+        lock(&self.server).set_refusing(false);
     }
 
     /// Returns when it crashed, or `None` if it hasn't.
@@ -416,17 +469,26 @@
         let version = lock(&self.shared.software_version).clone();
         let entry = serde_json::json!({
             "service": service, "address": self.address(), "zone": data_centre, "version": version,
-            "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": self.shared.born,
+            "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": self.shared.born.load(Relaxed),
         });
         entry.to_string().into_bytes()
     }
 
     /// Stops at once, like a crash.
     pub async fn abort(self) {
-        self.server.abort().await;
+        let server = self.server.into_inner();
+        server.unwrap_or_else(PoisonError::into_inner).abort().await;
     }
 }
 
+fn handler(shared: &Arc<Shared>) -> http::Handler {
+    let shared = Arc::clone(shared);
+    Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
+        let shared = Arc::clone(&shared);
+        Box::pin(async move { handle(shared, req).await })
+    })
+}
+
 fn build_response(
     shared: &Shared,
     status: StatusCode,
@@ -464,6 +526,7 @@
     let expected = http::header(&headers, "currantbend-expect-instance").to_owned();
     let request_id = http::header(&headers, "currantbend-request-id").to_owned();
     let behavior = *lock(&shared.behavior);
+    let framing = *lock(&shared.framing);
     let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
     if shared.is_cut.load(Relaxed) {
         return Err(Abort);
@@ -504,14 +567,27 @@
         std::future::pending::<()>().await;
     }
     let is_stream = headers.contains_key("currantbend-token-counts");
-    let mut res = if is_stream {
+    let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
+    let mut res = if is_stream && after > 0 && behavior == Behavior::FailsToResume {
+        let body = http::full("overloaded\n\n");
+        build_response(&shared, StatusCode::INTERNAL_SERVER_ERROR, body)
+    } else if is_stream && after > 0 && behavior == Behavior::ResumesWithOtherType {
+        let body = http::full("{\"error\": \"overloaded\"}\n\n");
+        let mut res = build_response(&shared, StatusCode::OK, body);
+        http::set_header(&mut res, "content-type", "application/json");
+        res
+    } else if is_stream {
         shared.pause_at(PausePoint::Head).await;
-        let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
+        let after = if behavior == Behavior::StartsAgain {
+            0
+        } else {
+            after
+        };
         let crash = match crash_point {
             Some(CrashPoint::AfterEvents(count)) => Some((count, body)),
             _ => None,
         };
-        let body = events(running, behavior, after, crash);
+        let body = events(running, behavior, framing, after, crash);
         build_response(&shared, StatusCode::OK, body)
     } else {
         shared.work_for(shared.work_time).await;
@@ -527,13 +603,18 @@
                 let text = format!("run by {}", shared.id);
                 let length = text.len().to_string();
                 let crash = matches!(crash_point, Some(CrashPoint::WithinBody)).then_some(body);
-                let body = plain_body(running, Bytes::from(text), crash);
+                let body = plain_body(running, framing, Bytes::from(text), crash);
                 let mut res = build_response(&shared, StatusCode::OK, body);
-                http::set_header(&mut res, "content-length", &length);
+                if framing != Framing::Unframed {
+                    http::set_header(&mut res, "content-length", &length);
+                }
                 res
             }
         }
     };
+    if framing == Framing::Unframed {
+        *res.version_mut() = Version::HTTP_10;
+    }
     let echoed = if behavior == Behavior::WrongRequestId {
         "another"
     } else {
@@ -552,7 +633,12 @@
 
 /// Sends the body of a response that is no stream in two chunks, or crashes between them under the request with the body
 /// in `crash`.
-fn plain_body(running: RunningGuard, mut text: Bytes, crash: Option<Bytes>) -> ResponseBody {
+fn plain_body(
+    running: RunningGuard,
+    framing: Framing,
+    mut text: Bytes,
+    crash: Option<Bytes>,
+) -> ResponseBody {
     let (tx, body) = http::channel(1);
     tokio::spawn(async move {
         let rest = text.split_off(text.len() / 2);
@@ -569,6 +655,10 @@
             () = running.0.pause_at(PausePoint::WithinBody) => {}
             () = tx.closed() => return,
         }
+        if framing == Framing::Unframed {
+            // The server may be killed meanwhile.
+            running.0.work_for(EVENT_GAP).await;
+        }
         let _ = tx.send(Ok(rest)).await;
     });
     body
@@ -576,11 +666,10 @@
 
 /// Streams the events that follow event number `after`; each names the software version of the server, which crashes after
 /// the number of them in `crash` under the request with that body.
-///
-/// Each event is sent in two chunks, so that the reader can't rely on one chunk holding one event.
 fn events(
     running: RunningGuard,
     behavior: Behavior,
+    framing: Framing,
     after: u64,
     crash: Option<(u64, Bytes)>,
 ) -> ResponseBody {
@@ -590,6 +679,7 @@
         let version = lock(&shared.software_version).clone();
         let delay = *lock(&shared.first_event_delay);
         tokio::time::sleep(delay).await;
+        let mut joined = String::new();
         for number in after + 1..=EVENTS {
             let sent = number - after - 1;
             if shared.is_cut.load(Relaxed) {
@@ -616,16 +706,23 @@
                 }
                 _ => {}
             }
-            let chunks = [
-                (
-                    PausePoint::AfterEvents(sent),
-                    format!("id: {number}\ndata: to"),
-                ),
-                (
-                    PausePoint::WithinEvent(sent),
-                    format!("ken {number} {version}\n\n"),
-                ),
-            ];
+            let start = format!("id: {number}\ndata: to");
+            let rest = format!("ken {number} {version}\n\n");
+            let chunks = if framing == Framing::HalfEvents {
+                vec![
+                    (PausePoint::AfterEvents(sent), start),
+                    (PausePoint::WithinEvent(sent), rest),
+                ]
+            } else {
+                joined.push_str(&start);
+                joined.push_str(&rest);
+                if number == EVENTS || (sent + 1).is_multiple_of(EVENTS_PER_WRITE) {
+                    let text = std::mem::take(&mut joined);
+                    vec![(PausePoint::AfterEvents(sent), text)]
+                } else {
+                    Vec::new()
+                }
+            };
             for (point, chunk) in chunks {
                 tokio::select! {
                     () = shared.pause_at(point) => {}
