--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -67,7 +67,6 @@
 use std::time::SystemTime;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 
 /// Interval at which expired idle connections and the state of removed servers, routes and services are removed.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
@@ -336,13 +335,13 @@
     pub async fn close(self) {
         let drain_time = self.gateway.runtime_settings().drain.drain_time;
         info!(self.logs.log(), "stopping"; "serves_ms" => drain_time.as_millis() as u64);
+        let since = BootInstant::now();
         // Can't fail: it is set nowhere else, and a node is closed only once.
-        let _ = self.gateway.stopping_since.set(BootInstant::now());
-        let end = Instant::now() + drain_time;
+        let _ = self.gateway.stopping_since.set(since);
         self.callers.start_draining();
         self.peers.start_draining();
         tokio::time::sleep(BALANCER_REACTION_TIME.min(drain_time)).await;
-        let remaining = || end.saturating_duration_since(Instant::now());
+        let remaining = || drain_time.saturating_sub(BootInstant::now().since(since));
         while self.is_in_use() && !remaining().is_zero() {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
