--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -75,7 +75,7 @@
     /// With a length or in chunks; each event of a stream in two of them, so that readers can't rely on one holding one event.
     #[default]
     HalfEvents,
-    /// With a length or in chunks; [`EVENTS_PER_WRITE`] events in each.
+    /// With a length or in chunks; `EVENTS_PER_WRITE` events in each.
     JoinedEvents,
     /// As [`Framing::JoinedEvents`], but without length or chunks, as of HTTP/1.0: a response ends with its connection.
     Unframed,
