--- a/src/quarantine/renewal.rs
+++ b/src/quarantine/renewal.rs
@@ -26,6 +26,8 @@
 struct Baseline {
     incarnation: Incarnation,
     sequence: u64,
+    /// Series of own reads that `sequence` is from; `None` if it is from a peer's list.
+    series: Option<u64>,
     at: BootInstant,
 }
 
@@ -55,10 +57,7 @@
     /// Sets which series of own reads the list is from now on, as [`Catalog::own_read_series`] tells. Numbers of different series
     /// are not compared, nor those of a peer's list: they may be from before a crash and its time of reading after it.
     pub fn follow(&mut self, series: Option<u64>) {
-        if self.series != series {
-            self.baselines.clear();
-            self.series = series;
-        }
+        self.series = series;
     }
 
     /// Compares the newest reports with the ones before. `crashed` are the servers taken for crashed, and when;
@@ -89,7 +88,12 @@
                     let is_kept = report.is_listed
                         && !has_gap
                         && read_at.since(baseline.at) > self.heartbeat * EXPIRY_INTERVALS;
-                    let has_reported = self.series.is_some() && baseline.sequence < report.sequence;
+                    let is_comparable = self.series.is_some() && baseline.series == self.series;
+                    let has_reported = is_comparable && baseline.sequence < report.sequence;
+                    if !is_comparable {
+                        baseline.sequence = report.sequence;
+                        baseline.series = self.series;
+                    }
                     if has_reported || is_kept {
                         renewed.push((incarnation.clone(), baseline.at));
                     } else if has_gap {
@@ -100,6 +104,7 @@
                     self.baselines.push(Baseline {
                         incarnation: incarnation.clone(),
                         sequence: report.sequence,
+                        series: self.series,
                         at: read_at,
                     });
                 }
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -524,3 +524,24 @@
     assert!(quarantine.crashed().is_empty());
     watch.close();
 }
+
+// Each change between own and told lists began the comparison anew, so a kept entry never showed that its server runs on.
+#[test]
+fn an_entry_kept_while_own_and_told_lists_alternate_never_shows_that_the_server_runs_on() {
+    let at = |millis| BootInstant::from_boot(ms(millis));
+    let mut renewals = Renewals::new(ms(1_000));
+    let crashed = [(incarnation("i-1"), at(1_000))];
+    let report = ReportStatus {
+        start_time_ms: 1,
+        sequence: 8,
+        is_listed: true,
+    };
+
+    let mut found = Vec::new();
+    for (number, read_ms) in (1_400..=5_900).step_by(500).enumerate() {
+        renewals.follow((number % 2 == 0).then_some(number as u64));
+        found.extend(renewals.check(&crashed, &|_| Some(report), at(read_ms)));
+    }
+
+    assert_eq!(found, [(incarnation("i-1"), at(1_400))]);
+}
