--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -7,8 +7,9 @@
 use super::attempt::ServerResponse;
 use super::dialect::RateLimitNotice;
 use super::end_check::EndCheck;
+use super::engine_report::LifeSign;
 use super::engine_report::REPORT_TIMEOUT;
-use super::engine_report::has_restarted;
+use super::engine_report::read_life_sign;
 use super::events::Events;
 use super::handler::Gateway;
 use super::loads::InFlightGuard;
@@ -138,7 +139,8 @@
         let connecting = gateway.paths.connect(&self.server, request_id);
         match timeout_at(until, connecting).await {
             Ok(Ok(connection)) => {
-                has_restarted(gateway, &self.server, connection, self.deadline).await
+                let sign = read_life_sign(gateway, &self.server, connection, self.deadline);
+                sign.await == LifeSign::OtherProcess
             }
             Ok(Err(_)) | Err(_) => false,
         }
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -3,13 +3,15 @@
 //! An answer without length or chunks ends with its connection, and the host of a process that is killed closes that as the
 //! process itself would have done (`docs/PLATFORM.md`).
 
-use super::engine_report::has_restarted;
+use super::engine_report::LifeSign;
+use super::engine_report::read_life_sign;
 use super::handler::Gateway;
 use super::stream_record::BodyEnd;
 use crate::catalog::BackendServer;
 use crate::net::timeout_at;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
+use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -59,6 +61,16 @@
         if self.body_end != BodyEnd::Connection {
             return true;
         }
+        let asked_at = Instant::now();
+        let sign = self.life_sign(deadline).await;
+        let gateway = &self.gateway;
+        gateway.metrics.record_unframed_end(sign.as_str());
+        info!(gateway.logs.log(), "answer without length ended"; "request" => &self.request_id,
+            "server" => &self.server.id, "sign" => sign.as_str(), "ms" => asked_at.elapsed().as_millis() as u64);
+        matches!(sign, LifeSign::SameProcess | LifeSign::Accepted)
+    }
+
+    async fn life_sign(&self, deadline: Instant) -> LifeSign {
         let reconnecting = async {
             tokio::time::sleep(CLOSING_TIME).await;
             let (server, request_id) = (&self.server, &self.request_id);
@@ -67,10 +79,10 @@
         };
         match timeout_at(deadline, reconnecting).await {
             Ok(Ok(connection)) if self.is_engine => {
-                !has_restarted(&self.gateway, &self.server, connection, deadline).await
+                read_life_sign(&self.gateway, &self.server, connection, deadline).await
             }
-            Ok(connected) => connected.is_ok(),
-            Err(_) => false,
+            Ok(Ok(_)) => LifeSign::Accepted,
+            Ok(Err(_)) | Err(_) => LifeSign::Unreachable,
         }
     }
 }
--- a/src/gateway/engine_report.rs
+++ b/src/gateway/engine_report.rs
@@ -19,24 +19,51 @@
 /// Maximum size of a report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
-/// Returns whether another process answers on `connection` than the one that the entry of `server`, an engine, names; `false`
-/// if that is not known at `deadline`.
-pub(super) async fn has_restarted(
+/// What a server's address tells of the process that its entry names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LifeSign {
+    /// That process answers.
+    SameProcess,
+    /// Another process answers.
+    OtherProcess,
+    /// Something accepts connections.
+    Accepted,
+    /// Nothing accepts a connection in time.
+    Unreachable,
+}
+
+impl LifeSign {
+    /// Returns the name that log lines and metrics give it.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::SameProcess => "same process",
+            Self::OtherProcess => "other process",
+            Self::Accepted => "accepted",
+            Self::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// Returns what `server`, an engine, tells on `connection` of its start; [`LifeSign::Accepted`] if it tells none until `deadline`.
+pub(super) async fn read_life_sign(
     gateway: &Gateway,
     server: &BackendServer,
     connection: ServerConnection,
     deadline: Instant,
-) -> bool {
+) -> LifeSign {
     let start_time_ms = server.entry.start_time_ms;
     // An entry without a start time has zero, as has a server that never started again.
     if start_time_ms == 0 {
-        return false;
+        return LifeSign::Accepted;
     }
     let until = deadline.min(Instant::now() + REPORT_TIMEOUT);
     let report = timeout_at(until, read_report(gateway, server, connection)).await;
     let report = report.ok().flatten();
-    let reported = report.and_then(|report| gateway.dialect.read_start_time(&report));
-    reported.is_some_and(|reported| reported != start_time_ms)
+    match report.and_then(|report| gateway.dialect.read_start_time(&report)) {
+        Some(reported) if reported == start_time_ms => LifeSign::SameProcess,
+        Some(_) => LifeSign::OtherProcess,
+        None => LifeSign::Accepted,
+    }
 }
 
 /// Asks an engine for its report on `connection`; `None` if it sends none.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -63,6 +63,7 @@
     tunnels: IntGauge,
     carried_tunnels: IntGauge,
     tunnel_requests: IntCounterVec,
+    unframed_ends: IntCounterVec,
     cold_servers: IntGauge,
     cold_sends: IntGauge,
     stopped_sends: IntGauge,
@@ -162,6 +163,11 @@
                 "Requests to other gateways for a connection to a backend server, by result.",
                 &["result"],
             ),
+            unframed_ends: counters(
+                "currantbend_gateway_unframed_ends_total",
+                "Answers that ended with their connections, by what their servers' addresses told of them afterwards.",
+                &["sign"],
+            ),
             limited_servers: gauge(
                 "currantbend_gateway_limited_servers",
                 "Backend servers that name a limit on requests.",
@@ -188,7 +194,7 @@
                 "Data centres whose backend servers get no new requests at an operator's request.",
             ),
         };
-        let collectors: [Box<dyn Collector>; 27] = [
+        let collectors: [Box<dyn Collector>; 28] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.requests_read.clone()),
             Box::new(metrics.latency.clone()),
@@ -210,6 +216,7 @@
             Box::new(metrics.tunnels.clone()),
             Box::new(metrics.carried_tunnels.clone()),
             Box::new(metrics.tunnel_requests.clone()),
+            Box::new(metrics.unframed_ends.clone()),
             Box::new(metrics.cold_servers.clone()),
             Box::new(metrics.cold_sends.clone()),
             Box::new(metrics.stopped_sends.clone()),
@@ -308,6 +315,11 @@
         self.tunnel_requests.with_label_values(&[result]).inc();
     }
 
+    /// Records the end of an answer without length or chunks; `sign` is what was learnt of its server then.
+    pub(super) fn record_unframed_end(&self, sign: &str) {
+        self.unframed_ends.with_label_values(&[sign]).inc();
+    }
+
     pub(super) fn record_limited_servers(&self, count: usize) {
         self.limited_servers
             .set(i64::try_from(count).unwrap_or(i64::MAX));
