--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -13,6 +13,7 @@
 pub mod links;
 pub mod log;
 pub mod orders;
+pub mod relay;
 pub mod replica;
 pub mod service;
 pub mod store;
