--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -639,6 +639,13 @@
         return Ok(build_response(&shared, StatusCode::OK, body));
     }
     let behavior = *lock(&shared.behavior);
+    if target == "/health" && !matches!(behavior, Behavior::Rejects | Behavior::RejectsFor(_)) {
+        if shared.is_cut.load(Relaxed) {
+            return Err(Abort);
+        }
+        shared.wait_while_silent().await;
+        return Ok(build_response(&shared, StatusCode::OK, http::full("")));
+    }
     let framing = *lock(&shared.framing);
     let body = match behavior {
         Behavior::AnswersEarly => Bytes::new(),
--- a/src/catalog/config.rs
+++ b/src/catalog/config.rs
@@ -99,6 +99,9 @@
 pub struct Service {
     /// Name by which routes and backend servers refer to it.
     pub name: String,
+    /// Path at which its servers tell their health and their names; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
     /// Maximum number of connections that one server accepts, over all callers.
     pub max_connections: u32,
     /// Capacity of the engines; `None` for a plain service.
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -7,11 +7,10 @@
 use super::attempt::ServerResponse;
 use super::dialect::RateLimitNotice;
 use super::end_check::EndCheck;
-use super::engine_report::LifeSign;
-use super::engine_report::REPORT_TIMEOUT;
-use super::engine_report::read_life_sign;
 use super::events::Events;
 use super::handler::Gateway;
+use super::life_sign::LIFE_SIGN_TIMEOUT;
+use super::life_sign::LifeSign;
 use super::loads::InFlightGuard;
 use super::progress::Progress;
 use super::response_memory::HeldResponse;
@@ -103,44 +102,46 @@
         if !asks {
             return self.run_anywhere().await;
         }
-        let mut asking = pin!(self.has_restarted());
+        let mut asking = pin!(self.life_sign());
         let mut sending = pin!(self.run_anywhere());
-        let mut reported = None;
+        let mut sign = None;
         let end = loop {
             tokio::select! {
                 end = &mut sending => break end,
-                has_restarted = &mut asking, if reported.is_none() => reported = Some(has_restarted),
+                told = &mut asking, if sign.is_none() => sign = Some(told),
             }
         };
-        // Only what would be passed on waits for the report.
+        // Only what would be passed on waits for the sign.
         if !matches!(end, SendEnd::Delivered(Delivery::Stream(..), _)) {
             return end;
         }
-        let has_restarted = match reported {
-            Some(has_restarted) => has_restarted,
+        let sign = match sign {
+            Some(sign) => sign,
             None => asking.await,
         };
         match end {
-            SendEnd::Delivered(Delivery::Stream(stream, _), _) if has_restarted => {
-                self.gateway.paths.record_restart(&self.server);
+            SendEnd::Delivered(Delivery::Stream(stream, _), _) if sign != LifeSign::SameProcess => {
+                if sign == LifeSign::OtherProcess {
+                    self.gateway.paths.record_restart(&self.server);
+                }
                 self.gateway.abandon(*stream, RunResult::Good);
-                SendEnd::Broken("server has started again".to_owned())
+                SendEnd::Broken(format!("server may have started again: {}", sign.as_str()))
             }
             end => end,
         }
     }
 
-    /// Returns whether the engine says that it is another process than the one that its entry tells of.
-    async fn has_restarted(&self) -> bool {
+    /// Asks the engine whether it is the process that its entry tells of.
+    async fn life_sign(&self) -> LifeSign {
         let (gateway, request_id) = (&self.gateway, &self.outbound.request_id);
-        let until = self.deadline.min(Instant::now() + REPORT_TIMEOUT);
+        let until = self.deadline.min(Instant::now() + LIFE_SIGN_TIMEOUT);
         let connecting = gateway.paths.connect(&self.server, request_id);
         match timeout_at(until, connecting).await {
             Ok(Ok(connection)) => {
-                let sign = read_life_sign(gateway, &self.server, connection, self.deadline);
-                sign.await == LifeSign::OtherProcess
+                let asking = gateway.ask_for_life_sign(&self.server, connection, self.deadline);
+                asking.await
             }
-            Ok(Err(_)) | Err(_) => false,
+            Ok(Err(_)) | Err(_) => LifeSign::Unreachable,
         }
     }
 
@@ -236,7 +237,7 @@
         rate_limit: RateLimitNotice,
         sent_at: Instant,
     ) -> SendEnd {
-        let end_check = self.end_check(&response);
+        let mut end_check = self.end_check(&response);
         let ServerResponse {
             head,
             body,
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -109,6 +109,9 @@
     /// Returns the path at which a model engine reports its state, without a slot and not as a request of a caller.
     fn report_path(&self) -> &str;
 
+    /// Returns the name that a server gives itself in the `headers` of a response.
+    fn read_server_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Returns the Unix time in milliseconds at which the engine started that sent `report`; `None` if it can't be read.
     fn read_start_time(&self, report: &[u8]) -> Option<u64>;
 }
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -3,9 +3,10 @@
 //! An answer without length or chunks ends with its connection, and the host of a process that is killed closes that as the
 //! process itself would have done (`docs/PLATFORM.md`).
 
-use super::engine_report::LifeSign;
-use super::engine_report::read_life_sign;
 use super::handler::Gateway;
+use super::life_sign::LifeSign;
+use super::pool::ConnectError;
+use super::server_paths::ServerConnection;
 use super::stream_record::BodyEnd;
 use crate::catalog::BackendServer;
 use crate::net::timeout_at;
@@ -13,23 +14,20 @@
 use hyper::body::Incoming;
 use slog::info;
 use std::sync::Arc;
-use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// Time in which the kernel closes the sockets of a process that was killed. It closes the newest first, so the one that listens
-/// still accepts connections for some milliseconds after others have ended.
-const CLOSING_TIME: Duration = Duration::from_millis(50);
-
 /// Finds out whether the end of one answer's body is the end of the answer.
 pub(super) struct EndCheck {
     body_end: BodyEnd,
     gateway: Arc<Gateway>,
     server: BackendServer,
-    /// Whether the server is a model engine, which reports when it started.
-    is_engine: bool,
     request_id: String,
     /// Whether another gateway carries the connection.
     is_tunnel: bool,
+    /// Connects to a plain server while its answer arrives. A plain server tells its name, but not its start; what answers on a
+    /// connection that was open before the end is no process that started after it. Empty for model engines, which tell both.
+    connecting: JoinSet<Result<ServerConnection, ConnectError>>,
 }
 
 impl EndCheck {
@@ -41,14 +39,18 @@
         request_id: &str,
         is_tunnel: bool,
     ) -> Self {
-        Self {
+        let mut check = Self {
             body_end: BodyEnd::of(headers, body),
             gateway: Arc::clone(gateway),
             server: server.clone(),
-            is_engine,
             request_id: request_id.to_owned(),
             is_tunnel,
+            connecting: JoinSet::new(),
+        };
+        if check.body_end == BodyEnd::Connection && !is_engine {
+            check.connecting.spawn(check.connect());
         }
+        check
     }
 
     /// Returns what tells that the answer is complete.
@@ -57,7 +59,7 @@
     }
 
     /// Returns whether the body, which has ended without an error, is complete; `false` if that is not known at `deadline`.
-    pub(super) async fn is_complete(&self, deadline: Instant) -> bool {
+    pub(super) async fn is_complete(&mut self, deadline: Instant) -> bool {
         if self.body_end != BodyEnd::Connection {
             return true;
         }
@@ -67,22 +69,33 @@
         gateway.metrics.record_unframed_end(sign.as_str());
         info!(gateway.logs.log(), "answer without length ended"; "request" => &self.request_id,
             "server" => &self.server.id, "sign" => sign.as_str(), "ms" => asked_at.elapsed().as_millis() as u64);
-        matches!(sign, LifeSign::SameProcess | LifeSign::Accepted)
+        sign == LifeSign::SameProcess
     }
 
-    async fn life_sign(&self, deadline: Instant) -> LifeSign {
-        let reconnecting = async {
-            tokio::time::sleep(CLOSING_TIME).await;
-            let (server, request_id) = (&self.server, &self.request_id);
-            let paths = &self.gateway.paths;
-            paths.reconnect(server, request_id, self.is_tunnel).await
-        };
-        match timeout_at(deadline, reconnecting).await {
-            Ok(Ok(connection)) if self.is_engine => {
-                read_life_sign(&self.gateway, &self.server, connection, deadline).await
+    async fn life_sign(&mut self, deadline: Instant) -> LifeSign {
+        if self.connecting.is_empty() {
+            self.connecting.spawn(self.connect());
+        }
+        let connected = timeout_at(deadline, self.connecting.join_next()).await;
+        // A panic in the task has already been reported.
+        match connected {
+            Ok(Some(Ok(Ok(connection)))) => {
+                let asking = self
+                    .gateway
+                    .ask_for_life_sign(&self.server, connection, deadline);
+                asking.await
             }
-            Ok(Ok(_)) => LifeSign::Accepted,
-            Ok(Err(_)) | Err(_) => LifeSign::Unreachable,
+            _ => LifeSign::Unreachable,
+        }
+    }
+
+    /// Returns a task that connects to the server.
+    fn connect(&self) -> impl Future<Output = Result<ServerConnection, ConnectError>> + 'static {
+        let (gateway, server) = (Arc::clone(&self.gateway), self.server.clone());
+        let (request_id, is_tunnel) = (self.request_id.clone(), self.is_tunnel);
+        async move {
+            let reconnecting = gateway.paths.reconnect(&server, &request_id, is_tunnel);
+            reconnecting.await
         }
     }
 }
