--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -17,8 +17,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time within which a server must have answered; without an answer nothing is known of it.
-pub(super) const LIFE_SIGN_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time within which a server must have answered; without an answer nothing is known of it. A sound server may be silent for a
+/// second, and callers wait twice as long for the next event of a stream.
+pub(super) const LIFE_SIGN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of an engine's report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
