--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -7,6 +7,7 @@
 use super::attempt::ServerResponse;
 use super::dialect::RateLimitNotice;
 use super::end_check::EndCheck;
+use super::end_check::Witness;
 use super::events::Events;
 use super::handler::Gateway;
 use super::life_sign::LIFE_SIGN_TIMEOUT;
@@ -166,6 +167,10 @@
             cold_policy: self.cold_policy.as_ref(),
             permit: self.permit,
         };
+        let needs_witness = !self.is_engine && gateway.paths.is_unframed(&self.server);
+        let request_id = &self.outbound.request_id;
+        let witness =
+            needs_witness.then(|| Witness::open(gateway, &self.server, request_id, false));
         let sent_at = Instant::now();
         let sending = attempt::send(
             &self.outbound,
@@ -195,7 +200,7 @@
                 response.guard.record_result(RunResult::Broken);
                 return SendEnd::Broken("answer that does not go on with the stream".to_owned());
             }
-            let end_check = self.end_check(&response);
+            let end_check = self.end_check(&response, witness);
             let stream = ServerStream::new(
                 response,
                 &gateway.response_memory.of_server(&self.server.id),
@@ -207,17 +212,19 @@
             let stream = Box::new(stream);
             next_events(gateway, stream, self.last_id, self.deadline, rate_limit).await
         } else {
-            self.read_whole(response, rate_limit, sent_at).await
+            self.read_whole(response, witness, rate_limit, sent_at)
+                .await
         }
     }
 
-    fn end_check(&self, response: &ServerResponse) -> EndCheck {
+    fn end_check(&self, response: &ServerResponse, witness: Option<Witness>) -> EndCheck {
         EndCheck::new(
             (&response.head.headers, &response.body),
             &self.gateway,
             (&self.server, self.is_engine),
             &self.outbound.request_id,
             response.lease.helper().is_some(),
+            witness,
         )
     }
 
@@ -234,10 +241,11 @@
     async fn read_whole(
         &self,
         response: ServerResponse,
+        witness: Option<Witness>,
         rate_limit: RateLimitNotice,
         sent_at: Instant,
     ) -> SendEnd {
-        let mut end_check = self.end_check(&response);
+        let mut end_check = self.end_check(&response, witness);
         let ServerResponse {
             head,
             body,
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -17,6 +17,35 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+/// A connection to a server that is opened beside a request. What answers on it after the end of the request's answer is no server
+/// that started after the connection was opened, though it may be another worker process of the same one.
+pub(super) struct Witness(JoinSet<Result<ServerConnection, ConnectError>>);
+
+impl Witness {
+    /// Starts to connect to `server` for the request called `request_id`; through another gateway if `is_tunnel`.
+    pub(super) fn open(
+        gateway: &Arc<Gateway>,
+        server: &BackendServer,
+        request_id: &str,
+        is_tunnel: bool,
+    ) -> Self {
+        let (gateway, server) = (Arc::clone(gateway), server.clone());
+        let request_id = request_id.to_owned();
+        let mut connecting = JoinSet::new();
+        connecting.spawn(async move {
+            let reconnecting = gateway.paths.reconnect(&server, &request_id, is_tunnel);
+            reconnecting.await
+        });
+        Self(connecting)
+    }
+
+    /// Waits for the connection; `None` if there is none.
+    async fn connection(&mut self) -> Option<ServerConnection> {
+        // A panic in the task has already been reported.
+        self.0.join_next().await?.ok()?.ok()
+    }
+}
+
 /// Finds out whether the end of one answer's body is the end of the answer.
 pub(super) struct EndCheck {
     body_end: BodyEnd,
@@ -25,32 +54,37 @@
     request_id: String,
     /// Whether another gateway carries the connection.
     is_tunnel: bool,
-    /// Connects to a plain server while its answer arrives. A plain server tells its name, but not its start; what answers on a
-    /// connection that was open before the end is no process that started after it. Empty for model engines, which tell both.
-    connecting: JoinSet<Result<ServerConnection, ConnectError>>,
+    /// For a plain server, which tells its name, but not its start. A model engine tells both, and gets none.
+    witness: Option<Witness>,
 }
 
 impl EndCheck {
-    /// Returns the check for the answer of `server` to a request, of which the head has arrived.
+    /// Returns the check for the answer of `server` to a request, of which the head has arrived. `witness` was opened before the
+    /// request was sent, if there is one.
     pub(super) fn new(
         (headers, body): (&HeaderMap, &Incoming),
         gateway: &Arc<Gateway>,
         (server, is_engine): (&BackendServer, bool),
         request_id: &str,
         is_tunnel: bool,
+        witness: Option<Witness>,
     ) -> Self {
-        let mut check = Self {
-            body_end: BodyEnd::of(headers, body),
+        let body_end = BodyEnd::of(headers, body);
+        let needs_witness = body_end == BodyEnd::Connection && !is_engine;
+        if !is_engine {
+            gateway.paths.record_framing(server, !needs_witness);
+        }
+        let witness = needs_witness.then(|| {
+            witness.unwrap_or_else(|| Witness::open(gateway, server, request_id, is_tunnel))
+        });
+        Self {
+            body_end,
             gateway: Arc::clone(gateway),
             server: server.clone(),
             request_id: request_id.to_owned(),
             is_tunnel,
-            connecting: JoinSet::new(),
-        };
-        if check.body_end == BodyEnd::Connection && !is_engine {
-            check.connecting.spawn(check.connect());
+            witness,
         }
-        check
     }
 
     /// Returns what tells that the answer is complete.
@@ -73,29 +107,17 @@
     }
 
     async fn life_sign(&mut self, deadline: Instant) -> LifeSign {
-        if self.connecting.is_empty() {
-            self.connecting.spawn(self.connect());
-        }
-        let connected = timeout_at(deadline, self.connecting.join_next()).await;
-        // A panic in the task has already been reported.
-        match connected {
-            Ok(Some(Ok(Ok(connection)))) => {
-                let asking = self
-                    .gateway
-                    .ask_for_life_sign(&self.server, connection, deadline);
+        let (gateway, server) = (&self.gateway, &self.server);
+        let mut witness = self
+            .witness
+            .take()
+            .unwrap_or_else(|| Witness::open(gateway, server, &self.request_id, self.is_tunnel));
+        match timeout_at(deadline, witness.connection()).await {
+            Ok(Some(connection)) => {
+                let asking = gateway.ask_for_life_sign(server, connection, deadline);
                 asking.await
             }
-            _ => LifeSign::Unreachable,
-        }
-    }
-
-    /// Returns a task that connects to the server.
-    fn connect(&self) -> impl Future<Output = Result<ServerConnection, ConnectError>> + 'static {
-        let (gateway, server) = (Arc::clone(&self.gateway), self.server.clone());
-        let (request_id, is_tunnel) = (self.request_id.clone(), self.is_tunnel);
-        async move {
-            let reconnecting = gateway.paths.reconnect(&server, &request_id, is_tunnel);
-            reconnecting.await
+            Ok(None) | Err(_) => LifeSign::Unreachable,
         }
     }
 }
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -56,6 +56,8 @@
     path: ServerPath,
     /// When the server was last lost, if it has not been seen to run on since. It may have started again.
     doubted_since: Option<BootInstant>,
+    /// Whether its last answer had neither a length nor chunks.
+    is_unframed: bool,
 }
 
 /// The paths to all servers.
@@ -265,6 +267,18 @@
         self.update_row(server, |row| row.doubted_since = Some(BootInstant::now()));
     }
 
+    /// Records whether the last answer of `server` had a length or chunks.
+    pub(super) fn record_framing(&self, server: &BackendServer, is_framed: bool) {
+        self.update_row(server, |row| row.is_unframed = !is_framed);
+    }
+
+    /// Returns whether the last answer of `server` had neither a length nor chunks.
+    pub(super) fn is_unframed(&self, server: &BackendServer) -> bool {
+        let rows = self.lock();
+        let index = rows.binary_search_by(|row| row.server.as_str().cmp(&server.id));
+        index.is_ok_and(|index| rows[index].is_unframed)
+    }
+
     /// Returns the servers that may have started again, and since when.
     pub(super) fn doubted(&self) -> Vec<(Incarnation, BootInstant)> {
         let rows = self.lock();
@@ -360,6 +374,7 @@
                     start_time_ms: server.entry.start_time_ms,
                     path: ServerPath::default(),
                     doubted_since: None,
+                    is_unframed: false,
                 };
                 rows.insert(index, row);
                 index
