--- a/bench/src/http.rs
+++ b/bench/src/http.rs
@@ -78,7 +78,15 @@
     ///
     /// Returns an error if the address can't be bound.
     pub async fn start(listen: SocketAddr, handler: Handler) -> io::Result<Server> {
-        let listener = TcpListener::bind(listen).await?;
+        Server::start_on(TcpListener::bind(listen).await?, handler)
+    }
+
+    /// Accepts connections on `listener` and passes each request to `handler`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener has no address.
+    pub fn start_on(listener: TcpListener, handler: Handler) -> io::Result<Server> {
         let address = listener.local_addr()?;
         let (closing, rx) = watch::channel(false);
         let (refusing, refusing_rx) = watch::channel(false);
--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -25,6 +25,7 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use std::time::Instant;
+use tokio::net::TcpListener;
 
 use crate::http;
 use crate::http::Abort;
@@ -32,6 +33,7 @@
 use crate::http::HandlerResult;
 use crate::http::ResponseBody;
 use crate::http::Server;
+use crate::standin::run_log::RunLog;
 use crate::truth::lock;
 
 /// Pause after each event of a stream.
@@ -40,8 +42,8 @@
 const BORN: u64 = 1_700_000_000_000;
 /// Number of events of a stream, unless the server writes a text per run.
 pub const EVENTS: u64 = 12;
-/// Numbers of events of streams at a server that writes a text per run.
-const VARIED_EVENTS: RangeInclusive<u64> = 3..=30;
+/// Numbers of events of streams at a server that writes a text per run, unless others are set.
+pub const VARIED_EVENTS: RangeInclusive<u64> = 3..=30;
 /// Number of events in one write of a server that doesn't write each on its own.
 const EVENTS_PER_WRITE: u64 = 3;
 
@@ -152,6 +154,23 @@
     pub work_time: Duration,
 }
 
+impl Start<'_> {
+    /// Returns the entry for the server list of a server that is started so, with this software version, as JSON.
+    pub fn entry(
+        &self,
+        version: &str,
+        (service, data_centre): (&str, &str),
+        state: &str,
+        sequence: u64,
+    ) -> Vec<u8> {
+        let entry = serde_json::json!({
+            "service": service, "address": self.address, "zone": data_centre, "version": version,
+            "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": self.born,
+        });
+        entry.to_string().into_bytes()
+    }
+}
+
 /// A request that the server ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -186,6 +205,33 @@
     pub is_ended: bool,
 }
 
+/// A step of a run, recorded before its bytes are sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// The server knows which events it writes.
+    Head {
+        /// ID of the first event.
+        first_id: u64,
+        /// ID of the last event of the whole stream.
+        last_id: u64,
+    },
+    /// It writes the next event, with this text.
+    Event(String),
+    /// It wrote the whole answer.
+    Ended,
+}
+
+impl Written {
+    /// Adds a step to what the server wrote.
+    pub fn add(&mut self, step: Step) {
+        match step {
+            Step::Head { first_id, last_id } => (self.first_id, self.last_id) = (first_id, last_id),
+            Step::Event(text) => self.events.push(text.into()),
+            Step::Ended => self.is_ended = true,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     id: String,
@@ -195,7 +241,10 @@
     behavior: Mutex<Behavior>,
     framing: Mutex<Framing>,
     has_text_per_run: AtomicBool,
+    event_counts: Mutex<RangeInclusive<u64>>,
     runs: Mutex<Vec<Run>>,
+    /// Where the runs are kept beside `runs`, for readers that outlive the process.
+    run_log: OnceLock<RunLog>,
     running: AtomicU32,
     rejected: AtomicU32,
     is_leaving: AtomicBool,
@@ -307,18 +356,24 @@
         shared.running.fetch_add(1, Relaxed);
         let has_own_text = shared.has_text_per_run.load(Relaxed);
         let last_id = if has_own_text {
-            event_count(&run)
+            event_count(&run, &lock(&shared.event_counts))
         } else {
             EVENTS
         };
         let mut runs = lock(&shared.runs);
         let number = runs.len();
         let mark = if has_own_text {
-            let born = shared.born.load(Relaxed);
-            format!(" {} {born} {} {number}", shared.id, run.request_id)
+            let (born, process) = (shared.born.load(Relaxed), std::process::id());
+            format!(
+                " {} {born} {process} {} {number}",
+                shared.id, run.request_id
+            )
         } else {
             String::new()
         };
+        if let Some(log) = shared.run_log.get() {
+            log.begin(number, &run);
+        }
         runs.push(run);
         Self {
             shared: Arc::clone(shared),
@@ -341,9 +396,12 @@
         texts.map(|(start, rest)| start.len() + rest.len()).sum()
     }
 
-    /// Changes the record of what the server wrote.
-    fn record(&self, change: impl FnOnce(&mut Written)) {
-        change(&mut lock(&self.shared.runs)[self.number].written);
+    /// Records a step of the run.
+    fn record(&self, step: Step) {
+        if let Some(log) = self.shared.run_log.get() {
+            log.add(self.number, &step);
+        }
+        lock(&self.shared.runs)[self.number].written.add(step);
     }
 }
 
@@ -355,7 +413,7 @@
 
 /// Returns the number of events of the stream that `run` begins or goes on with: the same for all attempts of its caller,
 /// which name the first.
-fn event_count(run: &Run) -> u64 {
+fn event_count(run: &Run, counts: &RangeInclusive<u64>) -> u64 {
     let resumed = http::header(&run.headers, "resumes");
     let first_attempt = if resumed.is_empty() {
         &run.request_id
@@ -364,7 +422,7 @@
     };
     let mut hasher = DefaultHasher::new();
     first_attempt.hash(&mut hasher);
-    let (first, last) = (*VARIED_EVENTS.start(), *VARIED_EVENTS.end());
+    let (first, last) = (*counts.start(), *counts.end());
     first + hasher.finish() % (last - first + 1)
 }
 
@@ -398,6 +456,16 @@
     ///
     /// Returns an error if the address can't be bound.
     pub async fn start_with(start: Start<'_>) -> io::Result<Self> {
+        let listener = TcpListener::bind(start.address).await?;
+        Self::start_on(listener, start)
+    }
+
+    /// Starts a server as `start` says that accepts connections on `listener`, which other processes may share.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener has no address.
+    pub fn start_on(listener: TcpListener, start: Start<'_>) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             id: start.id.to_owned(),
             born: AtomicU64::new(start.born),
@@ -406,7 +474,9 @@
             behavior: Mutex::default(),
             framing: Mutex::default(),
             has_text_per_run: AtomicBool::new(false),
+            event_counts: Mutex::new(VARIED_EVENTS),
             runs: Mutex::default(),
+            run_log: OnceLock::new(),
             running: AtomicU32::new(0),
             rejected: AtomicU32::new(0),
             is_leaving: AtomicBool::new(false),
@@ -422,7 +492,7 @@
             crashed_at: OnceLock::new(),
             crashed_by: OnceLock::new(),
         });
-        let server = Server::start(start.address, handler(&shared)).await?;
+        let server = Server::start_on(listener, handler(&shared))?;
         *lock(&shared.crash_handle) = Some(server.crash_handle());
         Ok(Self {
             address: server.address(),
@@ -485,6 +555,16 @@
         self.shared.has_text_per_run.store(true, Relaxed);
     }
 
+    /// Sets the numbers of events of which streams have one each, if each run writes its own text.
+    pub fn set_event_counts(&self, counts: RangeInclusive<u64>) {
+        *lock(&self.shared.event_counts) = counts;
+    }
+
+    /// Keeps its runs in `log` too, from now on and before their bytes are sent. Only the first log that is set is used.
+    pub fn set_run_log(&self, log: RunLog) {
+        self.shared.run_log.get_or_init(|| log);
+    }
+
     /// Sets the version of its software, which its entry and the events of its streams name.
     pub fn set_software_version(&self, version: &str) {
         version.clone_into(&mut lock(&self.shared.software_version));
@@ -575,11 +655,20 @@
     /// Returns its entry for the server list, as JSON.
     pub fn entry(&self, service: &str, data_centre: &str, state: &str, sequence: u64) -> Vec<u8> {
         let version = lock(&self.shared.software_version).clone();
-        let entry = serde_json::json!({
-            "service": service, "address": self.address(), "zone": data_centre, "version": version,
-            "slots": 8, "state": state, "cold-left-ms": 0, "seq": sequence, "born": self.shared.born.load(Relaxed),
-        });
-        entry.to_string().into_bytes()
+        let start = Start {
+            id: &self.shared.id,
+            address: self.address,
+            born: self.shared.born.load(Relaxed),
+            work_time: self.shared.work_time,
+        };
+        start.entry(&version, (service, data_centre), state, sequence)
+    }
+
+    /// Stops listening and waits until the requests that it runs are finished.
+    pub async fn close_gracefully(self) {
+        let server = self.server.into_inner();
+        let server = server.unwrap_or_else(PoisonError::into_inner);
+        server.close_gracefully().await;
     }
 
     /// Stops at once, like a crash.
@@ -741,7 +830,7 @@
                 };
                 let length = text.len().to_string();
                 let crash = matches!(crash_point, Some(CrashPoint::WithinBody)).then_some(body);
-                let body = plain_body(running, framing, Bytes::from(text), crash);
+                let body = plain_body(running, framing, text, crash);
                 let mut res = build_response(&shared, StatusCode::OK, body);
                 if framing != Framing::Unframed {
                     http::set_header(&mut res, "content-length", &length);
@@ -774,15 +863,16 @@
 fn plain_body(
     running: RunningGuard,
     framing: Framing,
-    mut text: Bytes,
+    text: String,
     crash: Option<Bytes>,
 ) -> ResponseBody {
     let (tx, body) = http::channel(1);
-    running.record(|written| {
-        written.first_id = 1;
-        written.last_id = 1;
-        written.events.push(text.clone());
+    running.record(Step::Head {
+        first_id: 1,
+        last_id: 1,
     });
+    running.record(Step::Event(text.clone()));
+    let mut text = Bytes::from(text);
     tokio::spawn(async move {
         let rest = text.split_off(text.len() / 2);
         // A reader that disconnected needs neither of them.
@@ -803,7 +893,7 @@
             running.shared.work_for(EVENT_GAP).await;
         }
         if tx.send(Ok(rest)).await.is_ok() {
-            running.record(|written| written.is_ended = true);
+            running.record(Step::Ended);
         }
     });
     body
@@ -819,9 +909,9 @@
 ) -> ResponseBody {
     let (tx, body) = http::channel(1);
     let last_id = running.last_id;
-    running.record(|written| {
-        written.first_id = after + 1;
-        written.last_id = last_id;
+    running.record(Step::Head {
+        first_id: after + 1,
+        last_id,
     });
     tokio::spawn(async move {
         let shared = &running.shared;
@@ -855,8 +945,7 @@
                 _ => {}
             }
             let (start, rest) = running.event_text(number, &version);
-            let event = Bytes::from(format!("{start}{rest}"));
-            running.record(|written| written.events.push(event));
+            running.record(Step::Event(format!("{start}{rest}")));
             let chunks = if framing == Framing::HalfEvents {
                 vec![
                     (PausePoint::AfterEvents(sent), start),
@@ -883,7 +972,7 @@
             }
             shared.work_for(EVENT_GAP).await;
         }
-        running.record(|written| written.is_ended = true);
+        running.record(Step::Ended);
     });
     body
 }
