--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -15,6 +15,7 @@
 pub mod orders;
 pub mod relay;
 pub mod replica;
+pub mod replica_process;
 pub mod run_log;
 pub mod service;
 pub mod store;
