--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -17,6 +17,7 @@
 pub mod replica;
 pub mod replica_process;
 pub mod run_log;
+pub mod server_process;
 pub mod service;
 pub mod store;
 pub mod streams;
