--- a/bench/src/standin/replica_process.rs
+++ b/bench/src/standin/replica_process.rs
@@ -53,6 +53,7 @@
   --address IP:PORT    address to listen on (127.0.0.1:0)
   --born MS            start time, Unix time in milliseconds (1700000000000)
   --work-ms N          time to run a request that is no stream (15)
+  --slowness N         multiple of the usual time for a request and between events (1)
   --framing NAME       half-events, joined-events, with-length or unframed (half-events)
   --version NAME       software version (v1)
   --events N-M         least and largest number of events of streams, with --text-per-run (3-30)
@@ -108,6 +109,8 @@
     pub born: u64,
     /// Time that it takes to run a request that is no stream.
     pub work_time: Duration,
+    /// Multiple of the usual time that it takes to run a request, or to an event of a stream.
+    pub slowness: u32,
     /// How it writes its responses.
     pub framing: Framing,
     /// Version of its software.
@@ -131,6 +134,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             born: 1_700_000_000_000,
             work_time: Duration::from_millis(15),
+            slowness: 1,
             framing: Framing::default(),
             version: "v1".to_owned(),
             event_counts: VARIED_EVENTS,
@@ -168,6 +172,9 @@
             work_time: args
                 .opt_value_from_fn("--work-ms", millis)?
                 .unwrap_or(default.work_time),
+            slowness: args
+                .opt_value_from_str("--slowness")?
+                .unwrap_or(default.slowness),
             framing: args
                 .opt_value_from_fn("--framing", parse_framing)?
                 .unwrap_or(default.framing),
@@ -201,6 +208,7 @@
             format!("--address={}", self.address),
             format!("--born={}", self.born),
             format!("--work-ms={}", self.work_time.as_millis()),
+            format!("--slowness={}", self.slowness),
             format!("--framing={}", framing.map_or("", |(name, _)| name)),
             format!("--version={}", self.version),
             format!("--events={first}-{last}"),
@@ -334,6 +342,7 @@
     })?;
     let listener = TcpListener::from_std(listener)?;
     let replica = Replica::start_on(listener, options.start(address, born))?;
+    replica.set_slowness(options.slowness);
     replica.set_framing(options.framing);
     replica.set_software_version(&options.version);
     replica.set_event_counts(options.event_counts.clone());
--- a/bench/src/standin/server_process.rs
+++ b/bench/src/standin/server_process.rs
@@ -158,17 +158,32 @@
     ///
     /// Returns an error if the records can't be read.
     pub fn workers(&self) -> io::Result<Vec<LogOwner>> {
+        let logs = self.read_workers()?;
+        let mut workers: Vec<LogOwner> = logs.into_iter().map(|(owner, _)| owner).collect();
+        workers.sort_by_key(|owner| owner.worker);
+        Ok(workers)
+    }
+
+    /// Returns the worker that runs now and ran the request with this ID, or `None` if none did.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the records can't be read.
+    pub fn worker_of(&self, request_id: &str) -> io::Result<Option<LogOwner>> {
+        let mut logs = self.read_workers()?.into_iter();
+        let found = logs.find(|(_, runs)| runs.iter().any(|run| run.request_id == request_id));
+        Ok(found.map(|(owner, _)| owner))
+    }
+
+    /// Returns the workers that run now with their runs.
+    fn read_workers(&self) -> io::Result<Vec<(LogOwner, Vec<Run>)>> {
         let (group, folder) = {
             let state = lock(&self.state);
             (state.group()?, start_folder(&self.folder, state.starts))
         };
-        let logs = read_logs(&folder)?;
-        let owners = logs.into_iter().map(|(owner, _)| owner);
-        let mut workers: Vec<LogOwner> = owners
-            .filter(|owner| owner.worker.is_some() && is_in_group(owner, group))
-            .collect();
-        workers.sort_by_key(|owner| owner.worker);
-        Ok(workers)
+        let mut logs = read_logs(&folder)?;
+        logs.retain(|(owner, _)| owner.worker.is_some() && is_in_group(owner, group));
+        Ok(logs)
     }
 
     /// Sends a signal to a worker of [`ServerProcess::workers`]; does nothing if it has ended.
--- a/bench/tests/server_process.rs
+++ b/bench/tests/server_process.rs
@@ -140,6 +140,7 @@
         all.push(ReplicaOptions {
             born: 7,
             work_time: Duration::from_millis(3),
+            slowness: 5,
             framing,
             version: "v2".to_owned(),
             event_counts: 4..=49,
