--- a/bench/src/standin/server_process.rs
+++ b/bench/src/standin/server_process.rs
@@ -1,6 +1,7 @@
 //! A handle on a backend server that is a process of its own, for tests: signals reach it, and its runs can be read after it was
 //! killed.
 
+use nix::errno::Errno;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::sys::signal::killpg;
@@ -110,7 +111,11 @@
         let number = HANDLES.fetch_add(1, Relaxed);
         let name = format!("cb-replica-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder)?;
+        // An earlier process of this number that was killed left its folder.
+        match std::fs::remove_dir_all(&folder) {
+            Err(err) if err.kind() != io::ErrorKind::NotFound => return Err(err),
+            _ => {}
+        }
         let state = spawn(&program, &folder, options, 1)?;
         let server = Self {
             program,
@@ -193,10 +198,13 @@
     /// Returns an error if the signal can't be sent.
     pub fn signal_worker(&self, worker: &LogOwner, signal: Signal) -> io::Result<()> {
         let group = lock(&self.state).group()?;
-        if is_in_group(worker, group) {
-            kill(to_pid(worker.process)?, signal)?;
+        if !is_in_group(worker, group) {
+            return Ok(());
+        }
+        match kill(to_pid(worker.process)?, signal) {
+            Err(Errno::ESRCH) => Ok(()),
+            result => Ok(result?),
         }
-        Ok(())
     }
 
     /// Waits until it has ended after a signal.
--- a/bench/tests/server_process.rs
+++ b/bench/tests/server_process.rs
@@ -21,6 +21,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use nix::unistd::getpgid;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -335,6 +338,22 @@
     }
 }
 
+#[tokio::test]
+async fn workers_whose_parent_is_killed_end_and_free_the_address() {
+    let server = start(with_workers(2, Some(Duration::ZERO))).await;
+    let workers = wait_for_workers(&server, 2).await;
+
+    let worker = Pid::from_raw(workers[0].process.try_into().unwrap());
+    // The first process of the server gives the group its number.
+    kill(getpgid(Some(worker)).unwrap(), Signal::SIGKILL).unwrap();
+    server.wait_for_exit().await.unwrap();
+    server.restart(server.options()).await.unwrap();
+
+    let next = wait_for_workers(&server, 2).await;
+    assert!(next.iter().all(|worker| !workers.contains(worker)));
+    server.close().await.unwrap();
+}
+
 #[tokio::test]
 async fn a_stopped_server_finishes_what_it_runs_and_listens_no_more() {
     for workers in [None, with_workers(2, Some(Duration::ZERO)).workers] {
