--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,6 +9,7 @@
 use super::chat::CHAT_PATH;
 use super::plain::SERVICES_PATH;
 use super::reply::RequestTracker;
+use crate::border::REQUEST_ID_HEADER;
 use crate::config::ConfigSource;
 use crate::net::Body;
 use crate::net::CollectError;
@@ -17,6 +18,8 @@
 use crate::operations::Metrics;
 use crate::outcome::NotRun;
 use crate::outcome::Refusal;
+use crate::outcome::Unknown;
+use crate::outcome::problem_response;
 use crate::owner::Answer;
 use crate::timeline::Timeline;
 use async_trait::async_trait;
@@ -25,6 +28,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -113,4 +117,15 @@
         let answer = self.answer(&request, req).await;
         tracker.respond(answer)
     }
+
+    fn incomplete_response(&self, head: &Parts) -> Response<Body> {
+        let id = head.headers.get(REQUEST_ID_HEADER);
+        let request = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let refusal = Refusal::unknown(Unknown::Truncated);
+        let mut response = problem_response(&refusal, request);
+        if let Some(id) = id {
+            response.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+        }
+        response
+    }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -44,6 +44,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::http::response::Parts;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
@@ -144,6 +145,13 @@
             Err(_) => gateway.internal_error(&request_id),
         }
     }
+
+    fn incomplete_response(&self, head: &Parts) -> Response<Body> {
+        let gateway = &self.0;
+        let metadata = gateway.dialect.read_response(head.status, &head.headers);
+        let refusal = Refusal::new(StatusCode::BAD_GATEWAY, "answer incomplete");
+        gateway.refuse(&refusal, metadata.request_id.as_deref().unwrap_or_default())
+    }
 }
 
 /// Handles requests on the callers' address.
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -133,12 +133,15 @@
         self.metrics.record_latency(&self.route, time);
     }
 
-    /// Records what tells the caller that its answer is complete: `framing`, unless its version of HTTP has no chunks.
+    /// Returns whether the caller gets its answer only when that is complete, because its version of HTTP has no chunks.
+    pub(super) fn is_collected(&self) -> bool {
+        self.caller_version < Version::HTTP_11
+    }
+
+    /// Records what tells the caller that its answer is complete: `framing`, unless the answer is collected.
     pub(super) fn record_framing(&mut self, framing: BodyEnd) {
-        let has_chunks = self.caller_version >= Version::HTTP_11;
-        let is_unframed = framing == BodyEnd::LastChunk && !has_chunks;
-        self.framing = Some(if is_unframed {
-            BodyEnd::Connection
+        self.framing = Some(if self.is_collected() {
+            BodyEnd::Length
         } else {
             framing
         });
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use crate::decide::RunResult;
 use crate::net::Body;
 use crate::net::BodyError;
+use crate::net::CollectedSize;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -69,6 +70,8 @@
     status: StatusCode,
     /// What tells the end of the first server's stream.
     first_end: BodyEnd,
+    /// Size of what has been passed on, if the caller gets it only when the stream is complete.
+    collected: Option<CollectedSize>,
 }
 
 /// Builds the response to the caller from a server's stream, of which the first events have arrived or, if `events` is
@@ -92,6 +95,7 @@
     // A missing last chunk tells a break also behind relays that close a connection where they should reset it.
     exchange.report.record_framing(BodyEnd::LastChunk);
     let first_end = server_stream.body_end();
+    let collected = exchange.report.is_collected().then(CollectedSize::default);
     let mut caller_stream = CallerStream {
         last_id: exchange.named_event(),
         exchange,
@@ -99,6 +103,7 @@
         server_stream: Some(server_stream),
         next_events: None,
         first_end,
+        collected,
     };
     caller_stream.accept(events);
     let body = stream::unfold(caller_stream, |mut caller_stream| async move {
@@ -114,6 +119,11 @@
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             if let Some(events) = self.next_events.take() {
+                let size = self.collected.as_mut();
+                if size.is_some_and(|size| size.add(&events.bytes).is_err()) {
+                    self.abandon(RunResult::Good);
+                    return Some(Err(self.fail("too long for HTTP/1.0")));
+                }
                 return Some(Ok(events.bytes));
             }
             // Without the id of an event, another server would begin anew.
@@ -282,9 +292,13 @@
 
     /// Records that the stream ends early, and returns the error that breaks off the response to the caller.
     fn fail(&mut self, cause: &str) -> BodyError {
-        self.exchange
-            .report
-            .record_end(self.status, "cut off", cause);
+        let report = &mut self.exchange.report;
+        let status = if report.is_collected() {
+            StatusCode::BAD_GATEWAY
+        } else {
+            self.status
+        };
+        report.record_end(status, "cut off", cause);
         cause.to_owned().into()
     }
 }
--- a/src/net/caller_socket.rs
+++ b/src/net/caller_socket.rs
@@ -1,22 +1,15 @@
-//! The socket of a caller's connection. A response that only the end of the connection ends can't be told from a part of
-//! it by its bytes, so the connection is reset unless the response is complete. What the caller still sends after the last
-//! response is discarded for a while, because the system resets a connection that is closed with unread bytes.
+//! The socket of a caller's connection. What the caller still sends after the last response is discarded for a while, because
+//! the system resets a connection that is closed with unread bytes.
 
 use super::Body;
-use super::BodyError;
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Body as _;
-use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::body::SizeHint;
 use hyper::header::CONTENT_LENGTH;
-use socket2::SockRef;
 use std::io;
 use std::io::IoSlice;
 use std::mem::MaybeUninit;
@@ -63,15 +56,25 @@
     pub(super) fn version(&self) -> Version {
         self.version
     }
+
+    /// Returns whether only the end of the connection would end `response`.
+    pub(super) fn leaves_unframed(&self, response: &Response<Body>) -> bool {
+        let status = response.status();
+        let has_no_body = self.method == Method::HEAD
+            || is_tunnel(response, self)
+            || status.is_informational()
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        let has_length = response.body().is_end_stream()
+            || response.body().size_hint().exact().is_some()
+            || response.headers().contains_key(CONTENT_LENGTH);
+        self.version < Version::HTTP_11 && !has_no_body && !has_length
+    }
 }
 
 /// The latest response on a connection. Only the task of a connection of HTTP/1 reads and changes it.
 #[derive(Debug, Default)]
 pub(super) struct LatestResponse {
-    /// Whether only the end of the connection ends the response.
-    is_unframed: AtomicBool,
-    /// Whether the last byte of an unframed response has been passed on for sending.
-    is_complete: AtomicBool,
     /// Whether the connection carries nothing but requests and responses of HTTP/1.
     is_http1: AtomicBool,
     /// Whether the request has a body, which may not have been read to its end.
@@ -80,23 +83,10 @@
 
 impl LatestResponse {
     /// Registers `response`, which is about to be sent.
-    pub(super) fn begin(
-        self: &Arc<Self>,
-        response: Response<Body>,
-        req: &RequestTraits,
-    ) -> Response<Body> {
-        let is_http1 = req.version < Version::HTTP_2 && !is_tunnel(&response, req);
-        let is_unframed = is_unframed(&response, req);
+    pub(super) fn begin(&self, response: &Response<Body>, req: &RequestTraits) {
+        let is_http1 = req.version < Version::HTTP_2 && !is_tunnel(response, req);
         self.is_http1.store(is_http1, Ordering::Relaxed);
         self.has_request_body.store(req.has_body, Ordering::Relaxed);
-        self.is_unframed.store(is_unframed, Ordering::Relaxed);
-        if !is_unframed {
-            return response;
-        }
-        response.map(|inner| {
-            let response = Arc::clone(self);
-            UnframedBody { inner, response }.boxed_unsync()
-        })
     }
 }
 
@@ -107,66 +97,12 @@
         || req.method == Method::CONNECT && status.is_success()
 }
 
-/// Returns whether only the end of the connection will end `response`.
-fn is_unframed(response: &Response<Body>, req: &RequestTraits) -> bool {
-    let status = response.status();
-    let has_no_body = req.method == Method::HEAD
-        || is_tunnel(response, req)
-        || status.is_informational()
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    let has_chunks = req.version >= Version::HTTP_2
-        || req.version == Version::HTTP_11 && response.version() >= Version::HTTP_11;
-    let has_length = response.body().is_end_stream()
-        || response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(CONTENT_LENGTH);
-    !(has_no_body || has_chunks || has_length)
-}
-
-/// The body of an unframed response; records that it is complete.
-struct UnframedBody {
-    inner: Body,
-    response: Arc<LatestResponse>,
-}
-
-impl hyper::body::Body for UnframedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = ready!(Pin::new(&mut self.inner).poll_frame(cx));
-        let is_end = match &polled {
-            // The server does not poll again after trailers or the last frame.
-            Some(Ok(frame)) => frame.is_trailers() || self.inner.is_end_stream(),
-            Some(Err(_)) => false,
-            None => true,
-        };
-        if is_end {
-            self.response.is_complete.store(true, Ordering::Relaxed);
-        }
-        Poll::Ready(polled)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
 /// The socket of a caller's connection.
 #[derive(Debug)]
 pub(super) struct CallerSocket {
     stream: TcpStream,
     response: Arc<LatestResponse>,
     is_draining: Arc<AtomicBool>,
-    /// Whether closing the socket resets the connection, even if the process is killed.
-    resets: bool,
     /// Set once the connection has been shut down for sending.
     discard: Option<Discard>,
 }
@@ -190,33 +126,10 @@
             stream,
             response,
             is_draining,
-            resets: false,
             discard: None,
         }
     }
 
-    /// Makes sure that the connection is reset from the first byte of an unframed response on.
-    fn prepare_write(&mut self) -> io::Result<()> {
-        if !self.resets && self.response.is_unframed.load(Ordering::Relaxed) {
-            self.stream.set_zero_linger()?;
-            self.resets = true;
-        }
-        Ok(())
-    }
-
-    /// Shuts the connection down for sending.
-    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.response.is_unframed.load(Ordering::Relaxed) {
-            if !self.response.is_complete.load(Ordering::Relaxed) {
-                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
-            // All bytes are written by now, and closing the socket must not discard those on their way.
-            SockRef::from(&self.stream).set_linger(None)?;
-            self.resets = false;
-        }
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
     /// Reads what the caller still sends. Ends when it closes the connection, when nothing can be expected of it, and at the
     /// limits of bytes and time.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
@@ -262,7 +175,6 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.prepare_write()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -271,7 +183,6 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.prepare_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -285,7 +196,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.discard.is_none() {
-            ready!(self.poll_end(cx))?;
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         }
         if self.response.is_http1.load(Ordering::Relaxed) {
             ready!(self.poll_discard(cx));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod caller_socket;
 mod client;
+mod collected;
 mod connector;
 mod server;
 mod timeout;
@@ -20,6 +21,7 @@
 pub use client::Client;
 pub use client::ClientOptions;
 pub use client::SendError;
+pub use collected::CollectedSize;
 pub use connector::Connection;
 pub use connector::Connector;
 pub use connector::TcpConnector;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -6,13 +6,17 @@
 use super::caller_socket::CallerSocket;
 use super::caller_socket::LatestResponse;
 use super::caller_socket::RequestTraits;
+use super::collected;
+use super::empty_body;
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
+use hyper::http::response::Parts;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -53,6 +57,13 @@
 
     /// Returns the response to `req`; `peer` is the remote address of the connection.
     async fn handle(&self, req: Request<Incoming>, peer: SocketAddr) -> Response<Body>;
+
+    /// Returns the response in place of one with this `head` whose body broke off, or is too large, before any of it was sent.
+    fn incomplete_response(&self, _head: &Parts) -> Response<Body> {
+        let mut response = Response::new(empty_body());
+        *response.status_mut() = StatusCode::BAD_GATEWAY;
+        response
+    }
 }
 
 /// HTTP versions that a listener supports.
@@ -222,11 +233,20 @@
         async move {
             let traits = RequestTraits::of(&req);
             let mut response = handler.handle(req, peer).await;
+            // A response of an older version would not get chunks.
+            *response.version_mut() = Version::HTTP_11;
+            if traits.leaves_unframed(&response) {
+                let collecting = collected::with_length(response);
+                response = collecting
+                    .await
+                    .unwrap_or_else(|head| handler.incomplete_response(&head));
+            }
             if traits.version() == Version::HTTP_11 && is_draining.load(Ordering::Relaxed) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(latest.begin(response, &traits))
+            latest.begin(&response, &traits);
+            Ok::<_, Infallible>(response)
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
