--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -195,6 +195,8 @@
     behavior: Mutex<Behavior>,
     framing: Mutex<Framing>,
     has_text_per_run: AtomicBool,
+    /// Numbers of events of streams, if it writes a text per run.
+    event_counts: Mutex<Vec<u64>>,
     runs: Mutex<Vec<Run>>,
     running: AtomicU32,
     rejected: AtomicU32,
@@ -307,7 +309,7 @@
         shared.running.fetch_add(1, Relaxed);
         let has_own_text = shared.has_text_per_run.load(Relaxed);
         let last_id = if has_own_text {
-            event_count(&run)
+            event_count(&run, &lock(&shared.event_counts))
         } else {
             EVENTS
         };
@@ -354,8 +356,8 @@
 }
 
 /// Returns the number of events of the stream that `run` begins or goes on with: the same for all attempts of its caller,
-/// which name the first.
-fn event_count(run: &Run) -> u64 {
+/// which name the first, and one of `counts`.
+fn event_count(run: &Run, counts: &[u64]) -> u64 {
     let resumed = http::header(&run.headers, "resumes");
     let first_attempt = if resumed.is_empty() {
         &run.request_id
@@ -364,8 +366,7 @@
     };
     let mut hasher = DefaultHasher::new();
     first_attempt.hash(&mut hasher);
-    let (first, last) = (*VARIED_EVENTS.start(), *VARIED_EVENTS.end());
-    first + hasher.finish() % (last - first + 1)
+    counts[(hasher.finish() % counts.len() as u64) as usize]
 }
 
 /// A running backend server.
@@ -406,6 +407,7 @@
             behavior: Mutex::default(),
             framing: Mutex::default(),
             has_text_per_run: AtomicBool::new(false),
+            event_counts: Mutex::new(VARIED_EVENTS.collect()),
             runs: Mutex::default(),
             running: AtomicU32::new(0),
             rejected: AtomicU32::new(0),
@@ -485,6 +487,11 @@
         self.shared.has_text_per_run.store(true, Relaxed);
     }
 
+    /// Sets the numbers of events of its streams, at least one, if it writes a text per run. Each stream has one of them.
+    pub fn set_event_counts(&self, counts: &[u64]) {
+        *lock(&self.shared.event_counts) = counts.to_vec();
+    }
+
     /// Sets the version of its software, which its entry and the events of its streams name.
     pub fn set_software_version(&self, version: &str) {
         version.clone_into(&mut lock(&self.shared.software_version));
