--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -241,7 +241,8 @@
     behavior: Mutex<Behavior>,
     framing: Mutex<Framing>,
     has_text_per_run: AtomicBool,
-    event_counts: Mutex<RangeInclusive<u64>>,
+    /// Numbers of events of streams, if it writes a text per run.
+    event_counts: Mutex<Vec<u64>>,
     runs: Mutex<Vec<Run>>,
     /// Where the runs are kept beside `runs`, for readers that outlive the process.
     run_log: OnceLock<RunLog>,
@@ -412,8 +413,8 @@
 }
 
 /// Returns the number of events of the stream that `run` begins or goes on with: the same for all attempts of its caller,
-/// which name the first.
-fn event_count(run: &Run, counts: &RangeInclusive<u64>) -> u64 {
+/// which name the first, and one of `counts`.
+fn event_count(run: &Run, counts: &[u64]) -> u64 {
     let resumed = http::header(&run.headers, "resumes");
     let first_attempt = if resumed.is_empty() {
         &run.request_id
@@ -422,8 +423,7 @@
     };
     let mut hasher = DefaultHasher::new();
     first_attempt.hash(&mut hasher);
-    let (first, last) = (*counts.start(), *counts.end());
-    first + hasher.finish() % (last - first + 1)
+    counts[(hasher.finish() % counts.len() as u64) as usize]
 }
 
 /// A running backend server.
@@ -474,7 +474,7 @@
             behavior: Mutex::default(),
             framing: Mutex::default(),
             has_text_per_run: AtomicBool::new(false),
-            event_counts: Mutex::new(VARIED_EVENTS),
+            event_counts: Mutex::new(VARIED_EVENTS.collect()),
             runs: Mutex::default(),
             run_log: OnceLock::new(),
             running: AtomicU32::new(0),
@@ -555,9 +555,9 @@
         self.shared.has_text_per_run.store(true, Relaxed);
     }
 
-    /// Sets the numbers of events of which streams have one each, if each run writes its own text.
-    pub fn set_event_counts(&self, counts: RangeInclusive<u64>) {
-        *lock(&self.shared.event_counts) = counts;
+    /// Sets the numbers of events, at least one, of which streams have one each, if each run writes its own text.
+    pub fn set_event_counts(&self, counts: impl IntoIterator<Item = u64>) {
+        *lock(&self.shared.event_counts) = counts.into_iter().collect();
     }
 
     /// Keeps its runs in `log` too, from now on and before their bytes are sent. Only the first log that is set is used.
