--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -5,15 +5,16 @@
 use super::pool::Pool;
 use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
+pub(super) use crate::decide::LifeSign;
 use crate::net::collect;
 use crate::net::empty_body;
 use crate::net::timeout_at;
-use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::http::response;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -22,31 +23,6 @@
 /// Maximum size of an engine's report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
-/// What a server's address tells of the process that its entry names.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum LifeSign {
-    /// That process answers.
-    SameProcess,
-    /// Another process answers.
-    OtherProcess,
-    /// Something accepts connections, but no server answers on them in time.
-    NoAnswer,
-    /// Nothing accepts a connection in time.
-    Unreachable,
-}
-
-impl LifeSign {
-    /// Returns the name that log lines and metrics give it.
-    pub(super) fn as_str(self) -> &'static str {
-        match self {
-            Self::SameProcess => "same process",
-            Self::OtherProcess => "other process",
-            Self::NoAnswer => "no answer",
-            Self::Unreachable => "unreachable",
-        }
-    }
-}
-
 impl Gateway {
     /// Asks `server` on `connection` which process it is, until `deadline` at most.
     pub(super) async fn ask_for_life_sign(
@@ -60,67 +36,81 @@
         let service = configuration
             .as_ref()
             .and_then(|configuration| configuration.service(&server.entry.service));
+        let Some(service) = service else {
+            return LifeSign::Unnamed;
+        };
         let asking = async {
-            let service = service?;
             if service.engine.is_some() {
                 return self.read_report(server, connection).await;
             }
-            let path = service.health_path.as_deref()?;
-            self.read_health(server, connection, path).await
+            match service.health_path.as_deref() {
+                Some(path) => self.read_health(server, connection, path).await,
+                None => LifeSign::Unnamed,
+            }
         };
-        let is_same = timeout_at(until, asking).await.ok().flatten();
-        match is_same {
-            Some(true) => LifeSign::SameProcess,
-            Some(false) => LifeSign::OtherProcess,
-            None => LifeSign::NoAnswer,
-        }
+        let told = timeout_at(until, asking).await;
+        told.unwrap_or(LifeSign::Silent)
     }
 
-    /// Asks an engine for its report. Returns whether it is of the process that the entry names, by the start time; `None` if
-    /// there is no report that tells.
-    async fn read_report(
-        &self,
-        server: &BackendServer,
-        connection: ServerConnection,
-    ) -> Option<bool> {
+    /// Asks an engine for its report, whose start time tells the process.
+    async fn read_report(&self, server: &BackendServer, connection: ServerConnection) -> LifeSign {
         let path = self.dialect.report_path();
         let response = ask(server, connection, path, async |response| {
-            if response.status() != StatusCode::OK {
-                return None;
-            }
-            collect(response.into_body(), MAX_REPORT_BYTES).await.ok()
+            let (head, body) = response.into_parts();
+            let report = collect(body, MAX_REPORT_BYTES).await.ok()?;
+            Some((head, report))
         });
-        let report: Bytes = response.await?;
+        let Some((head, report)) = response.await else {
+            return LifeSign::NoAnswer;
+        };
+        if head.status != StatusCode::OK {
+            return self.read_failure(&head);
+        }
         // An entry without a start time has zero, as has a server that never started again.
         let expected = server.entry.start_time_ms;
-        let reported = self.dialect.read_start_time(&report);
-        match reported {
-            Some(reported) => Some(expected == reported),
-            None => (expected == 0).then_some(true),
+        match self.dialect.read_start_time(&report) {
+            Some(reported) if reported == expected => LifeSign::SameProcess,
+            Some(_) => LifeSign::OtherProcess,
+            None if expected == 0 => LifeSign::SameProcess,
+            None => LifeSign::Unnamed,
         }
     }
 
-    /// Asks a plain server for its health. Returns whether it has the name that the entry has; `None` if no server tells its name
-    /// or that it is full.
+    /// Asks a plain server for its health, which has the server's name.
     async fn read_health(
         &self,
         server: &BackendServer,
         connection: ServerConnection,
         path: &str,
-    ) -> Option<bool> {
+    ) -> LifeSign {
         let head = ask(server, connection, path, async |response| {
             Some(response.into_parts().0)
         });
-        let head = head.await?;
+        let Some(head) = head.await else {
+            return LifeSign::NoAnswer;
+        };
         match self.dialect.read_server_id(&head.headers) {
-            Some(name) => Some(name == server.id),
-            None => {
-                let metadata = self.dialect.read_response(head.status, &head.headers);
-                let is_full = head.status == StatusCode::SERVICE_UNAVAILABLE && metadata.is_not_run;
-                is_full.then_some(true)
-            }
+            Some(name) if name == server.id => LifeSign::SameProcess,
+            Some(_) => LifeSign::OtherProcess,
+            None if self.is_full(&head) => LifeSign::SameProcess,
+            None => self.read_failure(&head),
         }
     }
+
+    /// Returns what an answer tells that names no process. One that reports a failure may be a relay's.
+    fn read_failure(&self, head: &response::Parts) -> LifeSign {
+        if head.status.is_server_error() && !self.is_full(head) {
+            LifeSign::NoAnswer
+        } else {
+            LifeSign::Unnamed
+        }
+    }
+
+    /// Returns whether a server says that it did not run a request because it runs as many as it can.
+    fn is_full(&self, head: &response::Parts) -> bool {
+        let metadata = self.dialect.read_response(head.status, &head.headers);
+        head.status == StatusCode::SERVICE_UNAVAILABLE && metadata.is_not_run
+    }
 }
 
 /// Sends a request for `path` on `connection` and reads the response with `read`.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod request_identity;
 mod response_memory;
 mod send_gate;
+mod server_evidence;
 mod server_paths;
 mod server_rates;
 mod server_stream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -15,6 +15,7 @@
 use super::response_memory::ResponseMemory;
 use super::send_gate::ColdAllowance;
 use super::send_gate::SendGate;
+use super::server_evidence::ServerEvidence;
 use super::server_paths::ServerPaths;
 use super::server_rates::ServerRates;
 use super::settings::GatewayBounds;
@@ -297,8 +298,8 @@
         gateway.gate.set_node_names(peers.names());
         let loop_watch = LoopWatch::start(&gateway.metrics, &logs);
         gateway.paths.set_tunnels(peers.tunnels());
-        let reach = Arc::clone(&gateway.paths);
-        gateway.quarantine.set_reach(reach as Arc<dyn ServerReach>);
+        let evidence: Arc<dyn ServerReach> = Arc::new(ServerEvidence::new(&gateway));
+        gateway.quarantine.set_reach(evidence);
         peers.carry_tunnels(Arc::clone(&gateway.paths) as Arc<dyn DirectPaths>);
         let path_probe = PathProbe::start(&gateway, bounds.heartbeat);
         let pruner = tokio::spawn(prune(Arc::clone(&gateway)));
--- /dev/null
+++ b/src/gateway/server_evidence.rs
@@ -0,0 +1,74 @@
+//! Asks servers at which requests break off, directly and through other gateways, whether they live on.
+
+use super::handler::Gateway;
+use super::life_sign::LIFE_SIGN_TIMEOUT;
+use super::life_sign::LifeSign;
+use super::pool::ConnectError;
+use super::server_paths::ServerConnection;
+use crate::catalog::BackendServer;
+use crate::net::timeout_at;
+use crate::quarantine::ServerReach;
+use async_trait::async_trait;
+use slog::info;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time within which a server must have answered through a helper. The quarantine waits somewhat longer for all helpers.
+const HELPER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What one gateway can find out about servers for its quarantine, which the gateway owns.
+pub(super) struct ServerEvidence(Weak<Gateway>);
+
+impl ServerEvidence {
+    pub(super) fn new(gateway: &Arc<Gateway>) -> Self {
+        Self(Arc::downgrade(gateway))
+    }
+}
+
+impl Gateway {
+    /// Asks `server` on a new direct connection which process it is.
+    pub(super) async fn ask_directly(&self, server: &BackendServer) -> LifeSign {
+        let until = Instant::now() + LIFE_SIGN_TIMEOUT;
+        let connecting = self.paths.open_directly(server);
+        match timeout_at(until, connecting).await {
+            Ok(Ok(connection)) => self.ask_for_life_sign(server, connection, until).await,
+            _ => LifeSign::Unreachable,
+        }
+    }
+
+    /// Asks `server` through a helper, which may have reached no more than a relay before it.
+    async fn ask_through(
+        &self,
+        server: &BackendServer,
+        connection: ServerConnection,
+    ) -> Result<(), ConnectError> {
+        let until = Instant::now() + HELPER_TIMEOUT;
+        let sign = self.ask_for_life_sign(server, connection, until).await;
+        if sign.is_gone() {
+            return Err(ConnectError::Failed(sign.as_str().to_owned()));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl ServerReach for ServerEvidence {
+    async fn life_sign(&self, server: &BackendServer) -> LifeSign {
+        let Some(gateway) = self.0.upgrade() else {
+            return LifeSign::Unreachable;
+        };
+        let sign = gateway.ask_directly(server).await;
+        info!(gateway.logs.log(), "server asked after a break"; "server" => &server.id, "sign" => sign.as_str());
+        sign
+    }
+
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
+        let Some(gateway) = self.0.upgrade() else {
+            return false;
+        };
+        let ask = |connection| gateway.ask_through(server, connection);
+        gateway.paths.is_reached_by_others(server, &ask).await
+    }
+}
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -21,7 +21,6 @@
 use crate::peers::NodeEntry;
 use crate::peers::TunnelError;
 use crate::peers::Tunnels;
-use crate::quarantine::ServerReach;
 use async_trait::async_trait;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
@@ -78,7 +77,7 @@
     took: Duration,
 }
 
-type Opening<'a> = BoxFuture<'a, (Option<String>, Result<ServerConnection, ConnectError>)>;
+type Opening<'a, T = ServerConnection> = BoxFuture<'a, (Option<String>, Result<T, ConnectError>)>;
 
 impl ServerPaths {
     pub(super) fn new(
@@ -166,7 +165,7 @@
 
     /// Connects to `server` directly. The try goes on if the caller doesn't wait for it, since its result is of use for the
     /// next request.
-    async fn open_directly(
+    pub(super) async fn open_directly(
         self: &Arc<Self>,
         server: &BackendServer,
     ) -> Result<ServerConnection, ConnectError> {
@@ -226,6 +225,36 @@
         self.connect(server, request).await
     }
 
+    /// Returns whether `server`, which can't be reached directly, runs on, as `ask` finds out on a connection through another
+    /// gateway.
+    pub(super) async fn is_reached_by_others<F>(
+        &self,
+        server: &BackendServer,
+        ask: &(impl Fn(ServerConnection) -> F + Sync),
+    ) -> bool
+    where
+        F: Future<Output = Result<(), ConnectError>> + Send,
+    {
+        self.record_direct(server, Some(ConnectFailure::Refused));
+        let tunnels = self.tunnels.get();
+        let helpers = tunnels.map(|tunnels| tunnels.helpers(server));
+        let helpers = helpers.unwrap_or_default();
+        let ways = helpers.iter().map(|helper| -> Opening<'_, ()> {
+            Box::pin(async {
+                let asked = match self.open_tunnel(helper, server, "").await {
+                    Ok(connection) => ask(connection).await,
+                    Err(err) => Err(err),
+                };
+                (Some(helper.name.clone()), asked)
+            })
+        });
+        let is_reached = first_of(ways.collect()).await.is_ok();
+        if !is_reached {
+            self.update_row(server, |row| row.doubted_since = Some(BootInstant::now()));
+        }
+        is_reached
+    }
+
     /// Tries the direct path to `server`; keeps no connection.
     pub(super) async fn probe_directly(self: &Arc<Self>, server: &BackendServer) {
         // The result is recorded with the path.
@@ -379,27 +408,6 @@
     }
 }
 
-#[async_trait]
-impl ServerReach for ServerPaths {
-    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
-        self.record_direct(server, Some(ConnectFailure::Refused));
-        let tunnels = self.tunnels.get();
-        let helpers = tunnels.map(|tunnels| tunnels.helpers(server));
-        let helpers = helpers.unwrap_or_default();
-        let ways = helpers.iter().map(|helper| -> Opening<'_> {
-            Box::pin(async {
-                let opened = self.open_tunnel(helper, server, "").await;
-                (Some(helper.name.clone()), opened)
-            })
-        });
-        let is_reached = first_of(ways.collect()).await.is_ok();
-        if !is_reached {
-            self.update_row(server, |row| row.doubted_since = Some(BootInstant::now()));
-        }
-        is_reached
-    }
-}
-
 #[async_trait]
 impl DirectPaths for ServerPaths {
     async fn connect_directly(
@@ -436,9 +444,9 @@
     }
 }
 
-/// Returns the first connection, or the ways that failed if none led to the server. Each way is begun when the one before has
+/// Returns what the first way brought, or the ways that failed if none led to the server. Each way is begun when the one before has
 /// failed or has led nowhere for [`NEXT_WAY_DELAY`].
-async fn first_of(mut ways: VecDeque<Opening<'_>>) -> Result<ServerConnection, Vec<FailedWay>> {
+async fn first_of<T>(mut ways: VecDeque<Opening<'_, T>>) -> Result<T, Vec<FailedWay>> {
     let mut openings = FuturesUnordered::new();
     let mut failed = Vec::new();
     openings.extend(ways.pop_front().map(timed));
@@ -470,7 +478,7 @@
 }
 
 /// Awaits `opening` and measures it.
-async fn timed(opening: Opening<'_>) -> Result<ServerConnection, FailedWay> {
+async fn timed<T>(opening: Opening<'_, T>) -> Result<T, FailedWay> {
     let began = Instant::now();
     let (helper, opened) = opening.await;
     let took = began.elapsed();
--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -5,13 +5,19 @@
 use crate::clock::BootInstant;
 use crate::decide::Crash;
 use crate::decide::Incarnation;
+use crate::decide::LifeSign;
 use crate::decide::Suspect;
 use crate::decide::is_common_loss;
 use async_trait::async_trait;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use futures_util::future::Shared;
 use futures_util::future::join_all;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 /// Timeout for the connection to a server that may have crashed. A server that can't be reached in this time may as well
@@ -23,10 +29,14 @@
 /// Maximum number of other servers that are tried in the data centre of a crashed one, and in all others together.
 const MAX_COMPARED: usize = 12;
 
-/// Tells whether a server that refuses this gateway's connections runs on.
+/// Tells what runs at a server's address, by its answers: connections are accepted for servers that are gone too
+/// (`docs/CRASHING-PARTS.md`).
 #[async_trait]
 pub trait ServerReach: Send + Sync {
-    /// Returns whether another gateway reaches `server`.
+    /// Asks `server` directly which process answers.
+    async fn life_sign(&self, server: &BackendServer) -> LifeSign;
+
+    /// Returns whether another gateway reaches `server`, which does not answer here.
     async fn is_reached_by_others(&self, server: &BackendServer) -> bool;
 }
 
@@ -34,11 +44,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Probe {
     Accepted,
+    /// Connections are accepted, but the process that the server's entry names has ended, or the link behind what accepts is cut.
+    Gone,
     /// Nothing listens at the address any more, or the link to it is cut.
     Refused,
     Silent,
 }
 
+/// A question that is put to a server, and its answer.
+pub(super) type Question = (Incarnation, Shared<BoxFuture<'static, LifeSign>>);
+
 impl Quarantine {
     /// Records `suspect`, which `server` has not answered whole, if the server has crashed. Returns whether it has, as far as
     /// can be told now: one that accepts connections may have crashed and be back, which the server list tells later.
@@ -53,9 +68,11 @@
     ) -> bool {
         let at = BootInstant::now();
         let incarnation = Incarnation::of(server);
+        let mut is_relayed = false;
         if !self.is_known_crash(&incarnation) {
-            match self.probe_after_break(server.entry.address).await {
+            match self.probe_after_break(server).await {
                 Probe::Refused => {}
+                Probe::Gone => is_relayed = true,
                 Probe::Accepted => {
                     self.record_break(server, suspect, at);
                     return false;
@@ -79,7 +96,9 @@
             return false;
         }
         if !self.is_known_crash(&incarnation)
-            && self.has_lost_others(server, &suspect, listed).await
+            && self
+                .has_lost_others(server, &suspect, listed, is_relayed)
+                .await
         {
             self.record_common_loss(server);
             return false;
@@ -110,12 +129,14 @@
     }
 
     /// Tries other servers at the same time and records the ones that can't be reached either. Returns whether these are
-    /// so many, in the data centre of `server` or in all, that their common cause is no request.
+    /// so many, in the data centre of `server` or in all, that their common cause is no request. Servers that are `relayed`
+    /// must answer.
     async fn has_lost_others(
         &self,
         server: &BackendServer,
         suspect: &Suspect,
         listed: &[BackendServer],
+        relayed: bool,
     ) -> bool {
         let others = listed.iter().filter(|other| other.id != server.id);
         let (mut near, mut far): (Vec<_>, Vec<_>) =
@@ -127,7 +148,11 @@
         let near = sample(&near, suspect.request);
         let far = sample(&far, suspect.request);
         let connecting = near.iter().chain(&far);
-        let probes = join_all(connecting.map(|other| self.probe(other.entry.address))).await;
+        let probing = connecting.map(async |other| match self.probe(other.entry.address).await {
+            Probe::Accepted if relayed && self.life_sign(other).await.is_gone() => Probe::Gone,
+            probe => probe,
+        });
+        let probes = join_all(probing).await;
         let at = BootInstant::now();
         for (other, probe) in near.iter().chain(&far).zip(&probes) {
             if *probe != Probe::Accepted {
@@ -143,17 +168,52 @@
             || is_common_loss(count_lost(&probes), probes.len())
     }
 
-    /// Tries to connect to `address`, at which a connection has just broken off, until a killed process would refuse it.
-    async fn probe_after_break(&self, address: SocketAddr) -> Probe {
+    /// Tries to reach `server`, at which a connection has just broken off, until a killed process would refuse it.
+    async fn probe_after_break(&self, server: &BackendServer) -> Probe {
+        let address = server.entry.address;
         match self.probe(address).await {
             Probe::Accepted => {
                 tokio::time::sleep(CLOSING_TIME).await;
-                self.probe(address).await
+                match self.life_sign(server).await {
+                    LifeSign::Unreachable => self.probe(address).await,
+                    sign if sign.is_gone() => Probe::Gone,
+                    _ => Probe::Accepted,
+                }
             }
             probe => probe,
         }
     }
 
+    /// Asks `server` which process answers; requests that break off at one crash share a question.
+    async fn life_sign(&self, server: &BackendServer) -> LifeSign {
+        let Some(reach) = self.reach.get() else {
+            return LifeSign::Unreachable;
+        };
+        let incarnation = Incarnation::of(server);
+        let answer = {
+            let mut questions = self.lock_questions();
+            match questions.iter().find(|asked| asked.0 == incarnation) {
+                Some((_, answer)) => answer.clone(),
+                None => {
+                    let (reach, server) = (Arc::clone(reach), server.clone());
+                    let asking = async move { reach.life_sign(&server).await };
+                    let answer = asking.boxed().shared();
+                    questions.push((incarnation, answer.clone()));
+                    answer
+                }
+            }
+        };
+        let sign = answer.clone().await;
+        let mut questions = self.lock_questions();
+        questions.retain(|asked| !asked.1.ptr_eq(&answer));
+        sign
+    }
+
+    fn lock_questions(&self) -> MutexGuard<'_, Vec<Question>> {
+        let questions = self.questions.lock();
+        questions.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tries to connect to `address`. A server that only reset a connection still listens.
     async fn probe(&self, address: SocketAddr) -> Probe {
         let connecting = self.connector.connect(address);
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -1,6 +1,7 @@
 //! What one gateway knows of crashes and held parts.
 
 use super::breaks::Breaks;
+use super::probe::Question;
 use super::probe::ServerReach;
 use super::record::CrashEvent;
 use super::record::Records;
@@ -64,9 +65,11 @@
     changes: watch::Sender<u64>,
     /// Held while a report of a crash is compared with other servers.
     pub(super) probing: tokio::sync::Mutex<()>,
+    /// Questions that are being put to servers that broke off.
+    pub(super) questions: Mutex<Vec<Question>>,
     /// Finds out whether servers that broke off accept connections.
     pub(super) connector: Arc<dyn Connector>,
-    /// Asks other gateways for servers; unset until the peers have started.
+    /// Asks servers and other gateways; unset until the peers have started.
     pub(super) reach: OnceLock<Arc<dyn ServerReach>>,
     pub(super) logs: Logs,
 }
@@ -79,6 +82,7 @@
             started_at: BootInstant::now(),
             changes: watch::Sender::new(0),
             probing: tokio::sync::Mutex::default(),
+            questions: Mutex::default(),
             connector: Arc::clone(connector),
             reach: OnceLock::new(),
             logs,
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -19,6 +19,7 @@
 use crate::catalog::ServerRecord;
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
+use crate::decide::LifeSign;
 use crate::decide::PartVerdict;
 use crate::decide::Sight;
 use crate::decide::Sighting;
@@ -37,6 +38,8 @@
 use async_trait::async_trait;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -102,13 +105,30 @@
     }
 }
 
-/// Other gateways that all reach the servers.
-struct ReachedByOthers;
+/// What is found out of servers: those that `gone` names, and whether other gateways reach all.
+#[derive(Default)]
+struct Found {
+    gone: Vec<&'static str>,
+    /// What the servers that are gone show.
+    sign: Option<LifeSign>,
+    is_reached_by_others: bool,
+    questions: AtomicUsize,
+}
 
 #[async_trait]
-impl ServerReach for ReachedByOthers {
+impl ServerReach for Found {
+    async fn life_sign(&self, server: &BackendServer) -> LifeSign {
+        self.questions.fetch_add(1, Relaxed);
+        tokio::time::sleep(ms(10)).await;
+        if self.gone.contains(&&*server.id) {
+            self.sign.unwrap_or(LifeSign::NoAnswer)
+        } else {
+            LifeSign::SameProcess
+        }
+    }
+
     async fn is_reached_by_others(&self, _server: &BackendServer) -> bool {
-        true
+        self.is_reached_by_others
     }
 }
 
@@ -117,7 +137,10 @@
 async fn a_server_that_only_other_gateways_reach_shows_no_crash() {
     let mut servers = Servers::start(&["a", "b", "b"]).await;
     let gateway = quarantine();
-    gateway.set_reach(Arc::new(ReachedByOthers));
+    gateway.set_reach(Arc::new(Found {
+        is_reached_by_others: true,
+        ..Found::default()
+    }));
     let mut reported = Vec::new();
 
     for number in 0..3 {
@@ -175,6 +198,80 @@
     assert_eq!(connections, 1);
 }
 
+/// Reports that a request broke off at the first of three servers, all of which accept connections. Returns whether the server
+/// counts as crashed.
+async fn report_accepted(found: Found) -> bool {
+    let servers = Servers::start(&["a", "b", "b"]).await;
+    let gateway = quarantine();
+    gateway.set_reach(Arc::new(found));
+    servers.report_break(&gateway, 0, 40).await
+}
+
+fn first_gone(sign: LifeSign) -> Found {
+    Found {
+        gone: vec!["i-0"],
+        sign: Some(sign),
+        ..Found::default()
+    }
+}
+
+#[tokio::test]
+async fn a_server_that_is_gone_counts_as_living_because_a_relay_accepts_for_it() {
+    for sign in [LifeSign::NoAnswer, LifeSign::OtherProcess] {
+        assert!(report_accepted(first_gone(sign)).await, "{sign:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_server_that_answers_late_or_without_its_name_counts_as_crashed() {
+    for sign in [LifeSign::Silent, LifeSign::Unnamed, LifeSign::SameProcess] {
+        assert!(!report_accepted(first_gone(sign)).await, "{sign:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_server_that_answers_other_gateways_counts_as_crashed_since_a_relay_lost_it_here() {
+    let found = Found {
+        is_reached_by_others: true,
+        ..first_gone(LifeSign::NoAnswer)
+    };
+
+    assert!(!report_accepted(found).await);
+}
+
+#[tokio::test]
+async fn servers_that_are_cut_off_behind_their_relays_count_as_crashed() {
+    let servers = Servers::start(&["a", "a", "a", "a", "a", "b", "b", "b", "b", "b"]).await;
+    let gateway = quarantine();
+    gateway.set_reach(Arc::new(Found {
+        gone: vec!["i-0", "i-1", "i-2", "i-3", "i-4"],
+        ..Found::default()
+    }));
+
+    let mut reported = Vec::new();
+    for number in 0..5 {
+        reported.push(servers.report_break(&gateway, number, 1).await);
+    }
+
+    assert_eq!(reported, [false; 5]);
+    assert!(gateway.crashed().is_empty());
+}
+
+#[tokio::test]
+async fn each_request_that_breaks_off_at_one_crash_asks_the_server_anew() {
+    let servers = Servers::start(&["a", "b", "b"]).await;
+    let gateway = quarantine();
+    let found = Arc::new(first_gone(LifeSign::NoAnswer));
+    gateway.set_reach(Arc::clone(&found) as Arc<dyn ServerReach>);
+
+    let reports = (0..20).map(|_| servers.report_break(&gateway, 0, 40));
+    let reported = futures_util::future::join_all(reports).await;
+
+    assert_eq!(reported, [true; 20]);
+    // One goes to it and one to each of the others.
+    assert_eq!(found.questions.load(Relaxed), 3);
+}
+
 #[test]
 fn an_answered_suspect_leaves_nothing_to_compare_requests_with() {
     let gateway = quarantine();
