--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -18,21 +18,21 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time within which a server must have answered; without an answer nothing is known of it. A sound server may be silent for a
-/// second, and callers wait twice as long for the next event of a stream.
+/// Time within which an engine must have sent its report, which takes no slot; without it nothing is known of the engine. A sound
+/// server may be silent for a second, and callers wait twice as long for the next event of a stream.
 pub(super) const LIFE_SIGN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of an engine's report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
 impl Gateway {
-    /// Asks `server` on `connection` which process it is, until `deadline` at most.
+    /// Asks `server` on `connection` which process it is. The question to a plain server may wait for a slot like a request, until
+    /// `deadline`.
     pub(super) async fn ask_for_life_sign(
         &self,
         server: &BackendServer,
         connection: ServerConnection,
         deadline: Instant,
     ) -> LifeSign {
-        let until = deadline.min(Instant::now() + LIFE_SIGN_TIMEOUT);
         let configuration = self.catalog.configuration();
         let service = configuration
             .as_ref()
@@ -40,6 +40,10 @@
         let Some(service) = service else {
             return LifeSign::Unnamed;
         };
+        let until = match service.engine {
+            Some(_) => deadline.min(Instant::now() + LIFE_SIGN_TIMEOUT),
+            None => deadline,
+        };
         let asking = async {
             if service.engine.is_some() {
                 return self.read_report(server, connection).await;
@@ -67,12 +71,12 @@
         if head.status != StatusCode::OK {
             return self.read_failure(&head);
         }
-        // An entry without a start time has zero, as has a server that never started again.
         let expected = server.entry.start_time_ms;
         match self.dialect.read_start_time(&report) {
+            // An entry without a start time has zero, so there is nothing to compare.
+            _ if expected == 0 => LifeSign::SameProcess,
             Some(reported) if reported == expected => LifeSign::SameProcess,
             Some(_) => LifeSign::OtherProcess,
-            None if expected == 0 => LifeSign::SameProcess,
             None => LifeSign::Unnamed,
         }
     }
@@ -107,10 +111,10 @@
         }
     }
 
-    /// Returns whether a server says that it did not run a request because it runs as many as it can.
+    /// Returns whether a server says that it did not run a request because it takes no more now.
     fn is_full(&self, head: &response::Parts) -> bool {
         let metadata = self.dialect.read_response(head.status, &head.headers);
-        head.status == StatusCode::SERVICE_UNAVAILABLE && metadata.is_not_run
+        head.status != StatusCode::MISDIRECTED_REQUEST && metadata.is_not_run
     }
 }
 
--- a/src/gateway/server_evidence.rs
+++ b/src/gateway/server_evidence.rs
@@ -1,7 +1,6 @@
 //! Asks servers at which requests break off, directly and through other gateways, whether they live on.
 
 use super::handler::Gateway;
-use super::life_sign::LIFE_SIGN_TIMEOUT;
 use super::life_sign::LifeSign;
 use super::pool::ConnectError;
 use super::server_paths::ServerConnection;
@@ -15,6 +14,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time within which a server must have answered a direct question.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which a server must have answered through a helper. The quarantine waits somewhat longer for all helpers.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -30,7 +31,7 @@
 impl Gateway {
     /// Asks `server` on a new direct connection which process it is.
     pub(super) async fn ask_directly(&self, server: &BackendServer) -> LifeSign {
-        let until = Instant::now() + LIFE_SIGN_TIMEOUT;
+        let until = Instant::now() + QUESTION_TIMEOUT;
         let connecting = self.paths.open_directly(server);
         match timeout_at(until, connecting).await {
             Ok(Ok(connection)) => self.ask_for_life_sign(server, connection, until).await,
