--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -95,6 +95,8 @@
     pub(super) paths: &'a Arc<ServerPaths>,
     /// Set to the name of the gateway that carries the request, if one does.
     pub(super) helper: &'a OnceLock<String>,
+    /// Called before the request is sent, once it has a connection; with whether that is a tunnel.
+    pub(super) on_connected: &'a (dyn Fn(bool) + Sync),
 }
 
 /// Maximum number of connections tried in one send; another is tried if an idle one was closed before any byte was
@@ -132,6 +134,7 @@
             pool.put_idle(lease, &HeaderMap::new());
             return SendOutcome::NotSent("server may have started again".to_owned());
         }
+        (params.on_connected)(lease.helper().is_some());
         let mut req = build_request(outbound, params, dialect);
         lease.head_limit().await_head(&mut req);
         let pending_response = lease.sender().try_send_request(req);
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -10,8 +10,8 @@
 use super::end_check::Witness;
 use super::events::Events;
 use super::handler::Gateway;
-use super::life_sign::LIFE_SIGN_TIMEOUT;
 use super::life_sign::LifeSign;
+use super::life_sign::Question;
 use super::loads::InFlightGuard;
 use super::progress::Progress;
 use super::response_memory::HeldResponse;
@@ -32,8 +32,12 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time within which an engine must have said that it has started again, for a resumed stream not to go on there.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// What a server has sent that can be passed on to the caller.
 pub(super) enum Delivery {
     /// A stream with its next events, or `None` if it is complete.
@@ -69,8 +73,8 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) outbound: Arc<OutboundRequest>,
     pub(super) server: BackendServer,
-    /// Whether the server is a model engine.
-    pub(super) is_engine: bool,
+    /// What tells which process the server is.
+    pub(super) question: Question,
     /// Whether the callers' keys must be known to be valid when the request is sent.
     pub(super) needs_verified_keys: bool,
     pub(super) team: Option<String>,
@@ -99,7 +103,7 @@
 impl ServerSend {
     /// Sends the request and waits for the first events or the whole response, until the deadline at most.
     pub(super) async fn run(self) -> SendEnd {
-        let asks = self.needs_same_process && self.is_engine;
+        let asks = self.needs_same_process && matches!(self.question, Question::Report);
         if !asks {
             return self.run_anywhere().await;
         }
@@ -121,12 +125,13 @@
             None => asking.await,
         };
         match end {
-            SendEnd::Delivered(Delivery::Stream(stream, _), _) if sign != LifeSign::SameProcess => {
-                if sign == LifeSign::OtherProcess {
-                    self.gateway.paths.record_restart(&self.server);
-                }
+            // The stream itself shows that a server of this name lives; only another start speaks against it.
+            SendEnd::Delivered(Delivery::Stream(stream, _), _)
+                if sign == LifeSign::OtherProcess =>
+            {
+                self.gateway.paths.record_restart(&self.server);
                 self.gateway.abandon(*stream, RunResult::Good);
-                SendEnd::Broken(format!("server may have started again: {}", sign.as_str()))
+                SendEnd::Broken("server has started again".to_owned())
             }
             end => end,
         }
@@ -135,11 +140,12 @@
     /// Asks the engine whether it is the process that its entry tells of.
     async fn life_sign(&self) -> LifeSign {
         let (gateway, request_id) = (&self.gateway, &self.outbound.request_id);
-        let until = self.deadline.min(Instant::now() + LIFE_SIGN_TIMEOUT);
+        let until = self.deadline.min(Instant::now() + RESUME_TIMEOUT);
         let connecting = gateway.paths.connect(&self.server, request_id);
         match timeout_at(until, connecting).await {
             Ok(Ok(connection)) => {
-                let asking = gateway.ask_for_life_sign(&self.server, connection, self.deadline);
+                let (server, question) = (&self.server, &self.question);
+                let asking = gateway.ask_for_life_sign(server, question, connection, until);
                 asking.await
             }
             Ok(Err(_)) | Err(_) => LifeSign::Unreachable,
@@ -152,6 +158,15 @@
         if !self.is_current() {
             return SendEnd::NotSent("beliefs grew old".to_owned());
         }
+        let is_plain = matches!(self.question, Question::Health(_));
+        let needs_witness = is_plain && gateway.paths.may_be_unframed(&self.server);
+        let witness = OnceLock::new();
+        let open_witness = |is_tunnel| {
+            if needs_witness {
+                let request_id = &self.outbound.request_id;
+                witness.get_or_init(|| Witness::open(gateway, &self.server, request_id, is_tunnel));
+            }
+        };
         let params = SendParams {
             server: &self.server,
             team: self.team.as_deref(),
@@ -162,15 +177,12 @@
             rates: &gateway.rates,
             paths: &gateway.paths,
             helper: &self.helper,
+            on_connected: &open_witness,
             max_connections: self.max_connections,
             gate: &gateway.gate,
             cold_policy: self.cold_policy.as_ref(),
             permit: self.permit,
         };
-        let needs_witness = !self.is_engine && gateway.paths.is_unframed(&self.server);
-        let request_id = &self.outbound.request_id;
-        let witness =
-            needs_witness.then(|| Witness::open(gateway, &self.server, request_id, false));
         let sent_at = Instant::now();
         let sending = attempt::send(
             &self.outbound,
@@ -188,6 +200,7 @@
             SendOutcome::TimedOut => return SendEnd::Late,
         };
         self.progress.record_bytes();
+        let witness = witness.into_inner();
         let rate_limit = response.rate_limit;
         if self.is_stream && response.head.status.is_success() {
             let kind = StreamKind::of(response.head.status, &response.head.headers);
@@ -221,7 +234,7 @@
         EndCheck::new(
             (&response.head.headers, &response.body),
             &self.gateway,
-            (&self.server, self.is_engine),
+            (&self.server, &self.question),
             &self.outbound.request_id,
             response.lease.helper().is_some(),
             witness,
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -5,6 +5,7 @@
 
 use super::handler::Gateway;
 use super::life_sign::LifeSign;
+use super::life_sign::Question;
 use super::pool::ConnectError;
 use super::server_paths::ServerConnection;
 use super::stream_record::BodyEnd;
@@ -51,6 +52,7 @@
     body_end: BodyEnd,
     gateway: Arc<Gateway>,
     server: BackendServer,
+    question: Question,
     request_id: String,
     /// Whether another gateway carries the connection.
     is_tunnel: bool,
@@ -64,15 +66,16 @@
     pub(super) fn new(
         (headers, body): (&HeaderMap, &Incoming),
         gateway: &Arc<Gateway>,
-        (server, is_engine): (&BackendServer, bool),
+        (server, question): (&BackendServer, &Question),
         request_id: &str,
         is_tunnel: bool,
         witness: Option<Witness>,
     ) -> Self {
         let body_end = BodyEnd::of(headers, body);
-        let needs_witness = body_end == BodyEnd::Connection && !is_engine;
-        if !is_engine {
-            gateway.paths.record_framing(server, !needs_witness);
+        let is_plain = matches!(question, Question::Health(_));
+        let needs_witness = body_end == BodyEnd::Connection && is_plain;
+        if needs_witness {
+            gateway.paths.record_unframed(server);
         }
         let witness = needs_witness.then(|| {
             witness.unwrap_or_else(|| Witness::open(gateway, server, request_id, is_tunnel))
@@ -81,6 +84,7 @@
             body_end,
             gateway: Arc::clone(gateway),
             server: server.clone(),
+            question: question.clone(),
             request_id: request_id.to_owned(),
             is_tunnel,
             witness,
@@ -114,7 +118,8 @@
             .unwrap_or_else(|| Witness::open(gateway, server, &self.request_id, self.is_tunnel));
         match timeout_at(deadline, witness.connection()).await {
             Ok(Some(connection)) => {
-                let asking = gateway.ask_for_life_sign(server, connection, deadline);
+                let question = &self.question;
+                let asking = gateway.ask_for_life_sign(server, question, connection, deadline);
                 asking.await
             }
             Ok(None) | Err(_) => LifeSign::Unreachable,
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -8,6 +8,7 @@
 use super::delivery::ServerSend;
 use super::exchange::Exchange;
 use super::exchange::MIN_TIME_LEFT;
+use super::life_sign::Question;
 use super::progress::Progress;
 use super::race::PendingSend;
 use super::race::Race;
@@ -328,7 +329,7 @@
             gateway: Arc::clone(&self.gateway),
             outbound: Arc::clone(&self.outbound),
             server: server.clone(),
-            is_engine: self.is_engine(),
+            question: Question::to(self.service.as_ref()),
             needs_verified_keys: !self.route.is_public,
             team: self.team.clone(),
             last_id: resume_after.or(self.named_event()),
--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -5,6 +5,7 @@
 use super::pool::Pool;
 use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
+use crate::catalog::Service;
 pub(super) use crate::decide::LifeSign;
 use crate::net::collect;
 use crate::net::empty_body;
@@ -20,40 +21,62 @@
 
 /// Time within which an engine must have sent its report, which takes no slot; without it nothing is known of the engine. A sound
 /// server may be silent for a second, and callers wait twice as long for the next event of a stream.
-pub(super) const LIFE_SIGN_TIMEOUT: Duration = Duration::from_secs(1);
+const LIFE_SIGN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of an engine's report.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
+/// Path at which a plain server is asked for its name if its health path is not known. It turns a request without an id away.
+const DEFAULT_PATH: &str = "/";
+
+/// What a server is asked to find out which process it is.
+#[derive(Clone, Debug)]
+pub(super) enum Question {
+    /// An engine's report, which takes no slot.
+    Report,
+    /// The health of a plain server, at this path if it is known.
+    Health(Option<String>),
+}
+
+impl Question {
+    /// Returns the question to the servers of `service`; `None` stands for a service that is not in the configuration any more.
+    pub(super) fn to(service: Option<&Service>) -> Self {
+        match service {
+            Some(service) if service.engine.is_some() => Self::Report,
+            Some(service) => Self::Health(service.health_path.clone()),
+            None => Self::Health(None),
+        }
+    }
+}
+
 impl Gateway {
+    /// Returns the question to `server`, by the configuration in force.
+    pub(super) fn question(&self, server: &BackendServer) -> Question {
+        let configuration = self.catalog.configuration();
+        let service = configuration
+            .as_ref()
+            .and_then(|configuration| configuration.service(&server.entry.service));
+        Question::to(service)
+    }
+
     /// Asks `server` on `connection` which process it is. The question to a plain server may wait for a slot like a request, until
     /// `deadline`.
     pub(super) async fn ask_for_life_sign(
         &self,
         server: &BackendServer,
+        question: &Question,
         connection: ServerConnection,
         deadline: Instant,
     ) -> LifeSign {
-        let configuration = self.catalog.configuration();
-        let service = configuration
-            .as_ref()
-            .and_then(|configuration| configuration.service(&server.entry.service));
-        let Some(service) = service else {
-            return LifeSign::Unnamed;
-        };
-        let until = match service.engine {
-            Some(_) => deadline.min(Instant::now() + LIFE_SIGN_TIMEOUT),
-            None => deadline,
-        };
-        let asking = async {
-            if service.engine.is_some() {
-                return self.read_report(server, connection).await;
+        let told = match question {
+            Question::Report => {
+                let until = deadline.min(Instant::now() + LIFE_SIGN_TIMEOUT);
+                timeout_at(until, self.read_report(server, connection)).await
             }
-            match service.health_path.as_deref() {
-                Some(path) => self.read_health(server, connection, path).await,
-                None => LifeSign::Unnamed,
+            Question::Health(path) => {
+                let path = path.as_deref().unwrap_or(DEFAULT_PATH);
+                timeout_at(deadline, self.read_health(server, connection, path)).await
             }
         };
-        let told = timeout_at(until, asking).await;
         told.unwrap_or(LifeSign::Silent)
     }
 
@@ -71,6 +94,10 @@
         if head.status != StatusCode::OK {
             return self.read_failure(&head);
         }
+        let name = self.dialect.read_server_id(&head.headers);
+        if name.is_some_and(|name| name != server.id) {
+            return LifeSign::OtherProcess;
+        }
         let expected = server.entry.start_time_ms;
         match self.dialect.read_start_time(&report) {
             // An entry without a start time has zero, so there is nothing to compare.
@@ -97,22 +124,22 @@
         match self.dialect.read_server_id(&head.headers) {
             Some(name) if name == server.id => LifeSign::SameProcess,
             Some(_) => LifeSign::OtherProcess,
-            None if self.is_full(&head) => LifeSign::SameProcess,
+            None if self.is_turned_away(&head) => LifeSign::SameProcess,
             None => self.read_failure(&head),
         }
     }
 
     /// Returns what an answer tells that names no process. One that reports a failure may be a relay's.
     fn read_failure(&self, head: &response::Parts) -> LifeSign {
-        if head.status.is_server_error() && !self.is_full(head) {
+        if head.status.is_server_error() && !self.is_turned_away(head) {
             LifeSign::NoAnswer
         } else {
             LifeSign::Unnamed
         }
     }
 
-    /// Returns whether a server says that it did not run a request because it takes no more now.
-    fn is_full(&self, head: &response::Parts) -> bool {
+    /// Returns whether a server, not a relay, has turned the question away.
+    fn is_turned_away(&self, head: &response::Parts) -> bool {
         let metadata = self.dialect.read_response(head.status, &head.headers);
         head.status != StatusCode::MISDIRECTED_REQUEST && metadata.is_not_run
     }
--- a/src/gateway/server_evidence.rs
+++ b/src/gateway/server_evidence.rs
@@ -34,7 +34,11 @@
         let until = Instant::now() + QUESTION_TIMEOUT;
         let connecting = self.paths.open_directly(server);
         match timeout_at(until, connecting).await {
-            Ok(Ok(connection)) => self.ask_for_life_sign(server, connection, until).await,
+            Ok(Ok(connection)) => {
+                let question = self.question(server);
+                self.ask_for_life_sign(server, &question, connection, until)
+                    .await
+            }
             _ => LifeSign::Unreachable,
         }
     }
@@ -46,7 +50,9 @@
         connection: ServerConnection,
     ) -> Result<(), ConnectError> {
         let until = Instant::now() + HELPER_TIMEOUT;
-        let sign = self.ask_for_life_sign(server, connection, until).await;
+        let question = self.question(server);
+        let asking = self.ask_for_life_sign(server, &question, connection, until);
+        let sign = asking.await;
         if sign.is_gone() {
             return Err(ConnectError::Failed(sign.as_str().to_owned()));
         }
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -42,6 +42,9 @@
 /// trip of the reference workload, including the handshake.
 const NEXT_WAY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for which a server that has left length and chunks out is expected to do so again.
+const UNFRAMED_MEMORY: Duration = Duration::from_secs(60);
+
 /// A connection to a server and the name of its helper, if it is a tunnel.
 pub(super) struct ServerConnection {
     pub(super) io: Box<dyn Connection>,
@@ -55,8 +58,8 @@
     path: ServerPath,
     /// When the server was last lost, if it has not been seen to run on since. It may have started again.
     doubted_since: Option<BootInstant>,
-    /// Whether its last answer had neither a length nor chunks.
-    is_unframed: bool,
+    /// When an answer of it had neither a length nor chunks.
+    unframed_at: Option<BootInstant>,
 }
 
 /// The paths to all servers.
@@ -296,16 +299,17 @@
         self.update_row(server, |row| row.doubted_since = Some(BootInstant::now()));
     }
 
-    /// Records whether the last answer of `server` had a length or chunks.
-    pub(super) fn record_framing(&self, server: &BackendServer, is_framed: bool) {
-        self.update_row(server, |row| row.is_unframed = !is_framed);
+    /// Records that an answer of `server` had neither a length nor chunks.
+    pub(super) fn record_unframed(&self, server: &BackendServer) {
+        self.update_row(server, |row| row.unframed_at = Some(BootInstant::now()));
     }
 
-    /// Returns whether the last answer of `server` had neither a length nor chunks.
-    pub(super) fn is_unframed(&self, server: &BackendServer) -> bool {
+    /// Returns whether `server` may leave length and chunks out, as it has done lately.
+    pub(super) fn may_be_unframed(&self, server: &BackendServer) -> bool {
         let rows = self.lock();
         let index = rows.binary_search_by(|row| row.server.as_str().cmp(&server.id));
-        index.is_ok_and(|index| rows[index].is_unframed)
+        let unframed_at = index.ok().and_then(|index| rows[index].unframed_at);
+        unframed_at.is_some_and(|at| BootInstant::now().since(at) < UNFRAMED_MEMORY)
     }
 
     /// Returns the servers that may have started again, and since when.
@@ -403,7 +407,7 @@
                     start_time_ms: server.entry.start_time_ms,
                     path: ServerPath::default(),
                     doubted_since: None,
-                    is_unframed: false,
+                    unframed_at: None,
                 };
                 rows.insert(index, row);
                 index
@@ -414,6 +418,7 @@
             row.start_time_ms = server.entry.start_time_ms;
             row.path = ServerPath::default();
             row.doubted_since = None;
+            row.unframed_at = None;
         }
         change(row);
     }
