--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -6,7 +6,6 @@
 use super::handler::Gateway;
 use super::life_sign::LifeSign;
 use super::life_sign::Question;
-use super::pool::ConnectError;
 use super::server_paths::ServerConnection;
 use super::stream_record::BodyEnd;
 use crate::catalog::BackendServer;
@@ -15,12 +14,22 @@
 use hyper::body::Incoming;
 use slog::info;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+/// Time within which the kernel closes all connections of a process that was killed.
+const CLOSING_TIME: Duration = Duration::from_millis(50);
+
 /// A connection to a server that is opened beside a request. What answers on it after the end of the request's answer is no server
 /// that started after the connection was opened, though it may be another worker process of the same one.
-pub(super) struct Witness(JoinSet<Result<ServerConnection, ConnectError>>);
+pub(super) struct Witness {
+    /// Ends the task, which gives the connection or when it ended.
+    wanted: oneshot::Sender<()>,
+    task: JoinSet<Result<ServerConnection, Instant>>,
+}
 
 impl Witness {
     /// Starts to connect to `server` for the request called `request_id`; through another gateway if `is_tunnel`.
@@ -32,18 +41,31 @@
     ) -> Self {
         let (gateway, server) = (Arc::clone(gateway), server.clone());
         let request_id = request_id.to_owned();
-        let mut connecting = JoinSet::new();
-        connecting.spawn(async move {
+        let (wanted, is_wanted) = oneshot::channel();
+        let mut task = JoinSet::new();
+        task.spawn(async move {
             let reconnecting = gateway.paths.reconnect(&server, &request_id, is_tunnel);
-            reconnecting.await
+            let Ok(mut connection) = reconnecting.await else {
+                return Err(Instant::now());
+            };
+            let mut buf = [0];
+            tokio::select! {
+                _ = is_wanted => Ok(connection),
+                // A server sends nothing that it was not asked for, so the connection has ended.
+                _ = connection.io.read(&mut buf) => Err(Instant::now()),
+            }
         });
-        Self(connecting)
+        Self { wanted, task }
     }
 
-    /// Waits for the connection; `None` if there is none.
-    async fn connection(&mut self) -> Option<ServerConnection> {
-        // A panic in the task has already been reported.
-        self.0.join_next().await?.ok()?.ok()
+    /// Returns the connection, or when it ended; waits for it until `deadline`.
+    async fn close(mut self, deadline: Instant) -> Result<ServerConnection, Instant> {
+        // A task that has ended needs no signal, and a panic in it has already been reported.
+        let _ = self.wanted.send(());
+        match timeout_at(deadline, self.task.join_next()).await {
+            Ok(Some(Ok(result))) => result,
+            _ => Err(Instant::now()),
+        }
     }
 }
 
@@ -111,18 +133,30 @@
     }
 
     async fn life_sign(&mut self, deadline: Instant) -> LifeSign {
+        let ended_at = Instant::now();
+        let lost_at = match self.witness.take() {
+            Some(witness) => match witness.close(deadline).await {
+                Ok(connection) => return self.ask(connection, deadline).await,
+                Err(lost_at) => Some(lost_at),
+            },
+            None => None,
+        };
+        // One that was lost while the server still wrote is no sign of the server's end: full servers reset further connections,
+        // and idle ones are closed.
+        if lost_at.is_some_and(|lost_at| lost_at + CLOSING_TIME >= ended_at) {
+            return LifeSign::Unreachable;
+        }
         let (gateway, server) = (&self.gateway, &self.server);
-        let mut witness = self
-            .witness
-            .take()
-            .unwrap_or_else(|| Witness::open(gateway, server, &self.request_id, self.is_tunnel));
-        match timeout_at(deadline, witness.connection()).await {
-            Ok(Some(connection)) => {
-                let question = &self.question;
-                let asking = gateway.ask_for_life_sign(server, question, connection, deadline);
-                asking.await
-            }
-            Ok(None) | Err(_) => LifeSign::Unreachable,
+        let witness = Witness::open(gateway, server, &self.request_id, self.is_tunnel);
+        match witness.close(deadline).await {
+            Ok(connection) => self.ask(connection, deadline).await,
+            Err(_) => LifeSign::Unreachable,
         }
     }
+
+    async fn ask(&self, connection: ServerConnection, deadline: Instant) -> LifeSign {
+        let (gateway, server) = (&self.gateway, &self.server);
+        let asking = gateway.ask_for_life_sign(server, &self.question, connection, deadline);
+        asking.await
+    }
 }
