--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -97,6 +97,14 @@
     pub(super) helper: &'a OnceLock<String>,
 }
 
+/// Statuses that tell a caller that its request did not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Maximum number of connections tried in one send; another is tried if an idle one was closed before any byte was
 /// sent.
 const MAX_CONNECTION_TRIES: usize = 4;
@@ -220,8 +228,9 @@
 
 /// Decides by the head of a response whether the server ran the request, and whether the response can be used. It can't
 /// if it has the id of another request, if it reports success without a signature or without a request id, or if it changes the
-/// protocol, which no request asks for. A refusal says that the request did not run only if it has the request's id: a server
-/// may write an earlier one once more.
+/// protocol, which no request asks for. A refusal says that the request did not run only if it has the request's id, since a server
+/// may write an earlier one once more, and if the server says so: a relay or balancer answers with the same status for a server
+/// that it has lost (`docs/design/CONNECTION-SIGNS.md`).
 fn classify_response(
     response: Response<Incoming>,
     outbound: &OutboundRequest,
@@ -239,12 +248,15 @@
         None => !needs_id,
     };
     let is_unsigned = head.status.is_success() && !metadata.has_signature;
+    let is_unproven = NOT_RUN_STATUSES.contains(&head.status) && !metadata.is_not_run;
     let is_interim = head.status.is_informational();
-    if !is_of_request || is_unsigned || is_interim {
+    if !is_of_request || is_unsigned || is_unproven || is_interim {
         lease.close();
         guard.record_result(RunResult::Broken);
         let cause = if is_interim {
             "interim answer"
+        } else if is_unproven {
+            "refusal without proof"
         } else if is_of_request || request_id.is_none() {
             "answer without proof"
         } else {
