--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -112,6 +112,7 @@
     /// Returns the name that a server gives itself in the `headers` of a response.
     fn read_server_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
-    /// Returns the Unix time in milliseconds at which the engine started that sent `report`; `None` if it can't be read.
+    /// Returns the Unix time in milliseconds at which the engine started that sent `report`, or zero if the report names none;
+    /// `None` if it is no report.
     fn read_start_time(&self, report: &[u8]) -> Option<u64>;
 }
--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -91,12 +91,11 @@
             collect(response.into_body(), MAX_REPORT_BYTES).await.ok()
         });
         let report: Bytes = response.await?;
-        // An entry without a start time has zero, as has a server that never started again.
-        let expected = server.entry.start_time_ms;
-        let reported = self.dialect.read_start_time(&report);
-        match reported {
-            Some(reported) => Some(expected == reported),
-            None => (expected == 0).then_some(true),
+        // A server that never started again may name no start, which is zero, in its entry and in its report.
+        match self.dialect.read_start_time(&report)? {
+            reported if reported == server.entry.start_time_ms => Some(true),
+            0 => None,
+            _ => Some(false),
         }
     }
 
