--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -101,10 +101,10 @@
         let expected = server.entry.start_time_ms;
         match self.dialect.read_start_time(&report) {
             // An entry without a start time has zero, so there is nothing to compare.
-            _ if expected == 0 => LifeSign::SameProcess,
+            Some(_) if expected == 0 => LifeSign::SameProcess,
             Some(reported) if reported == expected => LifeSign::SameProcess,
+            Some(0) | None => LifeSign::Unnamed,
             Some(_) => LifeSign::OtherProcess,
-            None => LifeSign::Unnamed,
         }
     }
 
