--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -63,6 +63,33 @@
     GiveUp,
 }
 
+/// What bounds the question for the rest of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct RestView {
+    /// Whether the stream may be resumed, after the event that the caller has last.
+    pub can_resume: bool,
+    /// Whether the server may get the request once more.
+    pub has_sends_left: bool,
+    /// Whether there is time for another send.
+    pub has_time_left: bool,
+    /// Whether the server is known to respond, and takes requests.
+    pub is_responsive: bool,
+    /// Whether a server crashed under the request, so that none may get it.
+    pub may_crash_servers: bool,
+}
+
+/// Decides whether the server of a stream is asked for what follows its last event, since only the end of a connection told
+/// that nothing does. A living server may have broken the stream off, and a relay before it may have closed where it should
+/// have reset. Most such streams are whole, so the question takes only what failures leave of the budget.
+pub fn asks_for_rest(view: &RestView, take_from_budget: impl FnOnce(RetryNeed) -> bool) -> bool {
+    view.can_resume
+        && view.has_sends_left
+        && view.has_time_left
+        && view.is_responsive
+        && !view.may_crash_servers
+        && take_from_budget(RetryNeed::Question)
+}
+
 /// Decides what follows after a send reached `state`. `take_from_budget` takes one retry from the service's retry budget
 /// and returns whether it was granted; it is called only if nothing else forbids another send.
 pub fn failover_step(
--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -26,6 +26,8 @@
 const USED_BUDGET_SHARE: f64 = 0.7;
 /// Share of the used part that is left for the retries that are needed.
 const RESERVED_SHARE: f64 = 0.5;
+/// Share of the used part up to which a retry may only make sure of an answer.
+const QUESTION_SHARE: f64 = 0.25;
 
 /// How much depends on a retry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,6 +36,8 @@
     Full,
     /// It is a second chance beside a send that may still be answered, at a server that may be no better.
     Spare,
+    /// The answer is probably whole without it.
+    Question,
 }
 
 /// Number of requests and retries in one part of the window, which begins at `start`.
@@ -84,6 +88,7 @@
         let share = match need {
             RetryNeed::Full => USED_BUDGET_SHARE,
             RetryNeed::Spare => USED_BUDGET_SHARE * (1.0 - RESERVED_SHARE),
+            RetryNeed::Question => USED_BUDGET_SHARE * QUESTION_SHARE,
         };
         let allowed = (f64::from(requests) * self.policy.ratio + node_slack) * share;
         let is_allowed = f64::from(retries + 1) <= allowed;
--- a/src/decide/tests/failover.rs
+++ b/src/decide/tests/failover.rs
@@ -2,8 +2,10 @@
 
 use crate::decide::FailoverStep;
 use crate::decide::FailoverView;
+use crate::decide::RestView;
 use crate::decide::RetryNeed;
 use crate::decide::SendState;
+use crate::decide::asks_for_rest;
 use crate::decide::failover_step;
 
 const ENDED: [SendState; 7] = [
@@ -153,3 +155,51 @@
         assert_eq!(step(state, &view), (FailoverStep::Wait, None), "{state:?}");
     }
 }
+
+#[test]
+fn the_rest_of_a_stream_whose_end_only_its_connection_tells_is_asked_for_with_what_the_budget_can_spare()
+ {
+    let view = RestView {
+        can_resume: true,
+        has_sends_left: true,
+        has_time_left: true,
+        is_responsive: true,
+        may_crash_servers: false,
+    };
+    let mut taken = None;
+
+    let asks = asks_for_rest(&view, |need| {
+        taken = Some(need);
+        true
+    });
+
+    assert!(asks);
+    assert_eq!(taken, Some(RetryNeed::Question));
+    assert!(!asks_for_rest(&view, |_| false));
+    let forbidden = [
+        RestView {
+            can_resume: false,
+            ..view
+        },
+        RestView {
+            has_sends_left: false,
+            ..view
+        },
+        RestView {
+            has_time_left: false,
+            ..view
+        },
+        RestView {
+            is_responsive: false,
+            ..view
+        },
+        RestView {
+            may_crash_servers: true,
+            ..view
+        },
+    ];
+    for view in forbidden {
+        let asks = asks_for_rest(&view, |_| panic!("taken for {view:?}"));
+        assert!(!asks, "{view:?}");
+    }
+}
--- a/src/decide/tests/retry_budget.rs
+++ b/src/decide/tests/retry_budget.rs
@@ -92,3 +92,29 @@
     assert_eq!(again, 1);
     assert_eq!(in_next_window, count - 1);
 }
+
+#[test]
+fn questions_about_ends_that_are_probably_whole_leave_retries_for_requests_that_fail() {
+    let mut budget = budget();
+    let take_all = |budget: &mut RetryBudget, need| {
+        let taken = (0..100).filter(|_| budget.try_acquire(at(0), 1, need));
+        taken.count()
+    };
+
+    let questions = take_all(&mut budget, RetryNeed::Question);
+    let needed = take_all(&mut budget, RetryNeed::Full);
+
+    assert!(questions > 0);
+    assert!(needed >= 3 * questions, "{needed} after {questions}");
+}
+
+#[test]
+fn a_budget_that_failures_use_has_nothing_left_for_questions() {
+    let mut budget = budget();
+    for _ in 0..14 {
+        assert!(budget.try_acquire(at(0), 1, RetryNeed::Full));
+    }
+
+    assert!(!budget.try_acquire(at(0), 1, RetryNeed::Question));
+    assert!(budget.try_acquire(at(0), 1, RetryNeed::Spare));
+}
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -88,6 +88,8 @@
     pub(super) permit: SendPermit,
     /// What the response must be to go on with a stream that has begun; `None` if none has.
     pub(super) stream_kind: Option<StreamKind>,
+    /// Whether the server is asked for the rest of a stream of which there may be none.
+    pub(super) asks_for_rest: bool,
     /// Whether a successful response is a stream of events.
     pub(super) is_stream: bool,
     pub(super) guard: Arc<InFlightGuard>,
@@ -109,11 +111,15 @@
         let end = loop {
             tokio::select! {
                 end = &mut sending => break end,
-                told = &mut asking, if sign.is_none() => sign = Some(told),
+                // Mostly nothing follows, and nobody needs to know who says so.
+                told = &mut asking, if sign.is_none() && !self.asks_for_rest => sign = Some(told),
             }
         };
         // Only what would be passed on waits for the sign.
-        if !matches!(end, SendEnd::Delivered(Delivery::Stream(..), _)) {
+        let SendEnd::Delivered(Delivery::Stream(_, events), _) = &end else {
+            return end;
+        };
+        if events.is_none() && self.asks_for_rest {
             return end;
         }
         let sign = match sign {
@@ -201,7 +207,7 @@
                 return SendEnd::Broken("answer that does not go on with the stream".to_owned());
             }
             let end_check = self.end_check(&response, witness);
-            let stream = ServerStream::new(
+            let mut stream = ServerStream::new(
                 response,
                 &gateway.response_memory.of_server(&self.server.id),
                 end_check,
@@ -209,6 +215,9 @@
                 self.deadline,
                 &gateway.logs,
             );
+            if self.asks_for_rest {
+                stream.allow_empty();
+            }
             let stream = Box::new(stream);
             next_events(gateway, stream, self.last_id, self.deadline, rate_limit).await
         } else {
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -14,13 +14,17 @@
 use super::race::RaceEvent;
 use super::race::SilenceLimits;
 use super::refusal::Refusal;
+use super::send_gate::SendPermit;
 use super::stream_version::StreamVersion;
+use crate::catalog::BackendServer;
 use crate::catalog::RetryMode;
 use crate::clock::BootInstant;
 use crate::decide::FailoverStep;
 use crate::decide::FailoverView;
+use crate::decide::RestView;
 use crate::decide::RetryNeed;
 use crate::decide::SendState;
+use crate::decide::asks_for_rest;
 use crate::decide::failover_step;
 use hyper::StatusCode;
 use std::sync::Arc;
@@ -40,6 +44,8 @@
 const MIN_SILENCE_LIMIT: Duration = Duration::from_millis(600);
 /// Maximum number of sends of a request to the same server, which gets it again only if it was released before.
 const MAX_SENDS_TO_SERVER: usize = 2;
+/// Time for which the end of a stream waits for the server's word that nothing follows.
+const REST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of connections to a server of a service that is not in the configuration any more.
 const DEFAULT_MAX_CONNECTIONS: u32 = 64;
 
@@ -255,9 +261,12 @@
             .with_retry_budget(&self.service_name, |budget| {
                 budget.try_acquire(now, nodes, need)
             });
-        self.gateway
-            .metrics
-            .record_retry(&self.service_name, is_granted);
+        // A question that the budget does not grant costs nobody an answer.
+        if is_granted || need != RetryNeed::Question {
+            self.gateway
+                .metrics
+                .record_retry(&self.service_name, is_granted);
+        }
         self.unused_retry = is_granted.then_some(now);
         is_granted
     }
@@ -304,8 +313,60 @@
     async fn start_send(&mut self, resume_after: Option<u64>) -> Result<PendingSend, Refusal> {
         self.check_held().await?;
         let target = self.choose_server()?;
+        Ok(self.send_to(&target, resume_after, false))
+    }
+
+    /// Asks the server of the stream that the caller gets for what follows event `last_id`, if that can be afforded. Returns its
+    /// answer, or `None` if there is none within [`REST_TIMEOUT`].
+    pub(super) async fn ask_for_rest(&mut self, last_id: Option<u64>) -> Option<SendEnd> {
+        let sent = self.crash_guard.sent()?.clone();
+        if !asks_for_rest(&self.rest_view(&sent.server, last_id), |need| {
+            self.take_from_budget(need)
+        }) {
+            return None;
+        }
+        let target = Target {
+            server: sent.server.clone(),
+            load_per_slot: sent.load_per_slot,
+            copy_from: None,
+            permit: SendPermit::Warm,
+        };
+        let PendingSend { end, .. } = self.send_to(&target, last_id, true);
+        let answer = tokio::time::timeout(REST_TIMEOUT, end).await.ok();
+        if matches!(answer, Some(SendEnd::Broken(_))) {
+            self.report_break(&sent).await;
+        }
+        answer
+    }
+
+    fn rest_view(&self, server: &BackendServer, last_id: Option<u64>) -> RestView {
+        let gateway = &self.gateway;
+        let (servers, _) = gateway.catalog.servers_of(&self.service_name);
+        let views = self.candidates(&servers).views;
+        let view = views.iter().find(|view| view.id == server.id);
+        let is_available =
+            view.is_some_and(|view| !view.is_draining && !view.is_cold && !view.is_suspended);
+        let sends = self.report.servers.iter().filter(|id| **id == server.id);
+        RestView {
+            can_resume: last_id.is_some() && self.route.retry_mode == RetryMode::ResumableStream,
+            has_sends_left: sends.count() < MAX_SENDS_TO_SERVER,
+            has_time_left: self.time_left() > MIN_TIME_LEFT,
+            is_responsive: is_available
+                && self.has_stream_version(server)
+                && !gateway.rates.has_limit(server),
+            may_crash_servers: self.crash_guard.has_crashed_server(),
+        }
+    }
+
+    /// Sends the request to `target`; `asks_for_rest` if the server has sent a stream that may be whole.
+    fn send_to(
+        &mut self,
+        target: &Target,
+        resume_after: Option<u64>,
+        asks_for_rest: bool,
+    ) -> PendingSend {
         self.unused_retry = None;
-        let Target { server, .. } = &target;
+        let Target { server, .. } = target;
         self.report.servers.push(server.id.clone());
         let software_version = server.entry.software_version.clone();
         self.report
@@ -317,7 +378,8 @@
             Some(index) => {
                 self.released.swap_remove(index);
             }
-            None => self.sends += 1,
+            // A question goes to a server that has been counted.
+            None => self.sends += u32::from(!asks_for_rest),
         }
         self.gateway.rates.record_send(server);
         let guard = Arc::new(self.gateway.loads.start_request(server));
@@ -342,18 +404,19 @@
             cold_policy: self.gateway.gate.policy(self.service.as_ref()),
             permit: target.permit,
             stream_kind: self.stream_kind.clone(),
+            asks_for_rest,
             is_stream: self.route.retry_mode.is_stream(),
             guard: Arc::clone(&guard),
             progress: Arc::clone(&progress),
             helper,
         };
-        Ok(PendingSend {
-            sent: Sent::new(&target, released.is_none()),
+        PendingSend {
+            sent: Sent::new(target, released.is_none() && !asks_for_rest),
             guard,
             started_at: Instant::now(),
             progress,
             silent_at: None,
             end: Box::pin(send.run()),
-        })
+        }
     }
 }
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -34,6 +34,8 @@
     splitter: EventSplitter,
     end_check: EndCheck,
     has_events: bool,
+    /// Whether the stream is complete without an event, since it goes on with one that may have come to its end.
+    may_be_empty: bool,
 }
 
 /// The next item of a server's stream.
@@ -64,6 +66,7 @@
             status: response.head.status,
             end_check,
             has_events: false,
+            may_be_empty: false,
             body: response.body,
             headers: response.head.headers,
             end: response.lease.close_after(deadline, logs),
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Lets the stream be complete without an event.
+    pub(super) fn allow_empty(&mut self) {
+        self.may_be_empty = true;
+    }
+
     /// Returns the next whole events. Part of an event is never passed on, since it could not be taken back if the
     /// stream is resumed at another server. The stream is silent if nothing comes for `silence_limit`; a call after
     /// [`StreamItem::Silent`] goes on where the last one stopped.
@@ -96,6 +104,7 @@
                 None if self.splitter.has_partial_event() => {
                     return StreamItem::Broken("event cut off".to_owned());
                 }
+                None if self.may_be_empty && !self.has_events => return StreamItem::End,
                 // A server that is back in no time accepts connections like one that has finished.
                 None if self.body_end() == BodyEnd::Connection && !self.has_events => {
                     return StreamItem::Broken("ended before the first event".to_owned());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,6 +2,7 @@
 //! stays silent, if the route allows it.
 
 use super::delivery::Delivery;
+use super::delivery::SendEnd;
 use super::delivery::next_events;
 use super::dialect::RateLimitNotice;
 use super::events::Events;
@@ -136,7 +137,8 @@
                     continue;
                 }
                 StreamItem::End if self.is_end_known() => {
-                    self.accept(None);
+                    let rest = self.rest().await;
+                    self.accept(rest);
                     continue;
                 }
                 StreamItem::End => {
@@ -190,6 +192,23 @@
         self.first_end == BodyEnd::Connection || end != Some(BodyEnd::Connection)
     }
 
+    /// Returns what follows the present server's stream, which has come to an end: events if only its connection told the end and
+    /// the server, asked once more, sends some, which then go on with the stream.
+    async fn rest(&mut self) -> Option<Events> {
+        let server_stream = self.server_stream.as_ref()?;
+        if server_stream.body_end() != BodyEnd::Connection {
+            return None;
+        }
+        let answer = self.exchange.ask_for_rest(self.last_id).await;
+        let Some(SendEnd::Delivered(Delivery::Stream(stream, events), _)) = answer else {
+            return None;
+        };
+        if let Some(ended) = self.server_stream.replace(stream) {
+            ended.abandon(RunResult::Good);
+        }
+        events
+    }
+
     /// Asks another server for what follows, since the present one's stream has come to an end that is not known to be that of
     /// the stream. Returns how the response ends if that is not possible.
     async fn ask_for_rest(&mut self) -> Result<(), String> {
