--- a/src/decide/life_sign.rs
+++ b/src/decide/life_sign.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a relay, a balancer or a parent process stands before each server and goes on accepting connections when the
 //! server is gone. It closes or resets them, answers for the server that there is none, or leaves them silent. A sound server
-//! that is full or slow is silent too. So an accepted connection is no sign of life, and silence is no sign of an end.
+//! that is full or slow is silent too, and one that has as many connections as it takes resets further ones. So an accepted
+//! connection is no sign of life, and neither silence nor a reset is one of an end.
 
 /// What a server's address tells of the process that its entry names.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -13,8 +14,10 @@
     OtherProcess,
     /// A server answers that does not tell which process it is, or there is nothing to ask it.
     Unnamed,
-    /// Something accepts connections, but they end without an answer of a server.
+    /// Something accepts connections, but closes them or answers that there is no server.
     NoAnswer,
+    /// Something accepts connections and resets them.
+    Reset,
     /// Something accepts connections, and nothing comes on them in time.
     Silent,
     /// Nothing accepts a connection in time.
@@ -29,6 +32,7 @@
             Self::OtherProcess => "other process",
             Self::Unnamed => "unnamed",
             Self::NoAnswer => "no answer",
+            Self::Reset => "reset",
             Self::Silent => "silent",
             Self::Unreachable => "unreachable",
         }
--- a/src/decide/server_path.rs
+++ b/src/decide/server_path.rs
@@ -3,7 +3,9 @@
 //! Load pattern: a gateway loses its paths to some or all servers for seconds, while other gateways reach them. Its
 //! connections hang, are reset, or live on while new ones are refused. A server that has gone looks the same to it, but then
 //! no other gateway reaches the server either. Nothing is concluded from failures alone: a path counts as blocked when a
-//! helper reached the server that this gateway could not connect to. `docs/REACHING-SERVERS.md` has the whole protocol.
+//! helper reached the server that this gateway could not connect to. A relay before a server that is gone still accepts
+//! connections and closes them, each with a request that may have run; so once no server has answered on one, only an answer
+//! shows that the path leads to a server again. `docs/REACHING-SERVERS.md` has the whole protocol.
 
 use super::service_reach::ServerContact;
 use crate::clock::BootInstant;
@@ -31,6 +33,10 @@
     tried_at: Option<BootInstant>,
     /// When a direct connection was last established.
     connected_at: Option<BootInstant>,
+    /// Whether direct connections were accepted and no server answered on the last one, as it was asked whether it lives.
+    is_unanswered: bool,
+    /// When a server was last asked since an answer was not its own.
+    doubted_at: Option<BootInstant>,
 }
 
 /// How a connection could not be established.
@@ -61,6 +67,8 @@
             PathState::Lost
         } else if self.failed_at.is_some() && self.tunnelled_at.is_some() {
             PathState::Blocked
+        } else if self.is_unanswered {
+            PathState::Lost
         } else {
             PathState::Open
         }
@@ -71,17 +79,36 @@
         self.tried_at = Some(now);
     }
 
-    /// Records that a direct connection was established.
+    /// Records that a direct connection was established, which tells nothing of a server that did not answer on one before.
     pub fn record_connected(&mut self, now: BootInstant) {
+        if !self.is_unanswered {
+            self.record_answered(now);
+        }
+    }
+
+    /// Records that a server answered on a direct connection.
+    pub fn record_answered(&mut self, now: BootInstant) {
         *self = Self {
             tried_at: self.tried_at,
             connected_at: Some(now),
+            doubted_at: self.doubted_at,
             ..Self::default()
         };
     }
 
     /// Records that a direct connection could not be established.
     pub fn record_failed(&mut self, failure: ConnectFailure, now: BootInstant) {
+        self.is_unanswered = false;
+        self.record_failure(failure, now);
+    }
+
+    /// Records that a direct connection was accepted, but ended without an answer of a server. Open ones may go on.
+    pub fn record_unanswered(&mut self, now: BootInstant) {
+        self.is_unanswered = true;
+        self.record_failure(ConnectFailure::Refused, now);
+    }
+
+    fn record_failure(&mut self, failure: ConnectFailure, now: BootInstant) {
         let is_worse =
             self.failure == Some(ConnectFailure::Refused) && failure == ConnectFailure::TimedOut;
         if self.failing_since.is_none() || is_worse {
@@ -103,10 +130,30 @@
         self.lost_at = Some(now);
     }
 
+    /// Records that an answer names no request, so that a relay may have given it. Returns whether the server is to be asked
+    /// whether it lives.
+    pub fn record_doubt(&mut self, now: BootInstant) -> bool {
+        let was_asked = self
+            .doubted_at
+            .is_some_and(|at| now.since(at) < RETRY_INTERVAL);
+        let is_due = !was_asked && !self.is_unanswered;
+        if is_due {
+            self.doubted_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns whether connections are accepted, but no server answered on the last one.
+    pub fn is_unanswered(&self) -> bool {
+        self.is_unanswered
+    }
+
     /// Returns whether a direct connection failed a moment ago and none has been established since.
     pub fn has_just_failed(&self, now: BootInstant) -> bool {
         let is_blocked = self.state(now) == PathState::Blocked;
-        is_blocked || self.failed_at.is_some_and(|at| now.since(at) < LOST_TIME)
+        is_blocked
+            || self.is_unanswered
+            || self.failed_at.is_some_and(|at| now.since(at) < LOST_TIME)
     }
 
     /// Returns what direct connections showed last.
@@ -124,9 +171,10 @@
         since.filter(|_| self.state(now) == PathState::Blocked)
     }
 
-    /// Returns whether the path is blocked and is to be tried again.
+    /// Returns whether requests don't take the direct path until a try shows that it is free, and one is due.
     pub fn is_retry_due(&self, now: BootInstant) -> bool {
-        self.state(now) == PathState::Blocked && self.has_not_been_tried_lately(now)
+        let is_left = self.is_unanswered || self.state(now) == PathState::Blocked;
+        is_left && self.has_not_been_tried_lately(now)
     }
 
     /// Returns whether the last try of a direct connection was some time ago.
--- a/src/decide/tests/server_path.rs
+++ b/src/decide/tests/server_path.rs
@@ -7,6 +7,7 @@
 use crate::decide::PathState;
 use crate::decide::ServerPath;
 use crate::decide::helper_order;
+use crate::decide::is_cut_off;
 use crate::decide::last_loss;
 use crate::decide::may_carry;
 use crate::peers::NodeEntry;
@@ -130,6 +131,89 @@
     assert_eq!(path.state(at(1_200)), PathState::Open);
 }
 
+/// Returns a path on which connections were accepted and not answered from 0 ms on.
+fn unanswered_path() -> ServerPath {
+    let mut path = ServerPath::default();
+    path.record_try(at(0));
+    path.record_connected(at(0));
+    path.record_unanswered(at(0));
+    path
+}
+
+#[test]
+fn a_server_that_does_not_answer_gets_requests_since_something_accepts_connections() {
+    let mut path = unanswered_path();
+
+    path.record_try(at(1_000));
+    path.record_connected(at(1_000));
+    path.record_unanswered(at(1_000));
+    path.record_connected(at(1_500));
+
+    assert_eq!(path.state(at(60_000)), PathState::Lost);
+    assert!(path.has_just_failed(at(60_000)));
+    assert_eq!(path.contact().failed_at, Some(at(1_000)));
+}
+
+#[test]
+fn a_server_that_did_not_answer_is_asked_each_second_and_used_once_it_answers() {
+    let mut path = unanswered_path();
+
+    let is_due_early = path.is_retry_due(at(900));
+    let is_due = path.is_retry_due(at(1_000));
+    path.record_answered(at(1_010));
+
+    assert!(!is_due_early);
+    assert!(is_due);
+    assert_eq!(path.state(at(1_020)), PathState::Open);
+    assert!(!path.is_retry_due(at(5_000)));
+}
+
+#[test]
+fn a_server_that_answers_through_a_helper_is_lost_behind_a_cut_relay() {
+    let mut path = unanswered_path();
+
+    path.record_tunnelled(at(100));
+
+    assert_eq!(path.state(at(200)), PathState::Blocked);
+    assert!(path.is_retry_due(at(1_000)));
+    path.record_answered(at(1_010));
+    assert_eq!(path.state(at(1_020)), PathState::Open);
+}
+
+#[test]
+fn a_gateway_says_that_it_reaches_servers_that_are_gone_behind_their_relays() {
+    let paths = [0; 3].map(|_| {
+        let mut path = unanswered_path();
+        path.record_unanswered(at(1_000));
+        path.record_connected(at(1_050));
+        path
+    });
+
+    let contacts = paths.map(|path| path.contact());
+
+    assert!(is_cut_off(&contacts, at(1_100)));
+}
+
+#[test]
+fn an_address_that_refuses_connections_again_counts_as_unanswered() {
+    let mut path = unanswered_path();
+
+    path.record_failed(ConnectFailure::Refused, at(1_000));
+    path.record_connected(at(1_200));
+
+    assert_eq!(path.state(at(1_300)), PathState::Open);
+}
+
+#[test]
+fn each_failure_of_a_server_that_names_no_request_costs_a_question() {
+    let mut path = ServerPath::default();
+
+    let asked = [0, 10, 999, 1_000, 1_500].map(|ms| path.record_doubt(at(ms)));
+
+    assert_eq!(asked, [true, false, false, true, false]);
+    assert!(!unanswered_path().record_doubt(at(10)));
+}
+
 #[test]
 fn a_server_that_helpers_lose_too_is_not_blocked_but_lost() {
     let mut path = blocked_path();
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -259,6 +259,18 @@
             && (!self.needs_verified_keys || catalog.are_keys_verified(BootInstant::now()))
     }
 
+    /// Asks the server whether it lives if it may not be the one that sent the failure with this head: relays before servers that
+    /// are gone answer for them.
+    fn check_sender(&self, head: &response::Parts) {
+        let gateway = &self.gateway;
+        let metadata = gateway.dialect.read_response(head.status, &head.headers);
+        if metadata.request_id.is_none() && gateway.paths.record_doubt(&self.server) {
+            let (gateway, server) = (Arc::clone(gateway), self.server.clone());
+            // The result is recorded with the path.
+            tokio::spawn(async move { gateway.ask_directly(&server).await });
+        }
+    }
+
     /// Reads the whole of a response that is not a stream, so that the request can be retried if it breaks off.
     async fn read_whole(
         &self,
@@ -308,6 +320,7 @@
         }
         if head.status.is_server_error() {
             guard.record_result(RunResult::Failed);
+            self.check_sender(&head);
         } else {
             guard.record_result(RunResult::Good);
             guard.record_pace(sent_at.elapsed());
--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -16,6 +16,9 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::response;
+use std::error::Error;
+use std::io;
+use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -85,11 +88,13 @@
         let path = self.dialect.report_path();
         let response = ask(server, connection, path, async |response| {
             let (head, body) = response.into_parts();
-            let report = collect(body, MAX_REPORT_BYTES).await.ok()?;
-            Some((head, report))
+            let report = collect(body, MAX_REPORT_BYTES).await;
+            let report = report.map_err(|_| LifeSign::Unnamed)?;
+            Ok((head, report))
         });
-        let Some((head, report)) = response.await else {
-            return LifeSign::NoAnswer;
+        let (head, report) = match response.await {
+            Ok(response) => response,
+            Err(sign) => return sign,
         };
         if head.status != StatusCode::OK {
             return self.read_failure(&head);
@@ -116,10 +121,11 @@
         path: &str,
     ) -> LifeSign {
         let head = ask(server, connection, path, async |response| {
-            Some(response.into_parts().0)
+            Ok(response.into_parts().0)
         });
-        let Some(head) = head.await else {
-            return LifeSign::NoAnswer;
+        let head = match head.await {
+            Ok(head) => head,
+            Err(sign) => return sign,
         };
         match self.dialect.read_server_id(&head.headers) {
             Some(name) if name == server.id => LifeSign::SameProcess,
@@ -150,17 +156,33 @@
     server: &BackendServer,
     connection: ServerConnection,
     path: &str,
-    read: impl AsyncFnOnce(Response<Incoming>) -> Option<T>,
-) -> Option<T> {
-    let mut lease = Pool::lease(connection, server, 1).await.ok()?;
+    read: impl AsyncFnOnce(Response<Incoming>) -> Result<T, LifeSign>,
+) -> Result<T, LifeSign> {
+    let leased = Pool::lease(connection, server, 1).await;
+    let mut lease = leased.map_err(|_| LifeSign::NoAnswer)?;
     let mut req = Request::get(path)
         .header(HOST, server.entry.address.to_string())
         .body(empty_body())
-        .ok()?;
+        .map_err(|_| LifeSign::Unnamed)?;
     lease.head_limit().await_head(&mut req);
-    let response = lease.sender().send_request(req).await.ok()?;
+    let response = lease.sender().send_request(req).await;
+    let response = response.map_err(|err| sign_of(&err))?;
     lease.head_limit().record_head();
     let result = read(response).await;
     lease.close();
     result
 }
+
+/// Returns what a connection tells that ended without an answer.
+fn sign_of(err: &hyper::Error) -> LifeSign {
+    if err.is_parse() {
+        return LifeSign::Unnamed;
+    }
+    let cause = err
+        .source()
+        .and_then(|cause| cause.downcast_ref::<io::Error>());
+    match cause.map(io::Error::kind) {
+        Some(ErrorKind::ConnectionReset | ErrorKind::BrokenPipe) => LifeSign::Reset,
+        _ => LifeSign::NoAnswer,
+    }
+}
--- a/src/gateway/path_probe.rs
+++ b/src/gateway/path_probe.rs
@@ -5,6 +5,7 @@
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::PathState;
+use crate::decide::ServerPath;
 use crate::quarantine::Renewals;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,7 +60,7 @@
                 || (!is_blocked && is_inactive && path.has_not_been_tried_lately(now));
             if is_due && probes < MAX_PROBES {
                 probes += 1;
-                tokio::spawn(probe(Arc::clone(&gateway), server.clone(), is_blocked));
+                tokio::spawn(probe(Arc::clone(&gateway), server.clone(), path));
             }
         }
         blocked = blocked_now;
@@ -79,8 +80,10 @@
     }
 }
 
-async fn probe(gateway: Arc<Gateway>, server: BackendServer, is_blocked: bool) {
-    if is_blocked {
+async fn probe(gateway: Arc<Gateway>, server: BackendServer, path: ServerPath) {
+    if path.is_unanswered() {
+        gateway.ask_anew(&server).await;
+    } else if path.state(BootInstant::now()) == PathState::Blocked {
         gateway.paths.probe_directly(&server).await;
     } else {
         gateway.paths.probe(&server).await;
--- a/src/gateway/server_evidence.rs
+++ b/src/gateway/server_evidence.rs
@@ -16,7 +16,8 @@
 
 /// Time within which a server must have answered a direct question.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time within which a server must have answered through a helper. The quarantine waits somewhat longer for all helpers.
+/// Time within which a server must have answered through helpers. Without an answer then, a tunnel counts as one; the quarantine
+/// waits somewhat longer.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// What one gateway can find out about servers for its quarantine, which the gateway owns.
@@ -33,23 +34,42 @@
     pub(super) async fn ask_directly(&self, server: &BackendServer) -> LifeSign {
         let until = Instant::now() + QUESTION_TIMEOUT;
         let connecting = self.paths.open_directly(server);
-        match timeout_at(until, connecting).await {
+        let sign = match timeout_at(until, connecting).await {
             Ok(Ok(connection)) => {
                 let question = self.question(server);
                 self.ask_for_life_sign(server, &question, connection, until)
                     .await
             }
             _ => LifeSign::Unreachable,
+        };
+        if self.paths.record_sign(server, sign) {
+            self.loads.record_other_path(server);
+        }
+        sign
+    }
+
+    /// Asks `server`, which did not answer on direct connections, directly and then through other gateways.
+    pub(super) async fn ask_anew(&self, server: &BackendServer) {
+        if self.ask_directly(server).await == LifeSign::NoAnswer {
+            // The result is recorded with the path.
+            self.is_reached_by_others(server).await;
         }
     }
 
+    /// Returns whether `server`, which does not answer directly, answers through another gateway.
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
+        let until = Instant::now() + HELPER_TIMEOUT;
+        let ask = |connection| self.ask_through(server, connection, until);
+        self.paths.is_reached_by_others(server, &ask).await
+    }
+
     /// Asks `server` through a helper, which may have reached no more than a relay before it.
     async fn ask_through(
         &self,
         server: &BackendServer,
         connection: ServerConnection,
+        until: Instant,
     ) -> Result<(), ConnectError> {
-        let until = Instant::now() + HELPER_TIMEOUT;
         let question = self.question(server);
         let asking = self.ask_for_life_sign(server, &question, connection, until);
         let sign = asking.await;
@@ -75,7 +95,6 @@
         let Some(gateway) = self.0.upgrade() else {
             return false;
         };
-        let ask = |connection| gateway.ask_through(server, connection);
-        gateway.paths.is_reached_by_others(server, &ask).await
+        gateway.is_reached_by_others(server).await
     }
 }
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -8,6 +8,7 @@
 use crate::clock::BootInstant;
 use crate::decide::ConnectFailure;
 use crate::decide::Incarnation;
+use crate::decide::LifeSign;
 use crate::decide::PathState;
 use crate::decide::ServerContact;
 use crate::decide::ServerPath;
@@ -129,6 +130,9 @@
         for helper in &helpers {
             ways.push_back(Box::pin(async {
                 let opened = self.open_tunnel(helper, server, request).await;
+                if opened.is_ok() {
+                    self.record_tunnelled(server, &helper.name);
+                }
                 (Some(helper.name.clone()), opened)
             }));
         }
@@ -205,7 +209,6 @@
         let result = opened.as_ref().err().map_or("opened", TunnelError::label);
         self.metrics.record_tunnel_request(result);
         let io = opened.map_err(|err| ConnectError::Failed(err.to_string()))?;
-        self.record_tunnelled(server, &helper.name);
         let helper = Some(helper.name.clone());
         Ok(ServerConnection { io, helper })
     }
@@ -240,7 +243,9 @@
     where
         F: Future<Output = Result<(), ConnectError>> + Send,
     {
-        self.record_direct(server, Some(ConnectFailure::Refused));
+        if !self.path(server).is_unanswered() {
+            self.record_direct(server, Some(ConnectFailure::Refused));
+        }
         let tunnels = self.tunnels.get();
         let helpers = tunnels.map(|tunnels| tunnels.helpers(server));
         let helpers = helpers.unwrap_or_default();
@@ -250,12 +255,21 @@
                     Ok(connection) => ask(connection).await,
                     Err(err) => Err(err),
                 };
+                if asked.is_ok() {
+                    self.record_tunnelled(server, &helper.name);
+                }
                 (Some(helper.name.clone()), asked)
             })
         });
         let is_reached = first_of(ways.collect()).await.is_ok();
         if !is_reached {
-            self.update_row(server, |row| row.doubted_since = Some(BootInstant::now()));
+            let now = BootInstant::now();
+            self.update_row(server, |row| {
+                row.doubted_since = Some(now);
+                if row.path.is_unanswered() {
+                    row.path.record_lost(now);
+                }
+            });
         }
         is_reached
     }
@@ -266,6 +280,38 @@
         let _ = self.open_directly(server).await;
     }
 
+    /// Records that an answer from the address of `server` may be another's. Returns whether the server is to be asked whether it
+    /// lives.
+    pub(super) fn record_doubt(&self, server: &BackendServer) -> bool {
+        let mut is_due = false;
+        self.update(server, |path| {
+            is_due = path.record_doubt(BootInstant::now());
+        });
+        is_due
+    }
+
+    /// Records what `server` answered on a direct connection. Returns whether it answers again.
+    pub(super) fn record_sign(&self, server: &BackendServer, sign: LifeSign) -> bool {
+        let now = BootInstant::now();
+        let was_unanswered = self.path(server).is_unanswered();
+        match sign {
+            LifeSign::NoAnswer | LifeSign::Reset => {
+                self.update(server, |path| path.record_unanswered(now));
+            }
+            // A server that is full or slow is silent, too.
+            LifeSign::SameProcess
+            | LifeSign::OtherProcess
+            | LifeSign::Unnamed
+            | LifeSign::Silent => self.update(server, |path| path.record_answered(now)),
+            LifeSign::Unreachable => {}
+        }
+        let is_unanswered = self.path(server).is_unanswered();
+        if is_unanswered && !was_unanswered {
+            info!(self.logs.log(), "connections to server accepted but not answered"; "server" => &server.id);
+        }
+        was_unanswered && !is_unanswered
+    }
+
     /// Returns how `server` is reached.
     pub(super) fn state(&self, server: &BackendServer) -> PathState {
         let path = self.path(server);
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -223,8 +223,14 @@
 }
 
 #[tokio::test]
-async fn a_server_that_answers_late_or_without_its_name_counts_as_crashed() {
-    for sign in [LifeSign::Silent, LifeSign::Unnamed, LifeSign::SameProcess] {
+async fn a_server_that_answers_late_or_without_its_name_or_has_no_connection_left_counts_as_crashed()
+ {
+    for sign in [
+        LifeSign::Silent,
+        LifeSign::Reset,
+        LifeSign::Unnamed,
+        LifeSign::SameProcess,
+    ] {
         assert!(!report_accepted(first_gone(sign)).await, "{sign:?}");
     }
 }
