--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use crate::decide::RunResult;
 use crate::net::full_body;
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -95,8 +96,8 @@
     pub(super) paths: &'a Arc<ServerPaths>,
     /// Set to the name of the gateway that carries the request, if one does.
     pub(super) helper: &'a OnceLock<String>,
-    /// Called before the request is sent, once it has a connection; with whether that is a tunnel.
-    pub(super) on_connected: &'a (dyn Fn(bool) + Sync),
+    /// Awaited before the request is sent, once it has a connection; with whether that is a tunnel.
+    pub(super) on_connected: &'a (dyn Fn(bool) -> BoxFuture<'a, ()> + Sync),
 }
 
 /// Statuses that tell a caller that its request did not run.
@@ -142,7 +143,7 @@
             pool.put_idle(lease, &HeaderMap::new());
             return SendOutcome::NotSent("server may have started again".to_owned());
         }
-        (params.on_connected)(lease.helper().is_some());
+        (params.on_connected)(lease.helper().is_some()).await;
         let mut req = build_request(outbound, params, dialect);
         lease.head_limit().await_head(&mut req);
         let pending_response = lease.sender().try_send_request(req);
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -25,6 +25,7 @@
 use crate::decide::ColdPolicy;
 use crate::decide::RunResult;
 use crate::net::timeout_at;
+use futures_util::future::BoxFuture;
 use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::http::response;
@@ -167,11 +168,17 @@
         let is_plain = matches!(self.question, Question::Health(_));
         let needs_witness = is_plain && gateway.paths.may_be_unframed(&self.server);
         let witness = OnceLock::new();
-        let open_witness = |is_tunnel| {
-            if needs_witness {
-                let request_id = &self.outbound.request_id;
-                witness.get_or_init(|| Witness::open(gateway, &self.server, request_id, is_tunnel));
-            }
+        let open_witness = |is_tunnel| -> BoxFuture<'_, ()> {
+            let request_id = &self.outbound.request_id;
+            let (server, witness) = (&self.server, &witness);
+            Box::pin(async move {
+                if needs_witness {
+                    let mut opening = Witness::open(gateway, server, request_id, is_tunnel);
+                    opening.wait_until_open().await;
+                    // A send that takes another connection keeps the first.
+                    let _ = witness.set(opening);
+                }
+            })
         };
         let params = SendParams {
             server: &self.server,
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -23,9 +23,14 @@
 /// Time within which the kernel closes all connections of a process that was killed.
 const CLOSING_TIME: Duration = Duration::from_millis(50);
 
+/// Time for which a request waits for the connection beside it.
+const OPENING_TIME: Duration = Duration::from_millis(50);
+
 /// A connection to a server that is opened beside a request. What answers on it after the end of the request's answer is no server
 /// that started after the connection was opened, though it may be another worker process of the same one.
 pub(super) struct Witness {
+    /// Completes when the connection is open, or can't be opened.
+    opened: oneshot::Receiver<()>,
     /// Ends the task, which gives the connection or when it ended.
     wanted: oneshot::Sender<()>,
     task: JoinSet<Result<ServerConnection, Instant>>,
@@ -42,12 +47,15 @@
         let (gateway, server) = (Arc::clone(gateway), server.clone());
         let request_id = request_id.to_owned();
         let (wanted, is_wanted) = oneshot::channel();
+        let (is_opened, opened) = oneshot::channel();
         let mut task = JoinSet::new();
         task.spawn(async move {
             let reconnecting = gateway.paths.reconnect(&server, &request_id, is_tunnel);
             let Ok(mut connection) = reconnecting.await else {
                 return Err(Instant::now());
             };
+            // Nobody waits for a connection that is opened at the end.
+            let _ = is_opened.send(());
             let mut buf = [0];
             tokio::select! {
                 _ = is_wanted => Ok(connection),
@@ -55,7 +63,17 @@
                 _ = connection.io.read(&mut buf) => Err(Instant::now()),
             }
         });
-        Self { wanted, task }
+        Self {
+            opened,
+            wanted,
+            task,
+        }
+    }
+
+    /// Waits until the connection is open, for a short time at most.
+    pub(super) async fn wait_until_open(&mut self) {
+        // Without it the answer is judged as that of a server that takes no further connection.
+        let _ = tokio::time::timeout(OPENING_TIME, &mut self.opened).await;
     }
 
     /// Returns the connection, or when it ended; waits for it until `deadline`.
