--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -96,7 +96,7 @@
     pub(super) paths: &'a Arc<ServerPaths>,
     /// Set to the name of the gateway that carries the request, if one does.
     pub(super) helper: &'a OnceLock<String>,
-    /// Awaited before the request is sent, once it has a connection; with whether that is a tunnel.
+    /// Awaited once the request has a connection, before it is decided whether it may be sent; with whether that is a tunnel.
     pub(super) on_connected: &'a (dyn Fn(bool) -> BoxFuture<'a, ()> + Sync),
 }
 
@@ -131,6 +131,7 @@
                 return SendOutcome::NotSent(cause);
             }
         };
+        (params.on_connected)(lease.helper().is_some()).await;
         let is_reused = lease.is_reused();
         if !params
             .gate
@@ -143,7 +144,6 @@
             pool.put_idle(lease, &HeaderMap::new());
             return SendOutcome::NotSent("server may have started again".to_owned());
         }
-        (params.on_connected)(lease.helper().is_some()).await;
         let mut req = build_request(outbound, params, dialect);
         lease.head_limit().await_head(&mut req);
         let pending_response = lease.sender().try_send_request(req);
