--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod cases;
+pub mod day;
 pub mod fleet;
 pub mod http;
 pub mod load;
