--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -1,4 +1,5 @@
 //! Plays of whole days in real time: the gateways, servers, store and balancer of a sheet as processes of this machine, its callers,
 //! and the troubles of a day file.
 
+pub mod order;
 pub mod record;
--- a/platform/tests/soak/order.rs
+++ b/bench/src/day/order.rs
@@ -3,15 +3,18 @@
 //! [`check`] takes what callers read and what servers kept ([`Replica::runs`]). The servers must write a text per run
 //! ([`Replica::set_text_per_run`]), so that each event names its run.
 //!
-//! [`Replica::runs`]: currantbend_bench::standin::replica::Replica::runs
-//! [`Replica::set_text_per_run`]: currantbend_bench::standin::replica::Replica::set_text_per_run
+//! [`Replica::runs`]: crate::standin::replica::Replica::runs
+//! [`Replica::set_text_per_run`]: crate::standin::replica::Replica::set_text_per_run
 
+use crate::standin::answer_link::UnframedPart;
+use crate::standin::replica::Run;
 use bytes::Bytes;
-use currantbend_bench::standin::answer_link::UnframedPart;
-use currantbend_bench::standin::replica::Run;
 use std::fmt;
 use std::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// Kind of an answer, which decides of how many runs it may be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -30,12 +33,15 @@
     pub id: &'a str,
     /// ID of the request that began the stream, the same for all attempts of a stream.
     pub first_attempt: &'a str,
+    /// Kind of its answer.
     pub kind: AnswerKind,
+    /// When it was sent, which orders the attempts of a stream.
     pub sent: Instant,
     /// ID of the event after which the caller asked to go on; `None` if it asked to begin.
     pub resume_after: Option<u64>,
     /// Whether the body looked complete.
     pub is_complete: bool,
+    /// The bytes of the body that came.
     pub body: &'a [u8],
 }
 
@@ -61,11 +67,13 @@
 /// Something wrong with one answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Finding {
+    /// What is wrong.
     pub fault: Fault,
     /// ID of the request that began the stream.
     pub first_attempt: String,
     /// ID of the request whose answer is wrong.
     pub id: String,
+    /// The bytes that it is about and where they come from.
     pub detail: String,
 }
 
@@ -84,6 +92,7 @@
 /// What the judge says of callers' answers.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
+    /// What is wrong, by stream and then in the order of the bytes.
     pub findings: Vec<Finding>,
     /// IDs of requests whose answers look complete before their end, as their servers' links ended them: nothing on the way tells
     /// such an end from a whole answer. Their callers can't know that, so they are counted.
--- a/platform/tests/soak/order_cases.rs
+++ b/bench/src/day/order/tests.rs
@@ -1,13 +1,13 @@
 //! Cases of the judge of order with answers and runs made by hand: a sound one of each shape, and one of each fault.
 
-use crate::order::AnswerKind;
-use crate::order::Attempt;
-use crate::order::Fault;
-use crate::order::check;
+use super::AnswerKind;
+use super::Attempt;
+use super::Fault;
+use super::check;
+use crate::standin::answer_link::UnframedPart;
+use crate::standin::replica::Run;
+use crate::standin::replica::Written;
 use bytes::Bytes;
-use currantbend_bench::standin::answer_link::UnframedPart;
-use currantbend_bench::standin::replica::Run;
-use currantbend_bench::standin::replica::Written;
 use hyper::HeaderMap;
 use std::time::Duration;
 use std::time::Instant;
