--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -1,6 +1,7 @@
 //! In-process stand-ins for outside services: the platform's log service, host list and store, and the backend servers.
 
 pub mod answer_link;
+pub mod balancer;
 pub mod batch;
 pub mod cache;
 pub mod engine;
@@ -20,6 +21,7 @@
 pub mod server_process;
 pub mod service;
 pub mod store;
+pub mod store_process;
 pub mod streams;
 pub mod weights;
 
--- a/bench/src/standin/relay.rs
+++ b/bench/src/standin/relay.rs
@@ -1,7 +1,9 @@
 //! A TCP relay between two sides, as a simple proxy or balancer is one, which copies bytes and knows no protocol. What it does
 //! where its two connections can't stand for one is set by [`Habits`].
 
+use rand::RngExt;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::truth::lock;
@@ -47,6 +50,18 @@
     Answer(u16),
 }
 
+/// What becomes of a new connection.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Gate {
+    /// It is passed on to the target.
+    #[default]
+    Open,
+    /// It is reset at once.
+    Reset,
+    /// Each request on it is answered with this status.
+    Answer(u16),
+}
+
 /// A direction of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Direction {
@@ -67,8 +82,12 @@
     pub delay: Duration,
     /// Direction in which no bytes pass. They are held until this is unset.
     pub blocked: Option<Direction>,
-    /// Whether bytes are held in both directions, and new connections are accepted only by the system.
+    /// Whether bytes are held in both directions, and new connections are passed on only when this is unset.
     pub is_silent: bool,
+    /// What becomes of new connections.
+    pub gate: Gate,
+    /// Number, in two bytes, that is sent to the side that connected as soon as the target has accepted.
+    pub greeting: Option<u16>,
 }
 
 impl Habits {
@@ -77,11 +96,65 @@
     }
 }
 
+/// An order to reset open connections.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reset {
+    /// Of which address, or `None` for all.
+    source: Option<IpAddr>,
+    /// Share of the connections.
+    share: f64,
+}
+
+/// Habits towards all sources of connections.
+#[derive(Debug)]
+struct Shared {
+    usual: Mutex<Habits>,
+    /// Habits towards single addresses, sorted by these.
+    of_sources: Mutex<Vec<(IpAddr, Habits)>>,
+    resets: watch::Sender<Reset>,
+}
+
+/// What the relay does with the connections of one source.
+#[derive(Clone, Debug)]
+struct Towards {
+    shared: Arc<Shared>,
+    source: IpAddr,
+}
+
+impl Towards {
+    fn habits(&self) -> Habits {
+        let of_sources = lock(&self.shared.of_sources);
+        match of_sources.binary_search_by_key(&self.source, |(source, _)| *source) {
+            Ok(found) => of_sources[found].1,
+            Err(_) => *lock(&self.shared.usual),
+        }
+    }
+
+    async fn wait_while(&self, is_held: impl Fn(Habits) -> bool) {
+        while is_held(self.habits()) {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Waits until a connection of this source is to be reset.
+    async fn wait_for_reset(&self) {
+        let mut resets = self.shared.resets.subscribe();
+        while resets.changed().await.is_ok() {
+            let reset = *resets.borrow_and_update();
+            let is_meant = reset.source.is_none_or(|source| source == self.source);
+            if is_meant && rand::rng().random_bool(reset.share.clamp(0.0, 1.0)) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+}
+
 /// A relay for connections to one target.
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
-    habits: Arc<Mutex<Habits>>,
+    shared: Arc<Shared>,
     task: JoinHandle<()>,
 }
 
@@ -98,11 +171,15 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let habits = Arc::new(Mutex::new(habits));
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&habits)));
+        let shared = Arc::new(Shared {
+            usual: Mutex::new(habits),
+            of_sources: Mutex::default(),
+            resets: watch::Sender::default(),
+        });
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&shared)));
         Ok(Self {
             address,
-            habits,
+            shared,
             task,
         })
     }
@@ -112,9 +189,23 @@
         self.address
     }
 
-    /// Sets what the relay does from now on.
+    /// Sets what the relay does from now on with connections from addresses that have no habits of their own.
     pub fn set_habits(&self, habits: Habits) {
-        *lock(&self.habits) = habits;
+        *lock(&self.shared.usual) = habits;
+    }
+
+    /// Sets what the relay does from now on with connections from `source`.
+    pub fn set_habits_towards(&self, source: IpAddr, habits: Habits) {
+        let mut of_sources = lock(&self.shared.of_sources);
+        match of_sources.binary_search_by_key(&source, |(source, _)| *source) {
+            Ok(found) => of_sources[found].1 = habits,
+            Err(place) => of_sources.insert(place, (source, habits)),
+        }
+    }
+
+    /// Resets this share of the open connections, drawn one by one, from `source` or from all.
+    pub fn reset(&self, source: Option<IpAddr>, share: f64) {
+        self.shared.resets.send_replace(Reset { source, share });
     }
 
     /// Stops listening. Open connections end with one of their sides.
@@ -123,30 +214,59 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, habits: Arc<Mutex<Habits>>) {
+async fn accept(listener: TcpListener, target: SocketAddr, shared: Arc<Shared>) {
     loop {
-        if lock(&habits).is_silent {
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            continue;
-        }
         // An accept error concerns a single connection or is temporary.
-        let Ok((client, _)) = listener.accept().await else {
+        let Ok((client, peer)) = listener.accept().await else {
             continue;
         };
-        let habits = Arc::clone(&habits);
+        let towards = Towards {
+            shared: Arc::clone(&shared),
+            source: peer.ip(),
+        };
         tokio::spawn(async move {
             // An error here concerns only the two sides, which see it.
-            let _ = match TcpStream::connect(target).await {
-                Ok(server) => relay(client, server, &habits).await,
-                Err(_) => receive_in_vain(client, &habits).await,
-            };
+            let _ = pass(client, target, &towards).await;
         });
     }
 }
 
+/// Passes a new connection on as the habits say.
+async fn pass(mut client: TcpStream, target: SocketAddr, towards: &Towards) -> io::Result<()> {
+    towards.wait_while(|habits| habits.is_silent).await;
+    match towards.habits().gate {
+        Gate::Open => {}
+        Gate::Reset => return client.set_zero_linger(),
+        Gate::Answer(status) => return answer(&mut client, status).await,
+    }
+    match TcpStream::connect(target).await {
+        Ok(server) => {
+            if let Some(number) = towards.habits().greeting {
+                client.write_u16(number).await?;
+            }
+            relay(client, server, towards).await
+        }
+        Err(_) => receive_in_vain(client, towards).await,
+    }
+}
+
+/// Answers the first request on a connection with `status` and closes it.
+async fn answer(client: &mut TcpStream, status: u16) -> io::Result<()> {
+    let mut request = Vec::new();
+    while !request.windows(HEAD_END.len()).any(|end| end == HEAD_END) {
+        if client.read_buf(&mut request).await? == 0 {
+            return Ok(());
+        }
+    }
+    let answer =
+        format!("HTTP/1.1 {status} Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+    client.write_all(answer.as_bytes()).await?;
+    close(client).await
+}
+
 /// Treats a connection whose target can't be reached.
-async fn receive_in_vain(mut client: TcpStream, habits: &Mutex<Habits>) -> io::Result<()> {
-    let on_absent = lock(habits).on_absent;
+async fn receive_in_vain(mut client: TcpStream, towards: &Towards) -> io::Result<()> {
+    let on_absent = towards.habits().on_absent;
     match on_absent {
         OnAbsent::Reset => client.set_zero_linger(),
         OnAbsent::Close => close(&mut client).await,
@@ -156,19 +276,7 @@
                 return Ok(());
             }
         },
-        OnAbsent::Answer(status) => {
-            let mut request = Vec::new();
-            while !request.windows(HEAD_END.len()).any(|end| end == HEAD_END) {
-                if client.read_buf(&mut request).await? == 0 {
-                    return Ok(());
-                }
-            }
-            let answer = format!(
-                "HTTP/1.1 {status} Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-            );
-            client.write_all(answer.as_bytes()).await?;
-            close(&mut client).await
-        }
+        OnAbsent::Answer(status) => answer(&mut client, status).await,
     }
 }
 
@@ -183,25 +291,24 @@
 }
 
 /// Copies bytes in both directions until both have ended or one fails.
-async fn relay(
-    mut client: TcpStream,
-    mut server: TcpStream,
-    habits: &Mutex<Habits>,
-) -> io::Result<()> {
+async fn relay(mut client: TcpStream, mut server: TcpStream, towards: &Towards) -> io::Result<()> {
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let copied = {
         let (from_client, to_client) = client.split();
         let (from_server, to_server) = server.split();
-        tokio::try_join!(
-            copy(from_client, to_server, Direction::Forward, habits),
-            copy(from_server, to_client, Direction::Back, habits),
-        )
+        tokio::select! {
+            () = towards.wait_for_reset() => Err(io::ErrorKind::ConnectionReset.into()),
+            copied = async { tokio::try_join!(
+                copy(from_client, to_server, Direction::Forward, towards),
+                copy(from_server, to_client, Direction::Back, towards),
+            ) } => copied,
+        }
     };
     if copied.is_ok() {
         return Ok(());
     }
-    let on_reset = lock(habits).on_reset;
+    let on_reset = towards.habits().on_reset;
     match on_reset {
         OnReset::Reset => {
             client.set_zero_linger()?;
@@ -219,16 +326,16 @@
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
     direction: Direction,
-    habits: &Mutex<Habits>,
+    towards: &Towards,
 ) -> io::Result<()> {
     let mut buf = vec![0; BUF_BYTES];
     loop {
         let count = from.read(&mut buf).await?;
-        let delay = lock(habits).delay;
-        tokio::time::sleep(delay).await;
-        while lock(habits).blocks(direction) {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+        let delay = towards.habits().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
         }
+        towards.wait_while(|habits| habits.blocks(direction)).await;
         if count == 0 {
             return to.shutdown().await;
         }
