--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -2,4 +2,6 @@
 //! and the troubles of a day file.
 
 pub mod order;
+pub mod day_file;
 pub mod record;
+pub mod sheet;
