--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -1,7 +1,8 @@
 //! Plays of whole days in real time: the gateways, servers, store and balancer of a sheet as processes of this machine, its callers,
 //! and the troubles of a day file.
 
-pub mod order;
+pub mod callers;
 pub mod day_file;
+pub mod order;
 pub mod record;
 pub mod sheet;
--- a/bench/src/day/record.rs
+++ b/bench/src/day/record.rs
@@ -29,6 +29,7 @@
     pub name: String,
     /// Beginning of the path.
     pub path_prefix: String,
+    /// What may be sent again.
     pub kind: RouteKind,
     /// Service that runs the requests.
     pub service: String,
@@ -45,12 +46,13 @@
 /// A version of the configuration.
 #[derive(Clone, Debug)]
 pub struct ConfigRecord {
+    /// Number that grows with each version.
     pub version: u64,
     /// When it was sent to the store.
     pub sent: Instant,
     /// When the store confirmed it.
     pub confirmed: Instant,
-    /// Sorted by name.
+    /// Its routes, sorted by name.
     pub routes: Vec<RouteRecord>,
     /// Keys that callers may use, sorted, each with its team.
     pub keys: Vec<(String, String)>,
@@ -88,6 +90,7 @@
     pub data_centre: String,
     /// Number of the gateway that the balancer chose, if the connection opened.
     pub gateway: Option<usize>,
+    /// When it was sent.
     pub sent: Instant,
     /// Time that the request announced.
     pub deadline: Duration,
@@ -105,8 +108,11 @@
     pub retry_after: Option<Duration>,
     /// When bytes of the body came, and how many there were then.
     pub arrivals: Vec<(Instant, usize)>,
+    /// The bytes of the body that came.
     pub body: Bytes,
+    /// How the answer ended.
     pub end: AnswerEnd,
+    /// When it ended.
     pub ended: Instant,
 }
 
@@ -119,8 +125,9 @@
     pub detail: String,
     /// Whether it is planned work of an operator.
     pub is_planned: bool,
+    /// When it began.
     pub start: Instant,
-    /// `None` if it lasts until the end of the day.
+    /// When it ended; `None` if it lasts until the end of the day.
     pub end: Option<Instant>,
     /// Numbers of the gateways that it strikes.
     pub gateways: Vec<usize>,
@@ -131,8 +138,11 @@
 /// A server that ran during the day.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerRecord {
+    /// Instance ID.
     pub id: String,
+    /// Service that it runs.
     pub service: String,
+    /// Data centre that it is in.
     pub data_centre: String,
 }
 
@@ -164,19 +174,24 @@
     pub sheet: String,
     /// Name of the day.
     pub day: String,
+    /// Decides all that was drawn.
     pub seed: u64,
     /// When callers began.
     pub started: Instant,
     /// When they had finished.
     pub ended: Instant,
+    /// What gateways are held to.
     pub bounds: Bounds,
     /// Names of the gateways by number.
     pub gateways: Vec<String>,
-    /// Sorted by ID.
+    /// The servers, sorted by ID.
     pub servers: Vec<ServerRecord>,
-    /// In the order of their versions.
+    /// The configurations in the order of their versions.
     pub configs: Vec<ConfigRecord>,
+    /// What callers sent and read.
     pub attempts: Vec<CallerAttempt>,
+    /// What servers ran.
     pub runs: Vec<Run>,
+    /// What went wrong, or was changed.
     pub troubles: Vec<TroubleRecord>,
 }
