--- a/bench/src/day/callers/connection.rs
+++ b/bench/src/day/callers/connection.rs
@@ -28,6 +28,13 @@
     usable_until: Option<Instant>,
 }
 
+impl Connection {
+    /// Returns whether an answer came on it before.
+    pub(super) fn is_used(&self) -> bool {
+        self.usable_until.is_some()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
--- a/bench/src/day/callers/request.rs
+++ b/bench/src/day/callers/request.rs
@@ -138,6 +138,7 @@
             let mut was_sent = false;
             if let Ok(connection) = connection {
                 attempt.gateway = Some(connection.gateway);
+                attempt.is_on_kept_connection = connection.is_used();
                 was_sent = true;
                 let leaves_at = self.leaves_after.map(|time| began + time);
                 let kept = number == 0;
@@ -184,9 +185,11 @@
             route: route.name.clone(),
             target: self.target.clone(),
             request_body: self.body.clone(),
+            headers: self.headers.clone(),
             key: self.key.clone(),
             data_centre: self.data_centre.clone(),
             gateway: None,
+            is_on_kept_connection: false,
             sent: now,
             deadline,
             resume_after,
--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod callers;
 pub mod day_file;
+pub mod judge;
 pub mod order;
 pub mod record;
 pub mod sheet;
--- a/bench/src/day/order.rs
+++ b/bench/src/day/order.rs
@@ -52,7 +52,7 @@
     Missing,
     /// A piece repeats events.
     Repeated,
-    /// The answer is of several runs, which its kind excludes.
+    /// The answer is of several runs, which its kind excludes, or which are joined within an event.
     Joined,
     /// A piece doesn't begin where its run was asked to begin or to go on.
     NotAskedFor,
@@ -186,6 +186,26 @@
             .map(move |(_, number)| &runs[*number])
     }
 
+    /// Returns what is wrong with bytes in a stream that are no event and no part of one: whether they begin like one event of the
+    /// request and go on like another, or with its beginning.
+    fn fault_of_unknown(&self, request_id: &str, bytes: &[u8]) -> Fault {
+        let events = || {
+            let of_request = self.of_request(request_id);
+            of_request.flat_map(|run| &run.written.events)
+        };
+        let common = |event: &Bytes| event.iter().zip(bytes).take_while(|(a, b)| a == b).count();
+        let longest = events().map(common).max().unwrap_or_default();
+        let is_joined_at = |cut: usize| {
+            let rest = &bytes[cut..];
+            events().any(|event| event.starts_with(rest) || event.ends_with(rest))
+        };
+        if (1..=longest).rev().any(is_joined_at) {
+            Fault::Joined
+        } else {
+            Fault::Unknown
+        }
+    }
+
     /// Returns whether `bytes` begin like one run's body and end like another's.
     fn is_joined(&self, bytes: &[u8]) -> bool {
         let common = |origin: &Origin<'_>| {
@@ -269,34 +289,35 @@
     let (events, rest) = split_events(attempt.body);
     for event in events {
         let text = String::from_utf8_lossy(event);
+        let piece = || format!("{text:?} after event {last_id}");
         let Some(origin) = runs.find(event) else {
-            report(Fault::Unknown, format!("{text:?} after event {last_id}"));
+            report(runs.fault_of_unknown(attempt.id, event), piece());
             continue;
         };
         let run = &runs.runs[origin.run];
-        let piece = format!("{text:?} after event {last_id}");
         if run.request_id != attempt.id {
-            report(Fault::OtherRequest, piece.clone());
+            report(Fault::OtherRequest, piece());
         }
         if current != Some(origin.run) {
             current = Some(origin.run);
             *run_count += 1;
             if *run_count > 1 && attempt.kind != AnswerKind::ResumableStream {
-                report(Fault::Joined, piece.clone());
+                report(Fault::Joined, piece());
             }
             let written = &run.written;
             if written.asked_after + 1 != origin.id || written.first_id != origin.id {
                 let (asked_after, first_id) = (written.asked_after, written.first_id);
                 let asked = format!(
-                    "{piece}, of a run that was asked for events after {asked_after} and began with {first_id}"
+                    "{}, of a run that was asked for events after {asked_after} and began with {first_id}",
+                    piece()
                 );
                 report(Fault::NotAskedFor, asked);
             }
         }
         if origin.id > last_id + 1 {
-            report(Fault::Missing, piece);
+            report(Fault::Missing, piece());
         } else if origin.id <= last_id {
-            report(Fault::Repeated, piece);
+            report(Fault::Repeated, piece());
         }
         last_id = origin.id;
     }
@@ -341,7 +362,7 @@
         Some(origin) if runs.runs[origin.run].request_id != attempt.id => Fault::OtherRequest,
         Some(origin) if origin.id <= last_id => Fault::Repeated,
         Some(_) => Fault::Missing,
-        None => Fault::Unknown,
+        None => runs.fault_of_unknown(attempt.id, rest),
     };
     let text = String::from_utf8_lossy(rest);
     report(fault, format!("part {text:?} after event {last_id}"));
--- a/bench/src/day/order/tests.rs
+++ b/bench/src/day/order/tests.rs
@@ -417,3 +417,21 @@
 
     assert_eq!(judged, (vec![Fault::CutShort], false));
 }
+
+#[test]
+fn runs_that_are_joined_within_an_event_are_found() {
+    let runs = [
+        stream_run("first", "r-1", 0),
+        stream_run("second", "r-1", 1),
+    ];
+    let start = event("first", 1) + "id: 2\ndata: token";
+
+    for rest in [&event("second", 2), "id: 2\nda"] {
+        let body = format!("{start}{rest}");
+        let found = faults(&[broken(AnswerKind::ResumableStream, &body)], &runs);
+        assert_eq!(found, [Fault::Joined], "{rest:?}");
+    }
+    let other = format!("{start} of nobody\n\n");
+    let found = faults(&[broken(AnswerKind::ResumableStream, &other)], &runs);
+    assert_eq!(found, [Fault::Unknown]);
+}
--- a/bench/src/day/record.rs
+++ b/bench/src/day/record.rs
@@ -84,12 +84,16 @@
     pub target: String,
     /// Body as it was sent.
     pub request_body: Bytes,
+    /// Headers that servers must get as they were sent, with their names in lowercase.
+    pub headers: Vec<(&'static str, String)>,
     /// API key that was sent.
     pub key: String,
     /// Data centre that the caller is in.
     pub data_centre: String,
     /// Number of the gateway that the balancer chose, if the connection opened.
     pub gateway: Option<usize>,
+    /// Whether its connection had been used before.
+    pub is_on_kept_connection: bool,
     /// When it was sent.
     pub sent: Instant,
     /// Time that the request announced.
