--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -6,4 +6,5 @@
 pub mod judge;
 pub mod order;
 pub mod record;
+pub mod report;
 pub mod sheet;
--- a/bench/src/day/order.rs
+++ b/bench/src/day/order.rs
@@ -9,6 +9,7 @@
 use crate::standin::answer_link::UnframedPart;
 use crate::standin::replica::Run;
 use bytes::Bytes;
+use std::cell::OnceCell;
 use std::fmt;
 use std::time::Instant;
 
@@ -114,8 +115,8 @@
     runs: &'a [Run],
     /// Parts of answers that reached a gateway so that they look whole, sorted.
     unframed_parts: Vec<&'a UnframedPart>,
-    /// All events of all runs by their bytes.
-    origins: Vec<Origin<'a>>,
+    /// All events of all runs by their bytes, made when one is first looked for.
+    origins: OnceCell<Vec<Origin<'a>>>,
     /// Indexes of the runs by request ID.
     by_request: Vec<(&'a str, usize)>,
 }
@@ -124,39 +125,64 @@
     fn new(runs: &'a [Run], unframed_parts: &'a [UnframedPart]) -> Self {
         let mut unframed_parts: Vec<&UnframedPart> = unframed_parts.iter().collect();
         unframed_parts.sort_unstable();
-        let mut origins = Vec::new();
-        let mut by_request = Vec::new();
-        for (number, run) in runs.iter().enumerate() {
-            by_request.push((run.request_id.as_str(), number));
-            let written = &run.written;
-            origins.extend(written.events.iter().zip(written.first_id..).map(
-                |(event, id): (&Bytes, u64)| Origin {
-                    bytes: event,
-                    run: number,
-                    id,
-                },
-            ));
-        }
-        origins.sort_unstable_by_key(|origin| origin.bytes);
+        let numbered = runs.iter().enumerate();
+        let mut by_request: Vec<_> = numbered
+            .map(|(number, run)| (run.request_id.as_str(), number))
+            .collect();
         by_request.sort_unstable();
         Self {
             runs,
             unframed_parts,
-            origins,
+            origins: OnceCell::new(),
             by_request,
         }
     }
 
+    fn origins(&self) -> &[Origin<'a>] {
+        self.origins.get_or_init(|| {
+            let mut origins = Vec::new();
+            for (number, run) in self.runs.iter().enumerate() {
+                let written = &run.written;
+                origins.extend(written.events.iter().zip(written.first_id..).map(
+                    |(event, id): (&Bytes, u64)| Origin {
+                        bytes: event,
+                        run: number,
+                        id,
+                    },
+                ));
+            }
+            origins.sort_unstable_by_key(|origin| origin.bytes);
+            origins
+        })
+    }
+
+    /// Returns the event with this ID of a run of this request if it has these bytes, as it nearly always does.
+    fn find_own(&self, request_id: &str, id: u64, bytes: &[u8]) -> Option<Origin<'a>> {
+        let numbers = self.numbers_of_request(request_id);
+        numbers.iter().find_map(|(_, number)| {
+            let written = &self.runs[*number].written;
+            let place = usize::try_from(id.checked_sub(written.first_id)?).ok()?;
+            let event = written.events.get(place)?;
+            (event == bytes).then_some(Origin {
+                bytes: event,
+                run: *number,
+                id,
+            })
+        })
+    }
+
     /// Returns the event with these bytes.
     fn find(&self, bytes: &[u8]) -> Option<Origin<'a>> {
-        let index = self.origins.binary_search_by_key(&bytes, |it| it.bytes);
-        Some(self.origins[index.ok()?])
+        let origins = self.origins();
+        let index = origins.binary_search_by_key(&bytes, |it| it.bytes);
+        Some(origins[index.ok()?])
     }
 
     /// Returns an event that begins with these bytes, but has more.
     fn find_longer(&self, part: &[u8]) -> Option<Origin<'a>> {
-        let index = self.origins.partition_point(|it| it.bytes <= part);
-        let origin = self.origins.get(index)?;
+        let origins = self.origins();
+        let index = origins.partition_point(|it| it.bytes <= part);
+        let origin = origins.get(index)?;
         origin.bytes.starts_with(part).then_some(*origin)
     }
 
@@ -178,12 +204,15 @@
 
     /// Returns the runs of a request.
     fn of_request(&self, id: &str) -> impl Iterator<Item = &'a Run> {
+        let runs = self.runs;
+        let numbers = self.numbers_of_request(id).iter();
+        numbers.map(move |(_, number)| &runs[*number])
+    }
+
+    fn numbers_of_request(&self, id: &str) -> &[(&'a str, usize)] {
         let start = self.by_request.partition_point(|(known, _)| *known < id);
         let end = self.by_request.partition_point(|(known, _)| *known <= id);
-        let runs = self.runs;
-        self.by_request[start..end]
-            .iter()
-            .map(move |(_, number)| &runs[*number])
+        &self.by_request[start..end]
     }
 
     /// Returns what is wrong with bytes in a stream that are no event and no part of one: whether they begin like one event of the
@@ -212,9 +241,9 @@
             let pairs = origin.bytes.iter().zip(bytes);
             pairs.take_while(|(a, b)| a == b).count()
         };
-        let longest = self.origins.iter().map(common).max().unwrap_or_default();
+        let longest = self.origins().iter().map(common).max().unwrap_or_default();
         let rest = &bytes[longest..];
-        longest > 0 && self.origins.iter().any(|it| it.bytes.ends_with(rest))
+        longest > 0 && self.origins().iter().any(|it| it.bytes.ends_with(rest))
     }
 }
 
@@ -290,7 +319,8 @@
     for event in events {
         let text = String::from_utf8_lossy(event);
         let piece = || format!("{text:?} after event {last_id}");
-        let Some(origin) = runs.find(event) else {
+        let own = runs.find_own(attempt.id, last_id + 1, event);
+        let Some(origin) = own.or_else(|| runs.find(event)) else {
             report(runs.fault_of_unknown(attempt.id, event), piece());
             continue;
         };
