--- a/bench/src/bin/cb-bench.rs
+++ b/bench/src/bin/cb-bench.rs
@@ -9,7 +9,8 @@
 use currantbend_bench::cases::Case;
 use currantbend_bench::cases::RunError;
 use currantbend_bench::cases::RunOptions;
-use currantbend_bench::report::Report;
+use currantbend_bench::day;
+use currantbend_bench::day::command::DayError;
 use pico_args::Arguments;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -21,6 +22,8 @@
   cb-bench run CASE[,CASE...] [options]   apply the cases' faults together
   cb-bench quickstart [options]           the case steady, shorter
   cb-bench list                           names of the cases
+  cb-bench day SHEET DAY [options]        a whole day of a deployment; DAY is a file, or quiet for no troubles
+  cb-bench day SHEET --drawn [options]    a day of troubles drawn from the sheet's list, alone and in pairs
 
 Options:
   --seed S       seed of all choices (1)
@@ -31,6 +34,13 @@
   --policy NAME  policy of routing (owner)
   --out DIR      folder for the nodes' settings and logs (bench-out)
 
+Options of days:
+  --seed S           seed of all choices (that of the day, or 1)
+  --seconds N        time of the callers (that of the day, or 60)
+  --gateway PROGRAM  program of the gateways (currantbend-gateway beside this program)
+  --kinds A,B        kinds of which troubles are drawn (all)
+  --out DIR          folder for settings, logs and runs (bench-out)
+
 The last line is a JSON object. Exit status: 0 no promise broken, 1 a promise broken, 2 nothing run.
 ";
 
@@ -43,6 +53,7 @@
 enum BenchError {
     Usage(String),
     Run(RunError),
+    Day(DayError),
     Stopped,
 }
 
@@ -51,6 +62,10 @@
         match self {
             BenchError::Usage(problem) => write!(f, "{problem}; see cb-bench --help"),
             BenchError::Run(err) => err.fmt(f),
+            BenchError::Day(DayError::Usage(problem)) => {
+                write!(f, "{problem}; see cb-bench --help")
+            }
+            BenchError::Day(err) => err.fmt(f),
             BenchError::Stopped => write!(f, "stopped by a signal before the end"),
         }
     }
@@ -84,6 +99,7 @@
         Some("list") => list(args),
         Some("quickstart") => run_cases(args, Some("steady")),
         Some("run") => run_cases(args, None),
+        Some("day") => run_day(args),
         Some(other) => Err(BenchError::Usage(format!(
             "there is no command \"{other}\""
         ))),
@@ -118,22 +134,36 @@
     let runtime = tokio::runtime::Runtime::new();
     let runtime =
         runtime.map_err(|err| BenchError::Usage(format!("cannot start the runtime: {err}")))?;
-    let report = runtime.block_on(run_until_signal(&picked, options))?;
+    let report = runtime.block_on(until_signal(async {
+        let running = cases::run(&picked, options, &|line| eprintln!("{line}"));
+        running.await.map_err(BenchError::Run)
+    }))?;
     println!("{}", report.to_line());
     Ok(report.promises_kept())
 }
 
-/// Runs the cases until they end or a signal arrives. A signal drops the run, which kills all processes that it
-/// started.
-async fn run_until_signal(
-    picked: &[Box<dyn Case>],
-    options: RunOptions,
-) -> Result<Report, BenchError> {
+/// Plays the day that the command line names.
+fn run_day(args: Arguments) -> Result<bool, BenchError> {
+    let this_program = sibling_program("cb-bench")?;
+    let programs = this_program.parent().unwrap_or(&this_program);
+    let play = day::command::parse(args, programs).map_err(BenchError::Day)?;
+    let runtime = tokio::runtime::Runtime::new();
+    let runtime =
+        runtime.map_err(|err| BenchError::Usage(format!("cannot start the runtime: {err}")))?;
+    runtime.block_on(until_signal(async {
+        day::command::run(play).await.map_err(BenchError::Day)
+    }))
+}
+
+/// Waits until `work` ends or a signal arrives. A signal drops the work, which kills all processes that it started.
+async fn until_signal<T>(
+    work: impl Future<Output = Result<T, BenchError>>,
+) -> Result<T, BenchError> {
     let no_signal = |err| BenchError::Usage(format!("cannot wait for signals: {err}"));
     let mut terminate = signal(SignalKind::terminate()).map_err(no_signal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(no_signal)?;
     tokio::select! {
-        report = cases::run(picked, options, &|line| eprintln!("{line}")) => report.map_err(BenchError::Run),
+        result = work => result,
         _ = terminate.recv() => Err(BenchError::Stopped),
         _ = interrupt.recv() => Err(BenchError::Stopped),
     }
--- /dev/null
+++ b/bench/src/day/command.rs
@@ -0,0 +1,169 @@
+//! The command `cb-bench day`.
+
+use pico_args::Arguments;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::fmt;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::day_file::Day;
+use super::fleet::Programs;
+use super::play;
+use super::play::Play;
+use super::play::Played;
+use super::record::AnswerEnd;
+use super::sheet::Sheet;
+use super::sheet::SheetError;
+
+/// Length of a drawn day in seconds.
+const DRAWN_LENGTH: f64 = 60.0;
+
+/// Why no day was played.
+#[derive(Debug)]
+pub enum DayError {
+    /// An argument is missing or has an invalid value.
+    Usage(String),
+    /// The sheet or day can't be used.
+    Sheet(SheetError),
+    /// A process can't be started, or what it leaves can't be read.
+    Play(io::Error),
+}
+
+impl fmt::Display for DayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(problem) => f.write_str(problem),
+            Self::Sheet(err) => err.fmt(f),
+            Self::Play(err) => err.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for DayError {}
+
+impl From<pico_args::Error> for DayError {
+    fn from(err: pico_args::Error) -> Self {
+        Self::Usage(err.to_string())
+    }
+}
+
+impl From<SheetError> for DayError {
+    fn from(err: SheetError) -> Self {
+        Self::Sheet(err)
+    }
+}
+
+/// Reads what is to be played from arguments: a sheet, and a day file or `--drawn`. Programs are looked for in `programs` unless an
+/// argument names another gateway. The day `quiet` has no troubles.
+///
+/// # Errors
+///
+/// Returns an error if an argument isn't understood, or if the sheet or the day can't be used.
+pub fn parse(mut args: Arguments, programs: &Path) -> Result<Play, DayError> {
+    let seed: Option<u64> = args.opt_value_from_str("--seed")?;
+    let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
+    let gateway: Option<PathBuf> = args.opt_value_from_str("--gateway")?;
+    let out: Option<PathBuf> = args.opt_value_from_str("--out")?;
+    let kinds: Option<String> = args.opt_value_from_str("--kinds")?;
+    let is_drawn = args.contains("--drawn");
+    let sheet: PathBuf = args.free_from_str()?;
+    let sheet = Sheet::read(&sheet)?;
+    let kinds: Vec<String> = match kinds {
+        Some(kinds) => kinds.split(',').map(str::to_owned).collect(),
+        None => Vec::new(),
+    };
+    let mut day = if is_drawn {
+        let mut rng = StdRng::seed_from_u64(seed.unwrap_or(1));
+        Day::draw(&sheet, &kinds, seconds.unwrap_or(DRAWN_LENGTH), &mut rng)
+    } else {
+        let day: PathBuf = args.free_from_str()?;
+        match day.to_str() {
+            Some("quiet") => Day::quiet(seconds.unwrap_or(DRAWN_LENGTH)),
+            _ => Day::read(&day, &sheet)?,
+        }
+    };
+    if let Some(left) = args.finish().first() {
+        let problem = format!("\"{}\" is not understood", left.to_string_lossy());
+        return Err(DayError::Usage(problem));
+    }
+    day.length_s = seconds.unwrap_or(day.length_s);
+    let seed = seed.unwrap_or(day.seed.max(1));
+    let mut programs = Programs::in_folder(programs);
+    if let Some(gateway) = gateway {
+        programs.gateway = gateway;
+    }
+    let folder = format!("{}-{}-{seed}", sheet.name, day.name);
+    let folder = out
+        .unwrap_or_else(|| PathBuf::from("bench-out"))
+        .join(folder);
+    Ok(Play {
+        sheet,
+        day,
+        seed,
+        programs,
+        folder,
+    })
+}
+
+/// Plays a day and prints what happened; returns whether no rule was broken.
+///
+/// # Errors
+///
+/// Returns an error if the day can't be played.
+pub async fn run(mut args: Play) -> Result<bool, DayError> {
+    let folder = args.folder.clone();
+    match std::fs::remove_dir_all(&folder) {
+        Err(err) if err.kind() != io::ErrorKind::NotFound => return Err(DayError::Play(err)),
+        _ => {}
+    }
+    // The processes run in other folders than this one.
+    std::fs::create_dir_all(&folder).map_err(DayError::Play)?;
+    args.folder = folder.canonicalize().map_err(DayError::Play)?;
+    let begun = Instant::now();
+    let print = |line: &str| eprintln!("{line}");
+    let played = play::play(args, &print).await.map_err(DayError::Play)?;
+    report(&played, begun.elapsed());
+    Ok(played.unexpected_ends.is_empty())
+}
+
+fn report(played: &Played, took: Duration) {
+    let record = &played.record;
+    for trouble in &record.troubles {
+        let since = |at: Instant| at.saturating_duration_since(record.started).as_secs_f64();
+        let end = trouble
+            .end
+            .map_or("the end".to_owned(), |at| format!("{:.1}", since(at)));
+        let start = since(trouble.start);
+        println!(
+            "trouble {start:.1} to {end}: {} {}",
+            trouble.kind, trouble.detail
+        );
+    }
+    for what in &played.not_played {
+        println!("not played: {what}");
+    }
+    for (at, what) in &played.unexpected_ends {
+        println!("unexpected at {at:.1}: {what}");
+    }
+    let count = |wanted: &dyn Fn(u16, AnswerEnd) -> bool| {
+        let attempts = record.attempts.iter();
+        attempts.filter(|it| wanted(it.status, it.end)).count()
+    };
+    println!(
+        "{} attempts, {} served, {} refused, {} failed; {} runs of {} servers; {:.1} s",
+        record.attempts.len(),
+        count(&|status, end| status == 200 && end == AnswerEnd::Complete),
+        count(&|status, _| matches!(status, 408 | 421 | 429 | 503)),
+        count(
+            &|status, end| !matches!(status, 200 | 408 | 421 | 429 | 503)
+                || (status == 200 && end != AnswerEnd::Complete)
+        ),
+        record.runs.len(),
+        record.servers.len(),
+        took.as_secs_f64(),
+    );
+}
--- /dev/null
+++ b/bench/src/day/play.rs
@@ -0,0 +1,159 @@
+//! Plays a day.
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::task::JoinSet;
+
+use super::day_file::Day;
+use super::day_file::Trouble;
+use super::fleet::Fleet;
+use super::fleet::Programs;
+use super::journal::Journal;
+use super::plain_callers::PlainCallers;
+use super::record::DayRecord;
+use super::sheet::Sheet;
+use super::troubles;
+use super::troubles::Scene;
+
+/// Time after the last trouble that its end may take.
+const TROUBLE_SLACK: Duration = Duration::from_secs(15);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// The deployment.
+    pub sheet: Sheet,
+    /// Its day.
+    pub day: Day,
+    /// Decides all that is drawn.
+    pub seed: u64,
+    /// Programs that are started.
+    pub programs: Programs,
+    /// Folder for settings, logs and runs.
+    pub folder: PathBuf,
+}
+
+/// A day that was played.
+#[derive(Debug)]
+pub struct Played {
+    /// What happened.
+    pub record: DayRecord,
+    /// What the day asks for that can't be played.
+    pub not_played: Vec<String>,
+    /// Gateways that ended without a signal of the play, with the time since the start of the callers in seconds.
+    pub unexpected_ends: Vec<(f64, String)>,
+}
+
+/// Plays a day and returns what it leaves. `print` is called with what happens, a line each.
+///
+/// # Errors
+///
+/// Returns an error if a process can't be started or what it leaves can't be read.
+pub async fn play(play: Play, print: &dyn Fn(&str)) -> io::Result<Played> {
+    let Play {
+        sheet,
+        day,
+        seed,
+        programs,
+        folder,
+    } = play;
+    std::fs::create_dir_all(&folder)?;
+    let fleet = Arc::new(Fleet::start(&sheet, &programs, seed, &folder).await?);
+    print(&format!(
+        "{} gateways and {} servers run",
+        fleet.gateways.count(),
+        fleet.servers.all().len()
+    ));
+    let places = 0..sheet.data_centres.len();
+    let balancers: Vec<_> = places
+        .map(|place| fleet.addresses.balancer(place))
+        .collect();
+    let callers = PlainCallers::start(&sheet, &balancers, &fleet.operator.keys(), seed);
+    let started = Instant::now();
+    let journal = Arc::new(Journal::default());
+    let length = Duration::from_secs_f64(day.length_s);
+    let mut playing = JoinSet::new();
+    for (number, (trouble, is_planned)) in day.troubles().into_iter().enumerate() {
+        print(&describe(&trouble));
+        let scene = Scene {
+            fleet: Arc::clone(&fleet),
+            journal: Arc::clone(&journal),
+            is_planned,
+            day_end: started + length,
+        };
+        let rng = StdRng::seed_from_u64(seed.wrapping_mul(8_191) + number as u64);
+        playing.spawn(async move {
+            let at = started + Duration::from_secs_f64(trouble.at.max(0.0));
+            tokio::time::sleep_until(at.into()).await;
+            troubles::play(&scene, &trouble, rng).await;
+        });
+    }
+    tokio::time::sleep_until((started + length).into()).await;
+    let attempts = callers.close().await;
+    let ended = Instant::now();
+    let ending = async { while playing.join_next().await.is_some() {} };
+    if tokio::time::timeout(TROUBLE_SLACK, ending).await.is_err() {
+        print("a trouble goes on after the end of the day");
+        playing.shutdown().await;
+    }
+    let (names, configs) = (fleet.gateways.names.clone(), fleet.operator.records());
+    let fleet = Arc::into_inner(fleet);
+    let fleet = fleet.ok_or_else(|| io::Error::other("a trouble still uses the fleet"))?;
+    let left = fleet.close().await?;
+    let unexpected_ends = left.unexpected_ends.into_iter();
+    let since = |at: Instant| at.saturating_duration_since(started).as_secs_f64();
+    let unexpected_ends = unexpected_ends.map(|(at, what)| (since(at), what));
+    Ok(Played {
+        record: DayRecord {
+            sheet: sheet.name.clone(),
+            day: day.name,
+            seed,
+            started,
+            ended,
+            bounds: sheet.judge_bounds(),
+            gateways: names,
+            servers: left.servers,
+            configs,
+            attempts,
+            runs: left.runs,
+            troubles: journal.troubles(),
+        },
+        not_played: journal.not_played(),
+        unexpected_ends: unexpected_ends.collect(),
+    })
+}
+
+/// Returns a line that says what a trouble is.
+fn describe(trouble: &Trouble) -> String {
+    let mut text = format!("{:6.1} s  {}", trouble.at, trouble.kind);
+    for (name, value) in [
+        ("for_s", trouble.for_s),
+        ("gap_s", trouble.gap_s),
+        ("share", trouble.share),
+        ("count", trouble.count.map(|count| count as f64)),
+        ("x", trouble.x),
+    ] {
+        if let Some(value) = value {
+            text += &format!(" {name} {value}");
+        }
+    }
+    for (name, value) in [
+        ("on", &trouble.on),
+        ("zone", &trouble.zone),
+        ("service", &trouble.service),
+        ("class", &trouble.class),
+    ] {
+        if let Some(value) = value {
+            text += &format!(" {name} {value}");
+        }
+    }
+    if !trouble.how.is_empty() {
+        text += &format!(" how \"{}\"", trouble.how);
+    }
+    text
+}
--- a/bench/src/standin/relay.rs
+++ b/bench/src/standin/relay.rs
@@ -146,7 +146,7 @@
                 return;
             }
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -1,6 +1,10 @@
 //! A backend server of the users' platform: it echoes the request ID, signs its responses, reports its load, and can be
 //! set to misbehave.
 
+mod control;
+mod pace;
+mod slots;
+
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use hyper::HeaderMap;
@@ -36,6 +40,10 @@
 use crate::standin::run_log::RunLog;
 use crate::truth::lock;
 
+pub use self::pace::Pace;
+use self::slots::Slot;
+use self::slots::Slots;
+
 /// Pause after each event of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(15);
 /// Start time of servers that are started only once, as their entries name it.
@@ -239,7 +247,11 @@
     work_time: Duration,
     software_version: Mutex<String>,
     behavior: Mutex<Behavior>,
+    /// Share of requests that are handled by `behavior`; the others are by [`Behavior::Healthy`].
+    behavior_share: Mutex<f64>,
     framing: Mutex<Framing>,
+    pace: OnceLock<Pace>,
+    slots: OnceLock<Slots>,
     has_text_per_run: AtomicBool,
     /// Numbers of events of streams, if it writes a text per run.
     event_counts: Mutex<Vec<u64>>,
@@ -350,13 +362,19 @@
     mark: String,
     /// ID of the last event of the request's stream.
     last_id: u64,
+    /// Held as long as it runs.
+    _slot: Option<Slot>,
 }
 
 impl RunningGuard {
-    fn new(shared: &Arc<Shared>, run: Run) -> Self {
+    fn new(shared: &Arc<Shared>, run: Run, slot: Option<Slot>) -> Self {
         shared.running.fetch_add(1, Relaxed);
         let has_own_text = shared.has_text_per_run.load(Relaxed);
-        let last_id = if has_own_text {
+        let paced = shared.pace.get();
+        let paced = paced.and_then(|_| Pace::event_count(&run.headers));
+        let last_id = if let Some(count) = paced {
+            count
+        } else if has_own_text {
             event_count(&run, &lock(&shared.event_counts))
         } else {
             EVENTS
@@ -381,6 +399,7 @@
             number,
             mark,
             last_id,
+            _slot: slot,
         }
     }
 
@@ -472,7 +491,10 @@
             work_time: start.work_time,
             software_version: Mutex::new("v1".to_owned()),
             behavior: Mutex::default(),
+            behavior_share: Mutex::new(1.0),
             framing: Mutex::default(),
+            pace: OnceLock::new(),
+            slots: OnceLock::new(),
             has_text_per_run: AtomicBool::new(false),
             event_counts: Mutex::new(VARIED_EVENTS.collect()),
             runs: Mutex::default(),
@@ -560,6 +582,18 @@
         *lock(&self.shared.event_counts) = counts.into_iter().collect();
     }
 
+    /// Sets the pace of its streams; only the first that is set is used.
+    pub fn set_pace(&self, pace: Pace) {
+        *lock(&self.shared.first_event_delay) = pace.first_event;
+        self.shared.pace.get_or_init(|| pace);
+    }
+
+    /// Sets how many requests it runs at once, and how many wait beside those; only the first that are set are used. By default it
+    /// runs any number.
+    pub fn set_slots(&self, slots: u32, queue: u32) {
+        self.shared.slots.get_or_init(|| Slots::new(slots, queue));
+    }
+
     /// Keeps its runs in `log` too, from now on and before their bytes are sent. Only the first log that is set is used.
     pub fn set_run_log(&self, log: RunLog) {
         self.shared.run_log.get_or_init(|| log);
@@ -695,13 +729,20 @@
     *res.status_mut() = status;
     http::set_header(&mut res, "currantbend-instance-id", &shared.id);
     http::set_header(&mut res, "keep-alive", "timeout=10");
-    let load = format!("{},0,8", shared.running.load(Relaxed));
+    let (waiting, slots) = match shared.slots.get() {
+        Some(slots) => (slots.waiting(), slots.count()),
+        None => (0, 8),
+    };
+    let load = format!("{},{waiting},{slots}", shared.running.load(Relaxed));
     http::set_header(&mut res, "currantbend-server-load", &load);
     if let Some(limit) = &*lock(&shared.rate_limit) {
         http::set_header(&mut res, "server-limit", limit);
     }
     if shared.is_leaving.load(Relaxed) {
         http::set_header(&mut res, "server-leaving", "1");
+        if shared.slots.get().is_some() {
+            http::set_header(&mut res, "connection", "close");
+        }
     }
     res
 }
@@ -727,7 +768,10 @@
         let body = http::full(report.to_string());
         return Ok(build_response(&shared, StatusCode::OK, body));
     }
-    let behavior = *lock(&shared.behavior);
+    if let Some(query) = target.strip_prefix(control::PATH) {
+        return Ok(shared.control(query));
+    }
+    let behavior = shared.behavior_for(&request_id);
     if target == "/health" && !matches!(behavior, Behavior::Rejects | Behavior::RejectsFor(_)) {
         if shared.is_cut.load(Relaxed) {
             return Err(Abort);
@@ -759,6 +803,16 @@
         }
         return Ok(res);
     }
+    let slot = match shared.slots.get() {
+        None => None,
+        Some(slots) => match slots.take(&headers).await {
+            Some(slot) => Some(slot),
+            None => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Ok(not_run_response(&shared, status, &request_id));
+            }
+        },
+    };
     let crash_point = shared.crash_point(&headers, &target, &body);
     let after = http::header(&headers, "last-event-id").parse().unwrap_or(0);
     let run = Run {
@@ -773,7 +827,7 @@
             ..Written::default()
         },
     };
-    let running = RunningGuard::new(&shared, run);
+    let running = RunningGuard::new(&shared, run, slot);
     shared.wait_while_silent().await;
     if let Some(CrashPoint::After(time)) = crash_point {
         tokio::time::sleep(time).await;
@@ -970,7 +1024,8 @@
                     return;
                 }
             }
-            shared.work_for(EVENT_GAP).await;
+            let gap = shared.pace.get().map_or(EVENT_GAP, |pace| pace.event_gap);
+            shared.work_for(gap).await;
         }
         running.record(Step::Ended);
     });
--- a/bench/src/standin/replica_process.rs
+++ b/bench/src/standin/replica_process.rs
@@ -35,6 +35,7 @@
 use tokio::signal::unix::signal;
 
 use super::replica::Framing;
+use super::replica::Pace;
 use super::replica::Replica;
 use super::replica::Start;
 use super::replica::VARIED_EVENTS;
@@ -57,6 +58,11 @@
   --framing NAME       half-events, joined-events, with-length or unframed (half-events)
   --version NAME       software version (v1)
   --events N-M         least and largest number of events of streams, with --text-per-run (3-30)
+  --slots N            requests that run at once (any number)
+  --queue N            requests that wait beside those, with --slots (0)
+  --event-gap-ms N     time from one event of a stream to the next, with --slots (15); there are then as many as the
+                       request asks for
+  --first-event-ms N   time from the beginning of a run to its first event, with --slots (0)
   --text-per-run       let each run write what no other run writes
   --records DIR        folder for a file of records for each process
   --drain-ms N         time for requests in flight after SIGTERM (2000)
@@ -98,6 +104,17 @@
     pub has_own_born: bool,
 }
 
+/// What a server bears, and the pace of its streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Capacity {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Requests that wait beside those.
+    pub queue: u32,
+    /// Pace of its streams.
+    pub pace: Pace,
+}
+
 /// How a server process is started.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReplicaOptions {
@@ -119,6 +136,8 @@
     pub event_counts: RangeInclusive<u64>,
     /// Whether each run writes what no other run writes.
     pub has_text_per_run: bool,
+    /// Slots and pace; `None` for any number of requests at once at the usual pace.
+    pub capacity: Option<Capacity>,
     /// Folder for the records, a file for each process; `None` for no records.
     pub records: Option<PathBuf>,
     /// Time that requests in flight have after SIGTERM. The connections of those that take longer are closed.
@@ -139,6 +158,7 @@
             version: "v1".to_owned(),
             event_counts: VARIED_EVENTS,
             has_text_per_run: false,
+            capacity: None,
             records: None,
             drain_time: Duration::from_secs(2),
             workers: None,
@@ -163,6 +183,7 @@
             respawn_after,
             has_own_born,
         });
+        let capacity = parse_capacity(&mut args)?;
         let options = Self {
             id: args.opt_value_from_str("--id")?.unwrap_or(default.id),
             address: args
@@ -185,6 +206,7 @@
                 .opt_value_from_fn("--events", parse_counts)?
                 .unwrap_or(default.event_counts),
             has_text_per_run: args.contains("--text-per-run"),
+            capacity,
             records: args.opt_value_from_str("--records")?,
             drain_time: args
                 .opt_value_from_fn("--drain-ms", millis)?
@@ -215,6 +237,7 @@
             format!("--drain-ms={}", self.drain_time.as_millis()),
         ];
         args.extend(self.has_text_per_run.then(|| "--text-per-run".to_owned()));
+        args.extend(self.capacity.into_iter().flat_map(Capacity::to_args));
         let records = self.records.as_ref();
         args.extend(records.map(|folder| format!("--records={}", folder.display())));
         if let Some(workers) = &self.workers {
@@ -247,6 +270,34 @@
     }
 }
 
+impl Capacity {
+    fn to_args(self) -> [String; 4] {
+        let Pace {
+            first_event,
+            event_gap,
+        } = self.pace;
+        [
+            format!("--slots={}", self.slots),
+            format!("--queue={}", self.queue),
+            format!("--event-gap-ms={}", event_gap.as_millis()),
+            format!("--first-event-ms={}", first_event.as_millis()),
+        ]
+    }
+}
+
+fn parse_capacity(args: &mut Arguments) -> Result<Option<Capacity>, pico_args::Error> {
+    let millis = |text: &str| text.parse().map(Duration::from_millis);
+    let queue = args.opt_value_from_str("--queue")?.unwrap_or(0);
+    let event_gap = args.opt_value_from_fn("--event-gap-ms", millis)?;
+    let first_event = args.opt_value_from_fn("--first-event-ms", millis)?;
+    let pace = Pace {
+        first_event: first_event.unwrap_or(Duration::ZERO),
+        event_gap: event_gap.unwrap_or(Duration::from_millis(15)),
+    };
+    let slots = args.opt_value_from_str("--slots")?;
+    Ok(slots.map(|slots| Capacity { slots, queue, pace }))
+}
+
 fn parse_framing(text: &str) -> Result<Framing, String> {
     let found = FRAMINGS.iter().find(|(name, _)| *name == text);
     let found = found.map(|(_, framing)| *framing);
@@ -349,6 +400,10 @@
     if options.has_text_per_run {
         replica.set_text_per_run();
     }
+    if let Some(capacity) = &options.capacity {
+        replica.set_slots(capacity.slots, capacity.queue);
+        replica.set_pace(capacity.pace);
+    }
     if let Some(log) = log {
         replica.set_run_log(log);
     }
--- a/bench/src/standin/server_process.rs
+++ b/bench/src/standin/server_process.rs
@@ -116,6 +116,19 @@
             Err(err) if err.kind() != io::ErrorKind::NotFound => return Err(err),
             _ => {}
         }
+        Self::start_in(program, folder, options).await
+    }
+
+    /// Starts a server as [`ServerProcess::start`] does, whose runs are kept in `folder`, which must not have any yet.
+    ///
+    /// # Errors
+    ///
+    /// As [`ServerProcess::start`].
+    pub async fn start_in(
+        program: Program,
+        folder: PathBuf,
+        options: ReplicaOptions,
+    ) -> io::Result<Self> {
         let state = spawn(&program, &folder, options, 1)?;
         let server = Self {
             program,
@@ -287,6 +300,31 @@
         Ok(runs)
     }
 
+    /// Sets how it behaves from now on, until it is started again: `query` holds the parameters that [`super::replica`] knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it doesn't answer or knows no such parameters.
+    pub async fn control(&self, query: &str) -> io::Result<()> {
+        let client = Client::new(self.address());
+        let path = format!("/stand-in?{query}");
+        let answer = client.get(&path).await.map_err(io::Error::other)?;
+        match answer.status().is_success() {
+            true => Ok(()),
+            false => Err(io::Error::other(format!("{path} got {}", answer.status()))),
+        }
+    }
+
+    /// Kills it and leaves the files of its runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be killed.
+    pub async fn kill_and_keep(&self) -> io::Result<()> {
+        self.signal(Signal::SIGKILL)?;
+        self.wait_for_exit().await
+    }
+
     /// Kills it and removes the files of its runs.
     ///
     /// # Errors
--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -395,7 +395,7 @@
 }
 
 /// Returns the value of a parameter of a query, as it was sent.
-pub(super) fn query_parameter(query: &str, name: &str) -> Option<String> {
+pub(crate) fn query_parameter(query: &str, name: &str) -> Option<String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(key, _)| *key == name);
     found.next().map(|(_, value)| value.to_owned())
