--- a/bench/src/day/play.rs
+++ b/bench/src/day/play.rs
@@ -20,6 +20,8 @@
 use super::troubles;
 use super::troubles::Scene;
 
+/// Time for which callers go on after what strikes at the end.
+const RECOVERY: Duration = Duration::from_secs(8);
 /// Time after the last trouble that its end may take.
 const TROUBLE_SLACK: Duration = Duration::from_secs(15);
 
@@ -83,6 +85,7 @@
         let scene = Scene {
             fleet: Arc::clone(&fleet),
             journal: Arc::clone(&journal),
+            set_keys: Arc::new(|_| {}),
             is_planned,
             day_end: started + length,
         };
@@ -94,6 +97,21 @@
         });
     }
     tokio::time::sleep_until((started + length).into()).await;
+    if let Some(closing) = &day.closing {
+        print(&format!(
+            "{:6.1} s  {} at the end",
+            day.length_s, closing.kind
+        ));
+        let scene = Scene {
+            fleet: Arc::clone(&fleet),
+            journal: Arc::clone(&journal),
+            set_keys: Arc::new(|_| {}),
+            is_planned: false,
+            day_end: Instant::now() + Duration::from_secs_f64(closing.down_s),
+        };
+        troubles::close(&scene, closing).await;
+        tokio::time::sleep(RECOVERY).await;
+    }
     let attempts = callers.close().await;
     let ended = Instant::now();
     let ending = async { while playing.join_next().await.is_some() {} };
--- a/bench/src/day/servers.rs
+++ b/bench/src/day/servers.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -107,6 +108,8 @@
     seed: u64,
     list: Mutex<Vec<Arc<Server>>>,
     records: Mutex<Vec<ServerRecord>>,
+    /// IDs whose servers run under others, and when their entries lapse.
+    lapsing: Mutex<Vec<(String, Instant)>>,
     /// Number of server processes so far.
     starts: Mutex<usize>,
 }
@@ -155,6 +158,7 @@
             seed: site.seed,
             list: Mutex::default(),
             records: Mutex::default(),
+            lapsing: Mutex::default(),
             starts: Mutex::default(),
         });
         let mut starting = Vec::new();
@@ -286,9 +290,21 @@
     ///
     /// Returns an error if it can't be started.
     pub async fn restart(&self, server: &Server) -> io::Result<()> {
+        self.remove_entry(server).await;
+        self.restart_unheard(server).await?;
+        server.set_stage(Stage::Ready);
+        self.report(server).await;
+        Ok(())
+    }
+
+    /// Starts a server again like [`Servers::restart`], which can't report yet.
+    ///
+    /// # Errors
+    ///
+    /// As [`Servers::restart`].
+    pub async fn restart_unheard(&self, server: &Server) -> io::Result<()> {
         let id = self.next_id();
         let before = server.process.options();
-        self.remove_entry(server).await;
         server
             .process
             .restart(ReplicaOptions {
@@ -299,12 +315,15 @@
             .await?;
         {
             let mut entry = lock(&server.entry);
-            entry.id = id;
+            let before = std::mem::replace(&mut entry.id, id);
             entry.sequence = 0;
-            entry.stage = Stage::Ready;
+            if std::mem::take(&mut entry.is_listed) {
+                let silence = Duration::from_millis(self.sheet.bounds.heartbeat_ms);
+                let at = Instant::now() + silence * SILENT_HEARTBEATS;
+                lock(&self.lapsing).push((before, at));
+            }
         }
         self.record(server);
-        self.report(server).await;
         Ok(())
     }
 
@@ -326,6 +345,13 @@
     }
 
     async fn report_all(&self) {
+        let now = Instant::now();
+        let lapsed: Vec<(String, Instant)> = lock(&self.lapsing)
+            .extract_if(.., |(_, at)| *at <= now)
+            .collect();
+        for (id, _) in lapsed {
+            self.put(&id, Bytes::new()).await;
+        }
         for server in self.all() {
             match server.stage() {
                 Stage::Ready | Stage::Draining => self.report(&server).await,
--- a/bench/src/day/troubles/gateways.rs
+++ b/bench/src/day/troubles/gateways.rs
@@ -7,11 +7,13 @@
 use std::time::Instant;
 
 use super::Scene;
+use super::config;
 use crate::day::day_file::Trouble;
 use crate::day::journal::Struck;
 use crate::day::links::Effect;
 use crate::day::links::Rule;
 use crate::day::links::Target;
+use crate::day::servers::Stage;
 
 /// Share of the gateways that a trouble strikes if its entry doesn't say it.
 const USUAL_SHARE: f64 = 0.1;
@@ -73,15 +75,11 @@
 }
 
 fn begin(scene: &Scene, trouble: &Trouble, gateways: &[usize]) -> usize {
-    let detail = format!("{} {}", names(scene, gateways), trouble.how);
     let struck = Struck {
         gateways: gateways.to_vec(),
         ..Struck::default()
     };
-    let detail = detail.trim().to_owned();
-    scene
-        .journal
-        .begin(&trouble.kind, detail, scene.is_planned, struck)
+    scene.begin(trouble, &names(scene, gateways), struck)
 }
 
 fn signal(scene: &Scene, trouble: &Trouble, gateways: &[usize], signal: Signal) {
@@ -91,22 +89,70 @@
     }
 }
 
-/// Kills processes, or takes the power of their hosts for the time of the trouble.
+/// Kills processes, or takes the power of their hosts for the time of the trouble, and plays what comes with their return.
 async fn kill(scene: &Scene, trouble: &Trouble, struck: Vec<usize>) {
+    if ["leader", "renewed", "reader", "giver", "follower"]
+        .iter()
+        .any(|word| trouble.has(word))
+    {
+        scene.leave_out(trouble, "any gateways are drawn");
+    }
+    let is_dark = trouble.has("power") || trouble.has("off");
+    let places: Vec<usize> = struck
+        .iter()
+        .map(|number| scene.fleet.gateways.places[*number])
+        .collect();
+    take_down(scene, trouble, struck, is_dark, Signal::SIGKILL).await;
+    let changes = [("meet", 1), ("race", 2)].into_iter();
+    let changes = changes.filter(|(word, _)| trouble.has(word));
+    for _ in 0..changes.map(|(_, count)| count).max().unwrap_or(0) {
+        scene.fleet.operator.change_timeouts();
+        scene.check(&trouble.kind, config::publish(scene).await);
+    }
+    if trouble.has("drain") {
+        let mut servers = scene.fleet.servers.all();
+        servers.retain(|it| places.contains(&it.place) && it.stage() == Stage::Ready);
+        // At least one server of each service stays everywhere.
+        if let Some(server) = servers.first()
+            && servers
+                .iter()
+                .filter(|it| it.service == server.service)
+                .count()
+                > 1
+        {
+            let struck = Struck {
+                servers: vec![server.id()],
+                ..Struck::default()
+            };
+            let record = scene.begin(trouble, &format!("{} leaves", server.id()), struck);
+            let leaving = scene.fleet.servers.leave(server).await;
+            scene.check(&trouble.kind, leaving);
+            scene.journal.end(record);
+        }
+    }
+}
+
+/// Ends processes by a signal. Those of hosts that are dark stay away for the time of the trouble, the others are back at once.
+pub(super) async fn take_down(
+    scene: &Scene,
+    trouble: &Trouble,
+    struck: Vec<usize>,
+    is_dark: bool,
+    ending: Signal,
+) {
     let gateways = &scene.fleet.gateways;
     let since = Instant::now();
     let record = begin(scene, trouble, &struck);
-    let is_dark = trouble.has("power") || trouble.has("off");
     if is_dark {
         struck.iter().for_each(|number| gateways.hold(*number));
         // A host without power answers nothing, and its connections stay open for the others.
         let rule = scene.fleet.links.put(dark(scene, &struck));
-        signal(scene, trouble, &struck, Signal::SIGKILL);
-        scene.wait(Duration::from_secs_f64(trouble.seconds())).await;
+        signal(scene, trouble, &struck, ending);
+        scene.wait_out(trouble).await;
         scene.fleet.links.remove(rule);
         struck.iter().for_each(|number| gateways.release(*number));
     } else {
-        signal(scene, trouble, &struck, Signal::SIGKILL);
+        signal(scene, trouble, &struck, ending);
     }
     for number in struck {
         gateways.wait_for_start(number, since, START_TIMEOUT).await;
@@ -114,6 +160,12 @@
     scene.journal.end(record);
 }
 
+/// Takes down all gateways.
+pub(super) async fn kill_all(scene: &Scene, trouble: &Trouble, is_dark: bool) {
+    let all = (0..scene.fleet.gateways.count()).collect();
+    take_down(scene, trouble, all, is_dark, Signal::SIGKILL).await;
+}
+
 /// Returns a rule by which nothing comes from these hosts.
 fn dark(scene: &Scene, struck: &[usize]) -> Rule {
     let servers = scene.fleet.servers.all().into_iter();
@@ -128,7 +180,7 @@
 async fn freeze(scene: &Scene, trouble: &Trouble, struck: Vec<usize>) {
     let record = begin(scene, trouble, &struck);
     signal(scene, trouble, &struck, Signal::SIGSTOP);
-    scene.wait(Duration::from_secs_f64(trouble.seconds())).await;
+    scene.wait_out(trouble).await;
     signal(scene, trouble, &struck, Signal::SIGCONT);
     scene.journal.end(record);
 }
--- a/bench/src/day/troubles/servers.rs
+++ b/bench/src/day/troubles/servers.rs
@@ -1,10 +1,9 @@
-//! Troubles of servers.
+//! Servers that crash, are slow, or answer wrongly.
 
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::Scene;
 use crate::day::day_file::Trouble;
@@ -12,13 +11,91 @@
 use crate::day::servers::Server;
 use crate::day::servers::Stage;
 
-/// Share of the servers of a service that a trouble strikes if its entry doesn't say it.
+/// Shares of the servers of a service that troubles strike if their entries don't say it.
 const USUAL_SHARE: f64 = 0.15;
+const ANSWER_SHARE: f64 = 0.5;
+/// Shares of the requests that are answered wrongly.
+const GREY_REQUESTS: f64 = 0.4;
+const LOST_REQUESTS: f64 = 0.03;
+const GARBLED_REQUESTS: f64 = 0.02;
+/// How many times slower servers are.
+const USUAL_SLOWNESS: f64 = 4.0;
+const GREY_SLOWNESS: f64 = 8.0;
 
 /// Plays a trouble of servers.
 pub(super) async fn play(scene: &Scene, trouble: &Trouble, mut rng: StdRng) {
-    let struck = pick(scene, trouble, USUAL_SHARE, &mut rng);
-    crash(scene, trouble, struck).await;
+    let share = match trouble.kind.as_str() {
+        "answer_lost" | "garble" => ANSWER_SHARE,
+        _ => USUAL_SHARE,
+    };
+    let struck = pick(scene, trouble, share, &mut rng);
+    if trouble.kind == "srv_crash" {
+        crash(scene, trouble, struck, trouble.has("gone")).await;
+        return;
+    }
+    let settings = settings(scene, trouble);
+    if settings.is_empty() {
+        return;
+    }
+    let record = begin(scene, trouble, &struck);
+    let usual = "behavior=healthy&framing=half-events&slowness=1";
+    for server in &struck {
+        scene.check(&trouble.kind, server.process.control(&settings).await);
+    }
+    scene.wait_out(trouble).await;
+    for server in &struck {
+        // One that something else struck meanwhile doesn't run with these settings any more.
+        if server.stage() == Stage::Ready {
+            scene.check(&trouble.kind, server.process.control(usual).await);
+        }
+    }
+    scene.journal.end(record);
+}
+
+/// Returns how servers are set for a trouble; empty if that can't be played.
+fn settings(scene: &Scene, trouble: &Trouble) -> String {
+    let share = |usual: f64| trouble.x.unwrap_or(usual).clamp(0.0, 1.0);
+    let slowness = |usual: f64| trouble.x.unwrap_or(usual).max(1.0).round();
+    match trouble.kind.as_str() {
+        "srv_slow" => {
+            if trouble.has("capped") {
+                scene.leave_out(trouble, "servers are slow instead of capped");
+                return "slowness=2".to_owned();
+            }
+            format!("slowness={}", slowness(USUAL_SLOWNESS))
+        }
+        "srv_grey" if trouble.has("slow") => format!("slowness={}", slowness(GREY_SLOWNESS)),
+        "srv_grey" => {
+            let behaviors = [
+                ("shed", "rejects"),
+                ("busy", "rejects-for"),
+                ("hang", "hangs"),
+                ("mute", "stalls"),
+                ("reset", "breaks"),
+            ];
+            let found = behaviors.iter().find(|(how, _)| trouble.has(how));
+            let behavior = found.map_or("fails", |(_, behavior)| behavior);
+            if trouble.has("one_zone") {
+                scene.leave_out(trouble, "callers of all data centres are struck");
+            }
+            format!("behavior={behavior}&share={}", share(GREY_REQUESTS))
+        }
+        "answer_lost" => format!("behavior=breaks&share={}", share(LOST_REQUESTS)),
+        _ if trouble.has("unframed") => "framing=unframed".to_owned(),
+        _ if trouble.has("early") => {
+            format!("behavior=answers-early&share={}", share(GARBLED_REQUESTS))
+        }
+        _ if trouble.has("extra") => {
+            scene.leave_out(trouble, "second answers are not sent");
+            String::new()
+        }
+        _ => {
+            if trouble.has("rot") {
+                scene.leave_out(trouble, "answers are broken off instead");
+            }
+            format!("behavior=breaks&share={}", share(GARBLED_REQUESTS))
+        }
+    }
 }
 
 /// Draws servers of the trouble's service, or of the first one.
@@ -48,43 +125,43 @@
 }
 
 /// Records that a trouble of these servers begins.
-pub(super) fn begin(scene: &Scene, trouble: &Trouble, struck: &[Arc<Server>]) -> usize {
+fn begin(scene: &Scene, trouble: &Trouble, struck: &[Arc<Server>]) -> usize {
     let servers: Vec<String> = struck.iter().map(|server| server.id()).collect();
-    let detail = format!("{} {}", servers.join(", "), trouble.how);
+    let what = servers.join(", ");
     let struck = Struck {
         servers,
         ..Struck::default()
     };
-    let detail = detail.trim().to_owned();
-    scene
-        .journal
-        .begin(&trouble.kind, detail, scene.is_planned, struck)
+    scene.begin(trouble, &what, struck)
 }
 
-/// Kills servers, or stops them so that they are silent, and starts them again after the time of the trouble.
-async fn crash(scene: &Scene, trouble: &Trouble, struck: Vec<Arc<Server>>) {
+/// Kills servers, or stops them so that they are silent, and starts them again after the time of the trouble unless they are gone.
+pub(super) async fn crash(
+    scene: &Scene,
+    trouble: &Trouble,
+    struck: Vec<Arc<Server>>,
+    is_gone: bool,
+) {
     let record = begin(scene, trouble, &struck);
     let is_dark = trouble.has("dark");
-    let signal = if is_dark {
-        Signal::SIGSTOP
-    } else {
-        Signal::SIGKILL
+    let signal = match is_dark {
+        true => Signal::SIGSTOP,
+        false => Signal::SIGKILL,
     };
     for server in &struck {
         server.set_stage(Stage::Silent);
         scene.check(&trouble.kind, server.process.signal(signal));
     }
-    scene.wait(Duration::from_secs_f64(trouble.seconds())).await;
+    scene.wait_out(trouble).await;
     for server in struck {
         if is_dark {
             // What it was asked meanwhile is lost with it.
             scene.check(&trouble.kind, server.process.signal(Signal::SIGKILL));
         }
-        if trouble.has("gone") {
-            continue;
+        if !is_gone {
+            let restarting = scene.fleet.servers.restart(&server).await;
+            scene.check(&trouble.kind, restarting);
         }
-        let restarting = scene.fleet.servers.restart(&server).await;
-        scene.check(&trouble.kind, restarting);
     }
     scene.journal.end(record);
 }
