--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -12,6 +12,8 @@
 
 use super::day_file::Day;
 use super::fleet::Programs;
+use super::judge;
+use super::judge::Verdict;
 use super::play;
 use super::play::Play;
 use super::play::Played;
@@ -126,11 +128,12 @@
     let begun = Instant::now();
     let print = |line: &str| eprintln!("{line}");
     let played = play::play(args, &print).await.map_err(DayError::Play)?;
-    report(&played, begun.elapsed());
-    Ok(played.unexpected_ends.is_empty())
+    let verdict = judge::judge(&played.record);
+    report(&played, &verdict, begun.elapsed());
+    Ok(verdict.findings.is_empty() && played.unexpected_ends.is_empty())
 }
 
-fn report(played: &Played, took: Duration) {
+fn report(played: &Played, verdict: &Verdict, took: Duration) {
     let record = &played.record;
     for trouble in &record.troubles {
         let since = |at: Instant| at.saturating_duration_since(record.started).as_secs_f64();
@@ -149,12 +152,16 @@
     for (at, what) in &played.unexpected_ends {
         println!("unexpected at {at:.1}: {what}");
     }
+    for finding in &verdict.findings {
+        println!("{}", finding.text(record.started));
+    }
     let count = |wanted: &dyn Fn(u16, AnswerEnd) -> bool| {
         let attempts = record.attempts.iter();
         attempts.filter(|it| wanted(it.status, it.end)).count()
     };
     println!(
-        "{} attempts, {} served, {} refused, {} failed; {} runs of {} servers; {:.1} s",
+        "{} attempts, {} served, {} refused, {} failed; {} runs of {} servers; {} of {} streams out of order, \
+         {} of {} plain answers wrong; {} findings; {:.1} s",
         record.attempts.len(),
         count(&|status, end| status == 200 && end == AnswerEnd::Complete),
         count(&|status, _| matches!(status, 408 | 421 | 429 | 503)),
@@ -164,6 +171,11 @@
         ),
         record.runs.len(),
         record.servers.len(),
+        verdict.streams_out_of_order,
+        verdict.begun_streams,
+        verdict.plain_answers_wrong,
+        verdict.plain_answers,
+        verdict.findings.len(),
         took.as_secs_f64(),
     );
 }
--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -2,14 +2,16 @@
 //! and the troubles of a day file.
 
 pub mod addresses;
+pub mod callers;
 pub mod command;
 pub mod day_file;
 pub mod fleet;
 pub mod gateways;
 pub mod journal;
+pub mod judge;
 pub mod links;
 pub mod operator;
-pub mod plain_callers;
+pub mod order;
 pub mod play;
 pub mod record;
 pub mod servers;
--- a/platform/tests/soak/order.rs
+++ b/bench/src/day/order.rs
@@ -3,15 +3,18 @@
 //! [`check`] takes what callers read and what servers kept ([`Replica::runs`]). The servers must write a text per run
 //! ([`Replica::set_text_per_run`]), so that each event names its run.
 //!
-//! [`Replica::runs`]: currantbend_bench::standin::replica::Replica::runs
-//! [`Replica::set_text_per_run`]: currantbend_bench::standin::replica::Replica::set_text_per_run
+//! [`Replica::runs`]: crate::standin::replica::Replica::runs
+//! [`Replica::set_text_per_run`]: crate::standin::replica::Replica::set_text_per_run
 
+use crate::standin::answer_link::UnframedPart;
+use crate::standin::replica::Run;
 use bytes::Bytes;
-use currantbend_bench::standin::answer_link::UnframedPart;
-use currantbend_bench::standin::replica::Run;
 use std::fmt;
 use std::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// Kind of an answer, which decides of how many runs it may be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -30,12 +33,15 @@
     pub id: &'a str,
     /// ID of the request that began the stream, the same for all attempts of a stream.
     pub first_attempt: &'a str,
+    /// Kind of its answer.
     pub kind: AnswerKind,
+    /// When it was sent, which orders the attempts of a stream.
     pub sent: Instant,
     /// ID of the event after which the caller asked to go on; `None` if it asked to begin.
     pub resume_after: Option<u64>,
     /// Whether the body looked complete.
     pub is_complete: bool,
+    /// The bytes of the body that came.
     pub body: &'a [u8],
 }
 
@@ -46,7 +52,7 @@
     Missing,
     /// A piece repeats events.
     Repeated,
-    /// The answer is of several runs, which its kind excludes.
+    /// The answer is of several runs, which its kind excludes, or which are joined within an event.
     Joined,
     /// A piece doesn't begin where its run was asked to begin or to go on.
     NotAskedFor,
@@ -61,11 +67,13 @@
 /// Something wrong with one answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Finding {
+    /// What is wrong.
     pub fault: Fault,
     /// ID of the request that began the stream.
     pub first_attempt: String,
     /// ID of the request whose answer is wrong.
     pub id: String,
+    /// The bytes that it is about and where they come from.
     pub detail: String,
 }
 
@@ -84,6 +92,7 @@
 /// What the judge says of callers' answers.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
+    /// What is wrong, by stream and then in the order of the bytes.
     pub findings: Vec<Finding>,
     /// IDs of requests whose answers look complete before their end, as their servers' links ended them: nothing on the way tells
     /// such an end from a whole answer. Their callers can't know that, so they are counted.
@@ -177,6 +186,26 @@
             .map(move |(_, number)| &runs[*number])
     }
 
+    /// Returns what is wrong with bytes in a stream that are no event and no part of one: whether they begin like one event of the
+    /// request and go on like another, or with its beginning.
+    fn fault_of_unknown(&self, request_id: &str, bytes: &[u8]) -> Fault {
+        let events = || {
+            let of_request = self.of_request(request_id);
+            of_request.flat_map(|run| &run.written.events)
+        };
+        let common = |event: &Bytes| event.iter().zip(bytes).take_while(|(a, b)| a == b).count();
+        let longest = events().map(common).max().unwrap_or_default();
+        let is_joined_at = |cut: usize| {
+            let rest = &bytes[cut..];
+            events().any(|event| event.starts_with(rest) || event.ends_with(rest))
+        };
+        if (1..=longest).rev().any(is_joined_at) {
+            Fault::Joined
+        } else {
+            Fault::Unknown
+        }
+    }
+
     /// Returns whether `bytes` begin like one run's body and end like another's.
     fn is_joined(&self, bytes: &[u8]) -> bool {
         let common = |origin: &Origin<'_>| {
@@ -260,34 +289,35 @@
     let (events, rest) = split_events(attempt.body);
     for event in events {
         let text = String::from_utf8_lossy(event);
+        let piece = || format!("{text:?} after event {last_id}");
         let Some(origin) = runs.find(event) else {
-            report(Fault::Unknown, format!("{text:?} after event {last_id}"));
+            report(runs.fault_of_unknown(attempt.id, event), piece());
             continue;
         };
         let run = &runs.runs[origin.run];
-        let piece = format!("{text:?} after event {last_id}");
         if run.request_id != attempt.id {
-            report(Fault::OtherRequest, piece.clone());
+            report(Fault::OtherRequest, piece());
         }
         if current != Some(origin.run) {
             current = Some(origin.run);
             *run_count += 1;
             if *run_count > 1 && attempt.kind != AnswerKind::ResumableStream {
-                report(Fault::Joined, piece.clone());
+                report(Fault::Joined, piece());
             }
             let written = &run.written;
             if written.asked_after + 1 != origin.id || written.first_id != origin.id {
                 let (asked_after, first_id) = (written.asked_after, written.first_id);
                 let asked = format!(
-                    "{piece}, of a run that was asked for events after {asked_after} and began with {first_id}"
+                    "{}, of a run that was asked for events after {asked_after} and began with {first_id}",
+                    piece()
                 );
                 report(Fault::NotAskedFor, asked);
             }
         }
         if origin.id > last_id + 1 {
-            report(Fault::Missing, piece);
+            report(Fault::Missing, piece());
         } else if origin.id <= last_id {
-            report(Fault::Repeated, piece);
+            report(Fault::Repeated, piece());
         }
         last_id = origin.id;
     }
@@ -332,7 +362,7 @@
         Some(origin) if runs.runs[origin.run].request_id != attempt.id => Fault::OtherRequest,
         Some(origin) if origin.id <= last_id => Fault::Repeated,
         Some(_) => Fault::Missing,
-        None => Fault::Unknown,
+        None => runs.fault_of_unknown(attempt.id, rest),
     };
     let text = String::from_utf8_lossy(rest);
     report(fault, format!("part {text:?} after event {last_id}"));
--- a/bench/src/day/play.rs
+++ b/bench/src/day/play.rs
@@ -5,21 +5,29 @@
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 use tokio::task::JoinSet;
 
+use super::callers::CallerPlace;
+use super::callers::CallerRoute;
+use super::callers::CallerTrouble;
+use super::callers::Callers;
+use super::callers::CallersConfig;
 use super::day_file::Day;
 use super::day_file::Trouble;
 use super::fleet::Fleet;
 use super::fleet::Programs;
 use super::journal::Journal;
-use super::plain_callers::PlainCallers;
 use super::record::DayRecord;
 use super::sheet::Sheet;
 use super::troubles;
 use super::troubles::Scene;
+use crate::truth::lock;
 
+/// Longest time for which callers keep idle connections, less than gateways do.
+const MAX_IDLE: Duration = Duration::from_secs(10);
 /// Time for which callers go on after what strikes at the end.
 const RECOVERY: Duration = Duration::from_secs(8);
 /// Time after the last trouble that its end may take.
@@ -71,12 +79,17 @@
         fleet.gateways.count(),
         fleet.servers.all().len()
     ));
-    let places = 0..sheet.data_centres.len();
-    let balancers: Vec<_> = places
-        .map(|place| fleet.addresses.balancer(place))
-        .collect();
-    let callers = PlainCallers::start(&sheet, &balancers, &fleet.operator.keys(), seed);
-    let started = Instant::now();
+    let callers = Callers::start(callers_config(&fleet, &day, seed));
+    let started = callers.started();
+    let callers = Arc::new(Mutex::new(Some(callers)));
+    let set_keys: Arc<dyn Fn(Vec<(String, String)>) + Send + Sync> = {
+        let callers = Arc::clone(&callers);
+        Arc::new(move |keys| {
+            if let Some(callers) = &*lock(&callers) {
+                callers.set_keys(keys);
+            }
+        })
+    };
     let journal = Arc::new(Journal::default());
     let length = Duration::from_secs_f64(day.length_s);
     let mut playing = JoinSet::new();
@@ -85,7 +98,7 @@
         let scene = Scene {
             fleet: Arc::clone(&fleet),
             journal: Arc::clone(&journal),
-            set_keys: Arc::new(|_| {}),
+            set_keys: Arc::clone(&set_keys),
             is_planned,
             day_end: started + length,
         };
@@ -105,14 +118,18 @@
         let scene = Scene {
             fleet: Arc::clone(&fleet),
             journal: Arc::clone(&journal),
-            set_keys: Arc::new(|_| {}),
+            set_keys: Arc::clone(&set_keys),
             is_planned: false,
             day_end: Instant::now() + Duration::from_secs_f64(closing.down_s),
         };
         troubles::close(&scene, closing).await;
         tokio::time::sleep(RECOVERY).await;
     }
-    let attempts = callers.close().await;
+    let closing = lock(&callers).take();
+    let attempts = match closing {
+        Some(callers) => callers.close().await,
+        None => Vec::new(),
+    };
     let ended = Instant::now();
     let ending = async { while playing.join_next().await.is_some() {} };
     if tokio::time::timeout(TROUBLE_SLACK, ending).await.is_err() {
@@ -146,6 +163,30 @@
     })
 }
 
+/// Returns who calls the fleet, with what the day has for them.
+fn callers_config(fleet: &Fleet, day: &Day, seed: u64) -> CallersConfig {
+    let sheet = &fleet.sheet;
+    let places = sheet.data_centres.iter().enumerate();
+    let places = places.map(|(number, place)| CallerPlace {
+        name: place.name.clone(),
+        balancer: fleet.addresses.balancer(number),
+        rate: place.rate,
+    });
+    let troubles = day.troubles().into_iter();
+    CallersConfig {
+        seed,
+        host: sheet.hostname(),
+        model: "m".to_owned(),
+        max_idle: MAX_IDLE,
+        places: places.collect(),
+        routes: sheet.routes.iter().map(CallerRoute::from).collect(),
+        keys: fleet.operator.keys(),
+        troubles: troubles
+            .filter_map(|(trouble, _)| CallerTrouble::of_entry(&trouble))
+            .collect(),
+    }
+}
+
 /// Returns a line that says what a trouble is.
 fn describe(trouble: &Trouble) -> String {
     let mut text = format!("{:6.1} s  {}", trouble.at, trouble.kind);
