--- a/bench/src/day/judge/configs.rs
+++ b/bench/src/day/judge/configs.rs
@@ -133,7 +133,7 @@
         if took < timeout || (is_left && took <= limit) || !index.is_attempt_in_touch(attempt) {
             continue;
         }
-        let request = (attempt.id.as_str(), attempt.sent + limit);
+        let request = (attempt, attempt.sent + limit);
         let is_answered_by = |at: Instant| attempt.head_at.is_some_and(|head| head <= at);
         reached += 1;
         unanswered += usize::from(!is_answered_by(attempt.sent + timeout));
@@ -145,11 +145,31 @@
     let count = outlasting.len();
     if without_answer.len() >= MIN_UNANSWERED && without_answer.len() * 2 > unanswered {
         let count = without_answer.len();
-        let detail = format!("{count} of {unanswered} requests had no answer after their timeout");
-        return finding_of_many(Rule::Config, without_answer.iter().copied(), detail);
+        let told = told(&without_answer);
+        let detail =
+            format!("{count} of {unanswered} requests had no answer after their timeout: {told}");
+        let requests = without_answer.iter().map(|(it, at)| (it.id.as_str(), *at));
+        return finding_of_many(Rule::Config, requests, detail);
     }
     let is_broken = count >= MIN_OUTLASTING && count * OUTLASTING_PART > reached;
-    let detail =
-        format!("{count} of {reached} requests that reached their timeout had no end then");
-    is_broken.then(|| finding_of_many(Rule::Config, outlasting.iter().copied(), detail))?
+    let detail = format!(
+        "{count} of {reached} requests that reached their timeout had no end then: {}",
+        told(&outlasting)
+    );
+    let requests = outlasting.iter().map(|(it, at)| (it.id.as_str(), *at));
+    is_broken.then(|| finding_of_many(Rule::Config, requests, detail))?
+}
+
+/// Returns how the first of some requests ended.
+fn told(requests: &[(&CallerAttempt, Instant)]) -> String {
+    const TOLD: usize = 5;
+    let first = requests.iter().take(TOLD).map(|(attempt, _)| {
+        let took = ms(since(attempt.ended, attempt.sent));
+        let CallerAttempt { route, end, .. } = attempt;
+        format!(
+            "{route} with status {} {end:?} after {took}",
+            attempt.status
+        )
+    });
+    first.collect::<Vec<_>>().join(", ")
 }
