--- a/bench/src/bin/cb-balancer.rs
+++ b/bench/src/bin/cb-balancer.rs
@@ -10,7 +10,8 @@
         print!("{}", balancer::HELP);
         return ExitCode::SUCCESS;
     }
-    let options = match BalancerOptions::parse(args) {
+    let options = balancer::requested().unwrap_or_else(|| BalancerOptions::parse(args));
+    let options = match options {
         Ok(options) => options,
         Err(err) => {
             eprintln!("cb-balancer: {err}; see cb-balancer --help");
--- a/bench/src/bin/cb-store.rs
+++ b/bench/src/bin/cb-store.rs
@@ -10,7 +10,8 @@
         print!("{}", store_process::HELP);
         return ExitCode::SUCCESS;
     }
-    let options = match StoreOptions::parse(args) {
+    let options = store_process::requested().unwrap_or_else(|| StoreOptions::parse(args));
+    let options = match options {
         Ok(options) => options,
         Err(err) => {
             eprintln!("cb-store: {err}; see cb-store --help");
--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -18,6 +18,7 @@
 use super::play::Play;
 use super::play::Played;
 use super::record::AnswerEnd;
+use super::record::DayRecord;
 use super::sheet::Sheet;
 use super::sheet::SheetError;
 
@@ -155,6 +156,7 @@
     for finding in &verdict.findings {
         println!("{}", finding.text(record.started));
     }
+    print_routes(record);
     let count = |wanted: &dyn Fn(u16, AnswerEnd) -> bool| {
         let attempts = record.attempts.iter();
         attempts.filter(|it| wanted(it.status, it.end)).count()
@@ -179,3 +181,19 @@
         took.as_secs_f64(),
     );
 }
+
+/// Prints for each route how its attempts ended.
+fn print_routes(record: &DayRecord) {
+    let mut ends: Vec<((&str, u16, AnswerEnd), usize)> = Vec::new();
+    for attempt in &record.attempts {
+        let key = (attempt.route.as_str(), attempt.status, attempt.end);
+        match ends.iter_mut().find(|(known, _)| *known == key) {
+            Some((_, count)) => *count += 1,
+            None => ends.push((key, 1)),
+        }
+    }
+    ends.sort_by_key(|((route, status, _), count)| (*route, *status, *count));
+    for ((route, status, end), count) in ends {
+        println!("{route:<20} status {status:<3} {end:?}: {count}");
+    }
+}
--- a/bench/src/day/fleet.rs
+++ b/bench/src/day/fleet.rs
@@ -19,10 +19,13 @@
 use super::servers::Servers;
 use super::servers::Site;
 use super::sheet::Sheet;
+use crate::standin::balancer;
 use crate::standin::balancer::Backend;
 use crate::standin::balancer::BalancerOptions;
 use crate::standin::balancer::Place;
 use crate::standin::replica::Run;
+use crate::standin::server_process::Program;
+use crate::standin::store_process;
 use crate::standin::store_process::StoreControl;
 use crate::standin::store_process::StoreOptions;
 
@@ -40,11 +43,11 @@
     /// `currantbend-gateway`.
     pub gateway: PathBuf,
     /// `cb-replica`.
-    pub replica: PathBuf,
+    pub replica: Program,
     /// `cb-store`.
-    pub store: PathBuf,
+    pub store: Program,
     /// `cb-balancer`.
-    pub balancer: PathBuf,
+    pub balancer: Program,
 }
 
 impl Programs {
@@ -52,9 +55,9 @@
     pub fn in_folder(folder: &Path) -> Self {
         Self {
             gateway: folder.join("currantbend-gateway"),
-            replica: folder.join("cb-replica"),
-            store: folder.join("cb-store"),
-            balancer: folder.join("cb-balancer"),
+            replica: Program::Path(folder.join("cb-replica")),
+            store: Program::Path(folder.join("cb-store")),
+            balancer: Program::Path(folder.join("cb-balancer")),
         }
     }
 }
@@ -112,7 +115,11 @@
             address: addresses.store(),
             control: addresses.store_control(),
         };
-        let mut others = vec![spawn(&programs.store, &options.to_args())?];
+        let mut others = vec![spawn(
+            &programs.store,
+            store_process::ARGS_VARIABLE,
+            &options.to_args(),
+        )?];
         let store = Arc::new(StoreControl::new(options.control));
         wait_for_store(&store).await?;
         let to_store = Duration::from_secs_f64(sheet.delays.between_data_centres_ms / 1e3);
@@ -176,14 +183,13 @@
     }
 }
 
-fn spawn(program: &Path, args: &[String]) -> io::Result<Child> {
-    let mut command = Command::new(program);
-    command
-        .args(args)
-        .stdin(Stdio::null())
-        .stdout(Stdio::null());
+/// Starts a stand-in with these arguments in this variable of the environment.
+fn spawn(program: &Program, variable: &str, args: &[String]) -> io::Result<Child> {
+    let mut command = Command::from(program.command()?);
+    command.env(variable, args.join("\n"));
+    command.stdin(Stdio::null()).stdout(Stdio::null());
     let child = command.kill_on_drop(true).spawn();
-    child.map_err(|err| io::Error::other(format!("cannot start {}: {err}", program.display())))
+    child.map_err(|err| io::Error::other(format!("cannot start {program:?}: {err}")))
 }
 
 async fn wait_for_store(store: &StoreControl) -> io::Result<()> {
@@ -197,7 +203,7 @@
     }
 }
 
-fn start_balancer(sheet: &Sheet, program: &Path, addresses: Addresses) -> io::Result<Child> {
+fn start_balancer(sheet: &Sheet, program: &Program, addresses: Addresses) -> io::Result<Child> {
     let places = sheet.data_centres.iter().enumerate();
     let gateways = sheet.places_of_gateways();
     let options = BalancerOptions {
@@ -217,5 +223,5 @@
             })
             .collect(),
     };
-    spawn(program, &options.to_args())
+    spawn(program, balancer::ARGS_VARIABLE, &options.to_args())
 }
--- a/bench/src/day/play.rs
+++ b/bench/src/day/play.rs
@@ -24,6 +24,7 @@
 use super::sheet::Sheet;
 use super::troubles;
 use super::troubles::Scene;
+use super::troubles::SetKeys;
 use crate::truth::lock;
 
 /// Longest time for which callers keep idle connections, less than gateways do.
@@ -82,7 +83,7 @@
     let callers = Callers::start(callers_config(&fleet, &day, seed));
     let started = callers.started();
     let callers = Arc::new(Mutex::new(Some(callers)));
-    let set_keys: Arc<dyn Fn(Vec<(String, String)>) + Send + Sync> = {
+    let set_keys: SetKeys = {
         let callers = Arc::clone(&callers);
         Arc::new(move |keys| {
             if let Some(callers) = &*lock(&callers) {
--- a/bench/src/day/servers.rs
+++ b/bench/src/day/servers.rs
@@ -99,7 +99,7 @@
 pub struct Servers {
     sheet: Sheet,
     addresses: Addresses,
-    program: PathBuf,
+    program: Program,
     folder: PathBuf,
     links: Arc<Links>,
     /// Data centre of each gateway.
@@ -121,8 +121,8 @@
     pub sheet: Sheet,
     /// Addresses of the play.
     pub addresses: Addresses,
-    /// Path of `cb-replica`.
-    pub program: PathBuf,
+    /// Program `cb-replica`.
+    pub program: Program,
     /// Folder for their runs.
     pub folder: PathBuf,
     /// The links before them.
@@ -242,7 +242,7 @@
         options.address = address;
         let id = options.id.clone();
         let folder = self.folder.join(&id);
-        let program = Program::Path(self.program.clone());
+        let program = self.program.clone();
         let process = ServerProcess::start_in(program, folder, options).await?;
         let delays = self.gateway_places.iter();
         let delays = delays.map(|it| self.sheet.delay_between(*it, place));
--- a/bench/src/day/troubles/mod.rs
+++ b/bench/src/day/troubles/mod.rs
@@ -20,6 +20,9 @@
 mod stages;
 mod store;
 
+/// Is told the keys of the last configuration, each with its team.
+pub type SetKeys = Arc<dyn Fn(Vec<(String, String)>) + Send + Sync>;
+
 /// Where troubles are played.
 #[derive(Clone)]
 pub struct Scene {
@@ -27,8 +30,8 @@
     pub fleet: Arc<Fleet>,
     /// Where they are recorded.
     pub journal: Arc<Journal>,
-    /// Told the keys of the last configuration, each with its team.
-    pub set_keys: Arc<dyn Fn(Vec<(String, String)>) + Send + Sync>,
+    /// Tells callers their keys.
+    pub set_keys: SetKeys,
     /// Whether the trouble stands in the plan of its day.
     pub is_planned: bool,
     /// When callers stop.
--- a/bench/src/standin/balancer.rs
+++ b/bench/src/standin/balancer.rs
@@ -18,9 +18,9 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
+use super::stop::Stop;
+use super::stop::requested_args;
 use crate::http;
 use crate::truth::lock;
 
@@ -37,6 +37,8 @@
                                             questions whether it is ready
 ";
 
+/// Variable of the environment that holds the arguments, one a line. It is set for processes that end with their parent.
+pub const ARGS_VARIABLE: &str = "CB_BALANCER_ARGS";
 /// Interval of the questions whether a gateway is ready, and time for an answer.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of answers in a row that must be missing before a gateway gets no new connections.
@@ -192,13 +194,18 @@
     }
 }
 
-/// Runs the balancer until SIGTERM.
+/// Returns the options that the environment has for this process; `None` if it isn't asked to be the balancer.
+pub fn requested() -> Option<Result<BalancerOptions, pico_args::Error>> {
+    requested_args(ARGS_VARIABLE).map(BalancerOptions::parse)
+}
+
+/// Runs the balancer until SIGTERM, or until its parent is gone if that started it by the environment.
 ///
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
 pub async fn run(options: BalancerOptions) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
+    let mut stop = Stop::new(ARGS_VARIABLE)?;
     let regions = options.places.iter().map(|place| place.region.clone());
     let places = options.gateways.iter().map(|gateway| gateway.place);
     let rotation = Rotation::new(regions.collect(), places.collect());
@@ -212,7 +219,7 @@
         let (gateways, rotation) = (Arc::clone(&gateways), Arc::clone(&rotation));
         tokio::spawn(accept(listener, number, gateways, rotation));
     }
-    terminate.recv().await;
+    stop.wait().await;
     Ok(())
 }
 
--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -20,6 +20,7 @@
 pub mod run_log;
 pub mod server_process;
 pub mod service;
+mod stop;
 pub mod store;
 pub mod store_process;
 pub mod streams;
--- a/bench/src/standin/replica_process.rs
+++ b/bench/src/standin/replica_process.rs
@@ -16,7 +16,6 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
-use nix::unistd::getppid;
 use pico_args::Arguments;
 use std::ffi::OsString;
 use std::io;
@@ -31,8 +30,6 @@
 use std::time::Duration;
 use std::time::Instant;
 use tokio::net::TcpListener;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use super::replica::Framing;
 use super::replica::Pace;
@@ -41,6 +38,8 @@
 use super::replica::VARIED_EVENTS;
 use super::run_log::LogOwner;
 use super::run_log::RunLog;
+use super::stop::Stop;
+use super::stop::requested_args;
 
 /// The help of the program.
 pub const HELP: &str = "\
@@ -80,8 +79,6 @@
 const BIND_INTERVAL: Duration = Duration::from_millis(1);
 /// Interval at which a parent looks after its workers.
 const WORKER_INTERVAL: Duration = Duration::from_millis(5);
-/// Interval at which a process looks whether its parent is gone.
-const ORPHAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Time beyond the drain time after which a parent kills workers that don't end.
 const WORKER_GRACE: Duration = Duration::from_secs(1);
 
@@ -314,10 +311,7 @@
 
 /// Returns the options that the environment has for this process; `None` if it isn't asked to be a server.
 pub fn requested() -> Option<Result<ReplicaOptions, pico_args::Error>> {
-    let args = std::env::var(ARGS_VARIABLE).ok()?;
-    Some(ReplicaOptions::parse(
-        args.lines().map(OsString::from).collect(),
-    ))
+    requested_args(ARGS_VARIABLE).map(ReplicaOptions::parse)
 }
 
 /// Runs a server in this process until SIGTERM, or until its parent is gone if that started it by the environment.
@@ -326,7 +320,7 @@
 ///
 /// Returns an error if the address can't be bound, the records can't be written or a worker can't be started.
 pub async fn run(options: ReplicaOptions) -> io::Result<()> {
-    let stop = Stop::new()?;
+    let stop = Stop::new(ARGS_VARIABLE)?;
     let worker = std::env::var(WORKER_VARIABLE).ok();
     if let Some(number) = worker.and_then(|number| number.parse().ok()) {
         let socket = io::stdin().as_fd().try_clone_to_owned()?;
@@ -339,29 +333,6 @@
     }
 }
 
-/// Waits until the process is to stop.
-struct Stop {
-    terminate: tokio::signal::unix::Signal,
-    /// The process that this one ends with.
-    parent: Option<Pid>,
-}
-
-impl Stop {
-    fn new() -> io::Result<Self> {
-        let is_child = std::env::var_os(ARGS_VARIABLE).is_some();
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            parent: is_child.then(getppid),
-        })
-    }
-
-    /// Returns whether the process is to stop, after `time` at most.
-    async fn is_due_within(&mut self, time: Duration) -> bool {
-        let terminated = tokio::time::timeout(time, self.terminate.recv()).await;
-        terminated.is_ok() || self.parent.is_some_and(|parent| parent != getppid())
-    }
-}
-
 async fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
     let end = Instant::now() + BIND_TIMEOUT;
     loop {
@@ -407,7 +378,7 @@
     if let Some(log) = log {
         replica.set_run_log(log);
     }
-    while !stop.is_due_within(ORPHAN_INTERVAL).await {}
+    stop.wait().await;
     replica.set_leaving();
     // What isn't finished by then ends with the process.
     let _ = tokio::time::timeout(options.drain_time, replica.close_gracefully()).await;
--- a/bench/src/standin/server_process.rs
+++ b/bench/src/standin/server_process.rs
@@ -42,15 +42,21 @@
 /// What is started as a server.
 #[derive(Clone, Debug)]
 pub enum Program {
-    /// The program `cb-replica` at this path.
+    /// The program at this path, such as `cb-replica`.
     Path(PathBuf),
     /// The test of this name in the test executable that runs now. It must call [`super::replica_process::run`] if
-    /// [`super::replica_process::requested`] asks for that. So no other program must have been built.
+    /// [`super::replica_process::requested`] asks for that, and likewise for the other stand-ins that it is started for. So no
+    /// other program must have been built.
     Test(&'static str),
 }
 
 impl Program {
-    fn command(&self) -> io::Result<Command> {
+    /// Returns the command that starts it, without arguments of the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the path of the test executable isn't known.
+    pub fn command(&self) -> io::Result<Command> {
         Ok(match self {
             Self::Path(path) => Command::new(path),
             Self::Test(name) => {
--- a/bench/src/standin/store_process.rs
+++ b/bench/src/standin/store_process.rs
@@ -12,9 +12,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
+use super::stop::Stop;
+use super::stop::requested_args;
 use super::store::StoreService;
 use super::store::query_parameter;
 use crate::http;
@@ -35,6 +35,9 @@
   --control IP:PORT   address at which records are put and faults are set (127.0.0.1:8224)
 ";
 
+/// Variable of the environment that holds the arguments, one a line. It is set for processes that end with their parent.
+pub const ARGS_VARIABLE: &str = "CB_STORE_ARGS";
+
 /// Addresses of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreOptions {
@@ -75,20 +78,25 @@
     }
 }
 
-/// Runs the store until SIGTERM.
+/// Returns the options that the environment has for this process; `None` if it isn't asked to be the store.
+pub fn requested() -> Option<Result<StoreOptions, pico_args::Error>> {
+    requested_args(ARGS_VARIABLE).map(StoreOptions::parse)
+}
+
+/// Runs the store until SIGTERM, or until its parent is gone if that started it by the environment.
 ///
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
 pub async fn run(options: StoreOptions) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
+    let mut stop = Stop::new(ARGS_VARIABLE)?;
     let store = Arc::new(StoreService::start(options.address).await?);
     let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
         let store = Arc::clone(&store);
         Box::pin(async move { control(&store, req).await })
     });
     let server = Server::start(options.control, handler).await?;
-    terminate.recv().await;
+    stop.wait().await;
     server.abort().await;
     Ok(())
 }
