--- a/bench/src/day/mod.rs
+++ b/bench/src/day/mod.rs
@@ -14,6 +14,7 @@
 pub mod order;
 pub mod play;
 pub mod record;
+pub mod report;
 pub mod servers;
 pub mod sheet;
 pub mod troubles;
