--- a/platform/tests/soak/order.rs
+++ b/bench/src/day/order.rs
@@ -3,15 +3,19 @@
 //! [`check`] takes what callers read and what servers kept ([`Replica::runs`]). The servers must write a text per run
 //! ([`Replica::set_text_per_run`]), so that each event names its run.
 //!
-//! [`Replica::runs`]: currantbend_bench::standin::replica::Replica::runs
-//! [`Replica::set_text_per_run`]: currantbend_bench::standin::replica::Replica::set_text_per_run
+//! [`Replica::runs`]: crate::standin::replica::Replica::runs
+//! [`Replica::set_text_per_run`]: crate::standin::replica::Replica::set_text_per_run
 
+use crate::standin::answer_link::UnframedPart;
+use crate::standin::replica::Run;
 use bytes::Bytes;
-use currantbend_bench::standin::answer_link::UnframedPart;
-use currantbend_bench::standin::replica::Run;
+use std::cell::OnceCell;
 use std::fmt;
 use std::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// Kind of an answer, which decides of how many runs it may be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -30,12 +34,15 @@
     pub id: &'a str,
     /// ID of the request that began the stream, the same for all attempts of a stream.
     pub first_attempt: &'a str,
+    /// Kind of its answer.
     pub kind: AnswerKind,
+    /// When it was sent, which orders the attempts of a stream.
     pub sent: Instant,
     /// ID of the event after which the caller asked to go on; `None` if it asked to begin.
     pub resume_after: Option<u64>,
     /// Whether the body looked complete.
     pub is_complete: bool,
+    /// The bytes of the body that came.
     pub body: &'a [u8],
 }
 
@@ -46,7 +53,7 @@
     Missing,
     /// A piece repeats events.
     Repeated,
-    /// The answer is of several runs, which its kind excludes.
+    /// The answer is of several runs, which its kind excludes, or which are joined within an event.
     Joined,
     /// A piece doesn't begin where its run was asked to begin or to go on.
     NotAskedFor,
@@ -61,11 +68,13 @@
 /// Something wrong with one answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Finding {
+    /// What is wrong.
     pub fault: Fault,
     /// ID of the request that began the stream.
     pub first_attempt: String,
     /// ID of the request whose answer is wrong.
     pub id: String,
+    /// The bytes that it is about and where they come from.
     pub detail: String,
 }
 
@@ -84,6 +93,7 @@
 /// What the judge says of callers' answers.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
+    /// What is wrong, by stream and then in the order of the bytes.
     pub findings: Vec<Finding>,
     /// IDs of requests whose answers look complete before their end, as their servers' links ended them: nothing on the way tells
     /// such an end from a whole answer. Their callers can't know that, so they are counted.
@@ -105,8 +115,8 @@
     runs: &'a [Run],
     /// Parts of answers that reached a gateway so that they look whole, sorted.
     unframed_parts: Vec<&'a UnframedPart>,
-    /// All events of all runs by their bytes.
-    origins: Vec<Origin<'a>>,
+    /// All events of all runs by their bytes, made when one is first looked for.
+    origins: OnceCell<Vec<Origin<'a>>>,
     /// Indexes of the runs by request ID.
     by_request: Vec<(&'a str, usize)>,
 }
@@ -115,39 +125,64 @@
     fn new(runs: &'a [Run], unframed_parts: &'a [UnframedPart]) -> Self {
         let mut unframed_parts: Vec<&UnframedPart> = unframed_parts.iter().collect();
         unframed_parts.sort_unstable();
-        let mut origins = Vec::new();
-        let mut by_request = Vec::new();
-        for (number, run) in runs.iter().enumerate() {
-            by_request.push((run.request_id.as_str(), number));
-            let written = &run.written;
-            origins.extend(written.events.iter().zip(written.first_id..).map(
-                |(event, id): (&Bytes, u64)| Origin {
-                    bytes: event,
-                    run: number,
-                    id,
-                },
-            ));
-        }
-        origins.sort_unstable_by_key(|origin| origin.bytes);
+        let numbered = runs.iter().enumerate();
+        let mut by_request: Vec<_> = numbered
+            .map(|(number, run)| (run.request_id.as_str(), number))
+            .collect();
         by_request.sort_unstable();
         Self {
             runs,
             unframed_parts,
-            origins,
+            origins: OnceCell::new(),
             by_request,
         }
     }
 
+    fn origins(&self) -> &[Origin<'a>] {
+        self.origins.get_or_init(|| {
+            let mut origins = Vec::new();
+            for (number, run) in self.runs.iter().enumerate() {
+                let written = &run.written;
+                origins.extend(written.events.iter().zip(written.first_id..).map(
+                    |(event, id): (&Bytes, u64)| Origin {
+                        bytes: event,
+                        run: number,
+                        id,
+                    },
+                ));
+            }
+            origins.sort_unstable_by_key(|origin| origin.bytes);
+            origins
+        })
+    }
+
+    /// Returns the event with this ID of a run of this request if it has these bytes, as it nearly always does.
+    fn find_own(&self, request_id: &str, id: u64, bytes: &[u8]) -> Option<Origin<'a>> {
+        let numbers = self.numbers_of_request(request_id);
+        numbers.iter().find_map(|(_, number)| {
+            let written = &self.runs[*number].written;
+            let place = usize::try_from(id.checked_sub(written.first_id)?).ok()?;
+            let event = written.events.get(place)?;
+            (event == bytes).then_some(Origin {
+                bytes: event,
+                run: *number,
+                id,
+            })
+        })
+    }
+
     /// Returns the event with these bytes.
     fn find(&self, bytes: &[u8]) -> Option<Origin<'a>> {
-        let index = self.origins.binary_search_by_key(&bytes, |it| it.bytes);
-        Some(self.origins[index.ok()?])
+        let origins = self.origins();
+        let index = origins.binary_search_by_key(&bytes, |it| it.bytes);
+        Some(origins[index.ok()?])
     }
 
     /// Returns an event that begins with these bytes, but has more.
     fn find_longer(&self, part: &[u8]) -> Option<Origin<'a>> {
-        let index = self.origins.partition_point(|it| it.bytes <= part);
-        let origin = self.origins.get(index)?;
+        let origins = self.origins();
+        let index = origins.partition_point(|it| it.bytes <= part);
+        let origin = origins.get(index)?;
         origin.bytes.starts_with(part).then_some(*origin)
     }
 
@@ -169,12 +204,35 @@
 
     /// Returns the runs of a request.
     fn of_request(&self, id: &str) -> impl Iterator<Item = &'a Run> {
+        let runs = self.runs;
+        let numbers = self.numbers_of_request(id).iter();
+        numbers.map(move |(_, number)| &runs[*number])
+    }
+
+    fn numbers_of_request(&self, id: &str) -> &[(&'a str, usize)] {
         let start = self.by_request.partition_point(|(known, _)| *known < id);
         let end = self.by_request.partition_point(|(known, _)| *known <= id);
-        let runs = self.runs;
-        self.by_request[start..end]
-            .iter()
-            .map(move |(_, number)| &runs[*number])
+        &self.by_request[start..end]
+    }
+
+    /// Returns what is wrong with bytes in a stream that are no event and no part of one: whether they begin like one event of the
+    /// request and go on like another, or with its beginning.
+    fn fault_of_unknown(&self, request_id: &str, bytes: &[u8]) -> Fault {
+        let events = || {
+            let of_request = self.of_request(request_id);
+            of_request.flat_map(|run| &run.written.events)
+        };
+        let common = |event: &Bytes| event.iter().zip(bytes).take_while(|(a, b)| a == b).count();
+        let longest = events().map(common).max().unwrap_or_default();
+        let is_joined_at = |cut: usize| {
+            let rest = &bytes[cut..];
+            events().any(|event| event.starts_with(rest) || event.ends_with(rest))
+        };
+        if (1..=longest).rev().any(is_joined_at) {
+            Fault::Joined
+        } else {
+            Fault::Unknown
+        }
     }
 
     /// Returns whether `bytes` begin like one run's body and end like another's.
@@ -183,9 +241,9 @@
             let pairs = origin.bytes.iter().zip(bytes);
             pairs.take_while(|(a, b)| a == b).count()
         };
-        let longest = self.origins.iter().map(common).max().unwrap_or_default();
+        let longest = self.origins().iter().map(common).max().unwrap_or_default();
         let rest = &bytes[longest..];
-        longest > 0 && self.origins.iter().any(|it| it.bytes.ends_with(rest))
+        longest > 0 && self.origins().iter().any(|it| it.bytes.ends_with(rest))
     }
 }
 
@@ -260,34 +318,36 @@
     let (events, rest) = split_events(attempt.body);
     for event in events {
         let text = String::from_utf8_lossy(event);
-        let Some(origin) = runs.find(event) else {
-            report(Fault::Unknown, format!("{text:?} after event {last_id}"));
+        let piece = || format!("{text:?} after event {last_id}");
+        let own = runs.find_own(attempt.id, last_id + 1, event);
+        let Some(origin) = own.or_else(|| runs.find(event)) else {
+            report(runs.fault_of_unknown(attempt.id, event), piece());
             continue;
         };
         let run = &runs.runs[origin.run];
-        let piece = format!("{text:?} after event {last_id}");
         if run.request_id != attempt.id {
-            report(Fault::OtherRequest, piece.clone());
+            report(Fault::OtherRequest, piece());
         }
         if current != Some(origin.run) {
             current = Some(origin.run);
             *run_count += 1;
             if *run_count > 1 && attempt.kind != AnswerKind::ResumableStream {
-                report(Fault::Joined, piece.clone());
+                report(Fault::Joined, piece());
             }
             let written = &run.written;
             if written.asked_after + 1 != origin.id || written.first_id != origin.id {
                 let (asked_after, first_id) = (written.asked_after, written.first_id);
                 let asked = format!(
-                    "{piece}, of a run that was asked for events after {asked_after} and began with {first_id}"
+                    "{}, of a run that was asked for events after {asked_after} and began with {first_id}",
+                    piece()
                 );
                 report(Fault::NotAskedFor, asked);
             }
         }
         if origin.id > last_id + 1 {
-            report(Fault::Missing, piece);
+            report(Fault::Missing, piece());
         } else if origin.id <= last_id {
-            report(Fault::Repeated, piece);
+            report(Fault::Repeated, piece());
         }
         last_id = origin.id;
     }
@@ -332,7 +392,7 @@
         Some(origin) if runs.runs[origin.run].request_id != attempt.id => Fault::OtherRequest,
         Some(origin) if origin.id <= last_id => Fault::Repeated,
         Some(_) => Fault::Missing,
-        None => Fault::Unknown,
+        None => runs.fault_of_unknown(attempt.id, rest),
     };
     let text = String::from_utf8_lossy(rest);
     report(fault, format!("part {text:?} after event {last_id}"));
--- a/platform/tests/soak/order_cases.rs
+++ b/bench/src/day/order/tests.rs
@@ -1,13 +1,13 @@
 //! Cases of the judge of order with answers and runs made by hand: a sound one of each shape, and one of each fault.
 
-use crate::order::AnswerKind;
-use crate::order::Attempt;
-use crate::order::Fault;
-use crate::order::check;
+use super::AnswerKind;
+use super::Attempt;
+use super::Fault;
+use super::check;
+use crate::standin::answer_link::UnframedPart;
+use crate::standin::replica::Run;
+use crate::standin::replica::Written;
 use bytes::Bytes;
-use currantbend_bench::standin::answer_link::UnframedPart;
-use currantbend_bench::standin::replica::Run;
-use currantbend_bench::standin::replica::Written;
 use hyper::HeaderMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -417,3 +417,21 @@
 
     assert_eq!(judged, (vec![Fault::CutShort], false));
 }
+
+#[test]
+fn runs_that_are_joined_within_an_event_are_found() {
+    let runs = [
+        stream_run("first", "r-1", 0),
+        stream_run("second", "r-1", 1),
+    ];
+    let start = event("first", 1) + "id: 2\ndata: token";
+
+    for rest in [&event("second", 2), "id: 2\nda"] {
+        let body = format!("{start}{rest}");
+        let found = faults(&[broken(AnswerKind::ResumableStream, &body)], &runs);
+        assert_eq!(found, [Fault::Joined], "{rest:?}");
+    }
+    let other = format!("{start} of nobody\n\n");
+    let found = faults(&[broken(AnswerKind::ResumableStream, &other)], &runs);
+    assert_eq!(found, [Fault::Unknown]);
+}
