--- a/bench/src/day/callers/request.rs
+++ b/bench/src/day/callers/request.rs
@@ -41,6 +41,8 @@
 /// A request that is to be sent.
 pub(super) struct Request {
     route: usize,
+    /// When it is to be sent.
+    due: Instant,
     data_centre: String,
     key: String,
     target: String,
@@ -106,6 +108,7 @@
         let target_time = route.latency_target.mul_f64(GIVE_UP_TARGETS);
         Self {
             route: route_number,
+            due: shared.started + at,
             data_centre: place.name.clone(),
             key: key(shared, team, &mut rng),
             target: format!("{}{object}", route.path_prefix),
@@ -131,6 +134,9 @@
             };
             let time_left = route.deadline.saturating_sub(began.elapsed());
             let mut attempt = self.attempt(route, id, &first_attempt, resume_after, time_left);
+            if number == 0 {
+                attempt.late = attempt.sent.saturating_duration_since(self.due);
+            }
             let connection = match number {
                 0 => pool.get().await,
                 _ => pool.get_new().await,
@@ -191,6 +197,7 @@
             gateway: None,
             is_on_kept_connection: false,
             sent: now,
+            late: Duration::ZERO,
             deadline,
             resume_after,
             head_at: None,
--- a/bench/src/day/callers/tests.rs
+++ b/bench/src/day/callers/tests.rs
@@ -104,6 +104,7 @@
         gateway: Some(0),
         is_on_kept_connection: false,
         sent: now,
+        late: Duration::ZERO,
         deadline: Duration::from_secs(3),
         resume_after: None,
         head_at: None,
--- a/bench/src/day/judge/configs.rs
+++ b/bench/src/day/judge/configs.rs
@@ -130,7 +130,8 @@
         let limit = timeout + TIMEOUT_SLACK;
         // A caller that leaves before then doesn't see whether an end would have come.
         let is_left = matches!(attempt.end, AnswerEnd::Left | AnswerEnd::TimedOut);
-        if took < timeout || (is_left && took <= limit) || !index.is_attempt_in_touch(attempt) {
+        let leaves_before = is_left && (took <= limit || attempt.deadline <= limit);
+        if took < timeout || leaves_before || !index.is_attempt_in_touch(attempt) {
             continue;
         }
         let request = (attempt, attempt.sent + limit);
--- a/bench/src/day/judge/tests.rs
+++ b/bench/src/day/judge/tests.rs
@@ -135,6 +135,7 @@
         gateway: Some(0),
         is_on_kept_connection: true,
         sent,
+        late: Duration::ZERO,
         deadline: millis(4_000),
         resume_after: None,
         head_at: None,
--- a/bench/src/day/judge/tests/configs.rs
+++ b/bench/src/day/judge/tests/configs.rs
@@ -139,3 +139,16 @@
         assert_eq!(rules, expected, "{outlasting} {ended}");
     }
 }
+
+#[test]
+fn callers_that_leave_before_the_limit_but_notice_it_late_break_no_rule() {
+    let mut day = sound_day();
+    for number in 0..9 {
+        let attempt = send(&mut day, "safe", &format!("r-{number}"), 5_000 + number);
+        attempt.deadline = millis(2_400);
+        attempt.ended = attempt.sent + millis(2_900);
+        attempt.end = AnswerEnd::TimedOut;
+    }
+
+    assert_eq!(broken(&day), []);
+}
--- a/bench/src/day/record.rs
+++ b/bench/src/day/record.rs
@@ -96,6 +96,8 @@
     pub is_on_kept_connection: bool,
     /// When it was sent.
     pub sent: Instant,
+    /// By how much later than it was due, which tells whether the machine of the callers kept up.
+    pub late: Duration,
     /// Time that the request announced.
     pub deadline: Duration,
     /// ID of the event after which a stream is to go on.
--- a/bench/src/day/report.rs
+++ b/bench/src/day/report.rs
@@ -55,7 +55,7 @@
     let figures = Figures::of(record, verdict, &requests);
     let mut text = format!(
         "<h2>{}: {}, seed {}</h2>\n<p>{} s, {} requests in {} attempts. Streams begun {}, out of order {}. \
-        Plain answers {}, wrong {}.</p>\n",
+        Plain answers {}, wrong {}. Callers sent 99 of 100 requests within {:.0} ms after they were due.</p>\n",
         escaped(&record.sheet),
         escaped(&record.day),
         record.seed,
@@ -66,6 +66,7 @@
         figures.streams_out_of_order,
         figures.plain_answers,
         figures.plain_answers_wrong,
+        figures.callers_late_p99_ms,
     );
     for (title, plot) in [
         ("Requests and troubles", plots::time_line(record, &requests)),
--- a/bench/src/day/report/figures.rs
+++ b/bench/src/day/report/figures.rs
@@ -140,6 +140,9 @@
     pub requests: usize,
     /// Number of attempts.
     pub attempts: usize,
+    /// 99 of 100 requests were sent within this time after they were due. If it is long, the machine didn't keep up, and what is
+    /// measured of times says little of gateways.
+    pub callers_late_p99_ms: f64,
     /// Streams that began, each with all its attempts.
     pub begun_streams: usize,
     /// Those of them whose events are out of order.
@@ -195,6 +198,12 @@
         names.sort_unstable();
         names.dedup();
         let all: Vec<&RequestFate<'_>> = requests.iter().collect();
+        let first_attempts = record
+            .attempts
+            .iter()
+            .filter(|it| it.id == it.first_attempt);
+        let mut late: Vec<Duration> = first_attempts.map(|it| it.late).collect();
+        late.sort_unstable();
         Self {
             sheet: record.sheet.clone(),
             day: record.day.clone(),
@@ -202,6 +211,7 @@
             seconds: super::seconds(record, record.ended),
             requests: requests.len(),
             attempts: record.attempts.len(),
+            callers_late_p99_ms: quantile_ms(&late, 0.99),
             begun_streams: verdict.begun_streams,
             streams_out_of_order: verdict.streams_out_of_order,
             plain_answers: verdict.plain_answers,
--- a/bench/src/day/report/tests.rs
+++ b/bench/src/day/report/tests.rs
@@ -80,6 +80,7 @@
         gateway: None,
         is_on_kept_connection: false,
         sent: start + millis(at),
+        late: Duration::ZERO,
         deadline: millis(5_000),
         resume_after: None,
         head_at: None,
@@ -165,3 +166,18 @@
     assert!(page.contains("No rule was broken."));
     assert!(!page.contains("can't be drawn"), "{page}");
 }
+
+#[test]
+fn figures_say_how_late_callers_sent() {
+    let start = Instant::now();
+    let mut whole = attempt((0, &[200]), (200, AnswerEnd::Complete), start);
+    whole.late = millis(7);
+    let day = day(RouteKind::Safe, vec![whole]);
+    let verdict = super::super::judge::judge(&day);
+
+    let figures = super::Figures::of(&day, &verdict, &requests(&day));
+
+    assert!((figures.callers_late_p99_ms - 7.0).abs() < 1e-9);
+    assert!((figures.served - 1.0).abs() < 1e-9);
+    assert_eq!((figures.requests, figures.attempts), (1, 1));
+}
--- a/bench/tests/day.rs
+++ b/bench/tests/day.rs
@@ -156,6 +156,7 @@
         gateway: Some((number % 7) as usize),
         is_on_kept_connection: true,
         sent,
+        late: Duration::ZERO,
         deadline: Duration::from_secs(10),
         resume_after: None,
         head_at: Some(sent + first),
