--- a/bench/src/bin/cb-bench.rs
+++ b/bench/src/bin/cb-bench.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use currantbend_bench::cases;
-use currantbend_bench::cases::Case;
 use currantbend_bench::cases::RunError;
 use currantbend_bench::cases::RunOptions;
 use currantbend_bench::day;
--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -19,6 +19,8 @@
 use super::play::Played;
 use super::record::AnswerEnd;
 use super::record::DayRecord;
+use super::report::PlayedDay;
+use super::report::page;
 use super::sheet::Sheet;
 use super::sheet::SheetError;
 
@@ -131,6 +133,17 @@
     let played = play::play(args, &print).await.map_err(DayError::Play)?;
     let verdict = judge::judge(&played.record);
     report(&played, &verdict, begun.elapsed());
+    let names = &played.record.gateways;
+    let logs = names.iter().map(|name| format!("gateways/{name}.log"));
+    let logs: Vec<String> = logs.collect();
+    let page = page(&[PlayedDay {
+        record: &played.record,
+        verdict: &verdict,
+        logs: &logs,
+    }]);
+    let path = folder.join("report.html");
+    std::fs::write(&path, page).map_err(DayError::Play)?;
+    println!("{}", path.display());
     Ok(verdict.findings.is_empty() && played.unexpected_ends.is_empty())
 }
 
--- a/bench/src/day/fleet.rs
+++ b/bench/src/day/fleet.rs
@@ -96,6 +96,7 @@
 
 impl Fleet {
     /// Starts all processes of `sheet` and waits until the gateways are ready. Settings, logs and runs are kept in `folder`.
+    /// Answers of servers can be spoiled only if `has_answer_links`.
     ///
     /// # Errors
     ///
@@ -105,6 +106,7 @@
         programs: &Programs,
         seed: u64,
         folder: &Path,
+        has_answer_links: bool,
     ) -> io::Result<Self> {
         let addresses = Addresses::new(seed);
         let places = sheet.places_of_gateways();
@@ -144,6 +146,7 @@
             gateway_places: places,
             store: Arc::clone(&store),
             seed,
+            has_answer_links,
         })
         .await?;
         let program = programs.gateway.clone();
--- a/bench/src/day/gateways.rs
+++ b/bench/src/day/gateways.rs
@@ -84,14 +84,19 @@
             unexpected: Mutex::default(),
         });
         for number in 0..gateways.places.len() {
-            gateways.write_settings(number, true)?;
+            let is_spare = number >= sheet.hosts();
+            gateways.write_settings(number, !is_spare)?;
+            let child = match is_spare {
+                true => None,
+                false => Some(gateways.spawn(number)?),
+            };
             let gateway = Gateway {
-                child: Some(gateways.spawn(number)?),
+                child,
                 ended: None,
                 holds: 0,
                 is_expected: false,
                 started: Instant::now(),
-                is_first_start: true,
+                is_first_start: !is_spare,
             };
             lock(&gateways.list).push(gateway);
         }
@@ -106,7 +111,25 @@
         Ok(gateways)
     }
 
-    /// Returns the number of gateways.
+    /// Returns whether a gateway is part of the fleet, and not one that may be added.
+    pub fn is_member(&self, number: usize) -> bool {
+        lock(&self.list)[number].child.is_some()
+    }
+
+    /// Adds a gateway to the fleet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be started.
+    pub fn add(&self, number: usize) -> io::Result<()> {
+        let child = self.spawn(number)?;
+        let gateway = &mut lock(&self.list)[number];
+        gateway.child = Some(child);
+        gateway.started = Instant::now();
+        Ok(())
+    }
+
+    /// Returns the number of gateways, with those that may be added.
     pub fn count(&self) -> usize {
         self.places.len()
     }
@@ -260,7 +283,8 @@
     /// Waits until all gateways are ready; returns the names of those that aren't after `time`.
     pub async fn wait_until_ready(&self, time: Duration) -> Vec<String> {
         let end = Instant::now() + time;
-        let mut waiting: Vec<usize> = (0..self.count()).collect();
+        let all = 0..self.count();
+        let mut waiting: Vec<usize> = all.filter(|it| self.is_member(*it)).collect();
         while !waiting.is_empty() && Instant::now() < end {
             let mut left = Vec::new();
             for number in waiting {
--- a/bench/src/day/play.rs
+++ b/bench/src/day/play.rs
@@ -74,7 +74,10 @@
         folder,
     } = play;
     std::fs::create_dir_all(&folder)?;
-    let fleet = Arc::new(Fleet::start(&sheet, &programs, seed, &folder).await?);
+    let spoils = |(trouble, _): &(Trouble, bool)| trouble.kind == "garble" && trouble.has("extra");
+    let has_answer_links = day.troubles().iter().any(spoils);
+    let fleet = Fleet::start(&sheet, &programs, seed, &folder, has_answer_links);
+    let fleet = Arc::new(fleet.await?);
     print(&format!(
         "{} gateways and {} servers run",
         fleet.gateways.count(),
--- a/bench/src/day/servers.rs
+++ b/bench/src/day/servers.rs
@@ -18,6 +18,7 @@
 use super::sheet::Service;
 use super::sheet::ServiceKind;
 use super::sheet::Sheet;
+use crate::standin::answer_link::AnswerLink;
 use crate::standin::replica::Framing;
 use crate::standin::replica::Pace;
 use crate::standin::replica::Run;
@@ -73,6 +74,8 @@
     pub place: usize,
     /// Its process.
     pub process: ServerProcess,
+    /// What spoils its answers, if the day has such a trouble.
+    pub answers: Option<AnswerLink>,
     slots: u32,
     entry: Mutex<Entry>,
 }
@@ -106,6 +109,7 @@
     gateway_places: Vec<usize>,
     store: Arc<StoreControl>,
     seed: u64,
+    has_answer_links: bool,
     list: Mutex<Vec<Arc<Server>>>,
     records: Mutex<Vec<ServerRecord>>,
     /// IDs whose servers run under others, and when their entries lapse.
@@ -133,6 +137,8 @@
     pub store: Arc<StoreControl>,
     /// Decides their IDs.
     pub seed: u64,
+    /// Whether there are links before them that spoil answers.
+    pub has_answer_links: bool,
 }
 
 fn now_ms() -> u64 {
@@ -156,6 +162,7 @@
             gateway_places: site.gateway_places,
             store: site.store,
             seed: site.seed,
+            has_answer_links: site.has_answer_links,
             list: Mutex::default(),
             records: Mutex::default(),
             lapsing: Mutex::default(),
@@ -246,7 +253,12 @@
         let process = ServerProcess::start_in(program, folder, options).await?;
         let delays = self.gateway_places.iter();
         let delays = delays.map(|it| self.sheet.delay_between(*it, place));
-        let link = (self.addresses.server_link(number), address);
+        let answers = match self.has_answer_links {
+            true => Some(AnswerLink::start(address).await?),
+            false => None,
+        };
+        let to = answers.as_ref().map_or(address, AnswerLink::address);
+        let link = (self.addresses.server_link(number), to);
         let target = Target::Server(number);
         self.links.add(target, link, delays.collect()).await?;
         let server = Arc::new(Server {
@@ -254,6 +266,7 @@
             service: service.name.clone(),
             place,
             process,
+            answers,
             slots: service.slots,
             entry: Mutex::new(Entry {
                 id,
--- a/bench/src/day/sheet.rs
+++ b/bench/src/day/sheet.rs
@@ -83,6 +83,9 @@
     pub region: String,
     /// Number of gateways.
     pub hosts: usize,
+    /// Number of hosts beside those that may be added.
+    #[serde(default)]
+    pub spares: usize,
     /// Requests a second of its callers.
     pub rate: f64,
 }
@@ -259,12 +262,18 @@
         self.routes.iter().find(|route| route.name == name)
     }
 
-    /// Returns the data centre of each gateway by its number, as an index of [`Sheet::data_centres`].
+    /// Returns the data centre of each gateway by its number, those that may be added last, as an index of
+    /// [`Sheet::data_centres`].
     pub fn places_of_gateways(&self) -> Vec<usize> {
-        let places = self.data_centres.iter().enumerate();
-        places
-            .flat_map(|(number, place)| std::iter::repeat_n(number, place.hosts))
-            .collect()
+        let places = || self.data_centres.iter().enumerate();
+        let hosts = places().flat_map(|(number, it)| std::iter::repeat_n(number, it.hosts));
+        let spares = places().flat_map(|(number, it)| std::iter::repeat_n(number, it.spares));
+        hosts.chain(spares).collect()
+    }
+
+    /// Returns the number of gateways that run from the start.
+    pub fn hosts(&self) -> usize {
+        self.data_centres.iter().map(|place| place.hosts).sum()
     }
 
     /// Returns the delay of one way between two data centres, given by their numbers.
--- a/bench/src/day/troubles/gateways.rs
+++ b/bench/src/day/troubles/gateways.rs
@@ -28,8 +28,26 @@
 /// Interval at which it is looked whether a process has ended.
 const END_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Adds the hosts that may be added, or some of them.
+async fn add(scene: &Scene, trouble: &Trouble) {
+    let gateways = &scene.fleet.gateways;
+    let spares = (0..gateways.count()).filter(|number| !gateways.is_member(*number));
+    let spares: Vec<usize> = spares.collect();
+    let number = trouble.number_of(spares.len(), 1.0);
+    let added = &spares[..number];
+    let record = begin(scene, trouble, added);
+    for number in added {
+        scene.check(&trouble.kind, gateways.add(*number));
+    }
+    scene.journal.end(record);
+}
+
 /// Plays a trouble of gateways.
 pub(super) async fn play(scene: &Scene, trouble: &Trouble, mut rng: StdRng) {
+    if trouble.kind == "add_nodes" {
+        add(scene, trouble).await;
+        return;
+    }
     let share = match trouble.kind.as_str() {
         "herd_kill" => HERD_SHARE,
         "hup" => HUP_SHARE,
@@ -61,7 +79,9 @@
         let is_in = |wanted: &Option<String>, name: &str| {
             wanted.as_deref().is_none_or(|wanted| wanted == name)
         };
-        is_in(&trouble.zone, &place.name) && is_in(&trouble.region, &place.region)
+        gateways.is_member(*number)
+            && is_in(&trouble.zone, &place.name)
+            && is_in(&trouble.region, &place.region)
     };
     (0..gateways.count()).filter(is_meant).collect()
 }
@@ -162,7 +182,9 @@
 
 /// Takes down all gateways.
 pub(super) async fn kill_all(scene: &Scene, trouble: &Trouble, is_dark: bool) {
-    let all = (0..scene.fleet.gateways.count()).collect();
+    let gateways = &scene.fleet.gateways;
+    let all = 0..gateways.count();
+    let all = all.filter(|number| gateways.is_member(*number)).collect();
     take_down(scene, trouble, all, is_dark, Signal::SIGKILL).await;
 }
 
--- a/bench/src/day/troubles/mod.rs
+++ b/bench/src/day/troubles/mod.rs
@@ -74,7 +74,8 @@
 /// Plays a trouble to its end.
 pub async fn play(scene: &Scene, trouble: &Trouble, rng: StdRng) {
     match trouble.kind.as_str() {
-        "node_kill" | "node_freeze" | "node_slow" | "herd_kill" | "roll_term" | "hup" => {
+        "node_kill" | "node_freeze" | "node_slow" | "herd_kill" | "roll_term" | "hup"
+        | "add_nodes" => {
             gateways::play(scene, trouble, rng).await;
         }
         "srv_crash" | "srv_slow" | "srv_grey" | "answer_lost" | "garble" => {
--- a/bench/src/day/troubles/servers.rs
+++ b/bench/src/day/troubles/servers.rs
@@ -10,6 +10,8 @@
 use crate::day::journal::Struck;
 use crate::day::servers::Server;
 use crate::day::servers::Stage;
+use crate::standin::answer_link::AnswerFault;
+use crate::standin::answer_link::Ending;
 
 /// Shares of the servers of a service that troubles strike if their entries don't say it.
 const USUAL_SHARE: f64 = 0.15;
@@ -33,10 +35,11 @@
         crash(scene, trouble, struck, trouble.has("gone")).await;
         return;
     }
-    let settings = settings(scene, trouble);
-    if settings.is_empty() {
+    if trouble.kind == "garble" && trouble.has("extra") {
+        answer_again(scene, trouble, struck).await;
         return;
     }
+    let settings = settings(scene, trouble);
     let record = begin(scene, trouble, &struck);
     let usual = "behavior=healthy&framing=half-events&slowness=1";
     for server in &struck {
@@ -52,7 +55,24 @@
     scene.journal.end(record);
 }
 
-/// Returns how servers are set for a trouble; empty if that can't be played.
+/// Lets servers send some of their answers again, at once or where the next answer is expected.
+async fn answer_again(scene: &Scene, trouble: &Trouble, struck: Vec<Arc<Server>>) {
+    let record = begin(scene, trouble, &struck);
+    let fault = match trouble.has("late") {
+        true => AnswerFault::RepeatedLate,
+        false => AnswerFault::Repeated,
+    };
+    let links = || struck.iter().filter_map(|server| server.answers.as_ref());
+    for link in links() {
+        link.set_share(trouble.x.unwrap_or(GARBLED_REQUESTS));
+        link.set_fault(Some((fault, Ending::Close)));
+    }
+    scene.wait_out(trouble).await;
+    links().for_each(|link| link.set_fault(None));
+    scene.journal.end(record);
+}
+
+/// Returns how servers are set for a trouble.
 fn settings(scene: &Scene, trouble: &Trouble) -> String {
     let share = |usual: f64| trouble.x.unwrap_or(usual).clamp(0.0, 1.0);
     let slowness = |usual: f64| trouble.x.unwrap_or(usual).max(1.0).round();
@@ -85,10 +105,6 @@
         _ if trouble.has("early") => {
             format!("behavior=answers-early&share={}", share(GARBLED_REQUESTS))
         }
-        _ if trouble.has("extra") => {
-            scene.leave_out(trouble, "second answers are not sent");
-            String::new()
-        }
         _ => {
             if trouble.has("rot") {
                 scene.leave_out(trouble, "answers are broken off instead");
--- a/bench/src/standin/answer_link.rs
+++ b/bench/src/standin/answer_link.rs
@@ -1,5 +1,6 @@
 //! A TCP link to a backend server that spoils the answers which pass it, while the server runs on.
 
+use rand::RngExt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -83,6 +84,8 @@
 #[derive(Debug, Default)]
 struct LinkState {
     fault: Mutex<Option<(AnswerFault, Ending)>>,
+    /// Share of the answers that have the fault; all if it isn't set.
+    share: Mutex<Option<f64>>,
     unframed_parts: Mutex<Vec<UnframedPart>>,
 }
 
@@ -114,6 +117,11 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Sets the share of the answers, drawn one by one, that have the fault.
+    pub fn set_share(&self, share: f64) {
+        *lock(&self.state.share) = Some(share.clamp(0.0, 1.0));
+    }
+
     /// Returns the parts of answers that it passed on so that they look whole.
     pub fn unframed_parts(&self) -> Vec<UnframedPart> {
         lock(&self.state.unframed_parts).clone()
@@ -166,7 +174,9 @@
                 Ok(0) => return Ok(()),
                 Ok(count) => {
                     if !answer.has_begun() {
-                        answer.fault = *lock(&state.fault);
+                        let share = lock(&state.share).unwrap_or(1.0);
+                        let fault = *lock(&state.fault);
+                        answer.fault = fault.filter(|_| rand::rng().random_bool(share));
                     }
                     answer.bytes.extend_from_slice(&from_server[..count]);
                     let (bytes, ending) = answer.next_bytes();
--- a/bench/src/standin/balancer.rs
+++ b/bench/src/standin/balancer.rs
@@ -140,22 +140,25 @@
     /// Data centre of each gateway.
     places: Vec<usize>,
     is_ready: Vec<bool>,
+    /// Whether each gateway was ready at any time: others aren't added to the fleet yet.
+    is_known: Vec<bool>,
 }
 
 impl Rotation {
     /// Returns the rotation of the data centres with these regions, and of gateways in `places`, none of which is ready.
     pub fn new(regions: Vec<String>, places: Vec<usize>) -> Self {
-        let is_ready = vec![false; places.len()];
         Self {
+            is_ready: vec![false; places.len()],
+            is_known: vec![false; places.len()],
             regions,
             places,
-            is_ready,
         }
     }
 
     /// Takes a gateway in or out.
     pub fn set_ready(&mut self, gateway: usize, is_ready: bool) {
         self.is_ready[gateway] = is_ready;
+        self.is_known[gateway] |= is_ready;
     }
 
     /// Returns the gateway for a caller with this hash in data centre `place`, or `None` if there is none at all.
@@ -179,7 +182,9 @@
     }
 
     fn all(&self, is_meant: &dyn Fn(usize) -> bool) -> Vec<usize> {
-        (0..self.places.len()).filter(|it| is_meant(*it)).collect()
+        let all = 0..self.places.len();
+        all.filter(|it| self.is_known[*it] && is_meant(*it))
+            .collect()
     }
 
     /// Returns the gateways that are ready, all if these are fewer than half but some.
@@ -303,3 +308,6 @@
     let gateway = stream.read_u16().await?;
     Ok((usize::from(gateway), stream))
 }
+
+#[cfg(test)]
+mod tests;
