--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -170,6 +170,10 @@
         println!("{}", finding.text(record.started));
     }
     print_routes(record);
+    println!(
+        "timers of the player at most {} ms late",
+        played.latest_timer.as_millis()
+    );
     let count = |wanted: &dyn Fn(u16, AnswerEnd) -> bool| {
         let attempts = record.attempts.iter();
         attempts.filter(|it| wanted(it.status, it.end)).count()
--- a/bench/src/day/play.rs
+++ b/bench/src/day/play.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use std::time::Instant;
 use tokio::task::JoinSet;
@@ -27,6 +29,8 @@
 use super::troubles::SetKeys;
 use crate::truth::lock;
 
+/// Interval at which it is measured how late timers are.
+const LATENESS_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest time for which callers keep idle connections, less than gateways do.
 const MAX_IDLE: Duration = Duration::from_secs(10);
 /// Time for which callers go on after what strikes at the end.
@@ -58,6 +62,18 @@
     pub not_played: Vec<String>,
     /// Gateways that ended without a signal of the play, with the time since the start of the callers in seconds.
     pub unexpected_ends: Vec<(f64, String)>,
+    /// How late timers of this process were at worst while callers sent.
+    pub latest_timer: Duration,
+}
+
+/// Measures how late the timers of this process are, which says whether the machine has time enough.
+async fn measure_lateness(worst: Arc<AtomicU64>) {
+    loop {
+        let due = Instant::now() + LATENESS_INTERVAL;
+        tokio::time::sleep_until(due.into()).await;
+        let late = due.elapsed().as_millis() as u64;
+        worst.fetch_max(late, Relaxed);
+    }
 }
 
 /// Plays a day and returns what it leaves. `print` is called with what happens, a line each.
@@ -94,6 +110,8 @@
             }
         })
     };
+    let worst = Arc::new(AtomicU64::new(0));
+    let measuring = tokio::spawn(measure_lateness(Arc::clone(&worst)));
     let journal = Arc::new(Journal::default());
     let length = Duration::from_secs_f64(day.length_s);
     let mut playing = JoinSet::new();
@@ -135,6 +153,7 @@
         None => Vec::new(),
     };
     let ended = Instant::now();
+    measuring.abort();
     let ending = async { while playing.join_next().await.is_some() {} };
     if tokio::time::timeout(TROUBLE_SLACK, ending).await.is_err() {
         print("a trouble goes on after the end of the day");
@@ -164,6 +183,7 @@
         },
         not_played: journal.not_played(),
         unexpected_ends: unexpected_ends.collect(),
+        latest_timer: Duration::from_millis(worst.load(Relaxed)),
     })
 }
 
