--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -20,6 +20,8 @@
 use super::record::AnswerEnd;
 use super::record::DayRecord;
 use super::report::PlayedDay;
+use super::report::figures;
+use super::report::figures::Figures;
 use super::report::page;
 use super::sheet::Sheet;
 use super::sheet::SheetError;
@@ -144,6 +146,10 @@
     let path = folder.join("report.html");
     std::fs::write(&path, page).map_err(DayError::Play)?;
     println!("{}", path.display());
+    let requests = figures::requests(&played.record);
+    let figures = Figures::of(&played.record, &verdict, &requests);
+    let line = figures.to_line().map_err(io::Error::other);
+    println!("{}", line.map_err(DayError::Play)?);
     Ok(verdict.findings.is_empty() && played.unexpected_ends.is_empty())
 }
 
--- a/bench/src/day/report/figures.rs
+++ b/bench/src/day/report/figures.rs
@@ -208,7 +208,7 @@
             sheet: record.sheet.clone(),
             day: record.day.clone(),
             seed: record.seed,
-            seconds: super::seconds(record, record.ended),
+            seconds: rounded(super::seconds(record, record.ended)),
             requests: requests.len(),
             attempts: record.attempts.len(),
             callers_late_p99_ms: quantile_ms(&late, 0.99),
@@ -262,12 +262,17 @@
 fn share(requests: &[&RequestFate<'_>], outcomes: &[Outcome]) -> f64 {
     let stayed = requests.iter().filter(|it| it.outcome != Outcome::Left);
     let counted = stayed.clone().filter(|it| outcomes.contains(&it.outcome));
-    counted.count() as f64 / stayed.count().max(1) as f64
+    rounded(counted.count() as f64 / stayed.count().max(1) as f64)
+}
+
+/// Returns a figure with as many digits as it is worth.
+fn rounded(figure: f64) -> f64 {
+    (figure * 1e5).round() / 1e5
 }
 
 /// Returns the least of the sorted times that `share` of them don't exceed, in milliseconds, or 0 if there is none.
 fn quantile_ms(sorted: &[Duration], share: f64) -> f64 {
     let rank = (sorted.len() as f64 * share).ceil() as usize;
     let found = sorted.get(rank.saturating_sub(1));
-    found.map_or(0.0, |time| time.as_secs_f64() * 1e3)
+    found.map_or(0.0, |time| rounded(time.as_secs_f64() * 1e3))
 }
