--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -321,6 +321,8 @@
     /// answer, or `None` if there is none within [`REST_TIMEOUT`].
     pub(super) async fn ask_for_rest(&mut self, last_id: Option<u64>) -> Option<SendEnd> {
         let sent = self.crash_guard.sent()?.clone();
+        // What was held meanwhile reaches no server, also not the one that ran it.
+        self.check_held().await.ok()?;
         if !asks_for_rest(&self.rest_view(&sent.server, last_id), |need| {
             self.take_from_budget(need)
         }) {
