--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -320,6 +320,7 @@
             guard.record_result(RunResult::Broken);
             return SendEnd::Broken("ended before the first byte".to_owned());
         }
+        self.progress.record_end();
         if !end_check.is_complete(self.deadline).await {
             lease.close();
             guard.record_result(RunResult::Broken);
--- a/src/gateway/progress.rs
+++ b/src/gateway/progress.rs
@@ -15,6 +15,7 @@
 struct State {
     last_byte_at: Option<Instant>,
     event_began_at: Option<Instant>,
+    ended_at: Option<Instant>,
 }
 
 impl Progress {
@@ -24,6 +25,7 @@
             state: Mutex::new(State {
                 last_byte_at: Some(at),
                 event_began_at: None,
+                ended_at: None,
             }),
         }
     }
@@ -41,6 +43,16 @@
         state.event_began_at.get_or_insert(now);
     }
 
+    /// Records that the answer has come to its end, which is yet to be confirmed.
+    pub(super) fn record_end(&self) {
+        self.lock().ended_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Returns when the answer came to its end.
+    pub(super) fn ended_at(&self) -> Option<Instant> {
+        self.lock().ended_at
+    }
+
     /// Returns when the last byte came; `None` if there was none.
     pub(super) fn last_byte_at(&self) -> Option<Instant> {
         self.lock().last_byte_at
--- a/src/gateway/race.rs
+++ b/src/gateway/race.rs
@@ -62,6 +62,9 @@
     fn silent_from(&self, limits: SilenceLimits) -> Instant {
         let last_byte_at = self.progress.last_byte_at();
         let from = last_byte_at.map_or(self.started_at + limits.head, |at| at + limits.body);
+        // The question whether an answer that has ended is whole may wait for a slot first.
+        let ended_at = self.progress.ended_at();
+        let from = ended_at.map_or(from, |at| at + 2 * limits.body);
         let again_from = self.silent_at.map(|at| at + limits.body);
         again_from.map_or(from, |again_from| from.max(again_from))
     }
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -109,10 +109,13 @@
                 None if self.body_end() == BodyEnd::Connection && !self.has_events => {
                     return StreamItem::Broken("ended before the first event".to_owned());
                 }
-                None if !self.end_check.is_complete(deadline).await => {
-                    return StreamItem::Broken("server ended with its stream".to_owned());
+                None => {
+                    self.progress.record_end();
+                    if !self.end_check.is_complete(deadline).await {
+                        return StreamItem::Broken("server ended with its stream".to_owned());
+                    }
+                    return StreamItem::End;
                 }
-                None => return StreamItem::End,
                 Some(Err(_)) if self.end.has_come() => return StreamItem::DeadlineExceeded,
                 Some(Err(err)) => return StreamItem::Broken(err.to_string()),
                 Some(Ok(frame)) => {
