--- a/bench/src/http.rs
+++ b/bench/src/http.rs
@@ -40,6 +40,9 @@
 
 use crate::truth::lock;
 
+/// Maximum number of headers of a request, more than callers of the cases send.
+const MAX_HEADERS: usize = 1_024;
+
 /// Aborts the connection, without a response or in the middle of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Abort;
@@ -189,7 +192,8 @@
             Ok::<_, Abort>(res)
         })
     });
-    let builder = hyper::server::conn::http1::Builder::new();
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.max_headers(MAX_HEADERS);
     let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
         result = &mut connection => result,
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -43,6 +43,9 @@
 /// connection.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Maximum number of headers of a request; the configuration limits their size.
+const MAX_HEADERS: usize = 1_024;
+
 /// Default of [`Handler::head_timeout`].
 pub const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -253,6 +256,7 @@
     builder
         .http1()
         .timer(TokioTimer::new())
+        .max_headers(MAX_HEADERS)
         .header_read_timeout(state.handler.head_timeout());
     if protocol == Protocol::Http1 {
         builder = builder.http1_only();
