--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -296,7 +296,8 @@
         } = response;
         let gateway = &self.gateway;
         let memory = gateway.response_memory.of_server(&self.server.id);
-        let collecting = memory.collect(body, || {
+        let collecting = memory.collect(body, |bytes| {
+            lease.head_limit().record_body(bytes);
             self.progress.record_bytes();
             guard.record_activity();
         });
--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -1,6 +1,6 @@
-//! Limits the bytes that a backend server sends before the head of its response is complete.
+//! Limits the bytes that a backend server sends before the head of its response is complete, and beside its body.
 //!
-//! The HTTP library limits the size of one head, but reads any number of interim heads before it.
+//! The HTTP library limits the size of one head, but reads any number of interim heads before it, and chunk sizes of any length.
 
 use crate::net::Body;
 use crate::net::Connection;
@@ -24,10 +24,15 @@
 /// Maximum number of interim heads. Each takes as long to parse as a response, however short it is.
 const MAX_INTERIM_HEADS: usize = 16;
 
-/// Counts the bytes that arrive on a connection while the head of a response is awaited.
+/// Maximum number of bytes of a body that are read ahead of what is taken of it, together with its chunk sizes.
+const MAX_AHEAD_BYTES: usize = 4 * BUFFER_BYTES;
+/// Bytes that may be read for each byte of the body: a chunk of one byte takes six.
+const BYTES_PER_BODY_BYTE: usize = 8;
+
+/// Counts the bytes that arrive on a connection.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadLimit {
-    /// Bytes that may still arrive; `usize::MAX` while no head is awaited.
+    /// Bytes that may still arrive.
     left: Arc<AtomicUsize>,
 }
 
@@ -43,19 +48,24 @@
         });
     }
 
-    /// Stops counting, since the head is complete.
+    /// Counts what is read of the body from now on, since the head is complete.
     pub(super) fn record_head(&self) {
-        self.left.store(usize::MAX, Ordering::Relaxed);
+        self.left.store(MAX_AHEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Lets further bytes arrive, since `bytes` of the body have been taken.
+    pub(super) fn record_body(&self, bytes: usize) {
+        let left = self.left.load(Ordering::Relaxed);
+        let left = left.saturating_add(bytes.saturating_mul(BYTES_PER_BODY_BYTE));
+        self.left
+            .store(left.min(MAX_AHEAD_BYTES), Ordering::Relaxed);
     }
 
     /// Counts `bytes`, and returns an error if there are too many.
     fn count(&self, bytes: usize) -> io::Result<()> {
         let left = self.left.load(Ordering::Relaxed);
-        if left == usize::MAX {
-            return Ok(());
-        }
         if bytes > left {
-            let cause = "response head without end";
+            let cause = "response without end beside its body";
             return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
         }
         self.left.store(left - bytes, Ordering::Relaxed);
--- a/src/gateway/response_memory.rs
+++ b/src/gateway/response_memory.rs
@@ -191,7 +191,7 @@
     pub(super) async fn collect<B>(
         self: Arc<Self>,
         mut body: B,
-        mut on_bytes: impl FnMut(),
+        mut on_bytes: impl FnMut(usize),
     ) -> Result<HeldResponse, CollectError>
     where
         B: Body<Data = Bytes> + Unpin,
@@ -205,7 +205,7 @@
             let Ok(mut bytes) = frame.into_data() else {
                 continue;
             };
-            on_bytes();
+            on_bytes(bytes.len());
             size += bytes.len();
             if size > MAX_RESPONSE_BYTES {
                 return Err(CollectError::TooLarge);
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -120,6 +120,7 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    self.lease.head_limit().record_body(bytes.len());
                     self.progress.record_event_bytes();
                     match self.splitter.push(&bytes) {
                         Ok(Some(events)) => {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -150,7 +150,7 @@
     };
 
     let servers = (0..12).map(|number| memory.of_server(&format!("s-{number}")));
-    let reading = servers.map(|server| server.collect(body(), || {}));
+    let reading = servers.map(|server| server.collect(body(), |_| {}));
     let reading = futures_util::future::join_all(
         reading.map(|reading| tokio::time::timeout(Duration::from_millis(200), reading)),
     );
@@ -162,7 +162,7 @@
         .filter(|result| matches!(result, Ok(Err(CollectError::TooLarge))));
     assert_eq!(refused.count(), 12 - MAX_TOTAL_BYTES / (7 * 1024 * 1024));
     let small = memory.of_server("small");
-    let small = small.collect(full_body("whole"), || {}).await;
+    let small = small.collect(full_body("whole"), |_| {}).await;
     let small = small.unwrap().collect().await.unwrap();
     assert_eq!(small.to_bytes(), "whole");
 }
@@ -176,7 +176,7 @@
 
     let mut splitters: Vec<_> = (0..200).map(|_| EventSplitter::new(&faulty)).collect();
     let results: Vec<_> = splitters.iter_mut().map(|all| all.push(&part)).collect();
-    let small = sound.collect(full_body(part.clone()), || {}).await;
+    let small = sound.collect(full_body(part.clone()), |_| {}).await;
 
     let taken = results.iter().filter(|result| result.is_ok()).count();
     assert!(results.contains(&Err(EventError::NoMemory)));
@@ -189,7 +189,7 @@
     let memory = ResponseMemory::default();
     let body = full_body(vec![0; MAX_RESPONSE_BYTES + 1]);
 
-    let result = memory.of_server("a").collect(body, || {}).await;
+    let result = memory.of_server("a").collect(body, |_| {}).await;
 
     assert!(matches!(result, Err(CollectError::TooLarge)));
 }
