--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -147,6 +147,9 @@
     /// Asks the engine whether it is the process that its entry tells of.
     async fn life_sign(&self) -> LifeSign {
         let (gateway, request_id) = (&self.gateway, &self.outbound.request_id);
+        if !gateway.gate.may_ask(&self.server) {
+            return LifeSign::Unreachable;
+        }
         let until = self.deadline.min(Instant::now() + RESUME_TIMEOUT);
         let connecting = gateway.paths.connect(&self.server, request_id);
         match timeout_at(until, connecting).await {
--- a/src/gateway/send_gate.rs
+++ b/src/gateway/send_gate.rs
@@ -206,6 +206,13 @@
         may_write
     }
 
+    /// Returns whether `server` may be asked what runs there. Nothing is sent to an evacuated data centre but what is needed to pass
+    /// on an answer that a server there has given. Questions are no requests, so cold servers may be asked.
+    pub(super) fn may_ask(&self, server: &BackendServer) -> bool {
+        let evacuations = self.catalog.evacuations();
+        !evacuations.is_evacuated(&server.entry.data_centre)
+    }
+
     /// Returns the number of known cold servers.
     pub(super) fn cold_count(&self) -> usize {
         let state = lock(&self.state);
--- a/src/gateway/server_evidence.rs
+++ b/src/gateway/server_evidence.rs
@@ -30,8 +30,11 @@
 }
 
 impl Gateway {
-    /// Asks `server` on a new direct connection which process it is.
+    /// Asks `server` on a new direct connection which process it is, unless its data centre is evacuated.
     pub(super) async fn ask_directly(&self, server: &BackendServer) -> LifeSign {
+        if !self.gate.may_ask(server) {
+            return LifeSign::Unreachable;
+        }
         let until = Instant::now() + QUESTION_TIMEOUT;
         let connecting = self.paths.open_directly(server);
         let sign = match timeout_at(until, connecting).await {
@@ -70,6 +73,10 @@
         connection: ServerConnection,
         until: Instant,
     ) -> Result<(), ConnectError> {
+        // The open tunnel has to do.
+        if !self.gate.may_ask(server) {
+            return Ok(());
+        }
         let question = self.question(server);
         let asking = self.ask_for_life_sign(server, &question, connection, until);
         let sign = asking.await;
