--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -147,6 +147,9 @@
     /// Asks the engine whether it is the process that its entry tells of.
     async fn life_sign(&self) -> LifeSign {
         let (gateway, request_id) = (&self.gateway, &self.outbound.request_id);
+        if !gateway.gate.may_ask(&self.server) {
+            return LifeSign::Unreachable;
+        }
         let until = self.deadline.min(Instant::now() + RESUME_TIMEOUT);
         let connecting = gateway.paths.connect(&self.server, request_id);
         match timeout_at(until, connecting).await {
@@ -296,7 +299,8 @@
         } = response;
         let gateway = &self.gateway;
         let memory = gateway.response_memory.of_server(&self.server.id);
-        let collecting = memory.collect(body, || {
+        let collecting = memory.collect(body, |bytes| {
+            lease.head_limit().record_body(bytes);
             self.progress.record_bytes();
             guard.record_activity();
         });
@@ -320,6 +324,7 @@
             guard.record_result(RunResult::Broken);
             return SendEnd::Broken("ended before the first byte".to_owned());
         }
+        self.progress.record_end();
         if !end_check.is_complete(self.deadline).await {
             lease.close();
             guard.record_result(RunResult::Broken);
