--- a/bench/src/standin/balancer.rs
+++ b/bench/src/standin/balancer.rs
@@ -165,31 +165,30 @@
     ///
     /// All gateways of a data centre are used if fewer than half of them are ready, and those of the nearest others if none is.
     pub fn choose(&self, place: usize, hash: u64) -> Option<usize> {
-        let in_own = |gateway: usize| self.places[gateway] == place;
-        let mut candidates = self.usable(&in_own);
+        let region = &self.regions[place];
+        let mut candidates = self.usable(place);
         if candidates.is_empty() {
-            let region = &self.regions[place];
-            candidates = self.usable(&|gateway| &self.regions[self.places[gateway]] == region);
+            candidates = self.usable_in(|other| &self.regions[other] == region);
         }
         if candidates.is_empty() {
-            candidates = self.usable(&|_| true);
+            candidates = self.usable_in(|_| true);
         }
         if candidates.is_empty() {
-            candidates = self.all(&in_own);
+            candidates = self.all(place);
         }
         let number = hash % (candidates.len() as u64).max(1);
         candidates.get(number as usize).copied()
     }
 
-    fn all(&self, is_meant: &dyn Fn(usize) -> bool) -> Vec<usize> {
+    fn all(&self, place: usize) -> Vec<usize> {
         let all = 0..self.places.len();
-        all.filter(|it| self.is_known[*it] && is_meant(*it))
+        all.filter(|it| self.is_known[*it] && self.places[*it] == place)
             .collect()
     }
 
-    /// Returns the gateways that are ready, all if these are fewer than half but some.
-    fn usable(&self, is_meant: &dyn Fn(usize) -> bool) -> Vec<usize> {
-        let all = self.all(is_meant);
+    /// Returns the gateways of a data centre that are ready, or all if these are fewer than half but some.
+    fn usable(&self, place: usize) -> Vec<usize> {
+        let all = self.all(place);
         let ready = all.iter().copied().filter(|it| self.is_ready[*it]);
         let ready: Vec<usize> = ready.collect();
         if !ready.is_empty() && ready.len() * 2 < all.len() {
@@ -197,6 +196,12 @@
         }
         ready
     }
+
+    /// Returns the usable gateways of several data centres.
+    fn usable_in(&self, is_meant: impl Fn(usize) -> bool) -> Vec<usize> {
+        let places = (0..self.regions.len()).filter(|place| is_meant(*place));
+        places.flat_map(|place| self.usable(place)).collect()
+    }
 }
 
 /// Returns the options that the environment has for this process; `None` if it isn't asked to be the balancer.
