--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -76,7 +76,7 @@
     let kinds: Option<String> = args.opt_value_from_str("--kinds")?;
     let is_drawn = args.contains("--drawn");
     let sheet: PathBuf = args.free_from_str()?;
-    let sheet = Sheet::read(&sheet)?;
+    let mut sheet = Sheet::read(&sheet)?;
     let kinds: Vec<String> = match kinds {
         Some(kinds) => kinds.split(',').map(str::to_owned).collect(),
         None => Vec::new(),
@@ -96,6 +96,7 @@
         return Err(DayError::Usage(problem));
     }
     day.length_s = seconds.unwrap_or(day.length_s);
+    day.change_routes(&mut sheet);
     let seed = seed.unwrap_or(day.seed.max(1));
     let mut programs = Programs::in_folder(programs);
     if let Some(gateway) = gateway {
--- a/bench/src/day/day_file.rs
+++ b/bench/src/day/day_file.rs
@@ -143,6 +143,17 @@
     3.0
 }
 
+/// What differs for a route on a day.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteChange {
+    /// Name of the route. Days for other sheets name routes that this one doesn't have.
+    pub name: String,
+    /// Attempts of a caller beside the first.
+    pub retries: Option<u32>,
+}
+
 /// A day.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
@@ -164,6 +175,11 @@
     pub faults: Vec<Trouble>,
     /// What strikes at the end.
     pub closing: Option<Closing>,
+    /// Label of days of one kind, which changes nothing.
+    pub slot: Option<String>,
+    /// What differs for routes.
+    #[serde(default)]
+    pub classes: Vec<RouteChange>,
 }
 
 fn usual_length() -> f64 {
@@ -185,6 +201,8 @@
             plan: Vec::new(),
             faults: Vec::new(),
             closing: None,
+            slot: None,
+            classes: Vec::new(),
         }
     }
 
@@ -252,6 +270,17 @@
         day
     }
 
+    /// Makes the changes of the day to the routes of its sheet.
+    pub fn change_routes(&self, sheet: &mut Sheet) {
+        for change in &self.classes {
+            let mut routes = sheet.routes.iter_mut();
+            let route = routes.find(|route| route.name == change.name);
+            if let (Some(route), Some(retries)) = (route, change.retries) {
+                route.caller_retries = retries;
+            }
+        }
+    }
+
     /// Returns planned work and faults in the order of their times.
     pub fn troubles(&self) -> Vec<(Trouble, bool)> {
         let plan = self.plan.iter().map(|trouble| (trouble.clone(), true));
@@ -261,3 +290,6 @@
         all
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/bench/src/day/troubles/store.rs
+++ b/bench/src/day/troubles/store.rs
@@ -109,7 +109,7 @@
     if trouble.has("revoke") {
         let first = rng.random_range(0..1_000);
         for number in 0..REVOKED {
-            scene.fleet.operator.revoke(first, number == 0);
+            scene.fleet.operator.revoke(first + number, number == 0);
         }
     }
     if trouble.has("revoke") || trouble.has("meet") {
