--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -96,8 +96,7 @@
     request_id: String,
     /// Whether another gateway carries the connection.
     is_tunnel: bool,
-    /// For a plain server, which tells its name, but not its start, if it has left length and chunks out lately. A model engine
-    /// tells both, and gets none.
+    /// For a plain server, which tells its name, but not its start. A model engine tells both, and gets none.
     witness: Option<Witness>,
 }
 
@@ -113,10 +112,14 @@
         witness: Option<Witness>,
     ) -> Self {
         let body_end = BodyEnd::of(headers, body);
-        let is_unframed = body_end == BodyEnd::Connection;
-        if is_unframed && matches!(question, Question::Health(_)) {
+        let is_plain = matches!(question, Question::Health(_));
+        let needs_witness = body_end == BodyEnd::Connection && is_plain;
+        if needs_witness {
             gateway.paths.record_unframed(server);
         }
+        let witness = needs_witness.then(|| {
+            witness.unwrap_or_else(|| Witness::open(gateway, server, request_id, is_tunnel))
+        });
         Self {
             body_end,
             gateway: Arc::clone(gateway),
@@ -124,7 +127,7 @@
             question: question.clone(),
             request_id: request_id.to_owned(),
             is_tunnel,
-            witness: witness.filter(|_| is_unframed),
+            witness,
         }
     }
 
