--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -63,13 +63,14 @@
 
     /// Counts `bytes`, and returns an error if there are too many.
     fn count(&self, bytes: usize) -> io::Result<()> {
-        let left = self.left.load(Ordering::Relaxed);
-        if bytes > left {
-            let cause = "response without end beside its body";
-            return Err(io::Error::new(io::ErrorKind::InvalidData, cause));
-        }
-        self.left.store(left - bytes, Ordering::Relaxed);
-        Ok(())
+        let take = |left: usize| left.checked_sub(bytes);
+        let taken = self
+            .left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        let cause = "response without end beside its body";
+        taken
+            .map(|_| ())
+            .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, cause))
     }
 }
 
