--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod candidates;
 mod choice;
+mod connection_trace;
 mod crash_guard;
 mod delivery;
 mod dialect;
