--- a/src/gateway/server_evidence.rs
+++ b/src/gateway/server_evidence.rs
@@ -6,6 +6,7 @@
 use super::pool::ConnectError;
 use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
 use crate::net::timeout_at;
 use crate::quarantine::ServerReach;
 use async_trait::async_trait;
@@ -110,10 +111,18 @@
         sign
     }
 
-    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
+    fn have_connections_ended(&self, server: &BackendServer, since: BootInstant) -> bool {
+        let gateway = self.0.upgrade();
+        gateway.is_some_and(|gateway| {
+            let ends = gateway.paths.connection_ends(server);
+            ends.have_all_ended_since(since)
+        })
+    }
+
+    async fn is_reached_by_others(&self, server: &BackendServer, must_answer: bool) -> bool {
         let Some(gateway) = self.0.upgrade() else {
             return false;
         };
-        gateway.is_reached_by_others(server, false).await
+        gateway.is_reached_by_others(server, must_answer).await
     }
 }
