--- a/src/decide/life_sign.rs
+++ b/src/decide/life_sign.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a relay, a balancer or a parent process stands before each server and goes on accepting connections when the
 //! server is gone. It closes or resets them, answers for the server that there is none, or leaves them silent. A sound server
 //! that is full or slow is silent too, and one that has as many connections as it takes resets further ones. So an accepted
-//! connection is no sign of life, and neither silence nor a reset alone is one of an end ([`super::ConnectionEnds`]).
+//! connection is no sign of life, and neither silence nor a reset is one of an end.
 
 /// What a server's address tells of the process that its entry names.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,16 +38,6 @@
         }
     }
 
-    /// Returns whether a server has answered, though it may be another one.
-    pub fn is_answer(self) -> bool {
-        matches!(self, Self::SameProcess | Self::OtherProcess | Self::Unnamed)
-    }
-
-    /// Returns whether a sound server that is full or slow would show the same as a relay whose server is gone.
-    pub fn is_ambiguous(self) -> bool {
-        matches!(self, Self::Reset | Self::Silent)
-    }
-
     /// Returns whether the process has ended, or its path is cut where it can't be seen from here.
     pub fn is_gone(self) -> bool {
         matches!(self, Self::OtherProcess | Self::NoAnswer)
--- a/src/decide/server_path.rs
+++ b/src/decide/server_path.rs
@@ -35,8 +35,6 @@
     connected_at: Option<BootInstant>,
     /// Whether direct connections were accepted and no server answered on the last one, as it was asked whether it lives.
     is_unanswered: bool,
-    /// Whether this is known only by the end of all connections and silence since.
-    is_silent: bool,
     /// When a server was last asked since an answer was not its own.
     doubted_at: Option<BootInstant>,
 }
@@ -101,31 +99,15 @@
     /// Records that a direct connection could not be established.
     pub fn record_failed(&mut self, failure: ConnectFailure, now: BootInstant) {
         self.is_unanswered = false;
-        self.is_silent = false;
         self.record_failure(failure, now);
     }
 
     /// Records that a direct connection was accepted, but ended without an answer of a server. Open ones may go on.
     pub fn record_unanswered(&mut self, now: BootInstant) {
         self.is_unanswered = true;
-        self.is_silent = false;
         self.record_failure(ConnectFailure::Refused, now);
     }
 
-    /// Records that direct connections may be accepted in vain and stay silent, since all that the server had taken were ended by the
-    /// other side.
-    pub fn record_silent(&mut self, now: BootInstant) {
-        self.record_unanswered(now);
-        self.is_silent = true;
-    }
-
-    /// Records that connections on which the server answers go on. They tell nothing of a server that resets further ones.
-    pub fn record_connections_going_on(&mut self, now: BootInstant) {
-        if self.is_silent {
-            self.record_answered(now);
-        }
-    }
-
     fn record_failure(&mut self, failure: ConnectFailure, now: BootInstant) {
         let is_worse =
             self.failure == Some(ConnectFailure::Refused) && failure == ConnectFailure::TimedOut;
@@ -161,11 +143,6 @@
         is_due
     }
 
-    /// Returns whether connections may be accepted in vain and stay silent, since all earlier ones ended.
-    pub fn is_silent(&self) -> bool {
-        self.is_silent
-    }
-
     /// Returns whether connections are accepted, but no server answered on the last one.
     pub fn is_unanswered(&self) -> bool {
         self.is_unanswered
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -4,7 +4,6 @@
 mod caller_retry;
 mod capacity;
 mod cold;
-mod connection_ends;
 mod crash_blame;
 mod crash_burst;
 mod crash_evidence;
--- a/src/decide/tests/server_path.rs
+++ b/src/decide/tests/server_path.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-pub(super) const fn at(ms: u64) -> BootInstant {
+pub(super) fn at(ms: u64) -> BootInstant {
     BootInstant::from_boot(Duration::from_millis(ms))
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -268,9 +268,6 @@
         };
         return SendOutcome::Unknown(cause.to_owned());
     }
-    if request_id.is_some() {
-        lease.record_answer();
-    }
     guard.record_activity();
     // Another server may have the address now, and it speaks for itself.
     if head.status != StatusCode::MISDIRECTED_REQUEST {
--- a/src/gateway/life_sign.rs
+++ b/src/gateway/life_sign.rs
@@ -158,11 +158,6 @@
     path: &str,
     read: impl AsyncFnOnce(Response<Incoming>) -> Result<T, LifeSign>,
 ) -> Result<T, LifeSign> {
-    // A question has connections of its own, which carry no requests.
-    let connection = ServerConnection {
-        ends: None,
-        ..connection
-    };
     let leased = Pool::lease(connection, server, 1).await;
     let mut lease = leased.map_err(|_| LifeSign::NoAnswer)?;
     let mut req = Request::get(path)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod attempt;
 mod candidates;
 mod choice;
-mod connection_trace;
 mod crash_guard;
 mod delivery;
 mod dialect;
--- a/src/gateway/path_probe.rs
+++ b/src/gateway/path_probe.rs
@@ -4,7 +4,6 @@
 use super::handler::Gateway;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
-use crate::decide::LifeSign;
 use crate::decide::PathState;
 use crate::decide::ServerPath;
 use crate::quarantine::Renewals;
@@ -49,9 +48,6 @@
         let mut blocked_now = Vec::new();
         for server in servers.iter() {
             let path = gateway.paths.path(server);
-            if path.is_silent() {
-                gateway.paths.record_connections(server);
-            }
             let is_blocked = path.state(now) == PathState::Blocked;
             if is_blocked {
                 blocked_now.push(server.id.clone());
@@ -60,17 +56,9 @@
                 }
             }
             let is_inactive = inactive.binary_search(&server.id).is_ok();
-            let may_probe = probes < MAX_PROBES;
-            let is_doubtful = may_probe && is_inactive && !is_blocked && {
-                let ends = gateway.paths.connection_ends(server);
-                ends.have_all_ended() && gateway.paths.record_doubt(server)
-            };
             let is_due = path.is_retry_due(now)
                 || (!is_blocked && is_inactive && path.has_not_been_tried_lately(now));
-            if is_doubtful {
-                probes += 1;
-                tokio::spawn(ask(Arc::clone(&gateway), server.clone()));
-            } else if is_due && may_probe {
+            if is_due && probes < MAX_PROBES {
                 probes += 1;
                 tokio::spawn(probe(Arc::clone(&gateway), server.clone(), path));
             }
@@ -92,13 +80,6 @@
     }
 }
 
-/// Asks a server that is silent on connections which were opened after all earlier ones had ended.
-async fn ask(gateway: Arc<Gateway>, server: BackendServer) {
-    if gateway.ask_anew(&server).await == LifeSign::Unreachable {
-        gateway.paths.probe(&server).await;
-    }
-}
-
 async fn probe(gateway: Arc<Gateway>, server: BackendServer, path: ServerPath) {
     if path.is_unanswered() {
         gateway.ask_anew(&server).await;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,7 +1,6 @@
 //! Pool of connections to backend servers. Each carries one request at a time, and is kept for further requests until
 //! shortly before the server would close it.
 
-use super::connection_trace::ConnectionTrace;
 use super::head_limit::BUFFER_BYTES;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimitedStream;
@@ -46,22 +45,12 @@
 /// A node keeps at most `max_connections / IDLE_DIVISOR` connections to a server idle, but at least two are allowed.
 const IDLE_DIVISOR: u32 = 16;
 
-/// Time for which idle connections that are not used any more stay open, so that their end, or that they go on, tells whether the
-/// server's process has ended.
-const WITNESS_TIME: Duration = Duration::from_millis(150);
-
 /// The task that drives a connection; dropping this handle aborts the task and closes the connection.
-struct ConnectionTask {
-    handle: AbortHandle,
-    trace: Option<ConnectionTrace>,
-}
+struct ConnectionTask(AbortHandle);
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
-        if let Some(trace) = &self.trace {
-            trace.record_closed();
-        }
-        self.handle.abort();
+        self.0.abort();
     }
 }
 
@@ -178,7 +167,7 @@
         max_connections: u32,
     ) -> Result<Lease, ConnectError> {
         let failed = |err: &dyn std::fmt::Display| ConnectError::Failed(err.to_string());
-        let ServerConnection { io, helper, ends } = connection;
+        let ServerConnection { io, helper } = connection;
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream::new(io, &head_limit);
         let (sender, connection) = http1::Builder::new()
@@ -186,20 +175,11 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| failed(&err))?;
-        let trace = ends.as_ref().map(ConnectionTrace::start);
-        let followed = trace.clone();
-        let task = tokio::spawn(async move {
-            let result = connection.await;
-            if let Some(trace) = followed {
-                trace.record_end(&result);
-            }
-        });
+        // The request on the connection fails with the same error, so it is ignored here.
+        let task = tokio::spawn(async move { connection.await.is_ok() });
         Ok(Lease {
             sender,
-            task: ConnectionTask {
-                handle: task.abort_handle(),
-                trace,
-            },
+            task: ConnectionTask(task.abort_handle()),
             head_limit,
             server_id: server.id.clone(),
             server_start_time_ms: server.entry.start_time_ms,
@@ -245,21 +225,14 @@
         });
     }
 
-    /// Closes all idle connections to a server soon, and uses none of them again; called when one was reset or timed out, as the
-    /// others are likely dead too.
+    /// Closes all idle connections to a server; called when one was reset or timed out, as the others are likely dead
+    /// too.
     pub(super) fn close_idle(&self, server_id: &str) {
         let mut by_server = self
             .by_server
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let index = by_server.binary_search_by(|(id, _)| id.as_str().cmp(server_id));
-        if let Ok(index) = index {
-            let (_, idle) = by_server.remove(index);
-            tokio::spawn(async move {
-                tokio::time::sleep(WITNESS_TIME).await;
-                drop(idle);
-            });
-        }
+        by_server.retain(|(id, _)| id != server_id);
     }
 
     /// Closes idle connections whose idle timeout has passed, and those to servers that are no longer usable.
@@ -283,7 +256,7 @@
     /// Has the connection closed soon after `deadline`, whether or not anybody reads from it then.
     pub(super) fn close_after(&self, deadline: tokio::time::Instant, logs: &Logs) -> ConnectionEnd {
         let has_come = Arc::new(AtomicBool::new(false));
-        let task = self.task.handle.clone();
+        let task = self.task.0.clone();
         let (has_ended, logs, server) =
             (Arc::clone(&has_come), logs.clone(), self.server_id.clone());
         let timer = tokio::spawn(async move {
@@ -319,13 +292,6 @@
         self.helper.as_deref()
     }
 
-    /// Records that the server has answered on the connection.
-    pub(super) fn record_answer(&self) {
-        if let Some(trace) = &self.task.trace {
-            trace.record_answer();
-        }
-    }
-
     /// Returns whether the connection has carried a request before.
     pub(super) fn is_reused(&self) -> bool {
         self.is_reused
--- a/src/gateway/server_evidence.rs
+++ b/src/gateway/server_evidence.rs
@@ -2,11 +2,9 @@
 
 use super::handler::Gateway;
 use super::life_sign::LifeSign;
-use super::life_sign::Question;
 use super::pool::ConnectError;
 use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
-use crate::clock::BootInstant;
 use crate::net::timeout_at;
 use crate::quarantine::ServerReach;
 use async_trait::async_trait;
@@ -18,8 +16,6 @@
 
 /// Time within which a server must have answered a direct question.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
-/// The same for a plain server all of whose connections have ended: its health waits for a slot like a request.
-const PATIENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which a server must have answered through helpers. Without an answer then, a tunnel counts as one; the quarantine
 /// waits somewhat longer.
 const HELPER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -39,20 +35,11 @@
         if !self.gate.may_ask(server) {
             return LifeSign::Unreachable;
         }
-        let question = self.question(server);
-        let have_all_ended = self.paths.connection_ends(server).have_all_ended();
-        let timeout = match question {
-            Question::Health(_) if have_all_ended => PATIENT_TIMEOUT,
-            _ => QUESTION_TIMEOUT,
-        };
-        if have_all_ended {
-            // Requests on new connections would be lost with a relay whose server is gone.
-            self.paths.record_silent(server);
-        }
-        let until = Instant::now() + timeout;
+        let until = Instant::now() + QUESTION_TIMEOUT;
         let connecting = self.paths.open_directly(server);
         let sign = match timeout_at(until, connecting).await {
             Ok(Ok(connection)) => {
+                let question = self.question(server);
                 self.ask_for_life_sign(server, &question, connection, until)
                     .await
             }
@@ -64,24 +51,18 @@
         sign
     }
 
-    /// Asks `server`, which did not answer on direct connections, directly and then through other gateways. Returns what came
-    /// directly.
-    pub(super) async fn ask_anew(&self, server: &BackendServer) -> LifeSign {
-        let sign = self.ask_directly(server).await;
-        let is_lost = sign == LifeSign::NoAnswer
-            || (sign.is_ambiguous() && self.paths.connection_ends(server).have_all_ended());
-        if is_lost {
+    /// Asks `server`, which did not answer on direct connections, directly and then through other gateways.
+    pub(super) async fn ask_anew(&self, server: &BackendServer) {
+        if self.ask_directly(server).await == LifeSign::NoAnswer {
             // The result is recorded with the path.
-            let must_answer = sign.is_ambiguous();
-            self.is_reached_by_others(server, must_answer).await;
+            self.is_reached_by_others(server).await;
         }
-        sign
     }
 
     /// Returns whether `server`, which does not answer directly, answers through another gateway.
-    async fn is_reached_by_others(&self, server: &BackendServer, must_answer: bool) -> bool {
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
         let until = Instant::now() + HELPER_TIMEOUT;
-        let ask = |connection| self.ask_through(server, connection, until, must_answer);
+        let ask = |connection| self.ask_through(server, connection, until);
         self.paths.is_reached_by_others(server, &ask).await
     }
 
@@ -91,7 +72,6 @@
         server: &BackendServer,
         connection: ServerConnection,
         until: Instant,
-        must_answer: bool,
     ) -> Result<(), ConnectError> {
         // The open tunnel has to do.
         if !self.gate.may_ask(server) {
@@ -100,7 +80,7 @@
         let question = self.question(server);
         let asking = self.ask_for_life_sign(server, &question, connection, until);
         let sign = asking.await;
-        if sign.is_gone() || (must_answer && sign.is_ambiguous()) {
+        if sign.is_gone() {
             return Err(ConnectError::Failed(sign.as_str().to_owned()));
         }
         Ok(())
@@ -118,18 +98,10 @@
         sign
     }
 
-    fn have_connections_ended(&self, server: &BackendServer, since: BootInstant) -> bool {
-        let gateway = self.0.upgrade();
-        gateway.is_some_and(|gateway| {
-            let ends = gateway.paths.connection_ends(server);
-            ends.have_all_ended_since(since)
-        })
-    }
-
-    async fn is_reached_by_others(&self, server: &BackendServer, must_answer: bool) -> bool {
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
         let Some(gateway) = self.0.upgrade() else {
             return false;
         };
-        gateway.is_reached_by_others(server, must_answer).await
+        gateway.is_reached_by_others(server).await
     }
 }
--- a/src/gateway/server_paths.rs
+++ b/src/gateway/server_paths.rs
@@ -1,14 +1,12 @@
 //! Connects to backend servers, directly or through other gateways ([`crate::decide::ServerPath`]), and remembers which way
 //! worked.
 
-use super::connection_trace::SharedEnds;
 use super::loads::ServerLoads;
 use super::metrics::GatewayMetrics;
 use super::pool::ConnectError;
 use crate::catalog::BackendServer;
 use crate::clock::BootInstant;
 use crate::decide::ConnectFailure;
-use crate::decide::ConnectionEnds;
 use crate::decide::Incarnation;
 use crate::decide::LifeSign;
 use crate::decide::PathState;
@@ -52,8 +50,6 @@
 pub(super) struct ServerConnection {
     pub(super) io: Box<dyn Connection>,
     pub(super) helper: Option<String>,
-    /// What becomes of the direct connections to the server; `None` for a connection that is not one of these.
-    pub(super) ends: Option<SharedEnds>,
 }
 
 #[derive(Debug)]
@@ -65,8 +61,6 @@
     doubted_since: Option<BootInstant>,
     /// When an answer of it had neither a length nor chunks.
     unframed_at: Option<BootInstant>,
-    /// What became of the direct connections.
-    ends: SharedEnds,
 }
 
 /// The paths to all servers.
@@ -190,11 +184,7 @@
             let connecting = paths.connector.connect(server.entry.address);
             let until = Instant::now() + CONNECT_TIMEOUT;
             let result = match timeout_at(until, connecting).await {
-                Ok(Ok(io)) => Ok(ServerConnection {
-                    io,
-                    helper: None,
-                    ends: Some(paths.ends(&server)),
-                }),
+                Ok(Ok(io)) => Ok(ServerConnection { io, helper: None }),
                 Ok(Err(err)) => Err(ConnectError::Failed(err.to_string())),
                 Err(_) => Err(ConnectError::Timeout),
             };
@@ -220,11 +210,7 @@
         self.metrics.record_tunnel_request(result);
         let io = opened.map_err(|err| ConnectError::Failed(err.to_string()))?;
         let helper = Some(helper.name.clone());
-        Ok(ServerConnection {
-            io,
-            helper,
-            ends: None,
-        })
+        Ok(ServerConnection { io, helper })
     }
 
     /// Tries the direct path to `server` and, if it is not open, helpers; keeps no connection.
@@ -304,11 +290,6 @@
         is_due
     }
 
-    /// Records that nothing is known of `server` but that all connections to it have ended.
-    pub(super) fn record_silent(&self, server: &BackendServer) {
-        self.update(server, |path| path.record_silent(BootInstant::now()));
-    }
-
     /// Records what `server` answered on a direct connection. Returns whether it answers again.
     pub(super) fn record_sign(&self, server: &BackendServer, sign: LifeSign) -> bool {
         let now = BootInstant::now();
@@ -317,9 +298,6 @@
             LifeSign::NoAnswer | LifeSign::Reset => {
                 self.update(server, |path| path.record_unanswered(now));
             }
-            LifeSign::Silent if self.connection_ends(server).have_all_ended() => {
-                self.update(server, |path| path.record_silent(now));
-            }
             // A server that is full or slow is silent, too.
             LifeSign::SameProcess
             | LifeSign::OtherProcess
@@ -327,11 +305,6 @@
             | LifeSign::Silent => self.update(server, |path| path.record_answered(now)),
             LifeSign::Unreachable => {}
         }
-        if sign.is_answer() {
-            let ends = self.ends(server);
-            let mut ends = ends.lock().unwrap_or_else(PoisonError::into_inner);
-            ends.record_life();
-        }
         let is_unanswered = self.path(server).is_unanswered();
         if is_unanswered && !was_unanswered {
             info!(self.logs.log(), "connections to server accepted but not answered"; "server" => &server.id);
@@ -339,34 +312,6 @@
         was_unanswered && !is_unanswered
     }
 
-    /// Returns what became of the direct connections to `server`.
-    pub(super) fn connection_ends(&self, server: &BackendServer) -> ConnectionEnds {
-        let rows = self.lock();
-        let index = rows.binary_search_by(|row| row.server.as_str().cmp(&server.id));
-        let row = index.ok().map(|index| &rows[index]);
-        let row = row.filter(|row| row.start_time_ms == server.entry.start_time_ms);
-        row.map_or_else(ConnectionEnds::default, |row| {
-            row.ends
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clone()
-        })
-    }
-
-    fn ends(&self, server: &BackendServer) -> SharedEnds {
-        let mut ends = SharedEnds::default();
-        self.update_row(server, |row| ends = Arc::clone(&row.ends));
-        ends
-    }
-
-    /// Records that connections to `server` go on, if they do.
-    pub(super) fn record_connections(&self, server: &BackendServer) {
-        if self.connection_ends(server).is_open() {
-            let now = BootInstant::now();
-            self.update(server, |path| path.record_connections_going_on(now));
-        }
-    }
-
     /// Returns how `server` is reached.
     pub(super) fn state(&self, server: &BackendServer) -> PathState {
         let path = self.path(server);
@@ -509,7 +454,6 @@
                     path: ServerPath::default(),
                     doubted_since: None,
                     unframed_at: None,
-                    ends: SharedEnds::default(),
                 };
                 rows.insert(index, row);
                 index
@@ -521,7 +465,6 @@
             row.path = ServerPath::default();
             row.doubted_since = None;
             row.unframed_at = None;
-            row.ends = SharedEnds::default();
         }
         change(row);
     }
--- a/src/quarantine/probe.rs
+++ b/src/quarantine/probe.rs
@@ -36,21 +36,16 @@
     /// Asks `server` directly which process answers.
     async fn life_sign(&self, server: &BackendServer) -> LifeSign;
 
-    /// Returns whether the other side has ended connections that `server` had taken since `since`, and none of them goes on.
-    fn have_connections_ended(&self, server: &BackendServer, since: BootInstant) -> bool;
-
-    /// Returns whether another gateway reaches `server`, which does not answer here. If the server `must_answer`, silence and a
-    /// reset there don't count.
-    async fn is_reached_by_others(&self, server: &BackendServer, must_answer: bool) -> bool;
+    /// Returns whether another gateway reaches `server`, which does not answer here.
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool;
 }
 
 /// Result of an attempt to connect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Probe {
     Accepted,
-    /// Connections are accepted, but the process that the server's entry names has ended, or the link behind what accepts is cut,
-    /// as this sign tells.
-    Gone(LifeSign),
+    /// Connections are accepted, but the process that the server's entry names has ended, or the link behind what accepts is cut.
+    Gone,
     /// Nothing listens at the address any more, or the link to it is cut.
     Refused,
     Silent,
@@ -73,18 +68,18 @@
     ) -> bool {
         let at = BootInstant::now();
         let incarnation = Incarnation::of(server);
-        let mut relayed = None;
+        let mut is_relayed = false;
         if !self.is_known_crash(&incarnation) {
-            match self.probe_after_break(server, at).await {
+            match self.probe_after_break(server).await {
                 Probe::Refused => {}
-                Probe::Gone(sign) => relayed = Some(sign),
+                Probe::Gone => is_relayed = true,
                 Probe::Accepted => {
                     self.record_break(server, suspect, at);
                     return false;
                 }
                 Probe::Silent => {
                     // If no other gateway reaches it either, it may have ended, and streams don't go on there.
-                    self.is_reached_by_others(server, false).await;
+                    self.is_reached_by_others(server).await;
                     return false;
                 }
             }
@@ -96,16 +91,13 @@
         {
             return false;
         }
-        let is_ambiguous = relayed.is_some_and(LifeSign::is_ambiguous);
-        if !self.is_known_crash(&incarnation)
-            && self.is_reached_by_others(server, is_ambiguous).await
-        {
+        if !self.is_known_crash(&incarnation) && self.is_reached_by_others(server).await {
             self.record_break(server, suspect, at);
             return false;
         }
         if !self.is_known_crash(&incarnation)
             && self
-                .has_lost_others(server, &suspect, listed, relayed)
+                .has_lost_others(server, &suspect, listed, is_relayed)
                 .await
         {
             self.record_common_loss(server);
@@ -127,24 +119,24 @@
     }
 
     /// Returns whether another gateway reaches `server`, so that it is this gateway's path that is lost.
-    async fn is_reached_by_others(&self, server: &BackendServer, must_answer: bool) -> bool {
+    async fn is_reached_by_others(&self, server: &BackendServer) -> bool {
         let Some(reach) = self.reach.get() else {
             return false;
         };
-        let asking = reach.is_reached_by_others(server, must_answer);
+        let asking = reach.is_reached_by_others(server);
         let asked = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
         asked.unwrap_or(false)
     }
 
     /// Tries other servers at the same time and records the ones that can't be reached either. Returns whether these are
-    /// so many, in the data centre of `server` or in all, that their common cause is no request. If `server` is
-    /// `relayed`, which showed this sign, the others must answer.
+    /// so many, in the data centre of `server` or in all, that their common cause is no request. Servers that are `relayed`
+    /// must answer.
     async fn has_lost_others(
         &self,
         server: &BackendServer,
         suspect: &Suspect,
         listed: &[BackendServer],
-        relayed: Option<LifeSign>,
+        relayed: bool,
     ) -> bool {
         let others = listed.iter().filter(|other| other.id != server.id);
         let (mut near, mut far): (Vec<_>, Vec<_>) =
@@ -156,18 +148,9 @@
         let near = sample(&near, suspect.request);
         let far = sample(&far, suspect.request);
         let connecting = near.iter().chain(&far);
-        let is_ambiguous = relayed.is_some_and(LifeSign::is_ambiguous);
-        let probing = connecting.map(async |other| {
-            let probe = self.probe(other.entry.address).await;
-            if probe != Probe::Accepted || relayed.is_none() {
-                return probe;
-            }
-            let sign = self.life_sign(other).await;
-            if sign.is_gone() || (is_ambiguous && sign.is_ambiguous()) {
-                Probe::Gone(sign)
-            } else {
-                probe
-            }
+        let probing = connecting.map(async |other| match self.probe(other.entry.address).await {
+            Probe::Accepted if relayed && self.life_sign(other).await.is_gone() => Probe::Gone,
+            probe => probe,
         });
         let probes = join_all(probing).await;
         let at = BootInstant::now();
@@ -185,17 +168,15 @@
             || is_common_loss(count_lost(&probes), probes.len())
     }
 
-    /// Tries to reach `server`, at which a connection broke off at `at`, until a killed process would refuse it.
-    async fn probe_after_break(&self, server: &BackendServer, at: BootInstant) -> Probe {
+    /// Tries to reach `server`, at which a connection has just broken off, until a killed process would refuse it.
+    async fn probe_after_break(&self, server: &BackendServer) -> Probe {
         let address = server.entry.address;
         match self.probe(address).await {
             Probe::Accepted => {
                 tokio::time::sleep(CLOSING_TIME).await;
-                let have_ended = self.have_connections_ended(server, at);
                 match self.life_sign(server).await {
                     LifeSign::Unreachable => self.probe(address).await,
-                    sign if sign.is_gone() => Probe::Gone(sign),
-                    sign if sign.is_ambiguous() && have_ended => Probe::Gone(sign),
+                    sign if sign.is_gone() => Probe::Gone,
                     _ => Probe::Accepted,
                 }
             }
@@ -203,12 +184,6 @@
         }
     }
 
-    /// Returns whether all connections to `server` ended when a request broke off there at `at`.
-    fn have_connections_ended(&self, server: &BackendServer, at: BootInstant) -> bool {
-        let reach = self.reach.get();
-        reach.is_some_and(|reach| reach.have_connections_ended(server, at.before(CLOSING_TIME)))
-    }
-
     /// Asks `server` which process answers; requests that break off at one crash share a question.
     async fn life_sign(&self, server: &BackendServer) -> LifeSign {
         let Some(reach) = self.reach.get() else {
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -111,8 +111,6 @@
     gone: Vec<&'static str>,
     /// What the servers that are gone show.
     sign: Option<LifeSign>,
-    /// Servers whose other connections ended too.
-    ended: Vec<&'static str>,
     is_reached_by_others: bool,
     questions: AtomicUsize,
 }
@@ -129,11 +127,7 @@
         }
     }
 
-    fn have_connections_ended(&self, server: &BackendServer, _since: BootInstant) -> bool {
-        self.ended.contains(&&*server.id)
-    }
-
-    async fn is_reached_by_others(&self, _server: &BackendServer, _must_answer: bool) -> bool {
+    async fn is_reached_by_others(&self, _server: &BackendServer) -> bool {
         self.is_reached_by_others
     }
 }
@@ -241,39 +235,6 @@
     }
 }
 
-#[tokio::test]
-async fn a_server_whose_connections_all_end_counts_as_living_because_a_relay_treats_new_ones_as_a_full_server()
- {
-    for sign in [LifeSign::Silent, LifeSign::Reset] {
-        let found = Found {
-            ended: vec!["i-0"],
-            ..first_gone(sign)
-        };
-
-        assert!(report_accepted(found).await, "{sign:?}");
-    }
-}
-
-#[tokio::test]
-async fn servers_that_are_cut_off_behind_silent_relays_count_as_crashed() {
-    let servers = Servers::start(&["a", "a", "a", "a", "a", "b", "b", "b", "b", "b"]).await;
-    let gateway = quarantine();
-    gateway.set_reach(Arc::new(Found {
-        gone: vec!["i-0", "i-1", "i-2", "i-3", "i-4"],
-        sign: Some(LifeSign::Silent),
-        ended: vec!["i-0", "i-1", "i-2", "i-3", "i-4"],
-        ..Found::default()
-    }));
-
-    let mut reported = Vec::new();
-    for number in 0..5 {
-        reported.push(servers.report_break(&gateway, number, 1).await);
-    }
-
-    assert_eq!(reported, [false; 5]);
-    assert!(!is_held(&gateway));
-}
-
 #[tokio::test]
 async fn a_server_that_answers_other_gateways_counts_as_crashed_since_a_relay_lost_it_here() {
     let found = Found {
