--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -55,10 +55,12 @@
 
     /// Lets further bytes arrive, since `bytes` of the body have been taken.
     pub(super) fn record_body(&self, bytes: usize) {
-        let left = self.left.load(Ordering::Relaxed);
-        let left = left.saturating_add(bytes.saturating_mul(BYTES_PER_BODY_BYTE));
-        self.left
-            .store(left.min(MAX_AHEAD_BYTES), Ordering::Relaxed);
+        let further = bytes.saturating_mul(BYTES_PER_BODY_BYTE);
+        let add = |left: usize| Some(left.saturating_add(further).min(MAX_AHEAD_BYTES));
+        // The update always has a value.
+        let _ = self
+            .left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
     /// Counts `bytes`, and returns an error if there are too many.
