--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -39,6 +39,11 @@
     pub(super) resumes_stream: bool,
     /// Id of the attempt whose stream the request resumes; empty if it resumes none or doesn't name it.
     pub(super) first_attempt: String,
+    /// By what the software version of the resumed stream is known; empty if the request resumes none or it is not known.
+    pub(super) version_proof: String,
+    /// Software version that was recorded for the stream that the request began, empty where it is not known; `None` if
+    /// nothing was recorded.
+    pub(super) recorded_version: Option<String>,
     pub(super) is_caller_retry: bool,
     /// Version of HTTP in which the caller sent the request.
     caller_version: Version,
@@ -88,6 +93,8 @@
             whole: None,
             resumes_stream: false,
             first_attempt: String::new(),
+            version_proof: String::new(),
+            recorded_version: None,
             is_caller_retry: false,
             caller_version,
             framing: None,
@@ -199,7 +206,8 @@
         info!(log, "request"; "request" => &self.request_id, "route" => &self.route,
             "service" => &self.service, "servers" => self.servers.join(","),
             "helpers" => helpers.join(","), "versions" => self.software_versions.join(","), "parts" => parts, "whole" => whole, "resumes" => self.resumes_stream,
-            "first_attempt" => &self.first_attempt, "return" => self.is_caller_retry,
+            "first_attempt" => &self.first_attempt, "version_by" => &self.version_proof, "recorded" => self.recorded_version.as_deref(),
+            "return" => self.is_caller_retry,
             "load" => self.load, "passed_over" => self.passed_over,
             "limit" => self.rate_limit, "over_limit" => self.over_limit,
             "config" => self.config_version, "config_age_ms" => self.config_age_ms,
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -11,6 +11,8 @@
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
 use crate::peers::StreamKey;
+use std::fmt;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Number of times that a request waits for another gateway's knowledge of its stream, one sync interval each: a record
@@ -33,6 +35,39 @@
     Unknown,
 }
 
+/// By what the software version of a resumed stream is known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum VersionProof {
+    /// A record of the stream at this gateway, or at the one of this name.
+    Record(Option<String>),
+    /// All servers have had one version since before the stream can have broken off.
+    OnlyVersion {
+        /// Time for which that is known.
+        known_for: Duration,
+        /// Age of the read of the server list that told it last.
+        read_age: Duration,
+    },
+}
+
+impl fmt::Display for VersionProof {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Record(None) => f.write_str("own record"),
+            Self::Record(Some(holder)) => write!(f, "record of {holder}"),
+            Self::OnlyVersion {
+                known_for,
+                read_age,
+            } => {
+                let (known_for, read_age) = (known_for.as_millis(), read_age.as_millis());
+                write!(f, "only version for {known_for} ms, read {read_age} ms ago")
+            }
+        }
+    }
+}
+
+/// A software version and by what it is known.
+type ProvenVersion = (String, VersionProof);
+
 impl Exchange {
     /// Finds the software version of the stream that the caller resumes, if it resumes one.
     ///
@@ -51,9 +86,13 @@
         let version = tokio::time::timeout_at(until, searching).await;
         // What this gateway knows by itself needs no time.
         let version = version.unwrap_or_else(|_| self.only_version(asked_at));
-        let Some(version) = version.filter(|version| version != UNKNOWN_VERSION) else {
+        let Some((version, proof)) = version else {
             return Err(self.no_server_refusal("stream of unknown version"));
         };
+        self.report.version_proof = proof.to_string();
+        if version == UNKNOWN_VERSION {
+            return Err(self.no_server_refusal("stream of unknown version"));
+        }
         self.stream_version = StreamVersion::Only(version);
         Ok(())
     }
@@ -68,15 +107,15 @@
         &self,
         stream: Option<StreamKey>,
         asked_at: BootInstant,
-    ) -> Option<String> {
+    ) -> Option<ProvenVersion> {
         let streams = self.gateway.streams.get();
         let mut waits = 0;
         loop {
             if let (Some(stream), Some(streams)) = (stream, streams)
                 && waits <= MAX_WAITS
-                && let Some(version) = streams.find(stream).await
+                && let Some(found) = streams.find(stream).await
             {
-                return Some(version);
+                return Some((found.software_version, VersionProof::Record(found.holder)));
             }
             let version = self.only_version(asked_at);
             // An attempt that isn't named is on no record, so only a single version can tell.
@@ -92,10 +131,17 @@
 
     /// Returns the version of all servers that may have begun a stream before `asked_at`; `None` if there were several or if
     /// that is not known.
-    fn only_version(&self, asked_at: BootInstant) -> Option<String> {
+    fn only_version(&self, asked_at: BootInstant) -> Option<ProvenVersion> {
         let catalog = &self.gateway.catalog;
         let version = catalog.only_version(&self.service_name, self.first_break());
-        version.filter(|_| catalog.has_read_list_since(asked_at))
+        let version = version.filter(|_| catalog.has_read_list_since(asked_at))?;
+        let now = BootInstant::now();
+        let known_since = catalog.version_history().known_since();
+        let proof = VersionProof::OnlyVersion {
+            known_for: now.since(known_since.unwrap_or(now)),
+            read_age: catalog.list_age(now).unwrap_or_default(),
+        };
+        Some((version, proof))
     }
 
     /// Returns whether a newer read of the server list may show that a single version has served.
@@ -131,6 +177,7 @@
         } else {
             (version.clone(), StreamVersion::Only(version))
         };
+        self.report.recorded_version = Some(record.clone());
         if let Some(streams) = self.gateway.streams.get() {
             let lifetime = self.metadata.time_left.unwrap_or(self.route.timeout);
             streams.record(self.salt, &record, lifetime);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -50,6 +50,7 @@
 pub use node::OwnTeams;
 pub use node::PeerSettings;
 pub use node::Peers;
+pub use streams::FoundStream;
 pub use streams::StreamDirectory;
 pub use streams::StreamKey;
 pub use tunnel::DirectPaths;
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -36,6 +36,15 @@
 /// Identifies a stream: the hash of the id of the attempt that brought its first event.
 pub type StreamKey = u64;
 
+/// The software version at which a stream began, from a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FoundStream {
+    /// The version; empty if the record says that it is not known.
+    pub software_version: String,
+    /// Name of the gateway that has the record; `None` if it is this one.
+    pub holder: Option<String>,
+}
+
 /// Knows the software versions at which streams began.
 #[async_trait]
 pub trait StreamDirectory: Send + Sync {
@@ -45,7 +54,7 @@
 
     /// Returns the software version at which `stream` began, from this gateway's records, those of the relays or those of
     /// gateways that others may take for relays; `None` if none of them answers that it knows the stream.
-    async fn find(&self, stream: StreamKey) -> Option<String>;
+    async fn find(&self, stream: StreamKey) -> Option<FoundStream>;
 
     /// Waits until the records that other gateways had at the time of the call have reached their relay.
     async fn wait_for_records(&self);
@@ -217,22 +226,28 @@
         self.streams.record(stream, software_version, lifetime, now);
     }
 
-    async fn find(&self, stream: StreamKey) -> Option<String> {
-        let known = self.streams.find(stream, BootInstant::now());
-        if known.is_some() {
-            return known;
+    async fn find(&self, stream: StreamKey) -> Option<FoundStream> {
+        if let Some(software_version) = self.streams.find(stream, BootInstant::now()) {
+            return Some(FoundStream {
+                software_version,
+                holder: None,
+            });
         }
         let nodes = self.stream_holders();
         let mut lookups: FuturesUnordered<_> = nodes
             .iter()
-            .map(|node| tokio::time::timeout(LOOKUP_TIMEOUT, look_up(node, stream)))
+            .map(async |node| {
+                let answer = tokio::time::timeout(LOOKUP_TIMEOUT, look_up(node, stream)).await;
+                let software_version = answer.ok()?.ok()?.software_version?;
+                Some(FoundStream {
+                    software_version,
+                    holder: Some(node.name.clone()),
+                })
+            })
             .collect();
-        while let Some(answer) = lookups.next().await {
-            if let Ok(Ok(StreamLookupResponse {
-                software_version: Some(software_version),
-            })) = answer
-            {
-                return Some(software_version);
+        while let Some(found) = lookups.next().await {
+            if found.is_some() {
+                return found;
             }
         }
         None
