--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -119,7 +119,7 @@
             }
             let version = self.only_version(asked_at);
             // An attempt that isn't named is on no record, so only a single version can tell.
-            let is_known_unknown = stream.is_none() && self.has_several_versions();
+            let is_known_unknown = stream.is_none() && self.has_several_versions(asked_at);
             let may_come = waits < MAX_WAITS && !is_known_unknown;
             if version.is_some() || !(may_come || self.may_have_one_version(asked_at)) {
                 return version;
@@ -133,7 +133,7 @@
     /// that is not known.
     fn only_version(&self, asked_at: BootInstant) -> Option<ProvenVersion> {
         let catalog = &self.gateway.catalog;
-        let version = catalog.only_version(&self.service_name, self.first_break());
+        let version = catalog.only_version(&self.service_name, self.first_start(asked_at));
         let version = version.filter(|_| catalog.has_read_list_since(asked_at))?;
         let now = BootInstant::now();
         let known_since = catalog.version_history().known_since();
@@ -147,18 +147,18 @@
     /// Returns whether a newer read of the server list may show that a single version has served.
     fn may_have_one_version(&self, asked_at: BootInstant) -> bool {
         let is_old = !self.gateway.catalog.has_read_list_since(asked_at);
-        is_old && !self.has_several_versions()
+        is_old && !self.has_several_versions(asked_at)
     }
 
-    fn has_several_versions(&self) -> bool {
+    fn has_several_versions(&self, asked_at: BootInstant) -> bool {
         let catalog = &self.gateway.catalog;
-        catalog.has_several_versions(&self.service_name, self.first_break())
+        catalog.has_several_versions(&self.service_name, self.first_start(asked_at))
     }
 
-    /// Returns the earliest time at which a stream that is resumed now can have broken off, since callers don't wait
-    /// longer than the route's timeout. The server was listed then.
-    fn first_break(&self) -> BootInstant {
-        BootInstant::now().before(self.route.timeout)
+    /// Returns the earliest time at which a stream can have begun that is resumed at `asked_at`, since callers don't wait longer
+    /// than the route's timeout.
+    fn first_start(&self, asked_at: BootInstant) -> BootInstant {
+        asked_at.before(self.route.timeout)
     }
 
     /// Records that the caller gets the first event of the stream, from the server whose answer is passed on.
