--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -46,6 +46,7 @@
 pub use state::Catalog;
 pub use state::CatalogBounds;
 pub use state::ConfigChange;
+pub use version_history::SERVING_AFTER_LEAVING;
 pub use version_history::SeenVersion;
 pub use version_history::VERSION_MEMORY;
 pub use version_history::VersionHistory;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -364,15 +364,15 @@
         self.lock().by_service.clone()
     }
 
-    /// Returns the software version that all servers of `service` have had since `since`; `None` if there were several
-    /// or if that is not known.
+    /// Returns the software version of all servers of `service` at which a stream may have begun since `since`, as
+    /// [`VersionHistory::only_version`] does.
     pub fn only_version(&self, service: &str, since: BootInstant) -> Option<String> {
         let state = self.lock();
         let version = state.version_history.only_version(service, since);
         version.map(str::to_owned)
     }
 
-    /// Returns whether servers of `service` are known to have had several software versions since `since`.
+    /// Returns whether streams may have begun at servers of `service` of several software versions since `since`.
     pub fn has_several_versions(&self, service: &str, since: BootInstant) -> bool {
         let state = self.lock();
         state.version_history.has_several_versions(service, since)
--- a/src/catalog/version_history.rs
+++ b/src/catalog/version_history.rs
@@ -8,6 +8,10 @@
 /// Time for which a software version that is no longer listed is remembered.
 pub const VERSION_MEMORY: Duration = Duration::from_secs(600);
 
+/// Time for which a server that has left the list may still be given streams and serve them, beyond that in which a stream
+/// lasts: servers that leave go on serving for many seconds, and gateways that can't read the list go on using them.
+pub const SERVING_AFTER_LEAVING: Duration = Duration::from_secs(30);
+
 /// Name of a service and a software version of it; `None` if the version is unknown.
 pub type ServiceVersion = (String, Option<String>);
 
@@ -112,8 +116,9 @@
         &self.former
     }
 
-    /// Returns the version that all servers of `service` have had since `since`; `None` if there were several, or if
-    /// the list or a version is not known for that long.
+    /// Returns the version of all servers of `service` at which a stream may have begun since `since`; `None` if there are several,
+    /// or if the list or a version is not known for that long. A version may still begin streams for
+    /// [`SERVING_AFTER_LEAVING`] after its last server has left the list.
     pub fn only_version(&self, service: &str, since: BootInstant) -> Option<&str> {
         if self.known_since? > since {
             return None;
@@ -123,22 +128,24 @@
         versions.next().is_none().then_some(first)?.as_deref()
     }
 
-    /// Returns whether servers of `service` have had several versions since `since`, as far as the list is known.
+    /// Returns whether streams may have begun at servers of `service` of several versions since `since`, as far as the list is
+    /// known.
     pub fn has_several_versions(&self, service: &str, since: BootInstant) -> bool {
         self.versions_since(service, since).nth(1).is_some()
     }
 
-    /// Returns the versions that servers of `service` have had since `since`, each once.
+    /// Returns the versions of servers of `service` at which streams may have begun since `since`, each once.
     fn versions_since(
         &self,
         service: &str,
         since: BootInstant,
     ) -> impl Iterator<Item = &Option<String>> {
+        let left_since = since.before(SERVING_AFTER_LEAVING);
         let listed = self.listed.iter().filter(move |(name, _)| name == service);
         let former = self
             .former
             .iter()
-            .filter(move |former| former.service == service && former.last_listed_at >= since);
+            .filter(move |former| former.service == service && former.last_listed_at >= left_since);
         listed
             .map(|(_, version)| version)
             .chain(former.map(|former| &former.software_version))
