--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -48,6 +48,29 @@
     others.take(MAX_RELAY_CANDIDATES).collect()
 }
 
+/// Number of other gateways of its data centre to which a gateway sends the records of its streams at once.
+const NEAR_HOLDERS: usize = 2;
+
+/// Returns the other nodes of `own`'s data centre to which it sends the records of its streams, the first in the relay order. A record
+/// that is at two nodes is found also while one of them stands still.
+pub fn near_holders<'a>(nodes: &'a [NodeEntry], own: &NodeEntry) -> Vec<&'a NodeEntry> {
+    let near = relay_order(nodes, &own.data_centre).into_iter();
+    let others = near.filter(|node| node.name != own.name);
+    others.take(NEAR_HOLDERS).collect()
+}
+
+/// Returns the nodes that may have records of streams which began elsewhere: the first of each other data centre in the relay order,
+/// to which the nodes there send theirs, and those that may be taken for the relay of `own`'s.
+pub fn stream_holders<'a>(nodes: &'a [NodeEntry], own: &NodeEntry) -> Vec<&'a NodeEntry> {
+    let mut centres: Vec<&str> = nodes.iter().map(|node| node.data_centre.as_str()).collect();
+    centres.sort_unstable();
+    centres.dedup();
+    let far = centres.into_iter().filter(|name| *name != own.data_centre);
+    // One of the first may have begun the stream and be gone, so that the next one has its record.
+    let far = far.flat_map(|name| relay_order(nodes, name).into_iter().take(NEAR_HOLDERS + 1));
+    far.chain(relay_candidates(nodes, own)).collect()
+}
+
 /// Time for which a node asks one that does not know its role yet: several round trips of nodes that all start.
 const MAX_UNDECIDED_TIME: Duration = Duration::from_millis(250);
 
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -11,12 +11,13 @@
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
 use crate::peers::StreamKey;
+use crate::peers::StreamStart;
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Number of times that a request waits for another gateway's knowledge of its stream, one sync interval each: a record
-/// reaches the relay within one, and a gateway that has just started needs another to connect to its peers.
+/// Number of times that a request waits for another gateway's knowledge of its stream: once for a record that is on its way, and a sync
+/// interval for a gateway that has just started and connects to its peers.
 const MAX_WAITS: u32 = 2;
 /// Part of the request's time that may pass until its stream's version is known, so that time is left to run it, or for its
 /// caller to return.
@@ -73,13 +74,10 @@
     ///
     /// Refuses the request if the version is unknown.
     pub(super) async fn resolve_stream_version(&mut self) -> Result<(), Refusal> {
-        let Some(resumed_stream) = &self.metadata.resumed_stream else {
-            return Ok(());
-        };
-        if !self.route.retry_mode.is_stream() {
+        if self.metadata.resumed_stream.is_none() || !self.route.retry_mode.is_stream() {
             return Ok(());
         }
-        let stream = resumed_stream.first_attempt.as_deref().map(hash_request_id);
+        let stream = self.resumed_stream();
         let asked_at = BootInstant::now();
         let until = Instant::now() + self.time_left() / LOOKUP_DIVISOR;
         let searching = self.search_version(stream, asked_at);
@@ -124,8 +122,8 @@
             if version.is_some() || !(may_come || self.may_have_one_version(asked_at)) {
                 return version;
             }
+            streams?.wait_for_records(waits == 0).await;
             waits += 1;
-            streams?.wait_for_records().await;
         }
     }
 
@@ -161,10 +159,18 @@
         asked_at.before(self.route.timeout)
     }
 
-    /// Records that the caller gets the first event of the stream, from the server whose answer is passed on.
+    /// Records that the caller gets the first event of the answer, from the server whose answer is passed on: a stream that begins, or
+    /// one that goes on and may break off again.
     pub(super) fn record_stream_start(&mut self) {
-        if self.stream_version != StreamVersion::Any {
-            return;
+        match &self.stream_version {
+            StreamVersion::Any => {}
+            StreamVersion::Only(version) => {
+                if let Some(stream) = self.resumed_stream() {
+                    self.record(stream, version);
+                }
+                return;
+            }
+            StreamVersion::Unknown => return,
         }
         let server = self.crash_guard.sent().map(|sent| &sent.server);
         let version = server.and_then(|server| server.entry.software_version.clone());
@@ -178,11 +184,25 @@
             (version.clone(), StreamVersion::Only(version))
         };
         self.report.recorded_version = Some(record.clone());
+        self.record(self.salt, &record);
+        self.stream_version = stream_version;
+    }
+
+    /// Returns what identifies the stream that the caller resumes, if it names that.
+    fn resumed_stream(&self) -> Option<StreamKey> {
+        let resumed_stream = self.metadata.resumed_stream.as_ref()?;
+        resumed_stream.first_attempt.as_deref().map(hash_request_id)
+    }
+
+    fn record(&self, stream: StreamKey, software_version: &str) {
         if let Some(streams) = self.gateway.streams.get() {
-            let lifetime = self.metadata.time_left.unwrap_or(self.route.timeout);
-            streams.record(self.salt, &record, lifetime);
+            streams.record(StreamStart {
+                stream,
+                software_version,
+                lifetime: self.metadata.time_left.unwrap_or(self.route.timeout),
+                is_resumable: self.route.retry_mode == RetryMode::ResumableStream,
+            });
         }
-        self.stream_version = stream_version;
     }
 
     /// Returns the id of the event after which the caller resumes a stream, if the route allows it.
--- a/src/peers/exchange.rs
+++ b/src/peers/exchange.rs
@@ -4,6 +4,7 @@
 use super::directory::NodeEntry;
 use super::link::Link;
 use super::load_table::aged;
+use super::message::STREAM_PUSH_PROTOCOL;
 use super::message::SyncResponse;
 use super::node::ReceivedStamps;
 use super::node::Shared;
@@ -37,6 +38,7 @@
     let mut received = ReceivedStamps::default();
     let sources = [RecordSource::Own, RecordSource::Member];
     let mut next_record = 0;
+    let mut needs_records = false;
     let mut crash_cursor = CrashCursor::new(&shared.quarantine);
     let began = BootInstant::now();
     while shared.duties.is_relay() {
@@ -46,12 +48,13 @@
         request.teams = shared.team_table.own_centre(now);
         request.cut_off = shared.cut_off_table.own_centre(now);
         request.wants_catalog = shared.nodes.store_reader().as_deref() == Some(&node.name);
-        if shared.backup_centre.as_deref() == Some(data_centre) {
+        if needs_records && shared.backup_centre.as_deref() == Some(data_centre) {
             (request.streams, next_record) =
                 shared.streams.records_from(next_record, &sources, now);
         }
         crash_cursor.add_records(&shared.quarantine, &mut request, now);
         let mut response: SyncResponse = link.request(&request).await?;
+        needs_records = response.protocol < STREAM_PUSH_PROTOCOL;
         shared.nodes.mark_reachable(node);
         if request.wants_catalog && !response.is_disconnected && !shared.is_behind(&response) {
             shared.apply_catalog(&mut response, now, &mut received);
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -26,10 +26,13 @@
 
 /// Version of what gateways say to each other, raised with each ability that the build before lacks. Builds that don't
 /// tell theirs have version 0. `docs/PROTOCOLS.md` lists the versions.
-pub(super) const PROTOCOL: u32 = 3;
+pub(super) const PROTOCOL: u32 = 4;
 /// First version whose responses tell which data centres are evacuated.
 pub(super) const EVACUATIONS_PROTOCOL: u32 = 2;
 
+/// First version that takes records of streams as soon as they begin, and needs none in sync requests.
+pub(super) const STREAM_PUSH_PROTOCOL: u32 = 4;
+
 /// Maximum size of a decompressed message; bounds the memory that a corrupt one can use.
 const MAX_UNPACKED_BYTES: u64 = 32 * 1024 * 1024;
 
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -31,6 +31,8 @@
 use super::serve;
 use super::server_list::ReceivedList;
 use super::server_list::SyncedList;
+use super::stream_push::Holder;
+use super::stream_push::Pusher;
 use super::streams::StreamDirectory;
 use super::streams::StreamTable;
 use super::sync;
@@ -494,6 +496,10 @@
             )),
             tokio::spawn(sync::run(Arc::clone(&shared))),
         ];
+        for holder in [Holder::Near(0), Holder::Near(1), Holder::Backup] {
+            let pusher = Pusher::new(Arc::clone(&shared), holder);
+            tasks.push(tokio::spawn(pusher.run()));
+        }
         for data_centre in settings.data_centres {
             if data_centre != shared.own.data_centre {
                 tasks.push(tokio::spawn(exchange::run(
--- a/src/peers/node_list.rs
+++ b/src/peers/node_list.rs
@@ -273,19 +273,6 @@
         store_reader(&nodes).map(|node| node.name.clone())
     }
 
-    /// Returns the first reachable relay of each data centre, this node excluded.
-    pub(super) fn other_relays(&self) -> Vec<NodeEntry> {
-        let (nodes, _) = self.nodes();
-        let mut data_centres: Vec<&str> =
-            nodes.iter().map(|node| node.data_centre.as_str()).collect();
-        data_centres.sort_unstable();
-        data_centres.dedup();
-        let relays = data_centres
-            .into_iter()
-            .filter_map(|data_centre| self.first_relay(data_centre));
-        relays.filter(|relay| relay.name != self.own.name).collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -13,6 +13,8 @@
 use super::message::encode;
 use super::node::Shared;
 use super::server_list::synced_servers;
+use super::stream_push::StreamPush;
+use super::stream_push::StreamPushResponse;
 use super::streams::RecordSource;
 use super::streams::StreamLookup;
 use super::streams::StreamLookupResponse;
@@ -90,9 +92,13 @@
                 if let Ok(request) = decode::<TunnelRequest>(&bytes) {
                     return tunnel::serve(shared, socket, peer.ip(), request).await;
                 }
-                let lookup: StreamLookup = decode(&bytes).map_err(|_| cause)?;
-                let software_version = shared.streams.find(lookup.stream, BootInstant::now());
-                encode(&StreamLookupResponse { software_version })?
+                if let Ok(push) = decode::<StreamPush>(&bytes) {
+                    encode(&keep_records(shared, push))?
+                } else {
+                    let lookup: StreamLookup = decode(&bytes).map_err(|_| cause)?;
+                    let software_version = shared.streams.find(lookup.stream, BootInstant::now());
+                    encode(&StreamLookupResponse { software_version })?
+                }
             }
         };
         let sending = socket.send(Message::binary(response));
@@ -102,6 +108,20 @@
     }
 }
 
+/// Keeps records of streams that have just begun at another gateway.
+fn keep_records(shared: &Shared, push: StreamPush) -> StreamPushResponse {
+    let source = if push.data_centre == shared.own.data_centre {
+        RecordSource::Member
+    } else {
+        RecordSource::OtherCentre
+    };
+    let now = BootInstant::now();
+    shared
+        .streams
+        .record_received(push.pushed_streams, source, now);
+    StreamPushResponse { is_kept: true }
+}
+
 /// Records the loads of a sync request and builds the response.
 pub(super) fn respond(shared: &Shared, request: SyncRequest) -> SyncResponse {
     let now = BootInstant::now();
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -1,17 +1,17 @@
 //! The software versions at which streams began, kept by several gateways so that a stream outlives its gateway.
 //!
-//! A gateway records each stream that it begins and sends its records to the relay of its data centre with the next sync
-//! request. The relay sends those of its data centre to the relay of one other data centre. A gateway at which a caller
-//! resumes a stream asks all relays, and those of its data centre that others there may take for the relay: gateways
-//! disagree about it for seconds, above all while some don't reach the store. A record that is lost costs a refusal, never
-//! a wrong version.
+//! A gateway records each stream that it begins and sends its records at once to two others of its data centre, mostly the relay and
+//! the next in the relay order. The relay sends those of its data centre to the relay of one other data centre. A gateway at which a
+//! caller resumes a stream asks the first ones of all data centres, and in its own also those that others there may take for the
+//! relay: gateways disagree about it for seconds, above all while some don't reach the store. A record that is lost costs a refusal,
+//! never a wrong version.
 
 use super::directory::NodeEntry;
 use super::link::Link;
 use super::node::Shared;
 use super::sync::SYNC_INTERVAL;
 use crate::clock::BootInstant;
-use crate::decide::relay_candidates;
+use crate::decide::stream_holders;
 use async_trait::async_trait;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -23,6 +23,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Maximum number of records kept; the oldest are dropped first.
 const MAX_RECORDS: usize = 200_000;
@@ -30,12 +31,27 @@
 const MAX_RECORDS_SENT: usize = 2_000;
 /// Maximum time for which a record is kept, whatever its caller announces.
 const MAX_LIFETIME: Duration = Duration::from_secs(120);
+/// Time within which the record of a stream that has just begun is at other gateways.
+const PUSH_TIME: Duration = Duration::from_millis(50);
 /// Time within which a relay must answer whether it knows a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Identifies a stream: the hash of the id of the attempt that brought its first event.
 pub type StreamKey = u64;
 
+/// A stream that begins at a gateway.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StreamStart<'a> {
+    /// What identifies the stream.
+    pub stream: StreamKey,
+    /// Version of its server; empty if it is not known.
+    pub software_version: &'a str,
+    /// Time for which its caller may resume it.
+    pub lifetime: Duration,
+    /// Whether its route lets callers resume it, so that other gateways are told at once.
+    pub is_resumable: bool,
+}
+
 /// The software version at which a stream began, from a record.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FoundStream {
@@ -48,16 +64,16 @@
 /// Knows the software versions at which streams began.
 #[async_trait]
 pub trait StreamDirectory: Send + Sync {
-    /// Records that `stream` began at this gateway at a server of `software_version`. Its caller may resume it for
-    /// `lifetime`.
-    fn record(&self, stream: StreamKey, software_version: &str, lifetime: Duration);
+    /// Records that a stream began at this gateway, or goes on here.
+    fn record(&self, start: StreamStart<'_>);
 
     /// Returns the software version at which `stream` began, from this gateway's records, those of the relays or those of
     /// gateways that others may take for relays; `None` if none of them answers that it knows the stream.
     async fn find(&self, stream: StreamKey) -> Option<FoundStream>;
 
-    /// Waits until the records that other gateways had at the time of the call have reached their relay.
-    async fn wait_for_records(&self);
+    /// Waits until the records that other gateways had at the time of the call have reached others; `is_first` if the request has not
+    /// waited before. Gateways of an earlier build send theirs only with sync requests.
+    async fn wait_for_records(&self, is_first: bool);
 }
 
 /// Records of streams of one software version, as sent between gateways.
@@ -114,23 +130,27 @@
 #[derive(Default)]
 pub(super) struct StreamTable {
     state: Mutex<State>,
+    /// Counts the times at which there were records that others must get at once.
+    changes: watch::Sender<u64>,
 }
 
 impl StreamTable {
-    pub(super) fn record(
-        &self,
-        stream: StreamKey,
-        software_version: &str,
-        lifetime: Duration,
-        now: BootInstant,
-    ) {
+    pub(super) fn record(&self, start: StreamStart<'_>, now: BootInstant) {
         let row = Row {
-            stream,
-            software_version: software_version.into(),
-            expires_at: now.plus(lifetime.min(MAX_LIFETIME)),
+            stream: start.stream,
+            software_version: start.software_version.into(),
+            expires_at: now.plus(start.lifetime.min(MAX_LIFETIME)),
             source: RecordSource::Own,
         };
         self.lock().add(row, now);
+        if start.is_resumable {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Returns a receiver that is told when there are records that others must get at once.
+    pub(super) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
     }
 
     pub(super) fn record_received(
@@ -153,6 +173,10 @@
                 state.add(row, now);
             }
         }
+        drop(state);
+        if source == RecordSource::Member {
+            self.changes.send_modify(|count| *count += 1);
+        }
     }
 
     /// Returns the software version of `stream`. Scans the records, since streams are rarely resumed.
@@ -221,9 +245,8 @@
 
 #[async_trait]
 impl StreamDirectory for Shared {
-    fn record(&self, stream: StreamKey, software_version: &str, lifetime: Duration) {
-        let now = BootInstant::now();
-        self.streams.record(stream, software_version, lifetime, now);
+    fn record(&self, start: StreamStart<'_>) {
+        self.streams.record(start, BootInstant::now());
     }
 
     async fn find(&self, stream: StreamKey) -> Option<FoundStream> {
@@ -233,9 +256,9 @@
                 holder: None,
             });
         }
-        let nodes = self.stream_holders();
-        let mut lookups: FuturesUnordered<_> = nodes
-            .iter()
+        let (nodes, _) = self.nodes.nodes();
+        let mut lookups: FuturesUnordered<_> = stream_holders(&nodes, &self.own)
+            .into_iter()
             .map(async |node| {
                 let answer = tokio::time::timeout(LOOKUP_TIMEOUT, look_up(node, stream)).await;
                 let software_version = answer.ok()?.ok()?.software_version?;
@@ -253,23 +276,9 @@
         None
     }
 
-    async fn wait_for_records(&self) {
-        tokio::time::sleep(SYNC_INTERVAL).await;
-    }
-}
-
-impl Shared {
-    /// Returns the nodes that may keep records of streams that began at other nodes. A node that can't serve as a source
-    /// since it doesn't reach the store may have them too.
-    fn stream_holders(&self) -> Vec<NodeEntry> {
-        let (nodes, _) = self.nodes.nodes();
-        let mut holders = self.nodes.other_relays();
-        for candidate in relay_candidates(&nodes, &self.own) {
-            if !holders.iter().any(|known| known.name == candidate.name) {
-                holders.push(candidate.clone());
-            }
-        }
-        holders
+    async fn wait_for_records(&self, is_first: bool) {
+        let time = if is_first { PUSH_TIME } else { SYNC_INTERVAL };
+        tokio::time::sleep(time).await;
     }
 }
 
--- a/src/peers/sync.rs
+++ b/src/peers/sync.rs
@@ -5,6 +5,7 @@
 use super::link::Link;
 use super::load_table::subtract_own;
 use super::message::Role;
+use super::message::STREAM_PUSH_PROTOCOL;
 use super::message::SyncResponse;
 use super::node::FleetLoads;
 use super::node::ReceivedStamps;
@@ -169,6 +170,7 @@
     let mut link = Link::open(node).await?;
     let mut received = ReceivedStamps::default();
     let mut next_record = 0;
+    let mut needs_records = false;
     let mut crash_cursor = CrashCursor::new(&shared.quarantine);
     let began = BootInstant::now();
     loop {
@@ -179,12 +181,15 @@
         request.cut_off = shared.own_cut_off();
         request.is_disconnected = asks_all_nodes;
         request.entry = (!shared.nodes.has_own()).then(|| shared.own.clone());
-        let sources = [RecordSource::Own];
-        (request.streams, next_record) =
-            shared.streams.records_from(next_record, &sources, sent_at);
+        if needs_records {
+            let sources = [RecordSource::Own];
+            (request.streams, next_record) =
+                shared.streams.records_from(next_record, &sources, sent_at);
+        }
         crash_cursor.add_records(&shared.quarantine, &mut request, sent_at);
         request.next_crash_record = Some(crash_cursor.next_received);
         let mut response: SyncResponse = link.request(&request).await?;
+        needs_records = response.protocol < STREAM_PUSH_PROTOCOL;
         // If the store refuses this node too, it waits for a while at a relay that goes on asking the store.
         let may_wait = !asks_all_nodes
             && response.protocol > 0
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -17,6 +17,8 @@
 use super::server_list::synced_servers;
 use super::streams::RecordSource;
 use super::streams::StreamRecords;
+use super::streams::StreamKey;
+use super::streams::StreamStart;
 use super::streams::StreamTable;
 use crate::catalog::Catalog;
 use crate::catalog::CatalogBounds;
@@ -135,14 +137,23 @@
     }
 }
 
+fn start(stream: StreamKey, software_version: &str, lifetime: Duration) -> StreamStart<'_> {
+    StreamStart {
+        stream,
+        software_version,
+        lifetime,
+        is_resumable: true,
+    }
+}
+
 #[test]
 fn each_record_of_a_stream_is_sent_once() {
     let table = StreamTable::default();
     let now = BootInstant::now();
-    table.record(1, "v2", LIFETIME, now);
-    table.record(2, "v1", LIFETIME, now);
+    table.record(start(1, "v2", LIFETIME), now);
+    table.record(start(2, "v1", LIFETIME), now);
     let (first, next) = table.records_from(0, &[RecordSource::Own], now);
-    table.record(3, "v1", LIFETIME, now);
+    table.record(start(3, "v1", LIFETIME), now);
 
     let (second, _) = table.records_from(next, &[RecordSource::Own], now);
 
@@ -176,11 +187,11 @@
 fn an_expired_record_is_neither_found_nor_sent() {
     let table = StreamTable::default();
     let now = BootInstant::now();
-    table.record(1, "v1", LIFETIME, now);
-    table.record(2, "v1", LIFETIME * 3, now);
+    table.record(start(1, "v1", LIFETIME), now);
+    table.record(start(2, "v1", LIFETIME * 3), now);
 
     let later = now.plus(LIFETIME);
-    table.record(3, "v1", LIFETIME, later);
+    table.record(start(3, "v1", LIFETIME), later);
 
     assert_eq!(table.find(1, later), None);
     assert_eq!(table.find(2, later).as_deref(), Some("v1"));
