--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -6,6 +6,7 @@
 use super::evacuation::EvacuationRead;
 use super::roster::ServerRecord;
 use super::state::Catalog;
+use super::state::ListRead;
 use crate::clock::BootInstant;
 use crate::logs::Logs;
 use async_trait::async_trait;
@@ -424,14 +425,15 @@
 
     async fn read(&self, catalog: &Catalog, logs: &Logs) -> Result<(), SourceError> {
         let began = BootInstant::now();
-        let (read, position) = self.0.read(catalog.servers_position()).await?;
-        let known = catalog.servers_position();
-        if known.is_some_and(|known| known.era < position.era) {
-            catalog.start_list_grace();
-            warn!(logs.log(), "store restored from a copy"; "era" => position.era);
-        }
-        apply_server_read(catalog, logs, began, read);
-        catalog.record_servers_position(position);
+        let from = catalog.servers_position();
+        let (records, position) = self.0.read(from).await?;
+        let read = ListRead {
+            began,
+            from,
+            position,
+            records,
+        };
+        apply_server_read(catalog, logs, read);
         Ok(())
     }
 
@@ -490,32 +492,26 @@
     }
 }
 
-fn apply_server_read(catalog: &Catalog, logs: &Logs, began: BootInstant, read: ServerRead) {
-    let (records, is_whole) = match read {
-        ServerRead::Changes(records) => (records, false),
-        ServerRead::Whole(records) => (records, true),
-    };
-    catalog.record_list_read(began, !is_whole);
-    let now = BootInstant::now();
-    let checked = |(id, record): (String, ServerRecord)| {
-        let record = record.checked(&id);
-        (id, record)
-    };
-    let records: Vec<(String, ServerRecord)> = records.into_iter().map(checked).collect();
-    for (id, record) in &records {
+fn apply_server_read(catalog: &Catalog, logs: &Logs, mut read: ListRead) {
+    let (ServerRead::Changes(records) | ServerRead::Whole(records)) = &mut read.records;
+    for (id, record) in records {
+        let checked = std::mem::replace(record, ServerRecord::Removed).checked(id);
+        *record = checked;
         if let ServerRecord::Unusable(reason) = record
             && !catalog.is_known_unusable(id, reason)
         {
-            warn!(logs.log(), "server entry unusable"; "server" => id, "cause" => reason);
+            warn!(logs.log(), "server entry unusable"; "server" => &*id, "cause" => &*reason);
         }
     }
-    let mut names: Vec<String> = records.iter().map(|(id, _)| id.clone()).collect();
-    let mut changed = catalog.apply_servers(records, now);
-    if is_whole {
-        names.sort();
-        changed.extend(catalog.apply_whole_list(&names, now));
+    let era = read.position.era;
+    // A list that a peer told meanwhile may be newer, and the next read goes on from there.
+    let Some(change) = catalog.apply_list_read(read, BootInstant::now()) else {
+        return;
+    };
+    if change.is_restored {
+        warn!(logs.log(), "store restored from a copy"; "era" => era);
     }
-    log_server_changes(logs, catalog, &changed);
+    log_server_changes(logs, catalog, &change.servers);
 }
 
 /// Logs the new state of each changed server, once per name.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -9,7 +9,7 @@
 mod roster;
 mod state;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod version_history;
 
 pub use config::ColdLimits;
@@ -46,6 +46,11 @@
 pub use state::Catalog;
 pub use state::CatalogBounds;
 pub use state::ConfigChange;
+pub use state::ListChange;
+pub use state::ListRead;
+pub use state::ListSnapshot;
+pub use state::PeerHistory;
+pub use state::PeerList;
 pub use version_history::SERVING_AFTER_LEAVING;
 pub use version_history::SeenVersion;
 pub use version_history::VERSION_MEMORY;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -5,6 +5,7 @@
 use super::evacuation::EvacuationRead;
 use super::evacuation::Evacuations;
 use super::follow::Position;
+use super::follow::ServerRead;
 use super::roster::BackendServer;
 use super::roster::PeerServer;
 use super::roster::ReportStatus;
@@ -36,6 +37,67 @@
     pub max_list_gap: Duration,
 }
 
+/// A read of the server list by this node.
+#[derive(Debug)]
+pub struct ListRead {
+    /// Start of the read.
+    pub began: BootInstant,
+    /// Position from which it was read, as the catalog had it then.
+    pub from: Option<Position>,
+    /// Position up to which it was read.
+    pub position: Position,
+    /// The records.
+    pub records: ServerRead,
+}
+
+/// What a read of the server list changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ListChange {
+    /// Names of the servers that changed.
+    pub servers: Vec<String>,
+    /// Whether the store was restored from a copy since the read before.
+    pub is_restored: bool,
+}
+
+/// A peer's server list.
+#[derive(Clone, Debug)]
+pub struct PeerList {
+    /// All servers, or `None` if none has changed since the peer's list that was applied last.
+    pub servers: Option<Vec<PeerServer>>,
+    /// Start of the read from which the list comes.
+    pub read_at: BootInstant,
+    /// Position up to which the peer has read.
+    pub position: Option<Position>,
+    /// Which versions the peer has seen on the list, if it tells that.
+    pub history: Option<PeerHistory>,
+}
+
+/// Which software versions a peer has seen on the server list.
+#[derive(Clone, Debug)]
+pub struct PeerHistory {
+    /// Time since which the peer has followed the list without a gap.
+    pub known_since: BootInstant,
+    /// The versions, each with the time at which it was last listed.
+    pub versions: Vec<SeenVersion>,
+}
+
+/// The server list with what it is worth, all of one moment.
+#[derive(Clone, Debug)]
+pub struct ListSnapshot {
+    /// All listed servers, draining ones included, sorted by name.
+    pub servers: Arc<Vec<BackendServer>>,
+    /// Version of the list.
+    pub version: u64,
+    /// Start of the last read that confirmed it; `None` before the first.
+    pub read_at: Option<BootInstant>,
+    /// Position up to which it was read.
+    pub position: Option<Position>,
+    /// Servers in their grace period, sorted by name, with the ends of these periods.
+    pub grace_ends: Vec<(String, BootInstant)>,
+    /// Software versions on the list, now and before.
+    pub history: VersionHistory,
+}
+
 /// Result of applying a configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConfigChange {
@@ -180,13 +242,6 @@
         self.lock().servers_position
     }
 
-    /// Records the position up to which the server list has been read, by this node or by the peer that sent the list.
-    /// Positions never go back.
-    pub fn record_servers_position(&self, position: Position) {
-        let mut state = self.lock();
-        state.servers_position = state.servers_position.max(Some(position));
-    }
-
     /// Returns the configuration in force, or `None` before the first one.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.lock().configuration.clone()
@@ -214,17 +269,48 @@
         age.is_some_and(|age| age < state.bounds.max_denial_age)
     }
 
-    /// Records this node's own successful read of the list that began at `began`; must be called before its records are
-    /// applied.
+    /// Applies this node's own read of the list at `now`; returns what it changed, or `None` if the list was taken over from a peer
+    /// since the read began, so that its records may be older than what is known.
     ///
-    /// After a long gap, entries of servers that still run may have expired, so removals take effect only after the
-    /// grace period. Unless `has_all_changes`, which says that the read returned every change since the last one, servers
-    /// may also have come and gone unseen.
-    pub fn record_list_read(&self, began: BootInstant, has_all_changes: bool) {
+    /// After a long gap, entries of servers that still run may have expired, so removals take effect only after the grace period.
+    pub fn apply_list_read(&self, read: ListRead, now: BootInstant) -> Option<ListChange> {
         let mut state = self.lock();
+        if state.servers_position != read.from {
+            return None;
+        }
+        let (records, is_whole) = match read.records {
+            ServerRead::Changes(records) => (records, false),
+            ServerRead::Whole(records) => (records, true),
+        };
+        let is_restored = read.from.is_some_and(|from| from.era < read.position.era);
+        if is_restored {
+            state.grace_until = Some(now.plus(state.bounds.list_grace));
+        }
         state.own_list_reads += 1;
         state.is_peer_list = false;
-        state.record_list_read(began, has_all_changes);
+        let unseen_limit = is_whole.then_some(state.bounds.max_list_gap);
+        state.record_list_read(read.began, unseen_limit);
+        state.servers_position = read.from.max(Some(read.position));
+        let grace = state.grace_until.filter(|until| *until > now);
+        let read_at = state.list_read_at.unwrap_or(now);
+        let mut names: Vec<String> = records.iter().map(|(id, _)| id.clone()).collect();
+        let mut changed = Vec::new();
+        for (id, record) in records {
+            if let ServerRecord::Report(entry) = &record {
+                state.version_history.record_report(entry, now);
+            }
+            if state.roster.apply(&id, record, grace, read_at) {
+                changed.push(id);
+            }
+        }
+        if is_whole {
+            names.sort();
+            changed.extend(state.roster.keep_only(&names, grace));
+        }
+        Some(ListChange {
+            servers: state.refresh_lists(now, changed),
+            is_restored,
+        })
     }
 
     /// Returns the number of this node's own successful reads of the server list. While it is the same, the servers are
@@ -241,13 +327,6 @@
         (!state.is_peer_list).then_some(state.peer_lists)
     }
 
-    /// Starts the grace period because the source was restored from a copy, so entries of servers that still run may be
-    /// missing.
-    pub fn start_list_grace(&self) {
-        let mut state = self.lock();
-        state.grace_until = Some(BootInstant::now().plus(state.bounds.list_grace));
-    }
-
     /// Returns whether the record of server `id` is known to be unusable for `cause`.
     pub fn is_known_unusable(&self, id: &str, cause: &str) -> bool {
         self.lock().roster.unusable_cause(id) == Some(cause)
@@ -258,55 +337,30 @@
         self.lock().roster.unusable_count()
     }
 
-    /// Applies records of the server list; returns the names of the servers that changed.
-    pub fn apply_servers(
-        &self,
-        records: Vec<(String, ServerRecord)>,
-        now: BootInstant,
-    ) -> Vec<String> {
-        let mut state = self.lock();
-        let grace = state.grace_until.filter(|until| *until > now);
-        let read_at = state.list_read_at.unwrap_or(now);
-        let mut changed = Vec::new();
-        for (id, record) in records {
-            if let ServerRecord::Report(entry) = &record {
-                state.version_history.record_report(entry, now);
-            }
-            if state.roster.apply(&id, record, grace, read_at) {
-                changed.push(id);
-            }
-        }
-        state.refresh_lists(now, changed)
-    }
-
-    /// Removes the servers missing from `names`, the sorted names of the complete list; returns the names of the
-    /// servers that changed.
-    pub fn apply_whole_list(&self, names: &[String], now: BootInstant) -> Vec<String> {
-        let mut state = self.lock();
-        let grace = state.grace_until.filter(|until| *until > now);
-        let removed = state.roster.keep_only(names, grace);
-        state.refresh_lists(now, removed)
-    }
-
-    /// Applies the server list that a peer held as of `read_at`: a complete list, or `None` if it is unchanged.
+    /// Applies the server list of a peer.
     ///
     /// Returns the names of the servers that changed, or `None` if the list is older than the last read recorded here
     /// and was ignored.
-    pub fn apply_peer_servers(
-        &self,
-        servers: Option<Vec<PeerServer>>,
-        read_at: BootInstant,
-    ) -> Option<Vec<String>> {
+    pub fn apply_peer_list(&self, list: PeerList) -> Option<Vec<String>> {
         let mut state = self.lock();
+        let read_at = list.read_at;
         if state.list_read_at.is_some_and(|last| last > read_at) {
             return None;
         }
-        state.record_list_read(read_at, false);
+        let unseen_limit = Some(state.bounds.max_list_gap);
+        state.record_list_read(read_at, unseen_limit);
         state.peer_lists += 1;
         state.is_peer_list = true;
+        if list.position.is_some() {
+            state.servers_position = list.position;
+        }
         let now = BootInstant::now();
+        if let Some(history) = list.history {
+            let known = (history.known_since, read_at);
+            state.version_history.adopt(known, history.versions, now);
+        }
         let mut changed = Vec::new();
-        if let Some(servers) = servers {
+        if let Some(servers) = list.servers {
             let mut names = Vec::new();
             for peer in servers {
                 let id = peer.server.id.clone();
@@ -327,9 +381,17 @@
         Some(state.refresh_lists(now, changed))
     }
 
-    /// Returns the servers in their grace period, sorted by name, with the ends of these periods.
-    pub fn grace_ends(&self) -> Vec<(String, BootInstant)> {
-        self.lock().roster.grace_ends()
+    /// Returns the list with its age, position and history.
+    pub fn list_snapshot(&self) -> ListSnapshot {
+        let state = self.lock();
+        ListSnapshot {
+            servers: Arc::clone(&state.listed),
+            version: state.servers_version,
+            read_at: state.list_read_at,
+            position: state.servers_position,
+            grace_ends: state.roster.grace_ends(),
+            history: state.version_history.clone(),
+        }
     }
 
     /// Removes the servers whose grace period is over; returns their names.
@@ -463,18 +525,19 @@
         self.config_verified_at.map(|at| now.since(at))
     }
 
-    /// Records a successful read of the list, by this node or a peer, as [`Catalog::record_list_read`] describes.
-    fn record_list_read(&mut self, began: BootInstant, has_all_changes: bool) {
+    /// Records a successful read of the list, by this node or a peer, that began at `began`. Unless `unseen_limit` is `None`, it does
+    /// not tell what came and went since the last one, so the history starts again after a longer time.
+    fn record_list_read(&mut self, began: BootInstant, unseen_limit: Option<Duration>) {
         let bounds = self.bounds;
         let gap = self.list_read_at.map(|last| began.since(last));
-        let has_gap = gap.is_some_and(|gap| gap > bounds.max_list_gap);
-        if has_gap {
+        if gap.is_some_and(|gap| gap > bounds.max_list_gap) {
             self.grace_until = Some(BootInstant::now().plus(bounds.list_grace));
         }
-        if gap.is_none() || (has_gap && !has_all_changes) {
+        let has_unseen = |gap| unseen_limit.is_some_and(|limit| gap > limit);
+        if gap.is_none_or(has_unseen) {
             self.version_history.restart(began);
         }
-        self.list_read_at = Some(began);
+        self.list_read_at = self.list_read_at.max(Some(began));
     }
 
     /// Removes servers whose grace period is over and, if any server changed, rebuilds the lists and raises their
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -11,6 +11,8 @@
 use super::EvacuationRead;
 use super::Evacuations;
 use super::Limits;
+use super::ListRead;
+use super::PeerList;
 use super::PeerServer;
 use super::Position;
 use super::RetryMode;
@@ -18,6 +20,7 @@
 use super::SERVING_AFTER_LEAVING;
 use super::SeenVersion;
 use super::ServerEntry;
+use super::ServerRead;
 use super::ServerRecord;
 use super::Team;
 use crate::clock::BootInstant;
@@ -69,16 +72,57 @@
     servers.iter().map(|server| server.id.clone()).collect()
 }
 
+/// Applies a read of the list that began when it is applied, at `at`.
+fn apply_read(catalog: &Catalog, records: ServerRead, at: BootInstant) -> Vec<String> {
+    let from = catalog.servers_position();
+    let read = ListRead {
+        began: at,
+        from,
+        position: position(from.map_or(0, |from| from.offset + 1)),
+        records,
+    };
+    catalog.apply_list_read(read, at).unwrap().servers
+}
+
+/// Applies a read that returned all changes since the last one.
+pub(crate) fn apply_changes(
+    catalog: &Catalog,
+    records: Vec<(String, ServerRecord)>,
+    at: BootInstant,
+) -> Vec<String> {
+    apply_read(catalog, ServerRead::Changes(records), at)
+}
+
+/// Applies a read of the whole list.
+fn apply_whole(
+    catalog: &Catalog,
+    records: Vec<(String, ServerRecord)>,
+    at: BootInstant,
+) -> Vec<String> {
+    apply_read(catalog, ServerRead::Whole(records), at)
+}
+
+/// Applies the list of a peer that tells nothing of its history.
+pub(crate) fn apply_peer_servers(
+    catalog: &Catalog,
+    servers: Option<Vec<PeerServer>>,
+    read_at: BootInstant,
+) -> Option<Vec<String>> {
+    catalog.apply_peer_list(PeerList {
+        servers,
+        read_at,
+        position: None,
+        history: None,
+    })
+}
+
 /// Returns a catalog with servers a and b whose list could not be read for `gap`, and the time of the next read.
 fn after_list_gap(gap: Duration) -> (Catalog, BootInstant) {
     let catalog = new_catalog();
     let now = BootInstant::now();
-    catalog.record_list_read(now.before(gap), false);
-    catalog.apply_servers(
-        vec![report("a", 1, false, 1), report("b", 1, false, 1)],
-        now,
-    );
-    catalog.record_list_read(now, false);
+    let servers = || vec![report("a", 1, false, 1), report("b", 1, false, 1)];
+    apply_whole(&catalog, servers(), now.before(gap));
+    apply_whole(&catalog, servers(), now);
     (catalog, now)
 }
 
@@ -187,9 +231,10 @@
 fn delayed_copies_of_reports_are_ignored() {
     let catalog = new_catalog();
     let now = BootInstant::now();
-    catalog.apply_servers(vec![report("a", 5, true, 10)], now);
+    apply_changes(&catalog, vec![report("a", 5, true, 10)], now);
 
-    catalog.apply_servers(
+    apply_changes(
+        &catalog,
         vec![report("a", 4, false, 10), report("a", 99, false, 9)],
         now,
     );
@@ -201,9 +246,9 @@
 fn a_new_incarnation_restarts_the_report_sequence() {
     let catalog = new_catalog();
     let now = BootInstant::now();
-    catalog.apply_servers(vec![report("a", 50, true, 10)], now);
+    apply_changes(&catalog, vec![report("a", 50, true, 10)], now);
 
-    catalog.apply_servers(vec![report("a", 1, false, 11)], now);
+    apply_changes(&catalog, vec![report("a", 1, false, 11)], now);
 
     assert_eq!(usable(&catalog), ["a"]);
     assert!(catalog.is_usable("a", 11));
@@ -214,7 +259,7 @@
 fn a_server_removed_from_a_readable_list_is_unusable_at_once() {
     let (catalog, now) = after_list_gap(Duration::from_millis(700));
 
-    catalog.apply_servers(vec![removed("a")], now);
+    apply_changes(&catalog, vec![removed("a")], now);
 
     assert_eq!(usable(&catalog), ["b"]);
 }
@@ -223,8 +268,12 @@
 fn servers_missing_after_a_list_gap_stay_usable_for_the_grace_period() {
     let (catalog, now) = after_list_gap(MAX_LIST_GAP * 2);
 
-    catalog.apply_servers(vec![removed("a"), removed("b")], now);
-    catalog.apply_servers(vec![report("a", 2, false, 1)], now.plus(GRACE / 2));
+    apply_changes(&catalog, vec![removed("a"), removed("b")], now);
+    apply_changes(
+        &catalog,
+        vec![report("a", 2, false, 1)],
+        now.plus(GRACE / 2),
+    );
     let in_grace = usable(&catalog);
     catalog.expire_servers(now.plus(GRACE * 2));
 
@@ -238,11 +287,19 @@
     let version = || catalog.listed().1;
     let listed = version();
 
-    catalog.apply_servers(vec![removed("a")], now);
+    apply_changes(&catalog, vec![removed("a")], now);
     let in_grace = version();
-    catalog.apply_servers(vec![report("a", 2, false, 1)], now.plus(GRACE / 2));
+    apply_changes(
+        &catalog,
+        vec![report("a", 2, false, 1)],
+        now.plus(GRACE / 2),
+    );
     let listed_again = version();
-    catalog.apply_servers(vec![report("a", 3, false, 1)], now.plus(GRACE / 2));
+    apply_changes(
+        &catalog,
+        vec![report("a", 3, false, 1)],
+        now.plus(GRACE / 2),
+    );
 
     assert!(listed < in_grace);
     assert!(in_grace < listed_again);
@@ -261,8 +318,11 @@
         grace_until: None,
     }];
 
-    let changed =
-        catalog.apply_peer_servers(Some(peer_servers), now.plus(Duration::from_millis(1)));
+    let changed = apply_peer_servers(
+        &catalog,
+        Some(peer_servers),
+        now.plus(Duration::from_millis(1)),
+    );
 
     assert_eq!(changed, Some(vec!["a".to_owned()]));
     assert_eq!(usable(&catalog), ["b"]);
@@ -272,7 +332,11 @@
 fn peer_data_does_not_replace_data_read_later() {
     let (catalog, now) = after_list_gap(Duration::ZERO);
 
-    catalog.apply_peer_servers(Some(Vec::new()), now.before(Duration::from_secs(1)));
+    apply_peer_servers(
+        &catalog,
+        Some(Vec::new()),
+        now.before(Duration::from_secs(1)),
+    );
 
     assert_eq!(usable(&catalog), ["a", "b"]);
 }
@@ -290,8 +354,7 @@
 fn the_only_software_version_is_known_from_the_first_read_of_the_list() {
     let catalog = new_catalog();
     let now = BootInstant::now();
-    catalog.record_list_read(now, false);
-    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], now);
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], now);
 
     assert_eq!(catalog.only_version("app", now).as_deref(), Some("v1"));
     let before = now.before(Duration::from_millis(1));
@@ -304,10 +367,9 @@
     let catalog = new_catalog();
     let start = BootInstant::now();
     let second = |number| start.plus(Duration::from_secs(number));
-    catalog.record_list_read(start, false);
-    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], start);
-    catalog.apply_servers(vec![report_of_version("b", 1, "v2")], second(1));
-    catalog.apply_servers(vec![removed("a")], second(2));
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], start);
+    apply_changes(&catalog, vec![report_of_version("b", 1, "v2")], second(1));
+    apply_changes(&catalog, vec![removed("a")], second(2));
 
     let served_until = second(2).plus(SERVING_AFTER_LEAVING);
     assert_eq!(catalog.only_version("app", second(3)), None);
@@ -320,10 +382,13 @@
 fn a_software_version_that_came_and_went_between_two_reads_counts() {
     let catalog = new_catalog();
     let now = BootInstant::now();
-    catalog.record_list_read(now, true);
-    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], now);
+    apply_changes(&catalog, vec![report_of_version("a", 1, "v1")], now);
 
-    catalog.apply_servers(vec![report_of_version("b", 1, "v2"), removed("b")], now);
+    apply_changes(
+        &catalog,
+        vec![report_of_version("b", 1, "v2"), removed("b")],
+        now,
+    );
 
     assert_eq!(catalog.only_version("app", now), None);
 }
@@ -332,13 +397,12 @@
 fn software_versions_are_not_known_across_a_gap_in_the_reads_of_the_list() {
     let catalog = new_catalog();
     let start = BootInstant::now();
-    catalog.record_list_read(start, false);
-    catalog.apply_servers(vec![report_of_version("a", 1, "v1")], start);
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], start);
     let after_gap = start.plus(MAX_LIST_GAP * 2);
-    catalog.record_list_read(after_gap, true);
+    apply_changes(&catalog, Vec::new(), after_gap);
     let with_all_changes = catalog.only_version("app", start);
     let after_gap = after_gap.plus(MAX_LIST_GAP * 2);
-    catalog.record_list_read(after_gap, false);
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], after_gap);
 
     assert_eq!(with_all_changes.as_deref(), Some("v1"));
     assert_eq!(catalog.only_version("app", start), None);
@@ -348,14 +412,65 @@
     );
 }
 
+fn offset_of(catalog: &Catalog) -> Option<u64> {
+    catalog.servers_position().map(|position| position.offset)
+}
+
+// The older records replaced the newer ones, and the later position stayed, so that they were not read again.
+#[test]
+fn an_own_read_that_began_before_a_peers_list_was_applied_removes_what_joined_in_between() {
+    let catalog = new_catalog();
+    let start = BootInstant::now();
+    let at = |millis| start.plus(Duration::from_millis(millis));
+    let first = || vec![report_of_version("a", 1, "v1")];
+    apply_whole(&catalog, first(), start);
+    let read = ListRead {
+        began: at(100),
+        from: catalog.servers_position(),
+        position: position(5),
+        records: ServerRead::Whole(first()),
+    };
+    let ServerRecord::Report(joined) = report_of_version("b", 1, "v2").1 else {
+        unreachable!()
+    };
+    catalog.apply_peer_list(PeerList {
+        servers: Some(vec![
+            peer_server("a", entry(1, false, 1)),
+            peer_server("b", joined),
+        ]),
+        read_at: at(200),
+        position: Some(position(6)),
+        history: None,
+    });
+
+    let change = catalog.apply_list_read(read, at(300));
+
+    assert_eq!(change, None);
+    assert_eq!(usable(&catalog), ["a", "b"]);
+    assert_eq!(offset_of(&catalog), Some(6));
+    assert!(catalog.has_read_list_since(at(200)));
+}
+
+#[test]
+fn an_older_read_sets_the_time_of_the_list_back() {
+    let catalog = new_catalog();
+    let start = BootInstant::now();
+    let at = |millis| start.plus(Duration::from_millis(millis));
+    apply_whole(&catalog, vec![report("a", 1, false, 1)], start);
+    apply_peer_servers(&catalog, None, at(200));
+
+    apply_changes(&catalog, Vec::new(), at(100));
+
+    assert!(catalog.has_read_list_since(at(200)));
+}
+
 // What came and went between the peer's last read and the first one here was taken for known.
 #[test]
 fn a_restarted_gateway_trusts_a_peer_that_has_not_read_the_list_since() {
     let catalog = new_catalog();
     let now = BootInstant::now();
     let earlier = |seconds| now.before(Duration::from_secs(seconds));
-    catalog.record_list_read(now, false);
-    catalog.apply_servers(vec![report_of_version("a", 1, "v2")], now);
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v2")], now);
 
     catalog.adopt_version_history((earlier(60), earlier(5)), Vec::new());
 
@@ -368,8 +483,7 @@
     let catalog = new_catalog();
     let now = BootInstant::now();
     let earlier = |seconds| now.before(Duration::from_secs(seconds));
-    catalog.record_list_read(now, false);
-    catalog.apply_servers(vec![report_of_version("a", 1, "v2")], now);
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v2")], now);
     let former = SeenVersion {
         service: "app".to_owned(),
         software_version: Some("v1".to_owned()),
@@ -399,10 +513,11 @@
 #[test]
 fn a_peers_list_ends_the_grace_period_of_the_servers_it_contains() {
     let (catalog, now) = after_list_gap(Duration::from_secs(5));
-    catalog.apply_whole_list(&["a".to_owned()], now);
+    apply_whole(&catalog, vec![report("a", 1, false, 1)], now);
     let on_peers_list = ["a", "b"].map(|id| peer_server(id, entry(1, false, 1)));
 
-    catalog.apply_peer_servers(
+    apply_peer_servers(
+        &catalog,
         Some(on_peers_list.to_vec()),
         now.plus(Duration::from_millis(100)),
     );
@@ -414,13 +529,13 @@
 #[test]
 fn a_server_that_left_the_list_returns_with_a_later_list_of_a_peer() {
     let (catalog, now) = after_list_gap(Duration::from_secs(5));
-    catalog.apply_whole_list(&["a".to_owned()], now);
+    apply_whole(&catalog, vec![report("a", 1, false, 1)], now);
     catalog.expire_servers(now.plus(GRACE * 2));
 
     assert_eq!(usable(&catalog), ["a"]);
     let on_peers_list = ["a", "b"].map(|id| peer_server(id, entry(2, false, 1)));
 
-    catalog.apply_peer_servers(Some(on_peers_list.to_vec()), now.plus(GRACE * 3));
+    apply_peer_servers(&catalog, Some(on_peers_list.to_vec()), now.plus(GRACE * 3));
 
     assert_eq!(usable(&catalog), ["a", "b"]);
 }
--- a/src/catalog/tests/odd_entries.rs
+++ b/src/catalog/tests/odd_entries.rs
@@ -1,5 +1,7 @@
 //! Entries of the server list that another writer left: each costs itself alone, and only for as long as it stands.
 
+use super::apply_changes;
+use super::apply_peer_servers;
 use super::entry;
 use super::new_catalog;
 use super::report;
@@ -20,7 +22,7 @@
 /// Applies `entry` as a record of the server called `id`, and returns whether the server is listed then.
 fn apply(catalog: &Catalog, id: &str, entry: ServerEntry) -> bool {
     let record = ServerRecord::Report(entry).checked(id);
-    catalog.apply_servers(vec![(id.to_owned(), record)], BootInstant::now());
+    apply_changes(catalog, vec![(id.to_owned(), record)], BootInstant::now());
     listed(catalog).iter().any(|listed| listed == id)
 }
 
@@ -60,7 +62,8 @@
 fn an_odd_entry_costs_more_than_its_own_server() {
     for odd in odd_entries() {
         let catalog = new_catalog();
-        catalog.apply_servers(
+        apply_changes(
+            &catalog,
             vec![report("a", 1, false, 1), report("b", 1, false, 1)],
             BootInstant::now(),
         );
@@ -123,7 +126,7 @@
     let catalog = new_catalog();
     apply(&catalog, "a", entry(7, false, 1));
     let removed = vec![("a".to_owned(), ServerRecord::Removed)];
-    catalog.apply_servers(removed, BootInstant::now());
+    apply_changes(&catalog, removed, BootInstant::now());
     apply(&catalog, "a", entry(8, false, u64::MAX));
 
     let is_listed = apply(&catalog, "a", entry(7, false, 1));
@@ -145,7 +148,7 @@
 
     for odd in odd_entries() {
         let list = vec![peer_server("a", entry(1, false, 1)), peer_server("b", odd)];
-        catalog.apply_peer_servers(Some(list), BootInstant::now());
+        apply_peer_servers(&catalog, Some(list), BootInstant::now());
 
         assert_eq!(listed(&catalog), ["a"]);
     }
@@ -157,7 +160,7 @@
     let unusable = |cause: &str| vec![("a".to_owned(), ServerRecord::Unusable(cause.to_owned()))];
 
     let before = catalog.is_known_unusable("a", "no address");
-    catalog.apply_servers(unusable("no address"), BootInstant::now());
+    apply_changes(&catalog, unusable("no address"), BootInstant::now());
 
     assert!(!before);
     assert!(catalog.is_known_unusable("a", "no address"));
--- a/src/catalog/tests/restarted_servers.rs
+++ b/src/catalog/tests/restarted_servers.rs
@@ -1,5 +1,7 @@
 //! Tests of servers that start again by a clock that was set back.
 
+use super::apply_changes;
+use super::apply_peer_servers;
 use super::entry;
 use super::new_catalog;
 use super::report;
@@ -11,8 +13,11 @@
 
 /// Applies the `sequence`th report of server a, which started at `start_time_ms`, in a read at `at`.
 fn read_report(catalog: &Catalog, sequence: u64, start_time_ms: u64, at: BootInstant) {
-    catalog.record_list_read(at, true);
-    catalog.apply_servers(vec![report("a", sequence, false, start_time_ms)], at);
+    apply_changes(
+        catalog,
+        vec![report("a", sequence, false, start_time_ms)],
+        at,
+    );
 }
 
 #[test]
@@ -53,9 +58,9 @@
         grace_until: None,
     }];
 
-    catalog.apply_peer_servers(Some(servers), at(2));
+    apply_peer_servers(&catalog, Some(servers), at(2));
     for second in 3..=7 {
-        catalog.apply_peer_servers(None, at(second));
+        apply_peer_servers(&catalog, None, at(second));
     }
 
     assert_eq!(catalog.report_of("a").unwrap().start_time_ms, 1_000);
--- a/src/gateway/tests/send_gate.rs
+++ b/src/gateway/tests/send_gate.rs
@@ -6,6 +6,7 @@
 use crate::catalog::CatalogBounds;
 use crate::catalog::Evacuations;
 use crate::catalog::ServerRecord;
+use crate::catalog::tests::apply_changes;
 use crate::clock::BootInstant;
 use crate::decide::ColdPolicy;
 use crate::decide::LIST_SETTLING_TIME;
@@ -88,7 +89,7 @@
     let (gate, catalog) = gate(&loads, now);
     let cold = cold_server(1, Duration::from_secs(3));
     let record = ServerRecord::Report(cold.entry.clone());
-    catalog.apply_servers(vec![(cold.id.clone(), record)], now);
+    apply_changes(&catalog, vec![(cold.id.clone(), record)], now);
     gate.update(now);
     let first = gate.take_token(&cold, &policy(), now);
 
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -167,31 +167,33 @@
         is_member,
         now,
     );
-    let version_history = request
-        .wants_version_history
-        .then(|| SyncedVersionHistory::new(&shared.catalog.version_history(), now));
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     let configuration = shared.catalog.configuration();
     let config_version = configuration
         .as_ref()
         .map(|configuration| configuration.version());
-    let (servers, list_version) = shared.catalog.listed();
-    let servers_stamp = shared.stamp(list_version);
+    let list = shared.catalog.list_snapshot();
+    let list_age = list.read_at.map(|read_at| now.since(read_at));
+    let servers_stamp = shared.stamp(list.version);
     let config_position = shared.catalog.config_position();
-    let servers_position = shared.catalog.servers_position();
     let nodes_stamp = shared.stamp(shared.nodes.version());
     // The relay of another data centre gets only the loads if it reads the store itself.
     let wants_catalog = is_member || request.wants_catalog;
     let wants_servers = wants_catalog && request.servers_stamp != Some(servers_stamp);
     let wants_nodes = is_member && request.nodes_stamp != Some(nodes_stamp);
     let wants_config = wants_catalog && config_version > request.config_version;
+    let version_history = request
+        .wants_version_history
+        .then(|| SyncedVersionHistory::new(&list.history, now));
     let is_latest = request.protocol > 0;
     // The time left of grace periods differs from response to response.
-    let may_pack = wants_servers && is_latest && shared.catalog.grace_ends().is_empty();
+    let may_pack = wants_servers && is_latest && list.grace_ends.is_empty();
     let packed_servers = may_pack
         .then(|| {
-            let list = || synced_servers(&shared.catalog, &servers, now);
-            shared.packed_servers.get(list_version, list, &shared.logs)
+            let servers = || synced_servers(&list, now);
+            shared
+                .packed_servers
+                .get(list.version, servers, &shared.logs)
         })
         .flatten();
     let (centres, listed_loads) = if !is_member {
@@ -203,7 +205,7 @@
             None,
         )
     } else if is_latest {
-        let loads = ListedLoads::new(shared.load_table.all(now), &servers);
+        let loads = ListedLoads::new(shared.load_table.all(now), &list.servers);
         (Vec::new(), Some(loads))
     } else {
         (vec![shared.centre_loads(shared.load_table.all(now))], None)
@@ -218,12 +220,11 @@
             .filter(|_| wants_config)
             .and_then(|configuration| shared.packed_configuration(&configuration)),
         evacuations: SyncedEvacuations::new(&shared.catalog.evacuations()),
-        servers_age_ms: shared.catalog.list_age(now).map(millis),
-        servers_position: servers_position.map(|position| position.offset),
-        servers_era: servers_position.unwrap_or_default().era,
+        servers_age_ms: list_age.map(millis),
+        servers_position: list.position.map(|position| position.offset),
+        servers_era: list.position.unwrap_or_default().era,
         servers_stamp,
-        servers: (wants_servers && packed_servers.is_none())
-            .then(|| synced_servers(&shared.catalog, &servers, now)),
+        servers: (wants_servers && packed_servers.is_none()).then(|| synced_servers(&list, now)),
         packed_servers,
         nodes_stamp,
         nodes: (wants_nodes && !is_latest).then(|| shared.nodes.nodes().0),
--- a/src/peers/server_list.rs
+++ b/src/peers/server_list.rs
@@ -3,26 +3,26 @@
 use super::message::Stamp;
 use super::message::SyncResponse;
 use super::message::SyncedServer;
+use super::message::SyncedVersionHistory;
 use crate::catalog::BackendServer;
 use crate::catalog::Catalog;
+use crate::catalog::ListSnapshot;
+use crate::catalog::PeerHistory;
+use crate::catalog::PeerList;
 use crate::catalog::PeerServer;
 use crate::catalog::Position;
 use crate::clock::BootInstant;
 use std::time::Duration;
 
-/// Returns `listed`, the servers on the list of `catalog`, as sent to another gateway at `now`.
-pub(super) fn synced_servers(
-    catalog: &Catalog,
-    listed: &[BackendServer],
-    now: BootInstant,
-) -> Vec<SyncedServer> {
-    let grace_ends = catalog.grace_ends();
+/// Returns the servers of `list` as sent to another gateway at `now`.
+pub(super) fn synced_servers(list: &ListSnapshot, now: BootInstant) -> Vec<SyncedServer> {
+    let grace_ends = &list.grace_ends;
     let grace_left_ms = |id: &String| {
         let index = grace_ends.binary_search_by(|(name, _)| name.cmp(id)).ok()?;
         let left = grace_ends[index].1.since(now);
         Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
     };
-    let synced = listed.iter().map(|server| SyncedServer {
+    let synced = list.servers.iter().map(|server| SyncedServer {
         id: server.id.clone(),
         entry: server.entry.clone(),
         grace_left_ms: grace_left_ms(&server.id),
@@ -40,6 +40,8 @@
     pub(super) stamp: Stamp,
     /// The complete list, if its stamp differs from the requested one.
     pub(super) servers: Option<Vec<SyncedServer>>,
+    /// Which software versions the peer has seen on the list, if it tells that.
+    pub(super) history: Option<SyncedVersionHistory>,
 }
 
 impl SyncedList {
@@ -53,6 +55,7 @@
                 .map(|offset| Position { era, offset }),
             stamp: response.servers_stamp,
             servers: response.servers.take(),
+            history: response.version_history.clone(),
         })
     }
 }
@@ -102,15 +105,25 @@
             });
             servers.collect()
         });
-        let Some(changed) = catalog.apply_peer_servers(servers, sent_at.before(list.age)) else {
+        let history = list.history.map(|history| {
+            let (known_since, versions) = history.into_parts(BootInstant::now());
+            PeerHistory {
+                known_since,
+                versions,
+            }
+        });
+        // With its position, this node reads on from where the peer's list ends when it reads the source itself, as the relay or
+        // because the data received from peers is stale.
+        let list_of_peer = PeerList {
+            servers,
+            read_at: sent_at.before(list.age),
+            position: list.position,
+            history,
+        };
+        let Some(changed) = catalog.apply_peer_list(list_of_peer) else {
             return Vec::new();
         };
         self.received = Some((list.stamp, own_reads));
-        // Recorded so that this node reads on from where the peer's list ends when it reads the source itself, as the
-        // relay or because the data received from peers is stale.
-        if let Some(position) = list.position {
-            catalog.record_servers_position(position);
-        }
         changed
     }
 }
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -16,14 +16,16 @@
 use super::server_list::SyncedList;
 use super::server_list::synced_servers;
 use super::streams::RecordSource;
-use super::streams::StreamRecords;
 use super::streams::StreamKey;
+use super::streams::StreamRecords;
 use super::streams::StreamStart;
 use super::streams::StreamTable;
 use crate::catalog::Catalog;
 use crate::catalog::CatalogBounds;
+use crate::catalog::ListRead;
 use crate::catalog::Position;
 use crate::catalog::ServerEntry;
+use crate::catalog::ServerRead;
 use crate::catalog::ServerRecord;
 use crate::clock::BootInstant;
 use std::net::SocketAddr;
@@ -216,34 +218,42 @@
             list_grace: GRACE,
             max_list_gap: Duration::from_millis(2_400),
         });
-        catalog.record_list_read(read_at, false);
-        catalog.apply_servers(vec![report("a", 1), report("b", 1)], read_at);
         let received = ReceivedList::default();
-        Self { catalog, received }
+        let member = Self { catalog, received };
+        let servers = vec![report("a", 1), report("b", 1)];
+        member.apply(1, ServerRead::Whole(servers), read_at);
+        member
+    }
+
+    fn apply(&self, offset: u64, records: ServerRead, now: BootInstant) {
+        let read = ListRead {
+            began: now,
+            from: self.catalog.servers_position(),
+            position: Position { era: 0, offset },
+            records,
+        };
+        self.catalog.apply_list_read(read, now).unwrap();
     }
 
     /// Reads `records` from the store, with the end of the list at `offset`.
     fn read(&self, offset: u64, records: Vec<(String, ServerRecord)>, now: BootInstant) {
-        self.catalog.record_list_read(now, true);
-        self.catalog.apply_servers(records, now);
-        let position = Position { era: 0, offset };
-        self.catalog.record_servers_position(position);
+        self.apply(offset, ServerRead::Changes(records), now);
     }
 
     /// Syncs from `peer` at `now`, as the messages between gateways do.
     fn sync(&mut self, peer: &Catalog, now: BootInstant) {
-        let (servers, version) = peer.listed();
-        let start_time_ms = 1;
+        let snapshot = peer.list_snapshot();
         let stamp = Stamp {
-            start_time_ms,
-            version,
+            start_time_ms: 1,
+            version: snapshot.version,
         };
         let is_known = self.received.stamp(&self.catalog) == Some(stamp);
         let list = SyncedList {
-            age: peer.list_age(now).unwrap(),
-            position: peer.servers_position(),
+            age: now.since(snapshot.read_at.unwrap()),
+            position: snapshot.position,
             stamp,
-            servers: (!is_known).then(|| synced_servers(peer, &servers, now)),
+            servers: (!is_known).then(|| synced_servers(&snapshot, now)),
+            history: None,
         };
         self.received.apply(&self.catalog, list, now);
     }
@@ -319,8 +329,7 @@
     let (relay, mut member, now) = during_outage(OUTAGE);
     let after = |millis| now.plus(Duration::from_millis(millis));
     member.read(10, vec![removed("a")], now);
-    let position = Position { era: 0, offset: 12 };
-    relay.catalog.record_servers_position(position);
+    relay.read(12, Vec::new(), now.before(OUTAGE));
 
     member.sync(&relay.catalog, after(200));
 
--- a/src/quarantine/tests/evidence.rs
+++ b/src/quarantine/tests/evidence.rs
@@ -17,6 +17,8 @@
 use crate::catalog::ReportStatus;
 use crate::catalog::ServerEntry;
 use crate::catalog::ServerRecord;
+use crate::catalog::tests::apply_changes;
+use crate::catalog::tests::apply_peer_servers;
 use crate::clock::BootInstant;
 use crate::decide::Incarnation;
 use crate::decide::LifeSign;
@@ -587,16 +589,19 @@
         server: crashed_entry(sequence),
         grace_until: None,
     });
-    catalog.apply_peer_servers(server.map(|server| vec![server]), BootInstant::now());
+    apply_peer_servers(
+        catalog,
+        server.map(|server| vec![server]),
+        BootInstant::now(),
+    );
     tokio::time::sleep(WATCHED).await;
 }
 
 /// Reads the list.
 async fn read(catalog: &Catalog, sequence: u64) {
     let server = crashed_entry(sequence);
-    catalog.record_list_read(BootInstant::now(), true);
     let records = vec![(server.id, ServerRecord::Report(server.entry))];
-    catalog.apply_servers(records, BootInstant::now());
+    apply_changes(catalog, records, BootInstant::now());
     tokio::time::sleep(WATCHED).await;
 }
 
