--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -98,6 +98,9 @@
     pub history: VersionHistory,
 }
 
+/// Longest time between two lists of which it isn't known what came and went between them. A server is on the list for longer.
+const MAX_UNSEEN_TIME: Duration = Duration::from_secs(1);
+
 /// Result of applying a configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConfigChange {
@@ -288,7 +291,7 @@
         }
         state.own_list_reads += 1;
         state.is_peer_list = false;
-        let unseen_limit = is_whole.then_some(state.bounds.max_list_gap);
+        let unseen_limit = is_whole.then_some(MAX_UNSEEN_TIME);
         state.record_list_read(read.began, unseen_limit);
         state.servers_position = read.from.max(Some(read.position));
         let grace = state.grace_until.filter(|until| *until > now);
@@ -347,8 +350,14 @@
         if state.list_read_at.is_some_and(|last| last > read_at) {
             return None;
         }
-        let unseen_limit = Some(state.bounds.max_list_gap);
-        state.record_list_read(read_at, unseen_limit);
+        // The peer has seen all that came and went since the last list here.
+        let is_seen = list.history.as_ref().is_some_and(|history| {
+            state
+                .list_read_at
+                .is_some_and(|last| history.known_since <= last)
+        });
+        let may_have_unseen = list.servers.is_some() && !is_seen;
+        state.record_list_read(read_at, may_have_unseen.then_some(MAX_UNSEEN_TIME));
         state.peer_lists += 1;
         state.is_peer_list = true;
         if list.position.is_some() {
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -12,6 +12,7 @@
 use super::Evacuations;
 use super::Limits;
 use super::ListRead;
+use super::PeerHistory;
 use super::PeerList;
 use super::PeerServer;
 use super::Position;
@@ -464,6 +465,37 @@
     assert!(catalog.has_read_list_since(at(200)));
 }
 
+// Between two lists of a peer a server may have come, begun streams and gone.
+#[test]
+fn a_software_version_that_came_and_went_between_two_lists_of_a_peer_is_overlooked() {
+    let start = BootInstant::now();
+    let at = |millis| start.plus(Duration::from_millis(millis));
+    let told = |known_since: Option<BootInstant>, versions: Vec<SeenVersion>| {
+        let catalog = new_catalog();
+        apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], start);
+        catalog.apply_peer_list(PeerList {
+            servers: Some(vec![peer_server("a", entry(2, false, 1))]),
+            read_at: at(1_500),
+            position: None,
+            history: known_since.map(|known_since| PeerHistory {
+                known_since,
+                versions,
+            }),
+        });
+        catalog.only_version("app", start)
+    };
+    let gone = SeenVersion {
+        service: "app".to_owned(),
+        software_version: Some("v2".to_owned()),
+        last_listed_at: at(700),
+    };
+
+    assert_eq!(told(None, Vec::new()), None);
+    assert_eq!(told(Some(at(100)), Vec::new()), None);
+    assert_eq!(told(Some(start), vec![gone]), None);
+    assert_eq!(told(Some(start), Vec::new()).as_deref(), Some("v1"));
+}
+
 // What came and went between the peer's last read and the first one here was taken for known.
 #[test]
 fn a_restarted_gateway_trusts_a_peer_that_has_not_read_the_list_since() {
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -39,6 +39,9 @@
 /// Pause after a failed accept, which avoids a busy loop while the process is out of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Age of the server list from which it is told which software versions may still be used by it.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_500);
+
 /// Sources of the records about crashes that a member is sent.
 const ALL_RECORDS: [quarantine::RecordSource; 3] = [
     quarantine::RecordSource::Own,
@@ -182,8 +185,9 @@
     let wants_servers = wants_catalog && request.servers_stamp != Some(servers_stamp);
     let wants_nodes = is_member && request.nodes_stamp != Some(nodes_stamp);
     let wants_config = wants_catalog && config_version > request.config_version;
-    let version_history = request
-        .wants_version_history
+    // A list that has changed is no proof of what came and went before it, nor is one that can't be read of what it still uses.
+    let is_old = list_age.is_none_or(|age| age > MAX_LIST_AGE);
+    let version_history = (request.wants_version_history || wants_servers || is_old)
         .then(|| SyncedVersionHistory::new(&list.history, now));
     let is_latest = request.protocol > 0;
     // The time left of grace periods differs from response to response.
