--- a/bench/src/day/judge/answers.rs
+++ b/bench/src/day/judge/answers.rs
@@ -91,7 +91,12 @@
         (_, Fault::OtherRequest | Fault::Unknown) => Rule::Mixed,
         (
             _,
-            Fault::Missing | Fault::Repeated | Fault::Joined | Fault::NotAskedFor | Fault::CutShort,
+            Fault::Missing
+            | Fault::Repeated
+            | Fault::Joined
+            | Fault::NotAskedFor
+            | Fault::OtherVersion
+            | Fault::CutShort,
         ) => Rule::Order,
     }
 }
--- a/bench/src/day/judge/tests.rs
+++ b/bench/src/day/judge/tests.rs
@@ -175,6 +175,7 @@
         target: attempt.target.clone(),
         body: attempt.request_body.clone(),
         server: server.to_owned(),
+        software_version: "v1".to_owned(),
         written: Written {
             asked_after: after,
             first_id: after + 1,
--- a/bench/src/day/order.rs
+++ b/bench/src/day/order.rs
@@ -57,6 +57,8 @@
     Joined,
     /// A piece doesn't begin where its run was asked to begin or to go on.
     NotAskedFor,
+    /// Pieces of one stream are of servers of different software versions.
+    OtherVersion,
     /// A piece was written for another request.
     OtherRequest,
     /// The answer looked complete, but its run has more.
@@ -255,11 +257,11 @@
     attempts.sort_by_key(|attempt| (attempt.first_attempt, attempt.sent));
     let mut verdict = Verdict::default();
     for stream in attempts.chunk_by(|a, b| a.first_attempt == b.first_attempt) {
-        let mut run_count = 0;
+        let mut begun = Begun::default();
         for attempt in stream {
             match attempt.kind {
                 AnswerKind::Plain => check_plain(attempt, &runs, &mut verdict),
-                _ => check_stream(attempt, &runs, &mut run_count, &mut verdict),
+                _ => check_stream(attempt, &runs, &mut begun, &mut verdict),
             }
         }
     }
@@ -304,11 +306,20 @@
     }
 }
 
-/// Checks one attempt of a stream. `run_count` is the number of runs that the stream is of so far.
-fn check_stream(
+/// What earlier attempts of a stream have brought.
+#[derive(Default)]
+struct Begun<'a> {
+    /// Number of runs that the stream is of.
+    run_count: usize,
+    /// Software version of the server of its first event.
+    software_version: Option<&'a str>,
+}
+
+/// Checks one attempt of a stream, of which `begun` tells what came before.
+fn check_stream<'a>(
     attempt: &Attempt<'_>,
-    runs: &Runs<'_>,
-    run_count: &mut usize,
+    runs: &Runs<'a>,
+    begun: &mut Begun<'a>,
     verdict: &mut Verdict,
 ) {
     let mut last_id = attempt.resume_after.unwrap_or(0);
@@ -324,14 +335,22 @@
             report(runs.fault_of_unknown(attempt.id, event), piece());
             continue;
         };
-        let run = &runs.runs[origin.run];
+        let all: &'a [Run] = runs.runs;
+        let run = &all[origin.run];
         if run.request_id != attempt.id {
             report(Fault::OtherRequest, piece());
         }
         if current != Some(origin.run) {
             current = Some(origin.run);
-            *run_count += 1;
-            if *run_count > 1 && attempt.kind != AnswerKind::ResumableStream {
+            begun.run_count += 1;
+            let version = run.software_version.as_str();
+            let first = *begun.software_version.get_or_insert(version);
+            if version != first {
+                let server = &run.server;
+                let detail = format!("{} of {server}, of {version} after {first}", piece());
+                report(Fault::OtherVersion, detail);
+            }
+            if begun.run_count > 1 && attempt.kind != AnswerKind::ResumableStream {
                 report(Fault::Joined, piece());
             }
             let written = &run.written;
--- a/bench/src/day/order/tests.rs
+++ b/bench/src/day/order/tests.rs
@@ -33,6 +33,7 @@
         target: "/".to_owned(),
         body: Bytes::new(),
         server: "i-1".to_owned(),
+        software_version: "v1".to_owned(),
         written,
     }
 }
@@ -205,6 +206,26 @@
     assert_eq!(faults(&attempts, &runs), [Fault::Joined]);
 }
 
+#[test]
+fn a_stream_of_two_software_versions_is_found_in_one_answer_and_over_attempts() {
+    let mut second = stream_run("b", "r-1", 2);
+    second.software_version = "v2".to_owned();
+    let runs = [stream_run("a", "r-1", 0), second.clone()];
+    let joined = events("a", 1..=2) + &events("b", 3..=LAST_ID);
+    let in_one_answer = faults(&[whole(AnswerKind::ResumableStream, &joined)], &runs);
+
+    second.request_id = "r-2".to_owned();
+    let runs = [stream_run("a", "r-1", 0), second];
+    let (first, rest) = (events("a", 1..=2), events("b", 3..=LAST_ID));
+    let attempts = [
+        broken(AnswerKind::ResumableStream, &first),
+        resumed(2, &rest),
+    ];
+
+    assert_eq!(in_one_answer, [Fault::OtherVersion]);
+    assert_eq!(faults(&attempts, &runs), [Fault::OtherVersion]);
+}
+
 #[test]
 fn a_run_that_was_asked_to_go_on_elsewhere_is_found() {
     for asked_after in [0, 1] {
--- a/bench/src/standin/replica.rs
+++ b/bench/src/standin/replica.rs
@@ -194,6 +194,8 @@
     pub body: Bytes,
     /// Instance ID of the server.
     pub server: String,
+    /// Version of the server's software.
+    pub software_version: String,
     /// What the server wrote.
     pub written: Written,
 }
@@ -822,6 +824,7 @@
         target,
         body: body.clone(),
         server: shared.id.clone(),
+        software_version: lock(&shared.software_version).clone(),
         written: Written {
             asked_after: after,
             ..Written::default()
--- a/bench/src/standin/run_log.rs
+++ b/bench/src/standin/run_log.rs
@@ -52,6 +52,7 @@
         target: String,
         body: Bytes,
         server: String,
+        software_version: String,
         asked_after: u64,
     },
     Head {
@@ -106,6 +107,7 @@
             target: run.target.clone(),
             body: run.body.clone(),
             server: run.server.clone(),
+            software_version: run.software_version.clone(),
             asked_after: run.written.asked_after,
         };
         self.append(&record).expect("the log can be written");
@@ -166,6 +168,7 @@
                 target,
                 body,
                 server,
+                software_version,
                 asked_after,
             } => {
                 runs.push(Run {
@@ -175,6 +178,7 @@
                     target,
                     body,
                     server,
+                    software_version,
                     written: Written {
                         asked_after,
                         ..Written::default()
