--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -59,8 +59,8 @@
     others.take(NEAR_HOLDERS).collect()
 }
 
-/// Returns the nodes that may have records of streams which began elsewhere: the first of each other data centre in the relay order,
-/// to which the nodes there send theirs, and those that may be taken for the relay of `own`'s.
+/// Returns the nodes that may have records of streams which began elsewhere: of each other data centre the first three in the relay
+/// order, to which the nodes there send theirs, and those that may be taken for the relay of `own`'s.
 pub fn stream_holders<'a>(nodes: &'a [NodeEntry], own: &NodeEntry) -> Vec<&'a NodeEntry> {
     let mut centres: Vec<&str> = nodes.iter().map(|node| node.data_centre.as_str()).collect();
     centres.sort_unstable();
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -15,6 +15,7 @@
 mod load_entry;
 mod load_table;
 mod message;
+mod mute_nodes;
 mod node;
 mod node_list;
 mod pack_cache;
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -26,6 +26,7 @@
 use super::message::SyncRequest;
 use super::message::SyncResponse;
 use super::message::unpack;
+use super::mute_nodes::MuteNodes;
 use super::node_list::NodeList;
 use super::pack_cache::PackCache;
 use super::serve;
@@ -139,6 +140,8 @@
     /// Heavy teams as this node decided while it was the relay.
     pub(super) heavy_teams: Mutex<Vec<ServiceTeams>>,
     pub(super) streams: StreamTable,
+    /// Gateways that are neither told of streams nor asked for them for a while.
+    pub(super) mute_nodes: MuteNodes,
     pub(super) tunnel_table: TunnelTable,
     /// Connects to backend servers for other gateways; unset until the gateway has started.
     pub(super) direct_paths: OnceLock<Arc<dyn DirectPaths>>,
@@ -469,6 +472,7 @@
             cut_off_table: CutOffTable::default(),
             heavy_teams: Mutex::default(),
             streams: StreamTable::default(),
+            mute_nodes: MuteNodes::default(),
             tunnel_table: TunnelTable::default(),
             direct_paths: OnceLock::new(),
             quarantine: Arc::clone(quarantine),
--- a/src/peers/stream_push.rs
+++ b/src/peers/stream_push.rs
@@ -7,6 +7,7 @@
 use super::node::Shared;
 use super::streams::RecordSource;
 use super::streams::StreamRecords;
+use super::sync::SYNC_INTERVAL;
 use crate::clock::BootInstant;
 use crate::decide::near_holders;
 use serde::Deserialize;
@@ -17,8 +18,8 @@
 
 /// Minimum time between two messages to one gateway; streams that begin within it share a message.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
-/// Time during which a gateway that did not take records is not sent any.
-const FAILURE_PAUSE: Duration = Duration::from_secs(3);
+/// Maximum number of gateways of which a task remembers what they have got.
+const MAX_KNOWN: usize = 4;
 
 /// Records of streams that have just begun.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -56,20 +57,20 @@
     }
 }
 
-/// A connection to a holder, and the number of the first record that it hasn't got.
-struct HolderLink {
+/// A gateway that was sent records.
+struct KnownHolder {
     node: NodeEntry,
-    link: Link,
+    link: Option<Link>,
+    /// Number of the first record that it hasn't got.
     next_record: u64,
 }
 
-/// Sends new records to one holder, another one if that fails.
+/// Sends new records to one holder, or to another one while that fails.
 pub(super) struct Pusher {
     shared: Arc<Shared>,
     holder: Holder,
-    open: Option<HolderLink>,
-    /// Names of gateways that took no records, with the times.
-    failed: Vec<(String, BootInstant)>,
+    /// The gateways that were sent records, the last one at the end.
+    known: Vec<KnownHolder>,
 }
 
 impl Pusher {
@@ -77,16 +78,17 @@
         Self {
             shared,
             holder,
-            open: None,
-            failed: Vec::new(),
+            known: Vec::new(),
         }
     }
 
-    /// Sends records until the task is aborted.
+    /// Sends records until the task is aborted: as streams begin, and each sync interval to a holder that has changed.
     pub(super) async fn run(mut self) {
         let mut changes = self.shared.streams.changes();
-        // The sender lives as long as `shared`, so waiting does not fail.
-        while changes.changed().await.is_ok() {
+        loop {
+            // The sender lives as long as `shared`, so waiting does not fail.
+            let _ = tokio::time::timeout(SYNC_INTERVAL, changes.changed()).await;
+            changes.mark_unchanged();
             self.push().await;
             tokio::time::sleep(MIN_INTERVAL).await;
         }
@@ -94,71 +96,85 @@
 
     /// Sends the records that the holder hasn't got; tries once more on a new connection, as a kept one may have been closed.
     async fn push(&mut self) {
+        let Some(node) = self.choose() else {
+            return;
+        };
         for _ in 0..2 {
-            let Some(node) = self.choose() else {
-                self.open = None;
+            let had_link = self.holder_of(&node).link.is_some();
+            let Err(cause) = self.push_to(&node).await else {
                 return;
             };
-            let was_open = self.open.as_ref().is_some_and(|open| open.node == node);
-            match self.push_to(&node).await {
-                Ok(()) => return,
-                Err(cause) => {
-                    debug!(self.shared.logs.log(), "records not sent"; "peer" => &node.name, "cause" => cause);
-                    self.open = None;
-                    if !was_open {
-                        self.failed.push((node.name, BootInstant::now()));
-                    }
-                }
+            debug!(self.shared.logs.log(), "records not sent"; "peer" => &node.name, "cause" => cause);
+            self.holder_of(&node).link = None;
+            if !had_link {
+                self.shared.mute_nodes.record(&node, BootInstant::now());
+                return;
             }
         }
     }
 
     async fn push_to(&mut self, node: &NodeEntry) -> Result<(), String> {
-        let open = match &mut self.open {
-            Some(open) if open.node == *node => open,
-            open => open.insert(HolderLink {
-                node: node.clone(),
-                link: Link::open(node).await?,
-                next_record: 0,
-            }),
-        };
-        let streams = &self.shared.streams;
+        let sources = self.holder.sources();
+        let shared = Arc::clone(&self.shared);
+        let holder = self.holder_of(node);
         loop {
             let now = BootInstant::now();
-            let first = open.next_record;
-            let (records, next) = streams.records_from(first, self.holder.sources(), now);
-            if next == first {
-                return Ok(());
-            }
+            let (records, next) = shared
+                .streams
+                .records_from(holder.next_record, sources, now);
             if !records.is_empty() {
                 let push = StreamPush {
-                    data_centre: self.shared.own.data_centre.clone(),
+                    data_centre: shared.own.data_centre.clone(),
                     pushed_streams: records,
                 };
-                let _: StreamPushResponse = open.link.request(&push).await?;
+                let link = match &mut holder.link {
+                    Some(link) => link,
+                    link => link.insert(Link::open(node).await?),
+                };
+                let _: StreamPushResponse = link.request(&push).await?;
             }
-            open.next_record = next;
+            if next == holder.next_record {
+                return Ok(());
+            }
+            holder.next_record = next;
+        }
+    }
+
+    /// Returns what is known of `node`, which has none of the records if it was not sent any.
+    fn holder_of(&mut self, node: &NodeEntry) -> &mut KnownHolder {
+        let found = self.known.iter().position(|known| known.node == *node);
+        let holder = match found {
+            Some(index) => self.known.remove(index),
+            None => KnownHolder {
+                node: node.clone(),
+                link: None,
+                next_record: 0,
+            },
+        };
+        if self.known.len() == MAX_KNOWN {
+            self.known.remove(0);
         }
+        self.known.push(holder);
+        let last = self.known.len() - 1;
+        &mut self.known[last]
     }
 
     /// Returns the gateway that is sent the records now.
-    fn choose(&mut self) -> Option<NodeEntry> {
+    fn choose(&self) -> Option<NodeEntry> {
+        let shared = &self.shared;
         let now = BootInstant::now();
-        self.failed
-            .retain(|(_, since)| now.since(*since) < FAILURE_PAUSE);
         match self.holder {
             Holder::Near(rank) => {
-                let (mut nodes, _) = self.shared.nodes.nodes();
-                nodes.retain(|node| !self.failed.iter().any(|(name, _)| *name == node.name));
-                let holders = near_holders(&nodes, &self.shared.own);
+                let (mut nodes, _) = shared.nodes.nodes();
+                nodes.retain(|node| !shared.mute_nodes.contains(node, now));
+                let holders = near_holders(&nodes, &shared.own);
                 holders.get(rank).map(|node| (*node).clone())
             }
             Holder::Backup => {
-                let is_relay = self.shared.role() == Role::Relay;
-                let centre = self.shared.backup_centre.as_deref().filter(|_| is_relay)?;
-                let relay = self.shared.nodes.first_relay(centre)?;
-                let has_failed = self.failed.iter().any(|(name, _)| *name == relay.name);
-                (!has_failed).then_some(relay)
+                let is_relay = shared.role() == Role::Relay;
+                let centre = shared.backup_centre.as_deref().filter(|_| is_relay)?;
+                let relay = shared.nodes.first_relay(centre)?;
+                (!shared.mute_nodes.contains(&relay, now)).then_some(relay)
             }
         }
     }
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -31,7 +31,7 @@
 const MAX_RECORDS_SENT: usize = 2_000;
 /// Maximum time for which a record is kept, whatever its caller announces.
 const MAX_LIFETIME: Duration = Duration::from_secs(120);
-/// Time within which the record of a stream that has just begun is at other gateways.
+/// Time for which a request waits for the record of a stream that has just begun; it is sent at most 20 ms later.
 const PUSH_TIME: Duration = Duration::from_millis(50);
 /// Time within which a relay must answer whether it knows a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
@@ -67,10 +67,13 @@
     /// Records that a stream began at this gateway, or goes on here.
     fn record(&self, start: StreamStart<'_>);
 
-    /// Returns the software version at which `stream` began, from this gateway's records, those of the relays or those of
-    /// gateways that others may take for relays; `None` if none of them answers that it knows the stream.
+    /// Returns the software version at which `stream` began, from this gateway's records or those of the gateways that may have been
+    /// told of it; `None` if none of them answers that it knows the stream.
     async fn find(&self, stream: StreamKey) -> Option<FoundStream>;
 
+    /// Returns the software version at which `stream` began, from this gateway's records alone.
+    fn find_here(&self, stream: StreamKey) -> Option<FoundStream>;
+
     /// Waits until the records that other gateways had at the time of the call have reached others; `is_first` if the request has not
     /// waited before. Gateways of an earlier build send theirs only with sync requests.
     async fn wait_for_records(&self, is_first: bool);
@@ -249,21 +252,31 @@
         self.streams.record(start, BootInstant::now());
     }
 
+    fn find_here(&self, stream: StreamKey) -> Option<FoundStream> {
+        let software_version = self.streams.find(stream, BootInstant::now())?;
+        Some(FoundStream {
+            software_version,
+            holder: None,
+        })
+    }
+
     async fn find(&self, stream: StreamKey) -> Option<FoundStream> {
-        if let Some(software_version) = self.streams.find(stream, BootInstant::now()) {
-            return Some(FoundStream {
-                software_version,
-                holder: None,
-            });
+        if let Some(found) = self.find_here(stream) {
+            return Some(found);
         }
-        let (nodes, _) = self.nodes.nodes();
+        let (mut nodes, _) = self.nodes.nodes();
+        let now = BootInstant::now();
+        nodes.retain(|node| !self.mute_nodes.contains(node, now));
         let mut lookups: FuturesUnordered<_> = stream_holders(&nodes, &self.own)
             .into_iter()
             .map(async |node| {
                 let answer = tokio::time::timeout(LOOKUP_TIMEOUT, look_up(node, stream)).await;
-                let software_version = answer.ok()?.ok()?.software_version?;
+                let Ok(Ok(answer)) = answer else {
+                    self.mute_nodes.record(node, BootInstant::now());
+                    return None;
+                };
                 Some(FoundStream {
-                    software_version,
+                    software_version: answer.software_version?,
                     holder: Some(node.name.clone()),
                 })
             })
--- a/src/peers/sync.rs
+++ b/src/peers/sync.rs
@@ -189,7 +189,9 @@
         crash_cursor.add_records(&shared.quarantine, &mut request, sent_at);
         request.next_crash_record = Some(crash_cursor.next_received);
         let mut response: SyncResponse = link.request(&request).await?;
-        needs_records = response.protocol < STREAM_PUSH_PROTOCOL;
+        // Gateways of other data centres are not sent records otherwise.
+        needs_records =
+            response.protocol < STREAM_PUSH_PROTOCOL || node.data_centre != shared.own.data_centre;
         // If the store refuses this node too, it waits for a while at a relay that goes on asking the store.
         let may_wait = !asks_all_nodes
             && response.protocol > 0
