--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -424,17 +424,21 @@
     }
 
     async fn read(&self, catalog: &Catalog, logs: &Logs) -> Result<(), SourceError> {
-        let began = BootInstant::now();
-        let from = catalog.servers_position();
-        let (records, position) = self.0.read(from).await?;
-        let read = ListRead {
-            began,
-            from,
-            position,
-            records,
-        };
-        apply_server_read(catalog, logs, read);
-        Ok(())
+        loop {
+            let began = BootInstant::now();
+            let from = catalog.servers_position();
+            let (records, position) = self.0.read(from).await?;
+            let read = ListRead {
+                began,
+                from,
+                position,
+                records,
+            };
+            // A list that a peer told meanwhile may be newer, so reading goes on from there.
+            if apply_server_read(catalog, logs, read) {
+                return Ok(());
+            }
+        }
     }
 
     fn set_failing(&self, catalog: &Catalog, is_failing: bool) {
@@ -492,7 +496,8 @@
     }
 }
 
-fn apply_server_read(catalog: &Catalog, logs: &Logs, mut read: ListRead) {
+/// Applies a read of the list, and logs what it changed; returns whether it could be applied.
+fn apply_server_read(catalog: &Catalog, logs: &Logs, mut read: ListRead) -> bool {
     let (ServerRead::Changes(records) | ServerRead::Whole(records)) = &mut read.records;
     for (id, record) in records {
         let checked = std::mem::replace(record, ServerRecord::Removed).checked(id);
@@ -504,14 +509,14 @@
         }
     }
     let era = read.position.era;
-    // A list that a peer told meanwhile may be newer, and the next read goes on from there.
     let Some(change) = catalog.apply_list_read(read, BootInstant::now()) else {
-        return;
+        return false;
     };
     if change.is_restored {
         warn!(logs.log(), "store restored from a copy"; "era" => era);
     }
     log_server_changes(logs, catalog, &change.servers);
+    true
 }
 
 /// Logs the new state of each changed server, once per name.
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -350,6 +350,11 @@
         if state.list_read_at.is_some_and(|last| last > read_at) {
             return None;
         }
+        // A read that began earlier and took longer may have seen more.
+        if list.position.is_some() && list.position < state.servers_position {
+            state.list_read_at = Some(read_at);
+            return None;
+        }
         // The peer has seen all that came and went since the last list here.
         let is_seen = list.history.as_ref().is_some_and(|history| {
             state
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -465,6 +465,29 @@
     assert!(catalog.has_read_list_since(at(200)));
 }
 
+// A read of this node may begin earlier than a peer's, take longer, and see more.
+#[test]
+fn a_list_of_a_peer_that_has_read_less_removes_what_this_node_has_read() {
+    let catalog = new_catalog();
+    let start = BootInstant::now();
+    let at = |millis| start.plus(Duration::from_millis(millis));
+    apply_whole(&catalog, vec![report("a", 1, false, 1)], start);
+    apply_changes(&catalog, vec![report("b", 1, false, 1)], at(100));
+    let read = offset_of(&catalog).unwrap();
+
+    let changed = catalog.apply_peer_list(PeerList {
+        servers: Some(vec![peer_server("a", entry(1, false, 1))]),
+        read_at: at(200),
+        position: Some(position(read - 1)),
+        history: None,
+    });
+
+    assert_eq!(changed, None);
+    assert_eq!(usable(&catalog), ["a", "b"]);
+    assert_eq!(offset_of(&catalog), Some(read));
+    assert!(catalog.has_read_list_since(at(200)));
+}
+
 // Between two lists of a peer a server may have come, begun streams and gone.
 #[test]
 fn a_software_version_that_came_and_went_between_two_lists_of_a_peer_is_overlooked() {
