--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -46,6 +46,7 @@
 pub use state::Catalog;
 pub use state::CatalogBounds;
 pub use state::ConfigChange;
+pub use state::ConfigSnapshot;
 pub use state::ListChange;
 pub use state::ListRead;
 pub use state::ListSnapshot;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -81,6 +81,19 @@
     pub versions: Vec<SeenVersion>,
 }
 
+/// The configuration with what it is worth, all of one moment.
+#[derive(Clone, Debug)]
+pub struct ConfigSnapshot {
+    /// The configuration in force; `None` before the first one.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Time since it was last verified as current; `None` if it never was.
+    pub age: Option<Duration>,
+    /// Position up to which the configuration source has been read.
+    pub position: Option<Position>,
+    /// The known evacuations of data centres.
+    pub evacuations: Arc<Evacuations>,
+}
+
 /// The server list with what it is worth, all of one moment.
 #[derive(Clone, Debug)]
 pub struct ListSnapshot {
@@ -245,6 +258,17 @@
         self.lock().servers_position
     }
 
+    /// Returns the configuration in force with its age and position, and the evacuations.
+    pub fn config_snapshot(&self, now: BootInstant) -> ConfigSnapshot {
+        let state = self.lock();
+        ConfigSnapshot {
+            configuration: state.configuration.clone(),
+            age: state.config_age(now),
+            position: state.config_position,
+            evacuations: Arc::clone(&state.evacuations),
+        }
+    }
+
     /// Returns the configuration in force, or `None` before the first one.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.lock().configuration.clone()
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -171,14 +171,14 @@
         now,
     );
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-    let configuration = shared.catalog.configuration();
-    let config_version = configuration
+    let config = shared.catalog.config_snapshot(now);
+    let config_version = config
+        .configuration
         .as_ref()
         .map(|configuration| configuration.version());
     let list = shared.catalog.list_snapshot();
     let list_age = list.read_at.map(|read_at| now.since(read_at));
     let servers_stamp = shared.stamp(list.version);
-    let config_position = shared.catalog.config_position();
     let nodes_stamp = shared.stamp(shared.nodes.version());
     // The relay of another data centre gets only the loads if it reads the store itself.
     let wants_catalog = is_member || request.wants_catalog;
@@ -216,14 +216,15 @@
     };
     SyncResponse {
         is_disconnected: shared.catalog.is_disconnected(),
-        config_age_ms: shared.catalog.config_age(now).map(millis),
+        config_age_ms: config.age.map(millis),
         config_version,
-        config_position: config_position.map(|position| position.offset),
-        config_era: config_position.unwrap_or_default().era,
-        config: configuration
+        config_position: config.position.map(|position| position.offset),
+        config_era: config.position.unwrap_or_default().era,
+        config: config
+            .configuration
             .filter(|_| wants_config)
             .and_then(|configuration| shared.packed_configuration(&configuration)),
-        evacuations: SyncedEvacuations::new(&shared.catalog.evacuations()),
+        evacuations: SyncedEvacuations::new(&config.evacuations),
         servers_age_ms: list_age.map(millis),
         servers_position: list.position.map(|position| position.offset),
         servers_era: list.position.unwrap_or_default().era,
