--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -158,7 +158,11 @@
         report.is_caller_retry = gateway
             .admission_stats
             .detect_retry(&route.name, metadata.time_left);
-        let Some(service_name) = pick_service(&route, salt) else {
+        // A stream goes on at the service that began it.
+        let resumed_stream = metadata.resumed_stream.as_ref();
+        let first_attempt = resumed_stream.and_then(|resumed| resumed.first_attempt.as_deref());
+        let drawn_by = first_attempt.map_or(salt, hash_request_id);
+        let Some(service_name) = pick_service(&route, drawn_by) else {
             return refuse_temporarily("route without service", report);
         };
         report.service.clone_from(&service_name);
