--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -52,6 +52,7 @@
 pub use state::ListSnapshot;
 pub use state::PeerHistory;
 pub use state::PeerList;
+pub use version_history::OnlyVersion;
 pub use version_history::SERVING_AFTER_LEAVING;
 pub use version_history::SeenVersion;
 pub use version_history::VERSION_MEMORY;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -11,6 +11,7 @@
 use super::roster::ReportStatus;
 use super::roster::Roster;
 use super::roster::ServerRecord;
+use super::version_history::OnlyVersion;
 use super::version_history::SeenVersion;
 use super::version_history::VersionHistory;
 use crate::clock::BootInstant;
@@ -111,7 +112,7 @@
     pub history: VersionHistory,
 }
 
-/// Longest time between two lists of which it isn't known what came and went between them. A server is on the list for longer.
+/// Longest time between two lists for which it is taken for granted that no server came and went between them.
 const MAX_UNSEEN_TIME: Duration = Duration::from_secs(1);
 
 /// Result of applying a configuration.
@@ -393,10 +394,17 @@
             state.servers_position = list.position;
         }
         let now = BootInstant::now();
-        if let Some(history) = list.history {
+        let told = list.history.map_or_else(Vec::new, |history| {
             let known = (history.known_since, read_at);
-            state.version_history.adopt(known, history.versions, now);
-        }
+            let versions = history.versions.clone();
+            state.version_history.adopt(known, versions, now);
+            // Without the time before, a version may have been listed later than the peer knows.
+            if is_seen {
+                history.versions
+            } else {
+                Vec::new()
+            }
+        });
         let mut changed = Vec::new();
         if let Some(servers) = list.servers {
             let mut names = Vec::new();
@@ -416,7 +424,7 @@
             // once.
             changed.extend(state.roster.keep_only(&names, None));
         }
-        Some(state.refresh_lists(now, changed))
+        Some(state.refresh_lists(now, changed, &told))
     }
 
     /// Returns the list with its age, position and history.
@@ -465,11 +473,21 @@
     }
 
     /// Returns the software version of all servers of `service` at which a stream may have begun since `since`, as
-    /// [`VersionHistory::only_version`] does.
-    pub fn only_version(&self, service: &str, since: BootInstant) -> Option<String> {
+    /// [`VersionHistory::only_version`] does, and the start of the last read of the list; `None` unless the list was read, here or at
+    /// the peer that sent it, in a call that began at `read_since` or later. It then has all servers at which requests can have begun
+    /// before.
+    pub fn only_version(
+        &self,
+        service: &str,
+        since: BootInstant,
+        read_since: BootInstant,
+    ) -> Option<(OnlyVersion, BootInstant)> {
         let state = self.lock();
-        let version = state.version_history.only_version(service, since);
-        version.map(str::to_owned)
+        let read_at = state
+            .list_read_at
+            .filter(|read_at| *read_at >= read_since)?;
+        let only = state.version_history.only_version(service, since)?;
+        Some((only, read_at))
     }
 
     /// Returns whether streams may have begun at servers of `service` of several software versions since `since`.
@@ -579,8 +597,13 @@
     }
 
     /// Removes servers whose grace period is over and, if any server changed, rebuilds the lists and raises their
-    /// version; returns the names of all changed servers.
-    fn refresh_lists(&mut self, now: BootInstant, mut changed: Vec<String>) -> Vec<String> {
+    /// version; returns the names of all changed servers. `told` says when versions have left.
+    fn refresh_lists(
+        &mut self,
+        now: BootInstant,
+        mut changed: Vec<String>,
+        told: &[SeenVersion],
+    ) -> Vec<String> {
         changed.extend(self.roster.expire(now));
         if let Some(read_at) = self.list_read_at {
             // The entry of a process that has ended is removed by then.
@@ -589,7 +612,7 @@
         }
         if !changed.is_empty() {
             let listed = self.roster.listed();
-            self.version_history.record_list(&listed, now);
+            self.version_history.record_list(&listed, told, now);
             let usable = listed.iter().filter(|server| !server.entry.is_draining);
             self.servers = Arc::new(usable.cloned().collect());
             self.by_service = group_by_service(&listed);
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -357,10 +357,10 @@
     let now = BootInstant::now();
     apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], now);
 
-    assert_eq!(catalog.only_version("app", now).as_deref(), Some("v1"));
+    assert_eq!(only_version(&catalog, "app", now).as_deref(), Some("v1"));
     let before = now.before(Duration::from_millis(1));
-    assert_eq!(catalog.only_version("app", before), None);
-    assert_eq!(catalog.only_version("other", now), None);
+    assert_eq!(only_version(&catalog, "app", before), None);
+    assert_eq!(only_version(&catalog, "other", now), None);
 }
 
 #[test]
@@ -373,10 +373,10 @@
     apply_changes(&catalog, vec![removed("a")], second(2));
 
     let served_until = second(2).plus(SERVING_AFTER_LEAVING);
-    assert_eq!(catalog.only_version("app", second(3)), None);
-    assert_eq!(catalog.only_version("app", served_until), None);
+    assert_eq!(only_version(&catalog, "app", second(3)), None);
+    assert_eq!(only_version(&catalog, "app", served_until), None);
     let later = served_until.plus(Duration::from_millis(1));
-    assert_eq!(catalog.only_version("app", later).as_deref(), Some("v2"));
+    assert_eq!(only_version(&catalog, "app", later).as_deref(), Some("v2"));
 }
 
 #[test]
@@ -391,7 +391,7 @@
         now,
     );
 
-    assert_eq!(catalog.only_version("app", now), None);
+    assert_eq!(only_version(&catalog, "app", now), None);
 }
 
 #[test]
@@ -401,18 +401,24 @@
     apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], start);
     let after_gap = start.plus(MAX_LIST_GAP * 2);
     apply_changes(&catalog, Vec::new(), after_gap);
-    let with_all_changes = catalog.only_version("app", start);
+    let with_all_changes = only_version(&catalog, "app", start);
     let after_gap = after_gap.plus(MAX_LIST_GAP * 2);
     apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], after_gap);
 
     assert_eq!(with_all_changes.as_deref(), Some("v1"));
-    assert_eq!(catalog.only_version("app", start), None);
+    assert_eq!(only_version(&catalog, "app", start), None);
     assert_eq!(
-        catalog.only_version("app", after_gap).as_deref(),
+        only_version(&catalog, "app", after_gap).as_deref(),
         Some("v1")
     );
 }
 
+/// Returns the only version since `since`, by whatever read of the list.
+fn only_version(catalog: &Catalog, service: &str, since: BootInstant) -> Option<String> {
+    let only = catalog.only_version(service, since, BootInstant::default());
+    only.map(|(only, _)| only.software_version)
+}
+
 fn offset_of(catalog: &Catalog) -> Option<u64> {
     catalog.servers_position().map(|position| position.offset)
 }
@@ -488,6 +494,36 @@
     assert!(catalog.has_read_list_since(at(200)));
 }
 
+// After a standstill a version that had left long ago counted as listed until then.
+#[test]
+fn a_version_that_left_while_a_gateway_stood_still_counts_from_when_it_wakes() {
+    let catalog = new_catalog();
+    let now = BootInstant::now();
+    let earlier = |seconds| now.before(Duration::from_secs(seconds));
+    apply_whole(&catalog, vec![report_of_version("a", 1, "v1")], earlier(60));
+    let ServerRecord::Report(joined) = report_of_version("b", 1, "v2").1 else {
+        unreachable!()
+    };
+    let gone = SeenVersion {
+        service: "app".to_owned(),
+        software_version: Some("v1".to_owned()),
+        last_listed_at: earlier(50),
+    };
+
+    catalog.apply_peer_list(PeerList {
+        servers: Some(vec![peer_server("b", joined)]),
+        read_at: now,
+        position: None,
+        history: Some(PeerHistory {
+            known_since: earlier(60),
+            versions: vec![gone],
+        }),
+    });
+
+    assert_eq!(only_version(&catalog, "app", now).as_deref(), Some("v2"));
+    assert_eq!(only_version(&catalog, "app", earlier(25)), None);
+}
+
 // Between two lists of a peer a server may have come, begun streams and gone.
 #[test]
 fn a_software_version_that_came_and_went_between_two_lists_of_a_peer_is_overlooked() {
@@ -505,7 +541,7 @@
                 versions,
             }),
         });
-        catalog.only_version("app", start)
+        only_version(&catalog, "app", start)
     };
     let gone = SeenVersion {
         service: "app".to_owned(),
@@ -529,8 +565,8 @@
 
     catalog.adopt_version_history((earlier(60), earlier(5)), Vec::new());
 
-    assert_eq!(catalog.only_version("app", earlier(10)), None);
-    assert_eq!(catalog.only_version("app", now).as_deref(), Some("v2"));
+    assert_eq!(only_version(&catalog, "app", earlier(10)), None);
+    assert_eq!(only_version(&catalog, "app", now).as_deref(), Some("v2"));
 }
 
 #[test]
@@ -548,11 +584,11 @@
     catalog.adopt_version_history((earlier(60), now), vec![former]);
 
     assert_eq!(
-        catalog.only_version("app", earlier(10)).as_deref(),
+        only_version(&catalog, "app", earlier(10)).as_deref(),
         Some("v2")
     );
-    assert_eq!(catalog.only_version("app", earlier(30)), None);
-    assert_eq!(catalog.only_version("app", earlier(90)), None);
+    assert_eq!(only_version(&catalog, "app", earlier(30)), None);
+    assert_eq!(only_version(&catalog, "app", earlier(90)), None);
 }
 
 fn peer_server(id: &str, entry: ServerEntry) -> PeerServer {
--- a/src/catalog/version_history.rs
+++ b/src/catalog/version_history.rs
@@ -12,6 +12,9 @@
 /// lasts: servers that leave go on serving for many seconds, and gateways that can't read the list go on using them.
 pub const SERVING_AFTER_LEAVING: Duration = Duration::from_secs(30);
 
+/// Time for which gateways are told of a version after it has left the list: that in which it counts, for streams of some minutes.
+const TELLING_TIME: Duration = Duration::from_secs(150);
+
 /// Name of a service and a software version of it; `None` if the version is unknown.
 pub type ServiceVersion = (String, Option<String>);
 
@@ -26,6 +29,15 @@
     pub last_listed_at: BootInstant,
 }
 
+/// The software version of all servers of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OnlyVersion {
+    /// The version.
+    pub software_version: String,
+    /// Time since which no other one is known to have been listed.
+    pub since: BootInstant,
+}
+
 /// The software versions on the server list since a point in time.
 ///
 /// A stream goes on only at the software version that began it (`docs/PLATFORM.md`). Where a service has had a single
@@ -61,8 +73,14 @@
         }
     }
 
-    /// Records the servers that are listed from `now` on.
-    pub fn record_list(&mut self, servers: &[BackendServer], now: BootInstant) {
+    /// Records the servers that are listed from `now` on. `told` says when versions that have left meanwhile did so, as far as a peer
+    /// knows that.
+    pub fn record_list(
+        &mut self,
+        servers: &[BackendServer],
+        told: &[SeenVersion],
+        now: BootInstant,
+    ) {
         let version = |server: &BackendServer| {
             let entry = &server.entry;
             (entry.service.clone(), entry.software_version.clone())
@@ -71,10 +89,14 @@
         listed.sort();
         listed.dedup();
         for (service, software_version) in std::mem::replace(&mut self.listed, listed) {
+            let mut told = told.iter().filter(|told| {
+                told.service == service && told.software_version == software_version
+            });
+            let last_listed_at = told.next().map_or(now, |told| told.last_listed_at);
             self.former.push(SeenVersion {
                 service,
                 software_version,
-                last_listed_at: now,
+                last_listed_at,
             });
         }
         self.forget(now);
@@ -119,13 +141,26 @@
     /// Returns the version of all servers of `service` at which a stream may have begun since `since`; `None` if there are several,
     /// or if the list or a version is not known for that long. A version may still begin streams for
     /// [`SERVING_AFTER_LEAVING`] after its last server has left the list.
-    pub fn only_version(&self, service: &str, since: BootInstant) -> Option<&str> {
-        if self.known_since? > since {
-            return None;
-        }
+    pub fn only_version(&self, service: &str, since: BootInstant) -> Option<OnlyVersion> {
+        let known_since = self.known_since.filter(|known| *known <= since)?;
         let mut versions = self.versions_since(service, since);
         let first = versions.next()?;
-        versions.next().is_none().then_some(first)?.as_deref()
+        let software_version = versions.next().is_none().then_some(first)?.clone()?;
+        let others = self.former.iter().filter(|former| {
+            former.service == service
+                && former.software_version.as_deref() != Some(&*software_version)
+        });
+        let last_other = others.map(|other| other.last_listed_at).max();
+        Some(OnlyVersion {
+            software_version,
+            since: last_other.unwrap_or_default().max(known_since),
+        })
+    }
+
+    /// Returns whether a version left the list so lately that other gateways may not know of it.
+    pub fn has_recent_change(&self, now: BootInstant) -> bool {
+        let mut former = self.former.iter();
+        former.any(|former| now.since(former.last_listed_at) < TELLING_TIME)
     }
 
     /// Returns whether streams may have begun at servers of `service` of several versions since `since`, as far as the list is
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,6 +49,8 @@
     pub(super) salt: u64,
     /// Software version that servers of the stream must have.
     pub(super) stream_version: StreamVersion,
+    /// Whether a record tells the version of the stream that the caller resumes.
+    pub(super) has_stream_record: bool,
     /// What answers must be to go on with the stream that the caller gets; `None` before it has begun.
     pub(super) stream_kind: Option<StreamKind>,
     /// End of the time that the caller announced or of the route's timeout, whichever is earlier.
@@ -182,6 +184,7 @@
             team_regions,
             salt,
             stream_version: StreamVersion::Any,
+            has_stream_record: false,
             stream_kind: None,
             rank,
             sends: 0,
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -41,9 +41,9 @@
 enum VersionProof {
     /// A record of the stream at this gateway, or at the one of this name.
     Record(Option<String>),
-    /// All servers have had one version since before the stream can have broken off.
+    /// Streams can have begun at servers of one version only.
     OnlyVersion {
-        /// Time for which that is known.
+        /// Time for which no other one is known to have been listed.
         known_for: Duration,
         /// Age of the read of the server list that told it last.
         read_age: Duration,
@@ -88,6 +88,7 @@
             return Err(self.no_server_refusal("stream of unknown version"));
         };
         self.report.version_proof = proof.to_string();
+        self.has_stream_record = matches!(proof, VersionProof::Record(_));
         if version == UNKNOWN_VERSION {
             return Err(self.no_server_refusal("stream of unknown version"));
         }
@@ -109,11 +110,15 @@
         let streams = self.gateway.streams.get();
         let mut waits = 0;
         loop {
-            if let (Some(stream), Some(streams)) = (stream, streams)
-                && waits <= MAX_WAITS
-                && let Some(found) = streams.find(stream).await
-            {
-                return Some((found.software_version, VersionProof::Record(found.holder)));
+            if let (Some(stream), Some(streams)) = (stream, streams) {
+                let found = if waits <= MAX_WAITS {
+                    streams.find(stream).await
+                } else {
+                    streams.find_here(stream)
+                };
+                if let Some(found) = found {
+                    return Some((found.software_version, VersionProof::Record(found.holder)));
+                }
             }
             let version = self.only_version(asked_at);
             // An attempt that isn't named is on no record, so only a single version can tell.
@@ -131,15 +136,14 @@
     /// that is not known.
     fn only_version(&self, asked_at: BootInstant) -> Option<ProvenVersion> {
         let catalog = &self.gateway.catalog;
-        let version = catalog.only_version(&self.service_name, self.first_start(asked_at));
-        let version = version.filter(|_| catalog.has_read_list_since(asked_at))?;
+        let since = self.first_start(asked_at);
+        let (only, read_at) = catalog.only_version(&self.service_name, since, asked_at)?;
         let now = BootInstant::now();
-        let known_since = catalog.version_history().known_since();
         let proof = VersionProof::OnlyVersion {
-            known_for: now.since(known_since.unwrap_or(now)),
-            read_age: catalog.list_age(now).unwrap_or_default(),
+            known_for: now.since(only.since),
+            read_age: now.since(read_at),
         };
-        Some((version, proof))
+        Some((only.software_version, proof))
     }
 
     /// Returns whether a newer read of the server list may show that a single version has served.
@@ -153,7 +157,7 @@
         catalog.has_several_versions(&self.service_name, self.first_start(asked_at))
     }
 
-    /// Returns the earliest time at which a stream can have begun that is resumed at `asked_at`, since callers don't wait longer
+    /// Returns the earliest time at which a stream can have begun that is resumed at `asked_at`: callers are not expected to wait longer
     /// than the route's timeout.
     fn first_start(&self, asked_at: BootInstant) -> BootInstant {
         asked_at.before(self.route.timeout)
@@ -165,7 +169,10 @@
         match &self.stream_version {
             StreamVersion::Any => {}
             StreamVersion::Only(version) => {
-                if let Some(stream) = self.resumed_stream() {
+                // A conclusion is no record: a later read of the list may refute it.
+                if self.has_stream_record
+                    && let Some(stream) = self.resumed_stream()
+                {
                     self.record(stream, version);
                 }
                 return;
--- a/src/peers/serve.rs
+++ b/src/peers/serve.rs
@@ -187,7 +187,8 @@
     let wants_config = wants_catalog && config_version > request.config_version;
     // A list that has changed is no proof of what came and went before it, nor is one that can't be read of what it still uses.
     let is_old = list_age.is_none_or(|age| age > MAX_LIST_AGE);
-    let version_history = (request.wants_version_history || wants_servers || is_old)
+    let tells_history = wants_servers || is_old || list.history.has_recent_change(now);
+    let version_history = (request.wants_version_history || tells_history)
         .then(|| SyncedVersionHistory::new(&list.history, now));
     let is_latest = request.protocol > 0;
     // The time left of grace periods differs from response to response.
