--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -158,6 +158,8 @@
     version_history: VersionHistory,
     /// Start of the last successful read of the server list, by this node or by a peer.
     list_read_at: Option<BootInstant>,
+    /// Since when the list has been read without a gap in which entries may have outlived their processes.
+    steady_since: Option<BootInstant>,
     /// Number of this node's own successful reads of the server list.
     own_list_reads: u64,
     /// Number of lists taken over from peers, changed or not.
@@ -336,7 +338,7 @@
             changed.extend(state.roster.keep_only(&names, grace));
         }
         Some(ListChange {
-            servers: state.refresh_lists(now, changed),
+            servers: state.refresh_lists(now, changed, &[]),
             is_restored,
         })
     }
@@ -442,7 +444,7 @@
 
     /// Removes the servers whose grace period is over; returns their names.
     pub fn expire_servers(&self, now: BootInstant) -> Vec<String> {
-        self.lock().refresh_lists(now, Vec::new())
+        self.lock().refresh_lists(now, Vec::new(), &[])
     }
 
     /// Returns the servers that may get new work, sorted by name, and the version of the list.
@@ -535,14 +537,24 @@
         is_other || state.roster.has_earlier(&server.id)
     }
 
+    /// Returns the time such that a process which answered for a listed server before it, and still does, is the one that the
+    /// server's entry tells of: had another one started by then, it would have reported. `None` if the list has not been followed for
+    /// long enough.
+    pub fn processes_known_at(&self) -> Option<BootInstant> {
+        let state = self.lock();
+        // The entry of a process that has ended is removed by then.
+        let at = state.list_read_at?.before(state.bounds.max_list_gap * 2);
+        state.steady_since.filter(|since| *since <= at)?;
+        Some(at)
+    }
+
     /// Returns the time since the last successful read of the server list began, or `None` if there was none. The read
     /// may be this node's own or that of a peer whose list was applied.
     pub fn list_age(&self, now: BootInstant) -> Option<Duration> {
         self.lock().list_read_at.map(|read| now.since(read))
     }
 
-    /// Returns whether the server list was read, here or at the peer that sent it, in a call that began at `at` or later. It then
-    /// has all servers at which requests can have begun before.
+    /// Returns whether the server list was read, here or at the peer that sent it, in a call that began at `at` or later.
     pub fn has_read_list_since(&self, at: BootInstant) -> bool {
         self.lock().list_read_at.is_some_and(|read| read >= at)
     }
@@ -568,6 +580,7 @@
             servers_version: 0,
             version_history: VersionHistory::default(),
             list_read_at: None,
+            steady_since: None,
             own_list_reads: 0,
             peer_lists: 0,
             is_peer_list: false,
@@ -586,9 +599,13 @@
     fn record_list_read(&mut self, began: BootInstant, unseen_limit: Option<Duration>) {
         let bounds = self.bounds;
         let gap = self.list_read_at.map(|last| began.since(last));
-        if gap.is_some_and(|gap| gap > bounds.max_list_gap) {
+        let is_long = |gap| gap > bounds.max_list_gap;
+        if gap.is_some_and(is_long) {
             self.grace_until = Some(BootInstant::now().plus(bounds.list_grace));
         }
+        if gap.is_none_or(is_long) {
+            self.steady_since = Some(began);
+        }
         let has_unseen = |gap| unseen_limit.is_some_and(|limit| gap > limit);
         if gap.is_none_or(has_unseen) {
             self.version_history.restart(began);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -78,6 +78,8 @@
     /// Whether only the process may answer that the server's entry tells of, since the caller has events of its software
     /// version.
     pub(super) needs_same_process: bool,
+    /// Time before which the connection was best opened, as that proves the process.
+    pub(super) prefers_opened_before: Option<BootInstant>,
     /// Server from which the shared parts of the prompt may be copied.
     pub(super) copy_from: Option<SocketAddr>,
     /// Deadline of the request: the end of the time that the caller announced or of the route's timeout, whichever is
@@ -188,7 +190,7 @@
     // Connections may hang since the last path was lost, unless the server has been heard since.
     let doubtful_since = last_loss.filter(|since| !guard.was_heard_since(*since));
     let not_before = doubtful_since.map(BootInstant::to_std);
-    if let Some(lease) = pool.take_idle(server, not_before) {
+    if let Some(lease) = pool.take_idle(server, not_before, params.prefers_opened_before) {
         return Ok(lease);
     }
     let connected = match params.paths.connect(server, request_id).await {
--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -83,6 +83,8 @@
     pub(super) last_id: Option<u64>,
     /// Whether only the process may answer that the server's entry tells of.
     pub(super) needs_same_process: bool,
+    /// Whether a stream begins whose version is that of the server's entry, which may be out of date.
+    pub(super) names_version: bool,
     /// Server from which the shared parts of the prompt may be copied.
     pub(super) copy_from: Option<SocketAddr>,
     pub(super) deadline: Instant,
@@ -106,12 +108,27 @@
 impl ServerSend {
     /// Sends the request and waits for the first events or the whole response, until the deadline at most.
     pub(super) async fn run(self) -> SendEnd {
-        let asks = self.needs_same_process && matches!(self.question, Question::Report);
-        if !asks {
-            return self.run_anywhere().await;
+        let needs_proof = self.needs_same_process || self.names_version;
+        if !needs_proof || !matches!(self.question, Question::Report) {
+            return self.run_anywhere(None).await;
+        }
+        let known_at = self.gateway.catalog.processes_known_at();
+        let known_at =
+            known_at.filter(|known_at| self.gateway.pool.has_idle(&self.server, *known_at));
+        if let Some(known_at) = known_at {
+            let end = self.run_anywhere(Some(known_at)).await;
+            return match &end {
+                SendEnd::Delivered(Delivery::Stream(stream, Some(_)), _)
+                    if stream.connection_opened_at() >= known_at =>
+                {
+                    let sign = self.life_sign().await;
+                    self.judge(end, sign)
+                }
+                _ => end,
+            };
         }
         let mut asking = pin!(self.life_sign());
-        let mut sending = pin!(self.run_anywhere());
+        let mut sending = pin!(self.run_anywhere(None));
         let mut sign = None;
         let end = loop {
             tokio::select! {
@@ -131,12 +148,18 @@
             Some(sign) => sign,
             None => asking.await,
         };
+        self.judge(end, sign)
+    }
+
+    /// Decides what becomes of a stream once the engine has told which process it is. The stream itself shows that a server of this name
+    /// lives; only another start speaks against it. One that begins is passed on all the same, and its version is not known.
+    fn judge(&self, end: SendEnd, sign: LifeSign) -> SendEnd {
+        if sign != LifeSign::OtherProcess {
+            return end;
+        }
+        self.gateway.paths.record_restart(&self.server);
         match end {
-            // The stream itself shows that a server of this name lives; only another start speaks against it.
-            SendEnd::Delivered(Delivery::Stream(stream, _), _)
-                if sign == LifeSign::OtherProcess =>
-            {
-                self.gateway.paths.record_restart(&self.server);
+            SendEnd::Delivered(Delivery::Stream(stream, _), _) if self.needs_same_process => {
                 self.gateway.abandon(*stream, RunResult::Good);
                 SendEnd::Broken("server has started again".to_owned())
             }
@@ -163,7 +186,7 @@
     }
 
     /// Sends the request like [`ServerSend::run`], whichever process answers.
-    async fn run_anywhere(&self) -> SendEnd {
+    async fn run_anywhere(&self, prefers_opened_before: Option<BootInstant>) -> SendEnd {
         let gateway = &self.gateway;
         if !self.is_current() {
             return SendEnd::NotSent("beliefs grew old".to_owned());
@@ -188,6 +211,7 @@
             team: self.team.as_deref(),
             resume_after: self.last_id,
             needs_same_process: self.needs_same_process,
+            prefers_opened_before,
             copy_from: self.copy_from,
             deadline: self.deadline,
             rates: &gateway.rates,
--- a/src/gateway/failover.rs
+++ b/src/gateway/failover.rs
@@ -398,6 +398,7 @@
             team: self.team.clone(),
             last_id: resume_after.or(self.named_event()),
             needs_same_process: matches!(self.stream_version, StreamVersion::Only(_)),
+            names_version: self.begins_by_old_list(),
             copy_from: target.copy_from,
             deadline: self.deadline,
             max_connections: self
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -8,6 +8,7 @@
 use super::headers::keep_alive_timeout;
 use super::server_paths::ServerConnection;
 use crate::catalog::BackendServer;
+use crate::clock::BootInstant;
 use crate::logs::Logs;
 use crate::net::Body;
 use crate::net::Connector;
@@ -84,6 +85,7 @@
     /// Maximum number of idle connections to this server in the pool.
     max_idle: usize,
     is_reused: bool,
+    opened_at: BootInstant,
     /// Name of the gateway that carries the connection, if it is a tunnel.
     helper: Option<String>,
 }
@@ -132,11 +134,13 @@
     /// Takes the usable connection that has been idle longest. A connection must not be reused if the server sends a
     /// surplus response on it late; on the longest idle connection such a response has had the most time to arrive.
     ///
-    /// Those idle since before `not_before` are closed, since they may hang.
+    /// Those idle since before `not_before` are closed, since they may hang. One that was opened before `opened_before` is taken
+    /// first.
     pub(super) fn take_idle(
         &self,
         server: &BackendServer,
         not_before: Option<Instant>,
+        opened_before: Option<BootInstant>,
     ) -> Option<Lease> {
         let mut by_server = self
             .by_server
@@ -146,6 +150,14 @@
             .binary_search_by(|(id, _)| id.as_str().cmp(&server.id))
             .ok()?;
         let idle = &mut by_server[index].1;
+        if let Some(opened_before) = opened_before
+            && let Some(index) = idle
+                .iter()
+                .position(|it| it.lease.opened_at < opened_before)
+            && let Some(entry) = idle.remove(index)
+        {
+            idle.push_front(entry);
+        }
         while let Some(entry) = idle.pop_front() {
             let is_fresh = entry.since.elapsed() < entry.timeout
                 && not_before.is_none_or(|not_before| entry.since >= not_before);
@@ -159,6 +171,23 @@
         None
     }
 
+    /// Returns whether a connection to `server` is idle that was opened before `opened_before`.
+    pub(super) fn has_idle(&self, server: &BackendServer, opened_before: BootInstant) -> bool {
+        let by_server = self
+            .by_server
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let index = by_server.binary_search_by(|(id, _)| id.as_str().cmp(&server.id));
+        index.is_ok_and(|index| {
+            by_server[index].1.iter().any(|entry| {
+                entry.since.elapsed() < entry.timeout
+                    && entry.lease.server_start_time_ms == server.entry.start_time_ms
+                    && entry.lease.opened_at < opened_before
+                    && entry.lease.sender.is_ready()
+            })
+        })
+    }
+
     /// Prepares a connection to `server` for requests. The server accepts at most `max_connections` from all its clients
     /// together.
     pub(super) async fn lease(
@@ -185,6 +214,7 @@
             server_start_time_ms: server.entry.start_time_ms,
             max_idle: (max_connections / IDLE_DIVISOR).max(2) as usize,
             is_reused: false,
+            opened_at: BootInstant::now(),
             helper,
         })
     }
@@ -292,6 +322,11 @@
         self.helper.as_deref()
     }
 
+    /// Returns when the connection was opened.
+    pub(super) fn opened_at(&self) -> BootInstant {
+        self.opened_at
+    }
+
     /// Returns whether the connection has carried a request before.
     pub(super) fn is_reused(&self) -> bool {
         self.is_reused
--- a/src/gateway/server_stream.rs
+++ b/src/gateway/server_stream.rs
@@ -10,6 +10,7 @@
 use super::progress::Progress;
 use super::response_memory::ServerMemory;
 use super::stream_record::BodyEnd;
+use crate::clock::BootInstant;
 use crate::decide::RunResult;
 use crate::logs::Logs;
 use crate::net::timeout_at;
@@ -77,6 +78,11 @@
         }
     }
 
+    /// Returns when the connection on which the stream comes was opened.
+    pub(super) fn connection_opened_at(&self) -> BootInstant {
+        self.lease.opened_at()
+    }
+
     /// Lets the stream be complete without an event.
     pub(super) fn allow_empty(&mut self) {
         self.may_be_empty = true;
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -22,6 +22,8 @@
 /// Part of the request's time that may pass until its stream's version is known, so that time is left to run it, or for its
 /// caller to return.
 const LOOKUP_DIVISOR: u32 = 2;
+/// Age of the server list from which the process that begins a stream is asked for.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_500);
 /// Recorded for a stream whose server may be another than the list says. No server has it.
 const UNKNOWN_VERSION: &str = "";
 
@@ -163,6 +165,16 @@
         asked_at.before(self.route.timeout)
     }
 
+    /// Returns whether a stream that may be resumed begins by a list so old that a server may have started again since, with another
+    /// version.
+    pub(super) fn begins_by_old_list(&self) -> bool {
+        let is_resumable = self.route.retry_mode == RetryMode::ResumableStream;
+        let recent = BootInstant::now().before(MAX_LIST_AGE);
+        is_resumable
+            && self.stream_version == StreamVersion::Any
+            && !self.gateway.catalog.has_read_list_since(recent)
+    }
+
     /// Records that the caller gets the first event of the answer, from the server whose answer is passed on: a stream that begins, or
     /// one that goes on and may break off again.
     pub(super) fn record_stream_start(&mut self) {
