--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -49,6 +49,7 @@
 use crate::peers::OwnTeams;
 use crate::peers::PeerSettings;
 use crate::peers::Peers;
+use crate::peers::StreamArchive;
 use crate::quarantine::BreakWatch;
 use crate::quarantine::HoldLedger;
 use crate::quarantine::LedgerSync;
@@ -104,6 +105,8 @@
     pub directory: Arc<dyn NodeDirectory>,
     /// Held parts of prompts in the store.
     pub held_parts: Arc<dyn HoldLedger>,
+    /// Records of streams in the store.
+    pub streams: Arc<dyn StreamArchive>,
     /// Counts the calls that the sources make to the store.
     pub source_metrics: SourceMetrics,
     /// Header names and formats of callers and backend servers.
@@ -287,11 +290,12 @@
             load_callbacks(&gateway),
             &gateway.quarantine,
         );
-        let peers = peers.await.map_err(|cause| StartError::Listen {
+        let mut peers = peers.await.map_err(|cause| StartError::Listen {
             purpose: "peers",
             address: host.peer_address,
             cause,
         })?;
+        peers.keep_streams_in(sources.streams);
         // Can't fail: they are set nowhere else.
         let _ = gateway.node_count.set(peers.counter());
         let _ = gateway.streams.set(peers.streams());
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -220,6 +220,7 @@
                 software_version,
                 lifetime: self.metadata.time_left.unwrap_or(self.route.timeout),
                 is_resumable: self.route.retry_mode == RetryMode::ResumableStream,
+                is_mixed: self.has_several_versions(BootInstant::now()),
             });
         }
     }
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -32,6 +32,8 @@
 use super::serve;
 use super::server_list::ReceivedList;
 use super::server_list::SyncedList;
+use super::stream_archive;
+use super::stream_archive::StreamArchive;
 use super::stream_push::Holder;
 use super::stream_push::Pusher;
 use super::streams::StreamDirectory;
@@ -519,6 +521,12 @@
         })
     }
 
+    /// Keeps records of streams in `archive` from now on, and reads those that other processes have left there.
+    pub fn keep_streams_in(&mut self, archive: Arc<dyn StreamArchive>) {
+        let task = stream_archive::run(Arc::clone(&self.shared), archive);
+        self.tasks.push(tokio::spawn(task));
+    }
+
     /// Returns the directory of the streams that began at any gateway.
     pub fn streams(&self) -> Arc<dyn StreamDirectory> {
         Arc::clone(&self.shared) as Arc<dyn StreamDirectory>
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -50,6 +50,8 @@
     pub lifetime: Duration,
     /// Whether its route lets callers resume it, so that other gateways are told at once.
     pub is_resumable: bool,
+    /// Whether servers of several versions serve, so that only a record tells the version.
+    pub is_mixed: bool,
 }
 
 /// The software version at which a stream began, from a record.
@@ -86,6 +88,9 @@
     pub(super) software_version: String,
     /// Each stream with the time in milliseconds for which its record is kept.
     pub(super) streams: Vec<(StreamKey, u32)>,
+    /// Whether servers of several versions served when the streams began. Missing: none of these records is kept in the store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) is_mixed: bool,
 }
 
 /// Request for the software version at which a stream began.
@@ -112,6 +117,8 @@
     Member,
     /// Received from the relay of another data centre.
     OtherCentre,
+    /// Read from the store.
+    Archive,
 }
 
 struct Row {
@@ -119,6 +126,8 @@
     software_version: Arc<str>,
     expires_at: BootInstant,
     source: RecordSource,
+    /// Whether servers of several versions served when the stream began.
+    is_mixed: bool,
 }
 
 #[derive(Default)]
@@ -144,6 +153,7 @@
             software_version: start.software_version.into(),
             expires_at: now.plus(start.lifetime.min(MAX_LIFETIME)),
             source: RecordSource::Own,
+            is_mixed: start.is_mixed && start.is_resumable,
         };
         self.lock().add(row, now);
         if start.is_resumable {
@@ -172,6 +182,7 @@
                     software_version: Arc::clone(&software_version),
                     expires_at: now.plus(lifetime.min(MAX_LIFETIME)),
                     source,
+                    is_mixed: records.is_mixed,
                 };
                 state.add(row, now);
             }
@@ -182,6 +193,47 @@
         }
     }
 
+    /// Adds a record that is kept for `lifetime`: the stream, its software version and the lifetime.
+    pub(super) fn record_from(
+        &self,
+        (stream, software_version, lifetime): (StreamKey, &str, Duration),
+        source: RecordSource,
+        now: BootInstant,
+    ) {
+        let row = Row {
+            stream,
+            software_version: software_version.into(),
+            expires_at: now.plus(lifetime.min(MAX_LIFETIME)),
+            source,
+            is_mixed: false,
+        };
+        self.lock().add(row, now);
+    }
+
+    /// Returns the records numbered from `first` on of this data centre's streams that began while servers of several versions
+    /// served, each with the time in milliseconds for which it is kept, and the number to continue from.
+    pub(super) fn mixed_from(
+        &self,
+        first: u64,
+        now: BootInstant,
+    ) -> (Vec<(StreamKey, String, u32)>, u64) {
+        let state = self.lock();
+        let mut streams = Vec::new();
+        let mut next = first.max(state.first_number);
+        for row in state.rows_from(first) {
+            next += 1;
+            let is_near = matches!(row.source, RecordSource::Own | RecordSource::Member);
+            if is_near && row.is_mixed && row.expires_at > now {
+                streams.push((
+                    row.stream,
+                    row.software_version.to_string(),
+                    row.left_ms(now),
+                ));
+            }
+        }
+        (streams, next)
+    }
+
     /// Returns the software version of `stream`. Scans the records, since streams are rarely resumed.
     pub(super) fn find(&self, stream: StreamKey, now: BootInstant) -> Option<String> {
         let state = self.lock();
@@ -201,19 +253,18 @@
         now: BootInstant,
     ) -> (Vec<StreamRecords>, u64) {
         let state = self.lock();
-        let skipped =
-            usize::try_from(first.saturating_sub(state.first_number)).unwrap_or(usize::MAX);
         let mut next = first.max(state.first_number);
         let mut records: Vec<StreamRecords> = Vec::new();
-        for row in state.rows.iter().skip(skipped).take(MAX_RECORDS_SENT) {
+        for row in state.rows_from(first) {
             next += 1;
             if row.expires_at <= now || !sources.contains(&row.source) {
                 continue;
             }
-            let lifetime_ms = row.expires_at.since(now).as_millis();
-            let stream = (row.stream, u32::try_from(lifetime_ms).unwrap_or(u32::MAX));
-            let known = records
-                .binary_search_by(|known| (*known.software_version).cmp(&*row.software_version));
+            let stream = (row.stream, row.left_ms(now));
+            let known = records.binary_search_by(|known| {
+                let known = (&*known.software_version, known.is_mixed);
+                known.cmp(&(&*row.software_version, row.is_mixed))
+            });
             match known {
                 Ok(index) => records[index].streams.push(stream),
                 Err(index) => records.insert(
@@ -221,6 +272,7 @@
                     StreamRecords {
                         software_version: row.software_version.to_string(),
                         streams: vec![stream],
+                        is_mixed: row.is_mixed,
                     },
                 ),
             }
@@ -233,7 +285,22 @@
     }
 }
 
+impl Row {
+    /// Returns the time in milliseconds for which the row is still kept.
+    fn left_ms(&self, now: BootInstant) -> u32 {
+        let left = self.expires_at.since(now).as_millis();
+        u32::try_from(left).unwrap_or(u32::MAX)
+    }
+}
+
 impl State {
+    /// Returns the rows numbered from `first` on, as many as one message holds.
+    fn rows_from(&self, first: u64) -> impl Iterator<Item = &Row> {
+        let skipped = first.saturating_sub(self.first_number);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        self.rows.iter().skip(skipped).take(MAX_RECORDS_SENT)
+    }
+
     /// Adds a row, and drops rows from the front that have expired or are too many.
     fn add(&mut self, row: Row, now: BootInstant) {
         self.rows.push_back(row);
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -136,6 +136,7 @@
     StreamRecords {
         software_version: software_version.to_owned(),
         streams: streams.to_vec(),
+        is_mixed: false,
     }
 }
 
@@ -145,6 +146,7 @@
         software_version,
         lifetime,
         is_resumable: true,
+        is_mixed: false,
     }
 }
 
