--- a/bench/src/day/callers.rs
+++ b/bench/src/day/callers.rs
@@ -124,6 +124,8 @@
     GiveUp,
     /// `share` of the callers try again at once, and `x` times as often.
     RetryAbuse,
+    /// `share` of the callers don't name the first attempt of a stream that they take up.
+    Unnamed,
 }
 
 /// A time in which callers do more than usual.
@@ -156,6 +158,7 @@
             "hot_tenant" => (CallerTroubleKind::HotTeam, 1.0),
             "give_up" => (CallerTroubleKind::GiveUp, 0.2),
             "retry_abuse" => (CallerTroubleKind::RetryAbuse, 0.3),
+            "unnamed" => (CallerTroubleKind::Unnamed, 0.5),
             _ => return None,
         };
         let start = Duration::from_secs_f64(entry.at.max(0.0));
--- a/bench/src/day/callers/request.rs
+++ b/bench/src/day/callers/request.rs
@@ -52,6 +52,8 @@
     retries: u32,
     /// Whether its caller tries again at once.
     is_hasty: bool,
+    /// Whether its caller names the first attempt where it takes a stream up.
+    names_first: bool,
     /// When its caller leaves, from the first attempt on.
     leaves_after: Option<Duration>,
     rng: StdRng,
@@ -95,6 +97,7 @@
         let is_hot = strikes(CallerTroubleKind::HotKey).is_some();
         let leaves = strikes(CallerTroubleKind::GiveUp).is_some();
         let haste = strikes(CallerTroubleKind::RetryAbuse);
+        let names_first = strikes(CallerTroubleKind::Unnamed).is_none();
         let object = if is_hot {
             0
         } else {
@@ -116,6 +119,7 @@
             headers,
             retries: haste.map_or(route.retries, |x| (f64::from(route.retries) * x) as u32),
             is_hasty: haste.is_some(),
+            names_first,
             leaves_after: leaves.then(|| target_time.mul_f64(rng.random())),
             rng,
         }
@@ -200,6 +204,7 @@
             late: Duration::ZERO,
             deadline,
             resume_after,
+            names_first: self.names_first,
             head_at: None,
             status: 0,
             answered_id: String::new(),
@@ -272,9 +277,10 @@
             req = req.header(*name, value);
         }
         if let Some(last_id) = attempt.resume_after {
-            req = req
-                .header("last-event-id", last_id.to_string())
-                .header("resumes", &attempt.first_attempt);
+            req = req.header("last-event-id", last_id.to_string());
+            if attempt.names_first {
+                req = req.header("resumes", &attempt.first_attempt);
+            }
         }
         req.body(Full::new(self.body.clone()))
             .expect("names and paths of a sheet are those of requests")
--- a/bench/src/day/callers/tests.rs
+++ b/bench/src/day/callers/tests.rs
@@ -107,6 +107,7 @@
         late: Duration::ZERO,
         deadline: Duration::from_secs(3),
         resume_after: None,
+        names_first: true,
         head_at: None,
         status,
         answered_id: String::new(),
@@ -171,6 +172,42 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_leave_the_first_attempt_unnamed_keep_it_in_their_records() {
+    let (server, relay) = server().await;
+    server.set_behavior(Behavior::Breaks(2));
+    let mut cfg = config(
+        relay.address(),
+        vec![route("chat", RouteKind::ResumableStream)],
+    );
+    cfg.troubles = vec![CallerTrouble {
+        kind: CallerTroubleKind::Unnamed,
+        start: Duration::ZERO,
+        end: Duration::from_secs(60),
+        x: 1.0,
+        share: 1.0,
+        count: 1,
+        route: None,
+        data_centre: None,
+    }];
+
+    let attempts = play(cfg).await;
+
+    let resumed = attempts.iter().filter(|it| it.resume_after.is_some());
+    assert!(resumed.clone().count() > 20);
+    assert!(
+        resumed
+            .clone()
+            .all(|it| it.id != it.first_attempt && !it.names_first)
+    );
+    let runs = server.runs();
+    let of_resumed = runs.iter().filter(|run| run.written.asked_after > 0);
+    assert!(of_resumed.clone().count() > 20);
+    for run in of_resumed {
+        assert_eq!(http::header(&run.headers, "resumes"), "");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_may_run_once_is_tried_again_only_after_a_promise() {
     let (server, relay) = server().await;
--- a/bench/src/day/command.rs
+++ b/bench/src/day/command.rs
@@ -23,6 +23,7 @@
 use super::report::figures;
 use super::report::figures::Figures;
 use super::report::page;
+use super::report::resumed::resumed;
 use super::sheet::Sheet;
 use super::sheet::SheetError;
 
@@ -177,6 +178,9 @@
         println!("{}", finding.text(record.started));
     }
     print_routes(record);
+    for resumed in resumed(record) {
+        println!("{resumed}");
+    }
     println!(
         "timers of the player at most {} ms late",
         played.latest_timer.as_millis()
--- a/bench/src/day/day_file/tests.rs
+++ b/bench/src/day/day_file/tests.rs
@@ -11,9 +11,9 @@
     Sheet::read(&folder.join(name)).expect("a good sheet")
 }
 
-/// Reads all days of the project for a sheet; returns the names of the files that don't fit it.
-fn days_that_do_not_fit(sheet: &Sheet) -> Vec<String> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/days");
+/// Reads all days in a folder for a sheet; returns the names of the files that don't fit it.
+fn days_that_do_not_fit(folder: &str, sheet: &Sheet) -> Vec<String> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
     let mut others = Vec::new();
     for file in std::fs::read_dir(&folder).expect("the folder of days") {
         let path = file.expect("a file").path();
@@ -39,9 +39,16 @@
 
 #[test]
 fn all_days_of_the_project_can_be_read_for_the_sheets_that_have_what_they_name() {
-    let first = days_that_do_not_fit(&sheet("fjarrkod-tolk.toml"));
-    let second = days_that_do_not_fit(&sheet("zawarcin-platnosci.toml"));
+    let sheets = ["fjarrkod-tolk.toml", "zawarcin-platnosci.toml"].map(sheet);
 
+    let [first, second] = sheets
+        .each_ref()
+        .map(|sheet| days_that_do_not_fit("../deploy/days", sheet));
+    let own = sheets
+        .each_ref()
+        .map(|sheet| days_that_do_not_fit("days", sheet));
+
+    assert_eq!(own.concat(), Vec::<String>::new());
     // They name services and routes of the other one.
     assert_eq!(first, ["skewed-stops.toml"]);
     assert_eq!(second, ["rejoined.toml", "skewed.toml"]);
--- a/bench/src/day/judge/tests.rs
+++ b/bench/src/day/judge/tests.rs
@@ -138,6 +138,7 @@
         late: Duration::ZERO,
         deadline: millis(4_000),
         resume_after: None,
+        names_first: true,
         head_at: None,
         status: 0,
         answered_id: String::new(),
--- a/bench/src/day/record.rs
+++ b/bench/src/day/record.rs
@@ -102,6 +102,8 @@
     pub deadline: Duration,
     /// ID of the event after which a stream is to go on.
     pub resume_after: Option<u64>,
+    /// Whether an attempt that takes a stream up names the first one.
+    pub names_first: bool,
     /// When the head of the response came.
     pub head_at: Option<Instant>,
     /// Status of the response, or 0 if there is none.
@@ -122,6 +124,15 @@
     pub ended: Instant,
 }
 
+impl CallerAttempt {
+    /// Returns whether it brought an event of a stream, or its end.
+    pub fn went_on(&self) -> bool {
+        let is_whole = self.end == AnswerEnd::Complete;
+        let has_event = self.body.windows(2).any(|bytes| bytes == b"\n\n");
+        (200..300).contains(&self.status) && (is_whole || has_event)
+    }
+}
+
 /// Something that the player did.
 #[derive(Clone, Debug)]
 pub struct TroubleRecord {
--- a/bench/src/day/report.rs
+++ b/bench/src/day/report.rs
@@ -10,6 +10,7 @@
 
 pub mod figures;
 mod plots;
+pub mod resumed;
 #[cfg(test)]
 mod tests;
 
--- a/bench/src/day/report/tests.rs
+++ b/bench/src/day/report/tests.rs
@@ -6,6 +6,8 @@
 
 use super::figures::Outcome;
 use super::figures::requests;
+use super::resumed::Standing;
+use super::resumed::resumed;
 use crate::day::record::AnswerEnd;
 use crate::day::record::Bounds;
 use crate::day::record::CallerAttempt;
@@ -13,6 +15,7 @@
 use crate::day::record::DayRecord;
 use crate::day::record::RouteKind;
 use crate::day::record::RouteRecord;
+use crate::day::record::TroubleRecord;
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -83,6 +86,7 @@
         late: Duration::ZERO,
         deadline: millis(5_000),
         resume_after: None,
+        names_first: true,
         head_at: None,
         status,
         answered_id: String::new(),
@@ -150,6 +154,69 @@
     }
 }
 
+/// An attempt that takes a stream up at gateway 1, `at` milliseconds after the start.
+fn resumption(at: u64, (status, names_first): (u16, bool), start: Instant) -> CallerAttempt {
+    CallerAttempt {
+        gateway: Some(1),
+        resume_after: Some(3),
+        names_first,
+        retry_after: (status == 503).then_some(millis(at)),
+        ..attempt((at, &[]), (status, AnswerEnd::Complete), start)
+    }
+}
+
+#[test]
+fn streams_that_are_taken_up_are_counted_by_how_their_gateway_stood() {
+    let mut record = day(RouteKind::ResumableStream, Vec::new());
+    let start = record.started;
+    let freeze = |gateway| TroubleRecord {
+        kind: "node_freeze".to_owned(),
+        detail: String::new(),
+        is_planned: false,
+        start: start + millis(1_000),
+        end: Some(start + millis(2_000)),
+        gateways: vec![gateway],
+        servers: Vec::new(),
+    };
+    record.troubles = vec![freeze(1), freeze(2)];
+    let sent = [
+        (100, (200, true)),
+        (1_500, (503, true)),
+        (2_900, (503, true)),
+        (2_950, (200, false)),
+        (3_100, (504, true)),
+        (6_100, (200, true)),
+    ];
+    record.attempts = sent.map(|(at, how)| resumption(at, how, start)).to_vec();
+    let begun = attempt((0, &[]), (200, AnswerEnd::Broken), start);
+    record.attempts.push(begun);
+
+    let found = resumed(&record);
+
+    let view = |it: &super::resumed::Resumed| {
+        (
+            it.standing,
+            it.is_named,
+            it.attempts,
+            it.gone_on,
+            it.refused.clone(),
+        )
+    };
+    let expected = [
+        (Standing::InStep, true, 2, 2, vec![]),
+        (Standing::Behind, false, 1, 1, vec![]),
+        (
+            Standing::Behind,
+            true,
+            2,
+            0,
+            vec![millis(1_500), millis(2_900)],
+        ),
+        (Standing::CaughtUp, true, 1, 0, vec![]),
+    ];
+    assert_eq!(found.iter().map(view).collect::<Vec<_>>(), expected);
+}
+
 #[test]
 fn a_day_without_requests_has_a_page_with_escaped_names() {
     let day = day(RouteKind::Safe, Vec::new());
--- a/bench/src/day/servers.rs
+++ b/bench/src/day/servers.rs
@@ -348,12 +348,29 @@
     pub async fn leave(&self, server: &Server) -> io::Result<()> {
         server.set_stage(Stage::Draining);
         self.report(server).await;
+        self.end(server).await?;
+        self.remove_entry(server).await;
+        Ok(())
+    }
+
+    /// Lets a server leave whose entry is removed at once: it serves those that know it for a while longer, and ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be told to end.
+    pub async fn leave_unlisted(&self, server: &Server) -> io::Result<()> {
+        server.set_stage(Stage::Silent);
+        self.remove_entry(server).await;
+        self.end(server).await
+    }
+
+    /// Ends a server that has told or shown that it leaves, after the time to drain.
+    async fn end(&self, server: &Server) -> io::Result<()> {
         let drain = Duration::from_millis(self.sheet.bounds.drain_ms);
         tokio::time::sleep(drain + drain / 2).await;
         server.process.signal(Signal::SIGTERM)?;
         server.process.wait_for_exit().await?;
         server.set_stage(Stage::Gone);
-        self.remove_entry(server).await;
         Ok(())
     }
 
--- a/bench/src/day/troubles/callers.rs
+++ b/bench/src/day/troubles/callers.rs
@@ -6,7 +6,14 @@
 
 /// Returns whether callers play a trouble.
 pub fn is_of_callers(trouble: &Trouble) -> bool {
-    const KINDS: [&str; 5] = ["burst", "hot_key", "hot_tenant", "give_up", "retry_abuse"];
+    const KINDS: [&str; 6] = [
+        "burst",
+        "hot_key",
+        "hot_tenant",
+        "give_up",
+        "retry_abuse",
+        "unnamed",
+    ];
     KINDS.contains(&trouble.kind.as_str())
 }
 
--- a/bench/src/day/troubles/stages.rs
+++ b/bench/src/day/troubles/stages.rs
@@ -48,9 +48,17 @@
     }
 }
 
-/// Starts servers of a new version in the places of others, which leave, some at a time.
+/// Starts servers of another version in the places of others, some at a time: the next newer or older one if the entry says so.
+/// The others leave, or their entries are removed at once.
 async fn release(scene: &Scene, trouble: &Trouble, struck: Vec<Arc<Server>>, rng: &mut StdRng) {
-    let version = format!("v{}", rng.random_range(2..1_000));
+    let service = struck.first().map(|server| server.service.clone());
+    let number = service.map_or(1, |service| newest_version(scene, &service));
+    let number = match (trouble.has("newer"), trouble.has("older")) {
+        (true, _) => number + 1,
+        (_, true) => number.saturating_sub(1),
+        _ => rng.random_range(2..1_000),
+    };
+    let version = format!("v{number}");
     let at_a_time = trouble.x.unwrap_or(1.0).max(1.0) as usize;
     let mut leaving = Vec::new();
     for group in struck.chunks(at_a_time) {
@@ -73,6 +81,17 @@
     futures_util::future::join_all(leaving).await;
 }
 
+/// Returns the number of the newest software version of a service's servers that are ready.
+fn newest_version(scene: &Scene, service: &str) -> u64 {
+    let mut servers = scene.fleet.servers.all();
+    servers.retain(|server| server.service == service && server.stage() == Stage::Ready);
+    let numbers = servers.iter().filter_map(|server| {
+        let version = server.process.options().version;
+        version.strip_prefix('v')?.parse().ok()
+    });
+    numbers.max().unwrap_or(1)
+}
+
 async fn scale_out(scene: &Scene, trouble: &Trouble, like: Vec<Arc<Server>>) {
     let gap = Duration::from_secs_f64(trouble.gap()).div_f64(like.len().max(1) as f64);
     for server in like {
@@ -99,7 +118,10 @@
 
 async fn leave(scene: &Scene, trouble: &Trouble, server: &Server) {
     let record = begin(scene, trouble, server);
-    let leaving = scene.fleet.servers.leave(server).await;
+    let leaving = match trouble.has("removed") {
+        true => scene.fleet.servers.leave_unlisted(server).await,
+        false => scene.fleet.servers.leave(server).await,
+    };
     scene.check(&trouble.kind, leaving);
     scene.journal.end(record);
 }
--- a/bench/tests/day.rs
+++ b/bench/tests/day.rs
@@ -161,6 +161,7 @@
         late: Duration::ZERO,
         deadline: Duration::from_secs(10),
         resume_after: None,
+        names_first: true,
         head_at: Some(sent + first),
         status: 200,
         answered_id: id.clone(),
@@ -178,6 +179,7 @@
         target: format!("/{route}/{}", number % 200),
         body: Bytes::from_static(b"body"),
         server,
+        software_version: "v1".to_owned(),
         written: Written {
             asked_after: 0,
             first_id: 1,
