--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -14,6 +14,7 @@
 pub mod links;
 pub mod log;
 pub mod orders;
+pub mod peer_relay;
 pub mod relay;
 pub mod replica;
 pub mod replica_process;
--- a/bench/src/standin/relay.rs
+++ b/bench/src/standin/relay.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -96,6 +97,42 @@
     }
 }
 
+/// Changes the bytes of one direction of a connection.
+pub trait Rewriter: Send {
+    /// Takes the next bytes and returns those to send on; the rest is kept until more bytes come.
+    fn rewrite(&mut self, bytes: &[u8]) -> Vec<u8>;
+}
+
+/// Returns what changes the bytes of a new connection in a direction.
+pub type Rewriters = Arc<dyn Fn(Direction) -> Box<dyn Rewriter> + Send + Sync>;
+
+/// Where a relay passes its connections on to, and how.
+struct Passage {
+    target: SocketAddr,
+    /// `None` if bytes are passed on as they are.
+    rewriters: Option<Rewriters>,
+}
+
+impl Passage {
+    /// Connects to the target for a side that connected from `source`.
+    async fn connect(&self, source: IpAddr) -> io::Result<TcpStream> {
+        if self.rewriters.is_none() {
+            return TcpStream::connect(self.target).await;
+        }
+        let socket = match source {
+            IpAddr::V4(_) => TcpSocket::new_v4()?,
+            IpAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(self.target).await
+    }
+
+    fn rewriter(&self, direction: Direction) -> Option<Box<dyn Rewriter>> {
+        let rewriters = self.rewriters.as_ref();
+        rewriters.map(|rewriters| rewriters(direction))
+    }
+}
+
 /// An order to reset open connections.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reset {
@@ -168,6 +205,37 @@
         address: SocketAddr,
         target: SocketAddr,
         habits: Habits,
+    ) -> io::Result<Self> {
+        let passage = Passage {
+            target,
+            rewriters: None,
+        };
+        Self::start_passage(address, passage, habits).await
+    }
+
+    /// Starts a relay that changes the bytes of its connections. It connects to `target` from the address that it was connected
+    /// from, by which targets know who asks.
+    ///
+    /// # Errors
+    ///
+    /// As [`Relay::start`].
+    pub async fn start_rewriting(
+        address: SocketAddr,
+        target: SocketAddr,
+        habits: Habits,
+        rewriters: Rewriters,
+    ) -> io::Result<Self> {
+        let passage = Passage {
+            target,
+            rewriters: Some(rewriters),
+        };
+        Self::start_passage(address, passage, habits).await
+    }
+
+    async fn start_passage(
+        address: SocketAddr,
+        passage: Passage,
+        habits: Habits,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -176,7 +244,7 @@
             of_sources: Mutex::default(),
             resets: watch::Sender::default(),
         });
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&shared)));
+        let task = tokio::spawn(accept(listener, Arc::new(passage), Arc::clone(&shared)));
         Ok(Self {
             address,
             shared,
@@ -214,7 +282,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, passage: Arc<Passage>, shared: Arc<Shared>) {
     loop {
         // An accept error concerns a single connection or is temporary.
         let Ok((client, peer)) = listener.accept().await else {
@@ -224,27 +292,28 @@
             shared: Arc::clone(&shared),
             source: peer.ip(),
         };
+        let passage = Arc::clone(&passage);
         tokio::spawn(async move {
             // An error here concerns only the two sides, which see it.
-            let _ = pass(client, target, &towards).await;
+            let _ = pass(client, &passage, &towards).await;
         });
     }
 }
 
 /// Passes a new connection on as the habits say.
-async fn pass(mut client: TcpStream, target: SocketAddr, towards: &Towards) -> io::Result<()> {
+async fn pass(mut client: TcpStream, passage: &Passage, towards: &Towards) -> io::Result<()> {
     towards.wait_while(|habits| habits.is_silent).await;
     match towards.habits().gate {
         Gate::Open => {}
         Gate::Reset => return client.set_zero_linger(),
         Gate::Answer(status) => return answer(&mut client, status).await,
     }
-    match TcpStream::connect(target).await {
+    match passage.connect(towards.source).await {
         Ok(server) => {
             if let Some(number) = towards.habits().greeting {
                 client.write_u16(number).await?;
             }
-            relay(client, server, towards).await
+            relay((client, server), passage, towards).await
         }
         Err(_) => receive_in_vain(client, towards).await,
     }
@@ -291,7 +360,11 @@
 }
 
 /// Copies bytes in both directions until both have ended or one fails.
-async fn relay(mut client: TcpStream, mut server: TcpStream, towards: &Towards) -> io::Result<()> {
+async fn relay(
+    (mut client, mut server): (TcpStream, TcpStream),
+    passage: &Passage,
+    towards: &Towards,
+) -> io::Result<()> {
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let copied = {
@@ -300,8 +373,8 @@
         tokio::select! {
             () = towards.wait_for_reset() => Err(io::ErrorKind::ConnectionReset.into()),
             copied = async { tokio::try_join!(
-                copy(from_client, to_server, Direction::Forward, towards),
-                copy(from_server, to_client, Direction::Back, towards),
+                copy(from_client, to_server, (Direction::Forward, passage), towards),
+                copy(from_server, to_client, (Direction::Back, passage), towards),
             ) } => copied,
         }
     };
@@ -325,9 +398,10 @@
 async fn copy(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    direction: Direction,
+    (direction, passage): (Direction, &Passage),
     towards: &Towards,
 ) -> io::Result<()> {
+    let mut rewriter = passage.rewriter(direction);
     let mut buf = vec![0; BUF_BYTES];
     loop {
         let count = from.read(&mut buf).await?;
@@ -339,6 +413,9 @@
         if count == 0 {
             return to.shutdown().await;
         }
-        to.write_all(&buf[..count]).await?;
+        match &mut rewriter {
+            Some(rewriter) => to.write_all(&rewriter.rewrite(&buf[..count])).await?,
+            None => to.write_all(&buf[..count]).await?,
+        }
     }
 }
--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -32,6 +32,8 @@
 
 /// Header that counts how often the store was restored from a copy.
 const ERA_HEADER: &str = "store-era";
+/// Topic of the entries of gateways.
+const NODES_TOPIC: &str = "keyed.nodes";
 /// Maximum number of keys on one page of newest records.
 const PAGE_KEYS: usize = 500;
 /// Maximum size in KiB of the records that one read returns unless the call sets `max-kb`.
@@ -103,6 +105,8 @@
 #[derive(Debug)]
 pub struct StoreService {
     server: Server,
+    /// Servers on further addresses ([`StoreService::add_view`]).
+    views: Mutex<Vec<Server>>,
     shared: Arc<Shared>,
 }
 
@@ -114,19 +118,25 @@
     /// Returns an error if the address can't be bound.
     pub async fn start(listen: SocketAddr) -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
-        let handler_shared = Arc::clone(&shared);
-        let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
-            let shared = Arc::clone(&handler_shared);
-            Box::pin(async move {
-                let mut res = shared.handle(req).await?;
-                if !res.headers().contains_key(ERA_HEADER) {
-                    shared.set_era(&mut res);
-                }
-                Ok(res)
-            })
-        });
-        let server = Server::start(listen, handler).await?;
-        Ok(Self { server, shared })
+        let server = Server::start(listen, handler(&shared, None)).await?;
+        Ok(Self {
+            server,
+            views: Mutex::default(),
+            shared,
+        })
+    }
+
+    /// Serves on the address `listen` too, and hands out the entries of gateways with `peer_port` there, so that a gateway that
+    /// calls it reaches the others over relays of its own. Returns the address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn add_view(&self, listen: SocketAddr, peer_port: u16) -> io::Result<SocketAddr> {
+        let view = Server::start(listen, handler(&self.shared, Some(peer_port))).await?;
+        let address = view.address();
+        lock(&self.views).push(view);
+        Ok(address)
     }
 
     /// Returns the address that it listens on.
@@ -185,9 +195,38 @@
     /// Stops at once and aborts all connections.
     pub async fn abort(self) {
         self.server.abort().await;
+        let views = std::mem::take(&mut *lock(&self.views));
+        for view in views {
+            view.abort().await;
+        }
     }
 }
 
+/// Returns the handler of calls at an address; the entries of gateways have `peer_port` there, or their own ports if `None`.
+fn handler(shared: &Arc<Shared>, peer_port: Option<u16>) -> http::Handler {
+    let shared = Arc::clone(shared);
+    Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
+        let shared = Arc::clone(&shared);
+        Box::pin(async move {
+            let mut res = shared.handle(req, peer_port).await?;
+            if !res.headers().contains_key(ERA_HEADER) {
+                shared.set_era(&mut res);
+            }
+            Ok(res)
+        })
+    })
+}
+
+/// Returns a gateway's entry with `port` in its address; `None` if it is none.
+fn with_port(entry: &[u8], port: u16) -> Option<Bytes> {
+    let mut entry: serde_json::Value = serde_json::from_slice(entry).ok()?;
+    let address = entry.get_mut("address")?;
+    let mut changed: SocketAddr = address.as_str()?.parse().ok()?;
+    changed.set_port(port);
+    *address = changed.to_string().into();
+    Some(entry.to_string().into())
+}
+
 /// Encodes a keyed record: the length of the key in one byte, the key and the value.
 ///
 /// The length prefix that each record has in the bodies of appends and reads is not included.
@@ -237,7 +276,11 @@
         f(&mut topics[i].1)
     }
 
-    async fn handle(self: &Arc<Self>, req: Request<Incoming>) -> HandlerResult {
+    async fn handle(
+        self: &Arc<Self>,
+        req: Request<Incoming>,
+        peer_port: Option<u16>,
+    ) -> HandlerResult {
         self.calls.fetch_add(1, Relaxed);
         match self.faults.refuse_with.load(Relaxed) {
             0 => {}
@@ -264,7 +307,8 @@
             }
             "/api/log-newest" => {
                 let after = query_parameter(&query, "after").unwrap_or_default();
-                Ok(self.newest(&topic, &after))
+                let peer_port = peer_port.filter(|_| topic == NODES_TOPIC);
+                Ok(self.newest(&topic, &after, peer_port))
             }
             _ => Ok(http::empty(StatusCode::NOT_FOUND)),
         }
@@ -370,7 +414,7 @@
         })
     }
 
-    fn newest(&self, topic: &str, after: &str) -> Response<ResponseBody> {
+    fn newest(&self, topic: &str, after: &str, peer_port: Option<u16>) -> Response<ResponseBody> {
         self.with_topic(topic, |topic| {
             let later = topic
                 .newest
@@ -380,6 +424,8 @@
                 .clone()
                 .take(PAGE_KEYS)
                 .map(|(key, value, offset)| {
+                    let changed = peer_port.and_then(|port| with_port(value, port));
+                    let value = changed.as_ref().unwrap_or(value);
                     json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
                 })
                 .collect();
--- a/bench/src/standin/store_process.rs
+++ b/bench/src/standin/store_process.rs
@@ -33,18 +33,28 @@
 Options:
   --address IP:PORT   address that gateways call (127.0.0.1:8223)
   --control IP:PORT   address at which records are put and faults are set (127.0.0.1:8224)
+  --view IP:PORT,PORT further address that gateways call, and the port of gateways' addresses there; may be repeated
 ";
 
 /// Variable of the environment that holds the arguments, one a line. It is set for processes that end with their parent.
 pub const ARGS_VARIABLE: &str = "CB_STORE_ARGS";
 
 /// Addresses of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreOptions {
     /// Address that gateways call.
     pub address: SocketAddr,
     /// Address at which records are put and faults are set.
     pub control: SocketAddr,
+    /// Further addresses that gateways call, with the port of gateways' addresses there.
+    pub views: Vec<(SocketAddr, u16)>,
+}
+
+fn parse_view(text: &str) -> Result<(SocketAddr, u16), String> {
+    let parts = text.split_once(',').ok_or("there is no second port")?;
+    let address = parts.0.parse().map_err(|err| format!("{err}"))?;
+    let port = parts.1.parse().map_err(|err| format!("{err}"))?;
+    Ok((address, port))
 }
 
 impl StoreOptions {
@@ -58,6 +68,7 @@
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let address = args.opt_value_from_str("--address")?;
         let control = args.opt_value_from_str("--control")?;
+        let views = args.values_from_fn("--view", parse_view)?;
         match args.finish().pop() {
             Some(left) => Err(pico_args::Error::ArgumentParsingFailed {
                 cause: format!("\"{}\" is not understood", left.to_string_lossy()),
@@ -65,16 +76,20 @@
             None => Ok(Self {
                 address: address.unwrap_or(local(8223)),
                 control: control.unwrap_or(local(8224)),
+                views,
             }),
         }
     }
 
     /// Returns the arguments that [`StoreOptions::parse`] reads the options from.
-    pub fn to_args(&self) -> [String; 2] {
-        [
+    pub fn to_args(&self) -> Vec<String> {
+        let mut args = vec![
             format!("--address={}", self.address),
             format!("--control={}", self.control),
-        ]
+        ];
+        let views = self.views.iter();
+        args.extend(views.map(|(address, port)| format!("--view={address},{port}")));
+        args
     }
 }
 
@@ -91,6 +106,9 @@
 pub async fn run(options: StoreOptions) -> io::Result<()> {
     let mut stop = Stop::new(ARGS_VARIABLE)?;
     let store = Arc::new(StoreService::start(options.address).await?);
+    for (address, peer_port) in options.views {
+        store.add_view(address, peer_port).await?;
+    }
     let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
         let store = Arc::clone(&store);
         Box::pin(async move { control(&store, req).await })
