--- a/bench/src/day/addresses.rs
+++ b/bench/src/day/addresses.rs
@@ -10,6 +10,7 @@
 const SERVERS_PER_BLOCK: usize = 200;
 const LAST_GATEWAY: usize = 199;
 const STORE: u8 = 250;
+const FIRST_PEER_PORT: u16 = 7400;
 const BALANCER: u8 = 251;
 
 /// The addresses of a play.
@@ -55,6 +56,21 @@
         SocketAddr::new(self.gateway(number), 8012)
     }
 
+    /// Returns where a gateway listens for others.
+    pub fn peers(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.gateway(number), 7340)
+    }
+
+    /// Returns the port at which a gateway reaches the others over the links to them.
+    pub fn peer_port(&self, caller: usize) -> u16 {
+        FIRST_PEER_PORT + caller as u16
+    }
+
+    /// Returns where the gateway `caller` reaches another one over the link between them.
+    pub fn peer_link(&self, caller: usize, number: usize) -> SocketAddr {
+        SocketAddr::new(self.gateway(number), self.peer_port(caller))
+    }
+
     /// Returns the address of a server process.
     pub fn server(&self, number: usize) -> SocketAddr {
         let port = 8100 + 10 * (number / SERVERS_PER_BLOCK) as u16;
@@ -77,9 +93,14 @@
         SocketAddr::new(self.host(usize::from(STORE)), 8224)
     }
 
-    /// Returns where gateways reach the store over the link before it.
-    pub fn store_link(&self) -> SocketAddr {
-        SocketAddr::new(self.host(usize::from(STORE)), 8225)
+    /// Returns where the store listens for a gateway.
+    pub fn store_view(&self, gateway: usize) -> SocketAddr {
+        SocketAddr::new(self.host(usize::from(STORE)), 8300 + gateway as u16)
+    }
+
+    /// Returns where a gateway reaches the store over the link before it.
+    pub fn store_link(&self, gateway: usize) -> SocketAddr {
+        SocketAddr::new(self.host(usize::from(STORE)), 8600 + gateway as u16)
     }
 
     /// Returns where callers of a data centre reach the balancer.
--- a/bench/src/day/fleet.rs
+++ b/bench/src/day/fleet.rs
@@ -13,6 +13,7 @@
 use super::addresses::Addresses;
 use super::gateways::Gateways;
 use super::links::Links;
+use super::links::PeerLink;
 use super::links::Target;
 use super::operator::Operator;
 use super::record::ServerRecord;
@@ -23,6 +24,7 @@
 use crate::standin::balancer::Backend;
 use crate::standin::balancer::BalancerOptions;
 use crate::standin::balancer::Place;
+use crate::standin::peer_relay::PairPorts;
 use crate::standin::replica::Run;
 use crate::standin::server_process::Program;
 use crate::standin::store_process;
@@ -116,6 +118,9 @@
         let options = StoreOptions {
             address: addresses.store(),
             control: addresses.store_control(),
+            views: (0..count)
+                .map(|number| (addresses.store_view(number), addresses.peer_port(number)))
+                .collect(),
         };
         let mut others = vec![spawn(
             &programs.store,
@@ -125,10 +130,24 @@
         let store = Arc::new(StoreControl::new(options.control));
         wait_for_store(&store).await?;
         let to_store = Duration::from_secs_f64(sheet.delays.between_data_centres_ms / 1e3);
-        let link = (addresses.store_link(), options.address);
-        let delays = vec![to_store; count];
-        links.add(Target::Store, link, delays).await?;
         for number in 0..count {
+            let link = (addresses.store_link(number), addresses.store_view(number));
+            let delays = vec![to_store; count];
+            links.add(Target::Store, link, delays).await?;
+            for other in (0..count).filter(|other| *other != number) {
+                let link = PeerLink {
+                    from: number,
+                    to: other,
+                    address: addresses.peer_link(number, other),
+                    target: addresses.peers(other),
+                    ports: PairPorts {
+                        caller: addresses.peer_port(number),
+                        target: addresses.peer_port(other),
+                    },
+                    delay: sheet.delay_between(places[number], places[other]),
+                };
+                links.add_peer(link).await?;
+            }
             let host = addresses.gateway(number);
             let callers = (addresses.caller_link(number), (host, 8001).into());
             let ready = (addresses.ready_link(number), (host, 8002).into());
--- a/bench/src/day/gateways.rs
+++ b/bench/src/day/gateways.rs
@@ -152,14 +152,15 @@
         let bounds = &self.sheet.bounds;
         let text = format!(
             "[gateway]\nname = {}\ndata_centre = {place}\ndata_centres = {}\nregions = {}\n\
-             peer_address = {host}:7340\ncaller_address = {host}:8001\nready_address = {host}:8002\n\
+             peer_address = {}\ncaller_address = {host}:8001\nready_address = {host}:8002\n\
              metrics_address = {host}:7350\nstore_address = {}\nfirst_start = {is_first_start}\n\
              [bounds]\nconfig_apply_ms = {}\ndrain_ms = {}\nrevoke_ms = {}\nstrict_revoke = true\n\
              heartbeat_ms = {}\ngrace_s = {}\nretry_window_s = {}\nretry_ratio = {}\nretry_slack = {}\n",
             self.names[number],
             names.join(","),
             regions.join(","),
-            self.addresses.store_link(),
+            self.addresses.peers(number),
+            self.addresses.store_link(number),
             bounds.config_apply_ms,
             bounds.drain_ms,
             bounds.revoke_ms,
--- a/bench/src/day/links.rs
+++ b/bench/src/day/links.rs
@@ -1,8 +1,7 @@
-//! The links of a play: a relay before each gateway for callers, before each server and before the store, and the rules of the
-//! troubles that are on.
+//! The links of a play: a relay before each gateway for callers, before each server, between each gateway and the store and for
+//! each ordered pair of gateways, and the rules of the troubles that are on.
 //!
-//! Servers and the store tell gateways apart by the addresses that these connect from. Links between gateways have no relays, as a
-//! gateway tells the others the address that it listens on itself.
+//! Relays tell gateways apart by the addresses that these connect from, and those between gateways by their ports.
 
 use std::io;
 use std::net::IpAddr;
@@ -10,6 +9,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use crate::standin::peer_relay;
+use crate::standin::peer_relay::PairPorts;
 use crate::standin::relay::Direction;
 use crate::standin::relay::Gate;
 use crate::standin::relay::Habits;
@@ -25,6 +26,8 @@
     Store,
     /// The server with this number.
     Server(usize),
+    /// The gateway with this number, whichever of both connects to the other.
+    Gateway(usize),
 }
 
 /// What a rule does to links.
@@ -32,7 +35,7 @@
 pub enum Effect {
     /// Bytes are held, and delivered when the rule ends.
     Silent,
-    /// Bytes of one direction are held.
+    /// Bytes of one direction are held, seen from the gateway of the rule: [`Direction::Back`] holds what comes to it.
     Blocked(Direction),
     /// Connections are reset, new ones too.
     Reset,
@@ -42,6 +45,31 @@
     Delay(Duration),
 }
 
+impl Effect {
+    /// Returns the effect as seen from the other end.
+    fn mirrored(self) -> Self {
+        match self {
+            Self::Blocked(Direction::Forward) => Self::Blocked(Direction::Back),
+            Self::Blocked(Direction::Back) => Self::Blocked(Direction::Forward),
+            same => same,
+        }
+    }
+
+    fn add_to(self, habits: &mut Habits) {
+        match self {
+            Self::Silent => habits.is_silent = true,
+            // Two rules may hold a direction each.
+            Self::Blocked(direction) if habits.blocked.is_some_and(|it| it != direction) => {
+                habits.is_silent = true;
+            }
+            Self::Blocked(direction) => habits.blocked = Some(direction),
+            Self::Reset => habits.gate = Gate::Reset,
+            Self::Answer(status) => habits.gate = Gate::Answer(status),
+            Self::Delay(more) => habits.delay += more,
+        }
+    }
+}
+
 /// Links, and what becomes of them.
 #[derive(Clone, Debug)]
 pub struct Rule {
@@ -53,6 +81,42 @@
     pub effect: Effect,
 }
 
+impl Rule {
+    fn names(&self, gateway: usize, target: Target) -> bool {
+        self.gateways.contains(&gateway) && self.targets.contains(&target)
+    }
+
+    /// Returns what the rule does to the connections of `gateway` to `target`: as it names them, and as it names those between two
+    /// gateways from the other end.
+    fn effects_on(&self, gateway: usize, target: Target) -> impl Iterator<Item = Effect> {
+        let named = self.names(gateway, target).then_some(self.effect);
+        let mirrored = match target {
+            Target::Gateway(other) if self.names(other, Target::Gateway(gateway)) => {
+                Some(self.effect.mirrored()).filter(|effect| Some(*effect) != named)
+            }
+            _ => None,
+        };
+        named.into_iter().chain(mirrored)
+    }
+}
+
+/// The link for the connections of one gateway to another one.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerLink {
+    /// Number of the gateway that connects.
+    pub from: usize,
+    /// Number of the other one.
+    pub to: usize,
+    /// Address of the link.
+    pub address: SocketAddr,
+    /// Address of the other gateway.
+    pub target: SocketAddr,
+    /// Ports of the links of both gateways to the others.
+    pub ports: PairPorts,
+    /// Delay of one way.
+    pub delay: Duration,
+}
+
 #[derive(Debug)]
 struct Link {
     target: Target,
@@ -73,6 +137,7 @@
 struct State {
     entrances: Vec<Entrance>,
     links: Vec<Link>,
+    peers: Vec<(PeerLink, Relay)>,
     /// Rules that are on, by their numbers.
     rules: Vec<(u64, Rule)>,
     next_rule: u64,
@@ -137,6 +202,22 @@
         Ok(())
     }
 
+    /// Adds a link between two gateways and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn add_peer(&self, link: PeerLink) -> io::Result<SocketAddr> {
+        let habits = Habits {
+            delay: link.delay,
+            ..Habits::default()
+        };
+        let relay = peer_relay::start(link.address, link.target, habits, link.ports).await?;
+        let address = relay.address();
+        lock(&self.state).peers.push((link, relay));
+        Ok(address)
+    }
+
     /// Puts a rule in force and returns its number.
     pub fn put(&self, rule: Rule) -> u64 {
         let number = {
@@ -172,29 +253,28 @@
                 }
             }
         }
+        let is_meant = |one: usize, other: usize| {
+            gateways.contains(&one) && targets.contains(&Target::Gateway(other))
+        };
+        for (link, relay) in &state.peers {
+            if is_meant(link.from, link.to) || is_meant(link.to, link.from) {
+                relay.reset(None, share);
+            }
+        }
     }
 
     /// Sets the habits of all relays by the rules that are on.
     fn apply(&self) {
         let state = lock(&self.state);
         let habits = |gateway: usize, target: Target, delay: Duration| {
-            let meant =
-                state.rules.iter().map(|(_, rule)| rule).filter(|rule| {
-                    rule.gateways.contains(&gateway) && rule.targets.contains(&target)
-                });
             let mut habits = Habits {
                 delay,
                 ..Habits::default()
             };
-            for rule in meant {
-                match rule.effect {
-                    Effect::Silent => habits.is_silent = true,
-                    Effect::Blocked(direction) => habits.blocked = Some(direction),
-                    Effect::Reset => habits.gate = Gate::Reset,
-                    Effect::Answer(status) => habits.gate = Gate::Answer(status),
-                    Effect::Delay(more) => habits.delay += more,
-                }
-            }
+            let rules = state.rules.iter();
+            rules
+                .flat_map(|(_, rule)| rule.effects_on(gateway, target))
+                .for_each(|effect| effect.add_to(&mut habits));
             habits
         };
         for (number, entrance) in state.entrances.iter().enumerate() {
@@ -211,5 +291,11 @@
                 link.relay.set_habits_towards(*gateway, usual);
             }
         }
+        for (link, relay) in &state.peers {
+            relay.set_habits(habits(link.from, Target::Gateway(link.to), link.delay));
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/bench/src/day/troubles/gateways.rs
+++ b/bench/src/day/troubles/gateways.rs
@@ -194,7 +194,10 @@
     let servers = servers.map(|server| Target::Server(server.number));
     Rule {
         gateways: struck.to_vec(),
-        targets: servers.chain([Target::Callers, Target::Store]).collect(),
+        targets: servers
+            .chain([Target::Callers, Target::Store])
+            .chain((0..scene.fleet.gateways.count()).map(Target::Gateway))
+            .collect(),
         effect: Effect::Silent,
     }
 }
--- a/bench/src/day/troubles/links.rs
+++ b/bench/src/day/troubles/links.rs
@@ -1,6 +1,4 @@
 //! Links that are cut, lose packets or are reset.
-//!
-//! Links between gateways have no relays, so cuts leave these as they are.
 
 use nix::sys::signal::Signal;
 use rand::RngExt;
@@ -48,10 +46,10 @@
             let record = begin(scene, trouble, &struck, &[]);
             let mut targets = all_servers(scene);
             targets.extend([Target::Callers, Target::Store]);
+            targets.extend(other_gateways(scene, &[]));
             let share = trouble.x.unwrap_or(USUAL_RESETS);
             scene.fleet.links.reset(&struck, &targets, share);
             scene.journal.end(record);
-            scene.leave_out(trouble, "links between gateways are left");
         }
         _ => cut_gateways(scene, trouble, &mut rng).await,
     }
@@ -79,6 +77,13 @@
         .collect()
 }
 
+/// Returns all gateways but `left`.
+fn other_gateways(scene: &Scene, left: &[usize]) -> impl Iterator<Item = Target> {
+    let all = 0..scene.fleet.gateways.count();
+    all.filter(|number| !left.contains(number))
+        .map(Target::Gateway)
+}
+
 fn begin(scene: &Scene, trouble: &Trouble, struck: &[usize], servers: &[Arc<Server>]) -> usize {
     let ids: Vec<String> = servers.iter().map(|server| server.id()).collect();
     let what = format!("{} {}", gateways::names(scene, struck), ids.join(", "));
@@ -100,12 +105,24 @@
     }
 }
 
-/// Cuts gateways off from the store, and from servers if the entry says so.
+/// Cuts gateways off from the store and from the other gateways, and from servers if the entry says so.
 async fn cut_gateways(scene: &Scene, trouble: &Trouble, rng: &mut StdRng) {
-    scene.leave_out(trouble, "links between gateways are left");
     let struck = draw_gateways(scene, trouble, rng);
     let mut targets = vec![Target::Store];
     let is_near = trouble.has("near");
+    if is_near || trouble.has("split") {
+        // Those on the same side of the cut still reach each other.
+        let places = &scene.fleet.gateways.places;
+        let is_beside = |number: &usize| {
+            struck
+                .iter()
+                .any(|it| number == it || is_near && places[*number] == places[*it])
+        };
+        let beside = (0..places.len()).filter(is_beside);
+        targets.extend(other_gateways(scene, &beside.collect::<Vec<_>>()));
+    } else {
+        targets.extend(other_gateways(scene, &[]));
+    }
     if trouble.has("all") {
         targets.extend(all_servers(scene));
     } else if is_near {
@@ -144,6 +161,7 @@
     let inside = scene.fleet.gateways.in_place(place);
     let all = 0..scene.fleet.gateways.count();
     let outside = all.filter(|number| !inside.contains(number)).collect();
+    let other_gateways = other_gateways(scene, &inside);
     let servers = scene.fleet.servers.all();
     let in_place = |is_in: bool| {
         let servers = servers
@@ -153,8 +171,11 @@
     };
     [
         Rule {
+            targets: in_place(false)
+                .chain([Target::Store])
+                .chain(other_gateways)
+                .collect(),
             gateways: inside,
-            targets: in_place(false).chain([Target::Store]).collect(),
             effect,
         },
         Rule {
@@ -167,7 +188,6 @@
 
 /// Cuts a data centre off from the others and from the store; its callers still reach it.
 async fn cut_place(scene: &Scene, trouble: &Trouble, rng: &mut StdRng) {
-    scene.leave_out(trouble, "links between gateways are left");
     let place = draw_place(scene, trouble, rng);
     let gateways = scene.fleet.gateways.in_place(place);
     let mut inside = scene.fleet.servers.all();
@@ -199,7 +219,6 @@
 
 /// Holds the links between a data centre and the others for short times, as lost packets do.
 async fn lose_packets(scene: &Scene, trouble: &Trouble, rng: &mut StdRng) {
-    scene.leave_out(trouble, "links between gateways are left");
     let place = draw_place(scene, trouble, rng);
     let gateways = scene.fleet.gateways.in_place(place);
     let record = begin(scene, trouble, &gateways, &[]);
