--- a/bench/src/day/addresses.rs
+++ b/bench/src/day/addresses.rs
@@ -4,12 +4,16 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use crate::standin::peer_relay::RelayPorts;
+
 /// First second byte of the addresses; those below belong to callers, those from 230 on to the soak.
 const FIRST_BLOCK: u64 = 130;
 const BLOCKS: u64 = 100;
 const SERVERS_PER_BLOCK: usize = 200;
 const LAST_GATEWAY: usize = 199;
 const STORE: u8 = 250;
+const FIRST_RELAY_PORT: u16 = 10_000;
+const RELAY_PORTS: u16 = 100;
 const BALANCER: u8 = 251;
 
 /// The addresses of a play.
@@ -55,18 +59,43 @@
         SocketAddr::new(self.gateway(number), 8012)
     }
 
+    /// Returns where a gateway listens for others.
+    pub fn peers(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.gateway(number), 7340)
+    }
+
+    /// Returns the ports at which a gateway reaches others over the links between them.
+    pub fn ports(&self, gateway: usize) -> RelayPorts {
+        let first = FIRST_RELAY_PORT + RELAY_PORTS * gateway as u16;
+        RelayPorts {
+            peers: first,
+            first_server: Some(first),
+        }
+    }
+
+    /// Returns where the gateway `caller` reaches another one over the link between them.
+    pub fn peer_link(&self, caller: usize, number: usize) -> SocketAddr {
+        SocketAddr::new(self.gateway(number), self.ports(caller).peers)
+    }
+
     /// Returns the address of a server process.
     pub fn server(&self, number: usize) -> SocketAddr {
         let port = 8100 + 10 * (number / SERVERS_PER_BLOCK) as u16;
         SocketAddr::new(self.host(1 + number % SERVERS_PER_BLOCK), port)
     }
 
-    /// Returns where gateways reach a server over the link before it.
-    pub fn server_link(&self, number: usize) -> SocketAddr {
+    /// Returns where a server says that it is reached.
+    pub fn server_entry(&self, number: usize) -> SocketAddr {
         let server = self.server(number);
         SocketAddr::new(server.ip(), server.port() + 1)
     }
 
+    /// Returns where a gateway reaches a server over the link between them.
+    pub fn server_link(&self, gateway: usize, number: usize) -> SocketAddr {
+        let entry = self.server_entry(number);
+        SocketAddr::new(entry.ip(), self.ports(gateway).server(entry.port()))
+    }
+
     /// Returns the address of the store process.
     pub fn store(&self) -> SocketAddr {
         SocketAddr::new(self.host(usize::from(STORE)), 8223)
@@ -77,9 +106,14 @@
         SocketAddr::new(self.host(usize::from(STORE)), 8224)
     }
 
-    /// Returns where gateways reach the store over the link before it.
-    pub fn store_link(&self) -> SocketAddr {
-        SocketAddr::new(self.host(usize::from(STORE)), 8225)
+    /// Returns where the store listens for a gateway.
+    pub fn store_view(&self, gateway: usize) -> SocketAddr {
+        SocketAddr::new(self.host(usize::from(STORE)), 8300 + gateway as u16)
+    }
+
+    /// Returns where a gateway reaches the store over the link before it.
+    pub fn store_link(&self, gateway: usize) -> SocketAddr {
+        SocketAddr::new(self.host(usize::from(STORE)), 8600 + gateway as u16)
     }
 
     /// Returns where callers of a data centre reach the balancer.
--- a/bench/src/day/links.rs
+++ b/bench/src/day/links.rs
@@ -1,15 +1,15 @@
-//! The links of a play: a relay before each gateway for callers, before each server and before the store, and the rules of the
-//! troubles that are on.
+//! The links of a play: a relay before each gateway for callers, and for each gateway a relay to each server, to the store and to each
+//! other gateway; and the rules of the troubles that are on.
 //!
-//! Servers and the store tell gateways apart by the addresses that these connect from. Links between gateways have no relays, as a
-//! gateway tells the others the address that it listens on itself.
+//! Gateways connect from any address of their host, so that a relay can't tell them apart: each has its own.
 
 use std::io;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use crate::standin::peer_relay;
+use crate::standin::peer_relay::PairPorts;
 use crate::standin::relay::Direction;
 use crate::standin::relay::Gate;
 use crate::standin::relay::Habits;
@@ -25,6 +25,8 @@
     Store,
     /// The server with this number.
     Server(usize),
+    /// The gateway with this number, whichever of both connects to the other.
+    Gateway(usize),
 }
 
 /// What a rule does to links.
@@ -32,7 +34,7 @@
 pub enum Effect {
     /// Bytes are held, and delivered when the rule ends.
     Silent,
-    /// Bytes of one direction are held.
+    /// Bytes of one direction are held, seen from the gateway of the rule: [`Direction::Back`] holds what comes to it.
     Blocked(Direction),
     /// Connections are reset, new ones too.
     Reset,
@@ -42,6 +44,31 @@
     Delay(Duration),
 }
 
+impl Effect {
+    /// Returns the effect as seen from the other end.
+    fn mirrored(self) -> Self {
+        match self {
+            Self::Blocked(Direction::Forward) => Self::Blocked(Direction::Back),
+            Self::Blocked(Direction::Back) => Self::Blocked(Direction::Forward),
+            same => same,
+        }
+    }
+
+    fn add_to(self, habits: &mut Habits) {
+        match self {
+            Self::Silent => habits.is_silent = true,
+            // Two rules may hold a direction each.
+            Self::Blocked(direction) if habits.blocked.is_some_and(|it| it != direction) => {
+                habits.is_silent = true;
+            }
+            Self::Blocked(direction) => habits.blocked = Some(direction),
+            Self::Reset => habits.gate = Gate::Reset,
+            Self::Answer(status) => habits.gate = Gate::Answer(status),
+            Self::Delay(more) => habits.delay += more,
+        }
+    }
+}
+
 /// Links, and what becomes of them.
 #[derive(Clone, Debug)]
 pub struct Rule {
@@ -53,12 +80,49 @@
     pub effect: Effect,
 }
 
+impl Rule {
+    fn names(&self, gateway: usize, target: Target) -> bool {
+        self.gateways.contains(&gateway) && self.targets.contains(&target)
+    }
+
+    /// Returns what the rule does to the connections of `gateway` to `target`: as it names them, and as it names those between two
+    /// gateways from the other end.
+    fn effects_on(&self, gateway: usize, target: Target) -> impl Iterator<Item = Effect> {
+        let named = self.names(gateway, target).then_some(self.effect);
+        let mirrored = match target {
+            Target::Gateway(other) if self.names(other, Target::Gateway(gateway)) => {
+                Some(self.effect.mirrored()).filter(|effect| Some(*effect) != named)
+            }
+            _ => None,
+        };
+        named.into_iter().chain(mirrored)
+    }
+}
+
+/// The link for the connections of one gateway to another one.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerLink {
+    /// Number of the gateway that connects.
+    pub from: usize,
+    /// Number of the other one.
+    pub to: usize,
+    /// Address of the link.
+    pub address: SocketAddr,
+    /// Address of the other gateway.
+    pub target: SocketAddr,
+    /// Ports of the links of both gateways to the others.
+    pub ports: PairPorts,
+    /// Delay of one way.
+    pub delay: Duration,
+}
+
 #[derive(Debug)]
 struct Link {
+    gateway: usize,
     target: Target,
     relay: Relay,
-    /// Delay of one way towards each gateway.
-    delays: Vec<Duration>,
+    /// Delay of one way.
+    delay: Duration,
 }
 
 /// The links before a gateway.
@@ -79,22 +143,12 @@
 }
 
 /// All links of a play.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Links {
-    /// Address of each gateway.
-    gateways: Vec<IpAddr>,
     state: Mutex<State>,
 }
 
 impl Links {
-    /// Returns the links of gateways that connect from these addresses; there are none yet.
-    pub fn new(gateways: Vec<IpAddr>) -> Self {
-        Self {
-            gateways,
-            state: Mutex::default(),
-        }
-    }
-
     /// Adds the links before the next gateway: `callers` and `ready` hold the address of the link and that of the gateway.
     ///
     /// # Errors
@@ -116,27 +170,50 @@
         Ok(())
     }
 
-    /// Adds the link at `address` to a server or the store at `to`. `delays` holds that of one way towards each gateway.
+    /// Adds the link at `address` from a gateway to a server or the store at `to`, with the delay of one way.
     ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
     pub async fn add(
         &self,
-        target: Target,
+        (gateway, target): (usize, Target),
         (address, to): (SocketAddr, SocketAddr),
-        delays: Vec<Duration>,
+        delay: Duration,
     ) -> io::Result<()> {
         let relay = Relay::start(address, to, Habits::default()).await?;
-        lock(&self.state).links.push(Link {
+        self.push(Link {
+            gateway,
             target,
             relay,
-            delays,
+            delay,
         });
-        self.apply();
         Ok(())
     }
 
+    fn push(&self, link: Link) {
+        lock(&self.state).links.push(link);
+        self.apply();
+    }
+
+    /// Adds a link between two gateways and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn add_peer(&self, link: PeerLink) -> io::Result<SocketAddr> {
+        let habits = Habits::default();
+        let relay = peer_relay::start(link.address, link.target, habits, link.ports).await?;
+        let address = relay.address();
+        self.push(Link {
+            gateway: link.from,
+            target: Target::Gateway(link.to),
+            relay,
+            delay: link.delay,
+        });
+        Ok(address)
+    }
+
     /// Puts a rule in force and returns its number.
     pub fn put(&self, rule: Rule) -> u64 {
         let number = {
@@ -162,14 +239,21 @@
     /// Resets this share of the open connections of links.
     pub fn reset(&self, gateways: &[usize], targets: &[Target], share: f64) {
         let state = lock(&self.state);
-        for gateway in gateways {
-            if targets.contains(&Target::Callers) {
-                state.entrances[*gateway].callers.reset(None, share);
+        let is_meant = |gateway: usize, target: Target| {
+            gateways.contains(&gateway) && targets.contains(&target)
+        };
+        for (number, entrance) in state.entrances.iter().enumerate() {
+            if is_meant(number, Target::Callers) {
+                entrance.callers.reset(share);
             }
-            for link in &state.links {
-                if targets.contains(&link.target) {
-                    link.relay.reset(Some(self.gateways[*gateway]), share);
-                }
+        }
+        for link in &state.links {
+            let is_meant_back = match link.target {
+                Target::Gateway(other) => is_meant(other, Target::Gateway(link.gateway)),
+                _ => false,
+            };
+            if is_meant(link.gateway, link.target) || is_meant_back {
+                link.relay.reset(share);
             }
         }
     }
@@ -178,23 +262,14 @@
     fn apply(&self) {
         let state = lock(&self.state);
         let habits = |gateway: usize, target: Target, delay: Duration| {
-            let meant =
-                state.rules.iter().map(|(_, rule)| rule).filter(|rule| {
-                    rule.gateways.contains(&gateway) && rule.targets.contains(&target)
-                });
             let mut habits = Habits {
                 delay,
                 ..Habits::default()
             };
-            for rule in meant {
-                match rule.effect {
-                    Effect::Silent => habits.is_silent = true,
-                    Effect::Blocked(direction) => habits.blocked = Some(direction),
-                    Effect::Reset => habits.gate = Gate::Reset,
-                    Effect::Answer(status) => habits.gate = Gate::Answer(status),
-                    Effect::Delay(more) => habits.delay += more,
-                }
-            }
+            let rules = state.rules.iter();
+            rules
+                .flat_map(|(_, rule)| rule.effects_on(gateway, target))
+                .for_each(|effect| effect.add_to(&mut habits));
             habits
         };
         for (number, entrance) in state.entrances.iter().enumerate() {
@@ -206,10 +281,11 @@
             });
         }
         for link in &state.links {
-            for (number, gateway) in self.gateways.iter().enumerate() {
-                let usual = habits(number, link.target, link.delays[number]);
-                link.relay.set_habits_towards(*gateway, usual);
-            }
+            link.relay
+                .set_habits(habits(link.gateway, link.target, link.delay));
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/bench/src/standin/relay.rs
+++ b/bench/src/standin/relay.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -96,25 +97,51 @@
     }
 }
 
-/// An order to reset open connections.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reset {
-    /// Of which address, or `None` for all.
-    source: Option<IpAddr>,
-    /// Share of the connections.
-    share: f64,
+/// Changes the bytes of one direction of a connection.
+pub trait Rewriter: Send {
+    /// Takes the next bytes and returns those to send on; the rest is kept until more bytes come.
+    fn rewrite(&mut self, bytes: &[u8]) -> Vec<u8>;
 }
 
-/// Habits towards all sources of connections.
+/// Returns what changes the bytes of a new connection in a direction.
+pub type Rewriters = Arc<dyn Fn(Direction) -> Box<dyn Rewriter> + Send + Sync>;
+
+/// Where a relay passes its connections on to, and how.
+struct Passage {
+    target: SocketAddr,
+    /// `None` if bytes are passed on as they are.
+    rewriters: Option<Rewriters>,
+}
+
+impl Passage {
+    /// Connects to the target for a side that connected from `source`.
+    async fn connect(&self, source: IpAddr) -> io::Result<TcpStream> {
+        if self.rewriters.is_none() {
+            return TcpStream::connect(self.target).await;
+        }
+        let socket = match source {
+            IpAddr::V4(_) => TcpSocket::new_v4()?,
+            IpAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(self.target).await
+    }
+
+    fn rewriter(&self, direction: Direction) -> Option<Box<dyn Rewriter>> {
+        let rewriters = self.rewriters.as_ref();
+        rewriters.map(|rewriters| rewriters(direction))
+    }
+}
+
+/// What holds for all connections.
 #[derive(Debug)]
 struct Shared {
-    usual: Mutex<Habits>,
-    /// Habits towards single addresses, sorted by these.
-    of_sources: Mutex<Vec<(IpAddr, Habits)>>,
-    resets: watch::Sender<Reset>,
+    habits: Mutex<Habits>,
+    /// Shares of the open connections to reset.
+    resets: watch::Sender<f64>,
 }
 
-/// What the relay does with the connections of one source.
+/// A connection's view of them.
 #[derive(Clone, Debug)]
 struct Towards {
     shared: Arc<Shared>,
@@ -123,11 +150,7 @@
 
 impl Towards {
     fn habits(&self) -> Habits {
-        let of_sources = lock(&self.shared.of_sources);
-        match of_sources.binary_search_by_key(&self.source, |(source, _)| *source) {
-            Ok(found) => of_sources[found].1,
-            Err(_) => *lock(&self.shared.usual),
-        }
+        *lock(&self.shared.habits)
     }
 
     async fn wait_while(&self, is_held: impl Fn(Habits) -> bool) {
@@ -136,13 +159,12 @@
         }
     }
 
-    /// Waits until a connection of this source is to be reset.
+    /// Waits until the connection is to be reset.
     async fn wait_for_reset(&self) {
         let mut resets = self.shared.resets.subscribe();
         while resets.changed().await.is_ok() {
-            let reset = *resets.borrow_and_update();
-            let is_meant = reset.source.is_none_or(|source| source == self.source);
-            if is_meant && rand::rng().random_bool(reset.share.clamp(0.0, 1.0)) {
+            let share = *resets.borrow_and_update();
+            if rand::rng().random_bool(share.clamp(0.0, 1.0)) {
                 return;
             }
         }
@@ -168,15 +190,45 @@
         address: SocketAddr,
         target: SocketAddr,
         habits: Habits,
+    ) -> io::Result<Self> {
+        let passage = Passage {
+            target,
+            rewriters: None,
+        };
+        Self::start_passage(address, passage, habits).await
+    }
+
+    /// Starts a relay that changes the bytes of its connections. It connects to `target` from the address that it was connected
+    /// from, by which targets know who asks.
+    ///
+    /// # Errors
+    ///
+    /// As [`Relay::start`].
+    pub async fn start_rewriting(
+        address: SocketAddr,
+        target: SocketAddr,
+        habits: Habits,
+        rewriters: Rewriters,
+    ) -> io::Result<Self> {
+        let passage = Passage {
+            target,
+            rewriters: Some(rewriters),
+        };
+        Self::start_passage(address, passage, habits).await
+    }
+
+    async fn start_passage(
+        address: SocketAddr,
+        passage: Passage,
+        habits: Habits,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            usual: Mutex::new(habits),
-            of_sources: Mutex::default(),
+            habits: Mutex::new(habits),
             resets: watch::Sender::default(),
         });
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&shared)));
+        let task = tokio::spawn(accept(listener, Arc::new(passage), Arc::clone(&shared)));
         Ok(Self {
             address,
             shared,
@@ -189,23 +241,14 @@
         self.address
     }
 
-    /// Sets what the relay does from now on with connections from addresses that have no habits of their own.
+    /// Sets what the relay does from now on.
     pub fn set_habits(&self, habits: Habits) {
-        *lock(&self.shared.usual) = habits;
-    }
-
-    /// Sets what the relay does from now on with connections from `source`.
-    pub fn set_habits_towards(&self, source: IpAddr, habits: Habits) {
-        let mut of_sources = lock(&self.shared.of_sources);
-        match of_sources.binary_search_by_key(&source, |(source, _)| *source) {
-            Ok(found) => of_sources[found].1 = habits,
-            Err(place) => of_sources.insert(place, (source, habits)),
-        }
+        *lock(&self.shared.habits) = habits;
     }
 
-    /// Resets this share of the open connections, drawn one by one, from `source` or from all.
-    pub fn reset(&self, source: Option<IpAddr>, share: f64) {
-        self.shared.resets.send_replace(Reset { source, share });
+    /// Resets this share of the open connections, drawn one by one.
+    pub fn reset(&self, share: f64) {
+        self.shared.resets.send_replace(share);
     }
 
     /// Stops listening. Open connections end with one of their sides.
@@ -214,7 +257,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, passage: Arc<Passage>, shared: Arc<Shared>) {
     loop {
         // An accept error concerns a single connection or is temporary.
         let Ok((client, peer)) = listener.accept().await else {
@@ -224,27 +267,28 @@
             shared: Arc::clone(&shared),
             source: peer.ip(),
         };
+        let passage = Arc::clone(&passage);
         tokio::spawn(async move {
             // An error here concerns only the two sides, which see it.
-            let _ = pass(client, target, &towards).await;
+            let _ = pass(client, &passage, &towards).await;
         });
     }
 }
 
 /// Passes a new connection on as the habits say.
-async fn pass(mut client: TcpStream, target: SocketAddr, towards: &Towards) -> io::Result<()> {
+async fn pass(mut client: TcpStream, passage: &Passage, towards: &Towards) -> io::Result<()> {
     towards.wait_while(|habits| habits.is_silent).await;
     match towards.habits().gate {
         Gate::Open => {}
         Gate::Reset => return client.set_zero_linger(),
         Gate::Answer(status) => return answer(&mut client, status).await,
     }
-    match TcpStream::connect(target).await {
+    match passage.connect(towards.source).await {
         Ok(server) => {
             if let Some(number) = towards.habits().greeting {
                 client.write_u16(number).await?;
             }
-            relay(client, server, towards).await
+            relay((client, server), passage, towards).await
         }
         Err(_) => receive_in_vain(client, towards).await,
     }
@@ -291,7 +335,11 @@
 }
 
 /// Copies bytes in both directions until both have ended or one fails.
-async fn relay(mut client: TcpStream, mut server: TcpStream, towards: &Towards) -> io::Result<()> {
+async fn relay(
+    (mut client, mut server): (TcpStream, TcpStream),
+    passage: &Passage,
+    towards: &Towards,
+) -> io::Result<()> {
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let copied = {
@@ -300,8 +348,8 @@
         tokio::select! {
             () = towards.wait_for_reset() => Err(io::ErrorKind::ConnectionReset.into()),
             copied = async { tokio::try_join!(
-                copy(from_client, to_server, Direction::Forward, towards),
-                copy(from_server, to_client, Direction::Back, towards),
+                copy(from_client, to_server, (Direction::Forward, passage), towards),
+                copy(from_server, to_client, (Direction::Back, passage), towards),
             ) } => copied,
         }
     };
@@ -325,9 +373,10 @@
 async fn copy(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    direction: Direction,
+    (direction, passage): (Direction, &Passage),
     towards: &Towards,
 ) -> io::Result<()> {
+    let mut rewriter = passage.rewriter(direction);
     let mut buf = vec![0; BUF_BYTES];
     loop {
         let count = from.read(&mut buf).await?;
@@ -339,6 +388,9 @@
         if count == 0 {
             return to.shutdown().await;
         }
-        to.write_all(&buf[..count]).await?;
+        match &mut rewriter {
+            Some(rewriter) => to.write_all(&rewriter.rewrite(&buf[..count])).await?,
+            None => to.write_all(&buf[..count]).await?,
+        }
     }
 }
--- a/bench/src/standin/store_process.rs
+++ b/bench/src/standin/store_process.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::peer_relay::RelayPorts;
 use super::stop::Stop;
 use super::stop::requested_args;
 use super::store::StoreService;
@@ -33,18 +34,38 @@
 Options:
   --address IP:PORT   address that gateways call (127.0.0.1:8223)
   --control IP:PORT   address at which records are put and faults are set (127.0.0.1:8224)
+  --view IP:PORT,PORT,PORT
+                      further address that gateways call, the port of gateways there and the first of a block of
+                      100 ports of servers; may be repeated
 ";
 
 /// Variable of the environment that holds the arguments, one a line. It is set for processes that end with their parent.
 pub const ARGS_VARIABLE: &str = "CB_STORE_ARGS";
 
 /// Addresses of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreOptions {
     /// Address that gateways call.
     pub address: SocketAddr,
     /// Address at which records are put and faults are set.
     pub control: SocketAddr,
+    /// Further addresses that gateways call, with the ports of entries there.
+    pub views: Vec<(SocketAddr, RelayPorts)>,
+}
+
+fn parse_view(text: &str) -> Result<(SocketAddr, RelayPorts), String> {
+    let mut parts = text.split(',');
+    let address = parts.next().unwrap_or_default().parse();
+    let address = address.map_err(|err| format!("{err}"))?;
+    let mut port = || match parts.next() {
+        Some(part) => part.parse().map_err(|err| format!("{err}")),
+        None => Err("there is a port too few".to_owned()),
+    };
+    let ports = RelayPorts {
+        peers: port()?,
+        first_server: Some(port()?),
+    };
+    Ok((address, ports))
 }
 
 impl StoreOptions {
@@ -58,6 +79,7 @@
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let address = args.opt_value_from_str("--address")?;
         let control = args.opt_value_from_str("--control")?;
+        let views = args.values_from_fn("--view", parse_view)?;
         match args.finish().pop() {
             Some(left) => Err(pico_args::Error::ArgumentParsingFailed {
                 cause: format!("\"{}\" is not understood", left.to_string_lossy()),
@@ -65,16 +87,22 @@
             None => Ok(Self {
                 address: address.unwrap_or(local(8223)),
                 control: control.unwrap_or(local(8224)),
+                views,
             }),
         }
     }
 
     /// Returns the arguments that [`StoreOptions::parse`] reads the options from.
-    pub fn to_args(&self) -> [String; 2] {
-        [
+    pub fn to_args(&self) -> Vec<String> {
+        let mut args = vec![
             format!("--address={}", self.address),
             format!("--control={}", self.control),
-        ]
+        ];
+        for (address, ports) in &self.views {
+            let first_server = ports.first_server.unwrap_or_default();
+            args.push(format!("--view={address},{},{first_server}", ports.peers));
+        }
+        args
     }
 }
 
@@ -91,6 +119,9 @@
 pub async fn run(options: StoreOptions) -> io::Result<()> {
     let mut stop = Stop::new(ARGS_VARIABLE)?;
     let store = Arc::new(StoreService::start(options.address).await?);
+    for (address, ports) in options.views {
+        store.add_view(address, ports).await?;
+    }
     let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
         let store = Arc::clone(&store);
         Box::pin(async move { control(&store, req).await })
