--- a/bench/tests/day.rs
+++ b/bench/tests/day.rs
@@ -178,6 +178,7 @@
         target: format!("/{route}/{}", number % 200),
         body: Bytes::from_static(b"body"),
         server,
+        software_version: "v1".to_owned(),
         written: Written {
             asked_after: 0,
             first_id: 1,
