--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod events;
 pub mod faults;
+pub mod faulty_gateway;
 pub mod generate;
 pub mod group;
 pub mod hosts;
