--- a/src/gateway/delivery.rs
+++ b/src/gateway/delivery.rs
@@ -251,11 +251,10 @@
 
     fn end_check(&self, response: &ServerResponse, witness: Option<Witness>) -> EndCheck {
         EndCheck::new(
-            (&response.head.headers, &response.body),
+            response,
             &self.gateway,
             (&self.server, &self.question),
             &self.outbound.request_id,
-            response.lease.helper().is_some(),
             witness,
         )
     }
--- a/src/gateway/end_check.rs
+++ b/src/gateway/end_check.rs
@@ -1,17 +1,18 @@
 //! Tells an answer that its server has finished from one that ended because its server did.
 //!
 //! An answer without length or chunks ends with its connection, and the host of a process that is killed closes that as the
-//! process itself would have done (`docs/PLATFORM.md`).
+//! process itself would have done (`docs/PLATFORM.md`). One that ended before its server had taken the request is never complete,
+//! since a relay may have closed the connection for a server that reset it.
 
+use super::attempt::ServerResponse;
 use super::handler::Gateway;
 use super::life_sign::LifeSign;
 use super::life_sign::Question;
 use super::server_paths::ServerConnection;
 use super::stream_record::BodyEnd;
+use super::write_watch::WriteWatch;
 use crate::catalog::BackendServer;
 use crate::net::timeout_at;
-use hyper::HeaderMap;
-use hyper::body::Incoming;
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,6 +97,7 @@
     request_id: String,
     /// Whether another gateway carries the connection.
     is_tunnel: bool,
+    write_watch: WriteWatch,
     /// For a plain server, which tells its name, but not its start. A model engine tells both, and gets none.
     witness: Option<Witness>,
 }
@@ -104,14 +106,15 @@
     /// Returns the check for the answer of `server` to a request, of which the head has arrived. `witness` was opened before the
     /// request was sent, if there is one.
     pub(super) fn new(
-        (headers, body): (&HeaderMap, &Incoming),
+        response: &ServerResponse,
         gateway: &Arc<Gateway>,
         (server, question): (&BackendServer, &Question),
         request_id: &str,
-        is_tunnel: bool,
         witness: Option<Witness>,
     ) -> Self {
-        let body_end = BodyEnd::of(headers, body);
+        let lease = &response.lease;
+        let is_tunnel = lease.helper().is_some();
+        let body_end = BodyEnd::of(&response.head.headers, &response.body);
         let is_plain = matches!(question, Question::Health(_));
         let needs_witness = body_end == BodyEnd::Connection && is_plain;
         if needs_witness {
@@ -127,6 +130,7 @@
             question: question.clone(),
             request_id: request_id.to_owned(),
             is_tunnel,
+            write_watch: lease.write_watch().clone(),
             witness,
         }
     }
@@ -141,6 +145,11 @@
         if self.body_end != BodyEnd::Connection {
             return true;
         }
+        if self.write_watch.has_ended_early() {
+            info!(self.gateway.logs.log(), "answer without length ended before its request was taken";
+                "request" => &self.request_id, "server" => &self.server.id);
+            return false;
+        }
         let asked_at = Instant::now();
         let sign = self.life_sign(deadline).await;
         let gateway = &self.gateway;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 mod team_demand;
 #[cfg(test)]
 mod tests;
+mod write_watch;
 
 pub use dialect::Dialect;
 pub use dialect::ForwardMetadata;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -7,6 +7,8 @@
 use super::headers::has_connection_close;
 use super::headers::keep_alive_timeout;
 use super::server_paths::ServerConnection;
+use super::write_watch::WatchedStream;
+use super::write_watch::WriteWatch;
 use crate::catalog::BackendServer;
 use crate::logs::Logs;
 use crate::net::Body;
@@ -31,6 +33,8 @@
 /// Time for which sent bytes may stay unacknowledged before the connection counts as dead. It exceeds the time that callers
 /// wait for the next event of a stream, since a sound host may be silent for a second or two.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Bytes of a request that may be written before its server has room for them.
+const MAX_UNSENT_BYTES: u32 = 16 * 1024;
 /// Time after the deadline of a stream at which it is closed if nobody reads it. It begins when this process takes note of the
 /// deadline, so that what has arrived during a pause of the process is still passed on.
 const UNREAD_MARGIN: Duration = Duration::from_millis(250);
@@ -78,6 +82,7 @@
     sender: SendRequest<Body>,
     task: ConnectionTask,
     head_limit: HeadLimit,
+    write_watch: WriteWatch,
     server_id: String,
     /// Start time of the server's incarnation; a connection is not reused for another incarnation.
     server_start_time_ms: u64,
@@ -125,6 +130,7 @@
 pub fn server_connector() -> Arc<dyn Connector> {
     Arc::new(TcpConnector {
         user_timeout: TCP_USER_TIMEOUT,
+        max_unsent_bytes: MAX_UNSENT_BYTES,
     })
 }
 
@@ -169,7 +175,8 @@
         let failed = |err: &dyn std::fmt::Display| ConnectError::Failed(err.to_string());
         let ServerConnection { io, helper } = connection;
         let head_limit = HeadLimit::default();
-        let stream = HeadLimitedStream::new(io, &head_limit);
+        let write_watch = WriteWatch::default();
+        let stream = WatchedStream::new(HeadLimitedStream::new(io, &head_limit), &write_watch);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -181,6 +188,7 @@
             sender,
             task: ConnectionTask(task.abort_handle()),
             head_limit,
+            write_watch,
             server_id: server.id.clone(),
             server_start_time_ms: server.entry.start_time_ms,
             max_idle: (max_connections / IDLE_DIVISOR).max(2) as usize,
@@ -282,6 +290,11 @@
         &self.head_limit
     }
 
+    /// Returns what tells whether the server has taken the whole request.
+    pub(super) fn write_watch(&self) -> &WriteWatch {
+        &self.write_watch
+    }
+
     /// Returns the name of the server at the other end.
     pub(super) fn server_id(&self) -> &str {
         &self.server_id
--- a/src/net/connector.rs
+++ b/src/net/connector.rs
@@ -30,6 +30,9 @@
 pub struct TcpConnector {
     /// Time for which sent bytes may stay unacknowledged before a connection counts as dead.
     pub user_timeout: Duration,
+    /// Bytes that may be written before the other side has room for them. With more, a request would count as written that has
+    /// never left this host.
+    pub max_unsent_bytes: u32,
 }
 
 #[async_trait]
@@ -37,7 +40,9 @@
     async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn Connection>> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(self.user_timeout))?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(self.user_timeout))?;
+        socket.set_tcp_notsent_lowat(self.max_unsent_bytes)?;
         Ok(Box::new(stream))
     }
 }
