--- a/bench/src/standin/faulty_gateway.rs
+++ b/bench/src/standin/faulty_gateway.rs
@@ -74,6 +74,10 @@
     CutAnswer,
     /// A plain answer has the body of another.
     OtherAnswer,
+    /// A plain answer lacks the server's signature.
+    DropSeal,
+    /// A plain answer is held back until long after the usual timeouts.
+    HoldAnswer,
     /// A request that may run once is sent twice.
     RunTwice,
     /// A request that ran is answered 503.
@@ -98,12 +102,14 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::DropEvent,
         Self::RepeatEvent,
         Self::IgnoreVersions,
         Self::CutAnswer,
         Self::OtherAnswer,
+        Self::DropSeal,
+        Self::HoldAnswer,
         Self::RunTwice,
         Self::FalseRefusal,
         Self::ChangePath,
@@ -124,6 +130,8 @@
             Self::IgnoreVersions => "ignore-versions",
             Self::CutAnswer => "cut-answer",
             Self::OtherAnswer => "other-answer",
+            Self::DropSeal => "drop-seal",
+            Self::HoldAnswer => "hold-answer",
             Self::RunTwice => "run-twice",
             Self::FalseRefusal => "false-refusal",
             Self::ChangePath => "change-path",
--- a/bench/src/standin/faulty_gateway/callers.rs
+++ b/bench/src/standin/faulty_gateway/callers.rs
@@ -36,8 +36,11 @@
 const WRONG_EVENT: usize = 2;
 /// Time after which a request is sent whose caller has left.
 const LATE: Duration = Duration::from_millis(900);
+/// Time for which an answer is held back.
+const HOLD: Duration = Duration::from_secs(3);
 const DEADLINE: &str = "currantbend-deadline-ms";
-const MODEL: &str = "currantbend-model";
+const SEAL: &str = "currantbend-response-seal";
+const TOKEN_COUNTS: &str = "currantbend-token-counts";
 
 pub(super) struct CallersProxy {
     gateway: SocketAddr,
@@ -57,7 +60,7 @@
 
 impl Whole {
     fn is_stream(&self) -> bool {
-        self.head.headers.contains_key("currantbend-token-counts")
+        self.head.headers.contains_key(TOKEN_COUNTS)
     }
 
     fn is_plain_post(&self) -> bool {
@@ -128,12 +131,10 @@
     fn fault_of(&self, req: &Whole) -> Option<Fault> {
         let mut possible = Vec::new();
         if req.is_stream() {
-            possible.extend([Fault::DropEvent, Fault::RepeatEvent]);
-            if req.head.headers.contains_key(MODEL) {
-                possible.push(Fault::ChangeHeader);
-            }
+            possible.extend([Fault::DropEvent, Fault::RepeatEvent, Fault::ChangeHeader]);
         } else {
-            possible.extend([Fault::CutAnswer, Fault::OtherAnswer, Fault::ChangePath]);
+            possible.extend([Fault::CutAnswer, Fault::OtherAnswer, Fault::DropSeal]);
+            possible.extend([Fault::HoldAnswer, Fault::ChangePath]);
         }
         if req.is_plain_post() {
             possible.extend([Fault::RunTwice, Fault::FalseRefusal, Fault::DropRequest]);
@@ -201,6 +202,10 @@
                     return Ok(res);
                 }
                 Some(Fault::DropRequest) => return Err(Abort),
+                Some(Fault::DropSeal) => {
+                    head.headers.remove(SEAL);
+                }
+                Some(Fault::HoldAnswer) => tokio::time::sleep(HOLD).await,
                 _ => {}
             }
         }
@@ -222,8 +227,8 @@
                 req.head.uri = path.parse().map_err(|_| Abort)?;
             }
             Some(Fault::ChangeHeader) => {
-                let changed = HeaderValue::from_static("changed");
-                req.head.headers.insert(MODEL, changed);
+                let changed = HeaderValue::from_static("7,7");
+                req.head.headers.insert(TOKEN_COUNTS, changed);
             }
             Some(Fault::RunTwice) => req.send_in_vain(self.gateway).await,
             _ => {}
