--- a/bench/src/day/addresses.rs
+++ b/bench/src/day/addresses.rs
@@ -4,13 +4,16 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use crate::standin::peer_relay::RelayPorts;
+
 /// First second byte of the addresses; those below belong to callers, those from 230 on to the soak.
 const FIRST_BLOCK: u64 = 130;
 const BLOCKS: u64 = 100;
 const SERVERS_PER_BLOCK: usize = 200;
 const LAST_GATEWAY: usize = 199;
 const STORE: u8 = 250;
-const FIRST_PEER_PORT: u16 = 7400;
+const FIRST_RELAY_PORT: u16 = 10_000;
+const RELAY_PORTS: u16 = 100;
 const BALANCER: u8 = 251;
 
 /// The addresses of a play.
@@ -61,14 +64,18 @@
         SocketAddr::new(self.gateway(number), 7340)
     }
 
-    /// Returns the port at which a gateway reaches the others over the links to them.
-    pub fn peer_port(&self, caller: usize) -> u16 {
-        FIRST_PEER_PORT + caller as u16
+    /// Returns the ports at which a gateway reaches others over the links between them.
+    pub fn ports(&self, gateway: usize) -> RelayPorts {
+        let first = FIRST_RELAY_PORT + RELAY_PORTS * gateway as u16;
+        RelayPorts {
+            peers: first,
+            first_server: Some(first),
+        }
     }
 
     /// Returns where the gateway `caller` reaches another one over the link between them.
     pub fn peer_link(&self, caller: usize, number: usize) -> SocketAddr {
-        SocketAddr::new(self.gateway(number), self.peer_port(caller))
+        SocketAddr::new(self.gateway(number), self.ports(caller).peers)
     }
 
     /// Returns the address of a server process.
@@ -77,12 +84,18 @@
         SocketAddr::new(self.host(1 + number % SERVERS_PER_BLOCK), port)
     }
 
-    /// Returns where gateways reach a server over the link before it.
-    pub fn server_link(&self, number: usize) -> SocketAddr {
+    /// Returns where a server says that it is reached.
+    pub fn server_entry(&self, number: usize) -> SocketAddr {
         let server = self.server(number);
         SocketAddr::new(server.ip(), server.port() + 1)
     }
 
+    /// Returns where a gateway reaches a server over the link between them.
+    pub fn server_link(&self, gateway: usize, number: usize) -> SocketAddr {
+        let entry = self.server_entry(number);
+        SocketAddr::new(entry.ip(), self.ports(gateway).server(entry.port()))
+    }
+
     /// Returns the address of the store process.
     pub fn store(&self) -> SocketAddr {
         SocketAddr::new(self.host(usize::from(STORE)), 8223)
--- a/bench/src/day/fleet.rs
+++ b/bench/src/day/fleet.rs
@@ -113,13 +113,12 @@
         let addresses = Addresses::new(seed);
         let places = sheet.places_of_gateways();
         let count = places.len();
-        let hosts = (0..count).map(|number| addresses.gateway(number));
-        let links = Arc::new(Links::new(hosts.collect()));
+        let links = Arc::new(Links::default());
         let options = StoreOptions {
             address: addresses.store(),
             control: addresses.store_control(),
             views: (0..count)
-                .map(|number| (addresses.store_view(number), addresses.peer_port(number)))
+                .map(|number| (addresses.store_view(number), addresses.ports(number)))
                 .collect(),
         };
         let mut others = vec![spawn(
@@ -132,8 +131,7 @@
         let to_store = Duration::from_secs_f64(sheet.delays.between_data_centres_ms / 1e3);
         for number in 0..count {
             let link = (addresses.store_link(number), addresses.store_view(number));
-            let delays = vec![to_store; count];
-            links.add(Target::Store, link, delays).await?;
+            links.add((number, Target::Store), link, to_store).await?;
             for other in (0..count).filter(|other| *other != number) {
                 let link = PeerLink {
                     from: number,
@@ -141,8 +139,8 @@
                     address: addresses.peer_link(number, other),
                     target: addresses.peers(other),
                     ports: PairPorts {
-                        caller: addresses.peer_port(number),
-                        target: addresses.peer_port(other),
+                        caller: addresses.ports(number),
+                        target: addresses.ports(other),
                     },
                     delay: sheet.delay_between(places[number], places[other]),
                 };
--- a/bench/src/day/links.rs
+++ b/bench/src/day/links.rs
@@ -1,10 +1,9 @@
-//! The links of a play: a relay before each gateway for callers, before each server, between each gateway and the store and for
-//! each ordered pair of gateways, and the rules of the troubles that are on.
+//! The links of a play: a relay before each gateway for callers, and for each gateway a relay to each server, to the store and to each
+//! other gateway; and the rules of the troubles that are on.
 //!
-//! Relays tell gateways apart by the addresses that these connect from, and those between gateways by their ports.
+//! Gateways connect from any address of their host, so that a relay can't tell them apart: each has its own.
 
 use std::io;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -119,10 +118,11 @@
 
 #[derive(Debug)]
 struct Link {
+    gateway: usize,
     target: Target,
     relay: Relay,
-    /// Delay of one way towards each gateway.
-    delays: Vec<Duration>,
+    /// Delay of one way.
+    delay: Duration,
 }
 
 /// The links before a gateway.
@@ -137,29 +137,18 @@
 struct State {
     entrances: Vec<Entrance>,
     links: Vec<Link>,
-    peers: Vec<(PeerLink, Relay)>,
     /// Rules that are on, by their numbers.
     rules: Vec<(u64, Rule)>,
     next_rule: u64,
 }
 
 /// All links of a play.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Links {
-    /// Address of each gateway.
-    gateways: Vec<IpAddr>,
     state: Mutex<State>,
 }
 
 impl Links {
-    /// Returns the links of gateways that connect from these addresses; there are none yet.
-    pub fn new(gateways: Vec<IpAddr>) -> Self {
-        Self {
-            gateways,
-            state: Mutex::default(),
-        }
-    }
-
     /// Adds the links before the next gateway: `callers` and `ready` hold the address of the link and that of the gateway.
     ///
     /// # Errors
@@ -181,40 +170,47 @@
         Ok(())
     }
 
-    /// Adds the link at `address` to a server or the store at `to`. `delays` holds that of one way towards each gateway.
+    /// Adds the link at `address` from a gateway to a server or the store at `to`, with the delay of one way.
     ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
     pub async fn add(
         &self,
-        target: Target,
+        (gateway, target): (usize, Target),
         (address, to): (SocketAddr, SocketAddr),
-        delays: Vec<Duration>,
+        delay: Duration,
     ) -> io::Result<()> {
         let relay = Relay::start(address, to, Habits::default()).await?;
-        lock(&self.state).links.push(Link {
+        self.push(Link {
+            gateway,
             target,
             relay,
-            delays,
+            delay,
         });
-        self.apply();
         Ok(())
     }
 
+    fn push(&self, link: Link) {
+        lock(&self.state).links.push(link);
+        self.apply();
+    }
+
     /// Adds a link between two gateways and returns its address.
     ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
     pub async fn add_peer(&self, link: PeerLink) -> io::Result<SocketAddr> {
-        let habits = Habits {
-            delay: link.delay,
-            ..Habits::default()
-        };
+        let habits = Habits::default();
         let relay = peer_relay::start(link.address, link.target, habits, link.ports).await?;
         let address = relay.address();
-        lock(&self.state).peers.push((link, relay));
+        self.push(Link {
+            gateway: link.from,
+            target: Target::Gateway(link.to),
+            relay,
+            delay: link.delay,
+        });
         Ok(address)
     }
 
@@ -243,22 +239,21 @@
     /// Resets this share of the open connections of links.
     pub fn reset(&self, gateways: &[usize], targets: &[Target], share: f64) {
         let state = lock(&self.state);
-        for gateway in gateways {
-            if targets.contains(&Target::Callers) {
-                state.entrances[*gateway].callers.reset(None, share);
-            }
-            for link in &state.links {
-                if targets.contains(&link.target) {
-                    link.relay.reset(Some(self.gateways[*gateway]), share);
-                }
+        let is_meant = |gateway: usize, target: Target| {
+            gateways.contains(&gateway) && targets.contains(&target)
+        };
+        for (number, entrance) in state.entrances.iter().enumerate() {
+            if is_meant(number, Target::Callers) {
+                entrance.callers.reset(share);
             }
         }
-        let is_meant = |one: usize, other: usize| {
-            gateways.contains(&one) && targets.contains(&Target::Gateway(other))
-        };
-        for (link, relay) in &state.peers {
-            if is_meant(link.from, link.to) || is_meant(link.to, link.from) {
-                relay.reset(None, share);
+        for link in &state.links {
+            let is_meant_back = match link.target {
+                Target::Gateway(other) => is_meant(other, Target::Gateway(link.gateway)),
+                _ => false,
+            };
+            if is_meant(link.gateway, link.target) || is_meant_back {
+                link.relay.reset(share);
             }
         }
     }
@@ -286,13 +281,8 @@
             });
         }
         for link in &state.links {
-            for (number, gateway) in self.gateways.iter().enumerate() {
-                let usual = habits(number, link.target, link.delays[number]);
-                link.relay.set_habits_towards(*gateway, usual);
-            }
-        }
-        for (link, relay) in &state.peers {
-            relay.set_habits(habits(link.from, Target::Gateway(link.to), link.delay));
+            link.relay
+                .set_habits(habits(link.gateway, link.target, link.delay));
         }
     }
 }
--- a/bench/src/day/links/tests.rs
+++ b/bench/src/day/links/tests.rs
@@ -15,6 +15,7 @@
 use super::Rule;
 use super::Target;
 use crate::standin::peer_relay::PairPorts;
+use crate::standin::peer_relay::RelayPorts;
 use crate::standin::relay::Direction;
 
 const GATEWAYS: usize = 3;
@@ -23,6 +24,12 @@
 /// The end of a head, after which the links pass on bytes that are no whole frame.
 const HELLO: &[u8] = b"\r\n\r\n";
 
+/// Ports that no entry of these tests has.
+const PORTS: RelayPorts = RelayPorts {
+    peers: 1,
+    first_server: None,
+};
+
 /// Three gateways that only listen, with the links between them.
 struct Peers {
     links: Links,
@@ -44,7 +51,7 @@
 
 async fn peers() -> Peers {
     let host = IpAddr::V4(Ipv4Addr::LOCALHOST);
-    let links = Links::new(vec![host; GATEWAYS]);
+    let links = Links::default();
     let mut listeners = Vec::new();
     for _ in 0..GATEWAYS {
         listeners.push(TcpListener::bind((host, 0)).await.unwrap());
@@ -58,8 +65,8 @@
                 address: (host, 0).into(),
                 target: listeners[to].local_addr().unwrap(),
                 ports: PairPorts {
-                    caller: 1,
-                    target: 2,
+                    caller: PORTS,
+                    target: PORTS,
                 },
                 delay: Duration::ZERO,
             };
--- a/bench/src/day/servers.rs
+++ b/bench/src/day/servers.rs
@@ -251,16 +251,17 @@
         let folder = self.folder.join(&id);
         let program = self.program.clone();
         let process = ServerProcess::start_in(program, folder, options).await?;
-        let delays = self.gateway_places.iter();
-        let delays = delays.map(|it| self.sheet.delay_between(*it, place));
         let answers = match self.has_answer_links {
             true => Some(AnswerLink::start(address).await?),
             false => None,
         };
         let to = answers.as_ref().map_or(address, AnswerLink::address);
-        let link = (self.addresses.server_link(number), to);
-        let target = Target::Server(number);
-        self.links.add(target, link, delays.collect()).await?;
+        for (gateway, gateway_place) in self.gateway_places.iter().enumerate() {
+            let link = (self.addresses.server_link(gateway, number), to);
+            let delay = self.sheet.delay_between(*gateway_place, place);
+            let ends = (gateway, Target::Server(number));
+            self.links.add(ends, link, delay).await?;
+        }
         let server = Arc::new(Server {
             number,
             service: service.name.clone(),
@@ -396,7 +397,7 @@
             };
             let text = serde_json::json!({
                 "service": server.service,
-                "address": self.addresses.server_link(server.number),
+                "address": self.addresses.server_entry(server.number),
                 "zone": self.sheet.data_centres[server.place].name,
                 "version": options.version,
                 "slots": server.slots,
--- a/bench/src/standin/peer_relay/tests.rs
+++ b/bench/src/standin/peer_relay/tests.rs
@@ -8,12 +8,17 @@
 use super::EntryRewriter;
 use super::Frame;
 use super::MASKED;
+use super::RelayPorts;
 use super::WHOLE_BINARY;
 use crate::standin::relay::Rewriter;
 
 const HEAD: &[u8] = b"GET /peers HTTP/1.1\r\nupgrade: websocket\r\n\r\n";
 const MASK: [u8; 4] = [7, 200, 31, 90];
 const PORT: u16 = 7402;
+const PORTS: RelayPorts = RelayPorts {
+    peers: PORT,
+    first_server: Some(10_200),
+};
 
 /// An entry as gateways encode it.
 #[derive(Serialize)]
@@ -22,6 +27,19 @@
     address: SocketAddr,
 }
 
+/// What is told of a server.
+#[derive(Serialize)]
+struct Server {
+    id: String,
+    entry: Entry,
+}
+
+#[derive(Serialize)]
+struct Servers {
+    servers_stamp: u64,
+    servers: Vec<Server>,
+}
+
 #[derive(Serialize)]
 struct Request {
     node: String,
@@ -67,6 +85,17 @@
     })
 }
 
+fn servers(port: u16) -> Vec<u8> {
+    let servers = entries(port).into_iter().map(|entry| Server {
+        id: entry.name.clone(),
+        entry,
+    });
+    encode(&Servers {
+        servers_stamp: 7,
+        servers: servers.collect(),
+    })
+}
+
 fn packed(list: &[u8]) -> Vec<u8> {
     let level = flate2::Compression::fast();
     let mut encoder = flate2::write::ZlibEncoder::new(Vec::new(), level);
@@ -116,7 +145,7 @@
 
 /// Passes `bytes` in parts of `size`.
 fn rewrite(bytes: &[u8], size: usize) -> Vec<u8> {
-    let mut rewriter = EntryRewriter::new(PORT);
+    let mut rewriter = EntryRewriter::new(PORTS);
     let parts = bytes.chunks(size);
     parts.flat_map(|part| rewriter.rewrite(part)).collect()
 }
@@ -137,6 +166,14 @@
     }
 }
 
+#[test]
+fn servers_get_a_port_in_the_block_of_the_receiver() {
+    for (sent, expected) in [(8111, 10_211), (10_311, 10_211)] {
+        let bytes = [HEAD, &frame(&servers(sent), None)].concat();
+        assert_eq!(payloads(&rewrite(&bytes, 50)), [servers(expected)]);
+    }
+}
+
 #[test]
 fn packed_entries_get_the_port_of_the_receivers_links() {
     let sent = packed(&encode(&entries(7340)));
--- a/bench/src/standin/relay.rs
+++ b/bench/src/standin/relay.rs
@@ -133,25 +133,15 @@
     }
 }
 
-/// An order to reset open connections.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reset {
-    /// Of which address, or `None` for all.
-    source: Option<IpAddr>,
-    /// Share of the connections.
-    share: f64,
-}
-
-/// Habits towards all sources of connections.
+/// What holds for all connections.
 #[derive(Debug)]
 struct Shared {
-    usual: Mutex<Habits>,
-    /// Habits towards single addresses, sorted by these.
-    of_sources: Mutex<Vec<(IpAddr, Habits)>>,
-    resets: watch::Sender<Reset>,
+    habits: Mutex<Habits>,
+    /// Shares of the open connections to reset.
+    resets: watch::Sender<f64>,
 }
 
-/// What the relay does with the connections of one source.
+/// A connection's view of them.
 #[derive(Clone, Debug)]
 struct Towards {
     shared: Arc<Shared>,
@@ -160,11 +150,7 @@
 
 impl Towards {
     fn habits(&self) -> Habits {
-        let of_sources = lock(&self.shared.of_sources);
-        match of_sources.binary_search_by_key(&self.source, |(source, _)| *source) {
-            Ok(found) => of_sources[found].1,
-            Err(_) => *lock(&self.shared.usual),
-        }
+        *lock(&self.shared.habits)
     }
 
     async fn wait_while(&self, is_held: impl Fn(Habits) -> bool) {
@@ -173,13 +159,12 @@
         }
     }
 
-    /// Waits until a connection of this source is to be reset.
+    /// Waits until the connection is to be reset.
     async fn wait_for_reset(&self) {
         let mut resets = self.shared.resets.subscribe();
         while resets.changed().await.is_ok() {
-            let reset = *resets.borrow_and_update();
-            let is_meant = reset.source.is_none_or(|source| source == self.source);
-            if is_meant && rand::rng().random_bool(reset.share.clamp(0.0, 1.0)) {
+            let share = *resets.borrow_and_update();
+            if rand::rng().random_bool(share.clamp(0.0, 1.0)) {
                 return;
             }
         }
@@ -240,8 +225,7 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            usual: Mutex::new(habits),
-            of_sources: Mutex::default(),
+            habits: Mutex::new(habits),
             resets: watch::Sender::default(),
         });
         let task = tokio::spawn(accept(listener, Arc::new(passage), Arc::clone(&shared)));
@@ -257,23 +241,14 @@
         self.address
     }
 
-    /// Sets what the relay does from now on with connections from addresses that have no habits of their own.
+    /// Sets what the relay does from now on.
     pub fn set_habits(&self, habits: Habits) {
-        *lock(&self.shared.usual) = habits;
-    }
-
-    /// Sets what the relay does from now on with connections from `source`.
-    pub fn set_habits_towards(&self, source: IpAddr, habits: Habits) {
-        let mut of_sources = lock(&self.shared.of_sources);
-        match of_sources.binary_search_by_key(&source, |(source, _)| *source) {
-            Ok(found) => of_sources[found].1 = habits,
-            Err(place) => of_sources.insert(place, (source, habits)),
-        }
+        *lock(&self.shared.habits) = habits;
     }
 
-    /// Resets this share of the open connections, drawn one by one, from `source` or from all.
-    pub fn reset(&self, source: Option<IpAddr>, share: f64) {
-        self.shared.resets.send_replace(Reset { source, share });
+    /// Resets this share of the open connections, drawn one by one.
+    pub fn reset(&self, share: f64) {
+        self.shared.resets.send_replace(share);
     }
 
     /// Stops listening. Open connections end with one of their sides.
--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -28,12 +28,15 @@
 use crate::http::Server;
 use crate::standin::faults::ExtraDelay;
 use crate::standin::faults::FaultRate;
+use crate::standin::peer_relay::RelayPorts;
 use crate::truth::lock;
 
 /// Header that counts how often the store was restored from a copy.
 const ERA_HEADER: &str = "store-era";
 /// Topic of the entries of gateways.
 const NODES_TOPIC: &str = "keyed.nodes";
+/// Topic of the entries of servers.
+const SERVERS_TOPIC: &str = "keyed.servers";
 /// Maximum number of keys on one page of newest records.
 const PAGE_KEYS: usize = 500;
 /// Maximum size in KiB of the records that one read returns unless the call sets `max-kb`.
@@ -126,14 +129,14 @@
         })
     }
 
-    /// Serves on the address `listen` too, and hands out the entries of gateways with `peer_port` there, so that a gateway that
-    /// calls it reaches the others over relays of its own. Returns the address.
+    /// Serves on the address `listen` too, and hands out the entries of gateways and servers with `ports` there, so that a gateway
+    /// that calls it reaches them over relays of its own. Returns the address.
     ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
-    pub async fn add_view(&self, listen: SocketAddr, peer_port: u16) -> io::Result<SocketAddr> {
-        let view = Server::start(listen, handler(&self.shared, Some(peer_port))).await?;
+    pub async fn add_view(&self, listen: SocketAddr, ports: RelayPorts) -> io::Result<SocketAddr> {
+        let view = Server::start(listen, handler(&self.shared, Some(ports))).await?;
         let address = view.address();
         lock(&self.views).push(view);
         Ok(address)
@@ -202,13 +205,13 @@
     }
 }
 
-/// Returns the handler of calls at an address; the entries of gateways have `peer_port` there, or their own ports if `None`.
-fn handler(shared: &Arc<Shared>, peer_port: Option<u16>) -> http::Handler {
+/// Returns the handler of calls at an address; entries have `ports` there, or their own if `None`.
+fn handler(shared: &Arc<Shared>, ports: Option<RelayPorts>) -> http::Handler {
     let shared = Arc::clone(shared);
     Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
         let shared = Arc::clone(&shared);
         Box::pin(async move {
-            let mut res = shared.handle(req, peer_port).await?;
+            let mut res = shared.handle(req, ports).await?;
             if !res.headers().contains_key(ERA_HEADER) {
                 shared.set_era(&mut res);
             }
@@ -217,12 +220,16 @@
     })
 }
 
-/// Returns a gateway's entry with `port` in its address; `None` if it is none.
-fn with_port(entry: &[u8], port: u16) -> Option<Bytes> {
+/// Returns an entry of a gateway or server with other ports in its address; `None` if it is none.
+fn with_ports(topic: &str, entry: &[u8], ports: RelayPorts) -> Option<Bytes> {
     let mut entry: serde_json::Value = serde_json::from_slice(entry).ok()?;
     let address = entry.get_mut("address")?;
     let mut changed: SocketAddr = address.as_str()?.parse().ok()?;
-    changed.set_port(port);
+    changed.set_port(match topic {
+        NODES_TOPIC => ports.peers,
+        SERVERS_TOPIC => ports.server(changed.port()),
+        _ => return None,
+    });
     *address = changed.to_string().into();
     Some(entry.to_string().into())
 }
@@ -238,6 +245,13 @@
     buf.freeze()
 }
 
+/// Returns the key and the value of a keyed record.
+fn split_record(record: &Bytes) -> (String, Bytes) {
+    let length = usize::from(record[0]);
+    let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
+    (key, record.slice(length + 1..))
+}
+
 impl Topic {
     fn end_offset(&self) -> u64 {
         self.first_offset + self.records.len() as u64
@@ -245,9 +259,7 @@
 
     fn append(&mut self, record: Bytes) {
         let offset = self.end_offset();
-        let length = usize::from(record[0]);
-        let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
-        let value = record.slice(length + 1..);
+        let (key, value) = split_record(&record);
         let found = self
             .newest
             .binary_search_by(|(known, _, _)| known.cmp(&key));
@@ -279,7 +291,7 @@
     async fn handle(
         self: &Arc<Self>,
         req: Request<Incoming>,
-        peer_port: Option<u16>,
+        ports: Option<RelayPorts>,
     ) -> HandlerResult {
         self.calls.fetch_add(1, Relaxed);
         match self.faults.refuse_with.load(Relaxed) {
@@ -303,12 +315,12 @@
             "/api/log-read" => {
                 let from = http::query_number(Some(&query), "from").unwrap_or(0);
                 let max_kb = http::query_number(Some(&query), "max-kb").unwrap_or(MAX_READ_KB);
-                Ok(self.read(&topic, from, max_kb.min(MAX_READ_KB) as usize * 1_024))
+                let max_bytes = max_kb.min(MAX_READ_KB) as usize * 1_024;
+                Ok(self.read(&topic, from, max_bytes, ports))
             }
             "/api/log-newest" => {
                 let after = query_parameter(&query, "after").unwrap_or_default();
-                let peer_port = peer_port.filter(|_| topic == NODES_TOPIC);
-                Ok(self.newest(&topic, &after, peer_port))
+                Ok(self.newest(&topic, &after, ports))
             }
             _ => Ok(http::empty(StatusCode::NOT_FOUND)),
         }
@@ -320,7 +332,7 @@
         mut body: Bytes,
         at: Option<u64>,
     ) -> HandlerResult {
-        if topic == "keyed.op" || topic == "keyed.servers" {
+        if topic == "keyed.op" || topic == SERVERS_TOPIC {
             return Ok(http::empty(StatusCode::FORBIDDEN));
         }
         let mut records = Vec::new();
@@ -386,8 +398,14 @@
     }
 
     /// Returns the records from offset `from` on, of at most `max_bytes` altogether but at least one.
-    fn read(&self, topic: &str, from: u64, max_bytes: usize) -> Response<ResponseBody> {
-        self.with_topic(topic, |topic| {
+    fn read(
+        &self,
+        name: &str,
+        from: u64,
+        max_bytes: usize,
+        ports: Option<RelayPorts>,
+    ) -> Response<ResponseBody> {
+        self.with_topic(name, |topic| {
             if from < topic.first_offset || from > topic.end_offset() {
                 return http::json(StatusCode::GONE, &json!({"first": topic.first_offset}));
             }
@@ -404,6 +422,10 @@
                 if bytes > max_bytes && bytes > 4 + record.len() {
                     break;
                 }
+                let (key, value) = split_record(record);
+                let changed = ports.and_then(|ports| with_ports(name, &value, ports));
+                let changed = changed.map(|value| keyed_record(&key, &value));
+                let record = changed.as_ref().unwrap_or(record);
                 buf.put_u32(record.len() as u32);
                 buf.put_slice(record);
             }
@@ -414,8 +436,8 @@
         })
     }
 
-    fn newest(&self, topic: &str, after: &str, peer_port: Option<u16>) -> Response<ResponseBody> {
-        self.with_topic(topic, |topic| {
+    fn newest(&self, name: &str, after: &str, ports: Option<RelayPorts>) -> Response<ResponseBody> {
+        self.with_topic(name, |topic| {
             let later = topic
                 .newest
                 .iter()
@@ -424,7 +446,7 @@
                 .clone()
                 .take(PAGE_KEYS)
                 .map(|(key, value, offset)| {
-                    let changed = peer_port.and_then(|port| with_port(value, port));
+                    let changed = ports.and_then(|ports| with_ports(name, value, ports));
                     let value = changed.as_ref().unwrap_or(value);
                     json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
                 })
@@ -446,3 +468,6 @@
     let mut found = pairs.filter(|(key, _)| *key == name);
     found.next().map(|(_, value)| value.to_owned())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/bench/src/standin/store/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of what the store hands out to single gateways.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use std::net::SocketAddr;
+
+use super::StoreService;
+use crate::http;
+use crate::http::Client;
+use crate::standin::peer_relay::RelayPorts;
+
+const PORTS: RelayPorts = RelayPorts {
+    peers: 10_200,
+    first_server: Some(10_200),
+};
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn entry(port: u16) -> Vec<u8> {
+    format!("{{\"address\":\"127.1.2.3:{port}\",\"zone\":\"a\"}}").into_bytes()
+}
+
+async fn store() -> StoreService {
+    let store = StoreService::start(any_port()).await.unwrap();
+    store.put("keyed.nodes", "g-1", Some(&entry(7340)));
+    store.put("keyed.servers", "i-1", Some(&entry(8111)));
+    store.put("keyed.servers", "i-2", Some(b"no entry"));
+    store
+}
+
+async fn get(address: SocketAddr, path: &str) -> Bytes {
+    let req = http::request("GET", path, Bytes::new());
+    let res = Client::new(address).send(req).await.unwrap();
+    http::read_body(res.into_body()).await.unwrap()
+}
+
+/// The newest values of a topic, by key.
+async fn newest(address: SocketAddr, topic: &str) -> Vec<Vec<u8>> {
+    let page = get(address, &format!("/api/log-newest?topic={topic}")).await;
+    let page: serde_json::Value = serde_json::from_slice(&page).unwrap();
+    let items = page["items"].as_array().unwrap().iter();
+    items
+        .map(|item| STANDARD.decode(item["value"].as_str().unwrap()).unwrap())
+        .collect()
+}
+
+#[tokio::test]
+async fn a_view_hands_out_entries_with_the_ports_of_its_gateway() {
+    let store = store().await;
+    let view = store.add_view(any_port(), PORTS).await.unwrap();
+
+    assert_eq!(newest(view, "keyed.nodes").await, [entry(10_200)]);
+    let servers = [entry(10_211), b"no entry".to_vec()];
+    assert_eq!(newest(view, "keyed.servers").await, servers);
+    let records = get(view, "/api/log-read?topic=keyed.servers&from=0").await;
+    let shown = String::from_utf8_lossy(&records).into_owned();
+    assert!(shown.contains("127.1.2.3:10211"), "{shown}");
+    assert!(!shown.contains("8111"), "{shown}");
+}
+
+#[tokio::test]
+async fn the_stores_own_address_hands_out_entries_as_they_are() {
+    let store = store().await;
+    store.add_view(any_port(), PORTS).await.unwrap();
+
+    let address = store.address();
+    assert_eq!(newest(address, "keyed.nodes").await, [entry(7340)]);
+    let servers = [entry(8111), b"no entry".to_vec()];
+    assert_eq!(newest(address, "keyed.servers").await, servers);
+}
--- a/bench/src/standin/store_process.rs
+++ b/bench/src/standin/store_process.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::peer_relay::RelayPorts;
 use super::stop::Stop;
 use super::stop::requested_args;
 use super::store::StoreService;
@@ -33,7 +34,9 @@
 Options:
   --address IP:PORT   address that gateways call (127.0.0.1:8223)
   --control IP:PORT   address at which records are put and faults are set (127.0.0.1:8224)
-  --view IP:PORT,PORT further address that gateways call, and the port of gateways' addresses there; may be repeated
+  --view IP:PORT,PORT,PORT
+                      further address that gateways call, the port of gateways there and the first of a block of
+                      100 ports of servers; may be repeated
 ";
 
 /// Variable of the environment that holds the arguments, one a line. It is set for processes that end with their parent.
@@ -46,15 +49,23 @@
     pub address: SocketAddr,
     /// Address at which records are put and faults are set.
     pub control: SocketAddr,
-    /// Further addresses that gateways call, with the port of gateways' addresses there.
-    pub views: Vec<(SocketAddr, u16)>,
+    /// Further addresses that gateways call, with the ports of entries there.
+    pub views: Vec<(SocketAddr, RelayPorts)>,
 }
 
-fn parse_view(text: &str) -> Result<(SocketAddr, u16), String> {
-    let parts = text.split_once(',').ok_or("there is no second port")?;
-    let address = parts.0.parse().map_err(|err| format!("{err}"))?;
-    let port = parts.1.parse().map_err(|err| format!("{err}"))?;
-    Ok((address, port))
+fn parse_view(text: &str) -> Result<(SocketAddr, RelayPorts), String> {
+    let mut parts = text.split(',');
+    let address = parts.next().unwrap_or_default().parse();
+    let address = address.map_err(|err| format!("{err}"))?;
+    let mut port = || match parts.next() {
+        Some(part) => part.parse().map_err(|err| format!("{err}")),
+        None => Err("there is a port too few".to_owned()),
+    };
+    let ports = RelayPorts {
+        peers: port()?,
+        first_server: Some(port()?),
+    };
+    Ok((address, ports))
 }
 
 impl StoreOptions {
@@ -87,8 +98,10 @@
             format!("--address={}", self.address),
             format!("--control={}", self.control),
         ];
-        let views = self.views.iter();
-        args.extend(views.map(|(address, port)| format!("--view={address},{port}")));
+        for (address, ports) in &self.views {
+            let first_server = ports.first_server.unwrap_or_default();
+            args.push(format!("--view={address},{},{first_server}", ports.peers));
+        }
         args
     }
 }
@@ -106,8 +119,8 @@
 pub async fn run(options: StoreOptions) -> io::Result<()> {
     let mut stop = Stop::new(ARGS_VARIABLE)?;
     let store = Arc::new(StoreService::start(options.address).await?);
-    for (address, peer_port) in options.views {
-        store.add_view(address, peer_port).await?;
+    for (address, ports) in options.views {
+        store.add_view(address, ports).await?;
     }
     let handler: http::Handler = Arc::new(move |req| -> BoxFuture<'static, HandlerResult> {
         let store = Arc::clone(&store);
