--- a/src/peers/tunnel.rs
+++ b/src/peers/tunnel.rs
@@ -25,6 +25,8 @@
 use std::fmt;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -365,7 +367,9 @@
     Ok(())
 }
 
-/// Passes bytes in both directions until one side ends; returns which one and how. Calls `heard` for bytes of the server.
+/// Passes bytes in both directions until one side ends; returns which one and how. Calls `heard` for bytes of the server. An
+/// orderly end of the server that comes before it has taken the requester's bytes is not passed on as one: the requester has
+/// written them and could not tell that its request was cut (`docs/design/UNFRAMED-ANSWERS.md`).
 async fn pass_on(
     socket: WebSocketStream<TcpStream>,
     connection: Box<dyn Connection>,
@@ -373,22 +377,26 @@
 ) -> String {
     let (mut to_requester, mut from_requester) = socket.split();
     let (mut from_server, mut to_server) = tokio::io::split(connection);
+    let is_writing = AtomicBool::new(false);
     tokio::select! {
-        end = pass_to_server(&mut from_requester, &mut to_server) => end,
-        end = pass_to_requester(&mut from_server, &mut to_requester, heard) => end,
+        end = pass_to_server(&mut from_requester, &mut to_server, &is_writing) => end,
+        end = pass_to_requester(&mut from_server, &mut to_requester, &is_writing, heard) => end,
     }
 }
 
 async fn pass_to_server(
     from_requester: &mut SplitStream<WebSocketStream<TcpStream>>,
     to_server: &mut WriteHalf<Box<dyn Connection>>,
+    is_writing: &AtomicBool,
 ) -> String {
     loop {
         match from_requester.next().await {
             Some(Ok(Message::Binary(bytes))) => {
+                is_writing.store(true, Ordering::Relaxed);
                 if let Err(err) = to_server.write_all(&bytes).await {
                     return format!("server: {err}");
                 }
+                is_writing.store(false, Ordering::Relaxed);
             }
             // The requester closes a tunnel once its request has ended, without a close message.
             Some(Ok(Message::Close(_)) | Err(_)) | None => return "closed by requester".to_owned(),
@@ -400,11 +408,15 @@
 async fn pass_to_requester(
     from_server: &mut ReadHalf<Box<dyn Connection>>,
     to_requester: &mut SplitSink<WebSocketStream<TcpStream>, Message>,
+    is_writing: &AtomicBool,
     heard: &(dyn Fn() + Send + Sync),
 ) -> String {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let message = match from_server.read(&mut buf).await {
+            Ok(0) if is_writing.load(Ordering::Relaxed) => {
+                return "server: closed before it had taken the request".to_owned();
+            }
             // Only an orderly end is passed on as one.
             Ok(0) => Message::Close(None),
             Ok(count) => {
