--- a/src/gateway/write_watch.rs
+++ b/src/gateway/write_watch.rs
@@ -2,6 +2,9 @@
 //!
 //! The end of such an answer is no evidence that the answer is complete: a server that is reset while it still gets a long body
 //! looks like this behind a relay that closes where it should reset (`docs/design/UNFRAMED-ANSWERS.md`).
+//!
+//! A server may also answer whole and framed before it has taken the request, and then reset the connection. So a write that fails
+//! does not end the connection before what has arrived is read.
 
 use crate::net::Connection;
 use std::io;
@@ -51,6 +54,8 @@
 pub(super) struct WatchedStream<S> {
     stream: S,
     watch: WriteWatch,
+    /// Why a write has failed, once one has.
+    write_failure: Option<io::ErrorKind>,
 }
 
 impl<S: Connection> WatchedStream<S> {
@@ -58,7 +63,27 @@
         Self {
             stream,
             watch: watch.clone(),
+            write_failure: None,
+        }
+    }
+
+    /// Writes with `write`, or waits if a write has failed: the reader is told of that after it has read what has arrived.
+    fn poll_with<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        write: impl FnOnce(Pin<&mut S>, &mut Context<'_>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if self.write_failure.is_some() {
+            return Poll::Pending;
+        }
+        let mut polled = write(Pin::new(&mut self.stream), cx);
+        if let Poll::Ready(Err(err)) = &polled {
+            self.write_failure = Some(err.kind());
+            cx.waker().wake_by_ref();
+            polled = Poll::Pending;
         }
+        self.watch.record_write(&polled);
+        polled
     }
 }
 
@@ -70,7 +95,14 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if matches!(polled, Poll::Ready(Ok(()))) && buf.filled().len() == before {
+        if buf.filled().len() > before {
+            return polled;
+        }
+        // The failed write may have taken the connection's error, so that reading only finds the end.
+        if let Some(kind) = self.write_failure {
+            return Poll::Ready(Err(kind.into()));
+        }
+        if matches!(polled, Poll::Ready(Ok(()))) {
             self.watch.record_end();
         }
         polled
@@ -83,9 +115,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.watch.record_write(&polled);
-        polled
+        self.poll_with(cx, |stream, cx| stream.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
@@ -93,9 +123,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.watch.record_write(&polled);
-        polled
+        self.poll_with(cx, |stream, cx| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -103,9 +131,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.stream).poll_flush(cx);
-        self.watch.record_write(&polled);
-        polled
+        self.poll_with(cx, S::poll_flush)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
