--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -11,6 +11,7 @@
 use super::roster::ReportStatus;
 use super::roster::Roster;
 use super::roster::ServerRecord;
+use super::version_history::OnlyVersion;
 use super::version_history::SeenVersion;
 use super::version_history::VersionHistory;
 use crate::clock::BootInstant;
@@ -81,6 +82,19 @@
     pub versions: Vec<SeenVersion>,
 }
 
+/// The configuration with what it is worth, all of one moment.
+#[derive(Clone, Debug)]
+pub struct ConfigSnapshot {
+    /// The configuration in force; `None` before the first one.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Time since it was last verified as current; `None` if it never was.
+    pub age: Option<Duration>,
+    /// Position up to which the configuration source has been read.
+    pub position: Option<Position>,
+    /// The known evacuations of data centres.
+    pub evacuations: Arc<Evacuations>,
+}
+
 /// The server list with what it is worth, all of one moment.
 #[derive(Clone, Debug)]
 pub struct ListSnapshot {
@@ -98,7 +112,7 @@
     pub history: VersionHistory,
 }
 
-/// Longest time between two lists of which it isn't known what came and went between them. A server is on the list for longer.
+/// Longest time between two lists for which it is taken for granted that no server came and went between them.
 const MAX_UNSEEN_TIME: Duration = Duration::from_secs(1);
 
 /// Result of applying a configuration.
@@ -144,6 +158,8 @@
     version_history: VersionHistory,
     /// Start of the last successful read of the server list, by this node or by a peer.
     list_read_at: Option<BootInstant>,
+    /// Since when the list has been read without a gap in which entries may have outlived their processes.
+    steady_since: Option<BootInstant>,
     /// Number of this node's own successful reads of the server list.
     own_list_reads: u64,
     /// Number of lists taken over from peers, changed or not.
@@ -245,6 +261,17 @@
         self.lock().servers_position
     }
 
+    /// Returns the configuration in force with its age and position, and the evacuations.
+    pub fn config_snapshot(&self, now: BootInstant) -> ConfigSnapshot {
+        let state = self.lock();
+        ConfigSnapshot {
+            configuration: state.configuration.clone(),
+            age: state.config_age(now),
+            position: state.config_position,
+            evacuations: Arc::clone(&state.evacuations),
+        }
+    }
+
     /// Returns the configuration in force, or `None` before the first one.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.lock().configuration.clone()
@@ -311,7 +338,7 @@
             changed.extend(state.roster.keep_only(&names, grace));
         }
         Some(ListChange {
-            servers: state.refresh_lists(now, changed),
+            servers: state.refresh_lists(now, changed, &[]),
             is_restored,
         })
     }
@@ -350,6 +377,11 @@
         if state.list_read_at.is_some_and(|last| last > read_at) {
             return None;
         }
+        // A read that began earlier and took longer may have seen more.
+        if list.position.is_some() && list.position < state.servers_position {
+            state.list_read_at = Some(read_at);
+            return None;
+        }
         // The peer has seen all that came and went since the last list here.
         let is_seen = list.history.as_ref().is_some_and(|history| {
             state
@@ -364,10 +396,17 @@
             state.servers_position = list.position;
         }
         let now = BootInstant::now();
-        if let Some(history) = list.history {
+        let told = list.history.map_or_else(Vec::new, |history| {
             let known = (history.known_since, read_at);
-            state.version_history.adopt(known, history.versions, now);
-        }
+            let versions = history.versions.clone();
+            state.version_history.adopt(known, versions, now);
+            // Without the time before, a version may have been listed later than the peer knows.
+            if is_seen {
+                history.versions
+            } else {
+                Vec::new()
+            }
+        });
         let mut changed = Vec::new();
         if let Some(servers) = list.servers {
             let mut names = Vec::new();
@@ -387,7 +426,7 @@
             // once.
             changed.extend(state.roster.keep_only(&names, None));
         }
-        Some(state.refresh_lists(now, changed))
+        Some(state.refresh_lists(now, changed, &told))
     }
 
     /// Returns the list with its age, position and history.
@@ -405,7 +444,7 @@
 
     /// Removes the servers whose grace period is over; returns their names.
     pub fn expire_servers(&self, now: BootInstant) -> Vec<String> {
-        self.lock().refresh_lists(now, Vec::new())
+        self.lock().refresh_lists(now, Vec::new(), &[])
     }
 
     /// Returns the servers that may get new work, sorted by name, and the version of the list.
@@ -436,11 +475,21 @@
     }
 
     /// Returns the software version of all servers of `service` at which a stream may have begun since `since`, as
-    /// [`VersionHistory::only_version`] does.
-    pub fn only_version(&self, service: &str, since: BootInstant) -> Option<String> {
+    /// [`VersionHistory::only_version`] does, and the start of the last read of the list; `None` unless the list was read, here or at
+    /// the peer that sent it, in a call that began at `read_since` or later. It then has all servers at which requests can have begun
+    /// before.
+    pub fn only_version(
+        &self,
+        service: &str,
+        since: BootInstant,
+        read_since: BootInstant,
+    ) -> Option<(OnlyVersion, BootInstant)> {
         let state = self.lock();
-        let version = state.version_history.only_version(service, since);
-        version.map(str::to_owned)
+        let read_at = state
+            .list_read_at
+            .filter(|read_at| *read_at >= read_since)?;
+        let only = state.version_history.only_version(service, since)?;
+        Some((only, read_at))
     }
 
     /// Returns whether streams may have begun at servers of `service` of several software versions since `since`.
@@ -488,14 +537,24 @@
         is_other || state.roster.has_earlier(&server.id)
     }
 
+    /// Returns the time such that a process which answered for a listed server before it, and still does, is the one that the
+    /// server's entry tells of: had another one started by then, it would have reported. `None` if the list has not been followed for
+    /// long enough.
+    pub fn processes_known_at(&self) -> Option<BootInstant> {
+        let state = self.lock();
+        // The entry of a process that has ended is removed by then.
+        let at = state.list_read_at?.before(state.bounds.max_list_gap * 2);
+        state.steady_since.filter(|since| *since <= at)?;
+        Some(at)
+    }
+
     /// Returns the time since the last successful read of the server list began, or `None` if there was none. The read
     /// may be this node's own or that of a peer whose list was applied.
     pub fn list_age(&self, now: BootInstant) -> Option<Duration> {
         self.lock().list_read_at.map(|read| now.since(read))
     }
 
-    /// Returns whether the server list was read, here or at the peer that sent it, in a call that began at `at` or later. It then
-    /// has all servers at which requests can have begun before.
+    /// Returns whether the server list was read, here or at the peer that sent it, in a call that began at `at` or later.
     pub fn has_read_list_since(&self, at: BootInstant) -> bool {
         self.lock().list_read_at.is_some_and(|read| read >= at)
     }
@@ -521,6 +580,7 @@
             servers_version: 0,
             version_history: VersionHistory::default(),
             list_read_at: None,
+            steady_since: None,
             own_list_reads: 0,
             peer_lists: 0,
             is_peer_list: false,
@@ -539,9 +599,13 @@
     fn record_list_read(&mut self, began: BootInstant, unseen_limit: Option<Duration>) {
         let bounds = self.bounds;
         let gap = self.list_read_at.map(|last| began.since(last));
-        if gap.is_some_and(|gap| gap > bounds.max_list_gap) {
+        let is_long = |gap| gap > bounds.max_list_gap;
+        if gap.is_some_and(is_long) {
             self.grace_until = Some(BootInstant::now().plus(bounds.list_grace));
         }
+        if gap.is_none_or(is_long) {
+            self.steady_since = Some(began);
+        }
         let has_unseen = |gap| unseen_limit.is_some_and(|limit| gap > limit);
         if gap.is_none_or(has_unseen) {
             self.version_history.restart(began);
@@ -550,8 +614,13 @@
     }
 
     /// Removes servers whose grace period is over and, if any server changed, rebuilds the lists and raises their
-    /// version; returns the names of all changed servers.
-    fn refresh_lists(&mut self, now: BootInstant, mut changed: Vec<String>) -> Vec<String> {
+    /// version; returns the names of all changed servers. `told` says when versions have left.
+    fn refresh_lists(
+        &mut self,
+        now: BootInstant,
+        mut changed: Vec<String>,
+        told: &[SeenVersion],
+    ) -> Vec<String> {
         changed.extend(self.roster.expire(now));
         if let Some(read_at) = self.list_read_at {
             // The entry of a process that has ended is removed by then.
@@ -560,7 +629,7 @@
         }
         if !changed.is_empty() {
             let listed = self.roster.listed();
-            self.version_history.record_list(&listed, now);
+            self.version_history.record_list(&listed, told, now);
             let usable = listed.iter().filter(|server| !server.entry.is_draining);
             self.servers = Arc::new(usable.cloned().collect());
             self.by_service = group_by_service(&listed);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,6 +49,8 @@
     pub(super) salt: u64,
     /// Software version that servers of the stream must have.
     pub(super) stream_version: StreamVersion,
+    /// Whether a record tells the version of the stream that the caller resumes.
+    pub(super) has_stream_record: bool,
     /// What answers must be to go on with the stream that the caller gets; `None` before it has begun.
     pub(super) stream_kind: Option<StreamKind>,
     /// End of the time that the caller announced or of the route's timeout, whichever is earlier.
@@ -158,7 +160,11 @@
         report.is_caller_retry = gateway
             .admission_stats
             .detect_retry(&route.name, metadata.time_left);
-        let Some(service_name) = pick_service(&route, salt) else {
+        // A stream goes on at the service that began it.
+        let resumed_stream = metadata.resumed_stream.as_ref();
+        let first_attempt = resumed_stream.and_then(|resumed| resumed.first_attempt.as_deref());
+        let drawn_by = first_attempt.map_or(salt, hash_request_id);
+        let Some(service_name) = pick_service(&route, drawn_by) else {
             return refuse_temporarily("route without service", report);
         };
         report.service.clone_from(&service_name);
@@ -178,6 +184,7 @@
             team_regions,
             salt,
             stream_version: StreamVersion::Any,
+            has_stream_record: false,
             stream_kind: None,
             rank,
             sends: 0,
--- a/src/peers/node.rs
+++ b/src/peers/node.rs
@@ -26,11 +26,14 @@
 use super::message::SyncRequest;
 use super::message::SyncResponse;
 use super::message::unpack;
+use super::mute_nodes::MuteNodes;
 use super::node_list::NodeList;
 use super::pack_cache::PackCache;
 use super::serve;
 use super::server_list::ReceivedList;
 use super::server_list::SyncedList;
+use super::stream_archive;
+use super::stream_archive::StreamArchive;
 use super::stream_push::Holder;
 use super::stream_push::Pusher;
 use super::streams::StreamDirectory;
@@ -139,6 +142,8 @@
     /// Heavy teams as this node decided while it was the relay.
     pub(super) heavy_teams: Mutex<Vec<ServiceTeams>>,
     pub(super) streams: StreamTable,
+    /// Gateways that are neither told of streams nor asked for them for a while.
+    pub(super) mute_nodes: MuteNodes,
     pub(super) tunnel_table: TunnelTable,
     /// Connects to backend servers for other gateways; unset until the gateway has started.
     pub(super) direct_paths: OnceLock<Arc<dyn DirectPaths>>,
@@ -469,6 +474,7 @@
             cut_off_table: CutOffTable::default(),
             heavy_teams: Mutex::default(),
             streams: StreamTable::default(),
+            mute_nodes: MuteNodes::default(),
             tunnel_table: TunnelTable::default(),
             direct_paths: OnceLock::new(),
             quarantine: Arc::clone(quarantine),
@@ -515,6 +521,12 @@
         })
     }
 
+    /// Keeps records of streams in `archive` from now on, and reads those that other processes have left there.
+    pub fn keep_streams_in(&mut self, archive: Arc<dyn StreamArchive>) {
+        let task = stream_archive::run(Arc::clone(&self.shared), archive);
+        self.tasks.push(tokio::spawn(task));
+    }
+
     /// Returns the directory of the streams that began at any gateway.
     pub fn streams(&self) -> Arc<dyn StreamDirectory> {
         Arc::clone(&self.shared) as Arc<dyn StreamDirectory>
