--- a/bench/src/standin/faulty_gateway.rs
+++ b/bench/src/standin/faulty_gateway.rs
@@ -4,6 +4,7 @@
 //! It is the real gateway between two proxies: one before it, which callers reach at its address, and one between it and the store.
 //! The process itself becomes the gateway, so that it gets all signals and has its exit status; the proxies are its child.
 
+use async_trait::async_trait;
 use hyper::Request;
 use hyper::body::Incoming;
 use pico_args::Arguments;
@@ -26,7 +27,6 @@
 use crate::http::Handler;
 use crate::http::HandlerResult;
 use crate::http::Server;
-use async_trait::async_trait;
 
 mod callers;
 mod store;
