--- a/src/peers/stream_push.rs
+++ b/src/peers/stream_push.rs
@@ -100,6 +100,7 @@
             return;
         };
         for _ in 0..2 {
+            let asked_at = BootInstant::now();
             let had_link = self.holder_of(&node).link.is_some();
             let Err(cause) = self.push_to(&node).await else {
                 return;
@@ -107,7 +108,7 @@
             debug!(self.shared.logs.log(), "records not sent"; "peer" => &node.name, "cause" => cause);
             self.holder_of(&node).link = None;
             if !had_link {
-                self.shared.mute_nodes.record(&node, BootInstant::now());
+                self.shared.mute_nodes.record(&node, asked_at);
                 return;
             }
         }
@@ -162,18 +163,22 @@
     /// Returns the gateway that is sent the records now.
     fn choose(&self) -> Option<NodeEntry> {
         let shared = &self.shared;
-        let now = BootInstant::now();
         match self.holder {
             Holder::Near(rank) => {
-                let (mut nodes, _) = shared.nodes.nodes();
-                nodes.retain(|node| !shared.mute_nodes.contains(node, now));
-                let holders = near_holders(&nodes, &shared.own);
-                holders.get(rank).map(|node| (*node).clone())
+                let (nodes, _) = shared.nodes.nodes();
+                let answering = shared.mute_nodes.without(&nodes);
+                let holders = near_holders(&answering, &shared.own);
+                // Where too few answer, the others may do so again.
+                let holder = holders.get(rank).copied();
+                let holder =
+                    holder.or_else(|| near_holders(&nodes, &shared.own).get(rank).copied());
+                holder.cloned()
             }
             Holder::Backup => {
                 let is_relay = shared.role() == Role::Relay;
                 let centre = shared.backup_centre.as_deref().filter(|_| is_relay)?;
                 let relay = shared.nodes.first_relay(centre)?;
+                let now = BootInstant::now();
                 (!shared.mute_nodes.contains(&relay, now)).then_some(relay)
             }
         }
--- a/src/peers/streams.rs
+++ b/src/peers/streams.rs
@@ -331,15 +331,22 @@
         if let Some(found) = self.find_here(stream) {
             return Some(found);
         }
-        let (mut nodes, _) = self.nodes.nodes();
-        let now = BootInstant::now();
-        nodes.retain(|node| !self.mute_nodes.contains(node, now));
-        let mut lookups: FuturesUnordered<_> = stream_holders(&nodes, &self.own)
+        let (nodes, _) = self.nodes.nodes();
+        let answering = self.mute_nodes.without(&nodes);
+        // Those that did not answer lately are asked too, and others in their places.
+        let mut holders = stream_holders(&nodes, &self.own);
+        for node in stream_holders(&answering, &self.own) {
+            if !holders.iter().any(|known| known.name == node.name) {
+                holders.push(node);
+            }
+        }
+        let asked_at = BootInstant::now();
+        let mut lookups: FuturesUnordered<_> = holders
             .into_iter()
             .map(async |node| {
                 let answer = tokio::time::timeout(LOOKUP_TIMEOUT, look_up(node, stream)).await;
                 let Ok(Ok(answer)) = answer else {
-                    self.mute_nodes.record(node, BootInstant::now());
+                    self.mute_nodes.record(node, asked_at);
                     return None;
                 };
                 Some(FoundStream {
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -4,6 +4,7 @@
 mod helper_fleet;
 mod tunnels;
 
+use super::directory::NodeEntry;
 use super::load_entry::LoadEntry;
 use super::load_entry::ServerRequests;
 use super::load_table::LoadTable;
@@ -12,6 +13,7 @@
 use super::message::Stamp;
 use super::message::pack;
 use super::message::unpack;
+use super::mute_nodes::MuteNodes;
 use super::server_list::ReceivedList;
 use super::server_list::SyncedList;
 use super::server_list::synced_servers;
@@ -187,6 +189,28 @@
     assert_eq!(table.find(1, now).as_deref(), Some("v1"));
 }
 
+// Timeouts that passed during a standstill made all others mute for seconds, so that nobody was asked for a stream.
+#[test]
+fn a_gateway_that_stood_still_takes_the_others_for_mute() {
+    let mute_nodes = MuteNodes::default();
+    let now = BootInstant::now();
+    let node = |name: &str| NodeEntry {
+        name: name.to_owned(),
+        data_centre: "north".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_340)),
+        start_time_ms: 1,
+        link_mbps: 1_000,
+    };
+    let nodes = ["n-1", "n-2"].map(node);
+
+    mute_nodes.record(&nodes[0], now.before(Duration::from_secs(2)));
+    let after_standstill = mute_nodes.without(&nodes).len();
+    mute_nodes.record(&nodes[0], now);
+
+    assert_eq!(after_standstill, 2);
+    assert_eq!(mute_nodes.without(&nodes), [node("n-2")]);
+}
+
 #[test]
 fn an_expired_record_is_neither_found_nor_sent() {
     let table = StreamTable::default();
