--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -4,9 +4,9 @@
 
 use super::config::Configuration;
 use super::evacuation::EvacuationRead;
+use super::read::ListRead;
 use super::roster::ServerRecord;
 use super::state::Catalog;
-use super::state::ListRead;
 use crate::clock::BootInstant;
 use crate::logs::Logs;
 use async_trait::async_trait;
