--- a/src/peers/stream_archive.rs
+++ b/src/peers/stream_archive.rs
@@ -20,7 +20,7 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum pause after failed calls.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
-/// Number of batches that a relay keeps: those of two minutes, for which records are kept at most.
+/// Number of batches that the store keeps of a data centre: those of two minutes, for which records are kept at most.
 const SLOTS: u32 = 1_200;
 /// Time by which the clocks of two hosts may differ.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
@@ -37,11 +37,11 @@
 /// Keeps batches of records in the store.
 #[async_trait]
 pub trait StreamArchive: Send + Sync + 'static {
-    /// Keeps `batch` in the slot of this number of the gateway called `node`, in place of the batch before. Fails if the store has
-    /// not answered within `timeout`.
+    /// Keeps `batch` in the slot of this number of a data centre, in place of the batch before. Fails if the store has not answered
+    /// within `timeout`.
     async fn write(
         &self,
-        (node, slot): (&str, u32),
+        (data_centre, slot): (&str, u32),
         batch: &ArchivedStreams,
         timeout: Duration,
     ) -> Result<(), SourceError>;
@@ -60,7 +60,8 @@
 /// task is aborted.
 pub(super) async fn run(shared: Arc<Shared>, archive: Arc<dyn StreamArchive>) {
     let mut next_record = 0;
-    let mut slot = 0;
+    // Another relay may have written the first ones a moment ago.
+    let mut slot = rand::random_range(0..SLOTS);
     let mut has_read = false;
     let mut failures = 0u32;
     let mut changes = shared.streams.changes();
@@ -86,7 +87,7 @@
                     written_at_ms: unix_ms(),
                     streams,
                 };
-                let place = (shared.own.name.as_str(), slot);
+                let place = (shared.own.data_centre.as_str(), slot);
                 archive.write(place, &batch, TIMEOUT).await?;
                 slot = (slot + 1) % SLOTS;
             }
