--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod load;
 pub mod proxy;
+pub mod query;
 pub mod report;
 pub mod standin;
 pub mod truth;
--- a/bench/src/standin/faulty_gateway/store.rs
+++ b/bench/src/standin/faulty_gateway/store.rs
@@ -23,8 +23,9 @@
 use crate::http;
 use crate::http::Abort;
 use crate::http::HandlerResult;
+use crate::query::Query;
 use crate::standin::store::keyed_record;
-use crate::standin::store::query_parameter;
+use crate::standin::store::split_record;
 
 /// Topic of the configuration.
 const CONFIG_TOPIC: &str = "keyed.op";
@@ -80,10 +81,9 @@
         while body.len() >= 4 {
             let length = body.get_u32() as usize;
             let mut record = body.split_to(length.min(body.len()));
-            let key_len = usize::from(record.get_u8());
-            let key = record.split_to(key_len.min(record.len()));
-            let value = self.change(topic, &record);
-            let record = keyed_record(&String::from_utf8_lossy(&key), &value);
+            if let Some((key, value)) = split_record(&record) {
+                record = keyed_record(&key, &self.change(topic, &value));
+            }
             changed.put_u32(record.len() as u32);
             changed.put_slice(&record);
         }
@@ -110,8 +110,9 @@
     async fn pass(self: Arc<Self>, req: Request<Incoming>) -> HandlerResult {
         let (head, body) = req.into_parts();
         let body = http::read_body(body).await.map_err(|_| Abort)?;
-        let query = head.uri.query().unwrap_or_default();
-        let topic = query_parameter(query, "topic").unwrap_or_default();
+        // The store answers what can't be decoded.
+        let query = Query::decode(head.uri.query()).unwrap_or_default();
+        let topic = query.text("topic").unwrap_or_default().to_owned();
         let path = head.uri.path().to_owned();
         let req = Request::from_parts(head, Full::new(body));
         let mut sender = http::connect(self.store).await.map_err(|_| Abort)?;
--- a/bench/src/standin/replica/control.rs
+++ b/bench/src/standin/replica/control.rs
@@ -12,7 +12,7 @@
 use super::Shared;
 use crate::http;
 use crate::http::ResponseBody;
-use crate::standin::store::query_parameter;
+use crate::query::Query;
 use crate::truth::lock;
 
 /// Path of such requests, before their parameters.
@@ -41,23 +41,26 @@
 impl Shared {
     /// Does what the parameters of a request say.
     pub(super) fn control(&self, query: &str) -> Response<ResponseBody> {
-        if let Some(name) = query_parameter(query, "behavior") {
-            let Some(behavior) = named(&name) else {
+        let Ok(query) = Query::decode(Some(query)) else {
+            return http::empty(StatusCode::BAD_REQUEST);
+        };
+        if let Some(name) = query.text("behavior") {
+            let Some(behavior) = named(name) else {
                 return http::empty(StatusCode::BAD_REQUEST);
             };
-            let share = query_parameter(query, "share").and_then(|share| share.parse().ok());
+            let share = query.text("share").and_then(|share| share.parse().ok());
             *lock(&self.behavior_share) = share.unwrap_or(1.0);
             *lock(&self.behavior) = behavior;
         }
-        if let Some(name) = query_parameter(query, "framing") {
-            *lock(&self.framing) = match name.as_str() {
+        if let Some(name) = query.text("framing") {
+            *lock(&self.framing) = match name {
                 "unframed" => Framing::Unframed,
                 "with-length" => Framing::WithLength,
                 "joined-events" => Framing::JoinedEvents,
                 _ => Framing::HalfEvents,
             };
         }
-        if let Some(slowness) = http::query_number(Some(query), "slowness") {
+        if let Some(slowness) = query.number("slowness") {
             self.slowness.store(slowness as u32, Relaxed);
         }
         http::empty(StatusCode::OK)
--- a/bench/src/standin/store.rs
+++ b/bench/src/standin/store.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use serde_json::json;
 use std::io;
@@ -18,6 +19,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
@@ -26,6 +28,7 @@
 use crate::http::HandlerResult;
 use crate::http::ResponseBody;
 use crate::http::Server;
+use crate::query::Query;
 use crate::standin::faults::ExtraDelay;
 use crate::standin::faults::FaultRate;
 use crate::standin::peer_relay::RelayPorts;
@@ -37,8 +40,10 @@
 const NODES_TOPIC: &str = "keyed.nodes";
 /// Topic of the entries of servers.
 const SERVERS_TOPIC: &str = "keyed.servers";
-/// Maximum number of keys on one page of newest records.
+/// Maximum number of keys on one page of newest records unless a test sets a smaller one.
 const PAGE_KEYS: usize = 500;
+/// Maximum size in bytes of the keys and values on one page, which has at least one record.
+const PAGE_BYTES: usize = 1_024 * 1_024;
 /// Maximum size in KiB of the records that one read returns unless the call sets `max-kb`.
 const MAX_READ_KB: u64 = 1_024;
 
@@ -50,6 +55,8 @@
     delay: ExtraDelay,
     lost_responses: FaultRate,
     lost_append_delay: ExtraDelay,
+    /// Bytes a second at which responses to reads are sent; 0 if they are sent at once.
+    read_rate: AtomicU64,
 }
 
 impl StoreFaults {
@@ -68,6 +75,18 @@
         self.delay.set(delay);
     }
 
+    /// Delays each response to a read by the time that its bytes take at this rate; sends them at once if `None`.
+    pub fn set_read_rate(&self, bytes_per_s: Option<u64>) {
+        self.read_rate.store(bytes_per_s.unwrap_or(0), Relaxed);
+    }
+
+    async fn wait_for_bytes(&self, bytes: u64) {
+        let rate = self.read_rate.load(Relaxed);
+        if rate > 0 {
+            tokio::time::sleep(Duration::from_secs_f64(bytes as f64 / rate as f64)).await;
+        }
+    }
+
     /// Sends no response to this number of appends in a thousand, after their records are written.
     pub fn set_lost_responses(&self, permille: u32) {
         self.lost_responses.set(permille);
@@ -88,9 +107,11 @@
     newest: Vec<(String, Bytes, u64)>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     faults: StoreFaults,
+    /// Maximum number of keys on one page of newest records.
+    page_keys: AtomicUsize,
     /// Sorted by name.
     topics: Mutex<Vec<(String, Topic)>>,
     /// Number of times that the store was restored from a copy.
@@ -120,7 +141,7 @@
     ///
     /// Returns an error if the address can't be bound.
     pub async fn start(listen: SocketAddr) -> io::Result<Self> {
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared::new());
         let server = Server::start(listen, handler(&shared, None)).await?;
         Ok(Self {
             server,
@@ -168,6 +189,16 @@
         self.shared.with_topic(topic, |topic| topic.append(record));
     }
 
+    /// Writes a record whose bytes need not have a key. A record without one changes no key's newest value.
+    pub fn put_bytes(&self, topic: &str, record: Bytes) {
+        self.shared.with_topic(topic, |topic| topic.append(record));
+    }
+
+    /// Ends each page of newest records after this number of keys, or earlier by its bytes.
+    pub fn set_page_keys(&self, keys: usize) {
+        self.shared.page_keys.store(keys, Relaxed);
+    }
+
     /// Deletes the records of a topic; the newest value of each key stays.
     pub fn drop_history(&self, topic: &str) {
         self.shared.with_topic(topic, |topic| {
@@ -245,11 +276,11 @@
     buf.freeze()
 }
 
-/// Returns the key and the value of a keyed record.
-fn split_record(record: &Bytes) -> (String, Bytes) {
-    let length = usize::from(record[0]);
-    let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
-    (key, record.slice(length + 1..))
+/// Returns the key and the value of a keyed record; `None` if it has no key or a shorter one than it says.
+pub(crate) fn split_record(record: &Bytes) -> Option<(String, Bytes)> {
+    let value_start = 1 + usize::from(*record.first()?);
+    let key = String::from_utf8_lossy(record.get(1..value_start)?).into_owned();
+    Some((key, record.slice(value_start..)))
 }
 
 impl Topic {
@@ -259,7 +290,10 @@
 
     fn append(&mut self, record: Bytes) {
         let offset = self.end_offset();
-        let (key, value) = split_record(&record);
+        let Some((key, value)) = split_record(&record) else {
+            self.records.push(record);
+            return;
+        };
         let found = self
             .newest
             .binary_search_by(|(known, _, _)| known.cmp(&key));
@@ -276,6 +310,17 @@
 }
 
 impl Shared {
+    fn new() -> Self {
+        Self {
+            faults: StoreFaults::default(),
+            page_keys: AtomicUsize::new(PAGE_KEYS),
+            topics: Mutex::default(),
+            era: AtomicU64::default(),
+            calls: AtomicU64::default(),
+            sent_bytes: AtomicU64::default(),
+        }
+    }
+
     fn with_topic<T>(&self, name: &str, f: impl FnOnce(&mut Topic) -> T) -> T {
         let mut topics = lock(&self.topics);
         let i = match topics.binary_search_by(|(known, _)| known.as_str().cmp(name)) {
@@ -304,23 +349,26 @@
         }
         self.faults.delay.wait().await;
         let path = req.uri().path().to_owned();
-        let query = req.uri().query().unwrap_or_default().to_owned();
-        let topic = query_parameter(&query, "topic").unwrap_or_default();
+        let Ok(query) = Query::decode(req.uri().query()) else {
+            return Ok(http::empty(StatusCode::BAD_REQUEST));
+        };
+        let topic = query.text("topic").unwrap_or_default();
         match path.as_str() {
             "/api/log-append" => {
                 let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
-                let at = http::query_number(Some(&query), "at");
-                self.append(&topic, body, at).await
+                self.append(topic, body, query.number("at")).await
             }
             "/api/log-read" => {
-                let from = http::query_number(Some(&query), "from").unwrap_or(0);
-                let max_kb = http::query_number(Some(&query), "max-kb").unwrap_or(MAX_READ_KB);
+                let from = query.number("from").unwrap_or(0);
+                let max_kb = query.number("max-kb").unwrap_or(MAX_READ_KB);
                 let max_bytes = max_kb.min(MAX_READ_KB) as usize * 1_024;
-                Ok(self.read(&topic, from, max_bytes, ports))
+                let res = self.read(topic, from, max_bytes, ports);
+                Ok(self.paced(res).await)
             }
             "/api/log-newest" => {
-                let after = query_parameter(&query, "after").unwrap_or_default();
-                Ok(self.newest(&topic, &after, ports))
+                let after = query.text("after").unwrap_or_default();
+                let res = self.newest(topic, after, ports);
+                Ok(self.paced(res).await)
             }
             _ => Ok(http::empty(StatusCode::NOT_FOUND)),
         }
@@ -391,6 +439,13 @@
         })
     }
 
+    /// Returns the response to a read after the time that its bytes take.
+    async fn paced(&self, res: Response<ResponseBody>) -> Response<ResponseBody> {
+        let bytes = res.body().size_hint().lower();
+        self.faults.wait_for_bytes(bytes).await;
+        res
+    }
+
     /// Sets the header that counts how often the store was restored. The responses to reads get it while the topics are
     /// locked, so that it belongs to their records.
     fn set_era(&self, res: &mut Response<ResponseBody>) {
@@ -422,9 +477,11 @@
                 if bytes > max_bytes && bytes > 4 + record.len() {
                     break;
                 }
-                let (key, value) = split_record(record);
-                let changed = ports.and_then(|ports| with_ports(name, &value, ports));
-                let changed = changed.map(|value| keyed_record(&key, &value));
+                let changed = ports.and_then(|ports| {
+                    let (key, value) = split_record(record)?;
+                    let value = with_ports(name, &value, ports)?;
+                    Some(keyed_record(&key, &value))
+                });
                 let record = changed.as_ref().unwrap_or(record);
                 buf.put_u32(record.len() as u32);
                 buf.put_slice(record);
@@ -442,9 +499,15 @@
                 .newest
                 .iter()
                 .filter(|(key, _, _)| key.as_str() > after);
+            let mut bytes = 0;
             let items: Vec<serde_json::Value> = later
                 .clone()
-                .take(PAGE_KEYS)
+                .take(self.page_keys.load(Relaxed))
+                .take_while(|(key, value, _)| {
+                    let is_first = bytes == 0;
+                    bytes += key.len() + value.len();
+                    is_first || bytes <= PAGE_BYTES
+                })
                 .map(|(key, value, offset)| {
                     let changed = ports.and_then(|ports| with_ports(name, value, ports));
                     let value = changed.as_ref().unwrap_or(value);
@@ -462,12 +525,5 @@
     }
 }
 
-/// Returns the value of a parameter of a query, as it was sent.
-pub(crate) fn query_parameter(query: &str, name: &str) -> Option<String> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next().map(|(_, value)| value.to_owned())
-}
-
 #[cfg(test)]
 mod tests;
--- a/bench/src/standin/store/tests.rs
+++ b/bench/src/standin/store/tests.rs
@@ -3,6 +3,9 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use hyper::StatusCode;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use std::net::SocketAddr;
 
 use super::StoreService;
@@ -71,3 +74,51 @@
     let servers = [entry(8111), b"no entry".to_vec()];
     assert_eq!(newest(address, "keyed.servers").await, servers);
 }
+
+/// Reads a topic page by page with each key percent-encoded; returns the keys of each page.
+async fn pages(address: SocketAddr, topic: &str) -> Vec<Vec<String>> {
+    let mut pages: Vec<Vec<String>> = Vec::new();
+    let mut path = format!("/api/log-newest?topic={topic}");
+    loop {
+        let page = get(address, &path).await;
+        let page: serde_json::Value = serde_json::from_slice(&page).unwrap();
+        let items = page["items"].as_array().unwrap().iter();
+        let keys: Vec<String> = items
+            .map(|item| item["key"].as_str().unwrap().to_owned())
+            .collect();
+        let after = utf8_percent_encode(keys.last().unwrap(), NON_ALPHANUMERIC);
+        path = format!("/api/log-newest?topic={topic}&after={after}");
+        pages.push(keys);
+        if page["has-more"] == false {
+            return pages;
+        }
+    }
+}
+
+#[tokio::test]
+async fn pages_end_by_number_and_by_bytes() {
+    let store = StoreService::start(any_port()).await.unwrap();
+    let large = vec![b'x'; 600 * 1_024];
+    for key in ["a&b", "a+b", "a b", "a%41"] {
+        store.put("keyed.few", key, Some(b"v"));
+        store.put("keyed.large", key, Some(&large));
+    }
+    store.set_page_keys(3);
+
+    let few = pages(store.address(), "keyed.few").await;
+    let large = pages(store.address(), "keyed.large").await;
+
+    assert_eq!(few, [vec!["a b", "a%41", "a&b"], vec!["a+b"]]);
+    assert_eq!(large, [["a b"], ["a%41"], ["a&b"], ["a+b"]]);
+}
+
+#[tokio::test]
+async fn a_query_that_cannot_be_decoded_is_refused() {
+    let store = store().await;
+    for after in ["%", "%4", "%zz", "%ff"] {
+        let path = format!("/api/log-newest?topic=keyed.nodes&after={after}");
+        let req = http::request("GET", &path, Bytes::new());
+        let res = Client::new(store.address()).send(req).await.unwrap();
+        assert_eq!(res.status(), StatusCode::BAD_REQUEST, "{after}");
+    }
+}
--- a/bench/src/standin/store_process.rs
+++ b/bench/src/standin/store_process.rs
@@ -6,6 +6,8 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use pico_args::Arguments;
 use std::ffi::OsString;
 use std::io;
@@ -17,12 +19,12 @@
 use super::stop::Stop;
 use super::stop::requested_args;
 use super::store::StoreService;
-use super::store::query_parameter;
 use crate::http;
 use crate::http::Abort;
 use crate::http::Client;
 use crate::http::HandlerResult;
 use crate::http::Server;
+use crate::query::Query;
 
 /// The help of the program.
 pub const HELP: &str = "\
@@ -135,17 +137,19 @@
 /// Does what a request of the control address says.
 async fn control(store: &StoreService, req: Request<Incoming>) -> HandlerResult {
     let path = req.uri().path().to_owned();
-    let query = req.uri().query().unwrap_or_default().to_owned();
-    let text = |name: &str| query_parameter(&query, name).unwrap_or_default();
-    let number = |name: &str| http::query_number(Some(&query), name).unwrap_or(0);
+    let Ok(query) = Query::decode(req.uri().query()) else {
+        return Ok(http::empty(StatusCode::BAD_REQUEST));
+    };
+    let text = |name: &str| query.text(name).unwrap_or_default();
+    let number = |name: &str| query.number(name).unwrap_or(0);
     let faults = store.faults();
     match path.as_str() {
         "/put" => {
             let body = http::read_body(req.into_body()).await.map_err(|_| Abort)?;
             let value = (!body.is_empty()).then_some(&*body);
-            store.put(&text("topic"), &text("key"), value);
+            store.put(text("topic"), text("key"), value);
         }
-        "/drop-history" => store.drop_history(&text("topic")),
+        "/drop-history" => store.drop_history(text("topic")),
         "/refusal" => {
             let status = u16::try_from(number("status")).unwrap_or(0);
             faults.set_refusal((status > 0).then_some(status));
@@ -181,6 +185,7 @@
     ///
     /// Returns an error if the store doesn't confirm it.
     pub async fn put(&self, topic: &str, key: &str, value: Bytes) -> io::Result<()> {
+        let key = utf8_percent_encode(key, NON_ALPHANUMERIC);
         self.call(&format!("/put?topic={topic}&key={key}"), value)
             .await
     }
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -4,6 +4,7 @@
 use crate::http::Head;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use percent_encoding::percent_decode_str;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +26,9 @@
     newest: BTreeMap<String, (Vec<u8>, usize)>,
 }
 
+/// A query that can't be decoded.
+struct Malformed;
+
 /// A running store.
 pub struct Store {
     address: SocketAddr,
@@ -99,29 +103,51 @@
     }
 }
 
-fn parameter<'a>(target: &'a str, name: &str) -> Option<&'a str> {
-    let (_, query) = target.split_once('?')?;
+/// Returns the decoded value of a parameter; an error if it can't be decoded.
+fn parameter(target: &str, name: &str) -> Result<Option<String>, Malformed> {
+    let Some((_, query)) = target.split_once('?') else {
+        return Ok(None);
+    };
     let mut parameters = query.split('&').filter_map(|pair| pair.split_once('='));
-    let found = parameters.find(|(known, _)| *known == name);
-    found.map(|(_, value)| value)
+    let Some((_, value)) = parameters.find(|(known, _)| *known == name) else {
+        return Ok(None);
+    };
+    let is_escape = |rest: &str| {
+        let digits = rest.as_bytes().get(..2);
+        digits.is_some_and(|digits| digits.iter().all(u8::is_ascii_hexdigit))
+    };
+    if !value.split('%').skip(1).all(is_escape) {
+        return Err(Malformed);
+    }
+    let value = value.replace('+', " ");
+    let decoded = percent_decode_str(&value).decode_utf8();
+    decoded
+        .map(|value| Some(value.into_owned()))
+        .map_err(|_| Malformed)
 }
 
 fn handle(topics: &mut BTreeMap<String, Topic>, head: &Head, body: &[u8]) -> (u16, Vec<u8>) {
+    answer(topics, head, body).unwrap_or((400, Vec::new()))
+}
+
+fn answer(
+    topics: &mut BTreeMap<String, Topic>,
+    head: &Head,
+    body: &[u8],
+) -> Result<(u16, Vec<u8>), Malformed> {
     let target = head.first_line.split(' ').nth(1).unwrap_or_default();
-    let name = parameter(target, "topic").unwrap_or_default();
-    let topic = topics.entry(name.to_owned()).or_default();
+    let name = parameter(target, "topic")?.unwrap_or_default();
+    let topic = topics.entry(name.clone()).or_default();
     let end = topic.records.len();
-    match target.split('?').next() {
+    let answer = match target.split('?').next() {
         Some("/api/log-append") => {
-            let at = parameter(target, "at").and_then(|at| at.parse::<usize>().ok());
+            let at = parameter(target, "at")?.and_then(|at| at.parse::<usize>().ok());
             if at.is_some_and(|at| at != end) {
-                return (
-                    412,
-                    serde_json::json!({"end": end}).to_string().into_bytes(),
-                );
+                let answer = serde_json::json!({"end": end});
+                return Ok((412, answer.to_string().into_bytes()));
             }
             if name == "keyed.op" || name == "keyed.servers" {
-                return (403, Vec::new());
+                return Ok((403, Vec::new()));
             }
             let mut rest = body;
             while rest.len() >= 4 {
@@ -135,7 +161,7 @@
             (200, answer.to_string().into_bytes())
         }
         Some("/api/log-read") => {
-            let from = parameter(target, "from").and_then(|from| from.parse::<usize>().ok());
+            let from = parameter(target, "from")?.and_then(|from| from.parse::<usize>().ok());
             let mut answer = (end as u64).to_be_bytes().to_vec();
             answer.extend(0u64.to_be_bytes());
             for record in topic.records.iter().skip(from.unwrap_or(0)) {
@@ -148,20 +174,26 @@
             (200, answer)
         }
         Some("/api/log-newest") => {
-            let after = parameter(target, "after").unwrap_or_default();
-            let mut newest = topic.newest.iter();
-            let items: Vec<serde_json::Value> = newest
-                .by_ref()
-                .filter(|(key, _)| key.as_str() > after)
+            let after = parameter(target, "after")?.unwrap_or_default();
+            let later = topic.newest.iter().filter(|(key, _)| **key > after);
+            let mut bytes = 0;
+            let items: Vec<serde_json::Value> = later
+                .clone()
                 .take(PAGE_KEYS)
+                .take_while(|(key, (value, _))| {
+                    let is_first = bytes == 0;
+                    bytes += key.len() + value.len();
+                    is_first || bytes <= READ_BYTES
+                })
                 .map(|(key, (value, offset))| {
                     serde_json::json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
                 })
                 .collect();
-            let has_more = newest.next().is_some();
+            let has_more = later.count() > items.len();
             let answer = serde_json::json!({"items": items, "has-more": has_more, "end": end});
             (200, answer.to_string().into_bytes())
         }
         _ => (404, Vec::new()),
-    }
+    };
+    Ok(answer)
 }
