--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -11,6 +11,7 @@
 mod state;
 #[cfg(test)]
 pub(crate) mod tests;
+mod timeout;
 mod version_history;
 
 pub use config::ColdLimits;
@@ -53,6 +54,7 @@
 pub use state::Catalog;
 pub use state::CatalogBounds;
 pub use state::ConfigChange;
+pub use timeout::AdaptiveTimeout;
 pub use version_history::OnlyVersion;
 pub use version_history::SERVING_AFTER_LEAVING;
 pub use version_history::SeenVersion;
--- a/src/peers/directory_sync.rs
+++ b/src/peers/directory_sync.rs
@@ -2,6 +2,7 @@
 
 use super::directory::NodeDirectory;
 use super::node::Shared;
+use crate::catalog::AdaptiveTimeout;
 use crate::clock::BootInstant;
 use crate::decide::is_asked_first;
 use slog::info;
@@ -12,7 +13,7 @@
 
 /// Maximum time between two reads of the node list from the directory by a relay.
 const NODE_LIST_INTERVAL: Duration = Duration::from_secs(6);
-/// Timeout for a call to the directory, which is kept in the store.
+/// Timeout for a call to the directory, which is kept in the store; the initial one for its reads.
 pub(super) const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum pause after a failed call to the directory, and maximum time after which a node that is not the relay checks
 /// again whether it has become the relay.
@@ -28,6 +29,7 @@
     let mut reader = DirectoryReader {
         shared: &shared,
         directory: &*directory,
+        timeout: AdaptiveTimeout::new(DIRECTORY_TIMEOUT),
         has_list: false,
         is_unreachable: false,
     };
@@ -55,6 +57,7 @@
 struct DirectoryReader<'a> {
     shared: &'a Shared,
     directory: &'a dyn NodeDirectory,
+    timeout: AdaptiveTimeout,
     has_list: bool,
     is_unreachable: bool,
 }
@@ -66,8 +69,8 @@
         if self.has_list && !shared.duties.is_relay() {
             return MAX_DIRECTORY_PAUSE;
         }
-        let result = self.directory.read(DIRECTORY_TIMEOUT).await;
-        let pause = match result {
+        let result = self.directory.read(self.timeout.current()).await;
+        let pause = match self.timeout.record_result(result) {
             Ok(read) => {
                 let own = &shared.own;
                 if !self.has_list && is_asked_first(&read.entries, &own.data_centre, &own.name) {
--- a/src/peers/stream_archive.rs
+++ b/src/peers/stream_archive.rs
@@ -6,6 +6,7 @@
 use super::streams::RecordSource;
 use super::streams::StreamKey;
 use super::sync::SYNC_INTERVAL;
+use crate::catalog::AdaptiveTimeout;
 use crate::catalog::SourceError;
 use crate::clock::BootInstant;
 use async_trait::async_trait;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-/// Timeout of a call to the store.
+/// Timeout of a call to the store; the initial one of reads.
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Minimum time between two batches. A kill of all gateways loses the streams that began within it.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -63,6 +64,7 @@
     // Another relay may have written the first ones a moment ago.
     let mut slot = rand::random_range(0..SLOTS);
     let mut has_read = false;
+    let read_timeout = AdaptiveTimeout::new(TIMEOUT);
     let mut failures = 0u32;
     let mut changes = shared.streams.changes();
     loop {
@@ -76,7 +78,8 @@
         }
         let calls = async {
             if !has_read {
-                let batches = archive.read(TIMEOUT).await?;
+                let reading = archive.read(read_timeout.current());
+                let batches = read_timeout.record_result(reading.await)?;
                 keep(&shared, batches);
                 has_read = true;
             }
--- a/src/quarantine/ledger.rs
+++ b/src/quarantine/ledger.rs
@@ -1,6 +1,7 @@
 //! The held parts in the store, which outlive a restart of all gateways, and the claims of trials.
 
 use super::state::Quarantine;
+use crate::catalog::AdaptiveTimeout;
 use crate::catalog::Duties;
 use crate::catalog::Position;
 use crate::catalog::SourceError;
@@ -17,7 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Timeout for a call to the store.
+/// Timeout for a call to the store; the initial one for reads.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for a call while a request waits for the claim of a trial.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(150);
@@ -186,6 +187,7 @@
     let mut written = Vec::new();
     let mut has_read = false;
     let mut is_failing = false;
+    let read_timeout = AdaptiveTimeout::new(CALL_TIMEOUT);
     let told_until = Instant::now() + MAX_TOLD_WAIT;
     loop {
         let held = held_entries(&quarantine);
@@ -203,7 +205,12 @@
             }
         }
         if !has_read || (may_write && !is_same(&held, &written)) {
-            match sync(&quarantine, &*ledger, &written, may_write).await {
+            let reading = ledger.read(read_timeout.current());
+            let synced = match read_timeout.record_result(reading.await) {
+                Ok(read) => sync(&quarantine, &*ledger, read, &written, may_write).await,
+                Err(err) => Err(err),
+            };
+            match synced {
                 Ok(entries) => {
                     written = entries;
                     quarantine.set_told();
@@ -270,15 +277,15 @@
     true
 }
 
-/// Adopts what the ledger holds beyond this gateway and, if `may_write`, writes what it lacks. `written` are the entries of the ledger
+/// Adopts what `read` holds beyond this gateway and, if `may_write`, writes what it lacks. `written` are the entries of the ledger
 /// after the last call; one of them that is not held any more is removed. Returns the entries of the ledger now.
 async fn sync(
     quarantine: &Quarantine,
     ledger: &dyn HoldLedger,
+    read: Ledger,
     written: &[LedgerEntry],
     may_write: bool,
 ) -> Result<Vec<LedgerEntry>, SourceError> {
-    let read = ledger.read(CALL_TIMEOUT).await?;
     let now = BootInstant::now();
     let mut changes = Vec::new();
     for entry in &read.entries {
