--- a/src/catalog/roster.rs
+++ b/src/catalog/roster.rs
@@ -249,6 +249,9 @@
             }
         }
         let is_removed = |row: &Row| matches!(row.status, ServerStatus::Removed);
+        // Without a report, a copy can't be told from the server's first one.
+        self.rows
+            .retain(|row| !is_removed(row) || row.entry.is_some());
         let mut surplus = self
             .rows
             .iter()
--- a/src/catalog/tests/odd_entries.rs
+++ b/src/catalog/tests/odd_entries.rs
@@ -186,3 +186,24 @@
         Ok(())
     });
 }
+
+// The names of other writers' entries pushed out the memory of a server that was removed, so that a delayed copy of its report listed
+// it again.
+#[test]
+fn odd_names_that_come_and_go_make_a_removed_server_be_forgotten() {
+    let catalog = new_catalog();
+    let now = BootInstant::now();
+    apply_changes(&catalog, vec![report("a", 9, false, 1)], now);
+    apply_changes(&catalog, vec![("a".to_owned(), ServerRecord::Removed)], now);
+
+    for number in 0..3_600 {
+        let id = format!("odd-{number}");
+        let odd = ServerRecord::Unusable("no entry".to_owned());
+        apply_changes(&catalog, vec![(id.clone(), odd)], now);
+        apply_changes(&catalog, vec![(id, ServerRecord::Removed)], now);
+    }
+    apply_changes(&catalog, vec![report("a", 8, false, 1)], now);
+
+    assert!(listed(&catalog).is_empty());
+    assert_eq!(catalog.unusable_count(), 0);
+}
