--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -142,6 +142,9 @@
 /// Failed reads in a row from which that holds: the first ones may have been before the node found its relay.
 const MEMBER_FAILURES: u32 = 2;
 
+/// Maximum number of entries that become unusable in one read for which there is a line each.
+const MAX_UNUSABLE_LINES: usize = 20;
+
 /// Number of timeouts in a row after which a source counts as unreachable.
 const TIMEOUTS_UNTIL_UNREACHABLE: u32 = 3;
 /// Interval at which a node that is not the relay checks whether the data received from peers is stale.
@@ -508,15 +511,22 @@
 
 /// Applies a read of the list, and logs what it changed; returns whether it could be applied.
 fn apply_server_read(catalog: &Catalog, logs: &Logs, mut read: ListRead) -> bool {
+    let mut unusable = 0;
     for (id, record) in read.records.records_mut() {
         let checked = std::mem::replace(record, ServerRecord::Removed).checked(id);
         *record = checked;
         if let ServerRecord::Unusable(reason) = record
             && !catalog.is_known_unusable(id, reason)
         {
-            warn!(logs.log(), "server entry unusable"; "server" => &*id, "cause" => &*reason);
+            unusable += 1;
+            if unusable <= MAX_UNUSABLE_LINES {
+                warn!(logs.log(), "server entry unusable"; "server" => &*id, "cause" => &*reason);
+            }
         }
     }
+    if unusable > MAX_UNUSABLE_LINES {
+        warn!(logs.log(), "further server entries unusable"; "count" => unusable - MAX_UNUSABLE_LINES);
+    }
     let era = read.position.era;
     let Some(change) = catalog.apply_list_read(read, BootInstant::now()) else {
         return false;
