--- a/src/border/engine.rs
+++ b/src/border/engine.rs
@@ -11,6 +11,7 @@
 use super::generated::backend::KvBlob;
 use super::generated::backend::KvExport;
 use super::generated::backend::LoadReport;
+use super::generated::backend::LoadedModel;
 use super::generated::backend::Order;
 use crate::net::Body;
 use crate::net::Client;
@@ -25,12 +26,16 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum size of the response to a control request in bytes. KV cache exports are the largest responses.
 const MAX_CONTROL_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 /// Timeout for the response head of a control request, and again for its body.
@@ -200,6 +205,15 @@
     serde_json::from_slice(body).map_err(|err| BackendError::Lost(err.to_string()))
 }
 
+/// Decodes the state of an engine. A model that can't be decoded is left out: it must not cost the others.
+fn decode_state(body: &[u8]) -> Result<EngineState, BackendError> {
+    let mut state: serde_json::Value = parse_json(body)?;
+    if let Some(models) = state.get_mut("models").and_then(|it| it.as_array_mut()) {
+        models.retain(|model| LoadedModel::deserialize(model).is_ok());
+    }
+    serde_json::from_value(state).map_err(|err| BackendError::Lost(err.to_string()))
+}
+
 fn to_backend_error(err: SendError) -> BackendError {
     match err {
         SendError::NotSent(cause) => BackendError::NotSent(cause),
@@ -260,7 +274,10 @@
     }
 
     async fn state(&self) -> Result<EngineState, BackendError> {
-        self.get("/state").await
+        let response = self
+            .send_counted_control(Method::GET, "/state", Vec::new())
+            .await?;
+        decode_state(&response)
     }
 
     async fn order(&self, order: &Order) -> Result<EngineState, BackendError> {
@@ -269,6 +286,6 @@
         let response = self
             .send_counted_control(Method::POST, "/orders", body)
             .await?;
-        parse_json(&response)
+        decode_state(&response)
     }
 }
